--- /dev/null
+++ b/scripts/install-deps.sh
@@ -0,0 +1,42 @@
+#!/usr/bin/env bash
+# Installs what the build and the tests need on Debian 12, package by package, each with its reason.
+# Does nothing when all of it is there. Must run as root, or where sudo works without a password.
+set -eu
+
+Packages=(
+    g++                     # compiler of the release build
+    make                    # the commands of the README
+    cmake                   # build description
+    git                     # clang-format and clang-tidy are run on the tracked files
+    clang                   # compiler of the fuzzing and sanitizer builds
+    libclang-rt-14-dev      # libFuzzer and the sanitizers' runtimes
+    clang-format            # format check
+    clang-tidy              # lint check
+    libboost-dev            # Outcome (errors), Accumulators (metrics), Histogram, Lockfree
+    libcereal-dev           # codec of the messages between instances
+    libcurl4-gnutls-dev     # upstream HTTP; the GnuTLS one, since libulfius-dev conflicts with the OpenSSL one
+    libulfius-dev           # HTTP server
+    libjansson-dev          # JSON; ulfius needs it anyway, and it can refuse duplicate keys
+    libfmt-dev              # log lines
+    libpopt-dev             # command line
+    libsodium-dev           # HMAC, digests, keyed hashing
+    libcppunit-dev          # unit tests
+    librapidcheck-dev       # stateful property tests
+    gnuplot-nox             # plots of the reports (run by scripts, never by the product)
+)
+
+Missing=()
+for Package in "${Packages[@]}"
+do
+    dpkg -s "$Package" 2>/dev/null | grep -q '^Status: install ok installed' || Missing+=("$Package")
+done
+if [ "${#Missing[@]}" -eq 0 ]
+then
+    exit 0
+fi
+
+Sudo=""
+[ "$(id -u)" -eq 0 ] || Sudo="sudo -n"
+export DEBIAN_FRONTEND=noninteractive
+$Sudo apt-get update -q >&2
+$Sudo apt-get install -y -q --no-install-recommends "${Missing[@]}" >&2
--- /dev/null
+++ b/winchlink_budget.cpp
@@ -0,0 +1,102 @@
+// winchlink_budget.cpp: the measuring budget: a hard bound on what probes cost a row, for the fleet as a whole.
+//
+// How it works: a row with budget B ms of target time per second and probes of C ms has turns of C/B seconds. In each turn exactly one
+// number may probe, once. So the fleet spends at most C per turn, which is B per second, whatever anybody believes about who is alive.
+// The turn of a dead instance is lost, which costs freshness and never budget. (Weighed against it in docs/DESIGN.md: shares by live
+// count, which a short list breaks, and owners by rendezvous, which two views break.)
+//
+// Clocks: the fleet's wall clocks must agree within ClockGuardUs. A probe is allowed only in the middle of a turn, a guard away from
+// both ends, so that two neighbours never take one turn for two.
+//
+// Index of this file:
+// [SECTION] Turns
+// [SECTION] Spending
+
+#include "winchlink_internal.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace Winchlink
+{
+
+//-----------------------------------------------------------------------------
+// [SECTION] Turns
+//-----------------------------------------------------------------------------
+
+// Turns shorter than this leave too little room between the guards; the row then spends less than its budget, never more.
+static constexpr int GuardsPerTurn = 4;
+
+static TimeUs TurnLength(const ServiceRow& row, TimeUs guard)
+{
+    if (row.MeasuringBudgetMs <= 0)
+    {
+        return 0;
+    }
+    const TimeUs exact = static_cast<TimeUs>(row.ProbeCostMs) * UsPerSecond / row.MeasuringBudgetMs;
+    return std::max(exact, GuardsPerTurn * guard);
+}
+
+static uint32_t NumberOfTurn(const std::string& row, int64_t turn, uint32_t numbers)
+{
+    return static_cast<uint32_t>(HashText(row + "#" + std::to_string(turn)) % numbers);
+}
+
+void BudgetInit(Budget* b, const BudgetConfig& config, TimeUs wall_now)
+{
+    assert(config.Number < config.Numbers && "numbers run from 0 to Numbers - 1");
+    *b = Budget();
+    b->Config = config;
+    b->EmptyUntilUs = wall_now;
+}
+
+BudgetTurn BudgetLook(const Budget& b, const ServiceRow& row, TimeUs wall_now)
+{
+    BudgetTurn look;
+    const TimeUs guard = b.Config.ClockGuardUs;
+    look.LengthUs = TurnLength(row, guard);
+    if (look.LengthUs == 0)
+    {
+        return look;
+    }
+    look.Turn = wall_now / look.LengthUs;
+    const TimeUs into = wall_now % look.LengthUs;
+    const bool middle = into >= guard && into < look.LengthUs - guard;
+    // A process that replaced another under the same number may not know that the turn was used: its first turn is one that began
+    // a whole turn after its own start.
+    const bool old_enough = look.Turn * look.LengthUs >= b.EmptyUntilUs + look.LengthUs;
+    look.Mine = middle && old_enough && NumberOfTurn(row.Name, look.Turn, b.Config.Numbers) == b.Config.Number;
+    return look;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Spending
+//-----------------------------------------------------------------------------
+
+bool BudgetSpend(Budget* b, const ServiceRow& row, TimeUs wall_now)
+{
+    const BudgetTurn look = BudgetLook(*b, row, wall_now);
+    // By time and not by number: an edit of the budget changes the length of turns and so their numbers.
+    auto last = b->SpentUntilUs.find(row.Name);
+    const TimeUs start = look.Turn * look.LengthUs;
+    const bool spent = last != b->SpentUntilUs.end() && start < last->second;
+    if (!look.Mine || spent)
+    {
+        return false;
+    }
+    b->SpentUntilUs[row.Name] = start + look.LengthUs;
+    b->Probes++;
+    b->SpentUs += static_cast<uint64_t>(row.ProbeCostMs) * UsPerMs;
+    return true;
+}
+
+void BudgetFollowTable(Budget* b, const Table& table, TimeUs wall_now)
+{
+    for (auto it = b->SpentUntilUs.begin(); it != b->SpentUntilUs.end();)
+    {
+        const bool over = it->second <= wall_now;
+        it = over && FindRow(table, it->first) == nullptr ? b->SpentUntilUs.erase(it) : std::next(it);
+    }
+}
+
+} // namespace Winchlink
--- /dev/null
+++ b/winchlink_json.cpp
@@ -0,0 +1,204 @@
+// winchlink_json.cpp: strict reading of JSON documents.
+//
+// jansson parses; this file adds key paths, codes and the habit of naming every fault at once.
+//
+// Index of this file:
+// [SECTION] Loading
+// [SECTION] Reading
+// [SECTION] Writing
+
+#include "winchlink_json.h"
+
+#include <cassert>
+#include <limits>
+
+namespace Winchlink
+{
+
+//-----------------------------------------------------------------------------
+// [SECTION] Loading
+//-----------------------------------------------------------------------------
+
+JsonPtr LoadJson(const std::string& text, const JsonCodes& codes, std::vector<Fault>* faults)
+{
+    json_error_t error;
+    JsonPtr root(json_loadb(text.data(), text.size(), JSON_REJECT_DUPLICATES, &error), json_decref);
+    if (!root)
+    {
+        faults->push_back({codes.NotJson, "line " + std::to_string(error.line), error.text});
+    }
+    return root;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Reading
+//-----------------------------------------------------------------------------
+
+bool OpenObject(json_t* value, const std::string& where, const JsonCodes& codes, std::vector<Fault>* faults, ObjectReader* out)
+{
+    if (!json_is_object(value))
+    {
+        faults->push_back({codes.WrongType, where, "expected an object"});
+        return false;
+    }
+    *out = ObjectReader{value, where, faults, codes, {}};
+    return true;
+}
+
+std::string PathOf(const ObjectReader& r, const std::string& key)
+{
+    return r.Where.empty() ? key : r.Where + "." + key;
+}
+
+std::string ElementPath(const std::string& list, size_t index)
+{
+    return list + "[" + std::to_string(index) + "]";
+}
+
+void AddFault(const ObjectReader& r, Code_ code, const std::string& key, const std::string& detail)
+{
+    r.Faults->push_back({code, PathOf(r, key), detail});
+}
+
+static json_t* ReadKey(ObjectReader* r, const char* key, bool required)
+{
+    r->Known.insert(key);
+    json_t* value = json_object_get(r->Object, key);
+    if (value == nullptr && required)
+    {
+        AddFault(*r, r->Codes.MissingKey, key, "this key is required");
+    }
+    return value;
+}
+
+void ReadText(ObjectReader* r, const char* key, bool required, std::string* out)
+{
+    json_t* value = ReadKey(r, key, required);
+    if (value == nullptr)
+    {
+        return;
+    }
+    if (!json_is_string(value))
+    {
+        AddFault(*r, r->Codes.WrongType, key, "expected a text");
+        return;
+    }
+    out->assign(json_string_value(value), json_string_length(value));
+}
+
+void ReadInt(ObjectReader* r, const char* key, bool required, int* out)
+{
+    json_t* value = ReadKey(r, key, required);
+    if (value == nullptr)
+    {
+        return;
+    }
+    if (!json_is_integer(value))
+    {
+        AddFault(*r, r->Codes.WrongType, key, "expected a whole number");
+        return;
+    }
+    const json_int_t number = json_integer_value(value);
+    if (number < std::numeric_limits<int>::min() || number > std::numeric_limits<int>::max())
+    {
+        AddFault(*r, r->Codes.OutOfRange, key, "number too large");
+        return;
+    }
+    *out = static_cast<int>(number);
+}
+
+void ReadIntBetween(ObjectReader* r, const char* key, bool required, int least, int most, int* out)
+{
+    ReadInt(r, key, required, out);
+    if (*out < least || *out > most)
+    {
+        AddFault(*r, r->Codes.OutOfRange, key,
+                 "expected " + std::to_string(least) + " to " + std::to_string(most) + ", found " + std::to_string(*out));
+    }
+}
+
+void ReadRevision(ObjectReader* r, const char* key, bool required, uint64_t* out)
+{
+    json_t* value = ReadKey(r, key, required);
+    if (value == nullptr)
+    {
+        return;
+    }
+    if (!json_is_integer(value) || json_integer_value(value) < 1)
+    {
+        AddFault(*r, r->Codes.WrongType, key, "expected a whole number from 1");
+        return;
+    }
+    *out = static_cast<uint64_t>(json_integer_value(value));
+}
+
+json_t* ReadList(ObjectReader* r, const char* key, bool required)
+{
+    json_t* value = ReadKey(r, key, required);
+    if (value != nullptr && !json_is_array(value))
+    {
+        AddFault(*r, r->Codes.WrongType, key, "expected a list");
+        return nullptr;
+    }
+    return value;
+}
+
+void ReadTexts(ObjectReader* r, const char* key, bool required, std::vector<std::string>* out)
+{
+    json_t* list = ReadList(r, key, required);
+    size_t index = 0;
+    json_t* value = nullptr;
+    json_array_foreach(list, index, value)
+    {
+        if (!json_is_string(value))
+        {
+            AddFault(*r, r->Codes.WrongType, ElementPath(key, index), "expected a text");
+            continue;
+        }
+        out->emplace_back(json_string_value(value), json_string_length(value));
+    }
+}
+
+void ReportUnknownKeys(const ObjectReader& r)
+{
+    const char* key = nullptr;
+    json_t* value = nullptr;
+    json_object_foreach(r.Object, key, value)
+    {
+        if (r.Known.count(key) == 0)
+        {
+            AddFault(r, r.Codes.UnknownKey, key, "there is no such key here");
+        }
+    }
+}
+
+Error FirstFault(const std::vector<Fault>& faults)
+{
+    assert(!faults.empty() && "asked for the first of no faults");
+    return Error{faults[0].Code, faults[0].Where + ": " + faults[0].Detail};
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Writing
+//-----------------------------------------------------------------------------
+
+json_t* JsonText(const std::string& text)
+{
+    json_t* value = json_stringn(text.data(), text.size());
+    return value != nullptr ? value : json_string("(not UTF-8)");
+}
+
+json_t* JsonNumber(uint64_t number)
+{
+    return json_integer(static_cast<json_int_t>(number));
+}
+
+std::string DumpJson(json_t* value, size_t flags)
+{
+    const JsonPtr owner(value, json_decref);
+    const std::unique_ptr<char, decltype(&free)> text(json_dumps(value, flags), free);
+    assert(text && "a JSON value that can't be written");
+    return text.get();
+}
+
+} // namespace Winchlink
--- /dev/null
+++ b/winchlink_json.h
@@ -0,0 +1,100 @@
+// winchlink_json.h: strict reading of JSON documents, for the table, the settings and the platform's answers.
+//
+// How to use it: LoadJson() parses text, OpenObject() starts reading one object, Read...() take its keys, ReportUnknownKeys() ends it.
+// Faults are collected with their key paths; nothing stops at the first one. On a fault the output keeps its former value.
+//
+// Index of this file:
+// [SECTION] Loading
+// [SECTION] Reading
+// [SECTION] Writing
+
+#pragma once
+
+#include "winchlink.h"
+
+#include <jansson.h>
+#include <set>
+
+namespace Winchlink
+{
+
+//-----------------------------------------------------------------------------
+// [SECTION] Loading
+//-----------------------------------------------------------------------------
+
+using JsonPtr = std::unique_ptr<json_t, decltype(&json_decref)>;
+
+// Which codes the faults of one kind of document carry.
+struct JsonCodes
+{
+    Code_ NotJson = Code_None;
+    Code_ UnknownKey = Code_None;
+    Code_ WrongType = Code_None;
+    Code_ MissingKey = Code_None;
+    Code_ OutOfRange = Code_None;
+};
+
+inline constexpr JsonCodes TableCodes = {Code_TableNotJson, Code_TableUnknownKey, Code_TableWrongType, Code_TableMissingKey, Code_TableOutOfRange};
+inline constexpr JsonCodes SettingsCodes = {Code_SettingsNotJson, Code_SettingsUnknownKey, Code_SettingsWrongType, Code_SettingsMissingKey,
+                                            Code_SettingsOutOfRange};
+inline constexpr JsonCodes PlatformCodes = {Code_PlatformBadAnswer, Code_PlatformBadAnswer, Code_PlatformBadAnswer, Code_PlatformBadAnswer,
+                                            Code_PlatformBadAnswer};
+
+// Null and a fault if the text is not JSON or names a key twice.
+JsonPtr LoadJson(const std::string& text, const JsonCodes& codes, std::vector<Fault>* faults);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Reading
+//-----------------------------------------------------------------------------
+
+// A JSON object being read; remembers which keys were asked for.
+struct ObjectReader
+{
+    json_t* Object = nullptr;               // Borrowed.
+    std::string Where;                      // Key path; empty at the root.
+    std::vector<Fault>* Faults = nullptr;   // Collects.
+    JsonCodes Codes;                        // Codes of this document.
+    std::set<std::string> Known;            // Keys asked for.
+};
+
+// False and a fault if the value is no object.
+bool OpenObject(json_t* value, const std::string& where, const JsonCodes& codes, std::vector<Fault>* faults, ObjectReader* out);
+
+// Key path of a member.
+std::string PathOf(const ObjectReader& r, const std::string& key);
+
+// Key path of a list's element.
+std::string ElementPath(const std::string& list, size_t index);
+
+void AddFault(const ObjectReader& r, Code_ code, const std::string& key, const std::string& detail);
+void ReadText(ObjectReader* r, const char* key, bool required, std::string* out);
+void ReadInt(ObjectReader* r, const char* key, bool required, int* out);
+
+// The same, with a fault where the number is outside its range.
+void ReadIntBetween(ObjectReader* r, const char* key, bool required, int least, int most, int* out);
+
+// A revision: a whole number from 1.
+void ReadRevision(ObjectReader* r, const char* key, bool required, uint64_t* out);
+
+// The list under a key, borrowed; null if there is none.
+json_t* ReadList(ObjectReader* r, const char* key, bool required);
+
+void ReadTexts(ObjectReader* r, const char* key, bool required, std::vector<std::string>* out);
+
+// A fault for each key that was not asked for. Call it last.
+void ReportUnknownKeys(const ObjectReader& r);
+
+// The first fault as an error. Asserts that there is one.
+Error FirstFault(const std::vector<Fault>& faults);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Writing
+//-----------------------------------------------------------------------------
+
+json_t* JsonText(const std::string& text);
+json_t* JsonNumber(uint64_t number);
+
+// Writes and releases the value.
+std::string DumpJson(json_t* value, size_t flags);
+
+} // namespace Winchlink
