--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# The commands of the README. Each installs what it needs by itself.
+
+JOBS ?= $(shell nproc)
+
+.PHONY: all deps demo test lint bench capacity soak added fuzz format clean
+
+all: deps
+	@cmake -S . -B build > build.log 2>&1 || (cat build.log; rm -f build.log; exit 1); rm -f build.log
+	@cmake --build build -j$(JOBS)
+
+deps:
+	@scripts/install-deps.sh
+
+demo: all
+	@build/winchbench demo
+
+test: deps
+	@scripts/test.sh
+
+lint: deps
+	@scripts/lint.sh
+
+added: all
+	@build/winchbench added
+
+bench: all
+	@scripts/bench.sh
+
+capacity: all
+	@scripts/capacity.sh
+
+soak: all
+	@build/winchbench soak --seconds $${SECONDS_LONG:-300}
+
+fuzz: deps
+	@scripts/fuzz.sh $${FUZZ_SECONDS:-60}
+
+format:
+	@git ls-files '*.h' '*.cpp' | xargs clang-format -i
+
+clean:
+	@rm -rf build build-asan build-tsan build-fuzz out
--- a/bench/demo.cpp
+++ b/bench/demo.cpp
@@ -60,16 +60,14 @@
                    s.P99Ms, s.P999Ms);
     }
     std::map<int, int> codes;
-    int gone = 0;
     for (const LoadRecord& record : records)
     {
-        gone += record.NotConnected ? 1 : 0;
         if (record.Code != 0)
         {
             codes[record.Code]++;
         }
     }
-    fmt::print("\nrefusals and failures by code (the killed instance took no connection for {} calls):\n", gone);
+    fmt::print("\nrefusals and failures by code ({} kinds):\n", codes.size());
     for (const auto& code : codes)
     {
         fmt::print("  {} {}: {}\n", code.first, FindCode(static_cast<Code_>(code.first)).Name, code.second);
--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -72,6 +72,25 @@
     record->Wrong = foreign || (answer.Status == 200 && answer.Body != expected);
 }
 
+// One call through the platform's balancer: an entry that takes no connection is passed over, since nothing was sent to it.
+static HttpAnswer SendThroughBalancer(const LoadPlan& plan, size_t index, HttpClient* client, HttpCall* call, LoadRecord* record)
+{
+    HttpAnswer answer;
+    for (size_t n = 0; n < plan.Entries.size(); n++)
+    {
+        call->Address = plan.Entries[(index + n) % plan.Entries.size()];
+        answer = HttpSend(client, *call);
+        long os_error = 0;
+        curl_easy_getinfo(client->Easy, CURLINFO_OS_ERRNO, &os_error);
+        record->NotConnected = answer.Status == 0 && os_error == ECONNREFUSED;
+        if (!record->NotConnected)
+        {
+            break;
+        }
+    }
+    return answer;
+}
+
 static void PlayOne(const LoadPlan& plan, size_t index, TimeUs start, HttpClient* client, LoadRecord* record)
 {
     const LoadKind& kind = plan.Kinds[record->Kind];
@@ -79,15 +98,11 @@
     call.Method = kind.Method;
     call.Path = kind.Path + (kind.Path.find('?') == std::string::npos ? "?id=" : "&id=") + record->Id;
     call.Body = kind.Method == "POST" ? "body of " + record->Id : "";
-    call.Address = plan.Entries[index % plan.Entries.size()];
     call.Headers = {{HeaderRequestId, record->Id}, {HeaderDeadline, std::to_string(kind.DeadlineMs)}};
     call.TimeoutMs = kind.DeadlineMs + 2000;
     SleepUs(start + record->PlannedUs - NowUs());
-    const HttpAnswer answer = HttpSend(client, call);
-    long os_error = 0;
-    curl_easy_getinfo(client->Easy, CURLINFO_OS_ERRNO, &os_error);
+    const HttpAnswer answer = SendThroughBalancer(plan, index, client, &call, record);
     record->LatencyUs = NowUs() - start - record->PlannedUs;
-    record->NotConnected = answer.Status == 0 && os_error == ECONNREFUSED;
     Record(answer, call.Method + " " + call.Path + " " + call.Body + "\n", record);
 }
 
--- a/bench/load.h
+++ b/bench/load.h
@@ -40,7 +40,7 @@
     int Code = 0;                 // Winchlink's result code, 0 if none.
     bool NotRun = false;          // The answer says that it was not run.
     bool Wrong = false;           // The answer is not the one to this call.
-    bool NotConnected = false;    // The instance was gone before the call was sent.
+    bool NotConnected = false;    // No instance took a connection.
     TimeUs RetryAfterUs = 0;      // As told.
 };
 
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,62 @@
+#!/usr/bin/env bash
+# Builds and runs every test: all of them in the ordinary build, then those that a sanitizer can say something about under
+# ASan+UBSan and TSan. The last line is "N passed, N failed".
+set -u
+cd "$(dirname "$0")/.."
+
+Passed=0
+Failed=0
+
+Build() # folder, sanitizers, build type
+{
+    cmake -S . -B "$1" -DWINCHLINK_SANITIZE="$2" -DCMAKE_BUILD_TYPE="$3" >/dev/null || return 1
+    cmake --build "$1" -j"$(nproc)" >"$1/build.log" 2>&1 || { tail -50 "$1/build.log"; return 1; }
+}
+
+Run() # folder, arguments...
+{
+    local Folder=$1
+    shift
+    "$Folder/winchtests" "$@" >"$Folder/tests.log" 2>"$Folder/tests.err"
+    local Code=$?
+    grep -E '^(FAIL|known red|  )' "$Folder/tests.log"
+    local Last
+    Last=$(tail -1 "$Folder/tests.log")
+    echo "$Folder: $Last"
+    local P F
+    P=$(echo "$Last" | sed -n 's/^\([0-9]*\) passed, \([0-9]*\) failed$/\1/p')
+    F=$(echo "$Last" | sed -n 's/^\([0-9]*\) passed, \([0-9]*\) failed$/\2/p')
+    if [ -z "$P" ] || { [ "$Code" -ne 0 ] && [ "$F" -eq 0 ]; }
+    then
+        # It died, or a sanitizer spoke at its end.
+        echo "$Folder: exit code $Code"
+        tail -60 "$Folder/tests.err"
+        Failed=$((Failed + 1))
+    fi
+    Passed=$((Passed + ${P:-0}))
+    Failed=$((Failed + ${F:-0}))
+}
+
+Variant() # folder, sanitizers, build type, test arguments...
+{
+    local Folder=$1 Sanitizers=$2 Type=$3
+    shift 3
+    if Build "$Folder" "$Sanitizers" "$Type"
+    then
+        Run "$Folder" "$@"
+    else
+        echo "$Folder: does not build"
+        Failed=$((Failed + 1))
+    fi
+}
+
+export TSAN_OPTIONS="suppressions=$PWD/tests/tsan.supp halt_on_error=0 exitcode=66"
+export ASAN_OPTIONS="detect_leaks=1"
+export UBSAN_OPTIONS="halt_on_error=1 print_stacktrace=1"
+
+Variant build "" RelWithDebInfo
+Variant build-asan "address,undefined" RelWithDebInfo --skip Process
+Variant build-tsan "thread" RelWithDebInfo --only Instance --only Upstream --only Server
+
+echo "$Passed passed, $Failed failed"
+[ "$Failed" -eq 0 ]
--- /dev/null
+++ b/tests/check.h
@@ -0,0 +1,88 @@
+// check.h: what the tests share.
+
+#pragma once
+
+#include "winchlink.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <iostream>
+#include <rapidcheck.h>
+#include <rapidcheck/detail/Configuration.h>
+
+// A property must hold for all generated cases; for a costly one, name the percentage of the usual number of cases.
+#define CHECK_PROPERTY(text, ...) CPPUNIT_ASSERT_MESSAGE(text, Winchlink::HoldsFor(100, true, text, __VA_ARGS__))
+#define CHECK_COSTLY_PROPERTY(percent, text, ...) CPPUNIT_ASSERT_MESSAGE(text, Winchlink::HoldsFor(percent, true, text, __VA_ARGS__))
+
+// A planted fault must be found: a proof that can't fail is none.
+#define CHECK_FINDS_FAULT(text, ...) CPPUNIT_ASSERT_MESSAGE(text, !Winchlink::HoldsFor(400, false, text, __VA_ARGS__))
+
+namespace Winchlink
+{
+
+// Like rc::check(), with a share of the number of cases that RC_PARAMS names. A planted fault need not be shrunk.
+template <class Testable> bool HoldsFor(int percent, bool shrink, const std::string& text, Testable testable)
+{
+    rc::detail::TestMetadata metadata;
+    metadata.id = text;
+    metadata.description = text;
+    rc::detail::TestParams params = rc::detail::configuration().testParams;
+    params.maxSuccess = std::max(1, params.maxSuccess * percent / 100);
+    params.disableShrinking = !shrink;
+    const rc::detail::TestResult result = rc::detail::checkTestable(testable, metadata, params);
+    rc::detail::printResultMessage(result, std::cerr);
+    std::cerr << "\n- " << text << "\n";
+    return result.template is<rc::detail::SuccessResult>();
+}
+
+// Random numbers of one generated case. rapidcheck draws the seed only: cases of thousands of steps would otherwise be dominated by
+// drawing, and by shrinking what is drawn.
+struct Dice
+{
+    Random Rng;
+
+    Dice() : Rng(*rc::gen::noShrink(rc::gen::arbitrary<uint64_t>()))
+    {
+    }
+
+    // From `least` up to but not including `end`.
+    int64_t Between(int64_t least, int64_t end)
+    {
+        return std::uniform_int_distribution<int64_t>(least, end - 1)(Rng);
+    }
+
+    bool OneIn(int64_t n)
+    {
+        return Between(0, n) == 0;
+    }
+};
+
+// A small valid row.
+inline ServiceRow MakeRow(const std::string& name, uint64_t revision, int targets = 2)
+{
+    ServiceRow row;
+    row.Name = name;
+    row.Revision = revision;
+    row.PathPrefix = "/" + name;
+    for (int n = 0; n < targets; n++)
+    {
+        TargetRow target;
+        target.Address = "127.0.0.1:" + std::to_string(9000 + n);
+        target.DataCentre = "dc1";
+        target.Slots = 3;
+        row.Targets.push_back(target);
+    }
+    SealRow(&row);
+    return row;
+}
+
+inline Table MakeTable(uint64_t revision, const std::vector<ServiceRow>& rows)
+{
+    Table table;
+    table.Version.Revision = revision;
+    table.Rows = rows;
+    SealTable(&table);
+    return table;
+}
+
+} // namespace Winchlink
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,128 @@
+// main.cpp: runs the tests and prints "N passed, N failed" last.
+//
+// Usage: winchtests [--only SUITE]... [--skip SUITE]... [--list]
+// A suite is the part of a test's name before "Test::". RC_PARAMS sets seed and length of the property tests; without it they are
+// fixed, so that every run gives the same verdict.
+
+#include "winchlink.h"
+
+#include <cppunit/Exception.h>
+#include <cppunit/SourceLine.h>
+#include <cppunit/Test.h>
+#include <cppunit/TestFailure.h>
+#include <cppunit/TestResult.h>
+#include <cppunit/TestResultCollector.h>
+#include <cppunit/extensions/TestFactoryRegistry.h>
+#include <csignal>
+#include <cstdio>
+#include <curl/curl.h>
+#include <cstdlib>
+#include <string>
+#include <ulfius.h>
+#include <vector>
+
+namespace
+{
+
+struct Selection
+{
+    std::vector<std::string> Only;
+    std::vector<std::string> Skip;
+    bool List = false;
+};
+
+bool StartsWithAny(const std::string& name, const std::vector<std::string>& prefixes)
+{
+    for (const std::string& prefix : prefixes)
+    {
+        if (name.compare(0, prefix.size(), prefix) == 0)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool IsSelected(const Selection& selection, const std::string& name)
+{
+    const bool wanted = selection.Only.empty() || StartsWithAny(name, selection.Only);
+    return wanted && !StartsWithAny(name, selection.Skip);
+}
+
+Selection ReadArguments(int argc, char** argv)
+{
+    Selection selection;
+    for (int n = 1; n < argc; n++)
+    {
+        const std::string argument = argv[n];
+        selection.List = selection.List || argument == "--list";
+        if (argument == "--only" && n + 1 < argc)
+        {
+            selection.Only.emplace_back(argv[++n]);
+        }
+        if (argument == "--skip" && n + 1 < argc)
+        {
+            selection.Skip.emplace_back(argv[++n]);
+        }
+    }
+    return selection;
+}
+
+void Collect(CPPUNIT_NS::Test* test, const Selection& selection, std::vector<CPPUNIT_NS::Test*>* out)
+{
+    if (test->getChildTestCount() == 0 && IsSelected(selection, test->getName()))
+    {
+        out->push_back(test);
+    }
+    for (int n = 0; n < test->getChildTestCount(); n++)
+    {
+        Collect(test->getChildTestAt(n), selection, out);
+    }
+}
+
+// Runs one test; true if it passed.
+bool RunTest(CPPUNIT_NS::Test* test)
+{
+    CPPUNIT_NS::TestResult result;
+    CPPUNIT_NS::TestResultCollector collector;
+    result.addListener(&collector);
+    test->run(&result);
+    for (const CPPUNIT_NS::TestFailure* failure : collector.failures())
+    {
+        const CPPUNIT_NS::SourceLine line = failure->sourceLine();
+        std::printf("FAIL %s\n  %s:%d\n  %s\n", test->getName().c_str(), line.fileName().c_str(), line.lineNumber(),
+                    failure->thrownException()->what());
+    }
+    return collector.wasSuccessful();
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    setenv("RC_PARAMS", "seed=20240917 max_success=100", 0);
+    if (!Winchlink::Init() || curl_global_init(CURL_GLOBAL_ALL) != CURLE_OK || ulfius_global_init() != U_OK)
+    {
+        std::printf("a library can't start\n0 passed, 1 failed\n");
+        return 1;
+    }
+    const Selection selection = ReadArguments(argc, argv);
+    std::vector<CPPUNIT_NS::Test*> tests;
+    CPPUNIT_NS::Test* all = CPPUNIT_NS::TestFactoryRegistry::getRegistry().makeTest();
+    Collect(all, selection, &tests);
+    int passed = 0;
+    int failed = 0;
+    for (CPPUNIT_NS::Test* test : tests)
+    {
+        std::printf("%s %s\n", selection.List ? "test" : "run", test->getName().c_str());
+        std::fflush(stdout);
+        if (!selection.List)
+        {
+            (RunTest(test) ? passed : failed)++;
+        }
+    }
+    delete all;
+    std::printf("%d passed, %d failed\n", passed, failed);
+    return failed == 0 ? 0 : 1;
+}
--- a/winchlink.h
+++ b/winchlink.h
@@ -730,7 +730,8 @@
     double ReportTauUs = 100.0 * UsPerMs;           // A report loses weight with this time constant.
     double LatencyGain = 0.2;                       // Weight of a new latency in the moving average.
     double LatencyGainUp = 0.5;                     // The same where the new one is higher: slowness is noticed at once.
-    double LatencyTauUs = 5.0 * UsPerSecond;        // A target's latency drifts to the row's with this time constant while it is silent.
+    double LatencyTauUs = 5.0 * UsPerSecond;        // What was learnt of a silent target loses weight with this time constant.
+    double HopedShare = 0.9;                        // A target silent for long is hoped to take this share of the row's best latency.
     double FailGain = 0.2;                          // Weight of a new outcome in the moving average.
     double FailPenalty = 20.0;                      // Cost factor at FailShare 1, so that failing fast does not attract work.
     double EjectShare = 0.5;                        // FailShare above which a target is taken out.
--- a/winchlink_internal.h
+++ b/winchlink_internal.h
@@ -3,6 +3,7 @@
 // Index of this file:
 // [SECTION] Hashing
 // [SECTION] Codec of rows (cereal)
+// [SECTION] Messages
 // [SECTION] Policy
 
 #pragma once
@@ -106,6 +107,15 @@
 // All checks on one row that need no other row; appends faults with the given key path.
 void CheckRow(const ServiceRow& row, const std::string& where, std::vector<Fault>* faults);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Messages
+//-----------------------------------------------------------------------------
+
+inline constexpr size_t MarkSize = 16;    // Bytes of a message's mark, at its end.
+
+// Decodes a message without its mark. For DecodeMessage(), and for tests of the decoder.
+Result<Message> DecodeUnmarked(const std::string& bytes);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Policy
 //-----------------------------------------------------------------------------
--- a/winchlink_member.cpp
+++ b/winchlink_member.cpp
@@ -47,9 +47,8 @@
 
 static const Tombstone* FindTombstone(const Membership& m, InstanceId id)
 {
-    // Latest first: a peer may have died more than once.
-    auto found = std::find_if(m.Tombstones.rbegin(), m.Tombstones.rend(), [&](const Tombstone& t) { return t.Id == id; });
-    return found != m.Tombstones.rend() ? &*found : nullptr;
+    auto found = std::find_if(m.Tombstones.begin(), m.Tombstones.end(), [&](const Tombstone& t) { return t.Id == id; });
+    return found != m.Tombstones.end() ? &*found : nullptr;
 }
 
 // Notes a sequence number. False if it was seen, or is too old to tell.
@@ -72,9 +71,19 @@
     return true;
 }
 
+// Notes that a peer is gone. A peer that came back by rumour only has no sequence number of its own: what an earlier tombstone of the
+// same incarnation knows stays in force, or old messages would count again.
 static void Bury(Membership* m, const Peer& peer)
 {
-    m->Tombstones.push_back({peer.Id, peer.Incarnation, peer.Sequence});
+    Tombstone next = {peer.Id, peer.Incarnation, peer.Sequence};
+    auto old = std::find_if(m->Tombstones.begin(), m->Tombstones.end(), [&](const Tombstone& t) { return t.Id == peer.Id; });
+    if (old != m->Tombstones.end())
+    {
+        const bool same = old->Incarnation == next.Incarnation;
+        next.Sequence = same ? std::max(old->Sequence, next.Sequence) : next.Sequence;
+        m->Tombstones.erase(old);
+    }
+    m->Tombstones.push_back(next);
     if (m->Tombstones.size() > TombstonesMax)
     {
         m->Tombstones.erase(m->Tombstones.begin());
--- a/winchlink_route.cpp
+++ b/winchlink_route.cpp
@@ -148,16 +148,30 @@
     return count > 0 ? std::exp(sum / count) : r.Config.FirstLatencyUs; // Geometric mean: one slow target hardly moves it.
 }
 
+static double BestLatency(const Router& r)
+{
+    double best = 0;
+    for (const RouterTarget& target : r.Targets)
+    {
+        const bool better = target.LatencyUs > 0 && (best <= 0 || target.LatencyUs < best);
+        best = better ? target.LatencyUs : best;
+    }
+    return best > 0 ? best : r.Config.FirstLatencyUs;
+}
+
+// What we learnt of a target loses weight while it is silent, and drifts to a little better than the best: a target that was slow once
+// is tried again, and one request is what that costs. (Drifting to the row's mean was tried: a target ten times slower than its only
+// peer then never came back.)
 static double LatencyOf(const Router& r, const RouterTarget& target, TimeUs now)
 {
-    const double row = RowLatency(r);
     if (target.LatencyUs <= 0)
     {
-        return row + (target.Near ? 0 : r.Config.FarUs);
+        return RowLatency(r) + (target.Near ? 0 : r.Config.FarUs);
     }
+    const double hoped = BestLatency(r) * r.Config.HopedShare;
     const double silent = static_cast<double>(std::max<TimeUs>(now - target.AnsweredUs, 0));
     const double weight = std::exp(-silent / r.Config.LatencyTauUs);
-    return row + (target.LatencyUs - row) * weight;
+    return hoped + (target.LatencyUs - hoped) * weight;
 }
 
 double RouterCost(const Router& r, const RouterTarget& target, TimeUs now)
--- a/winchlink_wire.cpp
+++ b/winchlink_wire.cpp
@@ -22,7 +22,6 @@
 {
 
 static constexpr uint8_t ProtocolVersion = 1;
-static constexpr size_t MarkSize = 16;
 static constexpr size_t PrefixSize = 2; // Version and type.
 
 //-----------------------------------------------------------------------------
@@ -216,6 +215,15 @@
     {
         return Error{Code_MessageBadMark, ""};
     }
+    return DecodeUnmarked(bytes.substr(0, bytes.size() - MarkSize));
+}
+
+Result<Message> DecodeUnmarked(const std::string& bytes)
+{
+    if (bytes.size() < PrefixSize)
+    {
+        return Error{Code_MessageTooShort, std::to_string(bytes.size()) + " bytes"};
+    }
     if (static_cast<uint8_t>(bytes[0]) != ProtocolVersion)
     {
         return Error{Code_MessageBadVersion, "version " + std::to_string(static_cast<uint8_t>(bytes[0]))};
@@ -227,7 +235,7 @@
         return Error{Code_MessageBadType, "type " + std::to_string(type)};
     }
     message.Type = static_cast<MessageType_>(type);
-    std::istringstream stream(bytes.substr(PrefixSize, bytes.size() - PrefixSize - MarkSize));
+    std::istringstream stream(bytes.substr(PrefixSize));
     try
     {
         cereal::PortableBinaryInputArchive archive(stream);
