--- a/daemon/control.cpp
+++ b/daemon/control.cpp
@@ -1,11 +1,11 @@
 // control.cpp: the one thread that holds control state. Read ControlLoop() at the end first.
 //
 // Index of this file:
+// [SECTION] Operators' view
 // [SECTION] Publishing snapshots
 // [SECTION] Platform
 // [SECTION] Measuring
 // [SECTION] Messages and reports
-// [SECTION] Operators' view
 // [SECTION] The loop
 
 #include "control.h"
@@ -25,6 +25,61 @@
 static constexpr int ProbeTimeoutMs = 1000;
 static constexpr size_t ProbeBodyMax = 64 * 1024;
 
+//-----------------------------------------------------------------------------
+// [SECTION] Operators' view
+//-----------------------------------------------------------------------------
+
+static std::vector<PeerView> ViewPeers(const Membership& members, TimeUs now)
+{
+    std::vector<PeerView> peers;
+    for (const Peer& peer : members.Peers)
+    {
+        peers.push_back({FormatEndpoint(peer.Address), peer.Table.Revision, now - peer.HeardUs, peer.Direct});
+    }
+    return peers;
+}
+
+static void UpdateView(Control* control, TimeUs now)
+{
+    if (now < control->NextViewUs)
+    {
+        return;
+    }
+    control->NextViewUs = now + ViewPeriodUs;
+    const Coordinator& fleet = control->Fleet;
+    auto view = std::make_shared<ControlView>();
+    view->InForce = fleet.Tables.Current->Version;
+    view->Accepted = AgreementAccepted(fleet.Tables, fleet.Members);
+    view->AdoptedUs = fleet.Tables.AdoptedUs;
+    view->Joined = fleet.Tables.Joined;
+    view->Alone = fleet.Tables.Alone;
+    view->State = fleet.State;
+    view->Conflicts = fleet.Tables.Conflicts;
+    const bool by_platform = control->Platform.RefusedRevision > fleet.Tables.RefusedRevision;
+    view->RefusedReason = by_platform ? control->Platform.RefusedReason : fleet.Tables.RefusedReason;
+    view->RefusedRevision = std::max(control->Platform.RefusedRevision, fleet.Tables.RefusedRevision);
+    view->PlatformReads = fleet.Members.AskedUs != 0;
+    view->PlatformOlder = control->Platform.Older;
+    view->PlatformSeen = control->Platform.SeenRevision;
+    view->PlatformCalls = control->Platform.Calls;
+    view->PlatformFailures = control->Platform.Failures;
+    view->PlatformContactUs = control->Platform.LastContactUs;
+    view->Peers = ViewPeers(fleet.Members, now);
+    view->Measuring = {control->Measuring.Probes, control->Measuring.SpentUs};
+    view->Messages = fleet.Counts;
+    view->ReplaysRefused = fleet.Members.ReplaysRefused;
+    view->Pauses = fleet.Pauses;
+    view->SendErrors = control->Wire.SendErrors;
+    view->CpuUs = ThreadCpuUs();
+    view->MadeUs = now;
+    std::atomic_store(&control->View, ControlViewPtr(view));
+}
+
+ControlViewPtr ControlLatest(const Control& control)
+{
+    return std::atomic_load(&control.View);
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Publishing snapshots
 //-----------------------------------------------------------------------------
@@ -65,7 +120,7 @@
 }
 
 // Publishes a snapshot if traffic threads should see something new.
-static void PublishIfChanged(Control* control)
+static void PublishIfChanged(Control* control, TimeUs now)
 {
     const TablePtr& table = control->Fleet.Tables.Current;
     const int instances = static_cast<int>(control->Fleet.Members.Peers.size()) + 1;
@@ -86,6 +141,8 @@
     {
         snapshot->States.push_back(MakeSnapshotRow(control, row));
     }
+    control->NextViewUs = now; // Pages never show an older table than callers are served by.
+    UpdateView(control, now);
     RoutingPublish(control->Routes, snapshot);
     if (table_changed)
     {
@@ -275,61 +332,6 @@
     }
 }
 
-//-----------------------------------------------------------------------------
-// [SECTION] Operators' view
-//-----------------------------------------------------------------------------
-
-static std::vector<PeerView> ViewPeers(const Membership& members, TimeUs now)
-{
-    std::vector<PeerView> peers;
-    for (const Peer& peer : members.Peers)
-    {
-        peers.push_back({FormatEndpoint(peer.Address), peer.Table.Revision, now - peer.HeardUs, peer.Direct});
-    }
-    return peers;
-}
-
-static void UpdateView(Control* control, TimeUs now)
-{
-    if (now < control->NextViewUs)
-    {
-        return;
-    }
-    control->NextViewUs = now + ViewPeriodUs;
-    const Coordinator& fleet = control->Fleet;
-    auto view = std::make_shared<ControlView>();
-    view->InForce = fleet.Tables.Current->Version;
-    view->Accepted = AgreementAccepted(fleet.Tables, fleet.Members);
-    view->AdoptedUs = fleet.Tables.AdoptedUs;
-    view->Joined = fleet.Tables.Joined;
-    view->Alone = fleet.Tables.Alone;
-    view->State = fleet.State;
-    view->Conflicts = fleet.Tables.Conflicts;
-    const bool by_platform = control->Platform.RefusedRevision > fleet.Tables.RefusedRevision;
-    view->RefusedReason = by_platform ? control->Platform.RefusedReason : fleet.Tables.RefusedReason;
-    view->RefusedRevision = std::max(control->Platform.RefusedRevision, fleet.Tables.RefusedRevision);
-    view->PlatformReads = fleet.Members.AskedUs != 0;
-    view->PlatformOlder = control->Platform.Older;
-    view->PlatformSeen = control->Platform.SeenRevision;
-    view->PlatformCalls = control->Platform.Calls;
-    view->PlatformFailures = control->Platform.Failures;
-    view->PlatformContactUs = control->Platform.LastContactUs;
-    view->Peers = ViewPeers(fleet.Members, now);
-    view->Measuring = {control->Measuring.Probes, control->Measuring.SpentUs};
-    view->Messages = fleet.Counts;
-    view->ReplaysRefused = fleet.Members.ReplaysRefused;
-    view->Pauses = fleet.Pauses;
-    view->SendErrors = control->Wire.SendErrors;
-    view->CpuUs = ThreadCpuUs();
-    view->MadeUs = now;
-    std::atomic_store(&control->View, ControlViewPtr(view));
-}
-
-ControlViewPtr ControlLatest(const Control& control)
-{
-    return std::atomic_load(&control.View);
-}
-
 //-----------------------------------------------------------------------------
 // [SECTION] The loop
 //-----------------------------------------------------------------------------
@@ -363,7 +365,7 @@
         const TimeUs now = NowUs();
         TakeMessages(control, now);
         TakeFetches(control, now);
-        PublishIfChanged(control);
+        PublishIfChanged(control, now);
         UpdateView(control, now);
         control->Routes->CaughtUp = CoordinatorCaughtUp(control->Fleet, now);
         control->Routes->ControlTickUs = now;
--- a/daemon/platform.cpp
+++ b/daemon/platform.cpp
@@ -112,12 +112,14 @@
     reader->NextIndexUs = now;
     if (result.Status == 204)
     {
-        return; // The watch ended without news.
+        // The watch ended without news. One that did not wait is no watch: don't spin on it.
+        reader->NextIndexUs = std::max(now, reader->AskedUs + UsPerSecond);
+        return;
     }
     const Result<TableIndex> index = ParseIndex(result.Body);
     if (result.Status != 200 || !index)
     {
-        const std::string detail = index ? fmt::format("status {}", result.Status) : index.error().Detail;
+        const std::string detail = fmt::format("status {}, {}", result.Status, index ? "index good" : index.error().Detail);
         Refuse(reader, 0, Code_PlatformBadAnswer, detail, now);
         return;
     }
@@ -284,6 +286,7 @@
         const uint64_t after = std::max(have.Version.Revision, reader->SkipRevision);
         const std::string name = fmt::format("{}?after={}&waitMs={}", PlatformIndexName, after, WatchMs);
         reader->State = PlatformState_Index;
+        reader->AskedUs = now;
         reader->FetchId = Call(reader, fetcher, name, WatchTimeoutMs);
         BackOff(reader, now, random); // Taken back when it answers.
     }
--- a/daemon/platform.h
+++ b/daemon/platform.h
@@ -32,6 +32,7 @@
     std::map<uint64_t, std::string> RowFetches; // Row fetches in progress.
     std::vector<ServiceRow> Rows;              // Rows fetched.
     bool RowsFailed = false;                   // Some row did not come.
+    TimeUs AskedUs = 0;                        // When the index was last asked for.
     TimeUs NextIndexUs = 0;                    // Not before.
     TimeUs NextListUs = 0;                     // Not before.
     TimeUs BackoffUs = 0;                      // Grows while the platform does not answer.
--- a/daemon/server.cpp
+++ b/daemon/server.cpp
@@ -122,7 +122,11 @@
 
 static void WriteResponse(const ServerResponse& response, _u_response* to)
 {
-    ulfius_set_binary_body_response(to, static_cast<unsigned>(response.Status), response.Body.data(), response.Body.size());
+    to->status = response.Status; // ulfius' own setter refuses an empty body, and the status with it.
+    if (!response.Body.empty())
+    {
+        ulfius_set_binary_body_response(to, static_cast<unsigned>(response.Status), response.Body.data(), response.Body.size());
+    }
     for (const Header& header : response.Headers)
     {
         AddHeader(to->map_header, header);
--- a/tests/route_test.cpp
+++ b/tests/route_test.cpp
@@ -53,6 +53,7 @@
     CPPUNIT_TEST(CancelledTrialFreesThePlace);
     CPPUNIT_TEST(SlowTargetIsAvoided);
     CPPUNIT_TEST(SlowTargetIsTriedAgain);
+    CPPUNIT_TEST(UnknownTargetIsTried);
     CPPUNIT_TEST(SheddingTargetIsFull);
     CPPUNIT_TEST(RowLimitRefusesWithATime);
     CPPUNIT_TEST(DeadlineTooShortRefuses);
@@ -239,6 +240,19 @@
         CPPUNIT_ASSERT_EQUAL(size_t(2), seen.size());
     }
 
+    // One call at a time, and only one target is known: the other one must get its first request all the same.
+    void UnknownTargetIsTried()
+    {
+        Router router = RouterOf(MakeRow("r", 1, 2));
+        Random random(1);
+        std::set<TargetKey> seen;
+        for (int n = 0; n < 20; n++)
+        {
+            seen.insert(Play(&router, &random, Start + n * UsPerMs, Outcome_Answered, 200));
+        }
+        CPPUNIT_ASSERT_EQUAL(size_t(2), seen.size());
+    }
+
     void SheddingTargetIsFull()
     {
         Router router = RouterOf(MakeRow("r", 1, 2));
--- /dev/null
+++ b/tests/upstream_test.cpp
@@ -0,0 +1,210 @@
+// upstream_test.cpp: one request to one target: what is told of it when the target behaves badly.
+
+#include "clock.h"
+#include "raw_target.h"
+#include "upstream.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace Winchlink
+{
+
+static UpstreamRequest RequestTo(const RawTarget& target, const std::string* body)
+{
+    UpstreamRequest request;
+    request.Method = body != nullptr ? "POST" : "GET";
+    request.Path = "/x";
+    request.Body = body;
+    request.Address = target.Address;
+    request.DeadlineUs = NowUs() + 10 * UsPerSecond;
+    request.AnswerMax = 1024 * 1024;
+    request.StillGood = []() { return true; };
+    return request;
+}
+
+static const std::string Body = "renew 17";
+
+class UpstreamTest : public CPPUNIT_NS::TestFixture
+{
+    CPPUNIT_TEST_SUITE(UpstreamTest);
+    CPPUNIT_TEST(GoodAnswer);
+    CPPUNIT_TEST(AReusedConnectionNeverReplays);
+    CPPUNIT_TEST(BadAnswersAreUnknown);
+    CPPUNIT_TEST(TargetThatShedsIsBelieved);
+    CPPUNIT_TEST(NobodyThereIsNotSent);
+    CPPUNIT_TEST(LastCheckStopsItUnsent);
+    CPPUNIT_TEST(DeadlineEndsIt);
+    CPPUNIT_TEST(HangUpCancels);
+    CPPUNIT_TEST(SecondAnswerGoesNowhere);
+    CPPUNIT_TEST(ReadsReports);
+    CPPUNIT_TEST(IdleConnectionsAreClosed);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void GoodAnswer()
+    {
+        RawTarget target;
+        UpstreamPool pool;
+        for (int n = 0; n < 3; n++)
+        {
+            const UpstreamAnswer answer = UpstreamSend(&pool, RequestTo(target, &Body));
+            CPPUNIT_ASSERT_EQUAL(int(Outcome_Answered), int(answer.Outcome));
+            CPPUNIT_ASSERT_EQUAL(std::string("good"), answer.Body);
+        }
+        CPPUNIT_ASSERT_EQUAL(uint64_t(1), pool.ConnectionsOpened.load());
+        CPPUNIT_ASSERT_EQUAL(3, target.Requests.load());
+    }
+
+    // libcurl sends a request again when a reused connection closes without an answer, POST included.
+    void AReusedConnectionNeverReplays()
+    {
+        RawTarget target;
+        target.Answer = RawAnswer_GoodThenNothing;
+        UpstreamPool pool;
+        CPPUNIT_ASSERT_EQUAL(int(Outcome_Answered), int(UpstreamSend(&pool, RequestTo(target, &Body)).Outcome));
+        const UpstreamAnswer second = UpstreamSend(&pool, RequestTo(target, &Body));
+        CPPUNIT_ASSERT_EQUAL(int(Outcome_Unknown), int(second.Outcome));
+        CPPUNIT_ASSERT_EQUAL(2, target.Requests.load());
+        CPPUNIT_ASSERT_EQUAL(uint64_t(1), pool.ReplaysStopped.load());
+    }
+
+    void BadAnswersAreUnknown()
+    {
+        RawTarget target;
+        UpstreamPool pool;
+        for (const RawAnswer_ bad : {RawAnswer_Nothing, RawAnswer_Garbage, RawAnswer_Half, RawAnswer_Huge, RawAnswer_HugeHeader})
+        {
+            target.Answer = bad;
+            const UpstreamAnswer answer = UpstreamSend(&pool, RequestTo(target, nullptr));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(bad), int(Outcome_Unknown), int(answer.Outcome));
+            CPPUNIT_ASSERT(answer.Body.empty() && answer.Headers.empty());
+            CPPUNIT_ASSERT(answer.Code != Code_None);
+        }
+        target.Answer = RawAnswer_Half;
+        CPPUNIT_ASSERT_EQUAL(int(Code_AnswerBroken), int(UpstreamSend(&pool, RequestTo(target, nullptr)).Code));
+        target.Answer = RawAnswer_Huge;
+        CPPUNIT_ASSERT_EQUAL(int(Code_AnswerTooLarge), int(UpstreamSend(&pool, RequestTo(target, nullptr)).Code));
+    }
+
+    void TargetThatShedsIsBelieved()
+    {
+        RawTarget target;
+        target.Answer = RawAnswer_NotRun;
+        UpstreamPool pool;
+        const UpstreamAnswer answer = UpstreamSend(&pool, RequestTo(target, &Body));
+        CPPUNIT_ASSERT_EQUAL(int(Outcome_NotRun), int(answer.Outcome));
+        CPPUNIT_ASSERT_EQUAL(int(Code_TargetRefused), int(answer.Code));
+    }
+
+    void NobodyThereIsNotSent()
+    {
+        std::string address;
+        {
+            const RawTarget target;
+            address = target.Address;
+        }
+        UpstreamPool pool;
+        const RawTarget other;
+        UpstreamRequest request = RequestTo(other, &Body);
+        request.Address = address;
+        const UpstreamAnswer answer = UpstreamSend(&pool, request);
+        CPPUNIT_ASSERT_EQUAL(int(Outcome_NotSent), int(answer.Outcome));
+        CPPUNIT_ASSERT_EQUAL(int(Code_ConnectFailed), int(answer.Code));
+    }
+
+    void LastCheckStopsItUnsent()
+    {
+        RawTarget target;
+        UpstreamPool pool;
+        for (int n = 0; n < 2; n++) // On a new connection, then on a reused one.
+        {
+            UpstreamRequest request = RequestTo(target, &Body);
+            request.StillGood = []() { return false; };
+            CPPUNIT_ASSERT_EQUAL(int(Outcome_NotSent), int(UpstreamSend(&pool, request).Outcome));
+            CPPUNIT_ASSERT_EQUAL(n, target.Requests.load());
+            UpstreamSend(&pool, RequestTo(target, &Body));
+        }
+    }
+
+    void DeadlineEndsIt()
+    {
+        RawTarget target;
+        target.Answer = RawAnswer_Silence;
+        UpstreamPool pool;
+        UpstreamRequest request = RequestTo(target, &Body);
+        request.DeadlineUs = NowUs() + 50 * UsPerMs;
+        const UpstreamAnswer answer = UpstreamSend(&pool, request);
+        CPPUNIT_ASSERT_EQUAL(int(Outcome_Unknown), int(answer.Outcome));
+        CPPUNIT_ASSERT_EQUAL(int(Code_DeadlinePassed), int(answer.Code));
+    }
+
+    void HangUpCancels()
+    {
+        RawTarget target;
+        target.Answer = RawAnswer_Silence;
+        UpstreamPool pool;
+        int pair[2] = {-1, -1};
+        CPPUNIT_ASSERT_EQUAL(0, socketpair(AF_UNIX, SOCK_STREAM, 0, pair));
+        UpstreamRequest request = RequestTo(target, &Body);
+        request.CallerFd = pair[0];
+        std::thread caller(
+            [&]()
+            {
+                while (target.Requests == 0)
+                {
+                    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+                }
+                close(pair[1]);
+            });
+        const UpstreamAnswer answer = UpstreamSend(&pool, request);
+        caller.join();
+        close(pair[0]);
+        CPPUNIT_ASSERT_EQUAL(int(Outcome_Cancelled), int(answer.Outcome));
+        for (int n = 0; n < 500 && target.Closed == 0; n++)
+        {
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+        CPPUNIT_ASSERT_EQUAL(1, target.Closed.load()); // The target learns of it.
+    }
+
+    // A target that answers twice: the second answer must not become the answer to the next request.
+    void SecondAnswerGoesNowhere()
+    {
+        RawTarget target;
+        target.Answer = RawAnswer_Two;
+        UpstreamPool pool;
+        for (int n = 0; n < 3; n++)
+        {
+            const UpstreamAnswer answer = UpstreamSend(&pool, RequestTo(target, nullptr));
+            const bool own = answer.Outcome == Outcome_Answered && answer.Body == "first";
+            CPPUNIT_ASSERT(own || answer.Outcome == Outcome_Unknown);
+        }
+    }
+
+    void ReadsReports()
+    {
+        TargetRun run;
+        CPPUNIT_ASSERT(!ReadReport({{"Content-Type", "x"}}, "127.0.0.1:1", &run));
+        CPPUNIT_ASSERT(ReadReport({{"x-winchlink-start", "17"}, {"X-Winchlink-State", "draining"}, {"X-Winchlink-Busy", "99999999"}}, "127.0.0.1:1", &run));
+        CPPUNIT_ASSERT_EQUAL(uint64_t(17), run.StartId);
+        CPPUNIT_ASSERT(run.Leaving);
+        CPPUNIT_ASSERT_EQUAL(uint16_t(65535), run.Busy);
+    }
+
+    void IdleConnectionsAreClosed()
+    {
+        RawTarget target;
+        UpstreamPool pool;
+        UpstreamSend(&pool, RequestTo(target, nullptr));
+        CPPUNIT_ASSERT_EQUAL(size_t(1), pool.Idle.size());
+        UpstreamPrune(&pool, NowUs());
+        CPPUNIT_ASSERT_EQUAL(size_t(1), pool.Idle.size());
+        UpstreamPrune(&pool, NowUs() + 60 * UsPerSecond);
+        CPPUNIT_ASSERT_EQUAL(size_t(0), pool.Idle.size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamTest);
+
+} // namespace Winchlink
--- a/winchlink_route.cpp
+++ b/winchlink_route.cpp
@@ -164,11 +164,11 @@
 // peer then never came back.)
 static double LatencyOf(const Router& r, const RouterTarget& target, TimeUs now)
 {
+    const double hoped = BestLatency(r) * r.Config.HopedShare;
     if (target.LatencyUs <= 0)
     {
-        return RowLatency(r) + (target.Near ? 0 : r.Config.FarUs);
+        return hoped + (target.Near ? 0 : r.Config.FarUs); // Hoped for as well, or a target that nobody knows never gets its first request.
     }
-    const double hoped = BestLatency(r) * r.Config.HopedShare;
     const double silent = static_cast<double>(std::max<TimeUs>(now - target.AnsweredUs, 0));
     const double weight = std::exp(-silent / r.Config.LatencyTauUs);
     return hoped + (target.LatencyUs - hoped) * weight;
