--- a/bench/added.cpp
+++ b/bench/added.cpp
@@ -14,8 +14,8 @@
 
 struct AddedRates
 {
-    double PerSecond = 0;      // Calls.
-    double Seconds = 0;        // Per round.
+    double PerSecond = 0; // Calls.
+    double Seconds = 0;   // Per round.
 };
 
 static LoadSummary PlayRound(const std::string& entry, const AddedRates& rate, int round)
@@ -34,8 +34,8 @@
 {
     std::vector<double> DirectP50, DirectP99, DirectP999;
     std::vector<double> AddedP50, AddedP99, AddedP999;
-    size_t NotGood = 0;      // Calls without a good answer.
-    double Good = 0;         // Good answers per second, through the instance.
+    size_t NotGood = 0; // Calls without a good answer.
+    double Good = 0;    // Good answers per second, through the instance.
 };
 
 static void PlayBoth(const Fleet& fleet, const AddedRates& rate, int round, AddedSamples* out)
@@ -60,8 +60,8 @@
 
 static void PrintRate(const AddedRates& rate, int rounds, const AddedSamples& s)
 {
-    fmt::print("| {:.0f} | {} | {} | {} | {} | {:.0f} | {} |\n", rate.PerSecond, Cell(s.DirectP99), Cell(s.AddedP50), Cell(s.AddedP99), Cell(s.AddedP999),
-               s.Good / rounds, s.NotGood);
+    fmt::print("| {:.0f} | {} | {} | {} | {} | {:.0f} | {} |\n", rate.PerSecond, Cell(s.DirectP99), Cell(s.AddedP50), Cell(s.AddedP99),
+               Cell(s.AddedP999), s.Good / rounds, s.NotGood);
     fflush(stdout);
 }
 
@@ -90,7 +90,8 @@
         fmt::print("the fleet did not become ready\n");
         return 1;
     }
-    fmt::print("| calls/s | direct p99 ms | added p50 ms | added p99 ms | added p99.9 ms | good/s | not good |\n|---|---|---|---|---|---|---|\n");
+    fmt::print(
+        "| calls/s | direct p99 ms | added p50 ms | added p99 ms | added p99.9 ms | good/s | not good |\n|---|---|---|---|---|---|---|\n");
     for (const AddedRates& rate : {AddedRates{120, 10}, AddedRates{500, 4}, AddedRates{1000, 4}, AddedRates{2000, 4}, AddedRates{4000, 4}})
     {
         AddedSamples samples;
--- a/bench/bench.h
+++ b/bench/bench.h
@@ -40,15 +40,15 @@
 
 struct HttpAnswer
 {
-    int Status = 0;                    // 0: no complete answer.
-    std::string Body;                  // Whole.
-    std::vector<Header> Headers;       // All.
+    int Status = 0;              // 0: no complete answer.
+    std::string Body;            // Whole.
+    std::vector<Header> Headers; // All.
 };
 
 struct HttpCall
 {
     std::string Method = "GET";
-    std::string Address;               // IP:port.
+    std::string Address; // IP:port.
     std::string Path = "/";
     std::string Body;
     std::vector<Header> Headers;
@@ -83,7 +83,7 @@
 
 struct Spread
 {
-    double Median = 0;     // Of repeated runs.
+    double Median = 0; // Of repeated runs.
     double Least = 0;
     double Most = 0;
 };
@@ -94,7 +94,7 @@
 {
     double Intercept = 0;
     double Slope = 0;
-    double R2 = 0;         // Share of the variance that the line explains.
+    double R2 = 0; // Share of the variance that the line explains.
 };
 
 // Least squares.
--- a/bench/demo.cpp
+++ b/bench/demo.cpp
@@ -23,7 +23,8 @@
     LoadPlan plan;
     plan.Entries = FleetEntries(fleet);
     plan.Seconds = DemoSeconds;
-    plan.Kinds = {{"counter", "GET", "/counter/renewal", 150, 1000}, {"register", "POST", "/register/authorisation", 60, 2000},
+    plan.Kinds = {{"counter", "GET", "/counter/renewal", 150, 1000},
+                  {"register", "POST", "/register/authorisation", 60, 2000},
                   {"portal", "GET", "/portal/progress", 150, 1000}};
     return plan;
 }
@@ -56,8 +57,8 @@
     for (size_t n = 0; n < plan.Kinds.size(); n++)
     {
         const LoadSummary s = Summarize(records, static_cast<int>(n));
-        fmt::print("{:<14} {:>7} {:>7} {:>7} {:>7} {:>8.2f} {:>8.2f} {:>8.2f}\n", plan.Kinds[n].Name, s.Count, s.Good, s.Refused, s.Failed, s.P50Ms,
-                   s.P99Ms, s.P999Ms);
+        fmt::print("{:<14} {:>7} {:>7} {:>7} {:>7} {:>8.2f} {:>8.2f} {:>8.2f}\n", plan.Kinds[n].Name, s.Count, s.Good, s.Refused, s.Failed,
+                   s.P50Ms, s.P99Ms, s.P999Ms);
     }
     std::map<int, int> codes;
     for (const LoadRecord& record : records)
@@ -81,8 +82,9 @@
     {
         const std::string audit = FleetTargetAdmin(fleet, n, "GET", "/admin/audit");
         fmt::print("{:<22} {:<9} {:>5} {:>5} {:>7} {:>9} {:>13} {:>15}{}\n", fleet.Targets[n].Process.Address, fleet.Targets[n].Row,
-                   JsonNumberAt(audit, "run"), JsonNumberAt(audit, "shed"), JsonNumberAt(audit, "probes"), JsonNumberAt(audit, "probeUs") / 1000,
-                   JsonNumberAt(audit, "mostWorking"), JsonNumberAt(audit, "afterDrain"), n == DrainedTarget ? "  drained" : "");
+                   JsonNumberAt(audit, "run"), JsonNumberAt(audit, "shed"), JsonNumberAt(audit, "probes"),
+                   JsonNumberAt(audit, "probeUs") / 1000, JsonNumberAt(audit, "mostWorking"), JsonNumberAt(audit, "afterDrain"),
+                   n == DrainedTarget ? "  drained" : "");
     }
 }
 
@@ -97,9 +99,10 @@
             fmt::print("{:<22} killed\n", fleet.Instances[n].Process.Address);
             continue;
         }
-        fmt::print("{:<22} {:>8} {:>9} {:>6} {:>15} {:>7} {:>15}\n", fleet.Instances[n].Process.Address, JsonNumberAt(status, "table.revision"),
-                   JsonNumberAt(status, "table.acceptedRevision"), fleet.Instances.size() - 2, JsonNumberAt(status, "platform.calls"),
-                   JsonNumberAt(status, "measuring.probes"), JsonNumberAt(status, "instance.controlCpuUs") / 1000);
+        fmt::print("{:<22} {:>8} {:>9} {:>6} {:>15} {:>7} {:>15}\n", fleet.Instances[n].Process.Address,
+                   JsonNumberAt(status, "table.revision"), JsonNumberAt(status, "table.acceptedRevision"), fleet.Instances.size() - 2,
+                   JsonNumberAt(status, "platform.calls"), JsonNumberAt(status, "measuring.probes"),
+                   JsonNumberAt(status, "instance.controlCpuUs") / 1000);
     }
 }
 
@@ -134,7 +137,8 @@
         fmt::print("the fleet did not become ready; see the logs with WINCHBENCH_KEEP=1\n");
         return 1;
     }
-    fmt::print("ready after {:.1f} s; a load of 360 calls/s runs for {:.0f} s\n", static_cast<double>(NowUs() - start) / UsPerSecond, DemoSeconds);
+    fmt::print("ready after {:.1f} s; a load of 360 calls/s runs for {:.0f} s\n", static_cast<double>(NowUs() - start) / UsPerSecond,
+               DemoSeconds);
     const LoadPlan load = DemoLoad(fleet);
     std::thread changes([&]() { MakeChanges(&fleet); });
     const std::vector<LoadRecord> records = PlayLoad(load);
--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -88,7 +88,8 @@
     address.sin_family = AF_INET;
     inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
     socklen_t size = sizeof(address);
-    const bool ok = bind(fd, reinterpret_cast<sockaddr*>(&address), size) == 0 && getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) == 0;
+    const bool ok =
+        bind(fd, reinterpret_cast<sockaddr*>(&address), size) == 0 && getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) == 0;
     close(fd);
     return ok ? ntohs(address.sin_port) : -1;
 }
@@ -205,8 +206,8 @@
 {
     FleetInstance& instance = fleet->Instances[index];
     const std::string program = OwnFolder() + "/" + fleet->Plan.Program;
-    instance.Process.Pid =
-        StartProcess({program, "serve", "--settings", instance.SettingsFile}, LogFile(*fleet, fmt::format("instance-{}", index)), fleet->Plan.Environment);
+    instance.Process.Pid = StartProcess({program, "serve", "--settings", instance.SettingsFile},
+                                        LogFile(*fleet, fmt::format("instance-{}", index)), fleet->Plan.Environment);
 }
 
 void FleetStartTarget(Fleet* fleet, size_t index)
@@ -217,9 +218,14 @@
     {
         service_us = row.Name == target.Row ? row.ServiceUs : service_us;
     }
-    std::vector<std::string> command = {OwnFolder() + "/winchbench", "target",       "--address",
-                                        target.Process.Address,      "--service-us", std::to_string(service_us),
-                                        "--seed",                    std::to_string(fleet->Plan.Seed * 1000 + static_cast<int>(index))};
+    std::vector<std::string> command = {OwnFolder() + "/winchbench",
+                                        "target",
+                                        "--address",
+                                        target.Process.Address,
+                                        "--service-us",
+                                        std::to_string(service_us),
+                                        "--seed",
+                                        std::to_string(fleet->Plan.Seed * 1000 + static_cast<int>(index))};
     command.insert(command.end(), fleet->Plan.TargetArguments.begin(), fleet->Plan.TargetArguments.end());
     target.Process.Pid = StartProcess(command, LogFile(*fleet, "targets"), {});
 }
@@ -296,7 +302,8 @@
     }
     fleet->Folder = folder;
     fleet->Platform.Address = FreeAddress(0);
-    fleet->Platform.Pid = StartProcess({OwnFolder() + "/winchbench", "platform", "--address", fleet->Platform.Address}, LogFile(*fleet, "platform"), {});
+    fleet->Platform.Pid =
+        StartProcess({OwnFolder() + "/winchbench", "platform", "--address", fleet->Platform.Address}, LogFile(*fleet, "platform"), {});
     PlanInstances(fleet);
     PlanTargets(fleet);
     for (size_t n = 0; n < fleet->Targets.size(); n++)
@@ -304,7 +311,10 @@
         FleetStartTarget(fleet, n);
     }
     StartRelay(fleet);
-    const bool platform_up = WaitFor(ReadyMaxUs, [&]() { return HttpOnce({"GET", fleet->Platform.Address, "/admin/calls", "", {}, 500}).Status == 200; });
+    const bool platform_up = WaitFor(ReadyMaxUs,
+                                     [&]() {
+                                         return HttpOnce({"GET", fleet->Platform.Address, "/admin/calls", "", {}, 500}).Status == 200;
+                                     });
     if (!platform_up)
     {
         return false;
--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -14,11 +14,11 @@
 
 struct FleetRow
 {
-    std::string Name;                       // Service.
+    std::string Name; // Service.
     std::string PathPrefix;
     Class_ Class = Class_Normal;
     int Targets = 4;
-    int MaxConcurrent = 0;                  // 0: the product's default.
+    int MaxConcurrent = 0; // 0: the product's default.
     int MaxConnections = 250;
     int MeasuringBudgetMs = 60;
     int ServiceUs = 8000;
@@ -28,28 +28,28 @@
 
 struct FleetPlan
 {
-    std::string Program = "winchlink";                // The daemon.
-    std::vector<std::string> TargetArguments;         // Added to every target's command line.
-    std::vector<Header> Environment;                  // Added for instances.
+    std::string Program = "winchlink";        // The daemon.
+    std::vector<std::string> TargetArguments; // Added to every target's command line.
+    std::vector<Header> Environment;          // Added for instances.
     int Instances = 3;
     int DataCentres = 1;
     int ViewMax = 64;
     int Seed = 1;
-    bool UseRelay = false;                            // Messages between instances pass a relay that can cut.
+    bool UseRelay = false; // Messages between instances pass a relay that can cut.
     std::vector<FleetRow> Rows;
 };
 
 struct Child
 {
-    pid_t Pid = -1;              // -1: not running.
-    std::string Address;         // Main address.
+    pid_t Pid = -1;      // -1: not running.
+    std::string Address; // Main address.
 };
 
 struct FleetInstance
 {
-    Child Process;               // Address: traffic.
+    Child Process; // Address: traffic.
     std::string Control;
-    std::string Advertised;      // Where peers reach it; the relay's if there is one.
+    std::string Advertised; // Where peers reach it; the relay's if there is one.
     std::string Operators;
     std::string SettingsFile;
     int DataCentre = 0;
@@ -66,12 +66,12 @@
 struct Fleet
 {
     FleetPlan Plan;
-    std::string Folder;                       // Settings and logs.
+    std::string Folder; // Settings and logs.
     Child Platform;
     Child Relay;
     std::vector<FleetInstance> Instances;
     std::vector<FleetTarget> Targets;
-    Table Rows;                               // Last published.
+    Table Rows; // Last published.
 
     Fleet() = default;
     ~Fleet();
--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -167,7 +167,8 @@
 
 static void PrintSummary(const std::string& name, const LoadSummary& s)
 {
-    fmt::print("{:<16} {:>7} {:>7} {:>7} {:>7} {:>9.2f} {:>9.2f} {:>9.2f}\n", name, s.Count, s.Good, s.Refused, s.Failed, s.P50Ms, s.P99Ms, s.P999Ms);
+    fmt::print("{:<16} {:>7} {:>7} {:>7} {:>7} {:>9.2f} {:>9.2f} {:>9.2f}\n", name, s.Count, s.Good, s.Refused, s.Failed, s.P50Ms, s.P99Ms,
+               s.P999Ms);
 }
 
 int RunLoad(int argc, const char** argv)
@@ -204,7 +205,8 @@
         fmt::print(stderr, "winchbench load: name a rate and at least one entry\n");
         return 2;
     }
-    fmt::print("{:<16} {:>7} {:>7} {:>7} {:>7} {:>9} {:>9} {:>9}\n", "kind", "calls", "good", "refused", "failed", "p50 ms", "p99 ms", "p99.9 ms");
+    fmt::print("{:<16} {:>7} {:>7} {:>7} {:>7} {:>9} {:>9} {:>9}\n", "kind", "calls", "good", "refused", "failed", "p50 ms", "p99 ms",
+               "p99.9 ms");
     PrintSummary(kind.Name, Summarize(PlayLoad(plan), -1));
     return 0;
 }
--- a/bench/load.h
+++ b/bench/load.h
@@ -13,44 +13,44 @@
 // A kind of call in the mix.
 struct LoadKind
 {
-    std::string Name;             // For the report.
-    std::string Method;           // GET or POST.
-    std::string Path;             // Sent as it is.
-    double PerSecond = 0;         // Mean arrivals.
-    int DeadlineMs = 1000;        // Sent with each call.
+    std::string Name;      // For the report.
+    std::string Method;    // GET or POST.
+    std::string Path;      // Sent as it is.
+    double PerSecond = 0;  // Mean arrivals.
+    int DeadlineMs = 1000; // Sent with each call.
 };
 
 struct LoadPlan
 {
-    std::vector<std::string> Entries;    // Instances' traffic addresses; calls go to them in turn.
+    std::vector<std::string> Entries; // Instances' traffic addresses; calls go to them in turn.
     std::vector<LoadKind> Kinds;
     double Seconds = 5;
     uint64_t Seed = 1;
-    int Workers = 128;                   // Calls in progress at the most.
-    std::string IdPrefix = "load";       // Request ids start so.
+    int Workers = 128;             // Calls in progress at the most.
+    std::string IdPrefix = "load"; // Request ids start so.
 };
 
 struct LoadRecord
 {
-    size_t Kind = 0;              // Index into the plan's kinds.
-    std::string Id;               // Request id.
-    TimeUs PlannedUs = 0;         // From the start of the run.
-    TimeUs LatencyUs = 0;         // From the planned arrival.
-    int Status = 0;               // 0: no complete answer.
-    int Code = 0;                 // Winchlink's result code, 0 if none.
-    bool NotRun = false;          // The answer says that it was not run.
-    bool Wrong = false;           // The answer is not the one to this call.
-    bool NotConnected = false;    // No instance took a connection.
-    TimeUs RetryAfterUs = 0;      // As told.
+    size_t Kind = 0;           // Index into the plan's kinds.
+    std::string Id;            // Request id.
+    TimeUs PlannedUs = 0;      // From the start of the run.
+    TimeUs LatencyUs = 0;      // From the planned arrival.
+    int Status = 0;            // 0: no complete answer.
+    int Code = 0;              // Winchlink's result code, 0 if none.
+    bool NotRun = false;       // The answer says that it was not run.
+    bool Wrong = false;        // The answer is not the one to this call.
+    bool NotConnected = false; // No instance took a connection.
+    TimeUs RetryAfterUs = 0;   // As told.
 };
 
 struct LoadSummary
 {
     size_t Count = 0;
-    size_t Good = 0;              // Status below 500 and complete.
-    size_t Refused = 0;           // Told as not run.
-    size_t Failed = 0;            // Anything else.
-    double P50Ms = 0;             // Of the good ones.
+    size_t Good = 0;    // Status below 500 and complete.
+    size_t Refused = 0; // Told as not run.
+    size_t Failed = 0;  // Anything else.
+    double P50Ms = 0;   // Of the good ones.
     double P99Ms = 0;
     double P999Ms = 0;
 };
--- a/bench/platform.cpp
+++ b/bench/platform.cpp
@@ -29,18 +29,18 @@
 
 struct Values
 {
-    uint64_t Revision = 0;                       // Of the index.
-    std::map<std::string, std::string> ByName;   // What can be read.
+    uint64_t Revision = 0;                     // Of the index.
+    std::map<std::string, std::string> ByName; // What can be read.
 };
 
 struct PlatformStandIn
 {
-    std::mutex Mutex;                  // Guards all below.
-    std::condition_variable Changed;   // A table was published, or the mode changed.
+    std::mutex Mutex;                // Guards all below.
+    std::condition_variable Changed; // A table was published, or the mode changed.
     PlatformMode_ Mode = PlatformMode_Ok;
-    Table Published;                   // Last table.
-    Values Live;                       // Served in mode ok.
-    Values Frozen;                     // Served in mode stale.
+    Table Published; // Last table.
+    Values Live;     // Served in mode ok.
+    Values Frozen;   // Served in mode stale.
     uint64_t IndexCalls = 0;
     uint64_t RowCalls = 0;
     uint64_t ListCalls = 0;
@@ -82,7 +82,10 @@
     {
         return true; // No watch, or one on a revision that this service has not got: say what there is.
     }
-    auto newer = [&]() { return p->Stopping || p->Mode == PlatformMode_Down || Served(*p).Revision > after; };
+    auto newer = [&]()
+    {
+        return p->Stopping || p->Mode == PlatformMode_Down || Served(*p).Revision > after;
+    };
     p->Changed.wait_for(*lock, std::chrono::milliseconds(wait_ms), newer);
     return Served(*p).Revision > after;
 }
@@ -206,7 +209,8 @@
     config.Address = address;
     config.ConnectionsMax = 4096;
     config.BodyMax = 64 * 1024 * 1024;
-    const Result<void> started = ServerStart(&server, config, [&](const ServerRequest& request) { return HandlePlatform(&platform, request); });
+    const Result<void> started =
+        ServerStart(&server, config, [&](const ServerRequest& request) { return HandlePlatform(&platform, request); });
     if (!started)
     {
         fmt::print(stderr, "can't listen on {}\n", started.error().Detail);
--- a/bench/relay.cpp
+++ b/bench/relay.cpp
@@ -22,8 +22,8 @@
 
 struct RelayPath
 {
-    Endpoint Advertised;      // Where we listen.
-    Endpoint Control;         // Where we pass on to.
+    Endpoint Advertised; // Where we listen.
+    Endpoint Control;    // Where we pass on to.
     int Udp = -1;
     int Listener = -1;
 };
@@ -44,7 +44,7 @@
 
 struct RelayStandIn
 {
-    std::mutex Mutex;                     // Guards Groups and Faults.
+    std::mutex Mutex; // Guards Groups and Faults.
     std::string Groups;
     RelayFaults Faults;
     std::vector<RelayPath> Paths;
@@ -126,7 +126,8 @@
     ssize_t got = 0;
     while ((got = recvfrom(relay->Paths[path].Udp, buffer.data(), buffer.size(), 0, reinterpret_cast<sockaddr*>(&from), &size)) >= 0)
     {
-        TakeDatagram(relay, path, std::string(buffer.data(), static_cast<size_t>(got)), {ntohl(from.sin_addr.s_addr), ntohs(from.sin_port)});
+        TakeDatagram(relay, path, std::string(buffer.data(), static_cast<size_t>(got)),
+                     {ntohl(from.sin_addr.s_addr), ntohs(from.sin_port)});
     }
 }
 
@@ -152,7 +153,8 @@
     ssize_t got = 0;
     if (connect(out, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0)
     {
-        while ((got = recv(from, buffer.data(), buffer.size(), 0)) > 0 && send(out, buffer.data(), static_cast<size_t>(got), MSG_NOSIGNAL) == got)
+        while ((got = recv(from, buffer.data(), buffer.size(), 0)) > 0 &&
+               send(out, buffer.data(), static_cast<size_t>(got), MSG_NOSIGNAL) == got)
         {
         }
     }
--- a/bench/target.cpp
+++ b/bench/target.cpp
@@ -24,18 +24,18 @@
 
 struct TargetOptions
 {
-    char* Address = nullptr;      // Where to listen.
-    int Slots = 3;                // Requests worked on at once.
-    int Queue = 32;               // Requests waiting beyond.
-    int ServiceUs = 8000;         // Median time of a request.
-    int SigmaPercent = 40;        // Spread of the logarithm.
-    int NoiseEveryMs = 400;       // Mean time between a neighbour's bursts; 0 for none.
-    int NoiseForMs = 25;          // Mean length of a burst.
-    int NoiseFactor = 4;          // How much slower work is meanwhile.
-    int ProbeUs = 6000;           // Time that a probe takes of a slot.
-    int ConnectUs = 1000;         // Time that a new connection costs.
-    int FarUs = 1500;             // One way to another data centre.
-    int LagMs = 20;               // Reports of load are so old.
+    char* Address = nullptr; // Where to listen.
+    int Slots = 3;           // Requests worked on at once.
+    int Queue = 32;          // Requests waiting beyond.
+    int ServiceUs = 8000;    // Median time of a request.
+    int SigmaPercent = 40;   // Spread of the logarithm.
+    int NoiseEveryMs = 400;  // Mean time between a neighbour's bursts; 0 for none.
+    int NoiseForMs = 25;     // Mean length of a burst.
+    int NoiseFactor = 4;     // How much slower work is meanwhile.
+    int ProbeUs = 6000;      // Time that a probe takes of a slot.
+    int ConnectUs = 1000;    // Time that a new connection costs.
+    int FarUs = 1500;        // One way to another data centre.
+    int LagMs = 20;          // Reports of load are so old.
     int Seed = 1;
 };
 
@@ -64,29 +64,29 @@
 struct TargetStandIn
 {
     TargetOptions Options;
-    std::mutex Mutex;                          // Guards all below.
+    std::mutex Mutex; // Guards all below.
     std::condition_variable SlotFree;
     Random Rng;
     TargetMode_ Mode = TargetMode_Ok;
-    double Factor = 1;                         // In mode slow.
+    double Factor = 1; // In mode slow.
     bool Draining = false;
     TimeUs DrainingSinceUs = 0;
     uint64_t StartId = 0;
     int Working = 0;
-    uint64_t NextTicket = 0;                   // First come, first served.
-    std::deque<uint64_t> Waiting;              // Tickets in the queue.
-    std::deque<LoadSample> History;            // For lagging reports.
+    uint64_t NextTicket = 0;        // First come, first served.
+    std::deque<uint64_t> Waiting;   // Tickets in the queue.
+    std::deque<LoadSample> History; // For lagging reports.
     int FrozenBusy = 0;
     TimeUs NoiseUntilUs = 0;
     TimeUs NextNoiseUs = 0;
-    std::map<std::string, RunCount> Runs;      // By request id.
+    std::map<std::string, RunCount> Runs; // By request id.
     uint64_t Shed = 0;
     uint64_t Cancelled = 0;
     uint64_t Probes = 0;
     uint64_t ProbeUs = 0;
-    uint64_t AfterDrain = 0;                   // Requests that came later than 3 s after the drain began.
+    uint64_t AfterDrain = 0; // Requests that came later than 3 s after the drain began.
     int MostWorking = 0;
-    size_t MostOpen = 0;                       // Connections.
+    size_t MostOpen = 0; // Connections.
     Server Listener;
 };
 
@@ -170,7 +170,10 @@
     const uint64_t ticket = t->NextTicket++;
     t->Waiting.push_back(ticket);
     NoteLoad(t);
-    auto my_turn = [&]() { return t->Working < t->Options.Slots && t->Waiting.front() == ticket; };
+    auto my_turn = [&]()
+    {
+        return t->Working < t->Options.Slots && t->Waiting.front() == ticket;
+    };
     while (!t->SlotFree.wait_for(*lock, std::chrono::milliseconds(5), my_turn))
     {
         if (HungUp(fd) || NowUs() >= deadline)
@@ -318,10 +321,11 @@
         run += static_cast<uint64_t>(entry.second.Count);
         repeated += entry.second.Method == "POST" && entry.second.Count > 1 ? 1 : 0;
     }
-    const std::string body = fmt::format("{{\"run\":{},\"distinct\":{},\"postsRepeated\":{},\"shed\":{},\"cancelled\":{},\"probes\":{},\"probeUs\":{},"
-                                         "\"afterDrain\":{},\"mostWorking\":{},\"mostConnections\":{},\"busy\":{}}}",
-                                         run, t->Runs.size(), repeated, t->Shed, t->Cancelled, t->Probes, t->ProbeUs, t->AfterDrain,
-                                         t->MostWorking, t->MostOpen, BusyNow(*t));
+    const std::string body =
+        fmt::format("{{\"run\":{},\"distinct\":{},\"postsRepeated\":{},\"shed\":{},\"cancelled\":{},\"probes\":{},\"probeUs\":{},"
+                    "\"afterDrain\":{},\"mostWorking\":{},\"mostConnections\":{},\"busy\":{}}}",
+                    run, t->Runs.size(), repeated, t->Shed, t->Cancelled, t->Probes, t->ProbeUs, t->AfterDrain, t->MostWorking, t->MostOpen,
+                    BusyNow(*t));
     return {200, {{"Content-Type", "application/json"}}, body, false};
 }
 
@@ -378,20 +382,21 @@
 int RunTarget(int argc, const char** argv)
 {
     TargetOptions o;
-    const poptOption table[] = {{"address", 'a', POPT_ARG_STRING, &o.Address, 0, "where to listen", "IP:PORT"},
-                                {"slots", 0, POPT_ARG_INT, &o.Slots, 0, "requests worked on at once", "N"},
-                                {"queue", 0, POPT_ARG_INT, &o.Queue, 0, "requests waiting beyond", "N"},
-                                {"service-us", 0, POPT_ARG_INT, &o.ServiceUs, 0, "median time of a request", "US"},
-                                {"sigma", 0, POPT_ARG_INT, &o.SigmaPercent, 0, "spread of its logarithm, percent", "N"},
-                                {"noise-every-ms", 0, POPT_ARG_INT, &o.NoiseEveryMs, 0, "mean time between bursts of a neighbour, 0 for none", "MS"},
-                                {"noise-for-ms", 0, POPT_ARG_INT, &o.NoiseForMs, 0, "mean length of a burst", "MS"},
-                                {"noise-factor", 0, POPT_ARG_INT, &o.NoiseFactor, 0, "how much slower work is meanwhile", "N"},
-                                {"probe-us", 0, POPT_ARG_INT, &o.ProbeUs, 0, "time that a probe takes of a slot", "US"},
-                                {"connect-us", 0, POPT_ARG_INT, &o.ConnectUs, 0, "time that a new connection costs", "US"},
-                                {"far-us", 0, POPT_ARG_INT, &o.FarUs, 0, "one way to another data centre", "US"},
-                                {"lag-ms", 0, POPT_ARG_INT, &o.LagMs, 0, "age of load reports", "MS"},
-                                {"seed", 0, POPT_ARG_INT, &o.Seed, 0, "seed of all that is random", "N"},
-                                OPTIONS_TAIL};
+    const poptOption table[] = {
+        {"address", 'a', POPT_ARG_STRING, &o.Address, 0, "where to listen", "IP:PORT"},
+        {"slots", 0, POPT_ARG_INT, &o.Slots, 0, "requests worked on at once", "N"},
+        {"queue", 0, POPT_ARG_INT, &o.Queue, 0, "requests waiting beyond", "N"},
+        {"service-us", 0, POPT_ARG_INT, &o.ServiceUs, 0, "median time of a request", "US"},
+        {"sigma", 0, POPT_ARG_INT, &o.SigmaPercent, 0, "spread of its logarithm, percent", "N"},
+        {"noise-every-ms", 0, POPT_ARG_INT, &o.NoiseEveryMs, 0, "mean time between bursts of a neighbour, 0 for none", "MS"},
+        {"noise-for-ms", 0, POPT_ARG_INT, &o.NoiseForMs, 0, "mean length of a burst", "MS"},
+        {"noise-factor", 0, POPT_ARG_INT, &o.NoiseFactor, 0, "how much slower work is meanwhile", "N"},
+        {"probe-us", 0, POPT_ARG_INT, &o.ProbeUs, 0, "time that a probe takes of a slot", "US"},
+        {"connect-us", 0, POPT_ARG_INT, &o.ConnectUs, 0, "time that a new connection costs", "US"},
+        {"far-us", 0, POPT_ARG_INT, &o.FarUs, 0, "one way to another data centre", "US"},
+        {"lag-ms", 0, POPT_ARG_INT, &o.LagMs, 0, "age of load reports", "MS"},
+        {"seed", 0, POPT_ARG_INT, &o.Seed, 0, "seed of all that is random", "N"},
+        OPTIONS_TAIL};
     const ParsedOptions parsed = ParseOptions("winchbench target", argc, argv, table, "--address IP:PORT");
     const std::unique_ptr<char, decltype(&free)> owner(o.Address, free);
     if (parsed.Exit || o.Address == nullptr)
@@ -406,7 +411,8 @@
     ServerConfig config;
     config.Address = o.Address;
     config.ConnectionsMax = 4096;
-    const Result<void> started = ServerStart(&target.Listener, config, [&](const ServerRequest& request) { return HandleTarget(&target, request); });
+    const Result<void> started =
+        ServerStart(&target.Listener, config, [&](const ServerRequest& request) { return HandleTarget(&target, request); });
     if (!started)
     {
         fmt::print(stderr, "can't listen on {}\n", started.error().Detail);
--- a/daemon/command_check.cpp
+++ b/daemon/command_check.cpp
@@ -110,7 +110,8 @@
     }
     if (next->Version.Revision <= previous->Version.Revision)
     {
-        fmt::print(stderr, "{}: code {}: the revision must be above {}\n", file, static_cast<int>(Code_TableOlder), previous->Version.Revision);
+        fmt::print(stderr, "{}: code {}: the revision must be above {}\n", file, static_cast<int>(Code_TableOlder),
+                   previous->Version.Revision);
         return Exit_Faults;
     }
     if (previous_file != nullptr)
@@ -130,7 +131,8 @@
 {
     char* previous = nullptr;
     char* folder = nullptr;
-    const poptOption table[] = {{"previous", 'p', POPT_ARG_STRING, &previous, 0, "table that was published last; rows that did not change keep their revision", "FILE"},
+    const poptOption table[] = {{"previous", 'p', POPT_ARG_STRING, &previous, 0,
+                                 "table that was published last; rows that did not change keep their revision", "FILE"},
                                 {"out", 'o', POPT_ARG_STRING, &folder, 0, "folder for the values: index, row.NAME and table", "FOLDER"},
                                 OPTIONS_TAIL};
     const ParsedOptions parsed = ParseOptions("winchlink pack", argc, argv, table, "--out FOLDER [--previous FILE] TABLE");
--- a/daemon/command_status.cpp
+++ b/daemon/command_status.cpp
@@ -29,7 +29,8 @@
     }
     if (!results[0].Ok || results[0].Status != 200)
     {
-        return Error{Code_StatusUnreachable, address + ": " + (results[0].Ok ? fmt::format("status {}", results[0].Status) : results[0].Detail)};
+        return Error{Code_StatusUnreachable,
+                     address + ": " + (results[0].Ok ? fmt::format("status {}", results[0].Status) : results[0].Detail)};
     }
     return std::move(results[0].Body);
 }
@@ -99,8 +100,8 @@
 
 static void PrintRow(json_t* row)
 {
-    fmt::print("row        {} ({}): {} of {} in progress, p50 {:.2f} ms, p99 {:.2f} ms, {} retries\n", Text(row, "name"), Text(row, "class"),
-               Number(row, "inFlight"), Number(row, "maxConcurrent"), json_real_value(json_object_get(row, "p50Ms")),
+    fmt::print("row        {} ({}): {} of {} in progress, p50 {:.2f} ms, p99 {:.2f} ms, {} retries\n", Text(row, "name"),
+               Text(row, "class"), Number(row, "inFlight"), Number(row, "maxConcurrent"), json_real_value(json_object_get(row, "p50Ms")),
                json_real_value(json_object_get(row, "p99Ms")), Number(row, "retries"));
     const char* code = nullptr;
     json_t* count = nullptr;
--- a/daemon/commands.h
+++ b/daemon/commands.h
@@ -10,10 +10,10 @@
 enum Exit_ : int
 {
     Exit_Good = 0,
-    Exit_Faults = 1,       // check: faults were found; status: not serving.
-    Exit_Usage = 2,        // The command line can't be understood, or a file not read.
-    Exit_Start = 3,        // serve: can't start.
-    Exit_Cut = 4,          // serve: ended with requests in progress.
+    Exit_Faults = 1, // check: faults were found; status: not serving.
+    Exit_Usage = 2,  // The command line can't be understood, or a file not read.
+    Exit_Start = 3,  // serve: can't start.
+    Exit_Cut = 4,    // serve: ended with requests in progress.
     Exit_COUNT,
 };
 
--- a/daemon/control.cpp
+++ b/daemon/control.cpp
@@ -18,7 +18,7 @@
 namespace Winchlink
 {
 
-static constexpr int TickMs = 20;                              // Longest wait of the loop.
+static constexpr int TickMs = 20; // Longest wait of the loop.
 static constexpr TimeUs ViewPeriodUs = 250 * UsPerMs;
 static constexpr TimeUs ProbePeriodUs = 50 * UsPerMs;
 static constexpr TimeUs PrunePeriodUs = 1 * UsPerSecond;
@@ -126,7 +126,8 @@
     const int instances = static_cast<int>(control->Fleet.Members.Peers.size()) + 1;
     const bool serving = control->Fleet.Tables.Joined && table->Version.Revision > 0;
     const bool table_changed = table != control->Published;
-    const bool same = !table_changed && instances == control->PublishedInstances && serving == control->PublishedServing && !control->RunsChanged;
+    const bool same =
+        !table_changed && instances == control->PublishedInstances && serving == control->PublishedServing && !control->RunsChanged;
     if (same)
     {
         return;
@@ -203,7 +204,8 @@
 {
     Membership* members = &control->Fleet.Members;
     const bool reads = control->Fleet.Tables.Joined && MembershipShouldRead(members, now, &control->Fleet.Rng);
-    const bool called = PlatformTick(&control->Platform, &control->Fetches, reads, *control->Fleet.Tables.Current, now, &control->Fleet.Rng);
+    const bool called =
+        PlatformTick(&control->Platform, &control->Fetches, reads, *control->Fleet.Tables.Current, now, &control->Fleet.Rng);
     if (reads && called)
     {
         MembershipAsked(members, now);
@@ -395,7 +397,8 @@
     }
     FetcherStart(&control->Fetches);
     const TimeUs now = NowUs();
-    CoordinatorInit(&control->Fleet, MakeMembershipConfig(settings), settings.Keys, static_cast<uint64_t>(WallUs()) ^ HashDataCentre(settings.ControlAddress), now);
+    CoordinatorInit(&control->Fleet, MakeMembershipConfig(settings), settings.Keys,
+                    static_cast<uint64_t>(WallUs()) ^ HashDataCentre(settings.ControlAddress), now);
     for (const std::string& peer : settings.Peers)
     {
         control->Fleet.Members.Seeds.push_back(ParseEndpoint(peer).value());
--- a/daemon/fetch.cpp
+++ b/daemon/fetch.cpp
@@ -9,9 +9,9 @@
 
 struct Fetch
 {
-    CURL* Easy = nullptr;     // Owned.
-    FetchResult Result;       // Being filled.
-    size_t Most = 0;          // Largest body in bytes.
+    CURL* Easy = nullptr; // Owned.
+    FetchResult Result;   // Being filled.
+    size_t Most = 0;      // Largest body in bytes.
 };
 
 Fetcher::Fetcher() = default;
@@ -120,7 +120,10 @@
     {
         const CURLcode code = message->data.result;
         const CURL* easy = message->easy_handle;
-        auto same = [&](const std::unique_ptr<Fetch>& fetch) { return fetch->Easy == easy; };
+        auto same = [&](const std::unique_ptr<Fetch>& fetch)
+        {
+            return fetch->Easy == easy;
+        };
         auto found = std::find_if(fetcher->Running.begin(), fetcher->Running.end(), same);
         if (found != fetcher->Running.end())
         {
--- a/daemon/fetch.h
+++ b/daemon/fetch.h
@@ -12,21 +12,21 @@
 
 struct FetchResult
 {
-    uint64_t Id = 0;                    // As FetchStart() gave it.
-    bool Ok = false;                    // A complete answer came.
-    int Status = 0;                     // Its status.
-    std::string Body;                   // Its body.
-    std::vector<Header> Headers;        // Its headers.
-    std::string Detail;                 // What went wrong.
+    uint64_t Id = 0;             // As FetchStart() gave it.
+    bool Ok = false;             // A complete answer came.
+    int Status = 0;              // Its status.
+    std::string Body;            // Its body.
+    std::vector<Header> Headers; // Its headers.
+    std::string Detail;          // What went wrong.
 };
 
 struct Fetch;
 
 struct Fetcher
 {
-    CURLM* Multi = nullptr;                           // Made by FetcherStart().
-    std::vector<std::unique_ptr<Fetch>> Running;      // In progress.
-    uint64_t LastId = 0;                              // Of the latest fetch.
+    CURLM* Multi = nullptr;                      // Made by FetcherStart().
+    std::vector<std::unique_ptr<Fetch>> Running; // In progress.
+    uint64_t LastId = 0;                         // Of the latest fetch.
 
     Fetcher();
     ~Fetcher();
--- a/daemon/instance.cpp
+++ b/daemon/instance.cpp
@@ -20,12 +20,15 @@
     Kernel* kernel = &instance->Services;
     KernelRegister(kernel, "routing", &instance->Routes, nullptr, nullptr);
     KernelRegister(kernel, "upstream", &instance->Upstream, nullptr, [instance]() { UpstreamClear(&instance->Upstream); });
-    KernelRegister(kernel, "control", &instance->Plane, [instance]() { return ControlStart(&instance->Plane, instance->Services); },
-                   [instance]() { ControlStop(&instance->Plane); });
-    KernelRegister(kernel, "traffic", &instance->Calls, [instance]() { return TrafficStart(&instance->Calls, instance->Services); },
-                   [instance]() { TrafficStop(&instance->Calls); });
-    KernelRegister(kernel, "pages", &instance->Operators, [instance]() { return PagesStart(&instance->Operators, instance->Services); },
-                   [instance]() { PagesStop(&instance->Operators); });
+    KernelRegister(
+        kernel, "control", &instance->Plane, [instance]() { return ControlStart(&instance->Plane, instance->Services); },
+        [instance]() { ControlStop(&instance->Plane); });
+    KernelRegister(
+        kernel, "traffic", &instance->Calls, [instance]() { return TrafficStart(&instance->Calls, instance->Services); },
+        [instance]() { TrafficStop(&instance->Calls); });
+    KernelRegister(
+        kernel, "pages", &instance->Operators, [instance]() { return PagesStart(&instance->Operators, instance->Services); },
+        [instance]() { PagesStop(&instance->Operators); });
     return KernelStart(kernel);
 }
 
--- a/daemon/kernel.cpp
+++ b/daemon/kernel.cpp
@@ -14,7 +14,8 @@
         Result<void> started = service.Start ? service.Start() : Result<void>(BOOST_OUTCOME_V2_NAMESPACE::success());
         if (!started)
         {
-            Log(LogLevel_Error, started.error().Code, "service can't start", {{"service", service.Name}, {"detail", started.error().Detail}});
+            Log(LogLevel_Error, started.error().Code, "service can't start",
+                {{"service", service.Name}, {"detail", started.error().Detail}});
             KernelStop(kernel);
             return started;
         }
--- a/daemon/kernel.h
+++ b/daemon/kernel.h
@@ -16,17 +16,17 @@
 
 struct Service
 {
-    std::string Name;                          // Unique.
-    void* Instance = nullptr;                  // Borrowed; must outlive the kernel.
-    std::type_index Type = typeid(void);       // Type of Instance, checked on finding.
-    std::function<Result<void>()> Start;       // May be empty.
-    std::function<void()> Stop;                // May be empty; called only after a start that succeeded.
+    std::string Name;                    // Unique.
+    void* Instance = nullptr;            // Borrowed; must outlive the kernel.
+    std::type_index Type = typeid(void); // Type of Instance, checked on finding.
+    std::function<Result<void>()> Start; // May be empty.
+    std::function<void()> Stop;          // May be empty; called only after a start that succeeded.
 };
 
 struct Kernel
 {
-    std::vector<Service> Services;    // In order of registration.
-    size_t Started = 0;               // How many of them run.
+    std::vector<Service> Services; // In order of registration.
+    size_t Started = 0;            // How many of them run.
 };
 
 template <class T>
--- a/daemon/log.h
+++ b/daemon/log.h
@@ -35,8 +35,8 @@
     LogField(const char* key, uint64_t number);
     LogField(const char* key, int number);
 
-    const char* Key;      // JSON key.
-    std::string Value;    // Already JSON.
+    const char* Key;   // JSON key.
+    std::string Value; // Already JSON.
 };
 
 // Writes one line: time, level, code, event, then the fields.
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -14,8 +14,8 @@
 
 struct Subcommand
 {
-    const char* Name;                          // As typed.
-    const char* Text;                          // One line of help.
+    const char* Name; // As typed.
+    const char* Text; // One line of help.
     int (*Run)(int argc, const char** argv);
 };
 
@@ -28,8 +28,9 @@
 
 static void PrintHelp()
 {
-    fmt::print("winchlink {}: a load balancer for servers whose load shifts within milliseconds\n\nUsage: winchlink COMMAND [OPTION...]\n\n",
-               Version);
+    fmt::print(
+        "winchlink {}: a load balancer for servers whose load shifts within milliseconds\n\nUsage: winchlink COMMAND [OPTION...]\n\n",
+        Version);
     for (const Subcommand& subcommand : Subcommands)
     {
         fmt::print("  {:<8} {}\n", subcommand.Name, subcommand.Text);
--- a/daemon/metrics.cpp
+++ b/daemon/metrics.cpp
@@ -8,11 +8,12 @@
 namespace Winchlink
 {
 
-static constexpr unsigned BucketCount = 48;     // Eight per decade.
+static constexpr unsigned BucketCount = 48; // Eight per decade.
 static constexpr double LeastSeconds = 1e-4;
 static constexpr double MostSeconds = 1e2;
 
-LatencyStats::LatencyStats() : Histogram(std::make_tuple(LatencyAxis(BucketCount, LeastSeconds, MostSeconds)), boost::histogram::dense_storage<uint64_t>())
+LatencyStats::LatencyStats()
+    : Histogram(std::make_tuple(LatencyAxis(BucketCount, LeastSeconds, MostSeconds)), boost::histogram::dense_storage<uint64_t>())
 {
 }
 
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -26,8 +26,8 @@
 {
     LatencyStats();
 
-    LatencySummary Summary;         // Seconds.
-    LatencyHistogram Histogram;     // Seconds, 0.1 ms to 100 s.
+    LatencySummary Summary;     // Seconds.
+    LatencyHistogram Histogram; // Seconds, 0.1 ms to 100 s.
 };
 
 void LatencyAdd(LatencyStats* stats, TimeUs latency);
@@ -37,16 +37,16 @@
 
 struct CodeCount
 {
-    Code_ Code = Code_None;    // Result code; None for answers passed on.
-    uint64_t Count = 0;        // Requests that ended so.
+    Code_ Code = Code_None; // Result code; None for answers passed on.
+    uint64_t Count = 0;     // Requests that ended so.
 };
 
 struct RowMetrics
 {
-    LatencyStats Latency;                  // From the request's arrival to its answer, answers only.
-    std::vector<CodeCount> Ended;          // By result code.
-    uint64_t Retries = 0;                  // Attempts after the first.
-    uint64_t UpstreamFailures = 0;         // Answers of status 500 and above that were passed on.
+    LatencyStats Latency;          // From the request's arrival to its answer, answers only.
+    std::vector<CodeCount> Ended;  // By result code.
+    uint64_t Retries = 0;          // Attempts after the first.
+    uint64_t UpstreamFailures = 0; // Answers of status 500 and above that were passed on.
 };
 
 void CountEnded(RowMetrics* metrics, Code_ code);
--- a/daemon/options.cpp
+++ b/daemon/options.cpp
@@ -29,8 +29,8 @@
     }
     if (option < -1)
     {
-        fmt::print(stderr, "{}: code {}: {}: {}\n", name, static_cast<int>(Code_Usage), poptBadOption(context.get(), POPT_BADOPTION_NOALIAS),
-                   poptStrerror(option));
+        fmt::print(stderr, "{}: code {}: {}: {}\n", name, static_cast<int>(Code_Usage),
+                   poptBadOption(context.get(), POPT_BADOPTION_NOALIAS), poptStrerror(option));
         parsed.Exit = Exit_Usage;
         return parsed;
     }
--- a/daemon/options.h
+++ b/daemon/options.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 // Help and version for every command, then the end of the table.
-#define OPTIONS_TAIL                                                                                                                                 \
+#define OPTIONS_TAIL                                                                                                                       \
     {"version", '\0', POPT_ARG_NONE, nullptr, Winchlink::OptionVersion, "print the version", nullptr}, POPT_AUTOHELP POPT_TABLEEND
 
 namespace Winchlink
@@ -20,8 +20,8 @@
 
 struct ParsedOptions
 {
-    std::vector<std::string> Arguments;     // What is not an option.
-    std::optional<int> Exit;                // Set: end now, with this exit code.
+    std::vector<std::string> Arguments; // What is not an option.
+    std::optional<int> Exit;            // Set: end now, with this exit code.
 };
 
 // `usage` describes the arguments after the options. Prints faults itself.
--- a/daemon/pages.cpp
+++ b/daemon/pages.cpp
@@ -216,7 +216,8 @@
 {
     std::string text;
     text += Metric("winchlink_table_revision", "gauge", "Revision in force.", view.InForce.Revision);
-    text += Metric("winchlink_table_accepted_revision", "gauge", "Highest revision known to be held by enough instances.", view.Accepted.Revision);
+    text += Metric("winchlink_table_accepted_revision", "gauge", "Highest revision known to be held by enough instances.",
+                   view.Accepted.Revision);
     text += Metric("winchlink_table_conflicts_total", "counter", "Two contents under one revision.", view.Conflicts);
     text += Metric("winchlink_table_refused_revision", "gauge", "Newer revision that was not taken; 0 if none.", view.RefusedRevision);
     text += Metric("winchlink_peers", "gauge", "Live peers seen.", view.Peers.size());
@@ -228,12 +229,16 @@
     text += Metric("winchlink_messages_sent_bytes_total", "counter", "Bytes to peers.", view.Messages.SentBytes);
     text += Metric("winchlink_messages_received_total", "counter", "Messages from peers.", view.Messages.Received);
     text += Metric("winchlink_messages_received_bytes_total", "counter", "Bytes from peers.", view.Messages.ReceivedBytes);
-    text += Metric("winchlink_messages_refused_total", "counter", "Messages without a valid mark, malformed or replayed.", view.Messages.Refused);
+    text += Metric("winchlink_messages_refused_total", "counter", "Messages without a valid mark, malformed or replayed.",
+                   view.Messages.Refused);
     text += Metric("winchlink_pauses_total", "counter", "Pauses of this process noticed.", view.Pauses);
-    text += Metric("winchlink_control_cpu_microseconds_total", "counter", "Processor time of the control thread.", static_cast<uint64_t>(view.CpuUs));
+    text += Metric("winchlink_control_cpu_microseconds_total", "counter", "Processor time of the control thread.",
+                   static_cast<uint64_t>(view.CpuUs));
     text += Metric("winchlink_requests_in_progress", "gauge", "Requests in progress.", static_cast<uint64_t>(pages.Routes->InProgress));
-    text += Metric("winchlink_upstream_connections_opened_total", "counter", "Connections opened to targets.", pages.Upstream->ConnectionsOpened);
-    text += Metric("winchlink_replays_stopped_total", "counter", "Requests that libcurl would have sent twice.", pages.Upstream->ReplaysStopped);
+    text += Metric("winchlink_upstream_connections_opened_total", "counter", "Connections opened to targets.",
+                   pages.Upstream->ConnectionsOpened);
+    text += Metric("winchlink_replays_stopped_total", "counter", "Requests that libcurl would have sent twice.",
+                   pages.Upstream->ReplaysStopped);
     text += Metric("winchlink_reports_dropped_total", "counter", "Reports of targets dropped, queue full.", pages.Routes->ReportsDropped);
     return text;
 }
@@ -244,7 +249,8 @@
     for (const CodeCount& count : metrics.Ended)
     {
         const char* name = FindCode(count.Code).Name;
-        text += fmt::format("winchlink_requests_total{{{},code=\"{}\",result=\"{}\"}} {}\n", labels, static_cast<int>(count.Code), name, count.Count);
+        text += fmt::format("winchlink_requests_total{{{},code=\"{}\",result=\"{}\"}} {}\n", labels, static_cast<int>(count.Code), name,
+                            count.Count);
     }
     return text;
 }
@@ -277,8 +283,8 @@
         for (const double quantile : {0.5, 0.99, 0.999})
         {
             const double value = LatencyQuantile(classes[static_cast<size_t>(n)].Histogram, quantile);
-            latencies += fmt::format("winchlink_class_quantile_seconds{{class=\"{}\",quantile=\"{}\"}} {:.6g}\n", ClassName(static_cast<Class_>(n)),
-                                     quantile, value);
+            latencies += fmt::format("winchlink_class_quantile_seconds{{class=\"{}\",quantile=\"{}\"}} {:.6g}\n",
+                                     ClassName(static_cast<Class_>(n)), quantile, value);
         }
     }
     return text + latencies;
--- a/daemon/pages.h
+++ b/daemon/pages.h
@@ -10,12 +10,12 @@
 
 struct Pages
 {
-    Settings Config;                   // Own copy.
-    Routing* Routes = nullptr;         // Found by name at start.
-    Control* Plane = nullptr;          // Found by name at start.
-    Traffic* Calls = nullptr;          // Found by name at start.
-    UpstreamPool* Upstream = nullptr;  // Found by name at start.
-    TimeUs StartedUs = 0;              // When the instance started.
+    Settings Config;                  // Own copy.
+    Routing* Routes = nullptr;        // Found by name at start.
+    Control* Plane = nullptr;         // Found by name at start.
+    Traffic* Calls = nullptr;         // Found by name at start.
+    UpstreamPool* Upstream = nullptr; // Found by name at start.
+    TimeUs StartedUs = 0;             // When the instance started.
     Server Listener;
 };
 
--- a/daemon/platform.cpp
+++ b/daemon/platform.cpp
@@ -19,13 +19,13 @@
 namespace Winchlink
 {
 
-static constexpr int WatchMs = 5000;                              // The platform holds a watch for so long.
+static constexpr int WatchMs = 5000; // The platform holds a watch for so long.
 static constexpr int WatchTimeoutMs = WatchMs + 3000;
 static constexpr int CallTimeoutMs = 3000;
 static constexpr TimeUs BackoffFirstUs = 250 * UsPerMs;
 static constexpr TimeUs BackoffMostUs = 10 * UsPerSecond;
-static constexpr TimeUs ListPeriodUs = 30 * UsPerSecond;          // Readers renew the list so often.
-static constexpr size_t RowFetchesMax = 16;                       // Row calls at the same time.
+static constexpr TimeUs ListPeriodUs = 30 * UsPerSecond; // Readers renew the list so often.
+static constexpr size_t RowFetchesMax = 16;              // Row calls at the same time.
 
 //-----------------------------------------------------------------------------
 // [SECTION] Calls
@@ -106,7 +106,18 @@
     FetchRows(reader, fetcher);
 }
 
-static void TakeIndex(PlatformReader* reader, Fetcher* fetcher, const FetchResult& result, const Table& have, TimeUs now)
+static void FinishRows(PlatformReader* reader, const Table& have, TimeUs now, PlatformNews* news);
+
+static void FinishRowsIfAllCame(PlatformReader* reader, const Table& have, TimeUs now, PlatformNews* news)
+{
+    if (reader->RowFetches.empty() && reader->Wanted.empty())
+    {
+        FinishRows(reader, have, now, news);
+    }
+}
+
+static void TakeIndex(PlatformReader* reader, Fetcher* fetcher, const FetchResult& result, const Table& have, TimeUs now,
+                      PlatformNews* news)
 {
     reader->State = PlatformState_Idle;
     reader->NextIndexUs = now;
@@ -133,6 +144,7 @@
     else if (!(reader->Index.Version == have.Version))
     {
         StartRows(reader, fetcher, have);
+        FinishRowsIfAllCame(reader, have, now, news); // An edit that only removes rows needs no fetch.
     }
 }
 
@@ -326,7 +338,7 @@
         reader->State = PlatformState_Idle;
         if (ok)
         {
-            TakeIndex(reader, fetcher, result, have, now);
+            TakeIndex(reader, fetcher, result, have, now, news);
         }
         return true;
     }
@@ -337,10 +349,7 @@
         TakeRow(reader, what, result, now);
     }
     FetchRows(reader, fetcher);
-    if (reader->RowFetches.empty() && reader->Wanted.empty())
-    {
-        FinishRows(reader, have, now, news);
-    }
+    FinishRowsIfAllCame(reader, have, now, news);
     return true;
 }
 
--- a/daemon/routing.h
+++ b/daemon/routing.h
@@ -26,19 +26,19 @@
 // What the control thread knows of a target's run.
 struct RunNews
 {
-    TargetRun Run;              // Latest known.
-    TimeUs ReportedUs = 0;      // When its load was reported; 0 if never.
+    TargetRun Run;         // Latest known.
+    TimeUs ReportedUs = 0; // When its load was reported; 0 if never.
 };
 
 // The running state of a row; it outlives snapshots. Only traffic threads and the operators' pages lock it.
 struct RowState
 {
-    std::mutex Mutex;            // Guards all below.
-    Router Balance;              // The row's targets.
-    RetryBudget Retries;         // The row's share of retries.
-    RowMetrics Metrics;          // What callers got.
-    Random Rng;                  // For the two choices.
-    uint64_t Followed = 0;       // Serial of the snapshot the router was last brought in line with.
+    std::mutex Mutex;      // Guards all below.
+    Router Balance;        // The row's targets.
+    RetryBudget Retries;   // The row's share of retries.
+    RowMetrics Metrics;    // What callers got.
+    Random Rng;            // For the two choices.
+    uint64_t Followed = 0; // Serial of the snapshot the router was last brought in line with.
 };
 
 //-----------------------------------------------------------------------------
@@ -47,18 +47,18 @@
 
 struct SnapshotRow
 {
-    std::shared_ptr<RowState> State;    // Running state.
-    std::vector<RunNews> News;          // One per target, in the row's order.
+    std::shared_ptr<RowState> State; // Running state.
+    std::vector<RunNews> News;       // One per target, in the row's order.
 };
 
 struct Snapshot
 {
-    uint64_t Serial = 0;                // Grows with each snapshot.
-    TablePtr Rows;                      // Never null.
-    std::vector<SnapshotRow> States;    // In the order of Rows->Rows.
-    int Instances = 1;                  // Live instances seen, this one included.
-    bool Serving = false;               // Has a table that it may believe.
-    std::string DataCentre;             // Own.
+    uint64_t Serial = 0;             // Grows with each snapshot.
+    TablePtr Rows;                   // Never null.
+    std::vector<SnapshotRow> States; // In the order of Rows->Rows.
+    int Instances = 1;               // Live instances seen, this one included.
+    bool Serving = false;            // Has a table that it may believe.
+    std::string DataCentre;          // Own.
 };
 
 using SnapshotPtr = std::shared_ptr<const Snapshot>;
@@ -68,14 +68,14 @@
 // The service "routing".
 struct Routing
 {
-    SnapshotPtr Latest = std::make_shared<Snapshot>();              // Use RoutingLatest().
-    boost::lockfree::queue<TargetRun> Reports{ReportQueueSize};     // From traffic threads to the control thread.
-    std::atomic<uint64_t> ReportsDropped{0};                        // Queue full.
-    std::atomic<TimeUs> ControlTickUs{0};                           // Last tick of the control thread.
-    std::atomic<bool> CaughtUp{true};                               // False after a pause until peers were heard.
-    std::atomic<bool> Leaving{false};                               // Planned stop has begun: not ready.
-    std::atomic<bool> Refusing{false};                              // New requests are refused.
-    std::atomic<int> InProgress{0};                                 // Requests in progress.
+    SnapshotPtr Latest = std::make_shared<Snapshot>();          // Use RoutingLatest().
+    boost::lockfree::queue<TargetRun> Reports{ReportQueueSize}; // From traffic threads to the control thread.
+    std::atomic<uint64_t> ReportsDropped{0};                    // Queue full.
+    std::atomic<TimeUs> ControlTickUs{0};                       // Last tick of the control thread.
+    std::atomic<bool> CaughtUp{true};                           // False after a pause until peers were heard.
+    std::atomic<bool> Leaving{false};                           // Planned stop has begun: not ready.
+    std::atomic<bool> Refusing{false};                          // New requests are refused.
+    std::atomic<int> InProgress{0};                             // Requests in progress.
 };
 
 SnapshotPtr RoutingLatest(const Routing& routing);
--- a/daemon/server.cpp
+++ b/daemon/server.cpp
@@ -249,7 +249,10 @@
 int ServerBusy(Server* server)
 {
     const std::lock_guard<std::mutex> lock(server->Mutex);
-    auto busy = [](const auto& entry) { return entry.second.Busy; };
+    auto busy = [](const auto& entry)
+    {
+        return entry.second.Busy;
+    };
     return static_cast<int>(std::count_if(server->Open.begin(), server->Open.end(), busy));
 }
 
--- a/daemon/server.h
+++ b/daemon/server.h
@@ -17,47 +17,47 @@
 
 struct ServerRequest
 {
-    std::string Method;               // As sent.
-    std::string Path;                 // Path and query, as sent.
-    std::vector<Header> Headers;      // As sent.
-    std::string Body;                 // Whole.
-    int CallerFd = -1;                // The connection's socket; -1 if unknown.
-    std::string CallerAddress;        // IP:port.
-    bool FirstOnConnection = false;   // The connection was opened for this request.
-    bool BodyTooLarge = false;        // The body was over the limit and is not here.
+    std::string Method;             // As sent.
+    std::string Path;               // Path and query, as sent.
+    std::vector<Header> Headers;    // As sent.
+    std::string Body;               // Whole.
+    int CallerFd = -1;              // The connection's socket; -1 if unknown.
+    std::string CallerAddress;      // IP:port.
+    bool FirstOnConnection = false; // The connection was opened for this request.
+    bool BodyTooLarge = false;      // The body was over the limit and is not here.
 };
 
 struct ServerResponse
 {
-    int Status = 200;                 // HTTP status.
-    std::vector<Header> Headers;      // Besides Content-Length.
-    std::string Body;                 // Whole.
-    bool CloseConnection = false;     // Ask the caller to open a new connection next time.
+    int Status = 200;             // HTTP status.
+    std::vector<Header> Headers;  // Besides Content-Length.
+    std::string Body;             // Whole.
+    bool CloseConnection = false; // Ask the caller to open a new connection next time.
 };
 
 using ServerHandler = std::function<ServerResponse(const ServerRequest&)>;
 
 struct ServerConfig
 {
-    std::string Address;                   // IP:port.
-    int ConnectionsMax = 1024;             // More are not accepted.
-    size_t BodyMax = 1024 * 1024;          // Largest body in bytes.
-    unsigned IdleSeconds = 60;             // A connection silent for longer is closed.
+    std::string Address;          // IP:port.
+    int ConnectionsMax = 1024;    // More are not accepted.
+    size_t BodyMax = 1024 * 1024; // Largest body in bytes.
+    unsigned IdleSeconds = 60;    // A connection silent for longer is closed.
 };
 
 struct ServerConnection
 {
-    int Socket = -1;                       // The connection's socket.
-    bool Busy = false;                     // A request was read whose answer is not yet written whole.
-    uint64_t Requests = 0;                 // Read so far.
+    int Socket = -1;       // The connection's socket.
+    bool Busy = false;     // A request was read whose answer is not yet written whole.
+    uint64_t Requests = 0; // Read so far.
 };
 
 struct Server
 {
     ServerConfig Config;
     ServerHandler Handler;
-    std::unique_ptr<_u_instance> Instance;     // ulfius' part; null while stopped.
-    std::mutex Mutex;                          // Guards Open.
+    std::unique_ptr<_u_instance> Instance;        // ulfius' part; null while stopped.
+    std::mutex Mutex;                             // Guards Open.
     std::map<std::string, ServerConnection> Open; // By the caller's IP:port.
 
     Server() = default;
--- a/daemon/traffic.cpp
+++ b/daemon/traffic.cpp
@@ -30,25 +30,25 @@
 // Everything about one request of a caller.
 struct Call
 {
-    const ServerRequest* From = nullptr;       // As it came.
-    std::string Id;                            // The caller's, or ours.
-    TimeUs ArrivedUs = 0;                      // When it came.
-    TimeUs DeadlineUs = 0;                     // When its answer is of no use any more.
-    SnapshotPtr Seen;                          // The table it is served by, to its end.
-    size_t RowIndex = 0;                       // Its row in that table.
-    const ServiceRow* Row = nullptr;           // The same.
-    RowState* State = nullptr;                 // The row's running state.
-    RequestLife Life;                          // Attempts so far.
-    std::vector<TargetKey> Tried;              // Targets of those attempts.
-    TimeUs RetryAfterUs = 0;                   // For a refusal.
+    const ServerRequest* From = nullptr; // As it came.
+    std::string Id;                      // The caller's, or ours.
+    TimeUs ArrivedUs = 0;                // When it came.
+    TimeUs DeadlineUs = 0;               // When its answer is of no use any more.
+    SnapshotPtr Seen;                    // The table it is served by, to its end.
+    size_t RowIndex = 0;                 // Its row in that table.
+    const ServiceRow* Row = nullptr;     // The same.
+    RowState* State = nullptr;           // The row's running state.
+    RequestLife Life;                    // Attempts so far.
+    std::vector<TargetKey> Tried;        // Targets of those attempts.
+    TimeUs RetryAfterUs = 0;             // For a refusal.
 };
 
 // The end of a request, before it is put into HTTP.
 struct CallEnd
 {
-    Code_ Code = Code_None;      // None: Answer is passed on.
-    std::string Detail;          // For people.
-    UpstreamAnswer Answer;       // The target's.
+    Code_ Code = Code_None; // None: Answer is passed on.
+    std::string Detail;     // For people.
+    UpstreamAnswer Answer;  // The target's.
 };
 
 //-----------------------------------------------------------------------------
@@ -86,10 +86,8 @@
     caller->RetryAfterUs = come_back ? MeanAnswerUs(caller->State) : caller->RetryAfterUs;
     const Call& call = *caller;
     response.Body = ExplainJson(call, code, detail);
-    response.Headers = {{"Content-Type", "application/json"},
-                        {HeaderRequestId, call.Id},
-                        {HeaderCode, std::to_string(code)},
-                        {HeaderRun, RunWord(code)}};
+    response.Headers = {
+        {"Content-Type", "application/json"}, {HeaderRequestId, call.Id}, {HeaderCode, std::to_string(code)}, {HeaderRun, RunWord(code)}};
     if (call.RetryAfterUs > 0)
     {
         const TimeUs seconds = (call.RetryAfterUs + UsPerSecond - 1) / UsPerSecond;
@@ -103,8 +101,9 @@
 // Headers that belong to one connection and are never passed on (RFC 9110, 7.6.1), and those that we set anew.
 static bool IsHopHeader(const std::string& name)
 {
-    static const std::array<const char*, 10> hop = {"Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-                                                    "TE",         "Trailer",           "Transfer-Encoding", "Upgrade",           "Content-Length"};
+    static const std::array<const char*, 10> hop = {
+        "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE",
+        "Trailer",    "Transfer-Encoding", "Upgrade",          "Content-Length"};
     return std::any_of(hop.begin(), hop.end(), [&](const char* h) { return SameHeader(name, h); });
 }
 
@@ -149,7 +148,8 @@
 
 static std::optional<TimeUs> ParseDeadlineMs(const std::string& text)
 {
-    const bool digits = !text.empty() && text.size() <= 9 && std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
+    const bool digits =
+        !text.empty() && text.size() <= 9 && std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
     if (!digits)
     {
         return std::nullopt;
@@ -189,7 +189,7 @@
 // [SECTION] Step 2: Match and admit
 //-----------------------------------------------------------------------------
 
-static constexpr TimeUs LeavingRetryUs = 10 * UsPerMs;    // Another instance can take it at once.
+static constexpr TimeUs LeavingRetryUs = 10 * UsPerMs;                      // Another instance can take it at once.
 static constexpr std::array<int, Class_COUNT> ClassPercent = {100, 90, 75}; // Share of the instance that each class may fill.
 
 static CallEnd Match(Call* call, const Traffic& traffic)
@@ -283,7 +283,8 @@
     std::vector<Header> headers;
     for (const Header& header : call.From->Headers)
     {
-        const bool ours = SameHeader(header.Name, HeaderDeadline) || SameHeader(header.Name, HeaderRequestId) || SameHeader(header.Name, "Expect");
+        const bool ours =
+            SameHeader(header.Name, HeaderDeadline) || SameHeader(header.Name, HeaderRequestId) || SameHeader(header.Name, "Expect");
         if (!ours && !IsHopHeader(header.Name))
         {
             headers.push_back(header);
@@ -327,7 +328,10 @@
     request.DeadlineUs = call.DeadlineUs;
     request.CallerFd = call.From->CallerFd;
     request.AnswerMax = static_cast<size_t>(traffic.Config.AnswerMaxBytes);
-    request.StillGood = [&]() { return MaySendNow(traffic, call, choice.Target); };
+    request.StillGood = [&]()
+    {
+        return MaySendNow(traffic, call, choice.Target);
+    };
     return UpstreamSend(traffic.Upstream, request);
 }
 
--- a/daemon/traffic.h
+++ b/daemon/traffic.h
@@ -16,13 +16,13 @@
 
 struct Traffic
 {
-    Settings Config;                        // Own copy.
-    Routing* Routes = nullptr;              // Found by name at start.
-    UpstreamPool* Upstream = nullptr;       // Found by name at start.
-    std::string SourceIp;                   // Connections to targets come from here.
-    Server Listener;                        // Callers' connections.
-    std::mutex Mutex;                       // Guards Refused.
-    RowMetrics Refused;                     // Requests that belong to no row.
+    Settings Config;                  // Own copy.
+    Routing* Routes = nullptr;        // Found by name at start.
+    UpstreamPool* Upstream = nullptr; // Found by name at start.
+    std::string SourceIp;             // Connections to targets come from here.
+    Server Listener;                  // Callers' connections.
+    std::mutex Mutex;                 // Guards Refused.
+    RowMetrics Refused;               // Requests that belong to no row.
 };
 
 Result<void> TrafficStart(Traffic* traffic, const Kernel& kernel);
--- a/daemon/transport.cpp
+++ b/daemon/transport.cpp
@@ -19,11 +19,11 @@
 namespace Winchlink
 {
 
-static constexpr size_t LengthSize = 4;                       // Big-endian length before a TCP message.
+static constexpr size_t LengthSize = 4; // Big-endian length before a TCP message.
 static constexpr size_t ReadChunk = 64 * 1024;
 static constexpr TimeUs StreamMaxUs = 10 * UsPerSecond;
-static constexpr int ReceiveBuffer = 4 * 1024 * 1024;         // A burst of a whole fleet's heartbeats fits.
-static constexpr int DatagramsPerRound = 512;                 // Then the loop turns to other work.
+static constexpr int ReceiveBuffer = 4 * 1024 * 1024; // A burst of a whole fleet's heartbeats fits.
+static constexpr int DatagramsPerRound = 512;         // Then the loop turns to other work.
 
 //-----------------------------------------------------------------------------
 // [SECTION] Sockets
@@ -130,8 +130,8 @@
         return;
     }
     const sockaddr_in to = ToSocketAddress(envelope.To);
-    const ssize_t sent =
-        sendto(transport->Udp, envelope.Bytes.data(), envelope.Bytes.size(), MSG_NOSIGNAL, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
+    const ssize_t sent = sendto(transport->Udp, envelope.Bytes.data(), envelope.Bytes.size(), MSG_NOSIGNAL,
+                                reinterpret_cast<const sockaddr*>(&to), sizeof(to));
     transport->SendErrors += sent < 0 ? 1 : 0;
 }
 
--- a/daemon/transport.h
+++ b/daemon/transport.h
@@ -14,19 +14,19 @@
 
 struct Stream
 {
-    int Fd = -1;                 // Connection.
-    bool Outgoing = false;       // We opened it.
-    std::string Bytes;           // Outgoing: what is left to be written; incoming: what was read so far.
-    TimeUs OpenedUs = 0;         // To end it when it takes too long.
+    int Fd = -1;           // Connection.
+    bool Outgoing = false; // We opened it.
+    std::string Bytes;     // Outgoing: what is left to be written; incoming: what was read so far.
+    TimeUs OpenedUs = 0;   // To end it when it takes too long.
 };
 
 struct Transport
 {
-    int Udp = -1;                      // Bound to the control address.
-    int Listener = -1;                 // TCP, same address.
-    std::vector<Stream> Streams;       // Connections in progress.
-    uint64_t SendErrors = 0;           // Messages dropped on our side.
-    uint64_t StreamsDropped = 0;       // TCP connections that ended badly or late.
+    int Udp = -1;                // Bound to the control address.
+    int Listener = -1;           // TCP, same address.
+    std::vector<Stream> Streams; // Connections in progress.
+    uint64_t SendErrors = 0;     // Messages dropped on our side.
+    uint64_t StreamsDropped = 0; // TCP connections that ended badly or late.
 };
 
 inline constexpr size_t StreamsMax = 64;
--- a/daemon/upstream.cpp
+++ b/daemon/upstream.cpp
@@ -25,10 +25,10 @@
 namespace Winchlink
 {
 
-static constexpr TimeUs IdleMaxUs = 20 * UsPerSecond;   // A connection idle for longer is closed.
-static constexpr long IdleReuseMaxSeconds = 15;         // libcurl does not reuse one idle for longer; targets close theirs.
-static constexpr int PollMaxMs = 1000;                  // Longest wait in one poll.
-static constexpr long ConnectMaxMs = 1000;              // A target on our own network that takes longer is not there.
+static constexpr TimeUs IdleMaxUs = 20 * UsPerSecond; // A connection idle for longer is closed.
+static constexpr long IdleReuseMaxSeconds = 15;       // libcurl does not reuse one idle for longer; targets close theirs.
+static constexpr int PollMaxMs = 1000;                // Longest wait in one poll.
+static constexpr long ConnectMaxMs = 1000;            // A target on our own network that takes longer is not there.
 
 //-----------------------------------------------------------------------------
 // [SECTION] Headers
@@ -75,9 +75,9 @@
 
 struct UpstreamHandle
 {
-    CURLM* Multi = nullptr;      // Holds the one connection.
-    CURL* Easy = nullptr;        // Reused from attempt to attempt.
-    TimeUs IdleSinceUs = 0;      // When it was given back.
+    CURLM* Multi = nullptr; // Holds the one connection.
+    CURL* Easy = nullptr;   // Reused from attempt to attempt.
+    TimeUs IdleSinceUs = 0; // When it was given back.
 
     UpstreamHandle() : Multi(curl_multi_init()), Easy(curl_easy_init())
     {
@@ -100,9 +100,9 @@
     const UpstreamRequest* Request = nullptr;
     UpstreamPool* Pool = nullptr;
     UpstreamAnswer* Answer = nullptr;
-    int Prepared = 0;              // Calls of the pre-request callback: how often the request was about to be sent.
-    bool StoppedUnsent = false;    // The last check said no.
-    bool TooLarge = false;         // Answer body over the limit.
+    int Prepared = 0;           // Calls of the pre-request callback: how often the request was about to be sent.
+    bool StoppedUnsent = false; // The last check said no.
+    bool TooLarge = false;      // Answer body over the limit.
 };
 
 //-----------------------------------------------------------------------------
@@ -239,7 +239,7 @@
 enum CallerState_ : int
 {
     CallerState_Waiting,
-    CallerState_Ahead,     // It has sent its next request already; its socket stays readable and can't be watched.
+    CallerState_Ahead, // It has sent its next request already; its socket stays readable and can't be watched.
     CallerState_Gone,
     CallerState_COUNT,
 };
@@ -259,7 +259,7 @@
 enum WaitEnd_ : int
 {
     WaitEnd_None,
-    WaitEnd_Done,           // libcurl has finished.
+    WaitEnd_Done, // libcurl has finished.
     WaitEnd_Deadline,
     WaitEnd_CallerGone,
     WaitEnd_COUNT,
--- a/daemon/upstream.h
+++ b/daemon/upstream.h
@@ -25,8 +25,8 @@
 
 struct Header
 {
-    std::string Name;     // As received.
-    std::string Value;    // Without surrounding blanks.
+    std::string Name;  // As received.
+    std::string Value; // Without surrounding blanks.
 };
 
 bool SameHeader(const std::string& a, const std::string& b);
@@ -36,28 +36,28 @@
 
 struct UpstreamRequest
 {
-    std::string Method;                         // As the caller sent it.
-    std::string Path;                           // Path and query, untouched.
-    std::vector<Header> Headers;                // Ready to be sent.
-    const std::string* Body = nullptr;          // Borrowed; null for none.
-    std::string Address;                        // Target.
-    std::string SourceIp;                       // Own IP number to connect from; empty for any.
-    TimeUs DeadlineUs = 0;                      // By NowUs().
-    int CallerFd = -1;                          // Caller's connection, watched for a hang-up; -1 for none.
-    size_t AnswerMax = 0;                       // Largest answer body in bytes.
-    std::function<bool()> StillGood;            // Asked right before the request is sent; false stops it unsent.
+    std::string Method;                // As the caller sent it.
+    std::string Path;                  // Path and query, untouched.
+    std::vector<Header> Headers;       // Ready to be sent.
+    const std::string* Body = nullptr; // Borrowed; null for none.
+    std::string Address;               // Target.
+    std::string SourceIp;              // Own IP number to connect from; empty for any.
+    TimeUs DeadlineUs = 0;             // By NowUs().
+    int CallerFd = -1;                 // Caller's connection, watched for a hang-up; -1 for none.
+    size_t AnswerMax = 0;              // Largest answer body in bytes.
+    std::function<bool()> StillGood;   // Asked right before the request is sent; false stops it unsent.
 };
 
 struct UpstreamAnswer
 {
-    Outcome_ Outcome = Outcome_None;      // How the attempt ended.
-    Code_ Code = Code_None;               // Why, where it failed.
-    int Status = 0;                       // HTTP status of a complete answer.
-    std::vector<Header> Headers;          // Of a complete answer.
-    std::string Body;                     // Of a complete answer.
-    TimeUs LatencyUs = 0;                 // From choosing to the end.
-    bool HasReport = false;               // The answer told about the target.
-    TargetRun Report;                     // What it told.
+    Outcome_ Outcome = Outcome_None; // How the attempt ended.
+    Code_ Code = Code_None;          // Why, where it failed.
+    int Status = 0;                  // HTTP status of a complete answer.
+    std::vector<Header> Headers;     // Of a complete answer.
+    std::string Body;                // Of a complete answer.
+    TimeUs LatencyUs = 0;            // From choosing to the end.
+    bool HasReport = false;          // The answer told about the target.
+    TargetRun Report;                // What it told.
 };
 
 //-----------------------------------------------------------------------------
--- a/tests/agree_test.cpp
+++ b/tests/agree_test.cpp
@@ -34,9 +34,9 @@
     EventKind_COUNT,
 };
 
-static const char* EventNames[EventKind_COUNT] = {"run",          "edit",           "kill",        "replace",     "pause",        "wake",
-                                                  "cut",          "heal",           "platformDown", "platformStale", "platformOk", "badNetwork",
-                                                  "goodNetwork",  "listLags",       "report",      "drainTarget", "restartTarget"};
+static const char* EventNames[EventKind_COUNT] = {"run",         "edit",     "kill",         "replace",       "pause",        "wake",
+                                                  "cut",         "heal",     "platformDown", "platformStale", "platformOk",   "badNetwork",
+                                                  "goodNetwork", "listLags", "report",       "drainTarget",   "restartTarget"};
 
 // What the commands need to know beforehand: nothing but the size of the fleet; whether an event makes sense is decided when it happens.
 struct EventModel
@@ -52,7 +52,8 @@
 
     explicit Event(const EventModel& model)
         : Kind(static_cast<EventKind_>(*rc::gen::inRange<int>(0, EventKind_COUNT))),
-          Node(*rc::gen::resize(1000, rc::gen::inRange<size_t>(0, model.Nodes))), Number(*rc::gen::resize(1000, rc::gen::inRange<uint32_t>(0, 1U << 16U)))
+          Node(*rc::gen::resize(1000, rc::gen::inRange<size_t>(0, model.Nodes))),
+          Number(*rc::gen::resize(1000, rc::gen::inRange<uint32_t>(0, 1U << 16U)))
     {
     }
 
@@ -201,13 +202,13 @@
     static void WithFleet(size_t nodes, const std::function<void(FleetModel*)>& body)
     {
         CHECK_COSTLY_PROPERTY(10, "case",
-                       [&]()
-                       {
-                           FleetModel fleet;
-                           ModelStart(&fleet, nodes, ModelFault_None);
-                           ModelRun(&fleet, JoinTimeoutUs + 2 * UsPerSecond);
-                           body(&fleet);
-                       });
+                              [&]()
+                              {
+                                  FleetModel fleet;
+                                  ModelStart(&fleet, nodes, ModelFault_None);
+                                  ModelRun(&fleet, JoinTimeoutUs + 2 * UsPerSecond);
+                                  body(&fleet);
+                              });
     }
 
     void PlatformDownRightAfterOneRead()
--- a/tests/budget_test.cpp
+++ b/tests/budget_test.cpp
@@ -21,16 +21,16 @@
 struct BudgetNode
 {
     Budget Own;
-    TimeUs Skew = 0;               // Its wall clock minus the true one.
-    TimeUs PausedUntil = 0;        // Does nothing before.
+    TimeUs Skew = 0;        // Its wall clock minus the true one.
+    TimeUs PausedUntil = 0; // Does nothing before.
 };
 
 enum BudgetFault_ : int
 {
     BudgetFault_None,
-    BudgetFault_NoEmptyStart,      // A replaced process may probe at once.
-    BudgetFault_ClocksApart,       // Clocks differ by more than the guard.
-    BudgetFault_SharesByCount,     // Every instance probes at budget divided by the peers it sees; views are short.
+    BudgetFault_NoEmptyStart,  // A replaced process may probe at once.
+    BudgetFault_ClocksApart,   // Clocks differ by more than the guard.
+    BudgetFault_SharesByCount, // Every instance probes at budget divided by the peers it sees; views are short.
 };
 
 static constexpr uint32_t Nodes = 4;
--- a/tests/docs_test.cpp
+++ b/tests/docs_test.cpp
@@ -88,7 +88,8 @@
     void SettingsAreChecked()
     {
         CPPUNIT_ASSERT(ParseSettings(std::string(GoodSettings) + "}").Faults.empty());
-        const CheckedSettings bad = ParseSettings(std::string(GoodSettings) + R"(, "numbers": "many", "colour": 1, "bodyMaxBytes": 0, "peers": ["x"],
+        const CheckedSettings bad =
+            ParseSettings(std::string(GoodSettings) + R"(, "numbers": "many", "colour": 1, "bodyMaxBytes": 0, "peers": ["x"],
             "logLevel": "loud", "previousKey": "abc"})");
         CPPUNIT_ASSERT(HasFault(bad.Faults, Code_SettingsWrongType, "numbers"));
         CPPUNIT_ASSERT(HasFault(bad.Faults, Code_SettingsUnknownKey, "colour"));
@@ -108,12 +109,22 @@
         int one = 1;
         int two = 2;
         bool fail = false;
-        auto good = [&](const char* name) { return [&trace, name]() { trace += name; return Result<void>(BOOST_OUTCOME_V2_NAMESPACE::success()); }; };
+        auto good = [&](const char* name)
+        {
+            return [&trace, name]()
+            {
+                trace += name;
+                return Result<void>(BOOST_OUTCOME_V2_NAMESPACE::success());
+            };
+        };
         KernelRegister(&kernel, "one", &one, good("+1"), [&]() { trace += "-1"; });
         KernelRegister(&kernel, "two", &two, good("+2"), [&]() { trace += "-2"; });
-        KernelRegister(&kernel, "three", &fail,
-                       [&]() { return fail ? Result<void>(Error{Code_ListenFailed, ""}) : Result<void>(BOOST_OUTCOME_V2_NAMESPACE::success()); },
-                       [&]() { trace += "-3"; });
+        KernelRegister(
+            &kernel, "three", &fail,
+            [&]() {
+                return fail ? Result<void>(Error{Code_ListenFailed, ""}) : Result<void>(BOOST_OUTCOME_V2_NAMESPACE::success());
+            },
+            [&]() { trace += "-3"; });
         CPPUNIT_ASSERT(KernelStart(&kernel).has_value());
         CPPUNIT_ASSERT_EQUAL(2, *KernelFind<int>(kernel, "two"));
         KernelStop(&kernel);
--- a/tests/fleet_model.h
+++ b/tests/fleet_model.h
@@ -18,10 +18,10 @@
 enum ModelFault_ : int
 {
     ModelFault_None,
-    ModelFault_BelievesPlatformAtOnce,    // A fresh instance does not wait for its peers.
-    ModelFault_StepsBack,                 // What the platform serves is put in force even if it is older.
-    ModelFault_ForgetsLeaving,            // A report without the leaving mark takes it away.
-    ModelFault_AllRead,                   // Every instance reads the platform.
+    ModelFault_BelievesPlatformAtOnce, // A fresh instance does not wait for its peers.
+    ModelFault_StepsBack,              // What the platform serves is put in force even if it is older.
+    ModelFault_ForgetsLeaving,         // A report without the leaving mark takes it away.
+    ModelFault_AllRead,                // Every instance reads the platform.
 };
 
 struct ModelNode
@@ -29,9 +29,9 @@
     Coordinator Own;
     bool Alive = false;
     bool Paused = false;
-    int Group = 0;                 // Messages pass only within a group.
-    TableVersion Highest;          // Highest version held in this incarnation.
-    TimeUs NextReadUs = 0;         // Next call of the platform.
+    int Group = 0;         // Messages pass only within a group.
+    TableVersion Highest;  // Highest version held in this incarnation.
+    TimeUs NextReadUs = 0; // Next call of the platform.
 };
 
 struct ModelMessage
@@ -61,14 +61,14 @@
     int TwicePercent = 5;
     TimeUs MostDelayUs = 50 * UsPerMs;
     PlatformMode_ Mode = ModelPlatform_Ok;
-    TablePtr Live;                                   // What the platform has.
-    TablePtr Frozen;                                 // What it serves when stale.
-    std::vector<Endpoint> List;                      // Its list of instances; lags.
-    std::vector<TablePtr> History;                   // All that was ever published.
-    std::set<std::string> Published;                 // Their digests.
-    TableVersion Accepted;                           // Highest that any instance has called accepted.
-    std::map<TargetKey, TargetRun> Truth;            // Targets as they are.
-    std::map<TargetKey, uint64_t> SeenLeaving;       // Start that some instance has seen leaving.
+    TablePtr Live;                             // What the platform has.
+    TablePtr Frozen;                           // What it serves when stale.
+    std::vector<Endpoint> List;                // Its list of instances; lags.
+    std::vector<TablePtr> History;             // All that was ever published.
+    std::set<std::string> Published;           // Their digests.
+    TableVersion Accepted;                     // Highest that any instance has called accepted.
+    std::map<TargetKey, TargetRun> Truth;      // Targets as they are.
+    std::map<TargetKey, uint64_t> SeenLeaving; // Start that some instance has seen leaving.
     uint64_t PlatformCalls = 0;
 };
 
--- a/tests/instance_test.cpp
+++ b/tests/instance_test.cpp
@@ -135,7 +135,8 @@
         return HttpOnce({"GET", Config.OperatorAddress, path, "", {}, 5000});
     }
 
-    HttpAnswer Call(const std::string& method, const std::string& path, const std::vector<Header>& headers = {}, const std::string& body = "") const
+    HttpAnswer Call(const std::string& method, const std::string& path, const std::vector<Header>& headers = {},
+                    const std::string& body = "") const
     {
         return HttpOnce({method, Config.TrafficAddress, path, body, headers, 15000});
     }
@@ -181,7 +182,8 @@
         CPPUNIT_ASSERT_EQUAL(std::string("good"), answer.Body);
         CPPUNIT_ASSERT_EQUAL(std::string("mine"), *FindHeader(answer.Headers, HeaderRequestId));
         CPPUNIT_ASSERT(!FindHeader(fleet.Call("GET", "/x/1").Headers, HeaderRequestId)->empty());
-        CPPUNIT_ASSERT(fleet.Page("/metrics").Body.find("winchlink_requests_total{row=\"x\",class=\"normal\",code=\"0\"") != std::string::npos);
+        CPPUNIT_ASSERT(fleet.Page("/metrics").Body.find("winchlink_requests_total{row=\"x\",class=\"normal\",code=\"0\"") !=
+                       std::string::npos);
         const std::string status = fleet.Page("/status").Body;
         CPPUNIT_ASSERT_EQUAL(int64_t(1), JsonNumberAt(status, "table.revision"));
         CPPUNIT_ASSERT(status.find("gets work") != std::string::npos);
@@ -278,7 +280,8 @@
         RawExchange(address, "POST /y HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\nhalf", 100, true);
         RawExchange(address, "\r\n\r\n\x01\x02\x03 nonsense\r\n\r\n", 100);
         RawExchange(address, "GET no-slash HTTP/1.1\r\nHost: a\r\n\r\n", 100);
-        const std::string huge = RawExchange(address, "GET /x HTTP/1.1\r\nHost: a\r\nX-Huge: " + std::string(200000, 'a') + "\r\n\r\n", 500);
+        const std::string huge =
+            RawExchange(address, "GET /x HTTP/1.1\r\nHost: a\r\nX-Huge: " + std::string(200000, 'a') + "\r\n\r\n", 500);
         CPPUNIT_ASSERT(huge.find(" 200 ") == std::string::npos);
         CPPUNIT_ASSERT_EQUAL(0, fleet.Requests());
         CPPUNIT_ASSERT_EQUAL(200, fleet.Call("GET", "/x").Status);
@@ -297,7 +300,8 @@
             CPPUNIT_ASSERT_EQUAL(200, fleet.Call("GET", "/x").Status);
         }
         CPPUNIT_ASSERT_EQUAL(before, fleet.One.Requests.load());
-        CPPUNIT_ASSERT(WaitFor(5 * UsPerSecond, [&]() { return fleet.Page("/status").Body.find("no work: leaving") != std::string::npos; }));
+        CPPUNIT_ASSERT(
+            WaitFor(5 * UsPerSecond, [&]() { return fleet.Page("/status").Body.find("no work: leaving") != std::string::npos; }));
         // The other row has the same target: news of a run is about the target, not the row.
         CPPUNIT_ASSERT(WaitFor(5 * UsPerSecond, [&]() { return RoutingLatest(fleet.Under.Routes)->States[1].News[0].Run.Leaving; }));
     }
@@ -310,13 +314,18 @@
         fleet.Platform.Publish(next);
         CPPUNIT_ASSERT(WaitFor(10 * UsPerSecond, [&]() { return fleet.Call("GET", "/new").Status == 200; }));
         CPPUNIT_ASSERT_EQUAL(404, fleet.Call("GET", "/x").Status);
-        Table bad = fleet.TableOf(3);
+        Table removed = fleet.TableOf(3);
+        removed.Rows.pop_back();
+        removed.Rows[0].PathPrefix = "/new";
+        fleet.Platform.Publish(removed); // Nothing to fetch.
+        CPPUNIT_ASSERT(WaitFor(10 * UsPerSecond, [&]() { return fleet.Call("GET", "/y").Status == 404; }));
+        Table bad = fleet.TableOf(4);
         bad.Rows[0].Targets.clear();
         fleet.Platform.Publish(bad);
-        CPPUNIT_ASSERT(WaitFor(10 * UsPerSecond, [&]() { return JsonNumberAt(fleet.Page("/status").Body, "table.refusedRevision") == 3; }));
-        CPPUNIT_ASSERT_EQUAL(int64_t(2), JsonNumberAt(fleet.Page("/status").Body, "table.revision"));
+        CPPUNIT_ASSERT(WaitFor(10 * UsPerSecond, [&]() { return JsonNumberAt(fleet.Page("/status").Body, "table.refusedRevision") == 4; }));
+        CPPUNIT_ASSERT_EQUAL(int64_t(3), JsonNumberAt(fleet.Page("/status").Body, "table.revision"));
         CPPUNIT_ASSERT_EQUAL(200, fleet.Call("GET", "/new").Status);
-        fleet.Platform.Publish(fleet.TableOf(4));
+        fleet.Platform.Publish(fleet.TableOf(5));
         CPPUNIT_ASSERT(WaitFor(10 * UsPerSecond, [&]() { return fleet.Call("GET", "/x").Status == 200; }));
     }
 
--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -15,8 +15,8 @@
 #include <cppunit/extensions/TestFactoryRegistry.h>
 #include <csignal>
 #include <cstdio>
-#include <curl/curl.h>
 #include <cstdlib>
+#include <curl/curl.h>
 #include <string>
 #include <ulfius.h>
 #include <vector>
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -141,7 +141,10 @@
         plan.UseRelay = true;
         CPPUNIT_ASSERT(FleetStart(&fleet, plan));
         CPPUNIT_ASSERT(WaitFor(20 * UsPerSecond, [&]() { return FleetCountAtRevision(fleet, 1) == 4; }));
-        const auto relay = [&](const std::string& path) { HttpOnce({"POST", fleet.Relay.Address, path, "", {}, 5000}); };
+        const auto relay = [&](const std::string& path)
+        {
+            HttpOnce({"POST", fleet.Relay.Address, path, "", {}, 5000});
+        };
         relay("/admin/faults?lose=20&twice=20&delayMs=30");
         relay("/admin/cut?groups=AABB");
         FleetPublish(&fleet);
@@ -171,7 +174,7 @@
         CheckRecords(fleet, records);
         CPPUNIT_ASSERT_EQUAL(int64_t(0), FleetAuditSum(fleet, "afterDrain"));
         const int64_t spent = FleetAuditSum(fleet, "probeUs");
-        const int64_t turn_us = 100 * UsPerMs; // 6 ms of 60 ms a second.
+        const int64_t turn_us = 100 * UsPerMs;                  // 6 ms of 60 ms a second.
         const int64_t turns = (NowUs() - start) / turn_us + 40; // And the time that the start took.
         CPPUNIT_ASSERT(spent > 0);
         CPPUNIT_ASSERT(spent <= turns * 6000);
--- a/tests/raw_target.cpp
+++ b/tests/raw_target.cpp
@@ -169,7 +169,8 @@
     }
 }
 
-RawTarget::RawTarget() : Address("127.0.0.1:" + std::to_string(FreePort("127.0.0.1"))), Listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+RawTarget::RawTarget()
+    : Address("127.0.0.1:" + std::to_string(FreePort("127.0.0.1"))), Listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
     const sockaddr_in address = SocketAddress(Address);
     const int on = 1;
--- a/tests/request_test.cpp
+++ b/tests/request_test.cpp
@@ -10,7 +10,7 @@
 enum LifeFault_ : int
 {
     LifeFault_None,
-    LifeFault_RetriesAll,       // Takes every request for one that may be repeated.
+    LifeFault_RetriesAll,         // Takes every request for one that may be repeated.
     LifeFault_CallsUnknownNotRun, // Tells "not run" where the outcome is unknown.
 };
 
--- a/tests/table_test.cpp
+++ b/tests/table_test.cpp
@@ -83,11 +83,11 @@
     void RefusesBadRows()
     {
         const std::string good_target = R"("targets": [{"address": "127.0.0.1:1"}])";
-        const CheckedTable same_route =
-            ParseTable(R"({"revision": 1, "rows": [{"name": "a", "pathPrefix": "/x", )" + good_target + R"(}, {"name": "b", "pathPrefix": "/x", )" + good_target + "}]}");
+        const CheckedTable same_route = ParseTable(R"({"revision": 1, "rows": [{"name": "a", "pathPrefix": "/x", )" + good_target +
+                                                   R"(}, {"name": "b", "pathPrefix": "/x", )" + good_target + "}]}");
         CPPUNIT_ASSERT(HasFault(same_route.Faults, Code_TableDuplicateRoute, "rows[1]"));
-        const CheckedTable twice =
-            ParseTable(TableWithRow(R"({"name": "a", "pathPrefix": "/x", "targets": [{"address": "127.0.0.1:1"}, {"address": "127.0.0.1:1"}]})"));
+        const CheckedTable twice = ParseTable(
+            TableWithRow(R"({"name": "a", "pathPrefix": "/x", "targets": [{"address": "127.0.0.1:1"}, {"address": "127.0.0.1:1"}]})"));
         CPPUNIT_ASSERT(HasFault(twice.Faults, Code_TableDuplicateTarget, "rows[0].targets[1].address"));
         const CheckedTable newer = ParseTable(TableWithRow(R"({"name": "a", "revision": 2, "pathPrefix": "/x", )" + good_target + "}"));
         CPPUNIT_ASSERT(HasFault(newer.Faults, Code_TableOutOfRange, "rows[0].revision"));
@@ -161,7 +161,8 @@
                                Table next = history.back();
                                next.Version.Revision++;
                                const std::string name = "r" + std::to_string(dice.Between(0, 5));
-                               auto found = std::find_if(next.Rows.begin(), next.Rows.end(), [&](const ServiceRow& r) { return r.Name == name; });
+                               auto found =
+                                   std::find_if(next.Rows.begin(), next.Rows.end(), [&](const ServiceRow& r) { return r.Name == name; });
                                if (found == next.Rows.end())
                                {
                                    next.Rows.push_back(MakeRow(name, next.Version.Revision, static_cast<int>(dice.Between(1, 4))));
@@ -233,7 +234,8 @@
                            const int64_t changes = dice.Between(1, 8);
                            for (int n = 0; n < changes; n++)
                            {
-                               text[static_cast<size_t>(dice.Between(0, static_cast<int64_t>(text.size())))] = static_cast<char>(dice.Between(0, 256));
+                               text[static_cast<size_t>(dice.Between(0, static_cast<int64_t>(text.size())))] =
+                                   static_cast<char>(dice.Between(0, 256));
                            }
                            const CheckedTable checked = ParseTable(text);
                            RC_ASSERT(!checked.Faults.empty() || CheckTable(checked.Value).empty());
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -19,7 +19,10 @@
     request.Address = target.Address;
     request.DeadlineUs = NowUs() + 10 * UsPerSecond;
     request.AnswerMax = 1024 * 1024;
-    request.StillGood = []() { return true; };
+    request.StillGood = []()
+    {
+        return true;
+    };
     return request;
 }
 
@@ -120,7 +123,10 @@
         for (int n = 0; n < 2; n++) // On a new connection, then on a reused one.
         {
             UpstreamRequest request = RequestTo(target, &Body);
-            request.StillGood = []() { return false; };
+            request.StillGood = []()
+            {
+                return false;
+            };
             CPPUNIT_ASSERT_EQUAL(int(Outcome_NotSent), int(UpstreamSend(&pool, request).Outcome));
             CPPUNIT_ASSERT_EQUAL(n, target.Requests.load());
             UpstreamSend(&pool, RequestTo(target, &Body));
@@ -186,7 +192,8 @@
     {
         TargetRun run;
         CPPUNIT_ASSERT(!ReadReport({{"Content-Type", "x"}}, "127.0.0.1:1", &run));
-        CPPUNIT_ASSERT(ReadReport({{"x-winchlink-start", "17"}, {"X-Winchlink-State", "draining"}, {"X-Winchlink-Busy", "99999999"}}, "127.0.0.1:1", &run));
+        CPPUNIT_ASSERT(ReadReport({{"x-winchlink-start", "17"}, {"X-Winchlink-State", "draining"}, {"X-Winchlink-Busy", "99999999"}},
+                                  "127.0.0.1:1", &run));
         CPPUNIT_ASSERT_EQUAL(uint64_t(17), run.StartId);
         CPPUNIT_ASSERT(run.Leaving);
         CPPUNIT_ASSERT_EQUAL(uint16_t(65535), run.Busy);
--- a/winchlink.h
+++ b/winchlink.h
@@ -45,8 +45,8 @@
 inline constexpr int64_t UsPerMs = 1000;
 inline constexpr int64_t UsPerSecond = 1000 * 1000;
 
-using TimeUs = int64_t;                // Microseconds of an injected clock.
-using Random = std::mt19937_64;        // Injected random source; seed it yourself.
+using TimeUs = int64_t;         // Microseconds of an injected clock.
+using Random = std::mt19937_64; // Injected random source; seed it yourself.
 
 // Call once before anything else; safe to call again. False when the crypto library can't start.
 bool Init();
@@ -123,10 +123,10 @@
 
 struct CodeInfo
 {
-    Code_ Code;            // The number.
-    const char* Name;      // Its name without the prefix, as docs/CODES.md writes it.
-    int HttpStatus;        // Status a caller sees; 0 where no caller sees the code.
-    const char* Text;      // One line for people.
+    Code_ Code;       // The number.
+    const char* Name; // Its name without the prefix, as docs/CODES.md writes it.
+    int HttpStatus;   // Status a caller sees; 0 where no caller sees the code.
+    const char* Text; // One line for people.
 };
 
 // All codes in ascending order.
@@ -137,8 +137,8 @@
 
 struct Error
 {
-    Code_ Code = Code_None;    // What went wrong.
-    std::string Detail;        // Where and why: file, key path, expectation.
+    Code_ Code = Code_None; // What went wrong.
+    std::string Detail;     // Where and why: file, key path, expectation.
 };
 
 template <class T> using Result = BOOST_OUTCOME_V2_NAMESPACE::unchecked<T, Error>;
@@ -147,20 +147,20 @@
 // [SECTION] Table
 //-----------------------------------------------------------------------------
 
-inline constexpr size_t TableRowsMax = 2048;             // Rows in one table.
-inline constexpr size_t RowTargetsMax = 512;             // Targets in one row.
-inline constexpr size_t RowMethodsMax = 16;              // Methods in one row's list.
-inline constexpr size_t TextMax = 256;                   // Bytes of a name, host, prefix or address.
-inline constexpr size_t PlatformValueMax = 1024 * 1024;  // Bytes of one platform value.
+inline constexpr size_t TableRowsMax = 2048;            // Rows in one table.
+inline constexpr size_t RowTargetsMax = 512;            // Targets in one row.
+inline constexpr size_t RowMethodsMax = 16;             // Methods in one row's list.
+inline constexpr size_t TextMax = 256;                  // Bytes of a name, host, prefix or address.
+inline constexpr size_t PlatformValueMax = 1024 * 1024; // Bytes of one platform value.
 
-using Digest = std::array<uint8_t, 16>;                  // BLAKE2b-128.
-using TargetKey = uint64_t;                              // SipHash of the target's address.
+using Digest = std::array<uint8_t, 16>; // BLAKE2b-128.
+using TargetKey = uint64_t;             // SipHash of the target's address.
 
 enum Class_ : int
 {
-    Class_Critical,       // Refused last.
-    Class_Normal,         // Refused before critical.
-    Class_Background,     // Refused first; may wait.
+    Class_Critical,   // Refused last.
+    Class_Normal,     // Refused before critical.
+    Class_Background, // Refused first; may wait.
     Class_COUNT,
 };
 
@@ -168,41 +168,41 @@
 
 struct TargetRow
 {
-    std::string Address;       // "IP:port".
-    std::string DataCentre;    // Where it runs; compared with the instance's own.
-    int Weight = 1;            // Share of the row's traffic, 0 (none) to 1000.
-    int Slots = 1;             // Requests it works on at once.
+    std::string Address;    // "IP:port".
+    std::string DataCentre; // Where it runs; compared with the instance's own.
+    int Weight = 1;         // Share of the row's traffic, 0 (none) to 1000.
+    int Slots = 1;          // Requests it works on at once.
 };
 
 struct ServiceRow
 {
-    std::string Name;                         // Unique in the table.
-    uint64_t Revision = 0;                    // Table revision that last changed this row.
-    std::string PathPrefix;                   // Requests whose path starts so belong to the row; may be empty if Host is set.
-    std::string Host;                         // Requests with this Host header; empty means any.
-    Class_ Class = Class_Normal;              // Who gives way to whom.
-    int MaxConnections = 250;                 // Connections to one target, over the fleet.
-    int MaxConcurrent = 0;                    // Requests in progress in the row, over the fleet; 0 means the sum of slots, doubled.
-    int MeasuringBudgetMs = 0;                // Milliseconds of target time per second that probes may cost the row, over the fleet.
-    int ProbeCostMs = 6;                      // Target time one probe costs.
-    int DeadlineMs = 1000;                    // Deadline where the caller names none.
-    std::vector<std::string> RepeatMethods;   // Methods that may be run more than once.
-    std::vector<TargetRow> Targets;           // At least one.
-    Digest RowDigest = {};                    // Digest of all of the above; set by SealRow().
+    std::string Name;                       // Unique in the table.
+    uint64_t Revision = 0;                  // Table revision that last changed this row.
+    std::string PathPrefix;                 // Requests whose path starts so belong to the row; may be empty if Host is set.
+    std::string Host;                       // Requests with this Host header; empty means any.
+    Class_ Class = Class_Normal;            // Who gives way to whom.
+    int MaxConnections = 250;               // Connections to one target, over the fleet.
+    int MaxConcurrent = 0;                  // Requests in progress in the row, over the fleet; 0 means the sum of slots, doubled.
+    int MeasuringBudgetMs = 0;              // Milliseconds of target time per second that probes may cost the row, over the fleet.
+    int ProbeCostMs = 6;                    // Target time one probe costs.
+    int DeadlineMs = 1000;                  // Deadline where the caller names none.
+    std::vector<std::string> RepeatMethods; // Methods that may be run more than once.
+    std::vector<TargetRow> Targets;         // At least one.
+    Digest RowDigest = {};                  // Digest of all of the above; set by SealRow().
 };
 
 struct RemovedRow
 {
-    std::string Name;         // Row that was removed.
-    uint64_t Revision = 0;    // Table revision that removed it.
+    std::string Name;      // Row that was removed.
+    uint64_t Revision = 0; // Table revision that removed it.
 };
 
 // Versions are ordered by revision, then by digest: two contents under one revision are an operator's mistake, and the larger digest
 // wins everywhere alike.
 struct TableVersion
 {
-    uint64_t Revision = 0;    // 0: no table yet.
-    Digest TableDigest = {};  // Digest of revision and row digests.
+    uint64_t Revision = 0;   // 0: no table yet.
+    Digest TableDigest = {}; // Digest of revision and row digests.
 };
 
 bool operator==(const TableVersion& a, const TableVersion& b);
@@ -210,24 +210,24 @@
 
 struct Table
 {
-    TableVersion Version;              // Revision and digest of the rows below.
-    std::vector<ServiceRow> Rows;      // Sorted by name.
-    std::vector<RemovedRow> Removed;   // Rows removed of late, for deltas; not part of the digest.
+    TableVersion Version;            // Revision and digest of the rows below.
+    std::vector<ServiceRow> Rows;    // Sorted by name.
+    std::vector<RemovedRow> Removed; // Rows removed of late, for deltas; not part of the digest.
 };
 
 using TablePtr = std::shared_ptr<const Table>;
 
 struct Fault
 {
-    Code_ Code = Code_None;    // Which check failed.
-    std::string Where;         // Key path, such as "rows[3].targets[0].weight".
-    std::string Detail;        // What was expected and what was found.
+    Code_ Code = Code_None; // Which check failed.
+    std::string Where;      // Key path, such as "rows[3].targets[0].weight".
+    std::string Detail;     // What was expected and what was found.
 };
 
 struct CheckedTable
 {
-    Table Value;                  // Meaningful only when Faults is empty.
-    std::vector<Fault> Faults;    // All faults, in document order.
+    Table Value;               // Meaningful only when Faults is empty.
+    std::vector<Fault> Faults; // All faults, in document order.
 };
 
 // Reads the operators' document (docs/OPERATORS.md). Reports every fault, not only the first. The rows keep the revision they name, or
@@ -270,14 +270,14 @@
 // The index value of the platform: which rows there are and when each changed.
 struct IndexEntry
 {
-    std::string Name;         // Row.
-    uint64_t Revision = 0;    // Its revision.
+    std::string Name;      // Row.
+    uint64_t Revision = 0; // Its revision.
 };
 
 struct TableIndex
 {
-    TableVersion Version;              // Of the whole table.
-    std::vector<IndexEntry> Rows;      // Sorted by name.
+    TableVersion Version;         // Of the whole table.
+    std::vector<IndexEntry> Rows; // Sorted by name.
 };
 
 Result<TableIndex> ParseIndex(const std::string& json);
@@ -285,10 +285,10 @@
 
 struct TableDelta
 {
-    TableVersion From;                 // What the receiver must hold; revision 0 for a whole table.
-    TableVersion To;                   // What it holds afterwards.
-    std::vector<ServiceRow> Rows;      // Rows newer than From.
-    std::vector<RemovedRow> Removed;   // Names removed since From.
+    TableVersion From;               // What the receiver must hold; revision 0 for a whole table.
+    TableVersion To;                 // What it holds afterwards.
+    std::vector<ServiceRow> Rows;    // Rows newer than From.
+    std::vector<RemovedRow> Removed; // Names removed since From.
 };
 
 // What turns `have` into `current`. A whole table where `have` is not a revision the delta can be computed from.
@@ -304,20 +304,20 @@
 // [SECTION] Messages
 //-----------------------------------------------------------------------------
 
-using InstanceId = uint64_t;                              // SipHash of the instance's control address.
+using InstanceId = uint64_t; // SipHash of the instance's control address.
 
-inline constexpr size_t SamplesMax = 8;                   // Peers named in one heartbeat.
-inline constexpr size_t ClaimsMax = 12;                   // Platform readers named in one heartbeat.
-inline constexpr size_t RunsMax = 24;                     // Target runs named in one heartbeat.
-inline constexpr size_t LeavingMax = 4096;                // Leaving targets in one table reply.
-inline constexpr size_t DatagramMax = 1200;               // Larger messages go by TCP.
-inline constexpr size_t MessageMax = 8 * 1024 * 1024;     // Larger messages are refused.
-inline constexpr size_t KeySize = 32;                     // Bytes of a message key.
+inline constexpr size_t SamplesMax = 8;               // Peers named in one heartbeat.
+inline constexpr size_t ClaimsMax = 12;               // Platform readers named in one heartbeat.
+inline constexpr size_t RunsMax = 24;                 // Target runs named in one heartbeat.
+inline constexpr size_t LeavingMax = 4096;            // Leaving targets in one table reply.
+inline constexpr size_t DatagramMax = 1200;           // Larger messages go by TCP.
+inline constexpr size_t MessageMax = 8 * 1024 * 1024; // Larger messages are refused.
+inline constexpr size_t KeySize = 32;                 // Bytes of a message key.
 
 struct Endpoint
 {
-    uint32_t Ip = 0;      // IPv4, host order.
-    uint16_t Port = 0;    // UDP and TCP port.
+    uint32_t Ip = 0;   // IPv4, host order.
+    uint16_t Port = 0; // UDP and TCP port.
 };
 
 bool operator==(const Endpoint& a, const Endpoint& b);
@@ -327,27 +327,27 @@
 
 struct PeerSample
 {
-    Endpoint Address;             // Control address; the id follows from it.
-    uint64_t Incarnation = 0;     // Start of that process.
-    uint32_t AgeMs = 0;           // Since anybody heard it.
-    uint32_t DataCentre = 0;      // Hash of the data centre's name.
+    Endpoint Address;         // Control address; the id follows from it.
+    uint64_t Incarnation = 0; // Start of that process.
+    uint32_t AgeMs = 0;       // Since anybody heard it.
+    uint32_t DataCentre = 0;  // Hash of the data centre's name.
 };
 
 struct ReaderClaim
 {
-    InstanceId Id = 0;          // An instance that reads the platform.
-    uint32_t DataCentre = 0;    // Where it is.
-    uint32_t AgeMs = 0;         // Since it last asked the platform.
+    InstanceId Id = 0;       // An instance that reads the platform.
+    uint32_t DataCentre = 0; // Where it is.
+    uint32_t AgeMs = 0;      // Since it last asked the platform.
 };
 
 // The last known run of a target. Merging is a join: the larger start wins, and within one start leaving stays leaving.
 struct TargetRun
 {
-    TargetKey Key = 0;        // Which target.
-    uint64_t StartId = 0;     // Start of the target's process, as it reports it; grows with each start.
-    bool Leaving = false;     // It said that it drains, or the platform's list did.
-    uint16_t Busy = 0;        // Requests it worked on when it reported.
-    uint16_t AgeMs = 0;       // Of the report; saturates.
+    TargetKey Key = 0;    // Which target.
+    uint64_t StartId = 0; // Start of the target's process, as it reports it; grows with each start.
+    bool Leaving = false; // It said that it drains, or the platform's list did.
+    uint16_t Busy = 0;    // Requests it worked on when it reported.
+    uint16_t AgeMs = 0;   // Of the report; saturates.
 };
 
 enum MessageType_ : uint8_t
@@ -361,48 +361,48 @@
 
 enum InstanceState_ : uint8_t
 {
-    InstanceState_Joining,    // Has no table it may believe yet.
+    InstanceState_Joining, // Has no table it may believe yet.
     InstanceState_Serving,
-    InstanceState_Leaving,    // Planned stop: forget it.
+    InstanceState_Leaving, // Planned stop: forget it.
     InstanceState_COUNT,
 };
 
 struct Heartbeat
 {
     InstanceState_ State = InstanceState_Joining;
-    uint32_t DataCentre = 0;              // Hash of the sender's data centre name.
-    TableVersion Table;                   // What it holds.
-    uint64_t RunsDigest = 0;              // Digest of its leaving targets.
-    bool WantsReply = false;              // A joining instance asks to be heartbeaten at once.
-    std::vector<PeerSample> Samples;      // Other peers it knows.
-    std::vector<ReaderClaim> Claims;      // Platform readers it knows.
-    std::vector<TargetRun> Runs;          // Recent news of targets.
+    uint32_t DataCentre = 0;         // Hash of the sender's data centre name.
+    TableVersion Table;              // What it holds.
+    uint64_t RunsDigest = 0;         // Digest of its leaving targets.
+    bool WantsReply = false;         // A joining instance asks to be heartbeaten at once.
+    std::vector<PeerSample> Samples; // Other peers it knows.
+    std::vector<ReaderClaim> Claims; // Platform readers it knows.
+    std::vector<TargetRun> Runs;     // Recent news of targets.
 };
 
 struct TableRequest
 {
-    TableVersion Have;         // Revision 0: send it whole.
-    bool WantsRuns = false;    // Send all leaving targets too.
+    TableVersion Have;      // Revision 0: send it whole.
+    bool WantsRuns = false; // Send all leaving targets too.
 };
 
 struct TableReply
 {
-    TableDelta Delta;              // May be empty (From equals To).
-    std::vector<TargetRun> Runs;   // All leaving targets, if asked for.
+    TableDelta Delta;            // May be empty (From equals To).
+    std::vector<TargetRun> Runs; // All leaving targets, if asked for.
 };
 
 struct MessageHead
 {
-    InstanceId Sender = 0;            // Who sent it.
-    Endpoint Address;                 // Where it can be reached.
-    uint64_t Incarnation = 0;         // Start of the sender's process.
-    uint64_t Sequence = 0;            // Grows with each message of one incarnation.
+    InstanceId Sender = 0;    // Who sent it.
+    Endpoint Address;         // Where it can be reached.
+    uint64_t Incarnation = 0; // Start of the sender's process.
+    uint64_t Sequence = 0;    // Grows with each message of one incarnation.
 };
 
 struct Message
 {
     MessageHead Head;
-    MessageType_ Type = MessageType_None;    // Which one of the following is set.
+    MessageType_ Type = MessageType_None; // Which one of the following is set.
     Heartbeat Beat;
     TableRequest Request;
     TableReply Reply;
@@ -410,8 +410,8 @@
 
 struct MessageKeys
 {
-    std::array<uint8_t, KeySize> Current = {};                     // Marks what is sent.
-    std::optional<std::array<uint8_t, KeySize>> Previous;          // Accepted as well while keys are being changed.
+    std::array<uint8_t, KeySize> Current = {};            // Marks what is sent.
+    std::optional<std::array<uint8_t, KeySize>> Previous; // Accepted as well while keys are being changed.
 };
 
 // Encodes and marks a message (HMAC-SHA-512-256, first 16 bytes).
@@ -426,33 +426,33 @@
 
 struct MembershipConfig
 {
-    Endpoint Self;                                   // Own control address.
-    std::string DataCentre;                          // Own data centre.
-    uint64_t Incarnation = 0;                        // Start of this process; must grow from start to start.
-    int Fanout = 3;                                  // Peers heartbeaten per period.
-    TimeUs PeriodUs = 1 * UsPerSecond;               // Heartbeat period.
-    TimeUs PeerTimeoutUs = 8 * UsPerSecond;          // Unheard of for so long: gone.
-    size_t ViewMax = 64;                             // Peers remembered; beyond it the view is a random part of the fleet.
-    int ReadersPerDataCentre = 2;                    // Instances that read the platform, per data centre.
-    TimeUs ClaimTimeoutUs = 15 * UsPerSecond;        // A reader that has not asked for so long is none.
-    TimeUs FailingUs = 20 * UsPerSecond;             // A reader that the platform does not answer for so long lets others try.
-    TimeUs RestUs = 60 * UsPerSecond;                // And for so long.
+    Endpoint Self;                            // Own control address.
+    std::string DataCentre;                   // Own data centre.
+    uint64_t Incarnation = 0;                 // Start of this process; must grow from start to start.
+    int Fanout = 3;                           // Peers heartbeaten per period.
+    TimeUs PeriodUs = 1 * UsPerSecond;        // Heartbeat period.
+    TimeUs PeerTimeoutUs = 8 * UsPerSecond;   // Unheard of for so long: gone.
+    size_t ViewMax = 64;                      // Peers remembered; beyond it the view is a random part of the fleet.
+    int ReadersPerDataCentre = 2;             // Instances that read the platform, per data centre.
+    TimeUs ClaimTimeoutUs = 15 * UsPerSecond; // A reader that has not asked for so long is none.
+    TimeUs FailingUs = 20 * UsPerSecond;      // A reader that the platform does not answer for so long lets others try.
+    TimeUs RestUs = 60 * UsPerSecond;         // And for so long.
 };
 
-inline constexpr size_t ReplayWindow = 256;     // Messages may overtake each other by so many (UDP and TCP side by side).
+inline constexpr size_t ReplayWindow = 256; // Messages may overtake each other by so many (UDP and TCP side by side).
 
 struct Peer
 {
-    InstanceId Id = 0;                  // Hash of Address.
-    Endpoint Address;                   // Control address.
-    uint64_t Incarnation = 0;           // Latest seen.
-    uint64_t Sequence = 0;              // Largest of that incarnation; 0 if only heard of.
-    std::bitset<ReplayWindow> Seen;     // Which of the last ReplayWindow numbers came; bit 0 is Sequence.
-    TimeUs HeardUs = 0;                 // When anybody last heard it.
-    uint32_t DataCentre = 0;            // Hash of its data centre's name.
+    InstanceId Id = 0;              // Hash of Address.
+    Endpoint Address;               // Control address.
+    uint64_t Incarnation = 0;       // Latest seen.
+    uint64_t Sequence = 0;          // Largest of that incarnation; 0 if only heard of.
+    std::bitset<ReplayWindow> Seen; // Which of the last ReplayWindow numbers came; bit 0 is Sequence.
+    TimeUs HeardUs = 0;             // When anybody last heard it.
+    uint32_t DataCentre = 0;        // Hash of its data centre's name.
     InstanceState_ State = InstanceState_Joining;
-    bool Direct = false;                // We have had a message of this incarnation ourselves.
-    TableVersion Table;                 // What it held in its last direct heartbeat.
+    bool Direct = false; // We have had a message of this incarnation ourselves.
+    TableVersion Table;  // What it held in its last direct heartbeat.
 };
 
 // A peer that is gone or forgotten; kept so that its old messages can't bring it back.
@@ -466,16 +466,16 @@
 struct Membership
 {
     MembershipConfig Config;
-    std::vector<Peer> Peers;               // Live peers, no order.
-    std::vector<Tombstone> Tombstones;     // Oldest first, bounded.
-    std::vector<Endpoint> Seeds;           // From settings and the platform's list; tried while few peers are known.
-    std::vector<ReaderClaim> Claims;       // Other instances that read the platform, AgeMs as of ClaimsUs.
-    TimeUs ClaimsUs = 0;                   // When the ages above were last advanced.
-    TimeUs AskedUs = 0;                    // When we last asked the platform ourselves; 0 if not, or not any more.
-    TimeUs FailingSinceUs = 0;             // When the platform began not to answer us; 0 while it does.
-    TimeUs RestUntilUs = 0;                // We let others try until then.
-    TimeUs StepInUs = 0;                   // Too few readers are seen: we step in then; 0 if there are enough.
-    uint64_t ReplaysRefused = 0;           // Messages older than one already seen.
+    std::vector<Peer> Peers;           // Live peers, no order.
+    std::vector<Tombstone> Tombstones; // Oldest first, bounded.
+    std::vector<Endpoint> Seeds;       // From settings and the platform's list; tried while few peers are known.
+    std::vector<ReaderClaim> Claims;   // Other instances that read the platform, AgeMs as of ClaimsUs.
+    TimeUs ClaimsUs = 0;               // When the ages above were last advanced.
+    TimeUs AskedUs = 0;                // When we last asked the platform ourselves; 0 if not, or not any more.
+    TimeUs FailingSinceUs = 0;         // When the platform began not to answer us; 0 while it does.
+    TimeUs RestUntilUs = 0;            // We let others try until then.
+    TimeUs StepInUs = 0;               // Too few readers are seen: we step in then; 0 if there are enough.
+    uint64_t ReplaysRefused = 0;       // Messages older than one already seen.
 };
 
 uint32_t HashDataCentre(const std::string& name);
@@ -513,28 +513,28 @@
 
 enum AdoptResult_ : int
 {
-    AdoptResult_Adopted,     // It is in force now.
-    AdoptResult_Same,        // We hold it already.
-    AdoptResult_Older,       // Refused: older than what we hold.
+    AdoptResult_Adopted, // It is in force now.
+    AdoptResult_Same,    // We hold it already.
+    AdoptResult_Older,   // Refused: older than what we hold.
     AdoptResult_COUNT,
 };
 
 struct Agreement
 {
-    TablePtr Current;                      // Never null; revision 0 until one is adopted.
-    TimeUs AdoptedUs = 0;                  // When Current came in force here.
-    bool Joined = false;                   // Has heard enough peers to believe the platform.
-    bool Alone = false;                    // Joined because nobody answered in time.
-    TimeUs StartedUs = 0;                  // Start of joining.
-    std::vector<InstanceId> Answered;      // Serving peers whose version was heard while joining.
-    uint64_t Conflicts = 0;                // Two contents under one revision were seen: an operator must look.
-    uint64_t OlderRefused = 0;             // Offers that would have stepped back.
-    std::string RefusedReason;             // Why a newer table was not taken; empty when none was refused.
-    uint64_t RefusedRevision = 0;          // Which one.
+    TablePtr Current;                 // Never null; revision 0 until one is adopted.
+    TimeUs AdoptedUs = 0;             // When Current came in force here.
+    bool Joined = false;              // Has heard enough peers to believe the platform.
+    bool Alone = false;               // Joined because nobody answered in time.
+    TimeUs StartedUs = 0;             // Start of joining.
+    std::vector<InstanceId> Answered; // Serving peers whose version was heard while joining.
+    uint64_t Conflicts = 0;           // Two contents under one revision were seen: an operator must look.
+    uint64_t OlderRefused = 0;        // Offers that would have stepped back.
+    std::string RefusedReason;        // Why a newer table was not taken; empty when none was refused.
+    uint64_t RefusedRevision = 0;     // Which one.
 };
 
-inline constexpr TimeUs JoinTimeoutUs = 3 * UsPerSecond;   // Wait for peers before the platform is believed unheard.
-inline constexpr size_t JoinAnswers = 3;                   // Peers to hear first, if so many are known.
+inline constexpr TimeUs JoinTimeoutUs = 3 * UsPerSecond; // Wait for peers before the platform is believed unheard.
+inline constexpr size_t JoinAnswers = 3;                 // Peers to hear first, if so many are known.
 
 void AgreementInit(Agreement* a, TimeUs now);
 
@@ -554,20 +554,20 @@
 
 struct TargetRunState
 {
-    TargetRun Run;               // Latest known.
-    TimeUs ReportedUs = 0;       // When its load was reported, by our clock.
-    int HotRounds = 0;           // Heartbeats that still carry it as news.
+    TargetRun Run;         // Latest known.
+    TimeUs ReportedUs = 0; // When its load was reported, by our clock.
+    int HotRounds = 0;     // Heartbeats that still carry it as news.
 };
 
 struct TargetRuns
 {
-    std::map<TargetKey, TargetRunState> ByKey;   // Only targets of the table in force.
-    std::vector<TargetKey> Hot;                  // Those that heartbeats carry as news.
-    uint64_t LeavingDigest = 0;                  // Digest of all leaving targets; equal digests mean equal sets.
-    uint64_t Changes = 0;                        // Starts and leavings noticed so far.
+    std::map<TargetKey, TargetRunState> ByKey; // Only targets of the table in force.
+    std::vector<TargetKey> Hot;                // Those that heartbeats carry as news.
+    uint64_t LeavingDigest = 0;                // Digest of all leaving targets; equal digests mean equal sets.
+    uint64_t Changes = 0;                      // Starts and leavings noticed so far.
 };
 
-inline constexpr int HotRoundsOfNews = 12;       // Heartbeats that carry a changed run.
+inline constexpr int HotRoundsOfNews = 12; // Heartbeats that carry a changed run.
 
 // Joins one report into what is known. True if the start or the leaving mark changed.
 bool RunsMerge(TargetRuns* runs, const TargetRun& report, TimeUs now);
@@ -587,17 +587,17 @@
 
 struct Envelope
 {
-    Endpoint To;           // Receiver.
-    std::string Bytes;     // Encoded and marked. UDP up to DatagramMax, TCP above.
+    Endpoint To;       // Receiver.
+    std::string Bytes; // Encoded and marked. UDP up to DatagramMax, TCP above.
 };
 
 struct CoordinatorCounts
 {
-    uint64_t Sent = 0;               // Messages.
-    uint64_t SentBytes = 0;          // Without IP and UDP headers.
-    uint64_t Received = 0;           // Messages, refused ones included.
+    uint64_t Sent = 0;      // Messages.
+    uint64_t SentBytes = 0; // Without IP and UDP headers.
+    uint64_t Received = 0;  // Messages, refused ones included.
     uint64_t ReceivedBytes = 0;
-    uint64_t Refused = 0;            // Bad mark, malformed, replayed.
+    uint64_t Refused = 0; // Bad mark, malformed, replayed.
     uint64_t DeltasApplied = 0;
     uint64_t WholesApplied = 0;
 };
@@ -609,25 +609,25 @@
     Agreement Tables;
     TargetRuns Runs;
     CoordinatorCounts Counts;
-    Random Rng;                          // Injected by CoordinatorInit().
+    Random Rng; // Injected by CoordinatorInit().
     InstanceState_ State = InstanceState_Joining;
-    uint64_t Sequence = 0;               // Of the last message sent.
-    TimeUs NextBeatUs = 0;               // Next periodic heartbeat.
-    TimeUs NextHotUs = 0;                // Next extra heartbeat while there is news.
-    int HotBeats = 0;                    // Extra heartbeats left.
-    TimeUs RequestedUs = 0;              // Last table request, to ask one peer at a time.
-    TimeUs RunsRequestedUs = 0;          // Last request for leaving targets.
-    TimeUs LastTickUs = 0;               // For noticing pauses.
-    TimeUs WokeUs = 0;                   // When the last pause ended; 0 once caught up.
-    uint64_t Pauses = 0;                 // Pauses noticed.
-};
-
-inline constexpr TimeUs PauseUs = 1 * UsPerSecond;               // A gap between ticks that counts as a pause.
-inline constexpr TimeUs CatchUpUs = 1 * UsPerSecond;             // Wait for a peer after a pause, at the most.
-inline constexpr TimeUs JoinPeriodUs = 200 * UsPerMs;            // Heartbeats to seeds while joining.
-inline constexpr TimeUs HotPeriodUs = 100 * UsPerMs;             // Extra heartbeats while there is news.
-inline constexpr int HotBeatsOfNews = 8;                         // How many.
-inline constexpr TimeUs TableRequestRetryUs = 500 * UsPerMs;     // Ask another peer after so long.
+    uint64_t Sequence = 0;      // Of the last message sent.
+    TimeUs NextBeatUs = 0;      // Next periodic heartbeat.
+    TimeUs NextHotUs = 0;       // Next extra heartbeat while there is news.
+    int HotBeats = 0;           // Extra heartbeats left.
+    TimeUs RequestedUs = 0;     // Last table request, to ask one peer at a time.
+    TimeUs RunsRequestedUs = 0; // Last request for leaving targets.
+    TimeUs LastTickUs = 0;      // For noticing pauses.
+    TimeUs WokeUs = 0;          // When the last pause ended; 0 once caught up.
+    uint64_t Pauses = 0;        // Pauses noticed.
+};
+
+inline constexpr TimeUs PauseUs = 1 * UsPerSecond;           // A gap between ticks that counts as a pause.
+inline constexpr TimeUs CatchUpUs = 1 * UsPerSecond;         // Wait for a peer after a pause, at the most.
+inline constexpr TimeUs JoinPeriodUs = 200 * UsPerMs;        // Heartbeats to seeds while joining.
+inline constexpr TimeUs HotPeriodUs = 100 * UsPerMs;         // Extra heartbeats while there is news.
+inline constexpr int HotBeatsOfNews = 8;                     // How many.
+inline constexpr TimeUs TableRequestRetryUs = 500 * UsPerMs; // Ask another peer after so long.
 
 void CoordinatorInit(Coordinator* c, const MembershipConfig& config, const MessageKeys& keys, uint64_t seed, TimeUs now);
 
@@ -657,25 +657,25 @@
 // may probe in a turn, once, in its middle part. No view of the fleet is needed, so none can be wrong.
 struct BudgetConfig
 {
-    uint32_t Number = 0;                              // Own number; unique in the fleet.
-    uint32_t Numbers = 1;                             // Numbers run from 0 to Numbers - 1; the same in the whole fleet.
-    TimeUs ClockGuardUs = 50 * UsPerMs;               // Clocks differ by less than this.
+    uint32_t Number = 0;                // Own number; unique in the fleet.
+    uint32_t Numbers = 1;               // Numbers run from 0 to Numbers - 1; the same in the whole fleet.
+    TimeUs ClockGuardUs = 50 * UsPerMs; // Clocks differ by less than this.
 };
 
 struct BudgetTurn
 {
-    bool Mine = false;           // May probe now.
-    int64_t Turn = 0;            // Number of the turn.
-    TimeUs LengthUs = 0;         // Length of a turn; 0 if the row has no budget.
+    bool Mine = false;   // May probe now.
+    int64_t Turn = 0;    // Number of the turn.
+    TimeUs LengthUs = 0; // Length of a turn; 0 if the row has no budget.
 };
 
 struct Budget
 {
     BudgetConfig Config;
-    int64_t EmptyUntilUs = 0;                    // Wall-clock time before which a fresh process may not probe.
-    std::map<std::string, TimeUs> SpentUntilUs;  // Per row: wall-clock end of the turn that we last took.
-    uint64_t Probes = 0;                         // Probes allowed so far.
-    uint64_t SpentUs = 0;                        // Target time they were charged.
+    int64_t EmptyUntilUs = 0;                   // Wall-clock time before which a fresh process may not probe.
+    std::map<std::string, TimeUs> SpentUntilUs; // Per row: wall-clock end of the turn that we last took.
+    uint64_t Probes = 0;                        // Probes allowed so far.
+    uint64_t SpentUs = 0;                       // Target time they were charged.
 };
 
 void BudgetInit(Budget* b, const BudgetConfig& config, TimeUs wall_now);
@@ -695,90 +695,90 @@
 
 struct RouterTarget
 {
-    TargetKey Key = 0;                  // Which target.
-    std::string Address;                // Where.
-    bool Near = false;                  // In our own data centre.
-    int Weight = 1;                     // From the table.
-    int Slots = 1;                      // From the table.
-    int MaxInFlight = 0;                // Our share of the row's connection limit to this target.
-    int InFlight = 0;                   // Reserved by us.
-    double LatencyUs = 0;               // Moving average of successful answers; 0 before the first.
-    TimeUs AnsweredUs = 0;              // When the last answer came.
-    double FailShare = 0;               // Moving average of failed answers, 0 to 1.
-    int Samples = 0;                    // Answers seen, saturating.
-    int ReportBusy = 0;                 // Requests of others that it last reported.
-    TimeUs ReportUs = 0;                // When.
-    uint64_t StartId = 0;               // Its latest known start.
-    bool Leaving = false;               // Gets no new request.
-    TimeUs OutUntilUs = 0;              // Ejected until then; afterwards one trial.
-    bool OnTrial = false;               // A trial request is in progress.
-    int Ejections = 0;                  // In a row, for the growing pause.
-    TimeUs StartedUs = 0;               // When its latest start was noticed, for slow start; 0 if it was there before us.
+    TargetKey Key = 0;     // Which target.
+    std::string Address;   // Where.
+    bool Near = false;     // In our own data centre.
+    int Weight = 1;        // From the table.
+    int Slots = 1;         // From the table.
+    int MaxInFlight = 0;   // Our share of the row's connection limit to this target.
+    int InFlight = 0;      // Reserved by us.
+    double LatencyUs = 0;  // Moving average of successful answers; 0 before the first.
+    TimeUs AnsweredUs = 0; // When the last answer came.
+    double FailShare = 0;  // Moving average of failed answers, 0 to 1.
+    int Samples = 0;       // Answers seen, saturating.
+    int ReportBusy = 0;    // Requests of others that it last reported.
+    TimeUs ReportUs = 0;   // When.
+    uint64_t StartId = 0;  // Its latest known start.
+    bool Leaving = false;  // Gets no new request.
+    TimeUs OutUntilUs = 0; // Ejected until then; afterwards one trial.
+    bool OnTrial = false;  // A trial request is in progress.
+    int Ejections = 0;     // In a row, for the growing pause.
+    TimeUs StartedUs = 0;  // When its latest start was noticed, for slow start; 0 if it was there before us.
 };
 
 enum RefuseReason_ : int
 {
     RefuseReason_None,
-    RefuseReason_NoTargetLeft,      // All are leaving, out, of weight 0, or were tried already.
-    RefuseReason_RowLimit,          // The row's limit on concurrent work is reached, as far as we can tell.
-    RefuseReason_DeadlineTooShort,  // No target is expected to finish in time.
+    RefuseReason_NoTargetLeft,     // All are leaving, out, of weight 0, or were tried already.
+    RefuseReason_RowLimit,         // The row's limit on concurrent work is reached, as far as we can tell.
+    RefuseReason_DeadlineTooShort, // No target is expected to finish in time.
     RefuseReason_COUNT,
 };
 
 struct RouterConfig
 {
-    double ReportTauUs = 100.0 * UsPerMs;           // A report loses weight with this time constant.
-    double LatencyGain = 0.2;                       // Weight of a new latency in the moving average.
-    double LatencyGainUp = 0.5;                     // The same where the new one is higher: slowness is noticed at once.
-    double LatencyTauUs = 5.0 * UsPerSecond;        // What was learnt of a silent target loses weight with this time constant.
-    double HopedShare = 0.9;                        // A target silent for long is hoped to take this share of the row's best latency.
-    double FailGain = 0.2;                          // Weight of a new outcome in the moving average.
-    double FailPenalty = 20.0;                      // Cost factor at FailShare 1, so that failing fast does not attract work.
-    double EjectShare = 0.5;                        // FailShare above which a target is taken out.
-    int EjectSamples = 5;                           // Not before so many answers.
-    double EjectMaxPart = 0.5;                      // Never more than this part of a row.
-    TimeUs EjectUs = 2 * UsPerSecond;               // First pause; doubles up to eight times.
-    TimeUs SlowStartUs = 5 * UsPerSecond;           // A fresh target's weight grows over this time.
-    double FirstLatencyUs = 5.0 * UsPerMs;          // Assumed before the first answer of the row.
-    double FarUs = 3.0 * UsPerMs;                   // Added before the first answer of a target in another data centre.
+    double ReportTauUs = 100.0 * UsPerMs;    // A report loses weight with this time constant.
+    double LatencyGain = 0.2;                // Weight of a new latency in the moving average.
+    double LatencyGainUp = 0.5;              // The same where the new one is higher: slowness is noticed at once.
+    double LatencyTauUs = 5.0 * UsPerSecond; // What was learnt of a silent target loses weight with this time constant.
+    double HopedShare = 0.9;                 // A target silent for long is hoped to take this share of the row's best latency.
+    double FailGain = 0.2;                   // Weight of a new outcome in the moving average.
+    double FailPenalty = 20.0;               // Cost factor at FailShare 1, so that failing fast does not attract work.
+    double EjectShare = 0.5;                 // FailShare above which a target is taken out.
+    int EjectSamples = 5;                    // Not before so many answers.
+    double EjectMaxPart = 0.5;               // Never more than this part of a row.
+    TimeUs EjectUs = 2 * UsPerSecond;        // First pause; doubles up to eight times.
+    TimeUs SlowStartUs = 5 * UsPerSecond;    // A fresh target's weight grows over this time.
+    double FirstLatencyUs = 5.0 * UsPerMs;   // Assumed before the first answer of the row.
+    double FarUs = 3.0 * UsPerMs;            // Added before the first answer of a target in another data centre.
 };
 
 struct Router
 {
     RouterConfig Config;
-    std::string Name;                          // Row.
-    uint64_t RowRevision = 0;                  // Of the row last followed.
-    int MaxConcurrent = 0;                     // Row limit over the fleet.
-    int InFlight = 0;                          // Sum of the targets' InFlight.
-    std::vector<RouterTarget> Targets;         // In the order of the row.
-    std::vector<RouterTarget> Retired;         // No longer in the row, with requests still in progress.
+    std::string Name;                  // Row.
+    uint64_t RowRevision = 0;          // Of the row last followed.
+    int MaxConcurrent = 0;             // Row limit over the fleet.
+    int InFlight = 0;                  // Sum of the targets' InFlight.
+    std::vector<RouterTarget> Targets; // In the order of the row.
+    std::vector<RouterTarget> Retired; // No longer in the row, with requests still in progress.
 };
 
 struct Choice
 {
-    RefuseReason_ Refused = RefuseReason_None;   // None: Target is set and one reservation is held.
-    TargetKey Target = 0;                        // Chosen.
-    std::string Address;                         // Where.
-    bool Trial = false;                          // First request after an ejection.
-    TimeUs RetryAfterUs = 0;                     // When refused: when to come back, from the measured state.
+    RefuseReason_ Refused = RefuseReason_None; // None: Target is set and one reservation is held.
+    TargetKey Target = 0;                      // Chosen.
+    std::string Address;                       // Where.
+    bool Trial = false;                        // First request after an ejection.
+    TimeUs RetryAfterUs = 0;                   // When refused: when to come back, from the measured state.
 };
 
 struct ChooseArgs
 {
-    TimeUs RemainingUs = 0;                   // Time left to the deadline.
-    bool Repeatable = false;                  // May be run more than once; only such go on trial.
-    std::vector<TargetKey> Tried;             // Not these again.
+    TimeUs RemainingUs = 0;       // Time left to the deadline.
+    bool Repeatable = false;      // May be run more than once; only such go on trial.
+    std::vector<TargetKey> Tried; // Not these again.
 };
 
 enum Outcome_ : int
 {
     Outcome_None,
-    Outcome_Answered,       // A complete answer, below status 500.
-    Outcome_Failed,         // A complete answer of status 500 or above.
-    Outcome_NotSent,        // No byte of the request left.
-    Outcome_NotRun,         // The target says that it did not run it.
-    Outcome_Unknown,        // Sent, and no complete answer came.
-    Outcome_Cancelled,      // The caller went away or the deadline passed.
+    Outcome_Answered,  // A complete answer, below status 500.
+    Outcome_Failed,    // A complete answer of status 500 or above.
+    Outcome_NotSent,   // No byte of the request left.
+    Outcome_NotRun,    // The target says that it did not run it.
+    Outcome_Unknown,   // Sent, and no complete answer came.
+    Outcome_Cancelled, // The caller went away or the deadline passed.
     Outcome_COUNT,
 };
 
@@ -808,9 +808,9 @@
 // Retries are paid from a share of the traffic, so that they can't multiply through the layers of a deep call.
 struct RetryBudget
 {
-    double Share = 0.1;       // Retries per request.
-    double Most = 10;         // Tokens kept at the most.
-    double Tokens = 10;       // Tokens left.
+    double Share = 0.1; // Retries per request.
+    double Most = 10;   // Tokens kept at the most.
+    double Tokens = 10; // Tokens left.
 };
 
 void RetryBudgetEarn(RetryBudget* b);
@@ -818,25 +818,25 @@
 
 enum NextStep_ : int
 {
-    NextStep_Retry,       // Choose again.
-    NextStep_Answer,      // Pass the answer on.
-    NextStep_NotRun,      // Tell the caller that it was not run.
-    NextStep_Unknown,     // Tell the caller that the outcome is unknown.
-    NextStep_Gone,        // Nobody is there to be told.
+    NextStep_Retry,   // Choose again.
+    NextStep_Answer,  // Pass the answer on.
+    NextStep_NotRun,  // Tell the caller that it was not run.
+    NextStep_Unknown, // Tell the caller that the outcome is unknown.
+    NextStep_Gone,    // Nobody is there to be told.
     NextStep_COUNT,
 };
 
-inline constexpr int AttemptsMax = 3;     // Attempts of one request, the first included.
+inline constexpr int AttemptsMax = 3; // Attempts of one request, the first included.
 
 // One request from admission to its end. The asserts in its functions are the rules that must always hold.
 struct RequestLife
 {
-    bool Repeatable = false;        // May be run more than once.
-    int Attempts = 0;               // Begun so far.
-    int MayHaveRun = 0;             // Attempts that may have been run by a target.
-    bool InAttempt = false;         // Between begin and end.
-    bool Ended = false;             // Caller has been told.
-    bool Failed = false;            // The last attempt got a complete answer of status 500 or above.
+    bool Repeatable = false; // May be run more than once.
+    int Attempts = 0;        // Begun so far.
+    int MayHaveRun = 0;      // Attempts that may have been run by a target.
+    bool InAttempt = false;  // Between begin and end.
+    bool Ended = false;      // Caller has been told.
+    bool Failed = false;     // The last attempt got a complete answer of status 500 or above.
 };
 
 void RequestBegin(RequestLife* life);
--- a/winchlink_internal.h
+++ b/winchlink_internal.h
@@ -111,7 +111,7 @@
 // [SECTION] Messages
 //-----------------------------------------------------------------------------
 
-inline constexpr size_t MarkSize = 16;    // Bytes of a message's mark, at its end.
+inline constexpr size_t MarkSize = 16; // Bytes of a message's mark, at its end.
 
 // Decodes a message without its mark. For DecodeMessage(), and for tests of the decoder.
 Result<Message> DecodeUnmarked(const std::string& bytes);
--- a/winchlink_json.h
+++ b/winchlink_json.h
@@ -34,7 +34,8 @@
     Code_ OutOfRange = Code_None;
 };
 
-inline constexpr JsonCodes TableCodes = {Code_TableNotJson, Code_TableUnknownKey, Code_TableWrongType, Code_TableMissingKey, Code_TableOutOfRange};
+inline constexpr JsonCodes TableCodes = {Code_TableNotJson, Code_TableUnknownKey, Code_TableWrongType, Code_TableMissingKey,
+                                         Code_TableOutOfRange};
 inline constexpr JsonCodes SettingsCodes = {Code_SettingsNotJson, Code_SettingsUnknownKey, Code_SettingsWrongType, Code_SettingsMissingKey,
                                             Code_SettingsOutOfRange};
 inline constexpr JsonCodes PlatformCodes = {Code_PlatformBadAnswer, Code_PlatformBadAnswer, Code_PlatformBadAnswer, Code_PlatformBadAnswer,
@@ -50,11 +51,11 @@
 // A JSON object being read; remembers which keys were asked for.
 struct ObjectReader
 {
-    json_t* Object = nullptr;               // Borrowed.
-    std::string Where;                      // Key path; empty at the root.
-    std::vector<Fault>* Faults = nullptr;   // Collects.
-    JsonCodes Codes;                        // Codes of this document.
-    std::set<std::string> Known;            // Keys asked for.
+    json_t* Object = nullptr;             // Borrowed.
+    std::string Where;                    // Key path; empty at the root.
+    std::vector<Fault>* Faults = nullptr; // Collects.
+    JsonCodes Codes;                      // Codes of this document.
+    std::set<std::string> Known;          // Keys asked for.
 };
 
 // False and a fault if the value is no object.
--- a/winchlink_member.cpp
+++ b/winchlink_member.cpp
@@ -22,8 +22,8 @@
 {
 
 static constexpr size_t TombstonesMax = 1024;
-static constexpr TimeUs WakeGraceUs = 3 * UsPerSecond;       // After a pause a peer must be heard within this time.
-static constexpr TimeUs StepInUsPerPeer = UsPerSecond / 8;   // The random wait grows with the view, so that few step in at once.
+static constexpr TimeUs WakeGraceUs = 3 * UsPerSecond;     // After a pause a peer must be heard within this time.
+static constexpr TimeUs StepInUsPerPeer = UsPerSecond / 8; // The random wait grows with the view, so that few step in at once.
 
 uint32_t HashDataCentre(const std::string& name)
 {
@@ -230,14 +230,18 @@
         claim.AgeMs = static_cast<uint32_t>(std::min<TimeUs>(claim.AgeMs + passed_ms, UINT32_MAX));
     }
     const TimeUs most = m->Config.ClaimTimeoutUs / UsPerMs;
-    auto stale = [&](const ReaderClaim& claim) { return claim.AgeMs > most; };
+    auto stale = [&](const ReaderClaim& claim)
+    {
+        return claim.AgeMs > most;
+    };
     m->Claims.erase(std::remove_if(m->Claims.begin(), m->Claims.end(), stale), m->Claims.end());
 }
 
 // Keeps the best ranked few of each data centre; a heartbeat can't name more.
 static void TrimClaims(Membership* m)
 {
-    std::sort(m->Claims.begin(), m->Claims.end(), [](const ReaderClaim& a, const ReaderClaim& b)
+    std::sort(m->Claims.begin(), m->Claims.end(),
+              [](const ReaderClaim& a, const ReaderClaim& b)
               { return a.DataCentre != b.DataCentre ? a.DataCentre < b.DataCentre : a.Id < b.Id; });
     std::vector<ReaderClaim> kept;
     int in_row = 0;
@@ -357,7 +361,8 @@
     const bool claims = m.AskedUs != 0 && now - m.AskedUs < m.Config.ClaimTimeoutUs;
     if (claims)
     {
-        beat->Claims.push_back({IdOfEndpoint(m.Config.Self), HashDataCentre(m.Config.DataCentre), static_cast<uint32_t>((now - m.AskedUs) / UsPerMs)});
+        beat->Claims.push_back(
+            {IdOfEndpoint(m.Config.Self), HashDataCentre(m.Config.DataCentre), static_cast<uint32_t>((now - m.AskedUs) / UsPerMs)});
     }
 }
 
@@ -370,14 +375,20 @@
 {
     const uint32_t data_centre = HashDataCentre(m.Config.DataCentre);
     const InstanceId self = IdOfEndpoint(m.Config.Self);
-    auto better = [&](const ReaderClaim& claim) { return claim.DataCentre == data_centre && claim.Id < self; };
+    auto better = [&](const ReaderClaim& claim)
+    {
+        return claim.DataCentre == data_centre && claim.Id < self;
+    };
     return static_cast<int>(std::count_if(m.Claims.begin(), m.Claims.end(), better));
 }
 
 static int AnyClaims(const Membership& m)
 {
     const uint32_t data_centre = HashDataCentre(m.Config.DataCentre);
-    auto same = [&](const ReaderClaim& claim) { return claim.DataCentre == data_centre; };
+    auto same = [&](const ReaderClaim& claim)
+    {
+        return claim.DataCentre == data_centre;
+    };
     return static_cast<int>(std::count_if(m.Claims.begin(), m.Claims.end(), same));
 }
 
--- a/winchlink_pick.cpp
+++ b/winchlink_pick.cpp
@@ -15,7 +15,8 @@
 // [SECTION] Two random choices
 //-----------------------------------------------------------------------------
 
-static RouterTarget* DrawByShare(const Router& r, const std::vector<RouterTarget*>& from, const RouterTarget* without, TimeUs now, Random* random)
+static RouterTarget* DrawByShare(const Router& r, const std::vector<RouterTarget*>& from, const RouterTarget* without, TimeUs now,
+                                 Random* random)
 {
     double sum = 0;
     for (const RouterTarget* target : from)
--- a/winchlink_route.cpp
+++ b/winchlink_route.cpp
@@ -20,11 +20,11 @@
 namespace Winchlink
 {
 
-static constexpr int SamplesCap = 1000;             // RouterTarget::Samples saturates here.
-static constexpr int EjectionsCap = 3;              // The pause doubles at most so often: eight times the first.
-static constexpr int AnyTrialAfterPauses = 4;       // Then a request that may not be repeated may go on trial as well.
-static constexpr double LeastSlowStart = 0.1;       // Share of its weight that a fresh target starts with.
-static constexpr int DefaultConcurrentPerSlot = 2;  // Row limit where the table names none.
+static constexpr int SamplesCap = 1000;            // RouterTarget::Samples saturates here.
+static constexpr int EjectionsCap = 3;             // The pause doubles at most so often: eight times the first.
+static constexpr int AnyTrialAfterPauses = 4;      // Then a request that may not be repeated may go on trial as well.
+static constexpr double LeastSlowStart = 0.1;      // Share of its weight that a fresh target starts with.
+static constexpr int DefaultConcurrentPerSlot = 2; // Row limit where the table names none.
 
 //-----------------------------------------------------------------------------
 // [SECTION] Following the table
@@ -242,8 +242,8 @@
 
 static RouterTarget* Cheapest(const Router& r, const std::vector<RouterTarget*>& from, TimeUs now)
 {
-    return *std::min_element(from.begin(), from.end(), [&](const RouterTarget* a, const RouterTarget* b)
-                             { return ExpectedUs(r, *a, now) < ExpectedUs(r, *b, now); });
+    return *std::min_element(from.begin(), from.end(),
+                             [&](const RouterTarget* a, const RouterTarget* b) { return ExpectedUs(r, *a, now) < ExpectedUs(r, *b, now); });
 }
 
 static Choice Refuse(RefuseReason_ reason, double retry_after)
@@ -396,7 +396,10 @@
         EjectIfFailing(r, target, trial && failed, now);
     }
     target->OnTrial = target->OnTrial && target->InFlight > 0; // A cancelled trial says nothing; the next request may be one.
-    auto done = [](const RouterTarget& t) { return t.InFlight == 0; };
+    auto done = [](const RouterTarget& t)
+    {
+        return t.InFlight == 0;
+    };
     r->Retired.erase(std::remove_if(r->Retired.begin(), r->Retired.end(), done), r->Retired.end());
 }
 
@@ -411,7 +414,10 @@
     {
         return; // Out already; this was a request from before.
     }
-    auto is_out = [](const RouterTarget& t) { return t.OutUntilUs != 0; };
+    auto is_out = [](const RouterTarget& t)
+    {
+        return t.OutUntilUs != 0;
+    };
     const auto out = std::count_if(r->Targets.begin(), r->Targets.end(), is_out);
     const bool room = static_cast<double>(out + 1) <= r->Config.EjectMaxPart * static_cast<double>(r->Targets.size());
     if (trial_failed || (failing && room))
--- a/winchlink_table.cpp
+++ b/winchlink_table.cpp
@@ -31,7 +31,8 @@
 
 uint64_t HashBytes(const void* data, size_t size)
 {
-    static const unsigned char key[crypto_shorthash_KEYBYTES] = {'w', 'i', 'n', 'c', 'h', 'l', 'i', 'n', 'k', '-', 'h', 'a', 's', 'h', '0', '1'};
+    static const unsigned char key[crypto_shorthash_KEYBYTES] = {'w', 'i', 'n', 'c', 'h', 'l', 'i', 'n',
+                                                                 'k', '-', 'h', 'a', 's', 'h', '0', '1'};
     uint64_t hash = 0;
     static_assert(sizeof(hash) == crypto_shorthash_BYTES);
     crypto_shorthash(reinterpret_cast<unsigned char*>(&hash), static_cast<const unsigned char*>(data), size, key);
@@ -52,7 +53,7 @@
 
 std::string FormatDigest(const Digest& digest)
 {
-    std::array<char, sizeof(Digest) * 2 + 1> hex = {};
+    std::array<char, sizeof(Digest)* 2 + 1> hex = {};
     sodium_bin2hex(hex.data(), hex.size(), digest.data(), digest.size());
     return hex.data();
 }
@@ -264,7 +265,8 @@
         const bool upper = std::all_of(method.begin(), method.end(), [](char c) { return c >= 'A' && c <= 'Z'; });
         if (method.empty() || !upper)
         {
-            faults->push_back({Code_TableOutOfRange, ElementPath(where + ".repeatMethods", n), "expected a method in capitals, such as GET"});
+            faults->push_back(
+                {Code_TableOutOfRange, ElementPath(where + ".repeatMethods", n), "expected a method in capitals, such as GET"});
         }
     }
 }
@@ -288,7 +290,8 @@
         }
         if (!routes.insert(row.Host + " " + row.PathPrefix).second)
         {
-            faults->push_back({Code_TableDuplicateRoute, path, "another row serves host \"" + row.Host + "\", path \"" + row.PathPrefix + "\""});
+            faults->push_back(
+                {Code_TableDuplicateRoute, path, "another row serves host \"" + row.Host + "\", path \"" + row.PathPrefix + "\""});
         }
         if (row.Revision > table.Version.Revision)
         {
@@ -515,7 +518,8 @@
 
 const ServiceRow* FindRow(const Table& table, const std::string& name)
 {
-    auto found = std::lower_bound(table.Rows.begin(), table.Rows.end(), name, [](const ServiceRow& row, const std::string& n) { return row.Name < n; });
+    auto found = std::lower_bound(table.Rows.begin(), table.Rows.end(), name,
+                                  [](const ServiceRow& row, const std::string& n) { return row.Name < n; });
     return found != table.Rows.end() && found->Name == name ? &*found : nullptr;
 }
 
@@ -526,7 +530,8 @@
         return false;
     }
     // "/loans" serves "/loans" and "/loans/7" but not "/loans-archive".
-    return prefix.empty() || prefix.back() == '/' || path.size() == prefix.size() || path[prefix.size()] == '/' || path[prefix.size()] == '?';
+    return prefix.empty() || prefix.back() == '/' || path.size() == prefix.size() || path[prefix.size()] == '/' ||
+           path[prefix.size()] == '?';
 }
 
 const ServiceRow* MatchRow(const Table& table, const std::string& host, const std::string& path)
