--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -42,12 +42,14 @@
 pid_t StartProcess(const std::vector<std::string>& command, const std::string& log, const std::vector<Header>& environment)
 {
     std::vector<char*> arguments;
+    arguments.reserve(command.size() + 1);
     for (const std::string& part : command)
     {
         arguments.push_back(const_cast<char*>(part.c_str()));
     }
     arguments.push_back(nullptr);
     std::vector<std::string> own;
+    own.reserve(environment.size());
     for (const Header& variable : environment)
     {
         own.push_back(variable.Name + "=" + variable.Value);
--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -34,12 +34,14 @@
             continue;
         }
         std::exponential_distribution<double> gap(plan.Kinds[kind].PerSecond);
-        for (double at = gap(random); at < plan.Seconds; at += gap(random))
+        double at = gap(random);
+        while (at < plan.Seconds)
         {
             LoadRecord record;
             record.Kind = kind;
             record.PlannedUs = static_cast<TimeUs>(at * UsPerSecond);
             trace.push_back(record);
+            at += gap(random);
         }
     }
     std::sort(trace.begin(), trace.end(), [](const LoadRecord& a, const LoadRecord& b) { return a.PlannedUs < b.PlannedUs; });
@@ -112,6 +114,7 @@
     std::atomic<size_t> next{0};
     const TimeUs start = NowUs() + 50 * UsPerMs;
     std::vector<std::thread> workers;
+    workers.reserve(static_cast<size_t>(plan.Workers));
     for (int n = 0; n < plan.Workers; n++)
     {
         workers.emplace_back(
--- a/bench/platform.cpp
+++ b/bench/platform.cpp
@@ -208,7 +208,7 @@
     ServerConfig config;
     config.Address = address;
     config.ConnectionsMax = 4096;
-    config.BodyMax = 64 * 1024 * 1024;
+    config.BodyMax = 64 * MiB;
     const Result<void> started =
         ServerStart(&server, config, [&](const ServerRequest& request) { return HandlePlatform(&platform, request); });
     if (!started)
--- a/daemon/command_status.cpp
+++ b/daemon/command_status.cpp
@@ -14,7 +14,7 @@
 {
 
 static constexpr int StatusTimeoutMs = 3000;
-static constexpr size_t StatusMax = 64 * 1024 * 1024;
+static constexpr size_t StatusMax = 64 * MiB;
 
 static Result<std::string> FetchStatus(const std::string& address)
 {
--- a/daemon/control.cpp
+++ b/daemon/control.cpp
@@ -23,7 +23,7 @@
 static constexpr TimeUs ProbePeriodUs = 50 * UsPerMs;
 static constexpr TimeUs PrunePeriodUs = 1 * UsPerSecond;
 static constexpr int ProbeTimeoutMs = 1000;
-static constexpr size_t ProbeBodyMax = 64 * 1024;
+static constexpr size_t ProbeBodyMax = 64 * KiB;
 
 //-----------------------------------------------------------------------------
 // [SECTION] Operators' view
@@ -390,7 +390,7 @@
     control->Routes = KernelFind<Routing>(kernel, "routing");
     control->Upstream = KernelFind<UpstreamPool>(kernel, "upstream");
     const Settings& settings = control->Config;
-    const Result<void> listening = TransportStart(&control->Wire, settings.ControlAddress);
+    Result<void> listening = TransportStart(&control->Wire, settings.ControlAddress);
     if (!listening)
     {
         return listening;
--- a/daemon/server.h
+++ b/daemon/server.h
@@ -39,10 +39,10 @@
 
 struct ServerConfig
 {
-    std::string Address;          // IP:port.
-    int ConnectionsMax = 1024;    // More are not accepted.
-    size_t BodyMax = 1024 * 1024; // Largest body in bytes.
-    unsigned IdleSeconds = 60;    // A connection silent for longer is closed.
+    std::string Address;       // IP:port.
+    int ConnectionsMax = 1024; // More are not accepted.
+    size_t BodyMax = MiB;      // Largest body in bytes.
+    unsigned IdleSeconds = 60; // A connection silent for longer is closed.
 };
 
 struct ServerConnection
--- a/daemon/traffic.cpp
+++ b/daemon/traffic.cpp
@@ -269,7 +269,7 @@
     args.Tried = call->Tried;
     const std::lock_guard<std::mutex> lock(call->State->Mutex);
     RowFollow(call->State, *call->Seen, call->RowIndex, now);
-    const Choice choice = RouterChoose(&call->State->Balance, args, now, &call->State->Rng);
+    Choice choice = RouterChoose(&call->State->Balance, args, now, &call->State->Rng);
     call->RetryAfterUs = choice.RetryAfterUs;
     return choice;
 }
--- a/daemon/transport.cpp
+++ b/daemon/transport.cpp
@@ -20,10 +20,10 @@
 {
 
 static constexpr size_t LengthSize = 4; // Big-endian length before a TCP message.
-static constexpr size_t ReadChunk = 64 * 1024;
+static constexpr size_t ReadChunk = 64 * KiB;
 static constexpr TimeUs StreamMaxUs = 10 * UsPerSecond;
-static constexpr int ReceiveBuffer = 4 * 1024 * 1024; // A burst of a whole fleet's heartbeats fits.
-static constexpr int DatagramsPerRound = 512;         // Then the loop turns to other work.
+static constexpr int ReceiveBuffer = 4 * MiB; // A burst of a whole fleet's heartbeats fits.
+static constexpr int DatagramsPerRound = 512; // Then the loop turns to other work.
 
 //-----------------------------------------------------------------------------
 // [SECTION] Sockets
--- a/tests/fleet_model.cpp
+++ b/tests/fleet_model.cpp
@@ -358,7 +358,8 @@
     const uint64_t before = model->PlatformCalls;
     constexpr TimeUs window = 10 * UsPerSecond;
     ModelRun(model, window);
-    const uint64_t most = 2 * 2 * static_cast<uint64_t>(window / ReadPeriodUs) + 4;
+    constexpr uint64_t readers = 4; // Two in each of two data centres.
+    const uint64_t most = readers * static_cast<uint64_t>(window / ReadPeriodUs) + readers;
     RC_ASSERT(model->PlatformCalls - before <= most);
 }
 
--- a/tests/instance_test.cpp
+++ b/tests/instance_test.cpp
@@ -88,7 +88,7 @@
         Config.PlatformAddress = Platform.Address;
         Config.DataCentre = "dc1";
         Config.BodyMaxBytes = 1000;
-        Config.AnswerMaxBytes = 1024 * 1024;
+        Config.AnswerMaxBytes = MiB;
         Config.DrainDelayMs = 0;
         Platform.Publish(TableOf(1));
         CPPUNIT_ASSERT(InstanceStart(&Under, Config).has_value());
--- a/tests/raw_target.cpp
+++ b/tests/raw_target.cpp
@@ -110,10 +110,10 @@
         Hold(target, fd);
         return false;
     case RawAnswer_HugeHeader:
-        Write(fd, "HTTP/1.1 200 OK\r\nX-Long: " + std::string(1024 * 1024, 'a') + "\r\n\r\n");
+        Write(fd, "HTTP/1.1 200 OK\r\nX-Long: " + std::string(MiB, 'a') + "\r\n\r\n");
         return false;
     case RawAnswer_Huge:
-        Write(fd, Good("", std::string(2 * 1024 * 1024, 'b')));
+        Write(fd, Good("", std::string(2 * MiB, 'b')));
         return true;
     case RawAnswer_NotRun:
         Write(fd, "HTTP/1.1 503 Busy\r\nX-Winchlink-Run: not-run\r\nContent-Length: 0\r\n\r\n");
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -18,7 +18,7 @@
     request.Body = body;
     request.Address = target.Address;
     request.DeadlineUs = NowUs() + 10 * UsPerSecond;
-    request.AnswerMax = 1024 * 1024;
+    request.AnswerMax = MiB;
     request.StillGood = []()
     {
         return true;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -126,7 +126,7 @@
         }
         const size_t after = mallinfo2().arena + mallinfo2().hblkhd;
         CPPUNIT_ASSERT(refused > 10);
-        CPPUNIT_ASSERT(after <= before + 8 * 1024 * 1024);
+        CPPUNIT_ASSERT(after <= before + 8 * MiB);
     }
 
     void HeartbeatFitsADatagram()
--- a/winchlink.h
+++ b/winchlink.h
@@ -43,7 +43,9 @@
 
 inline constexpr const char* Version = "0.1.0";
 inline constexpr int64_t UsPerMs = 1000;
-inline constexpr int64_t UsPerSecond = 1000 * 1000;
+inline constexpr int64_t UsPerSecond = 1000 * UsPerMs;
+inline constexpr size_t KiB = 1024;
+inline constexpr size_t MiB = 1024 * KiB;
 
 using TimeUs = int64_t;         // Microseconds of an injected clock.
 using Random = std::mt19937_64; // Injected random source; seed it yourself.
@@ -147,11 +149,11 @@
 // [SECTION] Table
 //-----------------------------------------------------------------------------
 
-inline constexpr size_t TableRowsMax = 2048;            // Rows in one table.
-inline constexpr size_t RowTargetsMax = 512;            // Targets in one row.
-inline constexpr size_t RowMethodsMax = 16;             // Methods in one row's list.
-inline constexpr size_t TextMax = 256;                  // Bytes of a name, host, prefix or address.
-inline constexpr size_t PlatformValueMax = 1024 * 1024; // Bytes of one platform value.
+inline constexpr size_t TableRowsMax = 2048;    // Rows in one table.
+inline constexpr size_t RowTargetsMax = 512;    // Targets in one row.
+inline constexpr size_t RowMethodsMax = 16;     // Methods in one row's list.
+inline constexpr size_t TextMax = 256;          // Bytes of a name, host, prefix or address.
+inline constexpr size_t PlatformValueMax = MiB; // Bytes of one platform value.
 
 using Digest = std::array<uint8_t, 16>; // BLAKE2b-128.
 using TargetKey = uint64_t;             // SipHash of the target's address.
@@ -306,13 +308,13 @@
 
 using InstanceId = uint64_t; // SipHash of the instance's control address.
 
-inline constexpr size_t SamplesMax = 8;               // Peers named in one heartbeat.
-inline constexpr size_t ClaimsMax = 12;               // Platform readers named in one heartbeat.
-inline constexpr size_t RunsMax = 24;                 // Target runs named in one heartbeat.
-inline constexpr size_t LeavingMax = 4096;            // Leaving targets in one table reply.
-inline constexpr size_t DatagramMax = 1200;           // Larger messages go by TCP.
-inline constexpr size_t MessageMax = 8 * 1024 * 1024; // Larger messages are refused.
-inline constexpr size_t KeySize = 32;                 // Bytes of a message key.
+inline constexpr size_t SamplesMax = 8;       // Peers named in one heartbeat.
+inline constexpr size_t ClaimsMax = 12;       // Platform readers named in one heartbeat.
+inline constexpr size_t RunsMax = 24;         // Target runs named in one heartbeat.
+inline constexpr size_t LeavingMax = 4096;    // Leaving targets in one table reply.
+inline constexpr size_t DatagramMax = 1200;   // Larger messages go by TCP.
+inline constexpr size_t MessageMax = 8 * MiB; // Larger messages are refused.
+inline constexpr size_t KeySize = 32;         // Bytes of a message key.
 
 struct Endpoint
 {
