--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -354,7 +354,7 @@
 
 std::string FleetStatus(const Fleet& fleet, size_t index)
 {
-    return HttpOnce({"GET", fleet.Instances[index].Operators, "/status", "", {}, 5000}).Body;
+    return HttpOnce({"GET", fleet.Instances[index].Operators, "/status?brief=1", "", {}, 5000}).Body;
 }
 
 int64_t JsonNumberAt(const std::string& json, const std::string& path)
@@ -445,6 +445,11 @@
     return WaitChild(&fleet->Instances[index].Process);
 }
 
+void FleetReapTarget(Fleet* fleet, size_t index)
+{
+    WaitChild(&fleet->Targets[index].Process);
+}
+
 static void KillChild(Child* child)
 {
     if (child->Pid > 0)
--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -90,6 +90,8 @@
 
 void FleetStartInstance(Fleet* fleet, size_t index);
 void FleetStartTarget(Fleet* fleet, size_t index);
+// Collects a target that was killed.
+void FleetReapTarget(Fleet* fleet, size_t index);
 void FleetSignalInstance(Fleet* fleet, size_t index, int signal);
 
 // Waits for an instance to end; its exit code, or -1.
--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -75,12 +75,12 @@
 }
 
 // One call through the platform's balancer: an entry that takes no connection is passed over, since nothing was sent to it.
-static HttpAnswer SendThroughBalancer(const LoadPlan& plan, size_t index, HttpClient* client, HttpCall* call, LoadRecord* record)
+static HttpAnswer SendThroughBalancer(const LoadPlan& plan, size_t worker, HttpClient* client, HttpCall* call, LoadRecord* record)
 {
     HttpAnswer answer;
     for (size_t n = 0; n < plan.Entries.size(); n++)
     {
-        call->Address = plan.Entries[(index + n) % plan.Entries.size()];
+        call->Address = plan.Entries[(worker + n) % plan.Entries.size()];
         answer = HttpSend(client, *call);
         long os_error = 0;
         curl_easy_getinfo(client->Easy, CURLINFO_OS_ERRNO, &os_error);
@@ -93,7 +93,7 @@
     return answer;
 }
 
-static void PlayOne(const LoadPlan& plan, size_t index, TimeUs start, HttpClient* client, LoadRecord* record)
+static void PlayOne(const LoadPlan& plan, size_t worker, TimeUs start, HttpClient* client, LoadRecord* record)
 {
     const LoadKind& kind = plan.Kinds[record->Kind];
     HttpCall call;
@@ -103,7 +103,7 @@
     call.Headers = {{HeaderRequestId, record->Id}, {HeaderDeadline, std::to_string(kind.DeadlineMs)}};
     call.TimeoutMs = kind.DeadlineMs + 2000;
     SleepUs(start + record->PlannedUs - NowUs());
-    const HttpAnswer answer = SendThroughBalancer(plan, index, client, &call, record);
+    const HttpAnswer answer = SendThroughBalancer(plan, worker, client, &call, record);
     record->LatencyUs = NowUs() - start - record->PlannedUs;
     Record(answer, call.Method + " " + call.Path + " " + call.Body + "\n", record);
 }
@@ -118,12 +118,12 @@
     for (int n = 0; n < plan.Workers; n++)
     {
         workers.emplace_back(
-            [&]()
+            [&, n]()
             {
-                HttpClient client;
+                HttpClient client; // A worker keeps to one entry, as a caller's connection does.
                 for (size_t index = next++; index < trace.size(); index = next++)
                 {
-                    PlayOne(plan, index, start, &client, &trace[index]);
+                    PlayOne(plan, static_cast<size_t>(n), start, &client, &trace[index]);
                 }
             });
     }
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -23,6 +23,9 @@
     {"relay", "cuts and delays messages between instances", RunRelay},
     {"load", "plays calls and prints quantiles", RunLoad},
     {"demo", "a small fleet, live", RunDemo},
+    {"policies", "the product's policy against ordinary ones", RunPolicies},
+    {"capacity", "slopes over instances, rows, edits and calls", RunCapacity},
+    {"soak", "a long randomised run under faults", RunSoak},
     {"added", "latency added against calling the target directly", RunAdded},
 };
 
--- /dev/null
+++ b/bench/policies.cpp
@@ -0,0 +1,319 @@
+// policies.cpp: winchbench policies: the product's policy against ordinary ones, the same traces under the same faults, in one run.
+//
+// For each user and each situation every policy gets a fleet of its own with the same seeds, and the same trace; rounds alternate the
+// policies. Printed as Markdown; a data file for the plots is written beside.
+
+#include "fleet.h"
+#include "load.h"
+#include "options.h"
+
+#include <cmath>
+#include <csignal>
+#include <fmt/format.h>
+#include <fstream>
+#include <thread>
+
+namespace Winchlink
+{
+
+//-----------------------------------------------------------------------------
+// [SECTION] What is played
+//-----------------------------------------------------------------------------
+
+static constexpr int BenchServiceUs = 30000;     // Median; the stand-in's spread and noise make the mean some 38 ms.
+static constexpr double MeanServiceUs = 38000;
+static constexpr int BenchSlots = 3;
+static constexpr int BenchInstances = 16;
+static constexpr TimeUs EventAtUs = 1 * UsPerSecond;
+
+enum Situation_ : int
+{
+    Situation_Steady60,
+    Situation_Steady80,
+    Situation_Overload,
+    Situation_Slow,
+    Situation_FailFast,
+    Situation_Lie,
+    Situation_Freeze,
+    Situation_Drain,
+    Situation_Restart,
+    Situation_Replace4,
+    Situation_COUNT,
+};
+
+struct SituationInfo
+{
+    const char* Name;
+    const char* Text;
+    double Load;         // Share of all slots.
+};
+
+static constexpr SituationInfo Situations[Situation_COUNT] = {
+    {"steady60", "60% of slots", 0.6},
+    {"steady80", "80% of slots", 0.8},
+    {"overload", "1.5 times the slots", 1.5},
+    {"slow", "60%, one target per row 10 times slower", 0.6},
+    {"failfast", "60%, one target per row answers 500 at once", 0.6},
+    {"lie", "60%, one target per row reports no load", 0.6},
+    {"freeze", "60%, all reports frozen", 0.6},
+    {"drain", "60%, one target per row drains", 0.6},
+    {"restart", "60%, one target per row killed and started anew", 0.6},
+    {"replace4", "60%, four instances killed and replaced", 0.6},
+};
+
+static const char* const Policies[] = {"winchlink", "roundrobin", "random", "least", "two", "reported"};
+
+struct PlayResult
+{
+    std::vector<double> P50, P99, P999, Good, Refused, Failed, ProbesMs;   // One per round.
+};
+
+struct BenchUser
+{
+    const char* Name;
+    std::vector<FleetRow> Rows;
+    int DataCentres;
+};
+
+static FleetPlan PlanOf(const BenchUser& user, const std::string& policy, int seed)
+{
+    FleetPlan plan;
+    plan.Instances = BenchInstances;
+    plan.DataCentres = user.DataCentres;
+    plan.Seed = seed;
+    plan.Rows = user.Rows;
+    for (FleetRow& row : plan.Rows)
+    {
+        row.ServiceUs = BenchServiceUs;
+    }
+    if (policy != "winchlink")
+    {
+        plan.Program = "winchlink_baselines";
+        plan.Environment = {{"WINCHBENCH_POLICY", policy}};
+    }
+    return plan;
+}
+
+static LoadPlan LoadOf(const Fleet& fleet, const SituationInfo& situation, int round, double seconds)
+{
+    LoadPlan plan;
+    plan.Entries = FleetEntries(fleet);
+    plan.Seconds = seconds;
+    plan.Seed = static_cast<uint64_t>(round) + 1;
+    plan.Workers = 320;
+    plan.IdPrefix = fmt::format("{}-{}", situation.Name, round);
+    for (const FleetRow& row : fleet.Plan.Rows)
+    {
+        const double rate = row.Targets * BenchSlots * situation.Load * UsPerSecond / MeanServiceUs;
+        plan.Kinds.push_back({row.Name, "GET", row.PathPrefix + "/a", rate * 0.8, 1000});
+        plan.Kinds.push_back({row.Name, "POST", row.PathPrefix + "/b", rate * 0.2, 1000});
+    }
+    return plan;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Faults
+//-----------------------------------------------------------------------------
+
+// The first target of each row.
+static std::vector<size_t> FirstTargets(const Fleet& fleet)
+{
+    std::vector<size_t> first;
+    for (size_t n = 0; n < fleet.Targets.size(); n++)
+    {
+        if (n == 0 || fleet.Targets[n].Row != fleet.Targets[n - 1].Row)
+        {
+            first.push_back(n);
+        }
+    }
+    return first;
+}
+
+static void SetModes(Fleet* fleet, const std::string& mode, bool all)
+{
+    for (size_t n = 0; all && n < fleet->Targets.size(); n++)
+    {
+        FleetTargetAdmin(*fleet, n, "POST", "/admin/mode?set=" + mode);
+    }
+    for (const size_t n : FirstTargets(*fleet))
+    {
+        FleetTargetAdmin(*fleet, n, "POST", "/admin/mode?set=" + mode);
+    }
+}
+
+static void RestartTargets(Fleet* fleet)
+{
+    for (const size_t n : FirstTargets(*fleet))
+    {
+        kill(fleet->Targets[n].Process.Pid, SIGKILL);
+        FleetReapTarget(fleet, n);
+    }
+    SleepUs(500 * UsPerMs);
+    for (const size_t n : FirstTargets(*fleet))
+    {
+        FleetStartTarget(fleet, n);
+    }
+}
+
+static void ReplaceFour(Fleet* fleet)
+{
+    for (size_t n = 0; n < 4; n++)
+    {
+        FleetSignalInstance(fleet, n, SIGKILL);
+        FleetWaitInstance(fleet, n);
+        FleetStartInstance(fleet, n);
+    }
+}
+
+static void MakeFault(Fleet* fleet, Situation_ situation)
+{
+    SleepUs(EventAtUs);
+    switch (situation)
+    {
+    case Situation_Slow:
+        SetModes(fleet, "slow&factor=10", false);
+        break;
+    case Situation_FailFast:
+        SetModes(fleet, "fail", false);
+        break;
+    case Situation_Lie:
+        SetModes(fleet, "lie", false);
+        break;
+    case Situation_Freeze:
+        SetModes(fleet, "freeze", true);
+        break;
+    case Situation_Drain:
+        SetModes(fleet, "drain", false);
+        break;
+    case Situation_Restart:
+        RestartTargets(fleet);
+        break;
+    case Situation_Replace4:
+        ReplaceFour(fleet);
+        break;
+    default:
+        break;
+    }
+}
+
+// Undoes the fault, so that the next situation finds the fleet as new.
+static void UndoFault(Fleet* fleet, Situation_ situation)
+{
+    SetModes(fleet, "ok", true);
+    if (situation == Situation_Drain)
+    {
+        RestartTargets(fleet);
+    }
+    WaitFor(20 * UsPerSecond,
+            [&]()
+            {
+                size_t n = 0;
+                while (n < fleet->Instances.size() && FleetIsReady(*fleet, n))
+                {
+                    n++;
+                }
+                return n == fleet->Instances.size();
+            });
+    SleepUs(UsPerSecond);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Playing
+//-----------------------------------------------------------------------------
+
+static void Play(Fleet* fleet, Situation_ situation, int round, double seconds, PlayResult* result)
+{
+    const int64_t probes_before = FleetAuditSum(*fleet, "probeUs");
+    std::thread fault([&]() { MakeFault(fleet, situation); });
+    const std::vector<LoadRecord> records = PlayLoad(LoadOf(*fleet, Situations[situation], round, seconds));
+    fault.join();
+    const int64_t probes_after = FleetAuditSum(*fleet, "probeUs");
+    const LoadSummary s = Summarize(records, -1);
+    result->P50.push_back(s.P50Ms);
+    result->P99.push_back(s.P99Ms);
+    result->P999.push_back(s.P999Ms);
+    result->Good.push_back(static_cast<double>(s.Good) / seconds);
+    result->Refused.push_back(100.0 * static_cast<double>(s.Refused) / static_cast<double>(std::max<size_t>(s.Count, 1)));
+    result->Failed.push_back(100.0 * static_cast<double>(s.Failed) / static_cast<double>(std::max<size_t>(s.Count, 1)));
+    result->ProbesMs.push_back(std::max(0.0, static_cast<double>(probes_after - probes_before) / UsPerMs / seconds));
+    UndoFault(fleet, situation);
+}
+
+static void Print(const BenchUser& user, Situation_ situation, const std::string& policy, const PlayResult& result, std::ofstream* data)
+{
+    const Spread p50 = SpreadOf(result.P50);
+    const Spread p99 = SpreadOf(result.P99);
+    const Spread p999 = SpreadOf(result.P999);
+    fmt::print("| {} | {} | {:.0f} | {:.0f} ({:.0f} to {:.0f}) | {:.0f} | {:.0f} | {:.2f} | {:.2f} | {:.0f} |\n", Situations[situation].Name, policy,
+               p50.Median, p99.Median, p99.Least, p99.Most, p999.Median, SpreadOf(result.Good).Median, SpreadOf(result.Refused).Median,
+               SpreadOf(result.Failed).Median, SpreadOf(result.ProbesMs).Median);
+    *data << user.Name << " " << Situations[situation].Name << " " << policy << " " << p50.Median << " " << p99.Median << " " << p99.Least << " "
+          << p99.Most << " " << p999.Median << " " << SpreadOf(result.Good).Median << "\n";
+    data->flush();
+    fflush(stdout);
+}
+
+static bool PlayUser(const BenchUser& user, int rounds, double seconds, std::ofstream* data)
+{
+    constexpr size_t policy_count = std::size(Policies);
+    std::vector<std::vector<PlayResult>> results(Situation_COUNT, std::vector<PlayResult>(policy_count));
+    for (int round = 0; round < rounds; round++)
+    {
+        for (size_t policy = 0; policy < policy_count; policy++)
+        {
+            Fleet fleet;
+            if (!FleetStart(&fleet, PlanOf(user, Policies[policy], round + 1)))
+            {
+                fmt::print("the fleet did not become ready\n");
+                return false;
+            }
+            for (int situation = 0; situation < Situation_COUNT; situation++)
+            {
+                Play(&fleet, static_cast<Situation_>(situation), round, seconds, &results[static_cast<size_t>(situation)][policy]);
+            }
+        }
+    }
+    fmt::print("\n### {}\n\n| situation | policy | p50 ms | p99 ms (least to most) | p99.9 ms | good/s | refused % | failed % | probes ms/s |\n", user.Name);
+    fmt::print("|---|---|---|---|---|---|---|---|---|\n");
+    for (int situation = 0; situation < Situation_COUNT; situation++)
+    {
+        for (size_t policy = 0; policy < policy_count; policy++)
+        {
+            Print(user, static_cast<Situation_>(situation), Policies[policy], results[static_cast<size_t>(situation)][policy], data);
+        }
+    }
+    return true;
+}
+
+int RunPolicies(int argc, const char** argv)
+{
+    int rounds = 3;
+    double seconds = 5;
+    char* user_name = nullptr;
+    char* file = nullptr;
+    const poptOption table[] = {{"rounds", 'r', POPT_ARG_INT, &rounds, 0, "rounds", "N"},
+                                {"seconds", 's', POPT_ARG_DOUBLE, &seconds, 0, "length of each play", "N"},
+                                {"user", 'u', POPT_ARG_STRING, &user_name, 0, "dakar or attica; both if not given", "NAME"},
+                                {"data", 'd', POPT_ARG_STRING, &file, 0, "file for the plots", "FILE"},
+                                OPTIONS_TAIL};
+    const ParsedOptions parsed = ParseOptions("winchbench policies", argc, argv, table, "");
+    const std::string only = user_name != nullptr ? user_name : "";
+    std::ofstream data(file != nullptr ? file : "/dev/null");
+    free(user_name);
+    free(file);
+    if (parsed.Exit)
+    {
+        return *parsed.Exit;
+    }
+    const BenchUser users[] = {{"dakar", DakarRows(), 4}, {"attica", AtticaRows(), 3}};
+    for (const BenchUser& user : users)
+    {
+        if ((only.empty() || only == user.Name) && !PlayUser(user, rounds, seconds, &data))
+        {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+} // namespace Winchlink
--- a/daemon/pages.cpp
+++ b/daemon/pages.cpp
@@ -179,7 +179,7 @@
     return object;
 }
 
-std::string FormatStatus(Pages* pages)
+std::string FormatStatus(Pages* pages, bool brief)
 {
     const TimeUs now = NowUs();
     const ControlViewPtr view = ControlLatest(*pages->Plane);
@@ -188,7 +188,7 @@
     json_object_set_new(measuring, "probes", JsonNumber(view->Measuring.Probes));
     json_object_set_new(measuring, "spentMs", JsonNumber(view->Measuring.SpentUs / UsPerMs));
     json_t* rows = json_array();
-    for (size_t n = 0; n < snapshot->States.size(); n++)
+    for (size_t n = 0; !brief && n < snapshot->States.size(); n++)
     {
         json_array_append_new(rows, JsonOfRow(snapshot->Rows->Rows[n], snapshot->States[n].State.get(), now));
     }
@@ -310,9 +310,10 @@
     {
         return ReadyPage(*pages);
     }
-    if (request.Path == "/status")
+    const bool brief = request.Path == "/status?brief=1";
+    if (request.Path == "/status" || brief)
     {
-        return {200, {{"Content-Type", "application/json"}}, FormatStatus(pages), false};
+        return {200, {{"Content-Type", "application/json"}}, FormatStatus(pages, brief), false};
     }
     if (request.Path == "/metrics")
     {
--- a/daemon/pages.h
+++ b/daemon/pages.h
@@ -22,8 +22,8 @@
 Result<void> PagesStart(Pages* pages, const Kernel& kernel);
 void PagesStop(Pages* pages);
 
-// The status page as JSON. Locks each row for a moment.
-std::string FormatStatus(Pages* pages);
+// The status page as JSON; `brief` leaves the rows out. Locks each row for a moment.
+std::string FormatStatus(Pages* pages, bool brief);
 
 // All metrics in the common text exposition format.
 std::string FormatMetrics(Pages* pages);
--- a/tests/instance_test.cpp
+++ b/tests/instance_test.cpp
@@ -187,6 +187,7 @@
         const std::string status = fleet.Page("/status").Body;
         CPPUNIT_ASSERT_EQUAL(int64_t(1), JsonNumberAt(status, "table.revision"));
         CPPUNIT_ASSERT(status.find("gets work") != std::string::npos);
+        CPPUNIT_ASSERT(fleet.Page("/status?brief=1").Body.find("gets work") == std::string::npos);
         CPPUNIT_ASSERT_EQUAL(404, fleet.Page("/other").Status);
     }
 
