--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -48,13 +48,13 @@
 
 struct Reading
 {
-    double At = 0;              // Seconds.
-    double ControlCpuUs = 0;    // Means over the instances.
+    double At = 0;           // Seconds.
+    double ControlCpuUs = 0; // Means over the instances.
     double SentBytes = 0;
     double ReceivedBytes = 0;
     double Messages = 0;
     double ResidentMbMean = 0;
-    double PlatformCalls = 0;   // Of the whole fleet.
+    double PlatformCalls = 0; // Of the whole fleet.
 };
 
 static double CallsOfPlatform(const Fleet& fleet)
@@ -83,11 +83,11 @@
 
 struct Rates
 {
-    double CpuPercent = 0;          // Control thread, of one core.
-    double BytesPerSecond = 0;      // Sent and received, mean per instance.
+    double CpuPercent = 0;     // Control thread, of one core.
+    double BytesPerSecond = 0; // Sent and received, mean per instance.
     double MessagesPerSecond = 0;
     double ResidentMb = 0;
-    double CallsPerSecond = 0;      // Of the platform, by the whole fleet.
+    double CallsPerSecond = 0; // Of the platform, by the whole fleet.
 };
 
 static Rates RatesBetween(const Reading& a, const Reading& b)
@@ -150,21 +150,24 @@
     return row;
 }
 
-static bool SeriesOfInstances(int most)
+static bool SeriesOfInstances(int least, int most, int view)
 {
-    fmt::print("\n## Instances (4 data centres, one row, edits one by one)\n\n| instances | control cpu % of a core | bytes/s, both ways | messages/s sent | "
-               "resident MB | platform calls/s | edit in force p50 ms | max ms |\n|---|---|---|---|---|---|---|---|\n");
+    fmt::print("\n## Instances (views of {}, 4 data centres, one row, edits one by one)\n\n| instances | control cpu % of a core | "
+               "bytes/s, both ways | messages/s sent | "
+               "resident MB | platform calls/s | edit in force p50 ms | max ms |\n|---|---|---|---|---|---|---|---|\n",
+               view);
     std::vector<double> x;
     std::vector<double> cpu;
     std::vector<double> bytes;
     std::vector<double> calls;
     std::vector<double> spread;
-    for (int instances = 4; instances <= most; instances *= 2)
+    for (int instances = least; instances <= most; instances *= 2)
     {
         Fleet fleet;
         FleetPlan plan;
         plan.Instances = instances;
         plan.DataCentres = 4;
+        plan.ViewMax = view;
         plan.Rows = {IdleRow()};
         if (!FleetStart(&fleet, plan))
         {
@@ -180,8 +183,9 @@
             times.insert(times.end(), one.begin(), one.end());
             SleepUs(UsPerSecond);
         }
-        fmt::print("| {} | {:.2f} | {:.0f} | {:.1f} | {:.1f} | {:.2f} | {:.0f} | {:.0f} |\n", instances, rates.CpuPercent, rates.BytesPerSecond,
-                   rates.MessagesPerSecond, rates.ResidentMb, rates.CallsPerSecond, QuantileOf(&times, 0.5), QuantileOf(&times, 1.0));
+        fmt::print("| {} | {:.2f} | {:.0f} | {:.1f} | {:.1f} | {:.2f} | {:.0f} | {:.0f} |\n", instances, rates.CpuPercent,
+                   rates.BytesPerSecond, rates.MessagesPerSecond, rates.ResidentMb, rates.CallsPerSecond, QuantileOf(&times, 0.5),
+                   QuantileOf(&times, 1.0));
         fflush(stdout);
         x.push_back(instances);
         cpu.push_back(rates.CpuPercent);
@@ -225,8 +229,10 @@
 
 static bool SeriesOfRows()
 {
-    fmt::print("\n## Rows (4 instances, 11 targets each), and edits at 8.7 a second, 100 times the letter's rate\n\n| rows | resident MB | idle cpu % | idle "
-               "bytes/s | cpu % under edits | bytes/s under edits | bytes per edit | cpu ms per edit |\n|---|---|---|---|---|---|---|---|\n");
+    fmt::print(
+        "\n## Rows (4 instances, 11 targets each), and edits at 8.7 a second, 100 times the letter's rate\n\n| rows | resident MB | idle "
+        "cpu % | idle "
+        "bytes/s | cpu % under edits | bytes/s under edits | bytes per edit | cpu ms per edit |\n|---|---|---|---|---|---|---|---|\n");
     std::vector<double> x;
     std::vector<double> memory;
     std::vector<double> edit_cpu;
@@ -262,8 +268,8 @@
         const double seconds = after.At - before.At;
         const double bytes_per_edit = (busy.BytesPerSecond - idle.BytesPerSecond) * seconds / edits;
         const double cpu_per_edit = (busy.CpuPercent - idle.CpuPercent) / 100 * seconds * 1000 / edits;
-        fmt::print("| {} | {:.1f} | {:.2f} | {:.0f} | {:.2f} | {:.0f} | {:.0f} | {:.3f} |\n", rows, busy.ResidentMb, idle.CpuPercent, idle.BytesPerSecond,
-                   busy.CpuPercent, busy.BytesPerSecond, bytes_per_edit, cpu_per_edit);
+        fmt::print("| {} | {:.1f} | {:.2f} | {:.0f} | {:.2f} | {:.0f} | {:.0f} | {:.3f} |\n", rows, busy.ResidentMb, idle.CpuPercent,
+                   idle.BytesPerSecond, busy.CpuPercent, busy.BytesPerSecond, bytes_per_edit, cpu_per_edit);
         fflush(stdout);
         x.push_back(rows);
         memory.push_back(busy.ResidentMb);
@@ -279,7 +285,8 @@
 
 static bool SeriesOfCalls()
 {
-    fmt::print("\n## Calls (one instance, one target)\n\n| calls/s | good/s | cpu % of the process | cpu us per call | p50 ms | p99 ms | resident MB "
+    fmt::print("\n## Calls (one instance, one target)\n\n| calls/s | good/s | cpu % of the process | cpu us per call | p50 ms | p99 ms | "
+               "resident MB "
                "|\n|---|---|---|---|---|---|---|\n");
     Fleet fleet;
     FleetPlan plan;
@@ -306,7 +313,8 @@
         const LoadSummary s = Summarize(PlayLoad(load), -1);
         const double used = ProcessCpuUs(pid) - before;
         fmt::print("| {:.0f} | {:.0f} | {:.1f} | {:.0f} | {:.2f} | {:.2f} | {:.1f} |\n", rate, static_cast<double>(s.Good) / load.Seconds,
-                   100 * used / (load.Seconds * UsPerSecond), used / static_cast<double>(std::max<size_t>(s.Count, 1)), s.P50Ms, s.P99Ms, ResidentMb(pid));
+                   100 * used / (load.Seconds * UsPerSecond), used / static_cast<double>(std::max<size_t>(s.Count, 1)), s.P50Ms, s.P99Ms,
+                   ResidentMb(pid));
         fflush(stdout);
         x.push_back(rate);
         cpu.push_back(100 * used / (load.Seconds * UsPerSecond));
@@ -315,16 +323,33 @@
     return true;
 }
 
+static constexpr int FullView = 64;
+static constexpr int SmallView = 16; // So that a fleet of this machine is many times larger than a view.
+
 int RunCapacity(int argc, const char** argv)
 {
     int most = 128;
-    const poptOption table[] = {{"instances", 'i', POPT_ARG_INT, &most, 0, "largest fleet", "N"}, OPTIONS_TAIL};
-    const ParsedOptions parsed = ParseOptions("winchbench capacity", argc, argv, table, "[--instances N]");
+    char* name = nullptr;
+    const poptOption table[] = {{"instances", 'i', POPT_ARG_INT, &most, 0, "largest fleet", "N"},
+                                {"series", 's', POPT_ARG_STRING, &name, 0, "instances, views, rows or calls; all if not given", "NAME"},
+                                OPTIONS_TAIL};
+    const ParsedOptions parsed = ParseOptions("winchbench capacity", argc, argv, table, "[--instances N] [--series NAME]");
+    const std::string only = name != nullptr ? name : "";
+    free(name);
     if (parsed.Exit)
     {
         return *parsed.Exit;
     }
-    const bool good = SeriesOfInstances(std::min(most, 256)) && SeriesOfRows() && SeriesOfCalls();
+    most = std::min(most, 256);
+    bool good = true;
+    const auto wanted = [&](const char* series)
+    {
+        return good && (only.empty() || only == series);
+    };
+    good = wanted("instances") ? SeriesOfInstances(4, most, FullView) : good;
+    good = wanted("views") ? SeriesOfInstances(32, most, SmallView) : good;
+    good = wanted("rows") ? SeriesOfRows() : good;
+    good = wanted("calls") ? SeriesOfCalls() : good;
     return good ? 0 : 1;
 }
 
--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -12,6 +12,7 @@
 #include "winchlink_json.h"
 
 #include <arpa/inet.h>
+#include <atomic>
 #include <csignal>
 #include <fcntl.h>
 #include <filesystem>
@@ -83,17 +84,35 @@
     return pid;
 }
 
-int FreePort(const std::string& ip)
+// Ports below the range from which the kernel takes the ports of outgoing connections; asking the kernel for free ones gave the same
+// port twice in a fleet of 64.
+static constexpr int FirstPort = 10000;
+static constexpr int PortCount = 22000;
+
+static bool CanBind(int type, const std::string& ip, int port)
 {
-    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
     sockaddr_in address = {};
     address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<uint16_t>(port));
     inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
-    socklen_t size = sizeof(address);
-    const bool ok =
-        bind(fd, reinterpret_cast<sockaddr*>(&address), size) == 0 && getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) == 0;
+    const bool ok = bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
     close(fd);
-    return ok ? ntohs(address.sin_port) : -1;
+    return ok;
+}
+
+int FreePort(const std::string& ip)
+{
+    static std::atomic<int> next{getpid() * 37};
+    for (int tries = 0; tries < PortCount; tries++)
+    {
+        const int port = FirstPort + next++ % PortCount;
+        if (CanBind(SOCK_STREAM, ip, port) && CanBind(SOCK_DGRAM, ip, port))
+        {
+            return port;
+        }
+    }
+    return -1;
 }
 
 static std::string IpOf(int data_centre)
--- a/bench/policies.cpp
+++ b/bench/policies.cpp
@@ -20,7 +20,7 @@
 // [SECTION] What is played
 //-----------------------------------------------------------------------------
 
-static constexpr int BenchServiceUs = 30000;     // Median; the stand-in's spread and noise make the mean some 38 ms.
+static constexpr int BenchServiceUs = 30000; // Median; the stand-in's spread and noise make the mean some 38 ms.
 static constexpr double MeanServiceUs = 38000;
 static constexpr int BenchSlots = 3;
 static constexpr int BenchInstances = 16;
@@ -45,7 +45,7 @@
 {
     const char* Name;
     const char* Text;
-    double Load;         // Share of all slots.
+    double Load; // Share of all slots.
 };
 
 static constexpr SituationInfo Situations[Situation_COUNT] = {
@@ -65,7 +65,7 @@
 
 struct PlayResult
 {
-    std::vector<double> P50, P99, P999, Good, Refused, Failed, ProbesMs;   // One per round.
+    std::vector<double> P50, P99, P999, Good, Refused, Failed, ProbesMs; // One per round.
 };
 
 struct BenchUser
@@ -244,11 +244,11 @@
     const Spread p50 = SpreadOf(result.P50);
     const Spread p99 = SpreadOf(result.P99);
     const Spread p999 = SpreadOf(result.P999);
-    fmt::print("| {} | {} | {:.0f} | {:.0f} ({:.0f} to {:.0f}) | {:.0f} | {:.0f} | {:.2f} | {:.2f} | {:.0f} |\n", Situations[situation].Name, policy,
-               p50.Median, p99.Median, p99.Least, p99.Most, p999.Median, SpreadOf(result.Good).Median, SpreadOf(result.Refused).Median,
-               SpreadOf(result.Failed).Median, SpreadOf(result.ProbesMs).Median);
-    *data << user.Name << " " << Situations[situation].Name << " " << policy << " " << p50.Median << " " << p99.Median << " " << p99.Least << " "
-          << p99.Most << " " << p999.Median << " " << SpreadOf(result.Good).Median << "\n";
+    fmt::print("| {} | {} | {:.0f} | {:.0f} ({:.0f} to {:.0f}) | {:.0f} | {:.0f} | {:.2f} | {:.2f} | {:.0f} |\n",
+               Situations[situation].Name, policy, p50.Median, p99.Median, p99.Least, p99.Most, p999.Median, SpreadOf(result.Good).Median,
+               SpreadOf(result.Refused).Median, SpreadOf(result.Failed).Median, SpreadOf(result.ProbesMs).Median);
+    *data << user.Name << " " << Situations[situation].Name << " " << policy << " " << p50.Median << " " << p99.Median << " " << p99.Least
+          << " " << p99.Most << " " << p999.Median << " " << SpreadOf(result.Good).Median << "\n";
     data->flush();
     fflush(stdout);
 }
@@ -273,7 +273,9 @@
             }
         }
     }
-    fmt::print("\n### {}\n\n| situation | policy | p50 ms | p99 ms (least to most) | p99.9 ms | good/s | refused % | failed % | probes ms/s |\n", user.Name);
+    fmt::print(
+        "\n### {}\n\n| situation | policy | p50 ms | p99 ms (least to most) | p99.9 ms | good/s | refused % | failed % | probes ms/s |\n",
+        user.Name);
     fmt::print("|---|---|---|---|---|---|---|---|---|\n");
     for (int situation = 0; situation < Situation_COUNT; situation++)
     {
--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -25,8 +25,8 @@
     int Cuts = 0;
     int Outages = 0;
     int Drains = 0;
-    int Aborts = 0;         // Instances that ended by themselves.
-    int Stuck = 0;          // Times that the fleet did not agree in time.
+    int Aborts = 0; // Instances that ended by themselves.
+    int Stuck = 0;  // Times that the fleet did not agree in time.
 };
 
 struct Soak
@@ -34,8 +34,8 @@
     Fleet Under;
     Random Rng;
     SoakCounts Counts;
-    std::vector<bool> Stopped;           // Instances under SIGSTOP.
-    std::map<size_t, TimeUs> Draining;   // Targets, since when.
+    std::vector<bool> Stopped;         // Instances under SIGSTOP.
+    std::map<size_t, TimeUs> Draining; // Targets, since when.
     TimeUs Until = 0;
 };
 
@@ -197,9 +197,9 @@
     size_t Calls = 0;
     size_t Good = 0;
     size_t NotRun = 0;
-    size_t Unknown = 0;            // Neither answered nor refused.
-    size_t Wrong = 0;              // Another call's answer, or half of one.
-    size_t DishonestNotRun = 0;    // Told as not run, and run.
+    size_t Unknown = 0;         // Neither answered nor refused.
+    size_t Wrong = 0;           // Another call's answer, or half of one.
+    size_t DishonestNotRun = 0; // Told as not run, and run.
 };
 
 static std::set<std::string> CollectIds(const Fleet& fleet)
@@ -289,12 +289,14 @@
     const int64_t twice = FleetAuditSum(soak.Under, "postsRepeated");
     const int64_t probe_us = FleetAuditSum(soak.Under, "probeUs");
     const int64_t budget_us = (NowUs() - start + 10 * UsPerSecond) * 60 / 1000; // And the time of the start.
-    fmt::print("{:.0f} s, seed {}: {} edits, {} kills, {} stops, {} cuts, {} outages, {} drains\n", seconds, seed, soak.Counts.Edits, soak.Counts.Kills,
-               soak.Counts.Stops, soak.Counts.Cuts, soak.Counts.Outages, soak.Counts.Drains);
+    fmt::print("{:.0f} s, seed {}: {} edits, {} kills, {} stops, {} cuts, {} outages, {} drains\n", seconds, seed, soak.Counts.Edits,
+               soak.Counts.Kills, soak.Counts.Stops, soak.Counts.Cuts, soak.Counts.Outages, soak.Counts.Drains);
     fmt::print("{} calls: {} good, {} told as not run, {} of unknown outcome\n", audit.Calls, audit.Good, audit.NotRun, audit.Unknown);
-    fmt::print("must be 0: ran twice {}, told as not run and run {}, wrong answers {}, instances ended by themselves {}, not agreed {}, probes over budget {}\n",
+    fmt::print("must be 0: ran twice {}, told as not run and run {}, wrong answers {}, instances ended by themselves {}, not agreed {}, "
+               "probes over budget {}\n",
                twice, audit.DishonestNotRun, audit.Wrong, soak.Counts.Aborts, soak.Counts.Stuck, probe_us > budget_us ? 1 : 0);
-    const bool bad = twice > 0 || audit.DishonestNotRun > 0 || audit.Wrong > 0 || soak.Counts.Aborts > 0 || soak.Counts.Stuck > 0 || probe_us > budget_us;
+    const bool bad = twice > 0 || audit.DishonestNotRun > 0 || audit.Wrong > 0 || soak.Counts.Aborts > 0 || soak.Counts.Stuck > 0 ||
+                     probe_us > budget_us;
     return bad ? 1 : 0;
 }
 
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -58,5 +58,16 @@
 Variant build-asan "address,undefined" RelWithDebInfo --skip Process
 Variant build-tsan "thread" RelWithDebInfo --only Instance --only Upstream --only Server
 
+# The fuzz targets, for a fixed number of inputs from a fixed seed.
+for Target in fuzz_heartbeat fuzz_reply fuzz_documents
+do
+    if scripts/fuzz.sh --runs 20000 "$Target"
+    then
+        Passed=$((Passed + 1))
+    else
+        Failed=$((Failed + 1))
+    fi
+done
+
 echo "$Passed passed, $Failed failed"
 [ "$Failed" -eq 0 ]
