Connections to a target are a share by number, not by the instances seen

The limit then holds under any view (dividing by the instances seen overshoots by the factor by which a view is short).

--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -396,6 +396,20 @@
     return HttpOnce({method, fleet.Targets[index].Process.Address, path, "", {}, 10000}).Body;
 }
 
+std::set<std::string> FleetRunIds(const Fleet& fleet)
+{
+    std::set<std::string> ids;
+    for (size_t n = 0; n < fleet.Targets.size(); n++)
+    {
+        const std::string text = FleetTargetAdmin(fleet, n, "GET", "/admin/ids");
+        for (size_t at = 0; at < text.size(); at = text.find('\n', at) + 1)
+        {
+            ids.insert(text.substr(at, text.find(' ', at) - at));
+        }
+    }
+    return ids;
+}
+
 int64_t FleetAuditSum(const Fleet& fleet, const std::string& key)
 {
     int64_t sum = 0;
--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -7,6 +7,7 @@
 
 #include "bench.h"
 
+#include <set>
 #include <sys/types.h>
 
 namespace Winchlink
@@ -105,6 +106,8 @@
 
 // Sum of a number over all targets' audits.
 int64_t FleetAuditSum(const Fleet& fleet, const std::string& key);
+// Request ids that any target ran.
+std::set<std::string> FleetRunIds(const Fleet& fleet);
 std::string FleetTargetAdmin(const Fleet& fleet, size_t index, const std::string& method, const std::string& path);
 void FleetPlatformAdmin(const Fleet& fleet, const std::string& method, const std::string& path, const std::string& body);
 std::vector<std::string> FleetEntries(const Fleet& fleet);
--- a/bench/platform.cpp
+++ b/bench/platform.cpp
@@ -11,6 +11,7 @@
 #include "names.h"
 #include "options.h"
 #include "server.h"
+#include "signals.h"
 #include "winchlink_json.h"
 
 #include <condition_variable>
--- a/bench/target.cpp
+++ b/bench/target.cpp
@@ -12,6 +12,7 @@
 #include "names.h"
 #include "options.h"
 #include "server.h"
+#include "signals.h"
 
 #include <algorithm>
 #include <condition_variable>
--- a/daemon/command_serve.cpp
+++ b/daemon/command_serve.cpp
@@ -3,6 +3,7 @@
 #include "commands.h"
 #include "instance.h"
 #include "options.h"
+#include "signals.h"
 
 #include <csignal>
 #include <fmt/format.h>
@@ -18,24 +19,8 @@
     }
 }
 
-static sigset_t StopSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    return signals;
-}
-
-static int WaitForSignal(const sigset_t& signals)
-{
-    int signal = 0;
-    sigwait(&signals, &signal);
-    return signal;
-}
-
 // Drains; a second signal ends it at once.
-static int DrainAndStop(Instance* instance, const sigset_t& signals)
+static int DrainAndStop(Instance* instance)
 {
     std::atomic<bool> force{false};
     std::atomic<int> cut{0};
@@ -45,7 +30,7 @@
             cut = InstanceDrain(instance, force);
             kill(getpid(), SIGTERM); // Wakes the wait below.
         });
-    WaitForSignal(signals);
+    WaitForStopSignal();
     force = true;
     drain.join();
     if (cut > 0)
@@ -74,16 +59,15 @@
     }
     SetLogLevel(checked.Value.Level);
     std::signal(SIGPIPE, SIG_IGN);
-    const sigset_t signals = StopSignals();
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr); // Before any thread starts, so that all inherit it.
+    BlockStopSignals();
     Instance instance;
     if (!InstanceStart(&instance, checked.Value))
     {
         return Exit_Start;
     }
     Log(LogLevel_Info, Code_None, "started", {{"version", Version}, {"traffic", checked.Value.TrafficAddress}});
-    WaitForSignal(signals);
-    return DrainAndStop(&instance, signals);
+    WaitForStopSignal();
+    return DrainAndStop(&instance);
 }
 
 int RunServe(int argc, const char** argv)
--- a/daemon/control.cpp
+++ b/daemon/control.cpp
@@ -123,11 +123,9 @@
 static void PublishIfChanged(Control* control, TimeUs now)
 {
     const TablePtr& table = control->Fleet.Tables.Current;
-    const int instances = static_cast<int>(control->Fleet.Members.Peers.size()) + 1;
     const bool serving = control->Fleet.Tables.Joined && table->Version.Revision > 0;
     const bool table_changed = table != control->Published;
-    const bool same =
-        !table_changed && instances == control->PublishedInstances && serving == control->PublishedServing && !control->RunsChanged;
+    const bool same = !table_changed && serving == control->PublishedServing && !control->RunsChanged;
     if (same)
     {
         return;
@@ -135,7 +133,7 @@
     auto snapshot = std::make_shared<Snapshot>();
     snapshot->Serial = ++control->Serial;
     snapshot->Rows = table;
-    snapshot->Instances = instances;
+    snapshot->Sharers = control->Config.Numbers;
     snapshot->Serving = serving;
     snapshot->DataCentre = control->Config.DataCentre;
     for (const ServiceRow& row : table->Rows)
@@ -153,7 +151,6 @@
             {{"revision", table->Version.Revision}, {"digest", FormatDigest(table->Version.TableDigest)}});
     }
     control->Published = table;
-    control->PublishedInstances = instances;
     control->PublishedServing = serving;
     control->RunsChanged = false;
 }
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -83,7 +83,6 @@
     std::map<std::string, std::shared_ptr<RowState>> RowStates; // By row name; outlive snapshots.
     TablePtr Published;                                         // Table of the last snapshot.
     uint64_t Serial = 0;                                        // Of the last snapshot.
-    int PublishedInstances = 0;
     bool PublishedServing = false;
     bool RunsChanged = false;                              // A snapshot is due.
     TimeUs NextViewUs = 0;                                 // Next ControlView.
--- a/daemon/routing.h
+++ b/daemon/routing.h
@@ -56,7 +56,6 @@
     uint64_t Serial = 0;             // Grows with each snapshot.
     TablePtr Rows;                   // Never null.
     std::vector<SnapshotRow> States; // In the order of Rows->Rows.
-    int Instances = 1;               // Live instances seen, this one included.
     bool Serving = false;            // Has a table that it may believe.
     std::string DataCentre;          // Own.
 };
--- a/daemon/server.cpp
+++ b/daemon/server.cpp
@@ -8,6 +8,8 @@
 
 #include "server.h"
 
+#include "socket.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cassert>
@@ -182,15 +184,6 @@
 // [SECTION] Start and stop
 //-----------------------------------------------------------------------------
 
-static sockaddr_in ToSocketAddress(const Endpoint& endpoint)
-{
-    sockaddr_in address = {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(endpoint.Ip);
-    address.sin_port = htons(endpoint.Port);
-    return address;
-}
-
 static bool StartFramework(Server* server, sockaddr_in* address)
 {
     // ulfius requires the first two options.
--- /dev/null
+++ b/daemon/socket.h
@@ -0,0 +1,17 @@
+// socket.h: small helpers for IPv4 sockets, shared by the transport, the server and the stand-ins.
+
+#pragma once
+
+#include "winchlink.h"
+
+#include <netinet/in.h>
+
+namespace Winchlink
+{
+
+sockaddr_in ToSocketAddress(const Endpoint& endpoint);
+
+// A non-blocking socket of that type (SOCK_STREAM or SOCK_DGRAM) bound to an endpoint; -1 with errno set if it can't be had.
+int OpenBound(int type, const Endpoint& endpoint);
+
+} // namespace Winchlink
--- a/daemon/traffic.cpp
+++ b/daemon/traffic.cpp
@@ -76,15 +76,10 @@
     return DumpJson(object, JSON_COMPACT) + "\n";
 }
 
-static TimeUs MeanAnswerUs(RowState* state);
-
-static ServerResponse ExplainEnd(Call* caller, Code_ code, const std::string& detail)
+static ServerResponse ExplainEnd(const Call& call, Code_ code, const std::string& detail)
 {
     ServerResponse response;
     response.Status = FindCode(code).HttpStatus;
-    const bool come_back = response.Status == 503 && caller->RetryAfterUs == 0 && caller->State != nullptr;
-    caller->RetryAfterUs = come_back ? MeanAnswerUs(caller->State) : caller->RetryAfterUs;
-    const Call& call = *caller;
     response.Body = ExplainJson(call, code, detail);
     response.Headers = {
         {"Content-Type", "application/json"}, {HeaderRequestId, call.Id}, {HeaderCode, std::to_string(code)}, {HeaderRun, RunWord(code)}};
@@ -456,6 +451,16 @@
     }
 }
 
+// Every refusal that another moment may cure says when; one that no step has given a time to takes the row's mean answer.
+static void FillRetryAfter(Call* call, Code_ code)
+{
+    const bool may_pass = code != Code_None && FindCode(code).HttpStatus == 503;
+    if (may_pass && call->RetryAfterUs == 0 && call->State != nullptr)
+    {
+        call->RetryAfterUs = MeanAnswerUs(call->State);
+    }
+}
+
 static void LogEnd(const Call& call, const CallEnd& end)
 {
     const bool ok = end.Code == Code_None;
@@ -495,9 +500,10 @@
     traffic->Routes->InProgress++;
     CallEnd end = Serve(traffic, &call, request);
     traffic->Routes->InProgress--;
+    FillRetryAfter(&call, end.Code);
     Count(traffic, call, end);
     LogEnd(call, end);
-    ServerResponse response = end.Code == Code_None ? PassOn(call, end.Answer) : ExplainEnd(&call, end.Code, end.Detail);
+    ServerResponse response = end.Code == Code_None ? PassOn(call, end.Answer) : ExplainEnd(call, end.Code, end.Detail);
     response.CloseConnection = traffic->Routes->Leaving;
     return response;
 }
--- a/daemon/transport.cpp
+++ b/daemon/transport.cpp
@@ -7,6 +7,8 @@
 
 #include "transport.h"
 
+#include "socket.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
@@ -29,31 +31,6 @@
 // [SECTION] Sockets
 //-----------------------------------------------------------------------------
 
-static sockaddr_in ToSocketAddress(const Endpoint& endpoint)
-{
-    sockaddr_in address = {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(endpoint.Ip);
-    address.sin_port = htons(endpoint.Port);
-    return address;
-}
-
-static int OpenBound(int type, const sockaddr_in& address)
-{
-    const int fd = socket(AF_INET, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    const int on = 1;
-    if (type == SOCK_STREAM)
-    {
-        setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    }
-    if (bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0)
-    {
-        close(fd);
-        return -1;
-    }
-    return fd;
-}
-
 Result<void> TransportStart(Transport* transport, const std::string& address)
 {
     const Result<Endpoint> endpoint = ParseEndpoint(address);
@@ -61,9 +38,8 @@
     {
         return endpoint.error();
     }
-    const sockaddr_in bound = ToSocketAddress(endpoint.value());
-    transport->Udp = OpenBound(SOCK_DGRAM, bound);
-    transport->Listener = OpenBound(SOCK_STREAM, bound);
+    transport->Udp = OpenBound(SOCK_DGRAM, endpoint.value());
+    transport->Listener = OpenBound(SOCK_STREAM, endpoint.value());
     const bool listening = transport->Listener >= 0 && listen(transport->Listener, static_cast<int>(StreamsMax)) == 0;
     if (transport->Udp < 0 || !listening)
     {
--- a/winchlink.h
+++ b/winchlink.h
@@ -149,11 +149,12 @@
 // [SECTION] Table
 //-----------------------------------------------------------------------------
 
-inline constexpr size_t TableRowsMax = 2048;    // Rows in one table.
-inline constexpr size_t RowTargetsMax = 512;    // Targets in one row.
-inline constexpr size_t RowMethodsMax = 16;     // Methods in one row's list.
-inline constexpr size_t TextMax = 256;          // Bytes of a name, host, prefix or address.
-inline constexpr size_t PlatformValueMax = MiB; // Bytes of one platform value.
+inline constexpr size_t TableRowsMax = 2048;         // Rows in one table.
+inline constexpr size_t RowTargetsMax = 512;         // Targets in one row.
+inline constexpr size_t RowMethodsMax = 16;          // Methods in one row's list.
+inline constexpr size_t TextMax = 256;               // Bytes of a name, host, prefix or address.
+inline constexpr size_t PlatformValueMax = MiB;      // Bytes of one platform value.
+inline constexpr size_t TableDocumentMax = 16 * MiB; // Bytes of the operators\' whole document; 600 rows of 11 targets are some 1.4 MB.
 
 using Digest = std::array<uint8_t, 16>; // BLAKE2b-128.
 using TargetKey = uint64_t;             // SipHash of the target's address.
@@ -784,9 +785,9 @@
     Outcome_COUNT,
 };
 
-// Brings the router in line with a row. Running statistics of targets that stay are kept. `instances` is the number of live instances
-// seen, ourselves included; it divides the connection limits.
-void RouterFollow(Router* r, const ServiceRow& row, const std::string& data_centre, int instances);
+// Brings the router in line with a row. Running statistics of targets that stay are kept. `sharers` divides the limits on connections:
+// name the most instances that there can ever be, not those that are seen, and the limits hold whatever anybody sees.
+void RouterFollow(Router* r, const ServiceRow& row, const std::string& data_centre, int sharers);
 
 // Takes in the last known run of a target.
 void RouterMergeRun(Router* r, const TargetRun& run, TimeUs reported_at, TimeUs now);
--- a/winchlink_codes.cpp
+++ b/winchlink_codes.cpp
@@ -3,6 +3,7 @@
 // One list, from which logs, answers to callers and the test of docs/CODES.md are made.
 //
 // Index of this file:
+// [SECTION] Start
 // [SECTION] The list
 
 #include "winchlink.h"
@@ -15,7 +16,7 @@
 {
 
 //-----------------------------------------------------------------------------
-// [SECTION] The list
+// [SECTION] Start
 //-----------------------------------------------------------------------------
 
 bool Init()
@@ -23,6 +24,10 @@
     return sodium_init() >= 0;
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] The list
+//-----------------------------------------------------------------------------
+
 const std::vector<CodeInfo>& AllCodes()
 {
     static const std::vector<CodeInfo> list = {
--- a/winchlink_route.cpp
+++ b/winchlink_route.cpp
@@ -52,7 +52,7 @@
     return slots * DefaultConcurrentPerSlot;
 }
 
-static RouterTarget FollowTarget(Router* r, const ServiceRow& row, const TargetRow& wanted, const std::string& data_centre, int instances)
+static RouterTarget FollowTarget(Router* r, const ServiceRow& row, const TargetRow& wanted, const std::string& data_centre, int sharers)
 {
     const TargetKey key = KeyOfTarget(wanted.Address);
     const RouterTarget* known = FindTarget(r, key);
@@ -62,16 +62,16 @@
     target.Near = wanted.DataCentre.empty() || wanted.DataCentre == data_centre;
     target.Weight = wanted.Weight;
     target.Slots = wanted.Slots;
-    target.MaxInFlight = std::max(1, row.MaxConnections / std::max(1, instances));
+    target.MaxInFlight = std::max(1, row.MaxConnections / std::max(1, sharers));
     return target;
 }
 
-void RouterFollow(Router* r, const ServiceRow& row, const std::string& data_centre, int instances)
+void RouterFollow(Router* r, const ServiceRow& row, const std::string& data_centre, int sharers)
 {
     std::vector<RouterTarget> next;
     for (const TargetRow& wanted : row.Targets)
     {
-        next.push_back(FollowTarget(r, row, wanted, data_centre, instances));
+        next.push_back(FollowTarget(r, row, wanted, data_centre, sharers));
     }
     std::vector<RouterTarget> retired;
     for (std::vector<RouterTarget>* list : {&r->Targets, &r->Retired})
--- a/winchlink_table.cpp
+++ b/winchlink_table.cpp
@@ -187,12 +187,12 @@
     out->push_back(std::move(row));
 }
 
-// Parses a platform value or an operators' document.
-JsonPtr LoadBounded(const std::string& json, const JsonCodes& codes, std::vector<Fault>* faults)
+// Parses a platform value or an operators' document of limited size.
+JsonPtr LoadBounded(const std::string& json, size_t most, const JsonCodes& codes, std::vector<Fault>* faults)
 {
-    if (json.size() > PlatformValueMax)
+    if (json.size() > most)
     {
-        faults->push_back({Code_TableTooLarge, "", "larger than " + std::to_string(PlatformValueMax) + " bytes"});
+        faults->push_back({Code_TableTooLarge, "", "larger than " + std::to_string(most) + " bytes"});
         return JsonPtr(nullptr, json_decref);
     }
     return LoadJson(json, codes, faults);
@@ -353,7 +353,7 @@
 CheckedTable ParseTable(const std::string& json)
 {
     CheckedTable checked;
-    const JsonPtr root = LoadBounded(json, TableCodes, &checked.Faults);
+    const JsonPtr root = LoadBounded(json, TableDocumentMax, TableCodes, &checked.Faults);
     ObjectReader r;
     if (!root || !OpenObject(root.get(), "", TableCodes, &checked.Faults, &r))
     {
@@ -377,7 +377,7 @@
 {
     std::vector<Fault> faults;
     std::vector<ServiceRow> rows;
-    const JsonPtr root = LoadBounded(json, TableCodes, &faults);
+    const JsonPtr root = LoadBounded(json, PlatformValueMax, TableCodes, &faults);
     if (root)
     {
         ReadRow(root.get(), "row", 0, &faults, &rows);
@@ -393,7 +393,7 @@
 Result<TableIndex> ParseIndex(const std::string& json)
 {
     std::vector<Fault> faults;
-    const JsonPtr root = LoadBounded(json, PlatformCodes, &faults);
+    const JsonPtr root = LoadBounded(json, PlatformValueMax, PlatformCodes, &faults);
     ObjectReader r;
     TableIndex index;
     std::string digest;
