--- a/bench/demo.cpp
+++ b/bench/demo.cpp
@@ -100,9 +100,9 @@
             continue;
         }
         fmt::print("{:<22} {:>8} {:>9} {:>6} {:>15} {:>7} {:>15}\n", fleet.Instances[n].Process.Address,
-                   JsonNumberAt(status, "table.revision"), JsonNumberAt(status, "table.acceptedRevision"), fleet.Instances.size() - 2,
-                   JsonNumberAt(status, "platform.calls"), JsonNumberAt(status, "measuring.probes"),
-                   JsonNumberAt(status, "instance.controlCpuUs") / 1000);
+                   JsonNumberAt(status, "table.revision"), JsonNumberAt(status, "table.acceptedRevision"),
+                   JsonNumberAt(status, "instance.peersSeen"), JsonNumberAt(status, "platform.calls"),
+                   JsonNumberAt(status, "measuring.probes"), JsonNumberAt(status, "instance.controlCpuUs") / 1000);
     }
 }
 
--- a/daemon/pages.cpp
+++ b/daemon/pages.cpp
@@ -170,6 +170,7 @@
     json_object_set_new(object, "state", json_string(StateName(view.State)));
     json_object_set_new(object, "upMs", JsonMs(now - pages.StartedUs));
     json_object_set_new(object, "inProgress", json_integer(pages.Routes->InProgress));
+    json_object_set_new(object, "peersSeen", JsonNumber(view.Peers.size()));
     json_object_set_new(object, "awake", json_boolean(RoutingIsAwake(*pages.Routes)));
     json_object_set_new(object, "pauses", JsonNumber(view.Pauses));
     json_object_set_new(object, "controlCpuUs", json_integer(view.CpuUs));
