--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -230,7 +230,8 @@
 static bool SeriesOfRows()
 {
     fmt::print(
-        "\n## Rows (4 instances, 11 targets each), and edits at 8.7 a second, 100 times the letter's rate\n\n| rows | resident MB | idle "
+        "\n## Rows (4 instances, 11 targets each), and edits at 8.7 a second, 100 times the rate planned for\n\n| rows | resident MB | "
+        "idle "
         "cpu % | idle "
         "bytes/s | cpu % under edits | bytes/s under edits | bytes per edit | cpu ms per edit |\n|---|---|---|---|---|---|---|---|\n");
     std::vector<double> x;
