--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -70,7 +70,6 @@
     record->Status = answer.Status;
     record->Code = IntHeader(answer, HeaderCode);
     record->NotRun = run != nullptr && *run == RunNotRun;
-    record->RetryAfterUs = IntHeader(answer, HeaderRetryAfterMs) * UsPerMs;
     const bool foreign = id != nullptr && *id != record->Id;
     record->Wrong = foreign || (answer.Status == 200 && answer.Body != expected);
 }
--- a/bench/load.h
+++ b/bench/load.h
@@ -42,7 +42,6 @@
     bool NotRun = false;       // The answer says that it was not run.
     bool Wrong = false;        // The answer is not the one to this call.
     bool NotConnected = false; // No instance took a connection.
-    TimeUs RetryAfterUs = 0;   // As told.
 };
 
 struct LoadSummary
--- a/tests/check.h
+++ b/tests/check.h
@@ -4,6 +4,7 @@
 
 #include "winchlink.h"
 
+#include <algorithm>
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 #include <iostream>
@@ -57,6 +58,12 @@
     }
 };
 
+// Whether a fault of that code was reported at that key path.
+inline bool HasFault(const std::vector<Fault>& faults, Code_ code, const std::string& where)
+{
+    return std::any_of(faults.begin(), faults.end(), [&](const Fault& f) { return f.Code == code && f.Where == where; });
+}
+
 // A small valid row.
 inline ServiceRow MakeRow(const std::string& name, uint64_t revision, int targets = 2)
 {
--- a/tests/docs_test.cpp
+++ b/tests/docs_test.cpp
@@ -18,11 +18,6 @@
     return content.value();
 }
 
-static bool HasFault(const std::vector<Fault>& faults, Code_ code, const std::string& where)
-{
-    return std::any_of(faults.begin(), faults.end(), [&](const Fault& f) { return f.Code == code && f.Where == where; });
-}
-
 static const char* GoodSettings = R"({"trafficAddress": "127.0.0.1:1", "controlAddress": "127.0.0.1:2", "operatorAddress": "127.0.0.1:3",
   "platformAddress": "127.0.0.1:4", "dataCentre": "dc1", "number": 0,
   "key": "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f")";
--- a/tests/table_test.cpp
+++ b/tests/table_test.cpp
@@ -11,11 +11,6 @@
   {"name": "loans", "pathPrefix": "/loans", "class": "critical", "maxConcurrent": 18, "repeatMethods": ["GET"],
    "targets": [{"address": "127.0.0.1:1", "weight": 2, "slots": 3, "dataCentre": "a"}]}]})";
 
-static bool HasFault(const std::vector<Fault>& faults, Code_ code, const std::string& where)
-{
-    return std::any_of(faults.begin(), faults.end(), [&](const Fault& f) { return f.Code == code && f.Where == where; });
-}
-
 static std::string TableWithRow(const std::string& row)
 {
     return R"({"revision": 1, "rows": [)" + row + "]}";
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -15,13 +15,19 @@
     return keys;
 }
 
-static Message MakeReply()
+static Message MakeMessage(MessageType_ type)
 {
     Message message;
-    message.Type = MessageType_TableReply;
+    message.Type = type;
     message.Head.Address = {0x7f000001, 7001};
     message.Head.Incarnation = 5;
     message.Head.Sequence = 9;
+    return message;
+}
+
+static Message MakeReply()
+{
+    Message message = MakeMessage(MessageType_TableReply);
     const Table table = MakeTable(3, {MakeRow("a", 1), MakeRow("b", 3)});
     message.Reply.Delta = MakeDelta(table, TableVersion());
     message.Reply.Runs.push_back({1, 2, true, 3, 4});
@@ -30,11 +36,7 @@
 
 static Message MakeBeat()
 {
-    Message message;
-    message.Type = MessageType_Heartbeat;
-    message.Head.Address = {0x7f000001, 7001};
-    message.Head.Incarnation = 5;
-    message.Head.Sequence = 9;
+    Message message = MakeMessage(MessageType_Heartbeat);
     message.Beat.State = InstanceState_Serving;
     message.Beat.Samples.push_back({{0x7f000001, 7002}, 3, 100, 1});
     message.Beat.Claims.push_back({7, 1, 20});
