The load tool sends a call once; a planned stop waits for uploads and ends idle connections

The second delivery was the load tool's own. libcurl repeats a call on a kept connection that closes without an answer; the repetition found the killed instance's port closed, and the tool took "connection refused" for "nothing was sent" and went on to the next entry.

Ruled out: the instances.

Change: the tool counts how often a call is about to leave, as the upstream does; "not connected" means never. With the tool's repetition gone, a stop that ends kept connections at a stroke shows: a request that arrives in that moment is lost. The drain now reads no further request from idle connections and waits until all are closed, and a request counts as in progress from its first line on, so that an upload is waited for.

The scripts show a failure's text whole.

--- a/bench/bench.h
+++ b/bench/bench.h
@@ -37,6 +37,7 @@
 struct HttpAnswer
 {
     int Status = 0;              // 0: no complete answer.
+    bool Sent = false;           // A connection stood and the request was about to leave on it: it may have been run.
     std::string Body;            // Whole.
     std::vector<Header> Headers; // All.
 };
@@ -62,6 +63,7 @@
     HttpClient& operator=(const HttpClient&) = delete;
 };
 
+// Sends the call once at most. libcurl by itself repeats a call, POST included, when a kept connection closes without an answer.
 HttpAnswer HttpSend(HttpClient* client, const HttpCall& call);
 
 // One call on a connection of its own.
--- a/bench/common.cpp
+++ b/bench/common.cpp
@@ -45,6 +45,15 @@
     return line.size();
 }
 
+// Right before the request leaves; the second time would be libcurl's repetition on a new connection.
+static int OnBeforeSending(void* user, char*, char*, int, int)
+{
+    auto* answer = static_cast<HttpAnswer*>(user);
+    const bool repetition = answer->Sent;
+    answer->Sent = true;
+    return repetition ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 static curl_slist* MakeList(const std::vector<Header>& headers)
 {
     curl_slist* list = curl_slist_append(nullptr, "Expect:");
@@ -71,6 +80,8 @@
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &answer);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, OnAnswerHeader);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &answer);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, OnBeforeSending);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &answer);
     if (call.Method != "GET")
     {
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(call.Body.size()));
--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -82,9 +82,7 @@
     {
         call->Address = plan.Entries[(worker + n) % plan.Entries.size()];
         answer = HttpSend(client, *call);
-        long os_error = 0;
-        curl_easy_getinfo(client->Easy, CURLINFO_OS_ERRNO, &os_error);
-        record->NotConnected = answer.Status == 0 && os_error == ECONNREFUSED;
+        record->NotConnected = !answer.Sent;
         if (!record->NotConnected)
         {
             break;
--- a/daemon/instance.cpp
+++ b/daemon/instance.cpp
@@ -49,9 +49,15 @@
     // Still serving: the platform's balancer needs a moment to see that we are not ready.
     WaitUntil(NowUs() + settings.DrainDelayMs * UsPerMs, force, []() { return false; });
     instance->Routes.Refusing = true;
-    ServerQuiesce(&instance->Calls.Listener);
-    WaitUntil(NowUs() + settings.DrainMaxMs * UsPerMs, force, [instance]() { return ServerBusy(&instance->Calls.Listener) == 0; });
-    return ServerBusy(&instance->Calls.Listener);
+    Server* listener = &instance->Calls.Listener;
+    ServerQuiesce(listener);
+    const auto all_closed = [listener]()
+    {
+        ServerCloseIdle(listener);
+        return ServerOpen(listener) == 0;
+    };
+    WaitUntil(NowUs() + settings.DrainMaxMs * UsPerMs, force, all_closed);
+    return ServerBusy(listener);
 }
 
 void InstanceStop(Instance* instance)
--- a/daemon/server.cpp
+++ b/daemon/server.cpp
@@ -14,6 +14,7 @@
 #include <arpa/inet.h>
 #include <cassert>
 #include <microhttpd.h>
+#include <sys/socket.h>
 
 namespace Winchlink
 {
@@ -44,15 +45,25 @@
     return headers;
 }
 
-// Notes that an answer is being made on the connection, and fills in what is known of it.
-static void MarkBusy(Server* server, const sockaddr* address, ServerRequest* request)
+// Notes that the first line of a request has come.
+static void MarkBegun(Server* server, const sockaddr* address)
+{
+    const std::lock_guard<std::mutex> lock(server->Mutex);
+    auto found = server->Open.find(FormatSocketAddress(address));
+    if (found != server->Open.end())
+    {
+        found->second.Busy = true;
+    }
+}
+
+// Fills in what is known of the connection.
+static void MarkRead(Server* server, const sockaddr* address, ServerRequest* request)
 {
     request->CallerAddress = FormatSocketAddress(address);
     const std::lock_guard<std::mutex> lock(server->Mutex);
     auto found = server->Open.find(request->CallerAddress);
     if (found != server->Open.end())
     {
-        found->second.Busy = true;
         found->second.Requests++;
         request->CallerFd = found->second.Socket;
         request->FirstOnConnection = found->second.Requests == 1;
@@ -79,7 +90,7 @@
     {
         request.Body.assign(static_cast<const char*>(from->binary_body), from->binary_body_length);
     }
-    MarkBusy(server, from->client_address, &request);
+    MarkRead(server, from->client_address, &request);
     const std::string* length = FindHeader(request.Headers, "Content-Length");
     const size_t announced = length != nullptr ? std::strtoull(length->c_str(), nullptr, 10) : 0;
     // ulfius cuts a body at its limit without a word; one byte of room shows it.
@@ -156,6 +167,12 @@
     return address != nullptr ? address->client_addr : nullptr;
 }
 
+static void* OnFirstLine(void* user, const char* uri, MHD_Connection* connection)
+{
+    MarkBegun(static_cast<Server*>(user), CallerOf(connection));
+    return ulfius_uri_logger(nullptr, uri); // ulfius' own part.
+}
+
 static void OnCompleted(void* user, MHD_Connection* connection, void** request, MHD_RequestTerminationCode code)
 {
     mhd_request_completed(nullptr, connection, request, code); // ulfius' own part.
@@ -189,7 +206,7 @@
     // ulfius requires the first two options.
     MHD_OptionItem options[] = {
         {MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(OnCompleted), server},
-        {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(ulfius_uri_logger), nullptr},
+        {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(OnFirstLine), server},
         {MHD_OPTION_SOCK_ADDR, 0, address},
         {MHD_OPTION_NOTIFY_CONNECTION, reinterpret_cast<intptr_t>(OnConnection), server},
         {MHD_OPTION_CONNECTION_LIMIT, server->Config.ConnectionsMax, nullptr},
@@ -249,6 +266,24 @@
     return static_cast<int>(std::count_if(server->Open.begin(), server->Open.end(), busy));
 }
 
+int ServerOpen(Server* server)
+{
+    const std::lock_guard<std::mutex> lock(server->Mutex);
+    return static_cast<int>(server->Open.size());
+}
+
+void ServerCloseIdle(Server* server)
+{
+    const std::lock_guard<std::mutex> lock(server->Mutex);
+    for (const auto& entry : server->Open)
+    {
+        if (!entry.second.Busy)
+        {
+            shutdown(entry.second.Socket, SHUT_RD); // What has come already is still read and answered.
+        }
+    }
+}
+
 void ServerStop(Server* server)
 {
     if (server->Instance)
--- a/daemon/server.h
+++ b/daemon/server.h
@@ -48,7 +48,7 @@
 struct ServerConnection
 {
     int Socket = -1;       // The connection's socket.
-    bool Busy = false;     // A request was read whose answer is not yet written whole.
+    bool Busy = false;     // The first line of a request was read, and its answer is not yet written whole.
     uint64_t Requests = 0; // Read so far.
 };
 
@@ -74,7 +74,14 @@
 // Requests whose answers are not yet written whole.
 int ServerBusy(Server* server);
 
-// Ends all connections. Wait for ServerBusy() to come to zero first, or answers are cut.
+// Connections, idle ones included.
+int ServerOpen(Server* server);
+
+// Reads no further request from idle connections, so that they end. For a planned stop, after ServerQuiesce(); call it until ServerOpen()
+// is zero. (Ending them all at once was not enough: a request that came in that moment was lost with its connection.)
+void ServerCloseIdle(Server* server);
+
+// Ends all connections. Wait for ServerOpen() to come to zero first, or answers are cut.
 void ServerStop(Server* server);
 
 } // namespace Winchlink
--- a/tests/instance_test.cpp
+++ b/tests/instance_test.cpp
@@ -168,6 +168,8 @@
     CPPUNIT_TEST(LeavingTargetGetsNothingMore);
     CPPUNIT_TEST(EditsComeInForceAndBadOnesDoNot);
     CPPUNIT_TEST(PlannedStopCutsNothing);
+    CPPUNIT_TEST(PlannedStopWaitsForAnUpload);
+    CPPUNIT_TEST(PlannedStopEndsIdleConnections);
     CPPUNIT_TEST(PausedInstanceSendsNothing);
     CPPUNIT_TEST(HangUpReachesTheTarget);
     CPPUNIT_TEST(NoTableNoService);
@@ -347,6 +349,40 @@
         CPPUNIT_ASSERT_EQUAL(503, fleet.Page("/ready").Status);
     }
 
+    // A request counts as in progress from its first line on, not only once its body is here.
+    void PlannedStopWaitsForAnUpload()
+    {
+        SmallFleet fleet;
+        const int fd = RawConnect(fleet.Config.TrafficAddress);
+        const std::string first = "POST /y HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab";
+        CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(first.size()), send(fd, first.data(), first.size(), MSG_NOSIGNAL));
+        CPPUNIT_ASSERT(WaitFor(5 * UsPerSecond, [&]() { return ServerBusy(&fleet.Under.Calls.Listener) == 1; }));
+        const std::atomic<bool> force{false};
+        std::atomic<int> cut{-1};
+        std::thread drain([&]() { cut = InstanceDrain(&fleet.Under, force); });
+        CPPUNIT_ASSERT(WaitFor(5 * UsPerSecond, [&]() { return fleet.Under.Routes.Refusing.load(); }));
+        CPPUNIT_ASSERT_EQUAL(ssize_t(2), send(fd, "cd", 2, MSG_NOSIGNAL));
+        std::string got(65536, '\0');
+        got.resize(static_cast<size_t>(std::max<ssize_t>(recv(fd, got.data(), got.size(), 0), 0)));
+        drain.join();
+        close(fd);
+        CPPUNIT_ASSERT_EQUAL(0, cut.load());
+        CPPUNIT_ASSERT_MESSAGE(got, got.find("HTTP/1.1 503") == 0 && got.find("not-run") != std::string::npos);
+    }
+
+    void PlannedStopEndsIdleConnections()
+    {
+        SmallFleet fleet;
+        const int fd = RawConnect(fleet.Config.TrafficAddress);
+        CPPUNIT_ASSERT(WaitFor(5 * UsPerSecond, [&]() { return ServerOpen(&fleet.Under.Calls.Listener) == 1; }));
+        const std::atomic<bool> force{false};
+        CPPUNIT_ASSERT_EQUAL(0, InstanceDrain(&fleet.Under, force));
+        CPPUNIT_ASSERT_EQUAL(0, ServerOpen(&fleet.Under.Calls.Listener));
+        char byte = 0;
+        CPPUNIT_ASSERT_EQUAL(ssize_t(0), recv(fd, &byte, 1, 0)); // An orderly end, no reset.
+        close(fd);
+    }
+
     // The control thread has not ticked for long, as after a pause of the process: no request leaves.
     void PausedInstanceSendsNothing()
     {
--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -80,6 +80,18 @@
     }
 }
 
+// Every line of a failure's text starts with two blanks, so that the scripts show it whole.
+std::string Indented(const std::string& text)
+{
+    std::string out = "  ";
+    for (const char c : text)
+    {
+        out += c;
+        out += c == '\n' ? "  " : "";
+    }
+    return out;
+}
+
 // Runs one test; true if it passed.
 bool RunTest(CPPUNIT_NS::Test* test)
 {
@@ -90,8 +102,8 @@
     for (const CPPUNIT_NS::TestFailure* failure : collector.failures())
     {
         const CPPUNIT_NS::SourceLine line = failure->sourceLine();
-        std::printf("FAIL %s\n  %s:%d\n  %s\n", test->getName().c_str(), line.fileName().c_str(), line.lineNumber(),
-                    failure->thrownException()->what());
+        std::printf("FAIL %s\n  %s:%d\n%s\n", test->getName().c_str(), line.fileName().c_str(), line.lineNumber(),
+                    Indented(failure->thrownException()->what()).c_str());
     }
     return collector.wasSuccessful();
 }
--- a/tests/raw_target.cpp
+++ b/tests/raw_target.cpp
@@ -119,9 +119,11 @@
         Write(fd, Good("Set-Cookie: a=1\r\nSet-Cookie: b=2\r\nSet-Cookie: c=3\r\n", "cookies"));
         return true;
     case RawAnswer_GoodThenNothing:
+    case RawAnswer_GoodThenEnd:
         if (nth > 1)
         {
-            return false;
+            const bool dies = target->Answer == RawAnswer_GoodThenEnd;
+            return dies && shutdown(target->Listener, SHUT_RDWR) != 0;
         }
         Write(fd, Good("", "good"));
         return true;
--- a/tests/raw_target.h
+++ b/tests/raw_target.h
@@ -25,6 +25,7 @@
     RawAnswer_Empty404,        // A complete answer of status 404 without a body.
     RawAnswer_Cookies,         // Two headers of the same name.
     RawAnswer_GoodThenNothing, // The first request on a connection is answered, the second is read and the connection closed.
+    RawAnswer_GoodThenEnd,     // The same, and nobody listens any more before it closes: a process that dies.
 };
 
 struct RawTarget
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -1,6 +1,7 @@
 // upstream_test.cpp: one request to one target: what is told of it when the target behaves badly.
 
 #include "clock.h"
+#include "fleet.h"
 #include "raw_target.h"
 #include "upstream.h"
 
@@ -42,6 +43,7 @@
     CPPUNIT_TEST(SecondAnswerGoesNowhere);
     CPPUNIT_TEST(ReadsReports);
     CPPUNIT_TEST(IdleConnectionsAreClosed);
+    CPPUNIT_TEST(LoadClientSendsOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -210,6 +212,29 @@
         UpstreamPrune(&pool, NowUs() + 60 * UsPerSecond);
         CPPUNIT_ASSERT_EQUAL(size_t(0), pool.Idle.size());
     }
+
+    // The load tool counts deliveries, so it must not make any by itself. An instance that dies with the call in progress closes the kept
+    // connection and its listener: that is a call that may have been run, not one that found nobody.
+    void LoadClientSendsOnce()
+    {
+        HttpClient client;
+        HttpCall call;
+        call.Method = "POST";
+        call.Body = Body;
+        for (const bool dies : {false, true})
+        {
+            RawTarget target;
+            target.Answer = dies ? RawAnswer_GoodThenEnd : RawAnswer_GoodThenNothing;
+            call.Address = target.Address;
+            CPPUNIT_ASSERT_EQUAL(200, HttpSend(&client, call).Status);
+            const HttpAnswer second = HttpSend(&client, call);
+            CPPUNIT_ASSERT_EQUAL(0, second.Status);
+            CPPUNIT_ASSERT(second.Sent);
+            CPPUNIT_ASSERT_EQUAL(2, target.Requests.load());
+        }
+        call.Address = "127.0.0.1:" + std::to_string(FreePort("127.0.0.1"));
+        CPPUNIT_ASSERT(!HttpSend(&client, call).Sent);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamTest);
