--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -211,7 +211,7 @@
     json_object_set_new(object, "dataCentre", JsonText(NameOf(instance.DataCentre)));
     json_object_set_new(object, "key", json_string(BenchKey));
     json_object_set_new(object, "number", json_integer(instance.Number));
-    json_object_set_new(object, "numbers", json_integer(std::max(32, fleet.Plan.Instances)));
+    json_object_set_new(object, "numbers", json_integer(fleet.Plan.Instances));
     json_object_set_new(object, "viewMax", json_integer(fleet.Plan.ViewMax));
     json_object_set_new(object, "drainDelayMs", json_integer(500));
     json_object_set_new(object, "clockGuardMs", json_integer(5));
--- a/daemon/control.cpp
+++ b/daemon/control.cpp
@@ -66,6 +66,8 @@
     view->PlatformContactUs = control->Platform.LastContactUs;
     view->Peers = ViewPeers(fleet.Members, now);
     view->Measuring = {control->Measuring.Probes, control->Measuring.SpentUs};
+    view->Permits = control->Permits.Counts;
+    view->StreamsDropped = control->Wire.StreamsDropped;
     view->Messages = fleet.Counts;
     view->ReplaysRefused = fleet.Members.ReplaysRefused;
     view->Pauses = fleet.Pauses;
@@ -140,6 +142,10 @@
     {
         snapshot->States.push_back(MakeSnapshotRow(control, row));
     }
+    if (table_changed)
+    {
+        control->Routes->PermitsFromUs = PermitDeskFollow(&control->Permits, *snapshot);
+    }
     control->NextViewUs = now; // Pages never show an older table than callers are served by.
     UpdateView(control, now);
     RoutingPublish(control->Routes, snapshot);
@@ -302,6 +308,13 @@
     SendAll(control, out, now);
 }
 
+static void TickPermits(Control* control, TimeUs now)
+{
+    std::vector<Envelope> out;
+    PermitDeskTick(&control->Permits, control->Routes, &control->Fleet, now, &out);
+    SendAll(control, out, now);
+}
+
 static void TakeReports(Control* control, TimeUs now)
 {
     TargetRun run;
@@ -363,6 +376,7 @@
         Tick(control);
         const TimeUs now = NowUs();
         TakeMessages(control, now);
+        TickPermits(control, now);
         TakeFetches(control, now);
         PublishIfChanged(control, now);
         UpdateView(control, now);
@@ -406,6 +420,11 @@
     budget.Numbers = static_cast<uint32_t>(settings.Numbers);
     budget.ClockGuardUs = settings.ClockGuardMs * UsPerMs;
     BudgetInit(&control->Measuring, budget, WallUs());
+    control->Permits.Config = {budget.Number, budget.Numbers, now, 0};
+    control->Routes->WakeControl = [control]()
+    {
+        FetcherWake(&control->Fetches);
+    };
     control->Routes->ControlTickUs = now;
     control->Thread = std::thread([control]() { ControlLoop(control); });
     return BOOST_OUTCOME_V2_NAMESPACE::success();
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -7,6 +7,7 @@
 
 #include "fetch.h"
 #include "kernel.h"
+#include "permits.h"
 #include "platform.h"
 #include "routing.h"
 #include "settings.h"
@@ -51,6 +52,8 @@
     TimeUs PlatformContactUs = 0; // Last good answer; 0 if never.
     std::vector<PeerView> Peers;
     BudgetView Measuring;
+    PermitCounts Permits;
+    uint64_t StreamsDropped = 0; // Messages over TCP that were given up.
     CoordinatorCounts Messages;
     uint64_t ReplaysRefused = 0;
     uint64_t Pauses = 0;
@@ -78,6 +81,7 @@
     Fetcher Fetches;
     PlatformReader Platform;
     Budget Measuring;
+    PermitDesk Permits;
     std::map<uint64_t, Probe> Probes;                           // In progress, by fetch id.
     std::map<TargetKey, TimeUs> LastNewsUs;                     // When a target was last probed by us, to probe the most silent first.
     std::map<std::string, std::shared_ptr<RowState>> RowStates; // By row name; outlive snapshots.
--- a/daemon/fetch.cpp
+++ b/daemon/fetch.cpp
@@ -92,6 +92,11 @@
     curl_multi_poll(fetcher->Multi, others.data(), static_cast<unsigned>(others.size()), timeout_ms, nullptr);
 }
 
+void FetcherWake(Fetcher* fetcher)
+{
+    curl_multi_wakeup(fetcher->Multi);
+}
+
 static FetchResult Finish(Fetcher* fetcher, size_t index, CURLcode code)
 {
     Fetch* fetch = fetcher->Running[index].get();
--- a/daemon/fetch.h
+++ b/daemon/fetch.h
@@ -41,6 +41,9 @@
 // Waits until a socket is ready or the time is over.
 void FetcherPoll(Fetcher* fetcher, std::vector<curl_waitfd> others, int timeout_ms);
 
+// Ends a wait in FetcherPoll() from another thread.
+void FetcherWake(Fetcher* fetcher);
+
 // Moves all on and returns those that ended.
 std::vector<FetchResult> FetchTake(Fetcher* fetcher);
 
--- a/daemon/pages.cpp
+++ b/daemon/pages.cpp
@@ -82,8 +82,37 @@
     return object;
 }
 
+static json_t* JsonOfPermits(RowPermits* limit, TimeUs now)
+{
+    const std::lock_guard<std::mutex> lock(limit->Mutex);
+    const Permits& book = limit->Book;
+    int lent = 0;
+    int borrowed = 0;
+    int borrowed_in_use = 0;
+    for (const LentPermits& lease : book.Lent)
+    {
+        lent += now < lease.UntilUs ? lease.Count : 0;
+    }
+    for (const BorrowedPermits& lease : book.Borrowed)
+    {
+        borrowed += lease.Count;
+        borrowed_in_use += lease.InUse;
+    }
+    json_t* object = json_object();
+    json_object_set_new(object, "limit", json_integer(book.Limit));
+    json_object_set_new(object, "own", json_integer(book.Own));
+    json_object_set_new(object, "ownInUse", json_integer(book.InUse));
+    json_object_set_new(object, "lent", json_integer(lent));
+    json_object_set_new(object, "borrowed", json_integer(borrowed));
+    json_object_set_new(object, "borrowedInUse", json_integer(borrowed_in_use));
+    json_object_set_new(object, "leasesTaken", JsonNumber(book.LeasesTaken));
+    json_object_set_new(object, "leasesGiven", JsonNumber(book.LeasesGiven));
+    return object;
+}
+
 static json_t* JsonOfRow(const ServiceRow& row, RowState* state, TimeUs now)
 {
+    json_t* permits = JsonOfPermits(&state->Limit, now);
     const std::lock_guard<std::mutex> lock(state->Mutex);
     json_t* targets = json_array();
     for (const RouterTarget& target : state->Balance.Targets)
@@ -97,6 +126,7 @@
     json_object_set_new(object, "revision", JsonNumber(row.Revision));
     json_object_set_new(object, "inFlight", json_integer(state->Balance.InFlight));
     json_object_set_new(object, "maxConcurrent", json_integer(state->Balance.MaxConcurrent));
+    json_object_set_new(object, "permits", permits);
     json_object_set_new(object, "retryTokens", json_real(state->Retries.Tokens));
     json_object_set_new(object, "retries", JsonNumber(state->Metrics.Retries));
     json_object_set_new(object, "ended", JsonOfEnded(state->Metrics));
@@ -157,6 +187,9 @@
     json_object_set_new(object, "refused", JsonNumber(view.Messages.Refused));
     json_object_set_new(object, "deltas", JsonNumber(view.Messages.DeltasApplied));
     json_object_set_new(object, "wholes", JsonNumber(view.Messages.WholesApplied));
+    json_object_set_new(object, "streamsDropped", JsonNumber(view.StreamsDropped));
+    json_object_set_new(object, "permitAsks", JsonNumber(view.Permits.Asks));
+    json_object_set_new(object, "permitAsksHeldBack", JsonNumber(view.Permits.HeldBack));
     return object;
 }
 
@@ -232,6 +265,10 @@
     text += Metric("winchlink_messages_received_bytes_total", "counter", "Bytes from peers.", view.Messages.ReceivedBytes);
     text += Metric("winchlink_messages_refused_total", "counter", "Messages without a valid mark, malformed or replayed.",
                    view.Messages.Refused);
+    text += Metric("winchlink_streams_dropped_total", "counter", "Messages over TCP that were given up.", view.StreamsDropped);
+    text += Metric("winchlink_permit_asks_total", "counter", "Times that a peer was asked for permits.", view.Permits.Asks);
+    text += Metric("winchlink_permit_asks_held_back_total", "counter", "Times that asking had to wait for its own rate limit.",
+                   view.Permits.HeldBack);
     text += Metric("winchlink_pauses_total", "counter", "Pauses of this process noticed.", view.Pauses);
     text += Metric("winchlink_control_cpu_microseconds_total", "counter", "Processor time of the control thread.",
                    static_cast<uint64_t>(view.CpuUs));
@@ -297,7 +334,8 @@
 
 static ServerResponse ReadyPage(const Pages& pages)
 {
-    const bool ready = RoutingLatest(*pages.Routes)->Serving && !pages.Routes->Leaving && RoutingIsAwake(*pages.Routes);
+    const bool serving = RoutingLatest(*pages.Routes)->Serving && !pages.Routes->Leaving && RoutingIsAwake(*pages.Routes);
+    const bool ready = serving && NowUs() >= pages.Routes->PermitsFromUs;
     ServerResponse response;
     response.Status = ready ? 200 : 503;
     response.Headers = {{"Content-Type", "text/plain"}};
--- a/daemon/routing.h
+++ b/daemon/routing.h
@@ -1,7 +1,8 @@
 // routing.h: what traffic threads see: an immutable snapshot of the table, and the running state of each row.
 //
 // The control thread publishes snapshots and never takes a row's mutex; traffic threads bring a row's router in line with the newest
-// snapshot when they first touch it. So no traffic thread ever waits for the control thread.
+// snapshot when they first touch it. The one lock that both sides take is that of a row's permits (permits.h), for a few assignments: no
+// traffic thread waits for what the control thread does.
 //
 // Index of this file:
 // [SECTION] Rows
@@ -14,6 +15,8 @@
 
 #include <atomic>
 #include <boost/lockfree/queue.hpp>
+#include <condition_variable>
+#include <functional>
 #include <mutex>
 
 namespace Winchlink
@@ -30,6 +33,15 @@
     TimeUs ReportedUs = 0; // When its load was reported; 0 if never.
 };
 
+// A row's permits; traffic threads take and give, the control thread borrows and lends.
+struct RowPermits
+{
+    std::mutex Mutex;              // Guards all below; held for a few assignments only.
+    std::condition_variable Freed; // A permit came back, or was lent to us.
+    Permits Book;
+    bool Reported = false; // The control thread has been told that permits are wanted.
+};
+
 // The running state of a row; it outlives snapshots. Only traffic threads and the operators' pages lock it.
 struct RowState
 {
@@ -39,6 +51,7 @@
     RowMetrics Metrics;    // What callers got.
     Random Rng;            // For the two choices.
     uint64_t Followed = 0; // Serial of the snapshot the router was last brought in line with.
+    RowPermits Limit;      // Has its own mutex.
 };
 
 //-----------------------------------------------------------------------------
@@ -64,6 +77,7 @@
 using SnapshotPtr = std::shared_ptr<const Snapshot>;
 
 inline constexpr size_t ReportQueueSize = 4096;
+inline constexpr size_t WantedQueueSize = 4096; // More than a table can have rows.
 
 // The service "routing".
 struct Routing
@@ -71,6 +85,9 @@
     SnapshotPtr Latest = std::make_shared<Snapshot>();          // Use RoutingLatest().
     boost::lockfree::queue<TargetRun> Reports{ReportQueueSize}; // From traffic threads to the control thread.
     std::atomic<uint64_t> ReportsDropped{0};                    // Queue full.
+    boost::lockfree::queue<uint64_t> Wanted{WantedQueueSize};   // Rows that want permits, by the hash of their name.
+    std::function<void()> WakeControl;                          // Ends the control thread's wait. Set before traffic starts.
+    std::atomic<TimeUs> PermitsFromUs{0};                       // Own shares of all rows may be used from then on.
     std::atomic<TimeUs> ControlTickUs{0};                       // Last tick of the control thread.
     std::atomic<bool> CaughtUp{true};                           // False after a pause until peers were heard.
     std::atomic<bool> Leaving{false};                           // Planned stop has begun: not ready.
--- a/daemon/traffic.cpp
+++ b/daemon/traffic.cpp
@@ -14,6 +14,7 @@
 
 #include "clock.h"
 #include "names.h"
+#include "permits.h"
 #include "winchlink_json.h"
 
 #include <algorithm>
@@ -41,6 +42,7 @@
     RequestLife Life;                    // Attempts so far.
     std::vector<TargetKey> Tried;        // Targets of those attempts.
     TimeUs RetryAfterUs = 0;             // For a refusal.
+    Permit Held;                         // Of the row's limit on concurrent work, from admission to the end.
 };
 
 // The end of a request, before it is put into HTTP.
@@ -238,6 +240,13 @@
     return {};
 }
 
+// One more request of the row may be in progress, over the fleet.
+static CallEnd TakePermit(Call* call, const Traffic& traffic)
+{
+    call->Held = PermitAcquire(traffic.Routes, call->State, call->DeadlineUs);
+    return call->Held.Kind != PermitKind_None ? CallEnd() : CallEnd{Code_RowLimit, call->Row->Name, {}};
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Step 3: Choose and reserve
 //-----------------------------------------------------------------------------
@@ -488,9 +497,17 @@
         end = Admit(call, *traffic);
     }
     if (end.Code == Code_None)
+    {
+        end = TakePermit(call, *traffic);
+    }
+    if (end.Code == Code_None)
     {
         end = Attempt(traffic, call);
     }
+    if (call->Held.Kind != PermitKind_None)
+    {
+        PermitRelease(call->State, call->Held);
+    }
     return end;
 }
 
--- a/tests/instance_test.cpp
+++ b/tests/instance_test.cpp
@@ -90,6 +90,7 @@
         Config.BodyMaxBytes = 1000;
         Config.AnswerMaxBytes = MiB;
         Config.DrainDelayMs = 0;
+        Config.Numbers = 1;
         Platform.Publish(TableOf(1));
         CPPUNIT_ASSERT(InstanceStart(&Under, Config).has_value());
         CPPUNIT_ASSERT(WaitFor(20 * UsPerSecond, [&]() { return Page("/ready").Status == 200; }));
--- a/winchlink.h
+++ b/winchlink.h
@@ -18,6 +18,7 @@
 // [SECTION] Target runs (who is leaving, who started anew)
 // [SECTION] Coordinator (the three parts above, joined to one message pump)
 // [SECTION] Measuring budget
+// [SECTION] Permits (a row's limit on concurrent work, lent for a term)
 // [SECTION] Router
 // [SECTION] Request life and retry budget
 
@@ -359,6 +360,9 @@
     MessageType_Heartbeat,
     MessageType_TableRequest,
     MessageType_TableReply,
+    MessageType_PermitRequest,
+    MessageType_PermitReply,
+    MessageType_PermitReturn,
     MessageType_COUNT,
 };
 
@@ -394,6 +398,30 @@
     std::vector<TargetRun> Runs; // All leaving targets, if asked for.
 };
 
+// Asks a peer for permits of a row.
+struct PermitRequest
+{
+    uint64_t Row = 0;   // Hash of the row's name.
+    uint64_t AskId = 0; // The borrower's number of this request; names the lease from then on.
+    uint16_t Want = 0;  // How many.
+};
+
+struct PermitReply
+{
+    uint64_t Row = 0;    // As asked.
+    uint64_t AskId = 0;  // As asked.
+    uint16_t Count = 0;  // Lent; 0 if none can be spared.
+    uint16_t Idle = 0;   // What the lender could still spare.
+    uint32_t TermMs = 0; // How long, counted by the borrower from when it asked.
+};
+
+// Gives a lease back before its end.
+struct PermitReturn
+{
+    uint64_t Row = 0;   // As asked.
+    uint64_t AskId = 0; // Which lease.
+};
+
 struct MessageHead
 {
     InstanceId Sender = 0;    // Who sent it.
@@ -409,6 +437,9 @@
     Heartbeat Beat;
     TableRequest Request;
     TableReply Reply;
+    PermitRequest Ask;
+    PermitReply Lease;
+    PermitReturn Return;
 };
 
 struct MessageKeys
@@ -605,6 +636,16 @@
     uint64_t WholesApplied = 0;
 };
 
+// A message about permits, for whoever keeps them.
+struct PermitMail
+{
+    MessageHead Head;
+    MessageType_ Type = MessageType_None; // Which one of the following is set.
+    PermitRequest Ask;
+    PermitReply Lease;
+    PermitReturn Return;
+};
+
 struct Coordinator
 {
     MessageKeys Keys;
@@ -614,15 +655,16 @@
     CoordinatorCounts Counts;
     Random Rng; // Injected by CoordinatorInit().
     InstanceState_ State = InstanceState_Joining;
-    uint64_t Sequence = 0;      // Of the last message sent.
-    TimeUs NextBeatUs = 0;      // Next periodic heartbeat.
-    TimeUs NextHotUs = 0;       // Next extra heartbeat while there is news.
-    int HotBeats = 0;           // Extra heartbeats left.
-    TimeUs RequestedUs = 0;     // Last table request, to ask one peer at a time.
-    TimeUs RunsRequestedUs = 0; // Last request for leaving targets.
-    TimeUs LastTickUs = 0;      // For noticing pauses.
-    TimeUs WokeUs = 0;          // When the last pause ended; 0 once caught up.
-    uint64_t Pauses = 0;        // Pauses noticed.
+    uint64_t Sequence = 0;               // Of the last message sent.
+    TimeUs NextBeatUs = 0;               // Next periodic heartbeat.
+    TimeUs NextHotUs = 0;                // Next extra heartbeat while there is news.
+    int HotBeats = 0;                    // Extra heartbeats left.
+    TimeUs RequestedUs = 0;              // Last table request, to ask one peer at a time.
+    TimeUs RunsRequestedUs = 0;          // Last request for leaving targets.
+    TimeUs LastTickUs = 0;               // For noticing pauses.
+    TimeUs WokeUs = 0;                   // When the last pause ended; 0 once caught up.
+    uint64_t Pauses = 0;                 // Pauses noticed.
+    std::vector<PermitMail> PermitInbox; // Take it out after each CoordinatorReceive().
 };
 
 inline constexpr TimeUs PauseUs = 1 * UsPerSecond;           // A gap between ticks that counts as a pause.
@@ -649,6 +691,12 @@
 // False from a pause until a peer was heard again, or until it is clear that none will be. Send no request while it is false.
 bool CoordinatorCaughtUp(const Coordinator& c, TimeUs now);
 
+// Sends a message about permits.
+void CoordinatorMail(Coordinator* c, const Endpoint& to, const PermitMail& mail, std::vector<Envelope>* out);
+
+// Peers that serve, as far as we know; random order.
+std::vector<Endpoint> CoordinatorServingPeers(Coordinator* c);
+
 // Says goodbye to all known peers.
 void CoordinatorLeave(Coordinator* c, TimeUs now, std::vector<Envelope>* out);
 
@@ -692,6 +740,146 @@
 // Drops what belongs to rows that are gone and whose last turn is over.
 void BudgetFollowTable(Budget* b, const Table& table, TimeUs wall_now);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Permits (a row's limit on concurrent work, lent for a term)
+//-----------------------------------------------------------------------------
+
+// Each request in progress holds a permit of its row. Each number of the fleet owns a fixed share of a row's permits, so no two instances
+// can believe that they own the same one, whatever they see of each other. One that runs short borrows idle permits of a peer for a term.
+// A request may hold a borrowed permit only if its deadline lies within the term, so that the lender can count on having it back.
+// The limit holds if it is not below `Numbers` (an instance always owns one permit), processes with one number do not overlap in time,
+// and a request ends at its deadline.
+struct PermitConfig
+{
+    uint32_t Number = 0;     // Own number; unique in the fleet.
+    uint32_t Numbers = 1;    // Numbers run from 0 to Numbers - 1; the same in the whole fleet.
+    TimeUs StartedUs = 0;    // Start of this process. What an earlier one of the same number lent may be in use for a term from then on.
+    uint64_t FirstAskId = 0; // A random number: an answer to an earlier process, or an earlier book, must not fit a request of this one.
+};
+
+enum PermitKind_ : int
+{
+    PermitKind_None, // No permit.
+    PermitKind_Own,
+    PermitKind_Borrowed,
+    PermitKind_COUNT,
+};
+
+// A permit held by one request.
+struct Permit
+{
+    PermitKind_ Kind = PermitKind_None;
+    uint64_t AskId = 0; // Of the lease, if borrowed.
+};
+
+struct LentPermits
+{
+    InstanceId Borrower = 0;  // Who has them.
+    uint64_t Incarnation = 0; // Which start of it.
+    uint64_t AskId = 0;       // The borrower's number of the lease.
+    int Count = 0;            // How many.
+    TimeUs UntilUs = 0;       // Ours again from then on.
+};
+
+struct BorrowedPermits
+{
+    Endpoint Lender;    // Whose they are.
+    uint64_t AskId = 0; // Our number of the lease.
+    int Count = 0;      // How many.
+    int InUse = 0;      // Held by requests.
+    TimeUs UntilUs = 0; // No request's deadline may lie beyond.
+    TimeUs UsedUs = 0;  // When one was last taken or given back.
+};
+
+struct PermitAsk
+{
+    Endpoint To;        // Whom we asked.
+    uint64_t AskId = 0; // Our number of the request.
+    int Want = 0;       // How many.
+    TimeUs SentUs = 0;  // The term counts from here.
+};
+
+// What a peer last said that it could spare.
+struct PermitHint
+{
+    Endpoint Peer;
+    int Idle = 0;
+    TimeUs ToldUs = 0;
+};
+
+struct Permits
+{
+    PermitConfig Config;
+    uint64_t Row = 0;                      // Hash of the row's name.
+    int Limit = 0;                         // Of the row, over the fleet.
+    int Share = 0;                         // What our number owns of it, and may lend.
+    int Own = 0;                           // The same, or 1 if that is none.
+    int InUse = 0;                         // Own ones held by requests.
+    TimeUs TermUs = 0;                     // Of the leases that we give.
+    TimeUs UsedUs = 0;                     // When one was last wanted here; one stays unlent for a while after.
+    std::vector<LentPermits> Lent;         // Own ones that others have.
+    std::vector<BorrowedPermits> Borrowed; // Others' that we have.
+    std::vector<PermitAsk> Asks;           // Not answered yet.
+    std::vector<PermitHint> Hints;         // Bounded.
+    uint64_t LastAskId = 0;                // Of our requests.
+    int Waiting = 0;                       // Requests that wait for a permit.
+    bool Ahead = false;                    // The last free one was taken: borrow before one is missed.
+    int Tries = 0;                         // Peers asked since a lease last came.
+    TimeUs FullUntilUs = 0;                // Nobody could spare one: don't wait, don't ask.
+    uint64_t LeasesTaken = 0;              // Counters.
+    uint64_t LeasesGiven = 0;
+};
+
+struct PermitAskOut
+{
+    Endpoint To;
+    PermitRequest Ask;
+};
+
+struct PermitReturnOut
+{
+    Endpoint To;
+    PermitReturn Return;
+};
+
+inline constexpr TimeUs PermitTermMostUs = 4 * UsPerSecond; // Longest lease.
+
+// What the limit of a row is: its own, or the default.
+int PermitLimit(const ServiceRow& row);
+
+// Brings the book in line with its row. Permits that are in use or lent stay so, also where the share shrinks.
+void PermitsFollow(Permits* p, const ServiceRow& row, const PermitConfig& config);
+
+// From when on our own share may be used: a fresh process waits for the leases of an earlier one of its number to end.
+TimeUs PermitsOwnFrom(const Permits& p);
+
+// Takes a permit for a request that ends at `deadline` at the latest. PermitKind_None if there is none.
+Permit PermitsTake(Permits* p, TimeUs deadline, TimeUs now);
+
+// Gives it back. Call exactly once for each permit taken.
+void PermitsGive(Permits* p, const Permit& permit, TimeUs now);
+
+// Whom to ask for permits now, if anybody. `peers` are those that serve, in random order. Call it again until it names nobody.
+std::optional<PermitAskOut> PermitsNextAsk(Permits* p, const std::vector<Endpoint>& peers, TimeUs now);
+
+// Asking is not possible now: whoever waits need not, unless an answer is still on its way.
+void PermitsCantAsk(Permits* p, TimeUs now);
+
+// Answers a peer that asks.
+PermitReply PermitsLend(Permits* p, const MessageHead& from, const PermitRequest& ask, TimeUs now);
+
+// Takes a peer's answer in. True if permits came.
+bool PermitsLease(Permits* p, const MessageHead& from, const PermitReply& reply, TimeUs now);
+
+// A peer gives a lease back.
+void PermitsReturned(Permits* p, const MessageHead& from, const PermitReturn& returned);
+
+// Drops what has ended. Leases that lie idle are given back: send what is returned.
+std::vector<PermitReturnOut> PermitsTick(Permits* p, TimeUs now);
+
+// Whether PermitsTick() has anything to do.
+bool PermitsActive(const Permits& p);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Router
 //-----------------------------------------------------------------------------
@@ -724,7 +912,7 @@
 {
     RefuseReason_None,
     RefuseReason_NoTargetLeft,     // All are leaving, out, of weight 0, or were tried already.
-    RefuseReason_RowLimit,         // The row's limit on concurrent work is reached, as far as we can tell.
+    RefuseReason_RowLimit,         // We alone have used up the row's limit on concurrent work. (Permits hold it over the fleet.)
     RefuseReason_DeadlineTooShort, // No target is expected to finish in time.
     RefuseReason_COUNT,
 };
--- a/winchlink_coord.cpp
+++ b/winchlink_coord.cpp
@@ -10,7 +10,7 @@
 // [SECTION] Joining
 // [SECTION] Ticking
 // [SECTION] Receiving
-// [SECTION] Offers
+// [SECTION] Offers and permits
 
 #include "winchlink_internal.h"
 
@@ -360,15 +360,19 @@
     case MessageType_TableRequest:
         ReceiveRequest(c, message.value(), out);
         break;
-    default:
+    case MessageType_TableReply:
         ReceiveReply(c, message.value(), now, out);
         break;
+    default:
+        c->PermitInbox.push_back(
+            {message.value().Head, message.value().Type, message.value().Ask, message.value().Lease, message.value().Return});
+        break;
     }
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
 //-----------------------------------------------------------------------------
-// [SECTION] Offers
+// [SECTION] Offers and permits
 //-----------------------------------------------------------------------------
 
 AdoptResult_ CoordinatorOffer(Coordinator* c, TablePtr table, TimeUs now)
@@ -389,6 +393,30 @@
     MergeRuns(c, {report}, now);
 }
 
+void CoordinatorMail(Coordinator* c, const Endpoint& to, const PermitMail& mail, std::vector<Envelope>* out)
+{
+    Message message;
+    message.Type = mail.Type;
+    message.Ask = mail.Ask;
+    message.Lease = mail.Lease;
+    message.Return = mail.Return;
+    Send(c, to, &message, out);
+}
+
+std::vector<Endpoint> CoordinatorServingPeers(Coordinator* c)
+{
+    std::vector<Endpoint> serving;
+    for (const Peer& peer : c->Members.Peers)
+    {
+        if (peer.State == InstanceState_Serving)
+        {
+            serving.push_back(peer.Address);
+        }
+    }
+    std::shuffle(serving.begin(), serving.end(), c->Rng);
+    return serving;
+}
+
 void CoordinatorLeave(Coordinator* c, TimeUs now, std::vector<Envelope>* out)
 {
     c->State = InstanceState_Leaving;
--- a/winchlink_route.cpp
+++ b/winchlink_route.cpp
@@ -20,11 +20,10 @@
 namespace Winchlink
 {
 
-static constexpr int SamplesCap = 1000;            // RouterTarget::Samples saturates here.
-static constexpr int EjectionsCap = 3;             // The pause doubles at most so often: eight times the first.
-static constexpr int AnyTrialAfterPauses = 4;      // Then a request that may not be repeated may go on trial as well.
-static constexpr double LeastSlowStart = 0.1;      // Share of its weight that a fresh target starts with.
-static constexpr int DefaultConcurrentPerSlot = 2; // Row limit where the table names none.
+static constexpr int SamplesCap = 1000;       // RouterTarget::Samples saturates here.
+static constexpr int EjectionsCap = 3;        // The pause doubles at most so often: eight times the first.
+static constexpr int AnyTrialAfterPauses = 4; // Then a request that may not be repeated may go on trial as well.
+static constexpr double LeastSlowStart = 0.1; // Share of its weight that a fresh target starts with.
 
 //-----------------------------------------------------------------------------
 // [SECTION] Following the table
@@ -42,16 +41,6 @@
     return target != nullptr ? target : FindIn(&r->Retired, key);
 }
 
-static int DefaultLimit(const ServiceRow& row)
-{
-    int slots = 0;
-    for (const TargetRow& target : row.Targets)
-    {
-        slots += target.Slots;
-    }
-    return slots * DefaultConcurrentPerSlot;
-}
-
 static RouterTarget FollowTarget(Router* r, const ServiceRow& row, const TargetRow& wanted, const std::string& data_centre, int sharers)
 {
     const TargetKey key = KeyOfTarget(wanted.Address);
@@ -88,7 +77,7 @@
     r->Retired = std::move(retired);
     r->Name = row.Name;
     r->RowRevision = row.Revision;
-    r->MaxConcurrent = row.MaxConcurrent > 0 ? row.MaxConcurrent : DefaultLimit(row);
+    r->MaxConcurrent = PermitLimit(row);
 }
 
 void RouterMergeRun(Router* r, const TargetRun& run, TimeUs reported_at, TimeUs now)
@@ -204,16 +193,6 @@
     return LatencyOf(r, target, now) * (1 + rounds);
 }
 
-static double RowConcurrent(const Router& r, TimeUs now)
-{
-    double sum = r.InFlight;
-    for (const RouterTarget& target : r.Targets)
-    {
-        sum += OthersAt(target, r.Config.ReportTauUs, now);
-    }
-    return sum;
-}
-
 // Weight with slow start: a fresh process is cold.
 double RouterShare(const Router& r, const RouterTarget& target, TimeUs now)
 {
@@ -310,11 +289,9 @@
 
 Choice RouterChoose(Router* r, const ChooseArgs& args, TimeUs now, Random* random)
 {
-    const double concurrent = RowConcurrent(*r, now);
-    if (concurrent >= r->MaxConcurrent)
+    if (r->InFlight >= r->MaxConcurrent)
     {
-        const double excess = concurrent - r->MaxConcurrent + 1;
-        return Refuse(RefuseReason_RowLimit, excess * RowLatency(*r) / RowSlots(*r));
+        return Refuse(RefuseReason_RowLimit, RowLatency(*r) / RowSlots(*r)); // The whole fleet's limit, used up by us alone.
     }
     std::vector<RouterTarget*> eligible;
     for (RouterTarget& target : r->Targets)
--- a/winchlink_wire.cpp
+++ b/winchlink_wire.cpp
@@ -146,6 +146,21 @@
     CodeList(archive, reply.Runs, LeavingMax, [&](TargetRun& run) { CodeRun(archive, run); });
 }
 
+template <class Archive> void CodeAsk(Archive& archive, PermitRequest& ask)
+{
+    archive(ask.Row, ask.AskId, ask.Want);
+}
+
+template <class Archive> void CodeLease(Archive& archive, PermitReply& lease)
+{
+    archive(lease.Row, lease.AskId, lease.Count, lease.Idle, lease.TermMs);
+}
+
+template <class Archive> void CodeReturn(Archive& archive, PermitReturn& returned)
+{
+    archive(returned.Row, returned.AskId);
+}
+
 template <class Archive> void CodeBody(Archive& archive, Message& message)
 {
     CodeHead(archive, message.Head);
@@ -160,6 +175,15 @@
     case MessageType_TableReply:
         CodeReply(archive, message.Reply);
         break;
+    case MessageType_PermitRequest:
+        CodeAsk(archive, message.Ask);
+        break;
+    case MessageType_PermitReply:
+        CodeLease(archive, message.Lease);
+        break;
+    case MessageType_PermitReturn:
+        CodeReturn(archive, message.Return);
+        break;
     default:
         assert(false && "a message without a type can't be encoded");
     }
