--- a/bench/baselines.cpp
+++ b/bench/baselines.cpp
@@ -6,7 +6,7 @@
 //   least           fewest requests in flight, in this instance's own view
 //   two             two random candidates, the one with fewer in flight in this instance's own view
 //   reported        least load as last reported, whatever its age
-// They have the same limits and know of leaving targets, but neither ejection nor latency: that is what makes them ordinary.
+// They have the same limits and know of leaving targets, but neither ejection nor latency nor hedges: that is what makes them ordinary.
 
 #include "winchlink_internal.h"
 
@@ -67,6 +67,7 @@
 {
     (void)now;
     router->Config.EjectShare = 2; // Never.
+    router->Config.SlowShare = 0;  // No hedges.
     const std::string& name = PolicyName();
     if (name == "random")
     {
--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -140,6 +140,7 @@
 {
     LoadSummary summary;
     std::vector<double> latencies;
+    std::vector<double> all;
     for (const LoadRecord& record : records)
     {
         if (kind >= 0 && record.Kind != static_cast<size_t>(kind))
@@ -152,14 +153,17 @@
         summary.InTime += good && record.LatencyUs <= record.DeadlineUs ? 1 : 0;
         summary.Refused += record.NotRun ? 1 : 0;
         summary.Failed += !good && !record.NotRun ? 1 : 0;
+        const double latency_ms = static_cast<double>(record.LatencyUs) / UsPerMs;
+        all.push_back(good ? latency_ms : std::max(latency_ms, static_cast<double>(record.DeadlineUs) / UsPerMs));
         if (good)
         {
-            latencies.push_back(static_cast<double>(record.LatencyUs) / UsPerMs);
+            latencies.push_back(latency_ms);
         }
     }
     summary.P50Ms = QuantileOf(&latencies, 0.5);
     summary.P99Ms = QuantileOf(&latencies, 0.99);
     summary.P999Ms = QuantileOf(&latencies, 0.999);
+    summary.P99AllMs = QuantileOf(&all, 0.99);
     return summary;
 }
 
--- a/bench/load.h
+++ b/bench/load.h
@@ -54,6 +54,7 @@
     double P50Ms = 0;   // Of the good ones.
     double P99Ms = 0;
     double P999Ms = 0;
+    double P99AllMs = 0; // Of all: one without a good answer counts with its deadline, so that failing fast does not look quick.
 };
 
 std::vector<LoadRecord> PlayLoad(const LoadPlan& plan);
--- a/bench/policies.cpp
+++ b/bench/policies.cpp
@@ -28,8 +28,10 @@
 
 enum Situation_ : int
 {
+    Situation_Steady30,
     Situation_Steady60,
     Situation_Steady80,
+    Situation_Steady95,
     Situation_Overload,
     Situation_Slow,
     Situation_FailFast,
@@ -38,6 +40,11 @@
     Situation_Drain,
     Situation_Restart,
     Situation_Replace4,
+    Situation_ColdRow,
+    Situation_Cut,
+    Situation_Pause,
+    Situation_Idle,
+    Situation_Skew,
     Situation_COUNT,
 };
 
@@ -49,8 +56,10 @@
 };
 
 static constexpr SituationInfo Situations[Situation_COUNT] = {
+    {"steady30", "30% of slots", 0.3},
     {"steady60", "60% of slots", 0.6},
     {"steady80", "80% of slots", 0.8},
+    {"steady95", "95% of slots", 0.95},
     {"overload", "1.5 times the slots", 1.5},
     {"slow", "60%, one target per row 10 times slower", 0.6},
     {"failfast", "60%, one target per row answers 500 at once", 0.6},
@@ -59,13 +68,18 @@
     {"drain", "60%, one target per row drains", 0.6},
     {"restart", "60%, one target per row killed and started anew", 0.6},
     {"replace4", "60%, four instances killed and replaced", 0.6},
+    {"coldrow", "60%, all targets of the first row killed and started anew", 0.6},
+    {"cut", "60%, half of the data centres' instances don't reach the other half", 0.6},
+    {"pause", "60%, one instance stopped for a second", 0.6},
+    {"idle", "60%, one target per row 10 times slower, and at once as fast as the others", 0.6},
+    {"skew", "60%, all calls come through four instances", 0.6},
 };
 
 static const char* const Policies[] = {"winchlink", "roundrobin", "random", "least", "two", "reported"};
 
 struct PlayResult
 {
-    std::vector<double> P50, P99, P999, Good, Refused, Failed, ProbesMs; // One per round.
+    std::vector<double> P50, P99, P999, P99All, Good, Refused, Failed, ProbesMs; // One per round.
 };
 
 struct BenchUser
@@ -81,6 +95,7 @@
     plan.Instances = BenchInstances;
     plan.DataCentres = user.DataCentres;
     plan.Seed = seed;
+    plan.UseRelay = true;
     plan.Rows = user.Rows;
     for (FleetRow& row : plan.Rows)
     {
@@ -94,10 +109,16 @@
     return plan;
 }
 
+static constexpr size_t SkewEntries = 4;
+
 static LoadPlan LoadOf(const Fleet& fleet, const SituationInfo& situation, int round, double seconds)
 {
     LoadPlan plan;
     plan.Entries = FleetEntries(fleet);
+    if (&situation == &Situations[Situation_Skew])
+    {
+        plan.Entries.resize(SkewEntries);
+    }
     plan.Seconds = seconds;
     plan.Seed = static_cast<uint64_t>(round) + 1;
     // Enough to keep an open loop: under overload a call lasts up to its deadline.
@@ -143,20 +164,48 @@
     }
 }
 
-static void RestartTargets(Fleet* fleet)
+static std::vector<size_t> TargetsOfFirstRow(const Fleet& fleet)
 {
-    for (const size_t n : FirstTargets(*fleet))
+    std::vector<size_t> targets;
+    for (size_t n = 0; n < fleet.Targets.size() && fleet.Targets[n].Row == fleet.Targets[0].Row; n++)
+    {
+        targets.push_back(n);
+    }
+    return targets;
+}
+
+static void RestartTargets(Fleet* fleet, const std::vector<size_t>& targets)
+{
+    for (const size_t n : targets)
     {
         kill(fleet->Targets[n].Process.Pid, SIGKILL);
         FleetReapTarget(fleet, n);
     }
     SleepUs(500 * UsPerMs);
-    for (const size_t n : FirstTargets(*fleet))
+    for (const size_t n : targets)
     {
         FleetStartTarget(fleet, n);
     }
 }
 
+// Every other data centre's instances on one side.
+static void CutFleet(const Fleet& fleet)
+{
+    std::string groups;
+    for (const FleetInstance& instance : fleet.Instances)
+    {
+        groups += instance.DataCentre % 2 == 0 ? 'A' : 'B';
+    }
+    HttpOnce({"POST", fleet.Relay.Address, "/admin/cut?groups=" + groups, "", {}, 5000});
+}
+
+static void PauseOne(Fleet* fleet)
+{
+    FleetSignalInstance(fleet, 0, SIGSTOP);
+    SleepUs(UsPerSecond);
+    FleetSignalInstance(fleet, 0, SIGCONT);
+}
+
 static void ReplaceFour(Fleet* fleet)
 {
     for (size_t n = 0; n < 4; n++)
@@ -188,7 +237,19 @@
         SetModes(fleet, "drain", false);
         break;
     case Situation_Restart:
-        RestartTargets(fleet);
+        RestartTargets(fleet, FirstTargets(*fleet));
+        break;
+    case Situation_ColdRow:
+        RestartTargets(fleet, TargetsOfFirstRow(*fleet));
+        break;
+    case Situation_Cut:
+        CutFleet(*fleet);
+        break;
+    case Situation_Pause:
+        PauseOne(fleet);
+        break;
+    case Situation_Idle:
+        SetModes(fleet, "ok", false);
         break;
     case Situation_Replace4:
         ReplaceFour(fleet);
@@ -204,8 +265,9 @@
     SetModes(fleet, "ok", true);
     if (situation == Situation_Drain)
     {
-        RestartTargets(fleet);
+        RestartTargets(fleet, FirstTargets(*fleet));
     }
+    HttpOnce({"POST", fleet->Relay.Address, "/admin/cut?groups=", "", {}, 5000});
     WaitFor(20 * UsPerSecond,
             [&]()
             {
@@ -225,6 +287,10 @@
 
 static void Play(Fleet* fleet, Situation_ situation, int round, double seconds, PlayResult* result)
 {
+    if (situation == Situation_Idle)
+    {
+        SetModes(fleet, "slow&factor=10", false); // From before the first call on; the event ends it.
+    }
     const int64_t probes_before = FleetAuditSum(*fleet, "probeUs");
     std::thread fault([&]() { MakeFault(fleet, situation); });
     const std::vector<LoadRecord> records = PlayLoad(LoadOf(*fleet, Situations[situation], round, seconds));
@@ -234,6 +300,7 @@
     result->P50.push_back(s.P50Ms);
     result->P99.push_back(s.P99Ms);
     result->P999.push_back(s.P999Ms);
+    result->P99All.push_back(s.P99AllMs);
     result->Good.push_back(static_cast<double>(s.InTime) / seconds);
     result->Refused.push_back(100.0 * static_cast<double>(s.Refused) / static_cast<double>(std::max<size_t>(s.Count, 1)));
     result->Failed.push_back(100.0 * static_cast<double>(s.Failed) / static_cast<double>(std::max<size_t>(s.Count, 1)));
@@ -246,11 +313,12 @@
     const Spread p50 = SpreadOf(result.P50);
     const Spread p99 = SpreadOf(result.P99);
     const Spread p999 = SpreadOf(result.P999);
-    fmt::print("| {} | {} | {:.0f} | {:.0f} ({:.0f} to {:.0f}) | {:.0f} | {:.0f} | {:.2f} | {:.2f} | {:.0f} |\n",
-               Situations[situation].Name, policy, p50.Median, p99.Median, p99.Least, p99.Most, p999.Median, SpreadOf(result.Good).Median,
-               SpreadOf(result.Refused).Median, SpreadOf(result.Failed).Median, SpreadOf(result.ProbesMs).Median);
+    fmt::print("| {} | {} | {:.0f} | {:.0f} ({:.0f} to {:.0f}) | {:.0f} | {:.0f} | {:.0f} | {:.2f} | {:.2f} | {:.0f} |\n",
+               Situations[situation].Name, policy, p50.Median, p99.Median, p99.Least, p99.Most, p999.Median, SpreadOf(result.P99All).Median,
+               SpreadOf(result.Good).Median, SpreadOf(result.Refused).Median, SpreadOf(result.Failed).Median,
+               SpreadOf(result.ProbesMs).Median);
     *data << user.Name << " " << Situations[situation].Name << " " << policy << " " << p50.Median << " " << p99.Median << " " << p99.Least
-          << " " << p99.Most << " " << p999.Median << " " << SpreadOf(result.Good).Median << "\n";
+          << " " << p99.Most << " " << SpreadOf(result.P99All).Median << " " << p999.Median << " " << SpreadOf(result.Good).Median << "\n";
     data->flush();
     fflush(stdout);
 }
@@ -298,10 +366,11 @@
             }
         }
     }
-    fmt::print("\n### {}\n\n| situation | policy | p50 ms | p99 ms (least to most) | p99.9 ms | in time/s | refused % | failed % | probes "
+    fmt::print("\n### {}\n\n| situation | policy | p50 ms | p99 ms (least to most) | p99.9 ms | p99 of all ms | in time/s | refused % | "
+               "failed % | probes "
                "ms/s |\n",
                user.Name);
-    fmt::print("|---|---|---|---|---|---|---|---|---|\n");
+    fmt::print("|---|---|---|---|---|---|---|---|---|---|\n");
     for (int situation = 0; situation < Situation_COUNT; situation++)
     {
         for (size_t policy = 0; policy < policy_count; policy++)
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -46,6 +46,8 @@
     LatencyStats Latency;          // From the request's arrival to its answer, answers only.
     std::vector<CodeCount> Ended;  // By result code.
     uint64_t Retries = 0;          // Attempts after the first.
+    uint64_t Hedges = 0;           // Second attempts beside a slow first one.
+    uint64_t HedgesWon = 0;        // Of those, how many were answered first.
     uint64_t UpstreamFailures = 0; // Answers of status 500 and above that were passed on.
 };
 
--- a/daemon/pages.cpp
+++ b/daemon/pages.cpp
@@ -129,6 +129,9 @@
     json_object_set_new(object, "permits", permits);
     json_object_set_new(object, "retryTokens", json_real(state->Retries.Tokens));
     json_object_set_new(object, "retries", JsonNumber(state->Metrics.Retries));
+    json_object_set_new(object, "hedges", JsonNumber(state->Metrics.Hedges));
+    json_object_set_new(object, "hedgesWon", JsonNumber(state->Metrics.HedgesWon));
+    json_object_set_new(object, "hedgeAfterMs", json_real(state->Balance.SlowUs / UsPerMs));
     json_object_set_new(object, "ended", JsonOfEnded(state->Metrics));
     json_object_set_new(object, "p50Ms", json_real(LatencyQuantile(histogram, 0.5) * 1000));
     json_object_set_new(object, "p99Ms", json_real(LatencyQuantile(histogram, 0.99) * 1000));
--- a/daemon/permits.cpp
+++ b/daemon/permits.cpp
@@ -19,7 +19,7 @@
 
 static constexpr TimeUs WaitMostUs = 25 * UsPerMs; // Two data centres and back take 3 ms. Longer, and a refusal would be held back.
 static constexpr int WaitPart = 4;                 // No longer than this part of what is left to the deadline.
-static constexpr double AsksPerSecond = 8;        // An ask and its answer are some 180 bytes: 2 KB/s, and as much for those of others.
+static constexpr double AsksPerSecond = 8;         // An ask and its answer are some 180 bytes: 2 KB/s, and as much for those of others.
 static constexpr double AsksBurst = 48;
 static constexpr TimeUs SweepPeriodUs = 20 * UsPerMs;
 
@@ -73,6 +73,13 @@
     return permit;
 }
 
+Permit PermitTryAcquire(RowState* state, TimeUs deadline)
+{
+    RowPermits* limit = &state->Limit;
+    const std::lock_guard<std::mutex> lock(limit->Mutex);
+    return limit->Book.Waiting == 0 ? PermitsTake(&limit->Book, deadline, NowUs()) : Permit();
+}
+
 void PermitRelease(RowState* state, const Permit& permit)
 {
     RowPermits* limit = &state->Limit;
--- a/daemon/permits.h
+++ b/daemon/permits.h
@@ -24,6 +24,9 @@
 // some; PermitKind_None if none came.
 Permit PermitAcquire(Routing* routing, RowState* state, TimeUs deadline);
 
+// Takes one only if it is there at once; asks nobody.
+Permit PermitTryAcquire(RowState* state, TimeUs deadline);
+
 void PermitRelease(RowState* state, const Permit& permit);
 
 //-----------------------------------------------------------------------------
--- a/daemon/traffic.cpp
+++ b/daemon/traffic.cpp
@@ -28,6 +28,13 @@
 // [SECTION] The call
 //-----------------------------------------------------------------------------
 
+// A second attempt beside a slow one.
+struct HedgeState
+{
+    Permit Held;          // Its own.
+    TargetKey Target = 0; // Where it went.
+};
+
 // Everything about one request of a caller.
 struct Call
 {
@@ -42,6 +49,8 @@
     RequestLife Life;                    // Attempts so far.
     std::vector<TargetKey> Tried;        // Targets of those attempts.
     TimeUs RetryAfterUs = 0;             // For a refusal.
+    HedgeState Hedge;                    // The second attempt in progress, if there is one.
+    TimeUs HedgeAfterUs = 0;             // How long the first attempt may take before it is hedged.
     Permit Held;                         // Of the row's limit on concurrent work, from admission to the end.
 };
 
@@ -275,6 +284,25 @@
     RowFollow(call->State, *call->Seen, call->RowIndex, now);
     Choice choice = RouterChoose(&call->State->Balance, args, now, &call->State->Rng);
     call->RetryAfterUs = choice.RetryAfterUs;
+    call->HedgeAfterUs = RouterHedgeAfter(call->State->Balance);
+    return choice;
+}
+
+// The same for a hedge, which must be paid for.
+static Choice ChooseForHedge(Call* call)
+{
+    const TimeUs now = NowUs();
+    ChooseArgs args;
+    args.RemainingUs = call->DeadlineUs - now;
+    args.Repeatable = true;
+    args.Tried = call->Tried;
+    const std::lock_guard<std::mutex> lock(call->State->Mutex);
+    Choice choice = RouterChoose(&call->State->Balance, args, now, &call->State->Rng);
+    if (choice.Refused == RefuseReason_None && !RequestMayHedge(call->Life, &call->State->Retries))
+    {
+        RouterSettle(&call->State->Balance, choice.Target, Outcome_Cancelled, 0, now);
+        choice.Refused = RefuseReason_NoTargetLeft;
+    }
     return choice;
 }
 
@@ -319,7 +347,7 @@
     return RouterStillGood(call.State->Balance, target);
 }
 
-static UpstreamAnswer Send(const Traffic& traffic, const Call& call, const Choice& choice)
+static UpstreamRequest MakeRequest(const Traffic& traffic, const Call& call, const Choice& choice)
 {
     const bool has_body = !call.From->Body.empty() || call.From->Method == "POST" || call.From->Method == "PUT";
     UpstreamRequest request;
@@ -332,11 +360,43 @@
     request.DeadlineUs = call.DeadlineUs;
     request.CallerFd = call.From->CallerFd;
     request.AnswerMax = static_cast<size_t>(traffic.Config.AnswerMaxBytes);
-    request.StillGood = [&]()
+    const TargetKey target = choice.Target;
+    request.StillGood = [&traffic, &call, target]()
     {
-        return MaySendNow(traffic, call, choice.Target);
+        return MaySendNow(traffic, call, target);
     };
-    return UpstreamSend(traffic.Upstream, request);
+    return request;
+}
+
+// A second attempt at another target: if the row has a permit to spare at once, the retry budget a token, and the router a target.
+static std::optional<UpstreamRequest> MakeHedge(Traffic* traffic, Call* call)
+{
+    Permit permit = PermitTryAcquire(call->State, call->DeadlineUs);
+    if (permit.Kind == PermitKind_None)
+    {
+        return std::nullopt;
+    }
+    const Choice choice = ChooseForHedge(call);
+    if (choice.Refused != RefuseReason_None)
+    {
+        PermitRelease(call->State, permit);
+        return std::nullopt;
+    }
+    call->Hedge = {permit, choice.Target};
+    RequestHedgeBegin(&call->Life);
+    return MakeRequest(*traffic, *call, choice);
+}
+
+// Sends to the chosen target, and to a second one if the first is slow and the request may be repeated.
+static UpstreamPair Send(Traffic* traffic, Call* call, const Choice& choice)
+{
+    UpstreamHedge hedge;
+    hedge.AfterUs = call->Life.Repeatable ? call->HedgeAfterUs : 0;
+    hedge.MakeSecond = [&]()
+    {
+        return MakeHedge(traffic, call);
+    };
+    return UpstreamSendHedged(traffic->Upstream, MakeRequest(*traffic, *call, choice), hedge);
 }
 
 //-----------------------------------------------------------------------------
@@ -372,16 +432,36 @@
     return answer.Outcome == Outcome_NotSent && answer.Code != Code_ConnectFailed;
 }
 
-static NextStep_ Settle(Traffic* traffic, Call* call, const Choice& choice, const UpstreamAnswer& answer)
+// What one attempt tells about its target. The row's mutex must be held.
+static void SettleAttempt(Traffic* traffic, RowState* state, TargetKey target, const UpstreamAnswer& answer, TimeUs now)
 {
-    const TimeUs now = NowUs();
-    const std::lock_guard<std::mutex> lock(call->State->Mutex);
     const Outcome_ learnt = OwnDecision(answer) ? Outcome_Cancelled : answer.Outcome;
-    RouterSettle(&call->State->Balance, choice.Target, learnt, answer.LatencyUs, now);
+    RouterSettle(&state->Balance, target, learnt, answer.LatencyUs, now);
     if (answer.HasReport)
     {
-        LearnReport(traffic, call->State, answer.Report, now);
+        LearnReport(traffic, state, answer.Report, now);
     }
+}
+
+// The slower of two attempts, or the one that failed; the request goes on with the other.
+static void SettleLoser(Traffic* traffic, Call* call, TargetKey target, const UpstreamAnswer& answer, bool hedge_won)
+{
+    {
+        const std::lock_guard<std::mutex> lock(call->State->Mutex);
+        SettleAttempt(traffic, call->State, target, answer, NowUs());
+        call->State->Metrics.Hedges++;
+        call->State->Metrics.HedgesWon += hedge_won ? 1 : 0;
+    }
+    RequestHedgeEnd(&call->Life, answer.Outcome);
+    PermitRelease(call->State, call->Hedge.Held);
+    call->Hedge = HedgeState();
+}
+
+static NextStep_ Settle(Traffic* traffic, Call* call, TargetKey target, const UpstreamAnswer& answer)
+{
+    const TimeUs now = NowUs();
+    const std::lock_guard<std::mutex> lock(call->State->Mutex);
+    SettleAttempt(traffic, call->State, target, answer, now);
     const bool caller_there = answer.Code != Code_CallerGone;
     const bool time_left = now < call->DeadlineUs && caller_there;
     const NextStep_ step = RequestEnd(&call->Life, answer.Outcome, time_left, &call->State->Retries);
@@ -431,9 +511,18 @@
             return EndOfRefusal(*call, choice, answer);
         }
         RequestBegin(&call->Life);
-        answer = Send(*traffic, *call, choice);
         call->Tried.push_back(choice.Target);
-        const NextStep_ step = Settle(traffic, call, choice, answer);
+        UpstreamPair pair = Send(traffic, call, choice);
+        TargetKey target = choice.Target;
+        if (pair.Second)
+        {
+            const TargetKey second = call->Hedge.Target;
+            call->Tried.push_back(second);
+            SettleLoser(traffic, call, pair.SecondWon ? target : second, pair.SecondWon ? pair.First : *pair.Second, pair.SecondWon);
+            target = pair.SecondWon ? second : target;
+        }
+        answer = std::move(pair.SecondWon ? *pair.Second : pair.First);
+        const NextStep_ step = Settle(traffic, call, target, answer);
         if (step != NextStep_Retry)
         {
             return EndOf(*call, step, std::move(answer));
--- a/daemon/upstream.cpp
+++ b/daemon/upstream.cpp
@@ -12,6 +12,7 @@
 // [SECTION] Sending
 // [SECTION] Outcome
 // [SECTION] Pool
+// [SECTION] Attempts
 
 #include "upstream.h"
 
@@ -27,6 +28,7 @@
 
 static constexpr TimeUs IdleMaxUs = 20 * UsPerSecond; // A connection idle for longer is closed.
 static constexpr long IdleReuseMaxSeconds = 15;       // libcurl does not reuse one idle for longer; targets close theirs.
+static constexpr int BothPollMaxMs = 2;               // Longest wait while two attempts are in progress.
 static constexpr int PollMaxMs = 1000;                // Longest wait in one poll.
 static constexpr long ConnectMaxMs = 1000;            // A target on our own network that takes longer is not there.
 
@@ -78,6 +80,7 @@
     CURLM* Multi = nullptr; // Holds the one connection.
     CURL* Easy = nullptr;   // Reused from attempt to attempt.
     TimeUs IdleSinceUs = 0; // When it was given back.
+    int Socket = -1;        // Of its connection, the last one opened.
 
     UpstreamHandle() : Multi(curl_multi_init()), Easy(curl_easy_init())
     {
@@ -99,6 +102,7 @@
 {
     const UpstreamRequest* Request = nullptr;
     UpstreamPool* Pool = nullptr;
+    UpstreamHandle* Handle = nullptr;
     UpstreamAnswer* Answer = nullptr;
     int Prepared = 0;           // Calls of the pre-request callback: how often the request was about to be sent.
     bool StoppedUnsent = false; // The last check said no.
@@ -168,9 +172,11 @@
     return length;
 }
 
-static size_t OnConnectionOpened(void* user, curl_socket_t, curlsocktype)
+static int OnConnectionOpened(void* user, curl_socket_t socket, curlsocktype)
 {
-    static_cast<UpstreamPool*>(user)->ConnectionsOpened++;
+    auto* attempt = static_cast<Attempt*>(user);
+    attempt->Pool->ConnectionsOpened++;
+    attempt->Handle->Socket = socket;
     return CURL_SOCKOPT_OK;
 }
 
@@ -228,7 +234,7 @@
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, OnBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, attempt);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, OnConnectionOpened);
-    curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, attempt->Pool);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, attempt);
     if (!request.SourceIp.empty())
     {
         curl_easy_setopt(easy, CURLOPT_INTERFACE, request.SourceIp.c_str());
@@ -265,35 +271,16 @@
     WaitEnd_COUNT,
 };
 
-// One round of waiting for the target, the deadline or the caller's hang-up.
-static WaitEnd_ WaitOnce(CURLM* multi, const UpstreamRequest& request, int* caller_fd)
+// Whether the caller hung up, as far as its socket tells. One that has sent ahead is not watched any more.
+static bool CallerIsGone(const curl_waitfd& caller, int* caller_fd)
 {
-    int running = 0;
-    curl_multi_perform(multi, &running);
-    if (running == 0)
-    {
-        return WaitEnd_Done;
-    }
-    const TimeUs left = request.DeadlineUs - NowUs();
-    if (left <= 0)
+    if (*caller_fd < 0 || caller.revents == 0)
     {
-        return WaitEnd_Deadline;
-    }
-    curl_waitfd caller = {};
-    caller.fd = *caller_fd;
-    caller.events = CURL_WAIT_POLLIN;
-    const int wait_ms = static_cast<int>(std::min<TimeUs>((left + UsPerMs - 1) / UsPerMs, PollMaxMs));
-    curl_multi_poll(multi, &caller, *caller_fd >= 0 ? 1 : 0, wait_ms, nullptr);
-    if (*caller_fd >= 0 && caller.revents != 0)
-    {
-        const CallerState_ state = LookAtCaller(*caller_fd);
-        if (state == CallerState_Gone)
-        {
-            return WaitEnd_CallerGone;
-        }
-        *caller_fd = state == CallerState_Ahead ? -1 : *caller_fd;
+        return false;
     }
-    return WaitEnd_None;
+    const CallerState_ state = LookAtCaller(*caller_fd);
+    *caller_fd = state == CallerState_Ahead ? -1 : *caller_fd;
+    return state == CallerState_Gone;
 }
 
 static CURLcode ResultOf(CURLM* multi)
@@ -403,33 +390,183 @@
     pool->Idle[address].push_back(std::move(handle));
 }
 
-UpstreamAnswer UpstreamSend(UpstreamPool* pool, const UpstreamRequest& request)
+//-----------------------------------------------------------------------------
+// [SECTION] Attempts
+//-----------------------------------------------------------------------------
+
+// One attempt from its start to its end.
+struct Leg
+{
+    UpstreamRequest Request;
+    UpstreamAnswer Answer;
+    Attempt State;
+    std::unique_ptr<UpstreamHandle> Handle;
+    HeaderList Headers{nullptr, curl_slist_free_all};
+    TimeUs StartedUs = 0;
+    bool Ended = false;
+
+    Leg() = default;
+    Leg(const Leg&) = delete;
+    Leg& operator=(const Leg&) = delete;
+};
+
+static void StartLeg(UpstreamPool* pool, const UpstreamRequest& request, Leg* leg)
+{
+    leg->StartedUs = NowUs();
+    leg->Request = request;
+    leg->Handle = Take(pool, request.Address);
+    leg->Headers = MakeHeaders(request.Headers);
+    leg->State.Request = &leg->Request;
+    leg->State.Pool = pool;
+    leg->State.Handle = leg->Handle.get();
+    leg->State.Answer = &leg->Answer;
+    Prepare(leg->Handle->Easy, leg->Request, &leg->State, leg->Headers.get());
+    curl_multi_add_handle(leg->Handle->Multi, leg->Handle->Easy);
+}
+
+static void EndLeg(UpstreamPool* pool, WaitEnd_ end, Leg* leg)
 {
-    const TimeUs start = NowUs();
-    UpstreamAnswer answer;
-    Attempt attempt;
-    attempt.Request = &request;
-    attempt.Pool = pool;
-    attempt.Answer = &answer;
-    std::unique_ptr<UpstreamHandle> handle = Take(pool, request.Address);
-    const HeaderList headers = MakeHeaders(request.Headers);
-    Prepare(handle->Easy, request, &attempt, headers.get());
-    curl_multi_add_handle(handle->Multi, handle->Easy);
-    int caller_fd = request.CallerFd;
-    WaitEnd_ end = WaitEnd_None;
-    while (end == WaitEnd_None)
-    {
-        end = WaitOnce(handle->Multi, request, &caller_fd);
-    }
-    Judge(attempt, end, handle.get());
+    UpstreamHandle* handle = leg->Handle.get();
+    Judge(leg->State, end, handle);
     curl_multi_remove_handle(handle->Multi, handle->Easy); // Closes the connection of an unfinished transfer: the target sees it.
     curl_easy_reset(handle->Easy);                         // It must not point to this stack frame any more.
-    answer.LatencyUs = NowUs() - start;
-    if (answer.Outcome == Outcome_Answered || answer.Outcome == Outcome_Failed || answer.Outcome == Outcome_NotRun)
+    leg->Answer.LatencyUs = NowUs() - leg->StartedUs;
+    leg->Ended = true;
+    const Outcome_ outcome = leg->Answer.Outcome;
+    if (outcome == Outcome_Answered || outcome == Outcome_Failed || outcome == Outcome_NotRun)
+    {
+        GiveBack(pool, leg->Request.Address, std::move(leg->Handle));
+    }
+}
+
+// Moves an attempt on without waiting; ends it if it has come to an end.
+static void MoveLeg(UpstreamPool* pool, Leg* leg)
+{
+    if (leg->Ended)
+    {
+        return;
+    }
+    int running = 0;
+    curl_multi_perform(leg->Handle->Multi, &running);
+    if (running == 0)
+    {
+        EndLeg(pool, WaitEnd_Done, leg);
+    }
+    else if (NowUs() >= leg->Request.DeadlineUs)
+    {
+        EndLeg(pool, WaitEnd_Deadline, leg);
+    }
+}
+
+// Waits for either attempt, the caller, or a time. libcurl polls the sockets of one attempt; of the other we know the socket, but not
+// whether it waits to write, so it is looked at often. True if the caller hung up.
+static bool WaitForLegs(const Leg& first, const Leg* second, int* caller_fd, TimeUs until)
+{
+    const bool both = second != nullptr && !second->Ended && !first.Ended;
+    const Leg& polled = first.Ended && second != nullptr ? *second : first;
+    std::array<curl_waitfd, 2> others = {};
+    unsigned count = 0;
+    if (*caller_fd >= 0)
+    {
+        others[count++] = {*caller_fd, CURL_WAIT_POLLIN, 0};
+    }
+    if (both && second->Handle->Socket >= 0)
+    {
+        others[count++] = {second->Handle->Socket, CURL_WAIT_POLLIN, 0};
+    }
+    const TimeUs left = std::max<TimeUs>(until - NowUs(), 0);
+    const int most = both ? BothPollMaxMs : PollMaxMs;
+    const int wait_ms = static_cast<int>(std::min<TimeUs>((left + UsPerMs - 1) / UsPerMs, most));
+    curl_multi_poll(polled.Handle->Multi, others.data(), count, wait_ms, nullptr);
+    return CallerIsGone(others[0], caller_fd);
+}
+
+static bool IsGood(const Leg& leg)
+{
+    return leg.Ended && leg.Answer.Outcome == Outcome_Answered;
+}
+
+static void EndOutrun(UpstreamPool* pool, Leg* leg)
+{
+    if (!leg->Ended)
+    {
+        const bool unsent = leg->State.Prepared == 0;
+        EndLeg(pool, WaitEnd_CallerGone, leg);
+        Fail(&leg->Answer, unsent ? Outcome_NotSent : Outcome_Outrun, unsent ? Code_DeadlineTooShort : Code_None);
+    }
+}
+
+// The second attempt, if it is time for it and wanted. `due` becomes "never" once it was asked for.
+static std::unique_ptr<Leg> MaybeSecond(UpstreamPool* pool, const UpstreamHedge& hedge, TimeUs* due)
+{
+    if (NowUs() < *due)
+    {
+        return nullptr;
+    }
+    *due = INT64_MAX;
+    const std::optional<UpstreamRequest> request = hedge.MakeSecond();
+    if (!request)
+    {
+        return nullptr;
+    }
+    auto leg = std::make_unique<Leg>();
+    StartLeg(pool, *request, leg.get());
+    return leg;
+}
+
+// Moves both on until one is answered well or both have ended.
+static void RunLegs(UpstreamPool* pool, const UpstreamHedge& hedge, Leg* first, std::unique_ptr<Leg>* second)
+{
+    int caller_fd = first->Request.CallerFd;
+    TimeUs due = hedge.AfterUs > 0 ? first->StartedUs + hedge.AfterUs : INT64_MAX;
+    while (true)
     {
-        GiveBack(pool, request.Address, std::move(handle));
+        MoveLeg(pool, first);
+        if (!first->Ended && !*second)
+        {
+            *second = MaybeSecond(pool, hedge, &due);
+        }
+        if (*second)
+        {
+            MoveLeg(pool, second->get());
+        }
+        const bool all_ended = first->Ended && (!*second || (*second)->Ended);
+        if (all_ended || IsGood(*first) || (*second && IsGood(**second)))
+        {
+            return;
+        }
+        const bool gone = WaitForLegs(*first, second->get(), &caller_fd, std::min(first->Request.DeadlineUs, due));
+        for (Leg* leg : {first, second->get()})
+        {
+            if (gone && leg != nullptr && !leg->Ended)
+            {
+                EndLeg(pool, WaitEnd_CallerGone, leg);
+            }
+        }
     }
-    return answer;
+}
+
+UpstreamPair UpstreamSendHedged(UpstreamPool* pool, const UpstreamRequest& first, const UpstreamHedge& hedge)
+{
+    Leg one;
+    std::unique_ptr<Leg> two;
+    StartLeg(pool, first, &one);
+    RunLegs(pool, hedge, &one, &two);
+    UpstreamPair pair;
+    pair.SecondWon = two && IsGood(*two) && !IsGood(one);
+    EndOutrun(pool, &one);
+    pair.First = std::move(one.Answer);
+    if (two)
+    {
+        EndOutrun(pool, two.get());
+        pair.Second = std::move(two->Answer);
+    }
+    return pair;
+}
+
+UpstreamAnswer UpstreamSend(UpstreamPool* pool, const UpstreamRequest& request)
+{
+    return UpstreamSendHedged(pool, request, UpstreamHedge()).First;
 }
 
 void UpstreamPrune(UpstreamPool* pool, TimeUs now)
--- a/daemon/upstream.h
+++ b/daemon/upstream.h
@@ -81,6 +81,24 @@
 // Sends one request and waits for its end: an answer, a failure, the deadline or the caller's hang-up.
 UpstreamAnswer UpstreamSend(UpstreamPool* pool, const UpstreamRequest& request);
 
+// A request that may go to a second target while the first has not answered.
+struct UpstreamHedge
+{
+    TimeUs AfterUs = 0;                                         // How long to wait for the first answer.
+    std::function<std::optional<UpstreamRequest>()> MakeSecond; // Asked once by then; may decline.
+};
+
+struct UpstreamPair
+{
+    UpstreamAnswer First;
+    std::optional<UpstreamAnswer> Second; // Set if there was a second attempt.
+    bool SecondWon = false;               // The second one's answer is the request's; the first was outrun.
+};
+
+// The same with a hedge. The first good answer wins, and the other attempt ends at once with Outcome_Outrun. While no answer is good,
+// both go on to their ends.
+UpstreamPair UpstreamSendHedged(UpstreamPool* pool, const UpstreamRequest& first, const UpstreamHedge& hedge);
+
 // Closes connections that have been idle for too long.
 void UpstreamPrune(UpstreamPool* pool, TimeUs now);
 
--- a/scripts/plot.sh
+++ b/scripts/plot.sh
@@ -6,14 +6,14 @@
 for User in $(cut -d' ' -f1 "$Data" | sort -u)
 do
     Table="$Folder/policies-$User.tsv"
-    awk -v u="$User" '$1 == u { if (!($2 in seen)) { seen[$2] = 1; s[++n] = $2 } if (!($3 in known)) { known[$3] = 1; p[++m] = $3 } v[$2, $3] = $5 }
+    awk -v u="$User" '$1 == u { if (!($2 in seen)) { seen[$2] = 1; s[++n] = $2 } if (!($3 in known)) { known[$3] = 1; p[++m] = $3 } v[$2, $3] = $8 }
         END { printf "situation"; for (j = 1; j <= m; j++) printf "\t%s", p[j]; print "";
               for (i = 1; i <= n; i++) { printf "%s", s[i]; for (j = 1; j <= m; j++) printf "\t%s", v[s[i], p[j]]; print "" } }' "$Data" >"$Table"
     Columns=$(head -1 "$Table" | awk -F'\t' '{ print NF }')
     gnuplot <<PLOT
-set terminal svg size 1100,480 background rgb 'white'
+set terminal svg size 1400,520 background rgb 'white'
 set output '$Folder/policies-$User.svg'
-set title 'p99 by situation, $User (lower is better)'
+set title 'p99 of all calls by situation, $User (lower is better; a call without a good answer counts with its deadline)'
 set ylabel 'p99, ms'
 set logscale y
 set style data histograms
--- a/tests/instance_test.cpp
+++ b/tests/instance_test.cpp
@@ -168,6 +168,7 @@
     CPPUNIT_TEST(BadCallersHurtNobody);
     CPPUNIT_TEST(LeavingTargetGetsNothingMore);
     CPPUNIT_TEST(EditsComeInForceAndBadOnesDoNot);
+    CPPUNIT_TEST(ASlowReadGoesToAnotherTarget);
     CPPUNIT_TEST(PlannedStopCutsNothing);
     CPPUNIT_TEST(PlannedStopWaitsForAnUpload);
     CPPUNIT_TEST(PlannedStopEndsIdleConnections);
@@ -350,6 +351,30 @@
         CPPUNIT_ASSERT_EQUAL(503, fleet.Page("/ready").Status);
     }
 
+    // A read that waits for a silent target is answered by the other one; what may not be repeated is not sent twice.
+    void ASlowReadGoesToAnotherTarget()
+    {
+        SmallFleet fleet;
+        for (int n = 0; n < 20; n++)
+        {
+            CPPUNIT_ASSERT_EQUAL(200, fleet.Call("GET", "/x").Status);
+            CPPUNIT_ASSERT_EQUAL(200, fleet.Call("POST", "/y", {}, "a").Status);
+        }
+        fleet.One.Answer = RawAnswer_Silence;
+        const int before = fleet.One.Requests;
+        for (int n = 0; n < 200 && fleet.One.Requests == before; n++)
+        {
+            CPPUNIT_ASSERT_EQUAL(200, fleet.Call("GET", "/x").Status);
+        }
+        CPPUNIT_ASSERT(fleet.One.Requests > before);
+        CPPUNIT_ASSERT(WaitFor(5 * UsPerSecond, [&]() { return JsonNumberAt(fleet.Page("/status").Body, "instance.inProgress") == 0; }));
+        fleet.Other.Answer = RawAnswer_Silence;
+        const int sent = fleet.Requests();
+        const HttpAnswer answer = fleet.Call("POST", "/y", {{HeaderDeadline, "300"}}, "a");
+        CPPUNIT_ASSERT_EQUAL(int(Code_DeadlinePassed), CodeOf(answer));
+        CPPUNIT_ASSERT_EQUAL(sent + 1, fleet.Requests());
+    }
+
     // A request counts as in progress from its first line on, not only once its body is here.
     void PlannedStopWaitsForAnUpload()
     {
--- a/tests/request_test.cpp
+++ b/tests/request_test.cpp
@@ -14,9 +14,29 @@
     LifeFault_CallsUnknownNotRun, // Tells "not run" where the outcome is unknown.
 };
 
+// How the attempt ends that decides the request; only the other one of two can be outrun.
 static Outcome_ DrawOutcome(Dice* dice)
 {
-    return static_cast<Outcome_>(dice->Between(Outcome_Answered, Outcome_COUNT));
+    return static_cast<Outcome_>(dice->Between(Outcome_Answered, Outcome_Outrun));
+}
+
+static bool MayRun(Outcome_ outcome)
+{
+    return outcome != Outcome_NotSent && outcome != Outcome_NotRun;
+}
+
+// A second attempt beside the first, if one may be made. Returns how many attempts it added, and adds those that may have run.
+static int PlayHedge(Dice* dice, RetryBudget* budget, RequestLife* life, int* may_have_run)
+{
+    if (!dice->OneIn(2) || !RequestMayHedge(*life, budget))
+    {
+        return 0;
+    }
+    RequestHedgeBegin(life);
+    const auto outcome = static_cast<Outcome_>(dice->Between(Outcome_Answered, Outcome_COUNT));
+    *may_have_run += MayRun(outcome) ? 1 : 0;
+    RequestHedgeEnd(life, outcome);
+    return 1;
 }
 
 static void PlayRequest(Dice* dice, RetryBudget* budget, LifeFault_ fault, int* retries)
@@ -31,9 +51,9 @@
     {
         RequestBegin(&life);
         attempts++;
+        attempts += PlayHedge(dice, budget, &life, &may_have_run);
         const Outcome_ outcome = DrawOutcome(dice);
-        const bool ran = outcome != Outcome_NotSent && outcome != Outcome_NotRun;
-        may_have_run += ran ? 1 : 0;
+        may_have_run += MayRun(outcome) ? 1 : 0;
         step = RequestEnd(&life, outcome, dice->OneIn(2), budget);
         RC_ASSERT(outcome != Outcome_Answered || step == NextStep_Answer);
         RC_ASSERT(outcome != Outcome_Cancelled || step == NextStep_Gone);
@@ -70,6 +90,8 @@
     CPPUNIT_TEST(FindsRetriesOfAll);
     CPPUNIT_TEST(FindsDishonestRefusals);
     CPPUNIT_TEST(RetriesStayAShareOfTraffic);
+    CPPUNIT_TEST(HedgesLeaveTokensForRetries);
+    CPPUNIT_TEST(OnlyWhatMayBeRepeatedIsHedged);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -109,6 +131,36 @@
         }
         CPPUNIT_ASSERT(attempts <= requests + requests / 10 + 10);
     }
+
+    void HedgesLeaveTokensForRetries()
+    {
+        RetryBudget budget;
+        RequestLife life;
+        life.Repeatable = true;
+        RequestBegin(&life);
+        int hedges = 0;
+        while (RequestMayHedge(life, &budget))
+        {
+            hedges++;
+        }
+        CPPUNIT_ASSERT_EQUAL(6, hedges); // From ten tokens down to below five.
+        CPPUNIT_ASSERT(RetryBudgetSpend(&budget));
+    }
+
+    void OnlyWhatMayBeRepeatedIsHedged()
+    {
+        RetryBudget budget;
+        RequestLife life;
+        CPPUNIT_ASSERT(!RequestMayHedge(life, &budget)); // Not begun.
+        RequestBegin(&life);
+        CPPUNIT_ASSERT(!RequestMayHedge(life, &budget));
+        life.Repeatable = true;
+        CPPUNIT_ASSERT(RequestMayHedge(life, &budget));
+        RequestHedgeBegin(&life);
+        CPPUNIT_ASSERT(!RequestMayHedge(life, &budget)); // One at a time.
+        RequestHedgeEnd(&life, Outcome_Outrun);
+        CPPUNIT_ASSERT(RequestEnd(&life, Outcome_NotRun, false, &budget) == NextStep_Unknown); // The other one may have run.
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RequestTest);
--- a/tests/route_test.cpp
+++ b/tests/route_test.cpp
@@ -56,6 +56,8 @@
     CPPUNIT_TEST(UnknownTargetIsTried);
     CPPUNIT_TEST(SheddingTargetIsFull);
     CPPUNIT_TEST(RowLimitRefusesWithATime);
+    CPPUNIT_TEST(HedgeDelayIsThe95thPercentile);
+    CPPUNIT_TEST(AnOutrunTargetIsKnownToBeSlow);
     CPPUNIT_TEST(DeadlineTooShortRefuses);
     CPPUNIT_TEST(ConnectionShare);
     CPPUNIT_TEST(OldReportsLoseWeight);
@@ -265,6 +267,35 @@
         }
     }
 
+    void HedgeDelayIsThe95thPercentile()
+    {
+        Router router = RouterOf(MakeRow("r", 1, 2));
+        CPPUNIT_ASSERT_EQUAL(TimeUs(0), RouterHedgeAfter(router));
+        Random random(1);
+        std::uniform_real_distribution<double> latency(0, 100.0 * UsPerMs);
+        for (int n = 0; n < 5000; n++)
+        {
+            Play(&router, &random, Start + n, Outcome_Answered, static_cast<TimeUs>(latency(random)));
+        }
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(95.0 * UsPerMs, static_cast<double>(RouterHedgeAfter(router)), 6.0 * UsPerMs);
+    }
+
+    void AnOutrunTargetIsKnownToBeSlow()
+    {
+        Router router = RouterOf(MakeRow("r", 1, 2));
+        Random random(1);
+        for (int n = 0; n < 20; n++)
+        {
+            Play(&router, &random, Start + n, Outcome_Answered, 5 * UsPerMs);
+        }
+        const Choice choice = RouterChoose(&router, Args(), Start + 100, &random);
+        RouterSettle(&router, choice.Target, Outcome_Outrun, 100 * UsPerMs, Start + 100 * UsPerMs);
+        for (int n = 0; n < 10; n++)
+        {
+            CPPUNIT_ASSERT(Play(&router, &random, Start + 101 * UsPerMs + n, Outcome_Answered, 5 * UsPerMs) != choice.Target);
+        }
+    }
+
     void RowLimitRefusesWithATime()
     {
         ServiceRow row = MakeRow("r", 1, 2);
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -44,6 +44,10 @@
     CPPUNIT_TEST(ReadsReports);
     CPPUNIT_TEST(IdleConnectionsAreClosed);
     CPPUNIT_TEST(LoadClientSendsOnce);
+    CPPUNIT_TEST(HedgeWinsAgainstSilence);
+    CPPUNIT_TEST(HedgeThatFailsDoesNotWin);
+    CPPUNIT_TEST(HedgeMayBeDeclined);
+    CPPUNIT_TEST(HangUpEndsBothAttempts);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -235,6 +239,91 @@
         call.Address = "127.0.0.1:" + std::to_string(FreePort("127.0.0.1"));
         CPPUNIT_ASSERT(!HttpSend(&client, call).Sent);
     }
+
+    static UpstreamHedge HedgeTo(const RawTarget& target)
+    {
+        UpstreamHedge hedge;
+        hedge.AfterUs = 20 * UsPerMs;
+        hedge.MakeSecond = [&target]()
+        {
+            return std::optional<UpstreamRequest>(RequestTo(target, nullptr));
+        };
+        return hedge;
+    }
+
+    void HedgeWinsAgainstSilence()
+    {
+        RawTarget silent;
+        silent.Answer = RawAnswer_Silence;
+        RawTarget good;
+        UpstreamPool pool;
+        const UpstreamPair pair = UpstreamSendHedged(&pool, RequestTo(silent, nullptr), HedgeTo(good));
+        CPPUNIT_ASSERT(pair.SecondWon);
+        CPPUNIT_ASSERT_EQUAL(std::string("good"), pair.Second->Body);
+        CPPUNIT_ASSERT_EQUAL(int(Outcome_Outrun), int(pair.First.Outcome));
+        CPPUNIT_ASSERT(WaitFor(5 * UsPerSecond, [&]() { return silent.Closed == 1; })); // The target is told.
+        CPPUNIT_ASSERT_EQUAL(size_t(1), pool.Idle.size());                              // And that connection is not used again.
+    }
+
+    // The first attempt's answer stands, however late, where the second one fails.
+    void HedgeThatFailsDoesNotWin()
+    {
+        RawTarget silent;
+        silent.Answer = RawAnswer_Silence;
+        RawTarget bad;
+        bad.Answer = RawAnswer_Nothing;
+        UpstreamPool pool;
+        UpstreamRequest first = RequestTo(silent, nullptr);
+        first.DeadlineUs = NowUs() + 200 * UsPerMs;
+        const UpstreamPair pair = UpstreamSendHedged(&pool, first, HedgeTo(bad));
+        CPPUNIT_ASSERT(!pair.SecondWon);
+        CPPUNIT_ASSERT_EQUAL(int(Outcome_Unknown), int(pair.Second->Outcome));
+        CPPUNIT_ASSERT_EQUAL(int(Code_DeadlinePassed), int(pair.First.Code));
+    }
+
+    void HedgeMayBeDeclined()
+    {
+        RawTarget silent;
+        silent.Answer = RawAnswer_Silence;
+        UpstreamPool pool;
+        UpstreamRequest first = RequestTo(silent, nullptr);
+        first.DeadlineUs = NowUs() + 200 * UsPerMs;
+        int asked = 0;
+        UpstreamHedge hedge;
+        hedge.AfterUs = 20 * UsPerMs;
+        hedge.MakeSecond = [&]()
+        {
+            asked++;
+            return std::optional<UpstreamRequest>();
+        };
+        const UpstreamPair pair = UpstreamSendHedged(&pool, first, hedge);
+        CPPUNIT_ASSERT(!pair.Second.has_value());
+        CPPUNIT_ASSERT_EQUAL(1, asked);
+    }
+
+    void HangUpEndsBothAttempts()
+    {
+        RawTarget one;
+        RawTarget other;
+        one.Answer = RawAnswer_Silence;
+        other.Answer = RawAnswer_Silence;
+        int ends[2] = {-1, -1};
+        CPPUNIT_ASSERT_EQUAL(0, socketpair(AF_UNIX, SOCK_STREAM, 0, ends));
+        UpstreamPool pool;
+        UpstreamRequest first = RequestTo(one, nullptr);
+        first.CallerFd = ends[0];
+        std::thread caller(
+            [&]()
+            {
+                WaitFor(5 * UsPerSecond, [&]() { return one.Requests + other.Requests == 2; });
+                close(ends[1]);
+            });
+        const UpstreamPair pair = UpstreamSendHedged(&pool, first, HedgeTo(other));
+        caller.join();
+        close(ends[0]);
+        CPPUNIT_ASSERT_EQUAL(int(Outcome_Cancelled), int(pair.First.Outcome));
+        CPPUNIT_ASSERT_EQUAL(int(Outcome_Cancelled), int(pair.Second->Outcome));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamTest);
--- a/winchlink.h
+++ b/winchlink.h
@@ -935,6 +935,8 @@
     TimeUs EjectUs = 2 * UsPerSecond;        // First pause; doubles up to eight times.
     TimeUs SlowStartUs = 5 * UsPerSecond;    // A fresh target's weight grows over this time.
     double FirstLatencyUs = 5.0 * UsPerMs;   // Assumed before the first answer of the row.
+    double SlowShare = 0.95;                 // Share of a row's answers that are not slow: the rest may be hedged.
+    double SlowStep = 0.02;                  // How fast the estimate of it moves, as a part of itself per answer.
     double FarUs = 3.0 * UsPerMs;            // Added before the first answer of a target in another data centre.
 };
 
@@ -944,6 +946,7 @@
     std::string Name;                  // Row.
     uint64_t RowRevision = 0;          // Of the row last followed.
     int MaxConcurrent = 0;             // Row limit over the fleet.
+    double SlowUs = 0;                 // What 95 of 100 answers of the row are faster than, about; 0 before the first.
     int InFlight = 0;                  // Sum of the targets' InFlight.
     std::vector<RouterTarget> Targets; // In the order of the row.
     std::vector<RouterTarget> Retired; // No longer in the row, with requests still in progress.
@@ -974,6 +977,7 @@
     Outcome_NotRun,    // The target says that it did not run it.
     Outcome_Unknown,   // Sent, and no complete answer came.
     Outcome_Cancelled, // The caller went away or the deadline passed.
+    Outcome_Outrun,    // Another attempt of the same request was answered first.
     Outcome_COUNT,
 };
 
@@ -993,6 +997,9 @@
 // Gives the reservation back and learns from the outcome. Call exactly once for each successful choice.
 void RouterSettle(Router* r, TargetKey target, Outcome_ outcome, TimeUs latency, TimeUs now);
 
+// How long a repeatable request waits for its answer before a second attempt goes to another target; 0: never.
+TimeUs RouterHedgeAfter(const Router& r);
+
 // Relative cost of one more request: 1/slots for an idle target that is neither slow nor failing. Public for tests and for the operators'
 // page.
 double RouterCost(const Router& r, const RouterTarget& target, TimeUs now);
@@ -1033,10 +1040,19 @@
     bool InAttempt = false;  // Between begin and end.
     bool Ended = false;      // Caller has been told.
     bool Failed = false;     // The last attempt got a complete answer of status 500 or above.
+    bool Hedged = false;     // A second attempt runs beside the one in progress.
 };
 
 void RequestBegin(RequestLife* life);
 
+// Whether a second attempt may be begun beside a slow first one; takes a token if so. Only half of the tokens go to hedges, so that
+// requests that were not run can still be sent to another target.
+bool RequestMayHedge(const RequestLife& life, RetryBudget* budget);
+
+// Begins the second attempt, and ends it. It must end before the first one does.
+void RequestHedgeBegin(RequestLife* life);
+void RequestHedgeEnd(RequestLife* life, Outcome_ outcome);
+
 // Ends an attempt and says what comes next.
 NextStep_ RequestEnd(RequestLife* life, Outcome_ outcome, bool time_left, RetryBudget* budget);
 
--- a/winchlink_request.cpp
+++ b/winchlink_request.cpp
@@ -48,6 +48,34 @@
     life->Attempts++;
 }
 
+bool RequestMayHedge(const RequestLife& life, RetryBudget* budget)
+{
+    const bool may = life.Repeatable && life.InAttempt && !life.Hedged && life.Attempts < AttemptsMax;
+    return may && budget->Tokens >= budget->Most / 2 && RetryBudgetSpend(budget);
+}
+
+void RequestHedgeBegin(RequestLife* life)
+{
+    assert(life->InAttempt && !life->Hedged && "hedge an attempt that is in progress, once");
+    assert(life->Repeatable && "a request that may not be repeated is never hedged");
+    assert(life->Attempts < AttemptsMax && "too many attempts");
+    life->Hedged = true;
+    life->Attempts++;
+}
+
+static bool MayHaveBeenRun(Outcome_ outcome)
+{
+    return outcome != Outcome_NotSent && outcome != Outcome_NotRun;
+}
+
+void RequestHedgeEnd(RequestLife* life, Outcome_ outcome)
+{
+    assert(life->Hedged && "there is no hedge to end");
+    assert(outcome != Outcome_None && "say how the hedge ended");
+    life->Hedged = false;
+    life->MayHaveRun += MayHaveBeenRun(outcome) ? 1 : 0;
+}
+
 static bool MayRetry(const RequestLife& life, bool time_left, RetryBudget* budget)
 {
     const bool safe = life.Repeatable || life.MayHaveRun == 0;
@@ -71,10 +99,10 @@
 NextStep_ RequestEnd(RequestLife* life, Outcome_ outcome, bool time_left, RetryBudget* budget)
 {
     assert(life->InAttempt && "begin the attempt first");
-    assert(outcome != Outcome_None && "say how the attempt ended");
+    assert(outcome != Outcome_None && outcome != Outcome_Outrun && "say how the attempt ended; the faster one's end is the request's");
+    assert(!life->Hedged && "end the hedge first");
     life->InAttempt = false;
-    const bool not_run = outcome == Outcome_NotSent || outcome == Outcome_NotRun;
-    life->MayHaveRun += not_run ? 0 : 1;
+    life->MayHaveRun += MayHaveBeenRun(outcome) ? 1 : 0;
     life->Failed = outcome == Outcome_Failed;
     const bool final = outcome == Outcome_Answered || outcome == Outcome_Cancelled;
     if (!final && MayRetry(*life, time_left, budget))
--- a/winchlink_route.cpp
+++ b/winchlink_route.cpp
@@ -342,6 +342,19 @@
     target->AnsweredUs = now;
 }
 
+// Moves the estimate up by 0.95 steps for a slow answer and down by 0.05 for another: it rests where 95 of 100 are faster.
+static void LearnSlow(Router* r, double latency)
+{
+    const double slow_share = 1 - r->Config.SlowShare;
+    const double move = latency > r->SlowUs ? r->Config.SlowShare : -slow_share;
+    r->SlowUs = r->SlowUs <= 0 ? 2 * latency : r->SlowUs * (1 + r->Config.SlowStep * move);
+}
+
+TimeUs RouterHedgeAfter(const Router& r)
+{
+    return r.Config.SlowShare > 0 ? static_cast<TimeUs>(r.SlowUs) : 0;
+}
+
 static void LearnOutcome(const Router& r, RouterTarget* target, bool failed)
 {
     const double outcome = failed ? 1.0 : 0.0;
@@ -375,6 +388,12 @@
     if (outcome == Outcome_Answered)
     {
         LearnLatency(*r, target, static_cast<double>(latency), now);
+        LearnSlow(r, static_cast<double>(latency));
+    }
+    if (outcome == Outcome_Outrun && static_cast<double>(latency) > target->LatencyUs)
+    {
+        LearnLatency(*r, target, static_cast<double>(latency), now); // At least so slow; without this a slow target would look unknown.
+        LearnSlow(r, static_cast<double>(latency));
     }
     if (outcome == Outcome_NotRun)
     {
