Permits asked for in growing chunks, a queue that may not stand; hedges take only spare permits

Cause: with all calls coming through 4 of 16 instances, 8 asks a second for one permit each did not move enough of them; at 80 % of the slots the small rows refused while peers had idle permits. Hedges took the permits that the next request needed.

Ruled out: the rate of asking at 80 and 95 % (40 a second refuses as much), longer leases (they hoard). 60 asks a second would do for skew, but cost 10 KB/s, a node's whole allowance at the size of two years.

--- a/daemon/permits.cpp
+++ b/daemon/permits.cpp
@@ -17,9 +17,12 @@
 namespace Winchlink
 {
 
-static constexpr TimeUs WaitMostUs = 25 * UsPerMs; // Two data centres and back take 3 ms. Longer, and a refusal would be held back.
-static constexpr int WaitPart = 4;                 // No longer than this part of what is left to the deadline.
-static constexpr double AsksPerSecond = 8;         // An ask and its answer are some 180 bytes: 2 KB/s, and as much for those of others.
+// A short queue is let through, a standing one is not: it would add its wait to every request and save none.
+static constexpr TimeUs WaitMostUs = 50 * UsPerMs;     // While the queue is short-lived.
+static constexpr TimeUs WaitStandingUs = 10 * UsPerMs; // Once somebody has been waiting all the time for StandingUs.
+static constexpr TimeUs StandingUs = 100 * UsPerMs;
+static constexpr int WaitPart = 4;         // No longer than this part of what is left to the deadline.
+static constexpr double AsksPerSecond = 8; // An ask and its answer are some 180 bytes: 2 KB/s, and as much for those of others.
 static constexpr double AsksBurst = 48;
 static constexpr TimeUs SweepPeriodUs = 20 * UsPerMs;
 
@@ -48,8 +51,10 @@
 {
     RowPermits* limit = &state->Limit;
     const TimeUs start = NowUs();
-    const TimeUs until = start + std::min(WaitMostUs, (deadline - start) / WaitPart);
     std::unique_lock<std::mutex> lock(limit->Mutex);
+    limit->EmptyUs = limit->Book.Waiting == 0 ? start : limit->EmptyUs;
+    const TimeUs most = start - limit->EmptyUs < StandingUs ? WaitMostUs : WaitStandingUs;
+    const TimeUs until = start + std::min(most, (deadline - start) / WaitPart);
     const uint64_t row = limit->Book.Row;
     Permit permit = PermitsTake(&limit->Book, deadline, start);
     const bool has_it = permit.Kind != PermitKind_None;
@@ -73,11 +78,13 @@
     return permit;
 }
 
-Permit PermitTryAcquire(RowState* state, TimeUs deadline)
+Permit PermitForHedge(RowState* state, TimeUs deadline)
 {
     RowPermits* limit = &state->Limit;
     const std::lock_guard<std::mutex> lock(limit->Mutex);
-    return limit->Book.Waiting == 0 ? PermitsTake(&limit->Book, deadline, NowUs()) : Permit();
+    const TimeUs now = NowUs();
+    const bool spare = limit->Book.Waiting == 0 && PermitsIdle(limit->Book, now) > 1;
+    return spare ? PermitsTake(&limit->Book, deadline, now) : Permit();
 }
 
 void PermitRelease(RowState* state, const Permit& permit)
--- a/daemon/permits.h
+++ b/daemon/permits.h
@@ -24,8 +24,8 @@
 // some; PermitKind_None if none came.
 Permit PermitAcquire(Routing* routing, RowState* state, TimeUs deadline);
 
-// Takes one only if it is there at once; asks nobody.
-Permit PermitTryAcquire(RowState* state, TimeUs deadline);
+// Takes one for a hedge: only of our own, and only if another one is left for the next request. Asks nobody.
+Permit PermitForHedge(RowState* state, TimeUs deadline);
 
 void PermitRelease(RowState* state, const Permit& permit);
 
--- a/daemon/routing.h
+++ b/daemon/routing.h
@@ -39,6 +39,7 @@
     std::mutex Mutex;              // Guards all below; held for a few assignments only.
     std::condition_variable Freed; // A permit came back, or was lent to us.
     Permits Book;
+    TimeUs EmptyUs = 0;    // When nobody waited for one, last.
     bool Reported = false; // The control thread has been told that permits are wanted.
 };
 
--- a/daemon/traffic.cpp
+++ b/daemon/traffic.cpp
@@ -371,7 +371,7 @@
 // A second attempt at another target: if the row has a permit to spare at once, the retry budget a token, and the router a target.
 static std::optional<UpstreamRequest> MakeHedge(Traffic* traffic, Call* call)
 {
-    Permit permit = PermitTryAcquire(call->State, call->DeadlineUs);
+    Permit permit = PermitForHedge(call->State, call->DeadlineUs);
     if (permit.Kind == PermitKind_None)
     {
         return std::nullopt;
--- a/winchlink.h
+++ b/winchlink.h
@@ -825,6 +825,8 @@
     int Waiting = 0;                       // Requests that wait for a permit.
     bool Ahead = false;                    // The last free one was taken: borrow before one is missed.
     int Tries = 0;                         // Peers asked since a lease last came.
+    int Chunk = 1;                         // Permits asked for ahead; doubles while leases are taken in quick succession.
+    TimeUs LeasedUs = 0;                   // When the last lease came.
     TimeUs FullUntilUs = 0;                // Nobody could spare one: don't wait, don't ask.
     uint64_t LeasesTaken = 0;              // Counters.
     uint64_t LeasesGiven = 0;
@@ -856,6 +858,9 @@
 // Takes a permit for a request that ends at `deadline` at the latest. PermitKind_None if there is none.
 Permit PermitsTake(Permits* p, TimeUs deadline, TimeUs now);
 
+// Own permits that nobody uses.
+int PermitsIdle(const Permits& p, TimeUs now);
+
 // Gives it back. Call exactly once for each permit taken.
 void PermitsGive(Permits* p, const Permit& permit, TimeUs now);
 
--- a/winchlink_permit.cpp
+++ b/winchlink_permit.cpp
@@ -29,6 +29,8 @@
 static constexpr TimeUs HintUs = 1 * UsPerSecond;    // What a peer said that it could spare is believed for so long.
 static constexpr TimeUs RecentUs = 1 * UsPerSecond;  // A row used within this time keeps one own permit unlent.
 static constexpr TimeUs IdleUs = 100 * UsPerMs;      // A lease unused for so long is given back.
+static constexpr TimeUs ChunkUs = 500 * UsPerMs;     // Leases that follow each other faster are asked for in larger chunks.
+static constexpr int ChunkMost = 8;                  // Largest chunk.
 static constexpr int AsksAtOnce = 2;                 // Peers asked side by side.
 static constexpr int TriesOfRound = 6;               // Peers asked before it is clear that none can spare any.
 static constexpr size_t HintsMax = 64;               // Peers whose word is remembered.
@@ -94,6 +96,11 @@
     return now >= PermitsOwnFrom(p) ? p.Own - p.InUse - LentNow(p, now) : 0;
 }
 
+int PermitsIdle(const Permits& p, TimeUs now)
+{
+    return std::max(0, IdleOwn(p, now));
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Taking and giving back
 //-----------------------------------------------------------------------------
@@ -205,7 +212,7 @@
 
 std::optional<PermitAskOut> PermitsNextAsk(Permits* p, const std::vector<Endpoint>& peers, TimeUs now)
 {
-    const int want = std::max(p->Waiting, p->Ahead ? 1 : 0);
+    const int want = std::max(p->Waiting, p->Ahead ? p->Chunk : 0);
     const int in_progress = AsksInProgress(*p, now);
     if (want == 0 || now < p->FullUntilUs || in_progress >= AsksAtOnce)
     {
@@ -275,6 +282,8 @@
     }
     p->Borrowed.push_back({from.Address, ask.AskId, count, 0, until, now});
     p->LeasesTaken++;
+    p->Chunk = now - p->LeasedUs < ChunkUs ? std::min(p->Chunk * 2, ChunkMost) : 1;
+    p->LeasedUs = now;
     p->Tries = 0;
     p->Ahead = false;
     return true;
