--- a/daemon/control.cpp
+++ b/daemon/control.cpp
@@ -127,7 +127,9 @@
     const TablePtr& table = control->Fleet.Tables.Current;
     const bool serving = control->Fleet.Tables.Joined && table->Version.Revision > 0;
     const bool table_changed = table != control->Published;
-    const bool same = !table_changed && serving == control->PublishedServing && !control->RunsChanged;
+    // Only starts and leavings of targets: a load that a probe found is too old to choose by before any traffic thread sees it.
+    const bool runs_changed = control->Fleet.Runs.Changes != control->PublishedRuns;
+    const bool same = !table_changed && serving == control->PublishedServing && !runs_changed;
     if (same)
     {
         return;
@@ -158,7 +160,7 @@
     }
     control->Published = table;
     control->PublishedServing = serving;
-    control->RunsChanged = false;
+    control->PublishedRuns = control->Fleet.Runs.Changes;
 }
 
 //-----------------------------------------------------------------------------
@@ -178,7 +180,6 @@
     run.Leaving = true;
     run.AgeMs = UINT16_MAX;
     CoordinatorReport(&control->Fleet, run, now);
-    control->RunsChanged = true;
 }
 
 static void TakePlatformNews(Control* control, const PlatformNews& news, TimeUs now)
@@ -276,7 +277,6 @@
     if (ReadReport(result.Headers, probe.Address, &run))
     {
         CoordinatorReport(&control->Fleet, run, now);
-        control->RunsChanged = true;
     }
 }
 
@@ -295,7 +295,6 @@
 static void TakeMessages(Control* control, TimeUs now)
 {
     std::vector<Envelope> out;
-    const uint64_t before = control->Fleet.Runs.Changes;
     for (const std::string& bytes : TransportReceive(&control->Wire, now))
     {
         const Result<void> taken = CoordinatorReceive(&control->Fleet, bytes, now, &out);
@@ -304,7 +303,6 @@
             Log(LogLevel_Debug, taken.error().Code, "message refused", {{"detail", taken.error().Detail}});
         }
     }
-    control->RunsChanged = control->RunsChanged || control->Fleet.Runs.Changes != before;
     SendAll(control, out, now);
 }
 
@@ -321,7 +319,6 @@
     while (control->Routes->Reports.pop(run))
     {
         CoordinatorReport(&control->Fleet, run, now);
-        control->RunsChanged = true;
     }
 }
 
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -88,7 +88,7 @@
     TablePtr Published;                                         // Table of the last snapshot.
     uint64_t Serial = 0;                                        // Of the last snapshot.
     bool PublishedServing = false;
-    bool RunsChanged = false;                              // A snapshot is due.
+    uint64_t PublishedRuns = 0;                            // Changes of targets' runs that the last snapshot holds.
     TimeUs NextViewUs = 0;                                 // Next ControlView.
     TimeUs NextProbeUs = 0;                                // Next look at the turns.
     TimeUs NextPruneUs = 0;                                // Next closing of idle connections.
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -20,7 +20,7 @@
     std::string DataCentre;                // Own data centre.
     std::vector<std::string> Peers;        // Control addresses to try first; may be empty.
     MessageKeys Keys;                      // Message keys.
-    int Number = 0;                        // Own number for the measuring budget.
+    int Number = 0;                        // Own number, unique in the fleet: shares of budgets and limits.
     int Numbers = 32;                      // Numbers in the fleet.
     int ClockGuardMs = 50;                 // Wall clocks of the fleet differ by less.
     int ConnectionsMax = 1024;             // Callers' connections.
--- a/tests/instance_test.cpp
+++ b/tests/instance_test.cpp
@@ -173,6 +173,7 @@
     CPPUNIT_TEST(PlannedStopWaitsForAnUpload);
     CPPUNIT_TEST(PlannedStopEndsIdleConnections);
     CPPUNIT_TEST(PausedInstanceSendsNothing);
+    CPPUNIT_TEST(FindsAPauseThatGoesUnnoticed);
     CPPUNIT_TEST(HangUpReachesTheTarget);
     CPPUNIT_TEST(NoTableNoService);
     CPPUNIT_TEST_SUITE_END();
@@ -409,19 +410,34 @@
         close(fd);
     }
 
+    // Stops the control thread and sets when it last ticked.
+    static void StopTicking(SmallFleet* fleet, TimeUs ticked_at)
+    {
+        fleet->Under.Plane.StopWanted = true;
+        fleet->Under.Plane.Thread.join();
+        fleet->Under.Routes.ControlTickUs = ticked_at;
+    }
+
     // The control thread has not ticked for long, as after a pause of the process: no request leaves.
     void PausedInstanceSendsNothing()
     {
         SmallFleet fleet;
-        fleet.Under.Plane.StopWanted = true;
-        fleet.Under.Plane.Thread.join();
-        fleet.Under.Routes.ControlTickUs = NowUs() - 2 * PauseUs;
+        StopTicking(&fleet, NowUs() - 2 * PauseUs);
         const HttpAnswer answer = fleet.Call("POST", "/y", {}, "a");
         CPPUNIT_ASSERT_EQUAL(int(Code_InstanceWaking), CodeOf(answer));
         CPPUNIT_ASSERT_EQUAL(std::string(RunNotRun), RunOf(answer));
         CPPUNIT_ASSERT_EQUAL(0, fleet.Requests());
     }
 
+    // Planted: the same, but the instance believes that it has just ticked. The request leaves, and the count shows it.
+    void FindsAPauseThatGoesUnnoticed()
+    {
+        SmallFleet fleet;
+        StopTicking(&fleet, NowUs() + UsPerSecond);
+        CPPUNIT_ASSERT_EQUAL(200, fleet.Call("POST", "/y", {}, "a").Status);
+        CPPUNIT_ASSERT_EQUAL(1, fleet.Requests());
+    }
+
     void HangUpReachesTheTarget()
     {
         SmallFleet fleet;
--- a/tests/permit_test.cpp
+++ b/tests/permit_test.cpp
@@ -157,7 +157,7 @@
 void Take(PermitModel* model, ModelNode* node)
 {
     const TimeUs now = LocalUs(*model, *node);
-    const TimeUs left = model->Rolls.Between(1, 2 * model->Row.DeadlineMs) * UsPerMs;
+    const TimeUs left = model->Rolls.Between(1, int64_t(2) * model->Row.DeadlineMs) * UsPerMs;
     const TimeUs told = model->Fault == PermitFault_DeadlineIgnored ? now : now + left;
     const Permit permit = PermitsTake(&node->Book, told, now);
     if (permit.Kind != PermitKind_None)
@@ -232,7 +232,7 @@
     model.Row = MakeRow("r", 1);
     model.Row.DeadlineMs = static_cast<int>(model.Rolls.Between(100, 1000));
     const int numbers = static_cast<int>(model.Nodes.size());
-    model.Row.MaxConcurrent = static_cast<int>(model.Rolls.Between(numbers, 4 * numbers));
+    model.Row.MaxConcurrent = static_cast<int>(model.Rolls.Between(numbers, int64_t(4) * numbers));
     for (size_t n = 0; n < model.Nodes.size(); n++)
     {
         StartNode(&model, n);
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -6,6 +6,7 @@
 #include "fleet.h"
 #include "load.h"
 #include "names.h"
+#include "raw_target.h"
 
 #include <csignal>
 #include <set>
@@ -55,6 +56,8 @@
 {
     CPPUNIT_TEST_SUITE(ProcessTest);
     CPPUNIT_TEST(RollOfTheFleetCutsNothing);
+    CPPUNIT_TEST(FindsCutRequests);
+    CPPUNIT_TEST(FindsForeignAnswers);
     CPPUNIT_TEST(KilledAndPausedInstances);
     CPPUNIT_TEST(CutAndHeal);
     CPPUNIT_TEST(DrainingTargetAndBudget);
@@ -96,6 +99,45 @@
         }
     }
 
+    // Planted: the stop of the roll above is a kill. With answers that take 200 ms some are always in progress, and the load sees them cut.
+    void FindsCutRequests()
+    {
+        FleetPlan plan = SmallPlan(1);
+        plan.Rows[0].ServiceUs = 200 * 1000;
+        Fleet fleet;
+        CPPUNIT_ASSERT(FleetStart(&fleet, plan));
+        std::thread killer(
+            [&]()
+            {
+                SleepUs(1500 * UsPerMs);
+                FleetSignalInstance(&fleet, 0, SIGKILL);
+                FleetWaitInstance(&fleet, 0);
+            });
+        LoadPlan load = SmallLoad(fleet, 2);
+        load.Kinds = {{"writes", "POST", "/x/b", 40, 5000}};
+        const std::vector<LoadRecord> records = PlayLoad(load);
+        killer.join();
+        const auto is_cut = [](const LoadRecord& record)
+        {
+            return record.Status == 0 && !record.NotConnected;
+        };
+        CPPUNIT_ASSERT(std::any_of(records.begin(), records.end(), is_cut));
+    }
+
+    // Planted: something that answers every call alike. The load knows what the answer to each call must be.
+    void FindsForeignAnswers()
+    {
+        const RawTarget target;
+        LoadPlan load;
+        load.Entries = {target.Address};
+        load.Seconds = 0.5;
+        load.Workers = 4;
+        load.Kinds = {{"reads", "GET", "/x", 40, 1000}};
+        const std::vector<LoadRecord> records = PlayLoad(load);
+        CPPUNIT_ASSERT(!records.empty());
+        CPPUNIT_ASSERT(std::all_of(records.begin(), records.end(), [](const LoadRecord& record) { return record.Wrong; }));
+    }
+
     void KilledAndPausedInstances()
     {
         Fleet fleet;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -51,6 +51,8 @@
     CPPUNIT_TEST(OnlyHoldersOfAKeyAreHeard);
     CPPUNIT_TEST(TwoKeysWhileChanging);
     CPPUNIT_TEST(EveryChangedByteIsRefused);
+    CPPUNIT_TEST(FindsADecoderWithoutMarks);
+    CPPUNIT_TEST(PermitMessagesSurviveTheWire);
     CPPUNIT_TEST(CutMessagesAreRefused);
     CPPUNIT_TEST(HostileLengthsAllocateNothing);
     CPPUNIT_TEST(HeartbeatFitsADatagram);
@@ -86,16 +88,60 @@
         CPPUNIT_ASSERT(!DecodeMessage(EncodeMessage(MakeBeat(), KeysOf(3)), keys).has_value());
     }
 
-    void EveryChangedByteIsRefused()
+    // How many messages with one changed bit a decoder takes.
+    template <class Decode> static int TakenWithAChange(const std::string& good, Decode decode)
     {
-        const MessageKeys keys = KeysOf(1);
-        const std::string good = EncodeMessage(MakeBeat(), keys);
+        int taken = 0;
         for (size_t n = 0; n < good.size(); n++)
         {
             std::string bad = good;
             bad[n] = static_cast<char>(bad[n] ^ 1);
-            CPPUNIT_ASSERT(!DecodeMessage(bad, keys).has_value());
+            taken += decode(bad).has_value() ? 1 : 0;
         }
+        return taken;
+    }
+
+    void EveryChangedByteIsRefused()
+    {
+        const MessageKeys keys = KeysOf(1);
+        const auto decode = [&](const std::string& bytes)
+        {
+            return DecodeMessage(bytes, keys);
+        };
+        CPPUNIT_ASSERT_EQUAL(0, TakenWithAChange(EncodeMessage(MakeBeat(), keys), decode));
+    }
+
+    // Planted: the mark is not looked at.
+    void FindsADecoderWithoutMarks()
+    {
+        const auto decode = [](const std::string& bytes)
+        {
+            return DecodeUnmarked(bytes.substr(0, bytes.size() - MarkSize));
+        };
+        CPPUNIT_ASSERT(TakenWithAChange(EncodeMessage(MakeBeat(), KeysOf(1)), decode) > 100);
+    }
+
+    void PermitMessagesSurviveTheWire()
+    {
+        Message message;
+        message.Head.Address = {0x7f000001, 7001};
+        message.Type = MessageType_PermitRequest;
+        message.Ask = {11, 12, 13};
+        const Result<Message> ask = DecodeMessage(EncodeMessage(message, KeysOf(1)), KeysOf(1));
+        CPPUNIT_ASSERT_EQUAL(uint64_t(12), ask.value().Ask.AskId);
+        CPPUNIT_ASSERT_EQUAL(uint16_t(13), ask.value().Ask.Want);
+        CPPUNIT_ASSERT_EQUAL(size_t(59), EncodeMessage(message, KeysOf(1)).size()); // docs/CAPACITY.md counts with these sizes.
+        message.Type = MessageType_PermitReply;
+        message.Lease = {11, 12, 3, 4, 2000};
+        const Result<Message> lease = DecodeMessage(EncodeMessage(message, KeysOf(1)), KeysOf(1));
+        CPPUNIT_ASSERT_EQUAL(uint16_t(3), lease.value().Lease.Count);
+        CPPUNIT_ASSERT_EQUAL(uint32_t(2000), lease.value().Lease.TermMs);
+        CPPUNIT_ASSERT_EQUAL(size_t(65), EncodeMessage(message, KeysOf(1)).size());
+        message.Type = MessageType_PermitReturn;
+        message.Return = {11, 12};
+        const Result<Message> returned = DecodeMessage(EncodeMessage(message, KeysOf(1)), KeysOf(1));
+        CPPUNIT_ASSERT_EQUAL(uint64_t(12), returned.value().Return.AskId);
+        CPPUNIT_ASSERT_EQUAL(size_t(57), EncodeMessage(message, KeysOf(1)).size());
     }
 
     // Without the mark, so that the decoder itself is reached.
--- a/winchlink.h
+++ b/winchlink.h
@@ -186,7 +186,7 @@
     std::string Host;                       // Requests with this Host header; empty means any.
     Class_ Class = Class_Normal;            // Who gives way to whom.
     int MaxConnections = 250;               // Connections to one target, over the fleet.
-    int MaxConcurrent = 0;                  // Requests in progress in the row, over the fleet; 0 means the sum of slots, doubled.
+    int MaxConcurrent = 0;                  // Requests in progress in the row, over the fleet; 0 means three times the sum of slots.
     int MeasuringBudgetMs = 0;              // Milliseconds of target time per second that probes may cost the row, over the fleet.
     int ProbeCostMs = 6;                    // Target time one probe costs.
     int DeadlineMs = 1000;                  // Deadline where the caller names none.
