--- a/bench/target.cpp
+++ b/bench/target.cpp
@@ -87,6 +87,7 @@
     uint64_t ProbeUs = 0;
     uint64_t AfterDrain = 0; // Requests that came later than 3 s after the drain began.
     int MostWorking = 0;
+    int MostBusy = 0;    // Working and waiting together.
     size_t MostOpen = 0; // Connections.
     Server Listener;
 };
@@ -107,6 +108,7 @@
 {
     t->History.push_back({NowUs(), BusyNow(*t)});
     t->MostWorking = std::max(t->MostWorking, t->Working);
+    t->MostBusy = std::max(t->MostBusy, BusyNow(*t));
     if (t->History.size() > HistoryMax)
     {
         t->History.pop_front();
@@ -324,9 +326,9 @@
     }
     const std::string body =
         fmt::format("{{\"run\":{},\"distinct\":{},\"postsRepeated\":{},\"shed\":{},\"cancelled\":{},\"probes\":{},\"probeUs\":{},"
-                    "\"afterDrain\":{},\"mostWorking\":{},\"mostConnections\":{},\"busy\":{}}}",
-                    run, t->Runs.size(), repeated, t->Shed, t->Cancelled, t->Probes, t->ProbeUs, t->AfterDrain, t->MostWorking, t->MostOpen,
-                    BusyNow(*t));
+                    "\"afterDrain\":{},\"mostWorking\":{},\"mostBusy\":{},\"mostConnections\":{},\"busy\":{}}}",
+                    run, t->Runs.size(), repeated, t->Shed, t->Cancelled, t->Probes, t->ProbeUs, t->AfterDrain, t->MostWorking, t->MostBusy,
+                    t->MostOpen, BusyNow(*t));
     return {200, {{"Content-Type", "application/json"}}, body, false};
 }
 
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -59,6 +59,8 @@
     CPPUNIT_TEST(FindsCutRequests);
     CPPUNIT_TEST(FindsForeignAnswers);
     CPPUNIT_TEST(KilledAndPausedInstances);
+    CPPUNIT_TEST(RowLimitHoldsOverTheFleet);
+    CPPUNIT_TEST(FindsALimitThatDoesNotHold);
     CPPUNIT_TEST(CutAndHeal);
     CPPUNIT_TEST(DrainingTargetAndBudget);
     CPPUNIT_TEST(SecondSignalEndsAtOnce);
@@ -161,6 +163,52 @@
         CPPUNIT_ASSERT(JsonNumberAt(FleetStatus(fleet, 1), "instance.pauses") >= 1);
     }
 
+    // The most requests that the row's only target ever had at once, under more load than the limit lets through; one instance is killed
+    // and replaced meanwhile.
+    static int64_t MostBusyWithLimit(int max_concurrent, std::vector<LoadRecord>* records)
+    {
+        FleetPlan plan = SmallPlan(3);
+        plan.Rows[0].Targets = 1;
+        plan.Rows[0].ServiceUs = 20 * 1000;
+        plan.Rows[0].MeasuringBudgetMs = 0;
+        plan.Rows[0].MaxConcurrent = max_concurrent;
+        Fleet fleet;
+        CPPUNIT_ASSERT(FleetStart(&fleet, plan));
+        std::thread killer(
+            [&]()
+            {
+                SleepUs(UsPerSecond);
+                FleetSignalInstance(&fleet, 0, SIGKILL);
+                FleetWaitInstance(&fleet, 0);
+                FleetStartInstance(&fleet, 0);
+            });
+        LoadPlan load = SmallLoad(fleet, 3);
+        load.Kinds = {{"writes", "POST", "/x/b", 400, 1000}};
+        *records = PlayLoad(load);
+        killer.join();
+        CheckRecords(fleet, *records);
+        return FleetAuditSum(fleet, "mostBusy");
+    }
+
+    void RowLimitHoldsOverTheFleet()
+    {
+        std::vector<LoadRecord> records;
+        const int64_t most = MostBusyWithLimit(4, &records);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(most), most >= 2 && most <= 4);
+        const auto limited = [](const LoadRecord& record)
+        {
+            return record.NotRun && record.Code == Code_RowLimit;
+        };
+        CPPUNIT_ASSERT(std::any_of(records.begin(), records.end(), limited));
+    }
+
+    // Planted: the table names a higher limit.
+    void FindsALimitThatDoesNotHold()
+    {
+        std::vector<LoadRecord> records;
+        CPPUNIT_ASSERT(MostBusyWithLimit(40, &records) > 4);
+    }
+
     void CutAndHeal()
     {
         Fleet fleet;
