--- a/bench/added.cpp
+++ b/bench/added.cpp
@@ -94,7 +94,8 @@
     }
     fmt::print(
         "| calls/s | direct p99 ms | added p50 ms | added p99 ms | added p99.9 ms | good/s | not good |\n|---|---|---|---|---|---|---|\n");
-    for (const AddedRates& rate : {AddedRates{120, 10}, AddedRates{1000, 4}, AddedRates{2000, 4}, AddedRates{4000, 4}})
+    for (const AddedRates& rate : {AddedRates{120, 10}, AddedRates{1000, 4}, AddedRates{2000, 4}, AddedRates{4000, 4}, AddedRates{8000, 3},
+                                   AddedRates{12000, 3}, AddedRates{16000, 3}})
     {
         AddedSamples samples;
         for (int round = 0; round < rounds; round++)
