One place makes a choice's arguments; a wake of waiting requests that no longer did anything is gone

The queue for permits no longer looks at FullUntilUs, so waking it when a round of asking ends was dead; two copies of the arguments of a choice became one. Checked: build, format, and the tests of permits, planned stops, hedges and the row's limit.

--- a/daemon/permits.cpp
+++ b/daemon/permits.cpp
@@ -222,16 +222,11 @@
 {
     const std::lock_guard<std::mutex> lock(limit->Mutex);
     limit->Reported = false;
-    const bool was_full = now < limit->Book.FullUntilUs;
     Ask(desk, limit, fleet, peers, now, out);
     if (sweep)
     {
         GiveBack(limit, fleet, now, out);
     }
-    if (!was_full && now < limit->Book.FullUntilUs)
-    {
-        limit->Freed.notify_all(); // Nobody has any: who waits is refused at once.
-    }
     return PermitsActive(limit->Book);
 }
 
--- a/daemon/traffic.cpp
+++ b/daemon/traffic.cpp
@@ -273,13 +273,19 @@
     }
 }
 
+static ChooseArgs MakeChooseArgs(const Call& call, TimeUs now)
+{
+    ChooseArgs args;
+    args.RemainingUs = call.DeadlineUs - now;
+    args.Repeatable = call.Life.Repeatable;
+    args.Tried = call.Tried;
+    return args;
+}
+
 static Choice Choose(Call* call)
 {
     const TimeUs now = NowUs();
-    ChooseArgs args;
-    args.RemainingUs = call->DeadlineUs - now;
-    args.Repeatable = call->Life.Repeatable;
-    args.Tried = call->Tried;
+    const ChooseArgs args = MakeChooseArgs(*call, now);
     const std::lock_guard<std::mutex> lock(call->State->Mutex);
     RowFollow(call->State, *call->Seen, call->RowIndex, now);
     Choice choice = RouterChoose(&call->State->Balance, args, now, &call->State->Rng);
@@ -292,10 +298,7 @@
 static Choice ChooseForHedge(Call* call)
 {
     const TimeUs now = NowUs();
-    ChooseArgs args;
-    args.RemainingUs = call->DeadlineUs - now;
-    args.Repeatable = true;
-    args.Tried = call->Tried;
+    const ChooseArgs args = MakeChooseArgs(*call, now);
     const std::lock_guard<std::mutex> lock(call->State->Mutex);
     Choice choice = RouterChoose(&call->State->Balance, args, now, &call->State->Rng);
     if (choice.Refused == RefuseReason_None && !RequestMayHedge(call->Life, &call->State->Retries))
--- a/winchlink.h
+++ b/winchlink.h
@@ -827,7 +827,7 @@
     int Tries = 0;                         // Peers asked since a lease last came.
     int Chunk = 1;                         // Permits asked for ahead; doubles while leases are taken in quick succession.
     TimeUs LeasedUs = 0;                   // When the last lease came.
-    TimeUs FullUntilUs = 0;                // Nobody could spare one: don't wait, don't ask.
+    TimeUs FullUntilUs = 0;                // Nobody could spare one: don't ask until then.
     uint64_t LeasesTaken = 0;              // Counters.
     uint64_t LeasesGiven = 0;
 };
