A stop loses no request at its edges; a row with too long a text is a fault, not the end of the program

Cause, stop: RollOfTheFleetCutsNothing failed once (status 0). Two moments lose requests. Closing the listening socket resets what waits in its queue; closing an idle connection can cross the next request. Ruled out: the drain's order (requests in progress were all answered), the load tool (its failures now carry curl's word and whether the connection was a kept one).

Cause, row: rows were encoded for their digest although a check had failed, and the encoder throws on a text beyond its limit; a method had no limit at all, so that a valid-looking row could end an instance. RefusesTextsThatAreTooLong ended the old program with "text too long".

--- a/bench/bench.h
+++ b/bench/bench.h
@@ -38,6 +38,7 @@
 {
     int Status = 0;              // 0: no complete answer.
     bool Sent = false;           // A connection stood and the request was about to leave on it: it may have been run.
+    std::string Failure;         // Why there is no complete answer, and whether the connection was a kept one.
     std::string Body;            // Whole.
     std::vector<Header> Headers; // All.
 };
--- a/bench/common.cpp
+++ b/bench/common.cpp
@@ -64,6 +64,16 @@
     return list;
 }
 
+static std::string DescribeFailure(CURL* easy, CURLcode code)
+{
+    long opened = 0;
+    long os_error = 0;
+    curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &opened);
+    curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &os_error);
+    const char* connection = opened > 0 ? "new" : "kept";
+    return std::string(curl_easy_strerror(code)) + ", " + connection + " connection, errno " + std::to_string(os_error);
+}
+
 HttpAnswer HttpSend(HttpClient* client, const HttpCall& call)
 {
     HttpAnswer answer;
@@ -88,10 +98,11 @@
         curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.Body.data());
         curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.Method.c_str());
     }
-    const bool ok = curl_easy_perform(easy) == CURLE_OK;
+    const CURLcode code = curl_easy_perform(easy);
     long status = 0;
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-    answer.Status = ok ? static_cast<int>(status) : 0;
+    answer.Status = code == CURLE_OK ? static_cast<int>(status) : 0;
+    answer.Failure = code == CURLE_OK ? "" : DescribeFailure(easy, code);
     curl_slist_free_all(list);
     return answer;
 }
--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -68,6 +68,7 @@
     const std::string* run = FindHeader(answer.Headers, HeaderRun);
     const std::string* id = FindHeader(answer.Headers, HeaderRequestId);
     record->Status = answer.Status;
+    record->Failure = answer.Failure;
     record->Code = IntHeader(answer, HeaderCode);
     record->NotRun = run != nullptr && *run == RunNotRun;
     const bool foreign = id != nullptr && *id != record->Id;
--- a/bench/load.h
+++ b/bench/load.h
@@ -42,6 +42,7 @@
     bool NotRun = false;       // The answer says that it was not run.
     bool Wrong = false;        // The answer is not the one to this call.
     bool NotConnected = false; // No instance took a connection.
+    std::string Failure;       // Why there is no complete answer.
 };
 
 struct LoadSummary
--- a/daemon/instance.cpp
+++ b/daemon/instance.cpp
@@ -10,6 +10,7 @@
 {
 
 static constexpr int DrainStepMs = 10;
+static constexpr TimeUs IdleQuietUs = 2 * UsPerSecond; // An idle caller gets so long to be told to close by itself.
 
 Result<void> InstanceStart(Instance* instance, const Settings& settings)
 {
@@ -53,7 +54,7 @@
     ServerQuiesce(listener);
     const auto all_closed = [listener]()
     {
-        ServerCloseIdle(listener);
+        ServerCloseIdle(listener, IdleQuietUs);
         return ServerOpen(listener) == 0;
     };
     WaitUntil(NowUs() + settings.DrainMaxMs * UsPerMs, force, all_closed);
--- a/daemon/server.cpp
+++ b/daemon/server.cpp
@@ -8,13 +8,16 @@
 
 #include "server.h"
 
+#include "clock.h"
 #include "socket.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cassert>
 #include <microhttpd.h>
+#include <poll.h>
 #include <sys/socket.h>
+#include <thread>
 
 namespace Winchlink
 {
@@ -77,6 +80,7 @@
     if (found != server->Open.end())
     {
         found->second.Busy = false;
+        found->second.QuietUs = NowUs();
     }
 }
 
@@ -193,7 +197,9 @@
     const MHD_ConnectionInfo* socket = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     if (socket != nullptr)
     {
-        server->Open[key].Socket = socket->connect_fd;
+        ServerConnection& opened = server->Open[key];
+        opened.Socket = socket->connect_fd;
+        opened.QuietUs = NowUs();
     }
 }
 
@@ -244,15 +250,47 @@
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-void ServerQuiesce(Server* server)
+static constexpr TimeUs HandshakeUs = 50 * UsPerMs;    // Longer than the way to a caller and back.
+static constexpr TimeUs AcceptMaxUs = 2 * UsPerSecond; // A full server accepts nothing more: don't wait for ever.
+static constexpr TimeUs AcceptStepUs = UsPerMs;
+
+static bool HasUnaccepted(int listening)
 {
-    if (server->Instance)
+    pollfd entry = {listening, POLLIN, 0};
+    return poll(&entry, 1, 0) > 0;
+}
+
+// Waits until nothing has waited to be accepted for as long as a handshake takes.
+static void AwaitAccepted(int listening)
+{
+    const TimeUs give_up = NowUs() + AcceptMaxUs;
+    TimeUs empty_since = NowUs();
+    for (TimeUs now = NowUs(); now < give_up && now < empty_since + HandshakeUs; now = NowUs())
     {
-        const MHD_socket listening = MHD_quiesce_daemon(server->Instance->mhd_daemon);
-        if (listening >= 0)
+        if (HasUnaccepted(listening))
         {
-            close(listening);
+            empty_since = now;
         }
+        std::this_thread::sleep_for(std::chrono::microseconds(AcceptStepUs));
+    }
+}
+
+void ServerQuiesce(Server* server)
+{
+    if (!server->Instance)
+    {
+        return;
+    }
+    // Closing the listening socket resets every connection that waits in its queue, with whatever a caller has sent on it already.
+    const MHD_DaemonInfo* info = MHD_get_daemon_info(server->Instance->mhd_daemon, MHD_DAEMON_INFO_LISTEN_FD);
+    if (info != nullptr && info->listen_fd >= 0 && IgnoreNewConnections(info->listen_fd))
+    {
+        AwaitAccepted(info->listen_fd);
+    }
+    const MHD_socket listening = MHD_quiesce_daemon(server->Instance->mhd_daemon);
+    if (listening >= 0)
+    {
+        close(listening);
     }
 }
 
@@ -272,12 +310,13 @@
     return static_cast<int>(server->Open.size());
 }
 
-void ServerCloseIdle(Server* server)
+void ServerCloseIdle(Server* server, TimeUs quiet)
 {
+    const TimeUs now = NowUs();
     const std::lock_guard<std::mutex> lock(server->Mutex);
     for (const auto& entry : server->Open)
     {
-        if (!entry.second.Busy)
+        if (!entry.second.Busy && now >= entry.second.QuietUs + quiet)
         {
             shutdown(entry.second.Socket, SHUT_RD); // What has come already is still read and answered.
         }
--- a/daemon/server.h
+++ b/daemon/server.h
@@ -50,6 +50,7 @@
     int Socket = -1;       // The connection's socket.
     bool Busy = false;     // The first line of a request was read, and its answer is not yet written whole.
     uint64_t Requests = 0; // Read so far.
+    TimeUs QuietUs = 0;    // When it was opened, or its last answer was written.
 };
 
 struct Server
@@ -68,7 +69,7 @@
 // Starts to listen; Code_ListenFailed if the address can't be had.
 Result<void> ServerStart(Server* server, const ServerConfig& config, ServerHandler handler);
 
-// Accepts no more connections; those open go on.
+// Accepts no more connections; those open go on, and so do those that callers have opened and we have not yet accepted. Takes a moment.
 void ServerQuiesce(Server* server);
 
 // Requests whose answers are not yet written whole.
@@ -77,9 +78,11 @@
 // Connections, idle ones included.
 int ServerOpen(Server* server);
 
-// Reads no further request from idle connections, so that they end. For a planned stop, after ServerQuiesce(); call it until ServerOpen()
-// is zero. (Ending them all at once was not enough: a request that came in that moment was lost with its connection.)
-void ServerCloseIdle(Server* server);
+// Ends connections that have been idle for `quiet`. For a planned stop, after ServerQuiesce(); call it until ServerOpen() is zero.
+// HTTP/1.1 has no way to end an idle connection that can't cross the caller's next request: that request is lost with its connection.
+// Answering it with `Connection: close` is the only sure way, so a caller gets time to send one; one that is quiet for long is unlikely
+// to send in just that moment.
+void ServerCloseIdle(Server* server, TimeUs quiet);
 
 // Ends all connections. Wait for ServerOpen() to come to zero first, or answers are cut.
 void ServerStop(Server* server);
--- a/daemon/socket.cpp
+++ b/daemon/socket.cpp
@@ -2,7 +2,9 @@
 
 #include "socket.h"
 
+#include <array>
 #include <cerrno>
+#include <linux/filter.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -37,4 +39,17 @@
     return fd;
 }
 
+bool IgnoreNewConnections(int listening)
+{
+    // A packet filter of four steps: drop what opens a connection (SYN), let the rest of a handshake pass.
+    constexpr uint32_t tcp_flags_offset = 13;
+    constexpr uint32_t syn = 0x02;
+    constexpr uint32_t whole_packet = 0xffffffff;
+    std::array<sock_filter, 4> steps = {{BPF_STMT(BPF_LD | BPF_B | BPF_ABS, tcp_flags_offset),
+                                         BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, syn, 0, 1), BPF_STMT(BPF_RET | BPF_K, 0),
+                                         BPF_STMT(BPF_RET | BPF_K, whole_packet)}};
+    const sock_fprog program = {static_cast<unsigned short>(steps.size()), steps.data()};
+    return setsockopt(listening, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program)) == 0;
+}
+
 } // namespace Winchlink
--- a/daemon/socket.h
+++ b/daemon/socket.h
@@ -14,4 +14,8 @@
 // A non-blocking socket of that type (SOCK_STREAM or SOCK_DGRAM) bound to an endpoint; -1 with errno set if it can't be had.
 int OpenBound(int type, const Endpoint& endpoint);
 
+// From now on no new connection reaches this listening socket; those already under way still do. To the caller the port looks silent,
+// and its second try finds it closed. False with errno set if the system refuses.
+bool IgnoreNewConnections(int listening);
+
 } // namespace Winchlink
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -97,7 +97,8 @@
             // Nothing cut, and nothing refused for the stop's sake. (A fresh instance refuses until it has its table: the platform's
             // balancer asks /ready, the load does not.)
             const bool fine = record.Status == 200 || record.Code == Code_NoTable || record.Code == Code_InstanceLeaving;
-            CPPUNIT_ASSERT_MESSAGE(record.Id + " status " + std::to_string(record.Status) + " code " + std::to_string(record.Code), fine);
+            const std::string seen = record.Id + " status " + std::to_string(record.Status) + " code " + std::to_string(record.Code);
+            CPPUNIT_ASSERT_MESSAGE(seen + " " + record.Failure + " at " + std::to_string(record.PlannedUs) + " us", fine);
         }
     }
 
--- a/tests/table_test.cpp
+++ b/tests/table_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(RefusesBrokenJson);
     CPPUNIT_TEST(RefusesDuplicateKeys);
     CPPUNIT_TEST(RefusesBadRows);
+    CPPUNIT_TEST(RefusesTextsThatAreTooLong);
     CPPUNIT_TEST(RefusesOneByteTooMany);
     CPPUNIT_TEST(WritesWhatItReads);
     CPPUNIT_TEST(MatchesLongestPrefixAndHost);
@@ -92,6 +93,24 @@
         CPPUNIT_ASSERT(HasFault(typed.Faults, Code_TableWrongType, "rows[0].targets"));
     }
 
+    // Such a row has no encoding; reading it must end in faults all the same.
+    void RefusesTextsThatAreTooLong()
+    {
+        const std::string name(TextMax + 1, 'a');
+        const std::string method(MethodMax + 1, 'A');
+        const std::string row = R"({"name": ")" + name + R"(", "pathPrefix": "/)" + name + R"(", "host": ")" + name +
+                                R"(", "repeatMethods": [")" + method + R"("], "targets": [{"address": ")" + name + R"(", "dataCentre": ")" +
+                                name + R"("}]})";
+        const CheckedTable checked = ParseTable(TableWithRow(row));
+        CPPUNIT_ASSERT(HasFault(checked.Faults, Code_TableOutOfRange, "rows[0].name"));
+        CPPUNIT_ASSERT(HasFault(checked.Faults, Code_TableOutOfRange, "rows[0].pathPrefix"));
+        CPPUNIT_ASSERT(HasFault(checked.Faults, Code_TableOutOfRange, "rows[0].host"));
+        CPPUNIT_ASSERT(HasFault(checked.Faults, Code_TableOutOfRange, "rows[0].repeatMethods[0]"));
+        CPPUNIT_ASSERT(HasFault(checked.Faults, Code_TableBadAddress, "rows[0].targets[0].address"));
+        CPPUNIT_ASSERT(HasFault(checked.Faults, Code_TableOutOfRange, "rows[0].targets[0].dataCentre"));
+        CPPUNIT_ASSERT(!ParseRow(row).has_value());
+    }
+
     void RefusesOneByteTooMany()
     {
         const Table table = ParseTable(GoodTable).Value;
--- a/winchlink.h
+++ b/winchlink.h
@@ -153,6 +153,7 @@
 inline constexpr size_t TableRowsMax = 2048;         // Rows in one table.
 inline constexpr size_t RowTargetsMax = 512;         // Targets in one row.
 inline constexpr size_t RowMethodsMax = 16;          // Methods in one row's list.
+inline constexpr size_t MethodMax = 32;              // Letters of a method.
 inline constexpr size_t TextMax = 256;               // Bytes of a name, host, prefix or address.
 inline constexpr size_t PlatformValueMax = MiB;      // Bytes of one platform value.
 inline constexpr size_t TableDocumentMax = 16 * MiB; // Bytes of the operators\' whole document; 600 rows of 11 targets are some 1.4 MB.
--- a/winchlink_document.cpp
+++ b/winchlink_document.cpp
@@ -83,8 +83,12 @@
         ReadTarget(target, ElementPath(PathOf(r, "targets"), index), faults, &row.Targets);
     }
     ReportUnknownKeys(r);
+    const size_t before = faults->size();
     CheckRow(row, where, faults);
-    SealRow(&row);
+    if (faults->size() == before)
+    {
+        SealRow(&row); // Only a row within its limits has an encoding, and so a digest.
+    }
     out->push_back(std::move(row));
 }
 
@@ -164,10 +168,10 @@
     {
         const std::string& method = row.RepeatMethods[n];
         const bool upper = std::all_of(method.begin(), method.end(), [](char c) { return c >= 'A' && c <= 'Z'; });
-        if (method.empty() || !upper)
+        if (method.empty() || method.size() > MethodMax || !upper)
         {
-            faults->push_back(
-                {Code_TableOutOfRange, ElementPath(where + ".repeatMethods", n), "expected a method in capitals, such as GET"});
+            faults->push_back({Code_TableOutOfRange, ElementPath(where + ".repeatMethods", n),
+                               "expected a method of at most " + std::to_string(MethodMax) + " capitals, such as GET"});
         }
     }
 }
