--- a/bench/policies.cpp
+++ b/bench/policies.cpp
@@ -335,9 +335,17 @@
     double Seconds = 5;
 };
 
-static bool IsWanted(const std::string& only, const char* name)
+// `only` is a list of names with commas between, or empty for all.
+static bool IsWanted(const std::string& only, const std::string& name)
 {
-    return only.empty() || only == name;
+    return only.empty() || ("," + only + ",").find("," + name + ",") != std::string::npos;
+}
+
+// Whether each name of such a list is one of `names`.
+static bool AreKnown(const std::string& only, const std::vector<std::string>& names)
+{
+    const auto listed = std::count_if(names.begin(), names.end(), [&](const std::string& name) { return IsWanted(only, name); });
+    return only.empty() || listed == std::count(only.begin(), only.end(), ',') + 1;
 }
 
 static bool PlayUser(const BenchUser& user, const PolicyChoice& choice, std::ofstream* data)
@@ -396,10 +404,14 @@
 // False, and a word, for a name that does not exist.
 static bool NamesAreKnown(const PolicyChoice& choice, const std::vector<BenchUser>& users)
 {
-    const bool user = std::any_of(users.begin(), users.end(), [&](const BenchUser& u) { return IsWanted(choice.User, u.Name); });
-    const bool policy = std::any_of(std::begin(Policies), std::end(Policies), [&](const char* p) { return IsWanted(choice.Policy, p); });
-    const bool situation = std::any_of(std::begin(Situations), std::end(Situations),
-                                       [&](const SituationInfo& s) { return IsWanted(choice.Situation, s.Name); });
+    std::vector<std::string> user_names;
+    std::vector<std::string> situation_names;
+    std::transform(users.begin(), users.end(), std::back_inserter(user_names), [](const BenchUser& u) { return u.Name; });
+    std::transform(std::begin(Situations), std::end(Situations), std::back_inserter(situation_names),
+                   [](const SituationInfo& s) { return s.Name; });
+    const bool user = AreKnown(choice.User, user_names);
+    const bool policy = AreKnown(choice.Policy, {std::begin(Policies), std::end(Policies)});
+    const bool situation = AreKnown(choice.Situation, situation_names);
     if (!user || !policy || !situation)
     {
         fmt::print(stderr, "winchbench policies: no such {}\n", !user ? "user" : !policy ? "policy" : "situation");
@@ -417,8 +429,8 @@
     const poptOption table[] = {{"rounds", 'r', POPT_ARG_INT, &choice.Rounds, 0, "rounds", "N"},
                                 {"seconds", 's', POPT_ARG_DOUBLE, &choice.Seconds, 0, "length of each play", "N"},
                                 {"user", 'u', POPT_ARG_STRING, &user_name, 0, "dakar or attica; both if not given", "NAME"},
-                                {"policy", 'p', POPT_ARG_STRING, &policy, 0, "this one only", "NAME"},
-                                {"situation", 0, POPT_ARG_STRING, &situation, 0, "this one only", "NAME"},
+                                {"policy", 'p', POPT_ARG_STRING, &policy, 0, "only these, with commas between", "NAMES"},
+                                {"situation", 0, POPT_ARG_STRING, &situation, 0, "only these, with commas between", "NAMES"},
                                 {"instances", 'i', POPT_ARG_INT, &choice.Instances, 0, "size of the fleet, 4 to 64", "N"},
                                 {"data", 'd', POPT_ARG_STRING, &file, 0, "file for the plots", "FILE"},
                                 OPTIONS_TAIL};
--- a/tests/budget_test.cpp
+++ b/tests/budget_test.cpp
@@ -106,55 +106,77 @@
     RC_ASSERT(fault != BudgetFault_None || !probes_of_turn.empty());
 }
 
-// Edits change a row's budget, its probes' cost and who serves it; each instance learns of an edit at a time of its own within the bound.
-// What is spent in a turn of one version must be over before a turn of another begins. `at_once` plants the fault.
+// A row whose turns change by edits, and instances that learn of them at times of their own.
+struct EditedTurns
+{
+    Dice Rolls;
+    Table Live;                                                // What the operator published last.
+    std::vector<Budget> Budgets = std::vector<Budget>(Nodes);  // One per instance.
+    std::vector<Table> Seen = std::vector<Table>(Nodes);       // What each has in force.
+    std::vector<TimeUs> LearnsUs = std::vector<TimeUs>(Nodes); // When each learns of the last edit.
+    TimeUs NextEditUs = StartUs;
+    TimeUs SpentUntilUs = 0; // End of the last turn in which a probe was sent.
+};
+
+// Changes all that turns follow from. The longest turn is 4 s, and must be over when the new ones begin.
+static void EditTurns(EditedTurns* e, TimeUs now)
+{
+    constexpr TimeUs longest_turn = 4 * UsPerSecond;
+    ServiceRow& row = e->Live.Rows[0];
+    e->Live.Version.Revision++;
+    row.MeasuringBudgetMs = static_cast<int>(e->Rolls.Between(5, 60));
+    row.ProbeCostMs = static_cast<int>(e->Rolls.Between(1, 21));
+    row.FirstNumber = static_cast<int>(e->Rolls.Between(0, Nodes));
+    row.Numbers = static_cast<int>(e->Rolls.Between(1, Nodes - row.FirstNumber + 1));
+    for (TimeUs& learns : e->LearnsUs)
+    {
+        learns = now + e->Rolls.Between(0, TableSpreadUs - longest_turn);
+    }
+    e->NextEditUs = now + TableSpreadUs + e->Rolls.Between(0, 10 * UsPerSecond);
+}
+
+// What is spent in a turn of one version must be over before a turn of another begins.
+static void SpendIfMine(EditedTurns* e, uint32_t n, TimeUs now)
+{
+    const ServiceRow& row = e->Seen[n].Rows[0];
+    const BudgetTurn look = BudgetLook(e->Budgets[n], row, now);
+    if (BudgetSpend(&e->Budgets[n], row, now))
+    {
+        RC_ASSERT(look.Turn * look.LengthUs >= e->SpentUntilUs);
+        e->SpentUntilUs = (look.Turn + 1) * look.LengthUs;
+    }
+}
+
+// `at_once` plants the fault: turns count from the edit on.
 static void PlayEdits(bool at_once)
 {
-    constexpr TimeUs step = 10 * UsPerMs;
-    Dice dice;
-    Table table;
-    table.Version.Revision = 1;
-    table.Rows = {BudgetRow()};
-    ServiceRow& row = table.Rows[0];
-    std::vector<Budget> budgets(Nodes);
-    std::vector<TimeUs> learns(Nodes, StartUs);
-    std::vector<Table> seen(Nodes);
-    TimeUs next_edit = StartUs + dice.Between(0, 10 * UsPerSecond);
-    TimeUs spent_until = 0;
+    EditedTurns e;
+    e.Live.Version.Revision = 1;
+    e.Live.Rows = {BudgetRow()};
+    e.NextEditUs = StartUs + e.Rolls.Between(1, 10 * UsPerSecond);
     for (uint32_t n = 0; n < Nodes; n++)
     {
-        BudgetInit(&budgets[n], ConfigOf(n), StartUs - UsPerSecond);
+        BudgetInit(&e.Budgets[n], ConfigOf(n), StartUs - UsPerSecond);
+        e.Seen[n] = e.Live;
+        e.LearnsUs[n] = StartUs;
     }
-    for (TimeUs now = StartUs; now < StartUs + 80 * UsPerSecond; now += step)
+    for (TimeUs now = StartUs; now < StartUs + 80 * UsPerSecond; now += 10 * UsPerMs)
     {
-        if (now >= next_edit)
+        if (now >= e.NextEditUs)
         {
-            table.Version.Revision++;
-            row.MeasuringBudgetMs = static_cast<int>(dice.Between(5, 60));
-            row.ProbeCostMs = static_cast<int>(dice.Between(1, 20));
-            row.FirstNumber = static_cast<int>(dice.Between(0, Nodes));
-            row.Numbers = static_cast<int>(dice.Between(1, Nodes - row.FirstNumber + 1));
-            for (TimeUs& learns_at : learns)
-            {
-                learns_at = now + dice.Between(0, TableSpreadUs - 5 * UsPerSecond); // Five seconds for the longest turn, 4 s, to end.
-            }
-            next_edit = now + TableSpreadUs + dice.Between(0, 10 * UsPerSecond);
+            EditTurns(&e, now);
         }
         for (uint32_t n = 0; n < Nodes; n++)
         {
-            if (now >= learns[n])
-            {
-                learns[n] = INT64_MAX;
-                seen[n] = table;
-                BudgetFollowTable(&budgets[n], seen[n], now);
-                budgets[n].Rules[row.Name].FromUs = at_once ? 0 : budgets[n].Rules[row.Name].FromUs;
-            }
-            const BudgetTurn look = BudgetLook(budgets[n], seen[n].Rows[0], now);
-            if (BudgetSpend(&budgets[n], seen[n].Rows[0], now))
+            if (now >= e.LearnsUs[n])
             {
-                RC_ASSERT(look.Turn * look.LengthUs >= spent_until);
-                spent_until = (look.Turn + 1) * look.LengthUs;
+                e.LearnsUs[n] = INT64_MAX;
+                e.Seen[n] = e.Live;
+                BudgetFollowTable(&e.Budgets[n], e.Seen[n], now);
+                TurnRule* rule = &e.Budgets[n].Rules[BudgetRow().Name];
+                rule->FromUs = at_once ? 0 : rule->FromUs;
             }
+            SpendIfMine(&e, n, now);
         }
     }
 }
--- a/tests/fuzz/fuzz_heartbeat.cpp
+++ b/tests/fuzz/fuzz_heartbeat.cpp
@@ -9,7 +9,8 @@
     {
         return 0;
     }
-    std::string bytes = {1, static_cast<char>(data[0] % 2 == 0 ? Winchlink::MessageType_Heartbeat : Winchlink::MessageType_TableRequest)};
+    std::string bytes = {static_cast<char>(Winchlink::ProtocolVersion),
+                         static_cast<char>(data[0] % 2 == 0 ? Winchlink::MessageType_Heartbeat : Winchlink::MessageType_TableRequest)};
     bytes.append(reinterpret_cast<const char*>(data + 1), size - 1);
     const Winchlink::Result<Winchlink::Message> message = Winchlink::DecodeUnmarked(bytes);
     if (message && message.value().Beat.Samples.size() > Winchlink::SamplesMax)
--- a/tests/fuzz/fuzz_permit.cpp
+++ b/tests/fuzz/fuzz_permit.cpp
@@ -12,7 +12,7 @@
     row.Name = "r";
     row.MaxConcurrent = Limit;
     Winchlink::Permits book;
-    Winchlink::PermitsFollow(&book, row, {0, 1, 0, 0});
+    Winchlink::PermitsFollow(&book, row, {0, 1, 0, 0}, 0);
     book.Waiting = 1;
     Winchlink::PermitsNextAsk(&book, {peer}, Now);
     return book;
@@ -25,7 +25,7 @@
         return 0;
     }
     const char type = static_cast<char>(Winchlink::MessageType_PermitRequest + data[0] % 3);
-    std::string bytes = {1, type};
+    std::string bytes = {static_cast<char>(Winchlink::ProtocolVersion), type};
     bytes.append(reinterpret_cast<const char*>(data + 1), size - 1);
     const Winchlink::Result<Winchlink::Message> decoded = Winchlink::DecodeUnmarked(bytes);
     if (!decoded)
--- a/tests/fuzz/fuzz_reply.cpp
+++ b/tests/fuzz/fuzz_reply.cpp
@@ -4,7 +4,7 @@
 
 extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size)
 {
-    std::string bytes = {1, static_cast<char>(Winchlink::MessageType_TableReply)};
+    std::string bytes = {static_cast<char>(Winchlink::ProtocolVersion), static_cast<char>(Winchlink::MessageType_TableReply)};
     bytes.append(reinterpret_cast<const char*>(data), size);
     const Winchlink::Result<Winchlink::Message> message = Winchlink::DecodeUnmarked(bytes);
     if (!message)
--- a/tests/permit_test.cpp
+++ b/tests/permit_test.cpp
@@ -273,56 +273,76 @@
     return model.Leases;
 }
 
-// Edits give a row to other numbers again and again; each instance learns of an edit at a time of its own within the bound. All use what
-// they own to the full. `at_once` plants the fault: a share counts from the edit on.
+constexpr uint32_t MovingFleet = 8;
+constexpr TimeUs MovingStepUs = 250 * UsPerMs;
+
+// Instances that learn of a row's edits at times of their own.
+struct MovingRow
+{
+    Dice Rolls;
+    ServiceRow Row = MakeRow("r", 1);
+    std::vector<Permits> Books = std::vector<Permits>(MovingFleet);
+    std::vector<TimeUs> LearnsUs = std::vector<TimeUs>(MovingFleet, StartUs);
+    std::vector<std::vector<Permit>> Held = std::vector<std::vector<Permit>>(MovingFleet);
+    TimeUs NextEditUs = StartUs;
+};
+
+// Gives the row to other numbers; everybody knows within the bound.
+void MoveRow(MovingRow* m, TimeUs now)
+{
+    m->Row.FirstNumber = static_cast<int>(m->Rolls.Between(0, MovingFleet));
+    m->Row.Numbers = static_cast<int>(m->Rolls.Between(1, MovingFleet - m->Row.FirstNumber + 1));
+    for (TimeUs& learns : m->LearnsUs)
+    {
+        learns = now + m->Rolls.Between(0, TableSpreadUs - MovingStepUs);
+    }
+    m->NextEditUs = now + TableSpreadUs + m->Rolls.Between(0, 20 * UsPerSecond);
+}
+
+// Some of its requests end, and it begins as many as it may.
+void UseToTheFull(MovingRow* m, uint32_t n, TimeUs now)
+{
+    std::vector<Permit>& held = m->Held[n];
+    for (size_t k = held.size(); k-- > 0;)
+    {
+        if (m->Rolls.OneIn(2))
+        {
+            PermitsGive(&m->Books[n], held[k], now);
+            held.erase(held.begin() + static_cast<std::ptrdiff_t>(k));
+        }
+    }
+    Permit permit = PermitsTake(&m->Books[n], now + MovingStepUs, now);
+    while (permit.Kind != PermitKind_None)
+    {
+        held.push_back(permit);
+        permit = PermitsTake(&m->Books[n], now + MovingStepUs, now);
+    }
+}
+
+// Edits give the row to other numbers again and again. `at_once` plants the fault: a share counts from the edit on.
 void PlayMoves(bool at_once)
 {
-    constexpr uint32_t fleet = 8;
-    constexpr TimeUs step = 250 * UsPerMs;
-    Dice dice;
-    ServiceRow row = MakeRow("r", 1);
-    row.MaxConcurrent = static_cast<int>(dice.Between(fleet, 40));
-    std::vector<Permits> books(fleet);
-    std::vector<TimeUs> learns(fleet, StartUs);
-    std::vector<std::vector<Permit>> held(fleet);
-    TimeUs next_edit = StartUs + dice.Between(0, 5 * UsPerSecond);
-    for (TimeUs now = StartUs; now < StartUs + 200 * UsPerSecond; now += step)
-    {
-        if (now >= next_edit)
+    MovingRow m;
+    m.Row.MaxConcurrent = static_cast<int>(m.Rolls.Between(MovingFleet, 40));
+    for (TimeUs now = StartUs; now < StartUs + 200 * UsPerSecond; now += MovingStepUs)
+    {
+        if (now >= m.NextEditUs)
         {
-            row.FirstNumber = static_cast<int>(dice.Between(0, fleet));
-            row.Numbers = static_cast<int>(dice.Between(1, fleet - row.FirstNumber + 1));
-            for (TimeUs& learns_at : learns)
-            {
-                learns_at = now + dice.Between(0, TableSpreadUs - step);
-            }
-            next_edit = now + TableSpreadUs + dice.Between(0, 20 * UsPerSecond);
+            MoveRow(&m, now);
         }
         size_t in_progress = 0;
-        for (uint32_t n = 0; n < fleet; n++)
+        for (uint32_t n = 0; n < MovingFleet; n++)
         {
-            if (now >= learns[n])
-            {
-                learns[n] = INT64_MAX;
-                PermitsFollow(&books[n], row, {n, fleet, 0, 0}, now);
-                books[n].GrowsUs = at_once ? 0 : books[n].GrowsUs;
-            }
-            for (size_t k = held[n].size(); k-- > 0;)
-            {
-                if (dice.OneIn(2))
-                {
-                    PermitsGive(&books[n], held[n][k], now);
-                    held[n].erase(held[n].begin() + static_cast<std::ptrdiff_t>(k));
-                }
-            }
-            for (Permit permit = PermitsTake(&books[n], now + step, now); permit.Kind != PermitKind_None;
-                 permit = PermitsTake(&books[n], now + step, now))
+            if (now >= m.LearnsUs[n])
             {
-                held[n].push_back(permit);
+                m.LearnsUs[n] = INT64_MAX;
+                PermitsFollow(&m.Books[n], m.Row, {n, MovingFleet, 0, 0}, now);
+                m.Books[n].GrowsUs = at_once ? 0 : m.Books[n].GrowsUs;
             }
-            in_progress += held[n].size();
+            UseToTheFull(&m, n, now);
+            in_progress += m.Held[n].size();
         }
-        RC_ASSERT(in_progress <= static_cast<size_t>(row.MaxConcurrent));
+        RC_ASSERT(in_progress <= static_cast<size_t>(m.Row.MaxConcurrent));
     }
 }
 
--- a/winchlink_internal.h
+++ b/winchlink_internal.h
@@ -111,7 +111,8 @@
 // [SECTION] Messages
 //-----------------------------------------------------------------------------
 
-inline constexpr size_t MarkSize = 16; // Bytes of a message's mark, at its end.
+inline constexpr uint8_t ProtocolVersion = 2; // First byte of each message.
+inline constexpr size_t MarkSize = 16;        // Bytes of a message's mark, at its end.
 
 // Decodes a message without its mark. For DecodeMessage(), and for tests of the decoder.
 Result<Message> DecodeUnmarked(const std::string& bytes);
--- a/winchlink_wire.cpp
+++ b/winchlink_wire.cpp
@@ -21,7 +21,6 @@
 namespace Winchlink
 {
 
-static constexpr uint8_t ProtocolVersion = 2;
 static constexpr size_t PrefixSize = 2; // Version and type.
 
 //-----------------------------------------------------------------------------
