--- a/bench/added.cpp
+++ b/bench/added.cpp
@@ -25,7 +25,7 @@
     plan.Kinds = {{"calls", "GET", "/plain/x", rate.PerSecond, 2000}};
     plan.Seconds = rate.Seconds;
     plan.Seed = static_cast<uint64_t>(round) + 1;
-    plan.Workers = 128;
+    plan.Workers = 64; // No more than the target has slots, or it sheds.
     plan.IdPrefix = fmt::format("{}-{}-{}", entry, rate.PerSecond, round);
     return Summarize(PlayLoad(plan), -1);
 }
