The bench's edits take their row revisions from the library; a lookup by its standard name

AssignRowRevisions() did already what the bench wrote again for its edited tables. Behaviour is the same.

--- a/bench/views.cpp
+++ b/bench/views.cpp
@@ -124,9 +124,7 @@
     auto table = std::make_shared<Table>(before);
     table->Version.Revision++;
     table->Rows[row].DeadlineMs++;
-    table->Rows[row].Revision = table->Version.Revision;
-    SealRow(&table->Rows[row]);
-    SealTable(table.get());
+    AssignRowRevisions(before, table.get());
     return table;
 }
 
--- a/winchlink_member.cpp
+++ b/winchlink_member.cpp
@@ -348,7 +348,7 @@
     for (const ServiceRow& row : table.Rows)
     {
         const NumberRange range = RangeOfRow(row);
-        const bool known = std::any_of(m->Ranges.begin(), m->Ranges.end(), [&range](const NumberRange& r) { return r == range; });
+        const bool known = std::find(m->Ranges.begin(), m->Ranges.end(), range) != m->Ranges.end();
         if (range.Count > 0 && !known)
         {
             m->Ranges.push_back(range);
