--- a/daemon/commands.h
+++ b/daemon/commands.h
@@ -20,6 +20,7 @@
 int RunServe(int argc, const char** argv);
 int RunCheck(int argc, const char** argv);
 int RunPack(int argc, const char** argv);
+int RunGateway(int argc, const char** argv);
 int RunStatus(int argc, const char** argv);
 
 } // namespace Winchlink
--- /dev/null
+++ b/daemon/headers.cpp
@@ -0,0 +1,48 @@
+// headers.cpp: HTTP header fields.
+
+#include "headers.h"
+
+#include <algorithm>
+#include <array>
+#include <strings.h>
+
+namespace Winchlink
+{
+
+bool SameHeader(const std::string& a, const std::string& b)
+{
+    return strcasecmp(a.c_str(), b.c_str()) == 0;
+}
+
+const std::string* FindHeader(const std::vector<Header>& headers, const std::string& name)
+{
+    for (const Header& header : headers)
+    {
+        if (SameHeader(header.Name, name))
+        {
+            return &header.Value;
+        }
+    }
+    return nullptr;
+}
+
+bool IsHopHeader(const std::string& name)
+{
+    static const std::array<const char*, 10> hop = {
+        "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE",
+        "Trailer",    "Transfer-Encoding", "Upgrade",          "Content-Length"};
+    return std::any_of(hop.begin(), hop.end(), [&](const char* h) { return SameHeader(name, h); });
+}
+
+std::string TrimBlanks(const std::string& text)
+{
+    const char* blanks = " \t\r\n";
+    const size_t first = text.find_first_not_of(blanks);
+    if (first == std::string::npos)
+    {
+        return "";
+    }
+    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
+} // namespace Winchlink
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -19,8 +19,9 @@
     int (*Run)(int argc, const char** argv);
 };
 
-static constexpr std::array<Subcommand, 4> Subcommands = {{
+static constexpr std::array<Subcommand, 5> Subcommands = {{
     {"serve", "run an entry instance", RunServe},
+    {"gateway", "run a gateway instance, which reads routes and targets from a platform's store", RunGateway},
     {"check", "check tables and settings before they are published", RunCheck},
     {"pack", "make the platform's values from a table", RunPack},
     {"status", "show what an instance knows and does", RunStatus},
--- a/daemon/settings.cpp
+++ b/daemon/settings.cpp
@@ -16,7 +16,7 @@
 
 static constexpr int IntMax = std::numeric_limits<int>::max();
 
-static void ReadAddress(ObjectReader* r, const char* key, bool required, std::string* out)
+void ReadAddress(ObjectReader* r, const char* key, bool required, std::string* out)
 {
     const size_t before = r->Faults->size();
     ReadText(r, key, required, out);
@@ -27,14 +27,14 @@
     }
 }
 
-static void ReadPeers(ObjectReader* r, std::vector<std::string>* out)
+void ReadAddresses(ObjectReader* r, const char* key, std::vector<std::string>* out)
 {
-    ReadTexts(r, "peers", false, out);
+    ReadTexts(r, key, false, out);
     for (size_t n = 0; n < out->size(); n++)
     {
         if (!IsAddress((*out)[n]))
         {
-            AddFault(*r, r->Codes.OutOfRange, ElementPath("peers", n), "expected IP:port, found \"" + (*out)[n] + "\"");
+            AddFault(*r, r->Codes.OutOfRange, ElementPath(key, n), "expected IP:port, found \"" + (*out)[n] + "\"");
         }
     }
 }
@@ -69,7 +69,7 @@
     }
 }
 
-static void ReadLevel(ObjectReader* r, LogLevel_* out)
+void ReadLevel(ObjectReader* r, LogLevel_* out)
 {
     std::string name = LogLevelName(*out);
     ReadText(r, "logLevel", false, &name);
@@ -90,7 +90,7 @@
     ReadAddress(r, "operatorAddress", true, &out->OperatorAddress);
     ReadAddress(r, "platformAddress", true, &out->PlatformAddress);
     ReadText(r, "dataCentre", true, &out->DataCentre);
-    ReadPeers(r, &out->Peers);
+    ReadAddresses(r, "peers", &out->Peers);
     ReadKeys(r, &out->Keys);
     ReadIntBetween(r, "number", true, 0, IntMax, &out->Number);
     ReadIntBetween(r, "numbers", false, 1, IntMax, &out->Numbers);
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -41,6 +41,12 @@
 
 CheckedSettings ParseSettings(const std::string& json);
 
+// Parts that settings of any kind share.
+struct ObjectReader;
+void ReadAddress(ObjectReader* r, const char* key, bool required, std::string* out);
+void ReadAddresses(ObjectReader* r, const char* key, std::vector<std::string>* out);
+void ReadLevel(ObjectReader* r, LogLevel_* out);
+
 // The whole file, or Code_SettingsUnreadable.
 Result<std::string> ReadFile(const std::string& path);
 
--- a/daemon/traffic.cpp
+++ b/daemon/traffic.cpp
@@ -104,15 +104,6 @@
     return response;
 }
 
-// Headers that belong to one connection and are never passed on (RFC 9110, 7.6.1), and those that we set anew.
-static bool IsHopHeader(const std::string& name)
-{
-    static const std::array<const char*, 10> hop = {
-        "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE",
-        "Trailer",    "Transfer-Encoding", "Upgrade",          "Content-Length"};
-    return std::any_of(hop.begin(), hop.end(), [&](const char* h) { return SameHeader(name, h); });
-}
-
 static ServerResponse PassOn(const Call& call, const UpstreamAnswer& answer)
 {
     ServerResponse response;
--- a/daemon/upstream.cpp
+++ b/daemon/upstream.cpp
@@ -20,7 +20,6 @@
 #include "names.h"
 
 #include <cstring>
-#include <strings.h>
 #include <sys/socket.h>
 
 namespace Winchlink
@@ -36,23 +35,6 @@
 // [SECTION] Headers
 //-----------------------------------------------------------------------------
 
-bool SameHeader(const std::string& a, const std::string& b)
-{
-    return strcasecmp(a.c_str(), b.c_str()) == 0;
-}
-
-const std::string* FindHeader(const std::vector<Header>& headers, const std::string& name)
-{
-    for (const Header& header : headers)
-    {
-        if (SameHeader(header.Name, name))
-        {
-            return &header.Value;
-        }
-    }
-    return nullptr;
-}
-
 bool ReadReport(const std::vector<Header>& headers, const std::string& address, TargetRun* out)
 {
     const std::string* start = FindHeader(headers, HeaderStart);
@@ -130,17 +112,6 @@
     return CURL_PREREQFUNC_OK;
 }
 
-static std::string Trim(const std::string& text)
-{
-    const char* blanks = " \t\r\n";
-    const size_t first = text.find_first_not_of(blanks);
-    if (first == std::string::npos)
-    {
-        return "";
-    }
-    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
-}
-
 static size_t OnHeader(char* data, size_t size, size_t count, void* user)
 {
     auto* attempt = static_cast<Attempt*>(user);
@@ -153,7 +124,7 @@
     const size_t colon = line.find(':');
     if (colon != std::string::npos)
     {
-        attempt->Answer->Headers.push_back({line.substr(0, colon), Trim(line.substr(colon + 1))});
+        attempt->Answer->Headers.push_back({line.substr(0, colon), TrimBlanks(line.substr(colon + 1))});
     }
     return line.size();
 }
--- a/daemon/upstream.h
+++ b/daemon/upstream.h
@@ -9,6 +9,7 @@
 
 #pragma once
 
+#include "headers.h"
 #include "winchlink.h"
 
 #include <atomic>
@@ -23,17 +24,6 @@
 // [SECTION] Requests and answers
 //-----------------------------------------------------------------------------
 
-struct Header
-{
-    std::string Name;  // As received.
-    std::string Value; // Without surrounding blanks.
-};
-
-bool SameHeader(const std::string& a, const std::string& b);
-
-// The first value of that name, or null.
-const std::string* FindHeader(const std::vector<Header>& headers, const std::string& name);
-
 struct UpstreamRequest
 {
     std::string Method;                // As the caller sent it.
--- /dev/null
+++ b/gateway/client.cpp
@@ -0,0 +1,390 @@
+// client.cpp: HTTP to targets, the store and peers, on libcurl inside the event loop.
+//
+// Two traps of libcurl are closed here. A request on a kept connection that the other side closes without an answer would be sent a second
+// time, POST included: the pre-request callback aborts its second call. A surplus answer on a kept connection would be taken for the answer
+// of the next request: the caller's Fits() looks at the headers before anything is believed.
+//
+// Index of this file:
+// [SECTION] Calls
+// [SECTION] libcurl's callbacks
+// [SECTION] Ends
+// [SECTION] The event loop
+// [SECTION] Sending
+
+#include "client.h"
+
+#include "clock.h"
+
+#include <cassert>
+
+namespace Winchlink
+{
+
+static constexpr long ConnectionsKept = 256;   // Idle ones over all targets; each target sees far fewer.
+static constexpr long IdleReuseMostSeconds = 8; // Targets close idle connections after 10 s and more.
+
+//-----------------------------------------------------------------------------
+// [SECTION] Calls
+//-----------------------------------------------------------------------------
+
+using HeaderList = std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
+
+struct ClientCall
+{
+    Client* Owner = nullptr;
+    uint64_t Id = 0;
+    ClientRequest Request;
+    ClientDone Done;
+    ClientAnswer Answer;
+    CURL* Easy = nullptr;
+    HeaderList Headers{nullptr, curl_slist_free_all};
+    TimeUs StartedUs = 0;
+    bool Sent = false;       // The request was about to leave.
+    bool HeldBack = false;   // MaySend said no.
+    bool Foreign = false;    // The answer belongs to another request.
+    bool TooLarge = false;   // The answer is over its limit.
+    bool HeadRead = false;   // All headers of the answer were read.
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] libcurl's callbacks
+//-----------------------------------------------------------------------------
+
+static int OnPrepared(void* user, char*, char*, int, int)
+{
+    auto* call = static_cast<ClientCall*>(user);
+    if (call->Sent)
+    {
+        call->Owner->ReplaysStopped++;
+        return CURL_PREREQFUNC_ABORT;
+    }
+    if (call->Request.MaySend && !call->Request.MaySend())
+    {
+        call->HeldBack = true;
+        return CURL_PREREQFUNC_ABORT;
+    }
+    call->Sent = true;
+    return CURL_PREREQFUNC_OK;
+}
+
+static bool IsInterim(ClientCall* call)
+{
+    long status = 0;
+    curl_easy_getinfo(call->Easy, CURLINFO_RESPONSE_CODE, &status);
+    return status < 200;
+}
+
+static size_t OnHeader(char* data, size_t size, size_t count, void* user)
+{
+    auto* call = static_cast<ClientCall*>(user);
+    const std::string line(data, size * count);
+    if (line.compare(0, 5, "HTTP/") == 0)
+    {
+        call->Answer.Headers.clear(); // An interim answer came before; only the last one counts.
+        return line.size();
+    }
+    if (line == "\r\n" || line == "\n")
+    {
+        call->HeadRead = !IsInterim(call);
+        call->Foreign = call->HeadRead && call->Request.Fits && !call->Request.Fits(call->Answer.Headers);
+        return call->Foreign ? 0 : line.size();
+    }
+    const size_t colon = line.find(':');
+    if (colon != std::string::npos && !call->HeadRead)
+    {
+        call->Answer.Headers.push_back({line.substr(0, colon), TrimBlanks(line.substr(colon + 1))});
+    }
+    return line.size();
+}
+
+static size_t OnBody(char* data, size_t size, size_t count, void* user)
+{
+    auto* call = static_cast<ClientCall*>(user);
+    const size_t length = size * count;
+    call->TooLarge = call->Answer.Body.size() + length > call->Request.AnswerMost;
+    if (call->TooLarge)
+    {
+        return 0;
+    }
+    call->Answer.Body.append(data, length);
+    return length;
+}
+
+static int OnConnectionOpened(void* user, curl_socket_t, curlsocktype)
+{
+    auto* call = static_cast<ClientCall*>(user);
+    call->Owner->ConnectionsOpened++;
+    call->Answer.NewConnection = true;
+    return CURL_SOCKOPT_OK;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Ends
+//-----------------------------------------------------------------------------
+
+static ClientEnd_ EndOf(const ClientCall& call, CURLcode result)
+{
+    if (result == CURLE_OK)
+    {
+        return ClientEnd_Answered;
+    }
+    if (call.HeldBack)
+    {
+        return ClientEnd_HeldBack;
+    }
+    if (!call.Sent)
+    {
+        return ClientEnd_NotConnected;
+    }
+    if (result == CURLE_OPERATION_TIMEDOUT)
+    {
+        return ClientEnd_TimedOut;
+    }
+    return call.HeadRead || call.Foreign || result == CURLE_WEIRD_SERVER_REPLY ? ClientEnd_Broken : ClientEnd_Lost;
+}
+
+static void FillAnswer(ClientCall* call, CURLcode result)
+{
+    ClientAnswer& answer = call->Answer;
+    answer.End = EndOf(*call, result);
+    answer.TookUs = NowUs() - call->StartedUs;
+    if (answer.End == ClientEnd_Answered)
+    {
+        long status = 0;
+        curl_easy_getinfo(call->Easy, CURLINFO_RESPONSE_CODE, &status);
+        answer.Status = static_cast<int>(status);
+        return;
+    }
+    answer.Detail = call->Foreign ? "answer of another request" : call->TooLarge ? "answer too large" : curl_easy_strerror(result);
+    answer.Headers.clear();
+    answer.Body.clear();
+}
+
+// Takes the call out of the client; its handle is kept for another one.
+static std::unique_ptr<ClientCall> TakeOut(Client* client, uint64_t id)
+{
+    const auto found = client->Calls.find(id);
+    if (found == client->Calls.end())
+    {
+        return nullptr;
+    }
+    std::unique_ptr<ClientCall> call = std::move(found->second);
+    client->Calls.erase(found);
+    curl_multi_remove_handle(client->Multi, call->Easy);
+    return call;
+}
+
+static void KeepHandle(Client* client, ClientCall* call)
+{
+    curl_easy_reset(call->Easy);
+    client->Spare.push_back(call->Easy);
+    call->Easy = nullptr;
+}
+
+static void Finish(Client* client, CURL* easy, CURLcode result)
+{
+    void* user = nullptr;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &user);
+    const uint64_t id = static_cast<ClientCall*>(user)->Id;
+    FillAnswer(static_cast<ClientCall*>(user), result);
+    const std::unique_ptr<ClientCall> call = TakeOut(client, id);
+    KeepHandle(client, call.get());
+    call->Done(std::move(call->Answer));
+}
+
+static void FinishAll(Client* client)
+{
+    int left = 0;
+    for (CURLMsg* message = curl_multi_info_read(client->Multi, &left); message != nullptr;
+         message = curl_multi_info_read(client->Multi, &left))
+    {
+        if (message->msg == CURLMSG_DONE)
+        {
+            Finish(client, message->easy_handle, message->data.result); // May send or cancel other requests.
+        }
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] The event loop
+//-----------------------------------------------------------------------------
+
+static void OnReady(Client* client, curl_socket_t socket, int events)
+{
+    const int flags = ((events & (UV_READABLE | UV_DISCONNECT)) != 0 ? CURL_CSELECT_IN : 0) |
+                      ((events & UV_WRITABLE) != 0 ? CURL_CSELECT_OUT : 0);
+    int running = 0;
+    curl_multi_socket_action(client->Multi, socket, flags, &running);
+    FinishAll(client);
+}
+
+static int EventsOf(int what)
+{
+    return ((what & CURL_POLL_IN) != 0 ? UV_READABLE : 0) | ((what & CURL_POLL_OUT) != 0 ? UV_WRITABLE : 0);
+}
+
+static int OnSocket(CURL*, curl_socket_t socket, int what, void* user, void*)
+{
+    auto* client = static_cast<Client*>(user);
+    if (what == CURL_POLL_REMOVE)
+    {
+        client->Sockets.erase(socket);
+        return 0;
+    }
+    const auto found = client->Sockets.find(socket);
+    if (found != client->Sockets.end())
+    {
+        WatchChange(found->second.get(), EventsOf(what));
+        return 0;
+    }
+    client->Sockets[socket] =
+        WatchStart(client->Loop, socket, EventsOf(what), [client, socket](int events) { OnReady(client, socket, events); });
+    return 0;
+}
+
+static void OnTimeout(Client* client)
+{
+    int running = 0;
+    curl_multi_socket_action(client->Multi, CURL_SOCKET_TIMEOUT, 0, &running);
+    FinishAll(client);
+}
+
+static int OnTimerWanted(CURLM*, long timeout_ms, void* user)
+{
+    auto* client = static_cast<Client*>(user);
+    client->Timeout = nullptr;
+    if (timeout_ms >= 0)
+    {
+        client->Timeout = TimerStart(client->Loop, timeout_ms * UsPerMs, [client]() { OnTimeout(client); });
+    }
+    return 0;
+}
+
+Client::Client() = default;
+
+Client::~Client() = default;
+
+void ClientStart(Client* client, EventLoop* loop)
+{
+    assert(client->Multi == nullptr && "the client runs already");
+    client->Loop = loop;
+    client->Multi = curl_multi_init();
+    curl_multi_setopt(client->Multi, CURLMOPT_SOCKETFUNCTION, OnSocket);
+    curl_multi_setopt(client->Multi, CURLMOPT_SOCKETDATA, client);
+    curl_multi_setopt(client->Multi, CURLMOPT_TIMERFUNCTION, OnTimerWanted);
+    curl_multi_setopt(client->Multi, CURLMOPT_TIMERDATA, client);
+    curl_multi_setopt(client->Multi, CURLMOPT_MAXCONNECTS, ConnectionsKept);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Sending
+//-----------------------------------------------------------------------------
+
+static HeaderList MakeHeaders(const std::vector<Header>& headers)
+{
+    curl_slist* list = nullptr;
+    for (const Header& header : headers)
+    {
+        // curl drops "Name:" and sends "Name;" as an empty header.
+        const std::string line = header.Value.empty() ? header.Name + ";" : header.Name + ": " + header.Value;
+        list = curl_slist_append(list, line.c_str());
+    }
+    for (const char* unwanted : {"Expect:", "Accept:", "Content-Type:"})
+    {
+        const std::string name(unwanted, std::string(unwanted).size() - 1);
+        if (FindHeader(headers, name) == nullptr)
+        {
+            list = curl_slist_append(list, unwanted); // What the caller did not send is not added either.
+        }
+    }
+    return HeaderList(list, curl_slist_free_all);
+}
+
+static void SetBody(CURL* easy, const ClientRequest& request)
+{
+    if (request.HasBody)
+    {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request.Body.size()));
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.Body.data());
+    }
+    else if (request.Method == "HEAD")
+    {
+        curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+    }
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.Method.c_str());
+}
+
+static long MsOf(TimeUs time)
+{
+    return static_cast<long>(std::max<TimeUs>((time + UsPerMs - 1) / UsPerMs, 1));
+}
+
+static void Prepare(ClientCall* call)
+{
+    CURL* easy = call->Easy;
+    const ClientRequest& request = call->Request;
+    const std::string url = "http://" + request.Address + "/";
+    curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, call->Request.Target.c_str());
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(easy, CURLOPT_HTTP09_ALLOWED, 0L);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 0L);
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, IdleReuseMostSeconds);
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request.NewConnection ? 1L : 0L);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, MsOf(request.TimeoutUs));
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, MsOf(request.ConnectUs > 0 ? request.ConnectUs : request.TimeoutUs));
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->Headers.get());
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, OnPrepared);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, OnHeader);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, OnBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, OnConnectionOpened);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, call);
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
+    SetBody(easy, request);
+}
+
+static CURL* TakeHandle(Client* client)
+{
+    if (client->Spare.empty())
+    {
+        return curl_easy_init();
+    }
+    CURL* easy = client->Spare.back();
+    client->Spare.pop_back();
+    return easy;
+}
+
+uint64_t ClientSend(Client* client, ClientRequest request, ClientDone done)
+{
+    auto call = std::make_unique<ClientCall>();
+    const uint64_t id = ++client->LastId;
+    call->Owner = client;
+    call->Id = id;
+    call->Request = std::move(request);
+    call->Done = std::move(done);
+    call->StartedUs = NowUs();
+    call->Easy = TakeHandle(client);
+    call->Headers = MakeHeaders(call->Request.Headers);
+    Prepare(call.get());
+    CURL* easy = call->Easy;
+    client->Calls[id] = std::move(call);
+    curl_multi_add_handle(client->Multi, easy); // Asks for a timeout of 0, so all that follows runs from the loop.
+    return id;
+}
+
+void ClientCancel(Client* client, uint64_t id)
+{
+    const std::unique_ptr<ClientCall> call = TakeOut(client, id);
+    if (call)
+    {
+        KeepHandle(client, call.get());
+    }
+}
+
+} // namespace Winchlink
--- /dev/null
+++ b/gateway/command_gateway.cpp
@@ -0,0 +1,68 @@
+// command_gateway.cpp: winchlink gateway: runs a gateway instance until a signal ends it.
+
+#include "commands.h"
+#include "gateway.h"
+#include "options.h"
+
+#include <csignal>
+#include <fmt/format.h>
+#include <unistd.h>
+
+namespace Winchlink
+{
+
+static constexpr const char* SettingsVariable = "WINCHLINK_BOOT"; // Names the settings file where the command line does not.
+
+static int Run(const std::string& file)
+{
+    const Result<std::string> json = ReadFile(file);
+    if (!json)
+    {
+        Log(LogLevel_Error, json.error().Code, "settings refused", {{"file", file}, {"detail", json.error().Detail}});
+        return Exit_Usage;
+    }
+    const CheckedGatewaySettings checked = ParseGatewaySettings(json.value());
+    for (const Fault& fault : checked.Faults)
+    {
+        Log(LogLevel_Error, fault.Code, "settings refused", {{"file", file}, {"key", fault.Where}, {"detail", fault.Detail}});
+    }
+    if (!checked.Faults.empty())
+    {
+        return Exit_Usage;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    Gateway gateway;
+    gateway.SettingsFile = file;
+    const Result<void> started = GatewayStart(&gateway, checked.Value);
+    if (!started)
+    {
+        Log(LogLevel_Error, started.error().Code, "can't start", {{"detail", started.error().Detail}});
+        return Exit_Start;
+    }
+    Log(LogLevel_Info, Code_None, "started", {{"version", Version}, {"instance", checked.Value.Instance}});
+    const int cut = GatewayRun(&gateway);
+    Log(LogLevel_Info, cut > 0 ? Code_ForcedStop : Code_None, "stopped", {{"cut", cut}});
+    _exit(cut > 0 ? Exit_Cut : Exit_Good); // Requests in progress still hold on to parts of the instance.
+}
+
+int RunGateway(int argc, const char** argv)
+{
+    char* file = nullptr;
+    const poptOption table[] = {{"settings", 's', POPT_ARG_STRING, &file, 0, "settings of this instance (JSON)", "FILE"}, OPTIONS_TAIL};
+    const ParsedOptions parsed = ParseOptions("winchlink gateway", argc, argv, table, "[--settings FILE]");
+    const std::unique_ptr<char, decltype(&free)> owner(file, free);
+    if (parsed.Exit)
+    {
+        return *parsed.Exit;
+    }
+    const char* named = file != nullptr ? file : std::getenv(SettingsVariable);
+    if (named == nullptr || !parsed.Arguments.empty())
+    {
+        fmt::print(stderr, "winchlink gateway: code {}: --settings FILE is needed (or {} in the environment), and nothing else\n",
+                   static_cast<int>(Code_Usage), SettingsVariable);
+        return Exit_Usage;
+    }
+    return Run(named);
+}
+
+} // namespace Winchlink
--- /dev/null
+++ b/gateway/forward.h
@@ -0,0 +1,63 @@
+// forward.h: a caller's request on its way to a target: matched, given a target, sent, and answered.
+//
+// A target's load shifts faster than any report of it can travel, so targets are asked right before a request is sent: near ones first,
+// until one has a free slot at its usual pace. Where none of those asked has a free slot the request is refused at once; nothing queues at
+// targets. A request that may not be repeated is sent again only after a target has said that it did not run it, or when it never left.
+//
+// How to use it: fill the struct, ForwarderFollow() after each change of the plan or the directory, ForwardRequest() for each request.
+
+#pragma once
+
+#include "client.h"
+#include "listener.h"
+#include "metrics.h"
+#include "wire_names.h"
+
+namespace Winchlink
+{
+
+struct ForwardConfig
+{
+    int AsksAtOnce = 2;                       // Targets asked at the same time for one request.
+    int AsksMost = 6;                         // Targets asked for one request.
+    TimeUs AskTimeoutUs = 40 * UsPerMs;       // A target that takes longer to tell its load is passed over; usual: 0.6 to 3 ms.
+    double AskShare = 0.2;                    // Part of a route's aim that choosing may take; refusals are early up to a quarter of it.
+    TimeUs ConnectUs = 250 * UsPerMs;         // To connect to a target on our own network.
+    TimeUs BusyRetryUs = 300 * UsPerMs;       // When to come back after all targets were busy: about the work of one request.
+    TimeUs EmptyRetryUs = 500 * UsPerMs;      // When to come back where there is no target or no plan yet.
+    double RepeatShare = 0.2;                 // See RepeatBudget.
+    TimeUs RepeatWindowUs = 10 * UsPerSecond; //
+};
+
+// What an instance knows of one service.
+struct ServiceState
+{
+    TargetPool Pool;
+    RepeatBudget Repeats;
+    RowMetrics Metrics;
+};
+
+struct Forwarder
+{
+    ForwardConfig Config;
+    WireNames Names;
+    std::string DataCentre; // Own.
+    EventLoop* Loop = nullptr;
+    Client* Targets = nullptr;
+    Random* Rng = nullptr;
+    RoutePlanPtr Plan;                            // Null before the first.
+    TargetDirectory Directory;                    //
+    uint64_t Followed = 0;                        // Changes of the directory that the pools hold.
+    std::map<std::string, ServiceState> Services; // By name. Never erased: requests hold on to them.
+    std::map<std::string, RouteSplit> Splits;     // By route name.
+    bool Leaving = false;                         // Tell callers to open their next connection elsewhere.
+    int InProgress = 0;                           // Requests not answered yet.
+    uint64_t AsksSent = 0;                        // Counter.
+};
+
+// Brings pools in line with plan and directory.
+void ForwarderFollow(Forwarder* forwarder);
+
+void ForwardRequest(Forwarder* forwarder, const ExchangePtr& exchange);
+
+} // namespace Winchlink
--- /dev/null
+++ b/gateway/gateway_settings.h
@@ -0,0 +1,38 @@
+// gateway_settings.h: the settings of a gateway instance, from a JSON file.
+//
+// docs/OPERATORS.md describes each key. On a platform, the file is made from a template (deploy/settings.json). All faults of a file are
+// reported at once.
+
+#pragma once
+
+#include "settings.h"
+
+namespace Winchlink
+{
+
+struct GatewaySettings
+{
+    std::string Instance;                      // Name in logs.
+    std::string DataCentre;                    // Own data centre.
+    std::string CallerAddress;                 // IP:port where callers connect.
+    std::string ReadyAddress;                  // IP:port where the balancer in front asks whether we serve.
+    std::string MetricsAddress;                // IP:port of the counters; empty: none.
+    std::string PeerAddress;                   // IP:port for other instances; empty: none.
+    std::string StoreAddress;                  // IP:port of the store of routes and targets.
+    std::vector<std::string> Peers;            // Peer addresses to try first; may be stale.
+    int ConnectionsMost = 1024;                // Callers' connections.
+    TimeUs GraceUs = 6 * UsPerSecond;          // From the stop signal to the kill.
+    TimeUs RepeatWindowUs = 10 * UsPerSecond;  // Window of the repeat budget.
+    double RepeatShare = 0.2;                  // Repeated sends as a share of a service's requests in a window.
+    LogLevel_ Level = LogLevel_Info;           // Least level of log lines.
+};
+
+struct CheckedGatewaySettings
+{
+    GatewaySettings Value;     // Meaningful only when Faults is empty.
+    std::vector<Fault> Faults; // All faults.
+};
+
+CheckedGatewaySettings ParseGatewaySettings(const std::string& json);
+
+} // namespace Winchlink
--- /dev/null
+++ b/gateway/listener.cpp
@@ -0,0 +1,326 @@
+// listener.cpp: HTTP from callers, on libmicrohttpd inside the event loop.
+//
+// libmicrohttpd runs without threads: its epoll descriptor is watched by the loop, and each request is suspended until it is answered. It
+// does not look at the socket of a suspended request, so the loop watches each connection for the caller's leaving.
+//
+// Index of this file:
+// [SECTION] Reading requests
+// [SECTION] Answering
+// [SECTION] Connections
+// [SECTION] Start
+
+#include "listener.h"
+
+#include "clock.h"
+#include "socket.h"
+
+#include <algorithm>
+#include <cassert>
+#include <microhttpd.h>
+#include <sys/socket.h>
+
+namespace Winchlink
+{
+
+static constexpr int StatusGone = 499;                     // Told to nobody: the caller has left.
+static constexpr TimeUs TimeoutCheckUs = UsPerSecond;      // How often libmicrohttpd looks for idle connections to close.
+static constexpr unsigned ListenBacklog = 512;             // Connections that wait to be accepted.
+static constexpr size_t ConnectionMemory = 32 * KiB;       // Headers of a request and of its answer; more gets status 431.
+static constexpr TimeUs IdleGraceUs = 2 * UsPerSecond;     // Idle connections are kept so much longer than callers expect.
+
+//-----------------------------------------------------------------------------
+// [SECTION] Answering
+//-----------------------------------------------------------------------------
+
+static MHD_Result WriteAnswer(const Exchange& exchange)
+{
+    const CallerReply& reply = *exchange.Answer;
+    // libmicrohttpd only reads from a buffer that it is told to copy.
+    MHD_Response* response =
+        MHD_create_response_from_buffer(reply.Body.size(), const_cast<char*>(reply.Body.data()), MHD_RESPMEM_MUST_COPY);
+    for (const Header& header : reply.Headers)
+    {
+        MHD_add_response_header(response, header.Name.c_str(), header.Value.c_str());
+    }
+    if (reply.CloseConnection)
+    {
+        MHD_add_response_header(response, "Connection", "close");
+    }
+    const MHD_Result queued = MHD_queue_response(exchange.Connection, static_cast<unsigned>(reply.Status), response);
+    MHD_destroy_response(response);
+    return queued;
+}
+
+void Reply(const ExchangePtr& exchange, CallerReply reply)
+{
+    assert(!exchange->Answer && "a request is answered once");
+    exchange->Answer = std::move(reply);
+    exchange->OnGone = nullptr;
+    if (exchange->Suspended)
+    {
+        exchange->Suspended = false;
+        MHD_resume_connection(exchange->Connection);
+        exchange->Owner->RunWanted = true;
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Reading requests
+//-----------------------------------------------------------------------------
+
+static MHD_Result AddHeader(void* user, MHD_ValueKind, const char* name, const char* value)
+{
+    static_cast<std::vector<Header>*>(user)->push_back({name, value != nullptr ? value : ""});
+    return MHD_YES;
+}
+
+// The first line of a request has been read. Called before the path is decoded.
+static void* OnFirstLine(void* user, const char* target, MHD_Connection* connection)
+{
+    auto exchange = std::make_unique<ExchangePtr>(std::make_shared<Exchange>());
+    (*exchange)->Owner = static_cast<Listener*>(user);
+    (*exchange)->Connection = connection;
+    (*exchange)->Target = target;
+    return exchange.release(); // OnCompleted() deletes it.
+}
+
+static void ReadHeaders(const ExchangePtr& exchange, const char* method)
+{
+    exchange->Begun = true;
+    exchange->Method = method;
+    MHD_get_connection_values(exchange->Connection, MHD_HEADER_KIND, AddHeader, &exchange->Headers);
+}
+
+static bool DeclaresTooMuch(const Exchange& exchange)
+{
+    const std::string* length = FindHeader(exchange.Headers, "Content-Length");
+    return length != nullptr && std::strtoull(length->c_str(), nullptr, 10) > exchange.Owner->Config.BodyMost;
+}
+
+static MHD_Result RefuseTooLarge(const ExchangePtr& exchange)
+{
+    exchange->Answer = CallerReply{MHD_HTTP_CONTENT_TOO_LARGE, {}, "", true};
+    return WriteAnswer(*exchange);
+}
+
+static void TakeBody(const ExchangePtr& exchange, const char* data, size_t size)
+{
+    exchange->BodyTooLarge = exchange->BodyTooLarge || exchange->Body.size() + size > exchange->Owner->Config.BodyMost;
+    if (!exchange->BodyTooLarge)
+    {
+        exchange->Body.append(data, size);
+    }
+}
+
+// The request has been read whole.
+static MHD_Result HandOver(const ExchangePtr& exchange)
+{
+    Listener* listener = exchange->Owner;
+    CallerConnection& connection = listener->Open[exchange->Connection];
+    exchange->Handed = true;
+    exchange->ArrivedUs = NowUs();
+    if (exchange->BodyTooLarge)
+    {
+        return RefuseTooLarge(exchange);
+    }
+    if (connection.Gone)
+    {
+        exchange->Answer = CallerReply{StatusGone, {}, "", true};
+        return WriteAnswer(*exchange);
+    }
+    connection.Current = exchange;
+    listener->Handler(exchange);
+    if (exchange->Answer)
+    {
+        return WriteAnswer(*exchange);
+    }
+    exchange->Suspended = true;
+    MHD_suspend_connection(exchange->Connection);
+    return MHD_YES;
+}
+
+static MHD_Result OnAccess(void*, MHD_Connection*, const char*, const char* method, const char*, const char* data, size_t* size,
+                           void** context)
+{
+    const ExchangePtr exchange = *static_cast<ExchangePtr*>(*context);
+    if (!exchange->Begun)
+    {
+        ReadHeaders(exchange, method);
+        return DeclaresTooMuch(*exchange) ? RefuseTooLarge(exchange) : MHD_YES;
+    }
+    if (*size > 0)
+    {
+        TakeBody(exchange, data, *size);
+        *size = 0;
+        return MHD_YES;
+    }
+    if (exchange->Answer)
+    {
+        return WriteAnswer(*exchange);
+    }
+    return exchange->Handed ? MHD_YES : HandOver(exchange);
+}
+
+static void OnCompleted(void* user, MHD_Connection* connection, void** context, MHD_RequestTerminationCode)
+{
+    auto* listener = static_cast<Listener*>(user);
+    const std::unique_ptr<ExchangePtr> exchange(static_cast<ExchangePtr*>(*context));
+    *context = nullptr;
+    const auto open = listener->Open.find(connection);
+    if (exchange && open != listener->Open.end() && open->second.Current == *exchange)
+    {
+        open->second.Current = nullptr;
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Connections
+//-----------------------------------------------------------------------------
+
+static void OnHangup(Listener* listener, MHD_Connection* mhd)
+{
+    CallerConnection& connection = listener->Open[mhd];
+    connection.Gone = true;
+    WatchChange(connection.Hangup.get(), 0); // It would be reported again and again.
+    const ExchangePtr exchange = connection.Current;
+    if (!exchange || exchange->Answer)
+    {
+        return;
+    }
+    if (exchange->OnGone)
+    {
+        exchange->OnGone();
+    }
+    if (!exchange->Answer)
+    {
+        Reply(exchange, CallerReply{StatusGone, {}, "", true}); // libmicrohttpd finds out that nobody reads it.
+    }
+}
+
+static unsigned SecondsOf(TimeUs time)
+{
+    return static_cast<unsigned>((time + UsPerSecond - 1) / UsPerSecond);
+}
+
+static void OnConnection(void* user, MHD_Connection* mhd, void**, MHD_ConnectionNotificationCode code)
+{
+    auto* listener = static_cast<Listener*>(user);
+    if (code == MHD_CONNECTION_NOTIFY_CLOSED)
+    {
+        listener->Open.erase(mhd);
+        return;
+    }
+    const MHD_ConnectionInfo* info = MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_CONNECTION_FD);
+    CallerConnection& connection = listener->Open[mhd];
+    connection.Socket = info->connect_fd;
+    connection.Mhd = mhd;
+    connection.Hangup =
+        WatchStart(listener->Loop, info->connect_fd, UV_DISCONNECT, [listener, mhd](int) { OnHangup(listener, mhd); });
+    MHD_set_connection_option(mhd, MHD_CONNECTION_OPTION_TIMEOUT, SecondsOf(listener->Config.IdleTimeoutUs + IdleGraceUs));
+}
+
+int ListenerBusy(const Listener& listener)
+{
+    const auto busy = [](const auto& entry) { return entry.second.Current != nullptr; };
+    return static_cast<int>(std::count_if(listener.Open.begin(), listener.Open.end(), busy));
+}
+
+void ListenerCloseIdle(Listener* listener)
+{
+    for (const auto& entry : listener->Open)
+    {
+        if (!entry.second.Current)
+        {
+            shutdown(entry.second.Socket, SHUT_RD); // What has come already is still read and answered.
+        }
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Start
+//-----------------------------------------------------------------------------
+
+static void RunDaemon(Listener* listener)
+{
+    listener->RunWanted = false;
+    MHD_run(listener->Daemon);
+    MHD_UNSIGNED_LONG_LONG wait = 0;
+    const bool more = MHD_get_timeout(listener->Daemon, &wait) == MHD_YES && wait == 0;
+    listener->RunWanted = listener->RunWanted || more;
+}
+
+// Runs the daemon while it has something to do, but not for ever: other sockets want to be read too.
+static void BeforeWait(Listener* listener)
+{
+    constexpr int RoundsMost = 8;
+    for (int round = 0; round < RoundsMost && listener->RunWanted; round++)
+    {
+        RunDaemon(listener);
+    }
+    if (listener->RunWanted)
+    {
+        listener->Timeout = TimerStart(listener->Loop, 0, []() {});
+    }
+}
+
+static void CheckTimeouts(Listener* listener)
+{
+    listener->RunWanted = true;
+    listener->Timeout = TimerStart(listener->Loop, TimeoutCheckUs, [listener]() { CheckTimeouts(listener); });
+}
+
+static MHD_Daemon* StartDaemon(Listener* listener, sockaddr_in* address)
+{
+    const unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
+    return MHD_start_daemon(
+        flags, 0, nullptr, nullptr, OnAccess, listener,                                 //
+        MHD_OPTION_NOTIFY_COMPLETED, OnCompleted, listener,                             //
+        MHD_OPTION_URI_LOG_CALLBACK, OnFirstLine, listener,                             //
+        MHD_OPTION_NOTIFY_CONNECTION, OnConnection, listener,                           //
+        MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr*>(address),                     //
+        MHD_OPTION_CONNECTION_LIMIT, static_cast<unsigned>(listener->Config.ConnectionsMost), //
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, ConnectionMemory,                           //
+        MHD_OPTION_LISTEN_BACKLOG_SIZE, ListenBacklog,                                  //
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,                                         //
+        MHD_OPTION_END);
+}
+
+Result<void> ListenerStart(Listener* listener, EventLoop* loop, const ListenerConfig& config, ExchangeHandler handler)
+{
+    assert(listener->Daemon == nullptr && "the listener runs already");
+    listener->Config = config;
+    listener->Loop = loop;
+    listener->Handler = std::move(handler);
+    const Result<Endpoint> endpoint = ParseEndpoint(config.Address);
+    if (!endpoint)
+    {
+        return endpoint.error();
+    }
+    sockaddr_in address = ToSocketAddress(endpoint.value());
+    listener->Daemon = StartDaemon(listener, &address);
+    if (listener->Daemon == nullptr)
+    {
+        return Error{Code_ListenFailed, config.Address};
+    }
+    const MHD_DaemonInfo* info = MHD_get_daemon_info(listener->Daemon, MHD_DAEMON_INFO_EPOLL_FD);
+    listener->Ready = WatchStart(loop, info->epoll_fd, UV_READABLE, [listener](int) { RunDaemon(listener); });
+    LoopBeforeWait(loop, [listener]() { BeforeWait(listener); });
+    CheckTimeouts(listener);
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void ListenerSetLimits(Listener* listener, size_t body_most, TimeUs idle_timeout)
+{
+    listener->Config.BodyMost = body_most;
+    if (idle_timeout == listener->Config.IdleTimeoutUs)
+    {
+        return;
+    }
+    listener->Config.IdleTimeoutUs = idle_timeout;
+    for (const auto& entry : listener->Open)
+    {
+        MHD_set_connection_option(entry.first, MHD_CONNECTION_OPTION_TIMEOUT, SecondsOf(idle_timeout + IdleGraceUs));
+    }
+}
+
+} // namespace Winchlink
--- /dev/null
+++ b/gateway/loop.cpp
@@ -0,0 +1,168 @@
+// loop.cpp: the event loop of a gateway instance, on libuv.
+//
+// libuv frees nothing by itself: a handle may go only after its close callback, so each handle owns itself from then on.
+//
+// Index of this file:
+// [SECTION] Loop
+// [SECTION] Timers
+// [SECTION] Sockets
+// [SECTION] Signals
+
+#include "loop.h"
+
+#include <cassert>
+
+namespace Winchlink
+{
+
+//-----------------------------------------------------------------------------
+// [SECTION] Loop
+//-----------------------------------------------------------------------------
+
+static void RunHooks(uv_prepare_t* prepare)
+{
+    for (const std::function<void()>& hook : static_cast<EventLoop*>(prepare->data)->Hooks)
+    {
+        hook();
+    }
+}
+
+EventLoop::EventLoop()
+{
+    const int made = uv_loop_init(&Uv);
+    assert(made == 0 && "the process has no descriptor left for an event loop");
+    (void)made;
+    uv_prepare_init(&Uv, &Prepare);
+    Prepare.data = this;
+    uv_prepare_start(&Prepare, RunHooks);
+}
+
+EventLoop::~EventLoop()
+{
+    uv_close(reinterpret_cast<uv_handle_t*>(&Prepare), nullptr);
+    uv_run(&Uv, UV_RUN_NOWAIT); // Lets closed handles free themselves.
+    uv_loop_close(&Uv);
+}
+
+void LoopRun(EventLoop* loop)
+{
+    uv_run(&loop->Uv, UV_RUN_DEFAULT);
+}
+
+void LoopStop(EventLoop* loop)
+{
+    uv_stop(&loop->Uv);
+}
+
+void LoopBeforeWait(EventLoop* loop, std::function<void()> hook)
+{
+    loop->Hooks.push_back(std::move(hook));
+}
+
+template <class Handle> static void CloseAndFree(Handle* handle)
+{
+    uv_close(reinterpret_cast<uv_handle_t*>(&handle->Uv), [](uv_handle_t* uv) { delete static_cast<Handle*>(uv->data); });
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Timers
+//-----------------------------------------------------------------------------
+
+struct TimerHandle
+{
+    uv_timer_t Uv = {};
+    std::function<void()> Run;
+};
+
+void TimerEnd::operator()(TimerHandle* timer) const
+{
+    uv_timer_stop(&timer->Uv);
+    CloseAndFree(timer);
+}
+
+Timer TimerStart(EventLoop* loop, TimeUs delay, std::function<void()> run)
+{
+    Timer timer(new TimerHandle());
+    timer->Run = std::move(run);
+    uv_timer_init(&loop->Uv, &timer->Uv);
+    timer->Uv.data = timer.get();
+    const TimeUs rounded_up = (std::max<TimeUs>(delay, 0) + UsPerMs - 1) / UsPerMs;
+    const auto fire = [](uv_timer_t* uv)
+    {
+        const std::function<void()> once = std::move(static_cast<TimerHandle*>(uv->data)->Run); // The call may end the timer.
+        once();
+    };
+    uv_timer_start(&timer->Uv, fire, static_cast<uint64_t>(rounded_up), 0);
+    return timer;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Sockets
+//-----------------------------------------------------------------------------
+
+struct WatchHandle
+{
+    uv_poll_t Uv = {};
+    std::function<void(int)> Run;
+};
+
+void WatchEnd::operator()(WatchHandle* watch) const
+{
+    uv_poll_stop(&watch->Uv);
+    CloseAndFree(watch);
+}
+
+static void OnSocketReady(uv_poll_t* uv, int status, int events)
+{
+    const std::function<void(int)> run = static_cast<WatchHandle*>(uv->data)->Run; // A copy: the call may end the watch.
+    run(status < 0 ? UV_READABLE | UV_WRITABLE | UV_DISCONNECT : events);
+}
+
+Watch WatchStart(EventLoop* loop, int socket, int events, std::function<void(int)> run)
+{
+    Watch watch(new WatchHandle());
+    watch->Run = std::move(run);
+    uv_poll_init(&loop->Uv, &watch->Uv, socket);
+    watch->Uv.data = watch.get();
+    WatchChange(watch.get(), events);
+    return watch;
+}
+
+void WatchChange(WatchHandle* watch, int events)
+{
+    if (events == 0)
+    {
+        uv_poll_stop(&watch->Uv);
+        return;
+    }
+    uv_poll_start(&watch->Uv, events, OnSocketReady);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Signals
+//-----------------------------------------------------------------------------
+
+struct SignalHandle
+{
+    uv_signal_t Uv = {};
+    std::function<void()> Run;
+};
+
+void SignalEnd::operator()(SignalHandle* signal) const
+{
+    uv_signal_stop(&signal->Uv);
+    CloseAndFree(signal);
+}
+
+SignalWatch SignalStart(EventLoop* loop, int number, std::function<void()> run)
+{
+    SignalWatch watch(new SignalHandle());
+    watch->Run = std::move(run);
+    uv_signal_init(&loop->Uv, &watch->Uv);
+    watch->Uv.data = watch.get();
+    uv_signal_start(
+        &watch->Uv, [](uv_signal_t* uv, int) { static_cast<SignalHandle*>(uv->data)->Run(); }, number);
+    return watch;
+}
+
+} // namespace Winchlink
--- /dev/null
+++ b/gateway/loop.h
@@ -0,0 +1,97 @@
+// loop.h: the event loop of a gateway instance, on libuv: timers, watched sockets and signals.
+//
+// How to use it: start timers and watches, then LoopRun(). All callbacks run on the thread that runs the loop, so nothing here locks. A
+// handle ends its timer or watch when it is destroyed; a callback may destroy its own handle.
+//
+// Index of this file:
+// [SECTION] Loop
+// [SECTION] Timers
+// [SECTION] Sockets
+// [SECTION] Signals
+
+#pragma once
+
+#include "winchlink.h"
+
+#include <functional>
+#include <uv.h>
+
+namespace Winchlink
+{
+
+//-----------------------------------------------------------------------------
+// [SECTION] Loop
+//-----------------------------------------------------------------------------
+
+struct EventLoop
+{
+    uv_loop_t Uv = {};                        // libuv's part.
+    uv_prepare_t Prepare = {};                // Runs BeforeWait.
+    std::vector<std::function<void()>> Hooks; // Called before each wait.
+
+    EventLoop();
+    ~EventLoop();
+    EventLoop(const EventLoop&) = delete;
+    EventLoop& operator=(const EventLoop&) = delete;
+};
+
+// Runs until LoopStop().
+void LoopRun(EventLoop* loop);
+void LoopStop(EventLoop* loop);
+
+// Calls `hook` each time the loop is about to wait, after all that was ready has been handled.
+void LoopBeforeWait(EventLoop* loop, std::function<void()> hook);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Timers
+//-----------------------------------------------------------------------------
+
+struct TimerHandle;
+
+struct TimerEnd
+{
+    void operator()(TimerHandle* timer) const;
+};
+
+using Timer = std::unique_ptr<TimerHandle, TimerEnd>;
+
+// Calls `run` once after `delay`, rounded up to milliseconds.
+Timer TimerStart(EventLoop* loop, TimeUs delay, std::function<void()> run);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Sockets
+//-----------------------------------------------------------------------------
+
+struct WatchHandle;
+
+struct WatchEnd
+{
+    void operator()(WatchHandle* watch) const;
+};
+
+using Watch = std::unique_ptr<WatchHandle, WatchEnd>;
+
+// Calls `run` with libuv's events (UV_READABLE, UV_WRITABLE, UV_DISCONNECT) when one of `events` holds. End the watch before the socket
+// is closed.
+Watch WatchStart(EventLoop* loop, int socket, int events, std::function<void(int events)> run);
+
+// Watches for other events from now on.
+void WatchChange(WatchHandle* watch, int events);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Signals
+//-----------------------------------------------------------------------------
+
+struct SignalHandle;
+
+struct SignalEnd
+{
+    void operator()(SignalHandle* signal) const;
+};
+
+using SignalWatch = std::unique_ptr<SignalHandle, SignalEnd>;
+
+// Calls `run` each time the process gets the signal.
+SignalWatch SignalStart(EventLoop* loop, int number, std::function<void()> run);
+
+} // namespace Winchlink
--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -16,6 +16,8 @@
     libcereal-dev           # codec of the messages between instances
     libcurl4-gnutls-dev     # upstream HTTP; the GnuTLS one, since libulfius-dev conflicts with the OpenSSL one
     libulfius-dev           # HTTP server
+    libmicrohttpd-dev       # HTTP server of gateway instances; ulfius is built on it
+    libuv1-dev              # event loop of gateway instances
     libjansson-dev          # JSON; ulfius needs it anyway, and it can refuse duplicate keys
     libfmt-dev              # log lines
     libpopt-dev             # command line
--- a/winchlink.h
+++ b/winchlink.h
@@ -21,6 +21,9 @@
 // [SECTION] Permits (a row's limit on concurrent work, lent for a term)
 // [SECTION] Router
 // [SECTION] Request life and retry budget
+// [SECTION] Route plan (what a gateway instance serves; newer versions win)
+// [SECTION] Target directory (which targets there are, as a lagging store tells it)
+// [SECTION] Target pool (which target to ask for its load, and which to take)
 
 #pragma once
 
@@ -96,6 +99,7 @@
     Code_TargetRefused = 2009,
     Code_ConnectFailed = 2010,
     Code_OtherInstances = 2011,
+    Code_TargetsBusy = 2012,
 
     Code_OutcomeUnknown = 2101,
     Code_DeadlinePassed = 2102,
@@ -1129,4 +1133,226 @@
 // Ends an attempt and says what comes next.
 NextStep_ RequestEnd(RequestLife* life, Outcome_ outcome, bool time_left, RetryBudget* budget);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Route plan (what a gateway instance serves; newer versions win)
+//-----------------------------------------------------------------------------
+
+// A part of a route's requests goes to each of its services.
+struct RoutePart
+{
+    std::string Service; // Which service.
+    int Weight = 1;      // Its share is Weight / sum of weights.
+};
+
+struct Route
+{
+    std::string Name;             // Unique in the plan.
+    std::string Host;             // Requests with this Host header.
+    std::string PathPrefix;       // Requests whose path begins so; ends with a slash.
+    std::vector<RoutePart> Parts; // At least one.
+    bool Repeatable = false;      // Requests may be run more than once.
+    TimeUs TimeoutUs = 0;         // A request is answered by then, whatever the answer.
+    TimeUs AimUs = 0;             // An answer within this time is good.
+    int Priority = 0;             // 0 is the most urgent.
+    int AttemptsMost = 1;         // Targets that one request may be sent to.
+};
+
+struct ServiceInfo
+{
+    std::string Name;         // Unique in the plan.
+    std::string HealthPath;   // GET of it tells health and load of a target.
+    int ConnectionsMost = 0;  // That one target accepts, from the whole fleet.
+};
+
+// What callers may send.
+struct CallerLimits
+{
+    size_t HeaderBytesMost = 16 * KiB;
+    size_t BodyBytesMost = 64 * MiB;
+    TimeUs HeaderTimeoutUs = 3 * UsPerSecond; // To read all headers.
+    TimeUs IdleTimeoutUs = 15 * UsPerSecond;  // Between two requests of a connection.
+};
+
+struct RoutePlan
+{
+    uint64_t Version = 0; // 0: no plan yet. Higher versions replace lower ones, never the reverse.
+    std::vector<Route> Routes;
+    std::vector<ServiceInfo> Services;
+    CallerLimits Limits;
+};
+
+using RoutePlanPtr = std::shared_ptr<const RoutePlan>;
+
+// The route of a request: of those with its host, the one with the longest prefix of the path. Null if none. The port in `host` and the
+// query in `target` are passed over.
+const Route* FindRoute(const RoutePlan& plan, const std::string& host, const std::string& target);
+
+// The service of that name, or null.
+const ServiceInfo* FindService(const RoutePlan& plan, const std::string& name);
+
+// Smooth weighted round robin: after any number of requests each part is within one request of its share. Instances start at random
+// places, so that their rounding errors cancel out.
+struct RouteSplit
+{
+    std::vector<RoutePart> Parts; // Those that Credit belongs to.
+    std::vector<int64_t> Credit;  // What each part is behind its share, in weights.
+};
+
+// The part that gets the next request.
+size_t RouteSplitNext(RouteSplit* split, const std::vector<RoutePart>& parts, Random* random);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Target directory (which targets there are, as a lagging store tells it)
+//-----------------------------------------------------------------------------
+
+enum Presence_ : int
+{
+    Presence_Ready,
+    Presence_Leaving,  // It said that it leaves: no new request.
+    Presence_Vanished, // Its entry went without a word: it left, it crashed, or the store lost it. Used only where nothing else is left.
+    Presence_COUNT,
+};
+
+struct DirectoryTarget
+{
+    std::string Id;         // Of this start of the target; another start has another id.
+    std::string Service;    // Which service it belongs to.
+    std::string Address;    // IP:port; may have belonged to another target before.
+    std::string DataCentre; // Where it runs.
+    int Slots = 1;          // Requests it works on at once.
+    Presence_ Presence = Presence_Ready;
+    TimeUs WarmUntilUs = 0; // It is slow until then.
+    TimeUs ForgetUs = 0;    // When Vanished: gone for good from then on.
+    uint64_t Revision = 0;  // Of the store, when the entry last changed.
+};
+
+struct DirectoryConfig
+{
+    TimeUs VanishedUs = 1500 * UsPerMs;      // An entry that went is kept so long; targets serve on for 2 s after it.
+    TimeUs ReturnUs = 2200 * UsPerMs;        // After trouble of the store, entries that it lost are back by then.
+    TimeUs TroubleMemoryUs = UsPerSecond;    // Entries that go so soon after trouble may have been lost by the store.
+};
+
+struct TargetDirectory
+{
+    DirectoryConfig Config;
+    std::map<std::string, DirectoryTarget> Targets; // By id.
+    uint64_t Changes = 0;                           // Grows with each change.
+    TimeUs TroubleUs = 0;                           // When the store last failed; 0 if never.
+    bool InTrouble = false;                         // It failed and has not answered since.
+    TimeUs ReturnedUs = 0;                          // When it answered again.
+};
+
+// The store failed to answer, or answers again.
+void DirectoryTrouble(TargetDirectory* directory, TimeUs now);
+void DirectoryAnswered(TargetDirectory* directory, TimeUs now);
+
+// An entry as the store tells it. One that is older than what is known is passed over.
+void DirectoryPut(TargetDirectory* directory, const DirectoryTarget& target, TimeUs now);
+
+// The store says that an entry went at that revision.
+void DirectoryRemove(TargetDirectory* directory, const std::string& id, uint64_t revision, TimeUs now);
+
+// All entries as of a revision: what is not among them and not newer went.
+void DirectoryReplace(TargetDirectory* directory, const std::vector<DirectoryTarget>& all, uint64_t revision, TimeUs now);
+
+// A target itself says that it leaves, or that its address belongs to another one.
+void DirectoryLeaves(TargetDirectory* directory, const std::string& id);
+
+// Forgets vanished entries when their time is over. True if any went.
+bool DirectoryTick(TargetDirectory* directory, TimeUs now);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Target pool (which target to ask for its load, and which to take)
+//-----------------------------------------------------------------------------
+
+// What a target tells of its load.
+struct LoadReport
+{
+    int Running = 0;       // Requests it works on.
+    int Waiting = 0;       // Requests in its queue.
+    int Slots = 1;         // Requests it can work on at once.
+    int PacePercent = 100; // Time that work takes there now; 100 is usual.
+};
+
+// The load in "running,waiting,slots,pace"; the pace may be missing. None where the text is no such list.
+std::optional<LoadReport> ParseLoadReport(const std::string& text);
+
+struct PoolTarget
+{
+    std::string Id;
+    std::string Address;
+    bool Near = false;      // In our own data centre.
+    bool Doubtful = false;  // Its entry has vanished.
+    int Slots = 1;          // As its entry says.
+    TimeUs WarmUntilUs = 0; // It is slow until then.
+    int InFlight = 0;       // Our requests there.
+    int Since = 0;          // Of those, sent since Report was made.
+    LoadReport Report;      // The last one.
+    TimeUs ReportUs = 0;    // When it came; 0: never.
+    int FailuresInRow = 0;  // Requests and questions without a good answer.
+    TimeUs AvoidUntilUs = 0; // After failures: taken only where nothing else is left.
+};
+
+struct PoolConfig
+{
+    double NearlyFullShare = 0.8;           // Targets that are fuller than this are slower (users' site files, "knee").
+    double NearlyFullFactor = 1.7;          // By so much.
+    double WarmFactor = 2.0;                // So are those that have just started.
+    double GoodCost = 1.6;                  // A target at this cost or less is taken without asking further.
+    TimeUs ReportUs = 150 * UsPerMs;        // Load shifts within this time: an older report says nothing (users' site files, "noise").
+    TimeUs AvoidUs = 200 * UsPerMs;         // First pause after a failure; doubles with each further one.
+    int AvoidDoublings = 4;                 // At most so often.
+};
+
+struct TargetPool
+{
+    PoolConfig Config;
+    std::vector<PoolTarget> Targets;
+    bool TellsLoad = true; // Targets of this service tell their load; false once one has answered without.
+};
+
+// Brings the pool in line with the directory; what is known of targets that stay is kept.
+void PoolFollow(TargetPool* pool, const TargetDirectory& directory, const std::string& service, const std::string& data_centre);
+
+// The target of that id, or null.
+PoolTarget* PoolFind(TargetPool* pool, const std::string& id);
+
+// The next target to ask, or to try where targets tell no load; null when all are in `passed`.
+PoolTarget* PoolNext(TargetPool* pool, const std::vector<std::string>& passed, TimeUs now, Random* random);
+
+// Whether the target's last report leaves room for one more request.
+bool PoolHasRoom(const PoolTarget& target);
+
+// How many times longer than usual one more request is expected to take there.
+double PoolCost(const PoolConfig& config, const PoolTarget& target, TimeUs now);
+
+void PoolReport(PoolTarget* target, const LoadReport& report, TimeUs now);
+void PoolFailed(const PoolConfig& config, PoolTarget* target, TimeUs now);
+void PoolGood(PoolTarget* target);
+
+// Repeated sends, as a share of the requests of the last window. Each instance keeps its own share, so the sum over the fleet keeps the
+// fleet's without anybody counting it.
+struct RepeatBudget
+{
+    static constexpr size_t Steps = 20; // Parts of the window.
+
+    struct Step
+    {
+        int64_t Number = -1; // Which step of time it counts.
+        int Requests = 0;
+        int Repeats = 0;
+    };
+
+    double Share = 0.2;                   // Repeats a request.
+    int Extra = 1;                        // Repeats beyond that, a window.
+    TimeUs WindowUs = 10 * UsPerSecond;   // Length of the window.
+    std::array<Step, 2 * Steps> Counts{}; // Ring, by step number.
+};
+
+void RepeatBudgetRequest(RepeatBudget* budget, TimeUs now);
+
+// Takes one repeat if there is one.
+bool RepeatBudgetTake(RepeatBudget* budget, TimeUs now);
+
 } // namespace Winchlink
--- a/winchlink_codes.cpp
+++ b/winchlink_codes.cpp
@@ -63,6 +63,7 @@
         {Code_TargetRefused, "TargetRefused", 503, "Not run: the target says that it did not run the request."},
         {Code_ConnectFailed, "ConnectFailed", 503, "Not run: no connection to a target, nothing was sent."},
         {Code_OtherInstances, "OtherInstances", 421, "Not run: the row is served by other instances than this one."},
+        {Code_TargetsBusy, "TargetsBusy", 503, "Not run: no target that was asked has a free slot."},
         {Code_OutcomeUnknown, "OutcomeUnknown", 502, "Outcome unknown: the request was sent and no complete answer came."},
         {Code_DeadlinePassed, "DeadlinePassed", 504, "Outcome unknown: the deadline passed after the request was sent."},
         {Code_AnswerBroken, "AnswerBroken", 502, "Outcome unknown: the target's answer was not complete, valid HTTP."},
--- /dev/null
+++ b/winchlink_directory.cpp
@@ -0,0 +1,123 @@
+// winchlink_directory.cpp: the target directory: which targets there are, as a lagging store tells it.
+//
+// The store's word is taken as it comes, with one exception. An entry that goes without having said that it leaves may have been lost by a
+// store in trouble while its target serves on. Such an entry is kept for a short time, as a last choice: not longer than a target that
+// really left goes on serving, unless the store is known to have been in trouble.
+
+#include "winchlink.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Winchlink
+{
+
+void DirectoryTrouble(TargetDirectory* directory, TimeUs now)
+{
+    directory->TroubleUs = now;
+    directory->InTrouble = true;
+}
+
+void DirectoryAnswered(TargetDirectory* directory, TimeUs now)
+{
+    if (directory->InTrouble)
+    {
+        directory->InTrouble = false;
+        directory->ReturnedUs = now;
+    }
+}
+
+void DirectoryPut(TargetDirectory* directory, const DirectoryTarget& target, TimeUs)
+{
+    DirectoryTarget& known = directory->Targets[target.Id];
+    if (target.Revision < known.Revision)
+    {
+        return;
+    }
+    const bool told_us = known.Presence == Presence_Leaving; // Perhaps by the target itself; nobody comes back from leaving.
+    known = target;
+    known.Presence = told_us ? Presence_Leaving : target.Presence;
+    directory->Changes++;
+}
+
+static TimeUs ForgetTime(const TargetDirectory& directory, TimeUs now)
+{
+    const DirectoryConfig& config = directory.Config;
+    const bool after_trouble = directory.ReturnedUs > 0 && now < directory.ReturnedUs + config.ReturnUs + config.TroubleMemoryUs;
+    const TimeUs soonest = now + config.VanishedUs;
+    return after_trouble ? std::max(soonest, directory.ReturnedUs + config.ReturnUs) : soonest;
+}
+
+static void Vanish(TargetDirectory* directory, DirectoryTarget* target, TimeUs now)
+{
+    if (target->Presence == Presence_Ready)
+    {
+        target->Presence = Presence_Vanished;
+        target->ForgetUs = ForgetTime(*directory, now);
+        directory->Changes++;
+    }
+}
+
+void DirectoryRemove(TargetDirectory* directory, const std::string& id, uint64_t revision, TimeUs now)
+{
+    const auto found = directory->Targets.find(id);
+    if (found == directory->Targets.end() || revision < found->second.Revision)
+    {
+        return;
+    }
+    if (found->second.Presence == Presence_Leaving)
+    {
+        directory->Targets.erase(found);
+        directory->Changes++;
+        return;
+    }
+    found->second.Revision = revision;
+    Vanish(directory, &found->second, now);
+}
+
+void DirectoryReplace(TargetDirectory* directory, const std::vector<DirectoryTarget>& all, uint64_t revision, TimeUs now)
+{
+    std::set<std::string> present;
+    for (const DirectoryTarget& target : all)
+    {
+        present.insert(target.Id);
+        DirectoryPut(directory, target, now);
+    }
+    std::vector<std::string> missing;
+    for (const auto& entry : directory->Targets)
+    {
+        if (present.count(entry.first) == 0)
+        {
+            missing.push_back(entry.first);
+        }
+    }
+    for (const std::string& id : missing)
+    {
+        DirectoryRemove(directory, id, revision, now);
+    }
+}
+
+void DirectoryLeaves(TargetDirectory* directory, const std::string& id)
+{
+    const auto found = directory->Targets.find(id);
+    if (found != directory->Targets.end() && found->second.Presence != Presence_Leaving)
+    {
+        found->second.Presence = Presence_Leaving;
+        directory->Changes++;
+    }
+}
+
+bool DirectoryTick(TargetDirectory* directory, TimeUs now)
+{
+    bool any = false;
+    for (auto entry = directory->Targets.begin(); entry != directory->Targets.end();)
+    {
+        const bool over = entry->second.Presence == Presence_Vanished && now >= entry->second.ForgetUs;
+        entry = over ? directory->Targets.erase(entry) : std::next(entry);
+        any = any || over;
+    }
+    directory->Changes += any ? 1 : 0;
+    return any;
+}
+
+} // namespace Winchlink
--- a/winchlink_json.cpp
+++ b/winchlink_json.cpp
@@ -117,6 +117,28 @@
     }
 }
 
+void ReadRealBetween(ObjectReader* r, const char* key, bool required, double least, double most, double* out)
+{
+    json_t* value = ReadKey(r, key, required);
+    if (value == nullptr)
+    {
+        return;
+    }
+    if (!json_is_number(value))
+    {
+        AddFault(*r, r->Codes.WrongType, key, "expected a number");
+        return;
+    }
+    const double number = json_number_value(value);
+    if (!(number >= least && number <= most))
+    {
+        AddFault(*r, r->Codes.OutOfRange, key,
+                 "expected " + std::to_string(least) + " to " + std::to_string(most) + ", found " + std::to_string(number));
+        return;
+    }
+    *out = number;
+}
+
 void ReadRevision(ObjectReader* r, const char* key, bool required, uint64_t* out)
 {
     json_t* value = ReadKey(r, key, required);
--- a/winchlink_json.h
+++ b/winchlink_json.h
@@ -74,6 +74,9 @@
 // The same, with a fault where the number is outside its range.
 void ReadIntBetween(ObjectReader* r, const char* key, bool required, int least, int most, int* out);
 
+// A number, fractions included, with a fault where it is outside its range.
+void ReadRealBetween(ObjectReader* r, const char* key, bool required, double least, double most, double* out);
+
 // A revision: a whole number from 1.
 void ReadRevision(ObjectReader* r, const char* key, bool required, uint64_t* out);
 
--- /dev/null
+++ b/winchlink_plan.cpp
@@ -0,0 +1,91 @@
+// winchlink_plan.cpp: the route plan: finding the route of a request, and dividing a route's requests among its services.
+
+#include "winchlink.h"
+
+#include <algorithm>
+#include <cassert>
+#include <strings.h>
+
+namespace Winchlink
+{
+
+static std::string WithoutPort(const std::string& host)
+{
+    return host.substr(0, host.find(':'));
+}
+
+const Route* FindRoute(const RoutePlan& plan, const std::string& host, const std::string& target)
+{
+    const std::string name = WithoutPort(host);
+    const std::string path = target.substr(0, target.find('?'));
+    const Route* best = nullptr;
+    for (const Route& route : plan.Routes)
+    {
+        const bool fits = path.compare(0, route.PathPrefix.size(), route.PathPrefix) == 0 && strcasecmp(route.Host.c_str(), name.c_str()) == 0;
+        const bool longer = best == nullptr || route.PathPrefix.size() > best->PathPrefix.size();
+        if (fits && longer)
+        {
+            best = &route;
+        }
+    }
+    return best;
+}
+
+const ServiceInfo* FindService(const RoutePlan& plan, const std::string& name)
+{
+    const auto found = std::find_if(plan.Services.begin(), plan.Services.end(), [&](const ServiceInfo& s) { return s.Name == name; });
+    return found != plan.Services.end() ? &*found : nullptr;
+}
+
+static bool SameParts(const std::vector<RoutePart>& a, const std::vector<RoutePart>& b)
+{
+    const auto same = [](const RoutePart& x, const RoutePart& y) { return x.Service == y.Service && x.Weight == y.Weight; };
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(), same);
+}
+
+static int64_t SumOfWeights(const std::vector<RoutePart>& parts)
+{
+    int64_t sum = 0;
+    for (const RoutePart& part : parts)
+    {
+        sum += part.Weight;
+    }
+    return sum;
+}
+
+// One step of the round: every part earns its weight, the one with most credit pays for the request.
+static size_t Step(RouteSplit* split, int64_t sum)
+{
+    for (size_t n = 0; n < split->Parts.size(); n++)
+    {
+        split->Credit[n] += split->Parts[n].Weight;
+    }
+    const size_t chosen = static_cast<size_t>(std::max_element(split->Credit.begin(), split->Credit.end()) - split->Credit.begin());
+    split->Credit[chosen] -= sum;
+    return chosen;
+}
+
+size_t RouteSplitNext(RouteSplit* split, const std::vector<RoutePart>& parts, Random* random)
+{
+    assert(!parts.empty() && "a route has at least one part");
+    if (parts.size() == 1)
+    {
+        return 0;
+    }
+    const int64_t sum = SumOfWeights(parts);
+    assert(sum > 0 && "the weights of a route have a sum above zero");
+    if (!SameParts(split->Parts, parts))
+    {
+        constexpr int64_t SkippedMost = 1000; // A round is as long as the sum of weights; beyond this the place is random enough.
+        split->Parts = parts;
+        split->Credit.assign(parts.size(), 0);
+        const int64_t skipped = std::uniform_int_distribution<int64_t>(0, std::min(sum, SkippedMost) - 1)(*random);
+        for (int64_t n = 0; n < skipped; n++)
+        {
+            Step(split, sum);
+        }
+    }
+    return Step(split, sum);
+}
+
+} // namespace Winchlink
--- /dev/null
+++ b/winchlink_pool.cpp
@@ -0,0 +1,169 @@
+// winchlink_pool.cpp: the target pool: which target to ask for its load, and which to take; and the budget of repeated sends.
+//
+// Index of this file:
+// [SECTION] Reports
+// [SECTION] Pool
+// [SECTION] Repeat budget
+
+#include "winchlink.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <tuple>
+
+namespace Winchlink
+{
+
+//-----------------------------------------------------------------------------
+// [SECTION] Reports
+//-----------------------------------------------------------------------------
+
+std::optional<LoadReport> ParseLoadReport(const std::string& text)
+{
+    LoadReport report;
+    const int read = std::sscanf(text.c_str(), "%d,%d,%d,%d", &report.Running, &report.Waiting, &report.Slots, &report.PacePercent);
+    const bool sound = report.Running >= 0 && report.Waiting >= 0 && report.Slots > 0 && report.PacePercent > 0;
+    return read >= 3 && sound ? std::optional<LoadReport>(report) : std::nullopt;
+}
+
+void PoolReport(PoolTarget* target, const LoadReport& report, TimeUs now)
+{
+    target->Report = report;
+    target->ReportUs = now;
+    target->Since = 0;
+}
+
+void PoolFailed(const PoolConfig& config, PoolTarget* target, TimeUs now)
+{
+    const int doublings = std::min(target->FailuresInRow, config.AvoidDoublings);
+    target->AvoidUntilUs = now + (config.AvoidUs << doublings);
+    target->FailuresInRow++;
+}
+
+void PoolGood(PoolTarget* target)
+{
+    target->FailuresInRow = 0;
+    target->AvoidUntilUs = 0;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Pool
+//-----------------------------------------------------------------------------
+
+PoolTarget* PoolFind(TargetPool* pool, const std::string& id)
+{
+    const auto found = std::find_if(pool->Targets.begin(), pool->Targets.end(), [&](const PoolTarget& t) { return t.Id == id; });
+    return found != pool->Targets.end() ? &*found : nullptr;
+}
+
+void PoolFollow(TargetPool* pool, const TargetDirectory& directory, const std::string& service, const std::string& data_centre)
+{
+    std::vector<PoolTarget> next;
+    for (const auto& entry : directory.Targets)
+    {
+        const DirectoryTarget& listed = entry.second;
+        if (listed.Service != service || listed.Presence == Presence_Leaving)
+        {
+            continue;
+        }
+        const PoolTarget* known = PoolFind(pool, listed.Id);
+        PoolTarget target = known != nullptr ? *known : PoolTarget();
+        target.Id = listed.Id;
+        target.Address = listed.Address;
+        target.Near = listed.DataCentre == data_centre;
+        target.Doubtful = listed.Presence == Presence_Vanished;
+        target.Slots = listed.Slots;
+        target.WarmUntilUs = listed.WarmUntilUs;
+        next.push_back(target);
+    }
+    pool->Targets = std::move(next);
+}
+
+static bool IsFresh(const PoolConfig& config, const PoolTarget& target, TimeUs now)
+{
+    return target.ReportUs > 0 && now < target.ReportUs + config.ReportUs;
+}
+
+double PoolCost(const PoolConfig& config, const PoolTarget& target, TimeUs now)
+{
+    const bool fresh = IsFresh(config, target, now);
+    const int slots = fresh ? target.Report.Slots : target.Slots;
+    const int busy = fresh ? target.Report.Running + target.Report.Waiting + target.Since : target.InFlight;
+    const double pace = fresh ? target.Report.PacePercent / 100.0 : 1.0;
+    const bool nearly_full = busy + 1 > config.NearlyFullShare * slots;
+    const double queue = busy >= slots ? 1.0 + static_cast<double>(busy + 1 - slots) / slots : 1.0;
+    const double warm = now < target.WarmUntilUs ? config.WarmFactor : 1.0;
+    return pace * queue * warm * (nearly_full ? config.NearlyFullFactor : 1.0);
+}
+
+bool PoolHasRoom(const PoolTarget& target)
+{
+    return target.Report.Running + target.Report.Waiting + target.Since < target.Report.Slots;
+}
+
+PoolTarget* PoolNext(TargetPool* pool, const std::vector<std::string>& passed, TimeUs now, Random* random)
+{
+    using Rank = std::tuple<int, int, double, uint64_t>;
+    PoolTarget* best = nullptr;
+    Rank best_rank;
+    for (PoolTarget& target : pool->Targets)
+    {
+        if (std::find(passed.begin(), passed.end(), target.Id) != passed.end())
+        {
+            continue;
+        }
+        const int trust = now < target.AvoidUntilUs ? 2 : target.Doubtful ? 1 : 0;
+        const double cost = PoolCost(pool->Config, target, now);
+        const int far = target.Near ? 0 : 1;
+        const Rank rank(trust, cost > pool->Config.GoodCost ? 2 + far : far, cost, (*random)());
+        if (best == nullptr || rank < best_rank)
+        {
+            best = &target;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Repeat budget
+//-----------------------------------------------------------------------------
+
+static RepeatBudget::Step* StepAt(RepeatBudget* budget, TimeUs now)
+{
+    const int64_t number = now / (budget->WindowUs / static_cast<TimeUs>(RepeatBudget::Steps));
+    RepeatBudget::Step* step = &budget->Counts[static_cast<size_t>(number) % budget->Counts.size()];
+    if (step->Number != number)
+    {
+        *step = RepeatBudget::Step{number, 0, 0};
+    }
+    return step;
+}
+
+void RepeatBudgetRequest(RepeatBudget* budget, TimeUs now)
+{
+    StepAt(budget, now)->Requests++;
+}
+
+bool RepeatBudgetTake(RepeatBudget* budget, TimeUs now)
+{
+    RepeatBudget::Step* current = StepAt(budget, now);
+    const auto steps = static_cast<int64_t>(RepeatBudget::Steps);
+    int requests = 0;
+    int repeats = 0;
+    for (const RepeatBudget::Step& step : budget->Counts)
+    {
+        const int64_t age = current->Number - step.Number;
+        // The window may begin anywhere within a step: such a step counts for the repeats and not for the requests.
+        requests += step.Number >= 0 && age < steps ? step.Requests : 0;
+        repeats += step.Number >= 0 && age <= steps ? step.Repeats : 0;
+    }
+    if (repeats + 1 > budget->Share * requests + budget->Extra)
+    {
+        return false;
+    }
+    current->Repeats++;
+    return true;
+}
+
+} // namespace Winchlink
