--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -118,7 +118,6 @@
         TakeItems(gateway, items, &all);
         DirectoryReplace(&gateway->Requests.Directory, all, at, NowUs());
         ForwarderFollow(&gateway->Requests);
-        gateway->Serving = gateway->Requests.Plan != nullptr;
     };
     store.OnChanges = [gateway](const std::vector<StoreItem>& items, uint64_t)
     {
@@ -150,7 +149,7 @@
 
 static bool IsReady(const Gateway& gateway)
 {
-    return gateway.Serving && gateway.StopUs == 0;
+    return gateway.Requests.Plan != nullptr && gateway.StopUs == 0;
 }
 
 static std::string MetricsText(const Gateway& gateway)
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -26,7 +26,6 @@
     Timer Second;            // Once a second: settings file, vanished targets.
     Timer Stopping;          // Steps of a planned stop.
     TimeUs StopUs = 0;       // When the stop signal came; 0: not yet.
-    bool Serving = false;    // A plan is known.
     int64_t SettingsTime = 0; // When the settings file was last changed.
 };
 
