--- /dev/null
+++ b/bench/users_store.cpp
@@ -0,0 +1,343 @@
+// users_store.cpp: a stand-in of the users' store.
+
+#include "users_store.h"
+
+#include "winchlink_json.h"
+
+#include <fmt/format.h>
+#include <sodium.h>
+
+namespace Winchlink
+{
+
+static constexpr TimeUs WaitMostUs = 30 * UsPerSecond;
+
+//-----------------------------------------------------------------------------
+// [SECTION] Answers
+//-----------------------------------------------------------------------------
+
+static std::string Base64(const std::string& bytes)
+{
+    std::string text(sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
+    sodium_bin2base64(text.data(), text.size(), reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(),
+                      sodium_base64_VARIANT_ORIGINAL);
+    text.resize(text.size() - 1); // The terminating zero.
+    return text;
+}
+
+static json_t* FormatItem(const UsersItem& item)
+{
+    json_t* object = json_object();
+    json_object_set_new(object, "privateKey", JsonText(item.Key));
+    json_object_set_new(object, "value", JsonText(Base64(item.Value)));
+    json_object_set_new(object, "revision", JsonNumber(item.Revision));
+    json_object_set_new(object, "made", JsonNumber(item.Revision));
+    json_object_set_new(object, "lease", JsonNumber(0));
+    return object;
+}
+
+static json_t* FormatEvent(const UsersEvent& event)
+{
+    if (!event.Gone)
+    {
+        return FormatItem(event.Item);
+    }
+    json_t* object = json_object();
+    json_object_set_new(object, "privateKey", JsonText(event.Item.Key));
+    json_object_set_new(object, "revision", JsonNumber(event.Item.Revision));
+    json_object_set_new(object, "gone", json_true());
+    return object;
+}
+
+static CallerReply JsonReply(json_t* object)
+{
+    return CallerReply{200, {{"Content-Type", "application/json"}}, DumpJson(object, JSON_COMPACT), false};
+}
+
+static std::string QueryValue(const std::string& target, const std::string& key)
+{
+    const size_t query = target.find('?');
+    size_t at = query;
+    while (at != std::string::npos)
+    {
+        const size_t end = target.find('&', at + 1);
+        const std::string pair = target.substr(at + 1, end == std::string::npos ? end : end - at - 1);
+        if (pair.compare(0, key.size() + 1, key + "=") == 0)
+        {
+            return pair.substr(key.size() + 1);
+        }
+        at = end;
+    }
+    return "";
+}
+
+// Keys are sent percent-encoded.
+static std::string Decoded(const std::string& text)
+{
+    std::string out;
+    for (size_t n = 0; n < text.size(); n++)
+    {
+        const bool escape = text[n] == '%' && n + 2 < text.size();
+        out += escape ? static_cast<char>(std::strtol(text.substr(n + 1, 2).c_str(), nullptr, 16)) : text[n];
+        n += escape ? 2 : 0;
+    }
+    return out;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Calls
+//-----------------------------------------------------------------------------
+
+static void AnswerPage(UsersStore* store, const ExchangePtr& call)
+{
+    store->PageCalls++;
+    const std::string after = Decoded(QueryValue(call->Target, "after"));
+    const std::string prefix = Decoded(QueryValue(call->Target, "pathPrefix"));
+    json_t* items = json_array();
+    bool more = false;
+    for (const auto& entry : store->Items)
+    {
+        const bool wanted = entry.first.compare(0, prefix.size(), prefix) == 0 && (after.empty() || entry.first > after);
+        more = wanted && json_array_size(items) >= store->PageItems;
+        if (more)
+        {
+            break;
+        }
+        if (wanted)
+        {
+            json_array_append_new(items, FormatItem(entry.second));
+        }
+    }
+    json_t* object = json_object();
+    json_object_set_new(object, "items", items);
+    json_object_set_new(object, "more", json_boolean(more));
+    json_object_set_new(object, "at", JsonNumber(store->Revision));
+    Reply(call, JsonReply(object));
+}
+
+static CallerReply ChangesAfter(const UsersStore& store, uint64_t after)
+{
+    json_t* events = json_array();
+    for (const UsersEvent& event : store.History)
+    {
+        if (event.Item.Revision > after)
+        {
+            json_array_append_new(events, FormatEvent(event));
+        }
+    }
+    json_t* object = json_object();
+    json_object_set_new(object, "events", events);
+    json_object_set_new(object, "at", JsonNumber(store.Revision));
+    return JsonReply(object);
+}
+
+static void EndWait(UsersStore* store, uint64_t id, CallerReply reply)
+{
+    const ExchangePtr call = store->Waits.at(id).From;
+    store->Waits.erase(id);
+    Reply(call, std::move(reply));
+}
+
+static void OnWaitOver(UsersStore* store, uint64_t id)
+{
+    if (store->Mode != StoreMode_Silent)
+    {
+        EndWait(store, id, ChangesAfter(*store, store->Waits.at(id).After));
+    }
+}
+
+static void BeginWait(UsersStore* store, const ExchangePtr& call)
+{
+    const uint64_t after = std::strtoull(QueryValue(call->Target, "after").c_str(), nullptr, 10);
+    if (after < store->HistoryFrom)
+    {
+        Reply(call, CallerReply{410, {}, "", false});
+        return;
+    }
+    if (after < store->Revision && store->Mode != StoreMode_Deaf)
+    {
+        Reply(call, ChangesAfter(*store, after));
+        return;
+    }
+    const TimeUs wait = std::strtoll(QueryValue(call->Target, "waitMs").c_str(), nullptr, 10) * UsPerMs;
+    const uint64_t id = ++store->LastWait;
+    UsersWait& waiting = store->Waits[id];
+    waiting.From = call;
+    waiting.After = after;
+    waiting.End = TimerStart(store->Loop, std::min(wait, WaitMostUs), [store, id]() { OnWaitOver(store, id); });
+    call->OnGone = [store, id]()
+    {
+        store->Waits.erase(id);
+    };
+}
+
+static void OnCall(UsersStore* store, const ExchangePtr& call)
+{
+    store->Calls++;
+    switch (store->Mode)
+    {
+    case StoreMode_Silent:
+        store->Held.push_back(call);
+        return;
+    case StoreMode_Refusing:
+        Reply(call, CallerReply{503, {}, "", false});
+        return;
+    case StoreMode_TooMany:
+        Reply(call, CallerReply{429, {}, "", false});
+        return;
+    case StoreMode_Torn:
+        Reply(call, CallerReply{200, {}, "{\"items\":[{\"privateKey\":", false});
+        return;
+    default:
+        break;
+    }
+    if (call->Target.rfind("/kv-range", 0) == 0)
+    {
+        AnswerPage(store, call);
+        return;
+    }
+    BeginWait(store, call);
+}
+
+UsersStore::~UsersStore()
+{
+    ListenerStop(&Server); // Waits belong to its calls.
+}
+
+Result<void> UsersStoreStart(UsersStore* store, EventLoop* loop, const std::string& address)
+{
+    store->Address = address;
+    store->Loop = loop;
+    ListenerConfig config;
+    config.Address = address;
+    return ListenerStart(&store->Server, loop, config, [store](const ExchangePtr& call) { OnCall(store, call); });
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Changes
+//-----------------------------------------------------------------------------
+
+static void WakeWaits(UsersStore* store)
+{
+    if (store->Mode != StoreMode_Good)
+    {
+        return;
+    }
+    const std::map<uint64_t, UsersWait>& waits = store->Waits;
+    std::vector<uint64_t> ids;
+    for (const auto& entry : waits)
+    {
+        ids.push_back(entry.first);
+    }
+    for (const uint64_t id : ids)
+    {
+        EndWait(store, id, ChangesAfter(*store, waits.at(id).After));
+    }
+}
+
+void UsersStoreSetMode(UsersStore* store, StoreMode_ mode)
+{
+    store->Mode = mode;
+    std::vector<uint64_t> ids;
+    for (const auto& entry : store->Waits)
+    {
+        ids.push_back(entry.first);
+    }
+    const bool refuses = mode == StoreMode_Refusing || mode == StoreMode_TooMany;
+    for (const uint64_t id : refuses ? ids : std::vector<uint64_t>())
+    {
+        EndWait(store, id, CallerReply{503, {}, "", false});
+    }
+}
+
+void UsersStoreCompact(UsersStore* store)
+{
+    store->HistoryFrom = store->Revision;
+    store->History.clear();
+    std::vector<uint64_t> ids;
+    for (const auto& entry : store->Waits)
+    {
+        ids.push_back(entry.first);
+    }
+    for (const uint64_t id : ids)
+    {
+        EndWait(store, id, CallerReply{410, {}, "", false});
+    }
+}
+
+void UsersStorePut(UsersStore* store, const std::string& key, const std::string& value)
+{
+    const UsersItem item = {key, value, ++store->Revision};
+    store->Items[key] = item;
+    store->History.push_back({item, false});
+    WakeWaits(store);
+}
+
+void UsersStoreRemove(UsersStore* store, const std::string& key)
+{
+    store->Items.erase(key);
+    store->History.push_back({{key, "", ++store->Revision}, true});
+    WakeWaits(store);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Documents
+//-----------------------------------------------------------------------------
+
+static json_t* FormatRoute(const UsersRoute& route)
+{
+    json_t* object = json_pack("{s:s, s:s, s:s, s:s, s:f, s:f, s:i, s:i}", "name", route.Name.c_str(), "host", route.Host.c_str(), "pathPrefix",
+                               route.Prefix.c_str(), "type", route.Safe ? "safe" : "unsafe", "timeoutS", route.TimeoutS, "targetLatencyS",
+                               route.AimS, "priority", route.Priority, "maxAttempts", route.Attempts);
+    if (route.Parts.size() == 1)
+    {
+        json_object_set_new(object, "service", JsonText(route.Parts[0].Service));
+        return object;
+    }
+    json_t* parts = json_array();
+    for (const RoutePart& part : route.Parts)
+    {
+        json_array_append_new(parts, json_pack("{s:s, s:i}", "service", part.Service.c_str(), "weight", part.Weight));
+    }
+    json_object_set_new(object, "backends", parts);
+    return object;
+}
+
+void UsersStoreConfigure(UsersStore* store, uint64_t version, const std::vector<UsersRoute>& routes)
+{
+    json_t* route_list = json_array();
+    std::set<std::string> names;
+    for (const UsersRoute& route : routes)
+    {
+        json_array_append_new(route_list, FormatRoute(route));
+        for (const RoutePart& part : route.Parts)
+        {
+            names.insert(part.Service);
+        }
+    }
+    json_t* services = json_array();
+    for (const std::string& name : names)
+    {
+        json_array_append_new(services, json_pack("{s:s, s:s, s:i, s:s, s:b}", "name", name.c_str(), "healthPath", "/health",
+                                                  "maxConnections", 260, "protocol", "h1", "tls", 0));
+    }
+    json_t* limits =
+        json_pack("{s:i, s:i, s:f, s:f}", "maxHeaderBytes", 16384, "maxBodyBytes", 1000000, "headerTimeoutS", 3.0, "idleTimeoutS", 15.0);
+    const std::string text = fmt::format("{:08x}", version);
+    UsersStorePut(store, "op/config",
+                  DumpJson(json_pack("{s:s, s:o, s:o, s:o}", "version", text.c_str(), "routes", route_list, "services", services, "limits", limits),
+                           JSON_COMPACT));
+}
+
+void UsersStoreTarget(UsersStore* store, const std::string& id, const std::string& service, const std::string& address,
+                      const std::string& zone, bool draining)
+{
+    const std::string value =
+        DumpJson(json_pack("{s:s, s:{s:s, s:s, s:s, s:i}, s:{s:s, s:i, s:f}}", "address", address.c_str(), "info", "service", service.c_str(),
+                           "version", "v1", "zone", zone.c_str(), "capacity", 3, "status", "state", draining ? "draining" : "ready", "sequence",
+                           1, "warmupLeftS", 0.0),
+                 JSON_COMPACT);
+    UsersStorePut(store, "servers/" + id, value);
+}
+
+} // namespace Winchlink
--- /dev/null
+++ b/bench/users_target.cpp
@@ -0,0 +1,458 @@
+// users_target.cpp: a stand-in of the users' targets on bare sockets.
+//
+// Index of this file:
+// [SECTION] Connections
+// [SECTION] Answers
+// [SECTION] Work
+// [SECTION] Reading
+// [SECTION] Start and stop
+
+#include "users_target.h"
+
+#include "socket.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace Winchlink
+{
+
+static constexpr TimeUs SurplusDelayUs = 3 * UsPerMs;
+static constexpr size_t ReadAtOnce = 64 * KiB;
+
+//-----------------------------------------------------------------------------
+// [SECTION] Connections
+//-----------------------------------------------------------------------------
+
+struct TargetConnection
+{
+    uint64_t Id = 0;
+    int Socket = -1;
+    std::string Read;       // Bytes not taken yet.
+    bool Busy = false;      // A request is in work or waits.
+    size_t Request = 0;     // Its index in Saw.
+    size_t SkipBytes = 0;   // Of a body that was answered before it was read.
+    Watch Readable;
+    Timer Work;
+    Timer Later;
+
+    ~TargetConnection()
+    {
+        Readable = nullptr;
+        close(Socket);
+    }
+};
+
+UsersTarget::UsersTarget() = default;
+
+UsersTarget::~UsersTarget()
+{
+    UsersTargetStop(this);
+}
+
+static TargetConnection* FindConnection(UsersTarget* target, uint64_t id)
+{
+    const auto found = target->Connections.find(id);
+    return found != target->Connections.end() ? found->second.get() : nullptr;
+}
+
+static void Write(const TargetConnection& connection, const std::string& bytes)
+{
+    // Answers are small: what the socket does not take is lost, and the test that needs more fails.
+    const ssize_t written = send(connection.Socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    (void)written;
+}
+
+static void ResetConnection(UsersTarget* target, uint64_t id)
+{
+    const TargetConnection* connection = FindConnection(target, id);
+    const linger at_once = {1, 0};
+    setsockopt(connection->Socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    target->Connections.erase(id);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Answers
+//-----------------------------------------------------------------------------
+
+static std::string Load(const UsersTarget& target)
+{
+    const std::string load = fmt::format("Winchlink-Server-Load: {},{},{},{}\r\n", target.Running, target.Waiting.size(), target.Slots,
+                                         target.PacePercent);
+    return target.TellsLoad ? load : "";
+}
+
+static std::string Head(const UsersTarget& target, int status, const std::string& request_id, const std::string& extra)
+{
+    return fmt::format("HTTP/1.1 {} Said\r\nWinchlink-Request-Id: {}\r\n{}{}", status, request_id, Load(target), extra);
+}
+
+static std::string Signature(const UsersTarget& target, const TargetSaw& request)
+{
+    return fmt::format("Winchlink-Response-Signature: {}.{}\r\n", target.Id, request.Id);
+}
+
+static std::string BodyFor(const UsersTarget& target, const TargetSaw& request)
+{
+    return fmt::format("{} ran {} {} with {} bytes", target.Id, request.Method, request.Path, request.Body.size());
+}
+
+static std::string Whole(const std::string& head, const std::string& body)
+{
+    return head + fmt::format("Content-Length: {}\r\n\r\n{}", body.size(), body);
+}
+
+// The bytes of an answer, for acts that send one.
+static std::string AnswerBytes(const UsersTarget& target, const TargetSaw& request, TargetAct_ act)
+{
+    const std::string signature = Signature(target, request);
+    const std::string body = BodyFor(target, request);
+    const std::string good = Whole(Head(target, 200, request.Id, signature), body);
+    switch (act)
+    {
+    case TargetAct_Failed:
+        return Whole(Head(target, 500, request.Id, signature), "failed");
+    case TargetAct_Shed:
+        return Whole(Head(target, 503, request.Id, "Winchlink-Not-Executed: 1\r\n"), "");
+    case TargetAct_BareShed:
+        return Whole(Head(target, 503, request.Id, signature), "");
+    case TargetAct_Garbage:
+        return "\x16\x03\x01 this is no answer\r\n\r\n";
+    case TargetAct_CutShort:
+        return Head(target, 200, request.Id, signature) + "Content-Length: 4000\r\n\r\n" + body;
+    case TargetAct_Unsigned:
+        return Whole(Head(target, 200, request.Id, ""), body);
+    case TargetAct_Encoded:
+        return Whole(Head(target, 200, request.Id, signature + "Content-Encoding: gzip\r\n"), body);
+    case TargetAct_Surplus:
+        return good + Whole(Head(target, 200, "surplus", signature), "surplus");
+    case TargetAct_OtherId:
+        return Whole(Head(target, 200, "somebody-else", signature), body);
+    case TargetAct_NoLength:
+    case TargetAct_NoLengthReset:
+        return Head(target, 200, request.Id, signature + "Connection: close\r\n") + "\r\n" + body;
+    case TargetAct_Closing:
+        return Whole(Head(target, 200, request.Id, signature + "Connection: close\r\n"), body);
+    default:
+        return good;
+    }
+}
+
+static bool EndsConnection(TargetAct_ act)
+{
+    return act == TargetAct_Close || act == TargetAct_CutShort || act == TargetAct_NoLength || act == TargetAct_Closing ||
+           act == TargetAct_Garbage;
+}
+
+static void SendLateSurplus(UsersTarget* target, TargetConnection* connection)
+{
+    const std::string bytes = Whole(Head(*target, 200, "surplus", "Winchlink-Response-Signature: surplus\r\n"), "surplus");
+    connection->Later = TimerStart(target->Loop, SurplusDelayUs,
+                                   [target, id = connection->Id, bytes]()
+                                   {
+                                       const TargetConnection* still = FindConnection(target, id);
+                                       if (still != nullptr)
+                                       {
+                                           Write(*still, bytes);
+                                       }
+                                   });
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Work
+//-----------------------------------------------------------------------------
+
+static void TakeRequests(UsersTarget* target, uint64_t id);
+static void Begin(UsersTarget* target, uint64_t id, size_t request);
+
+static void BeginNext(UsersTarget* target)
+{
+    if (!target->Waiting.empty() && target->Running < target->Slots)
+    {
+        const auto [id, request] = target->Waiting.front();
+        target->Waiting.pop_front();
+        Begin(target, id, request);
+    }
+}
+
+static TargetAct_ NextAct(UsersTarget* target)
+{
+    if (target->Script.empty())
+    {
+        return TargetAct_Good;
+    }
+    const TargetAct_ act = target->Script.front();
+    target->Script.pop_front();
+    return act;
+}
+
+static void Finish(UsersTarget* target, uint64_t id, size_t request, TargetAct_ act)
+{
+    target->Running--;
+    TargetConnection* connection = FindConnection(target, id);
+    if (connection == nullptr)
+    {
+        BeginNext(target);
+        return;
+    }
+    connection->Busy = false;
+    if (act != TargetAct_Close && act != TargetAct_Reset)
+    {
+        Write(*connection, AnswerBytes(*target, target->Saw[request], act));
+    }
+    if (act == TargetAct_Reset || act == TargetAct_NoLengthReset)
+    {
+        ResetConnection(target, id);
+    }
+    else if (EndsConnection(act))
+    {
+        target->Connections.erase(id);
+    }
+    else
+    {
+        if (act == TargetAct_LateSurplus)
+        {
+            SendLateSurplus(target, connection);
+        }
+        TakeRequests(target, id);
+    }
+    BeginNext(target);
+}
+
+static void Begin(UsersTarget* target, uint64_t id, size_t request)
+{
+    const TargetAct_ act = NextAct(target);
+    TargetConnection* connection = FindConnection(target, id);
+    if (act == TargetAct_Shed)
+    {
+        connection->Busy = false;
+        Write(*connection, AnswerBytes(*target, target->Saw[request], act));
+        BeginNext(target);
+        return;
+    }
+    target->Running++;
+    target->Saw[request].Run = true;
+    if (act != TargetAct_Silence)
+    {
+        connection->Work = TimerStart(target->Loop, target->WorkUs, [target, id, request, act]() { Finish(target, id, request, act); });
+    }
+}
+
+static bool IsFull(const UsersTarget& target)
+{
+    return target.Running >= target.Slots && static_cast<int>(target.Waiting.size()) >= target.Queue;
+}
+
+static void Submit(UsersTarget* target, TargetConnection* connection, const TargetSaw& request)
+{
+    const uint64_t id = connection->Id;
+    target->Saw.push_back(request);
+    connection->Busy = true;
+    connection->Request = target->Saw.size() - 1;
+    const std::string* expected = FindHeader(request.Headers, "Winchlink-Expect-Instance");
+    if (expected != nullptr && *expected != target->Id)
+    {
+        connection->Busy = false;
+        Write(*connection, Whole(Head(*target, 421, request.Id, "Winchlink-Instance-Id: " + target->Id + "\r\n"), ""));
+        return;
+    }
+    if (IsFull(*target) && target->ResetsWhenFull)
+    {
+        ResetConnection(target, id);
+        return;
+    }
+    if (IsFull(*target))
+    {
+        connection->Busy = false;
+        Write(*connection, AnswerBytes(*target, request, TargetAct_Shed));
+        return;
+    }
+    target->Waiting.push_back({id, connection->Request});
+    BeginNext(target);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Reading
+//-----------------------------------------------------------------------------
+
+static TargetSaw ParseHead(const std::string& head)
+{
+    TargetSaw request;
+    size_t at = head.find("\r\n");
+    const std::string line = head.substr(0, at);
+    const size_t first = line.find(' ');
+    const size_t last = line.rfind(' ');
+    request.Method = line.substr(0, first);
+    request.Path = line.substr(first + 1, last - first - 1);
+    while (at != std::string::npos && at + 2 < head.size())
+    {
+        const size_t end = head.find("\r\n", at + 2);
+        const std::string field = head.substr(at + 2, end - at - 2);
+        const size_t colon = field.find(':');
+        if (colon != std::string::npos)
+        {
+            request.Headers.push_back({field.substr(0, colon), TrimBlanks(field.substr(colon + 1))});
+        }
+        at = end;
+    }
+    const std::string* id = FindHeader(request.Headers, "Winchlink-Request-Id");
+    request.Id = id != nullptr ? *id : "";
+    return request;
+}
+
+static void AnswerHealth(UsersTarget* target, const TargetConnection& connection)
+{
+    target->HealthAsked++;
+    const std::string id = "Winchlink-Instance-Id: " + target->Id + "\r\n";
+    Write(connection, fmt::format("HTTP/1.1 {} Health\r\n{}{}Content-Length: 0\r\n\r\n", target->Ill ? 503 : 200, id, Load(*target)));
+}
+
+static size_t LengthOf(const TargetSaw& request)
+{
+    const std::string* length = FindHeader(request.Headers, "Content-Length");
+    return length != nullptr ? std::strtoull(length->c_str(), nullptr, 10) : 0;
+}
+
+// Takes one request from what was read. False if there is none that is whole.
+static bool TakeRequest(UsersTarget* target, TargetConnection* connection)
+{
+    std::string& read = connection->Read;
+    const size_t skipped = std::min(connection->SkipBytes, read.size());
+    read.erase(0, skipped);
+    connection->SkipBytes -= skipped;
+    const size_t end = read.find("\r\n\r\n");
+    if (connection->Busy || connection->SkipBytes > 0 || end == std::string::npos)
+    {
+        return false;
+    }
+    TargetSaw request = ParseHead(read.substr(0, end + 2));
+    if (request.Path == "/health")
+    {
+        read.erase(0, end + 4);
+        AnswerHealth(target, *connection);
+        return true;
+    }
+    const size_t length = LengthOf(request);
+    if (!target->Script.empty() && target->Script.front() == TargetAct_Early && length > 0)
+    {
+        target->Script.pop_front();
+        target->Saw.push_back(request);
+        read.erase(0, end + 4);
+        connection->SkipBytes = length;
+        Write(*connection, Whole(Head(*target, 400, request.Id, Signature(*target, request)), "too long"));
+        return true;
+    }
+    if (read.size() < end + 4 + length)
+    {
+        return false;
+    }
+    request.Body = read.substr(end + 4, length);
+    read.erase(0, end + 4 + length);
+    Submit(target, connection, request);
+    return FindConnection(target, connection->Id) == connection;
+}
+
+static void TakeRequests(UsersTarget* target, uint64_t id)
+{
+    TargetConnection* connection = FindConnection(target, id);
+    while (connection != nullptr && TakeRequest(target, connection))
+    {
+        connection = FindConnection(target, id);
+    }
+}
+
+// The other side closed: work on its request stops.
+static void OnClosed(UsersTarget* target, uint64_t id)
+{
+    TargetConnection* connection = FindConnection(target, id);
+    if (connection->Busy)
+    {
+        target->Saw[connection->Request].Cancelled = true;
+        const auto waiting = std::find_if(target->Waiting.begin(), target->Waiting.end(), [&](const auto& w) { return w.first == id; });
+        const bool waits = waiting != target->Waiting.end();
+        if (waits)
+        {
+            target->Waiting.erase(waiting);
+        }
+        target->Running -= waits ? 0 : 1;
+    }
+    target->Connections.erase(id);
+    BeginNext(target);
+}
+
+static void OnReadable(UsersTarget* target, uint64_t id)
+{
+    TargetConnection* connection = FindConnection(target, id);
+    std::string buffer(ReadAtOnce, '\0');
+    const ssize_t got = recv(connection->Socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    if (got < 0 && (errno == EAGAIN || errno == EINTR))
+    {
+        return;
+    }
+    if (got <= 0)
+    {
+        OnClosed(target, id);
+        return;
+    }
+    connection->Read.append(buffer, 0, static_cast<size_t>(got));
+    TakeRequests(target, id);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Start and stop
+//-----------------------------------------------------------------------------
+
+static void OnAccept(UsersTarget* target)
+{
+    const int socket = accept4(target->Listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (socket < 0)
+    {
+        return;
+    }
+    target->Accepted++;
+    auto connection = std::make_unique<TargetConnection>();
+    const uint64_t id = ++target->LastConnection;
+    connection->Id = id;
+    connection->Socket = socket;
+    connection->Readable = WatchStart(target->Loop, socket, UV_READABLE, [target, id](int) { OnReadable(target, id); });
+    target->Connections[id] = std::move(connection);
+}
+
+bool UsersTargetStart(UsersTarget* target, EventLoop* loop, const std::string& id, const std::string& address)
+{
+    const Result<Endpoint> endpoint = ParseEndpoint(address);
+    target->Id = id;
+    target->Loop = loop;
+    target->Listening = endpoint ? OpenBound(SOCK_STREAM, endpoint.value()) : -1;
+    if (target->Listening < 0 || listen(target->Listening, SOMAXCONN) != 0)
+    {
+        return false;
+    }
+    target->Address = address;
+    target->Accepting = WatchStart(loop, target->Listening, UV_READABLE, [target](int) { OnAccept(target); });
+    return true;
+}
+
+void UsersTargetStop(UsersTarget* target)
+{
+    if (target->Listening < 0)
+    {
+        return;
+    }
+    target->Accepting = nullptr;
+    close(target->Listening);
+    target->Listening = -1;
+    target->Connections.clear();
+    target->Waiting.clear();
+    target->Running = 0;
+}
+
+int UsersTargetRuns(const UsersTarget& target, const std::string& id)
+{
+    const auto ran = [&](const TargetSaw& saw) { return saw.Run && saw.Id == id; };
+    return static_cast<int>(std::count_if(target.Saw.begin(), target.Saw.end(), ran));
+}
+
+} // namespace Winchlink
--- /dev/null
+++ b/bench/users_target.h
@@ -0,0 +1,93 @@
+// users_target.h: a stand-in of the users' targets on bare sockets, written from their published protocol, that misbehaves as told.
+//
+// It runs inside an event loop. It works on so many requests at a time as it has slots and queues a few more; each request takes WorkUs.
+// Faults strike the requests that a script names, in order.
+
+#pragma once
+
+#include "headers.h"
+#include "loop.h"
+
+#include <deque>
+
+namespace Winchlink
+{
+
+// How one request is answered.
+enum TargetAct_ : int
+{
+    TargetAct_Good,
+    TargetAct_Failed,        // Status 500, signed: it was run.
+    TargetAct_Shed,          // Status 503 that says that it was not run.
+    TargetAct_BareShed,      // Status 503 that does not say so: it was run.
+    TargetAct_Reset,         // Runs it and resets the connection.
+    TargetAct_Close,         // Runs it and closes the connection without an answer.
+    TargetAct_Silence,       // Runs it and never answers.
+    TargetAct_Garbage,       // Bytes that are no HTTP.
+    TargetAct_CutShort,      // Announces more than it sends, then closes.
+    TargetAct_Unsigned,      // A success without signature.
+    TargetAct_Encoded,       // A success with a Content-Encoding.
+    TargetAct_Surplus,       // A second answer behind the whole one.
+    TargetAct_LateSurplus,   // A second answer behind the whole one, a little later.
+    TargetAct_OtherId,       // An answer that names another request.
+    TargetAct_NoLength,      // A good answer without length that ends with the connection.
+    TargetAct_NoLengthReset, // The same, but it ends with a reset.
+    TargetAct_Closing,       // A good answer, after which it closes the connection, as it says.
+    TargetAct_Early,         // Answers 400, signed, before it has read the body, and reads on.
+    TargetAct_COUNT,
+};
+
+// What was seen of one request.
+struct TargetSaw
+{
+    std::string Id;     // Of the request.
+    std::string Method; //
+    std::string Path;   // And query.
+    std::string Body;   //
+    std::vector<Header> Headers;
+    bool Run = false;       // Work began.
+    bool Cancelled = false; // Its connection closed while it was in work.
+};
+
+struct TargetConnection;
+
+struct UsersTarget
+{
+    std::string Id;
+    std::string Address;
+    EventLoop* Loop = nullptr;
+    int Slots = 3;
+    int Queue = 6;
+    TimeUs WorkUs = 5 * UsPerMs;
+    int PacePercent = 100;      // Told to whoever asks.
+    bool Ill = false;           // Health answers 503.
+    bool TellsLoad = true;      // Answers carry the load.
+    bool ResetsWhenFull = false; // Else it sheds.
+    std::deque<TargetAct_> Script; // For the next requests that it runs or sheds; good when empty.
+    std::vector<TargetSaw> Saw; // Every request, health questions apart.
+    int HealthAsked = 0;
+    int Running = 0;
+    int Accepted = 0; // Connections.
+
+    int Listening = -1;
+    Watch Accepting;
+    std::map<uint64_t, std::unique_ptr<TargetConnection>> Connections;
+    uint64_t LastConnection = 0;
+    std::deque<std::pair<uint64_t, size_t>> Waiting; // Connection and request, in order.
+
+    UsersTarget();
+    ~UsersTarget();
+    UsersTarget(const UsersTarget&) = delete;
+    UsersTarget& operator=(const UsersTarget&) = delete;
+};
+
+// Listens on the address. False if it can't be had.
+bool UsersTargetStart(UsersTarget* target, EventLoop* loop, const std::string& id, const std::string& address);
+
+// Ends it as a crash does: all sockets close.
+void UsersTargetStop(UsersTarget* target);
+
+// How often requests of that id were run.
+int UsersTargetRuns(const UsersTarget& target, const std::string& id);
+
+} // namespace Winchlink
--- a/gateway/client.cpp
+++ b/gateway/client.cpp
@@ -262,7 +262,23 @@
 
 Client::Client() = default;
 
-Client::~Client() = default;
+Client::~Client()
+{
+    if (Multi == nullptr)
+    {
+        return;
+    }
+    for (const auto& entry : Calls)
+    {
+        curl_multi_remove_handle(Multi, entry.second->Easy);
+        curl_easy_cleanup(entry.second->Easy);
+    }
+    for (CURL* easy : Spare)
+    {
+        curl_easy_cleanup(easy);
+    }
+    curl_multi_cleanup(Multi); // Still closes sockets, and so ends their watches.
+}
 
 void ClientStart(Client* client, EventLoop* loop)
 {
--- a/gateway/command_gateway.cpp
+++ b/gateway/command_gateway.cpp
@@ -31,14 +31,16 @@
         return Exit_Usage;
     }
     std::signal(SIGPIPE, SIG_IGN);
+    EventLoop loop;
     Gateway gateway;
     gateway.SettingsFile = file;
-    const Result<void> started = GatewayStart(&gateway, checked.Value);
+    const Result<void> started = GatewayStart(&gateway, &loop, checked.Value);
     if (!started)
     {
         Log(LogLevel_Error, started.error().Code, "can't start", {{"detail", started.error().Detail}});
         return Exit_Start;
     }
+    GatewayWatchSignals(&gateway);
     Log(LogLevel_Info, Code_None, "started", {{"version", Version}, {"instance", checked.Value.Instance}});
     const int cut = GatewayRun(&gateway);
     Log(LogLevel_Info, cut > 0 ? Code_ForcedStop : Code_None, "stopped", {{"cut", cut}});
--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -360,8 +360,25 @@
     ClientSend(call->Owner->Targets, std::move(request), [call, id](const ClientAnswer& answer) { OnAsked(call, id, answer); });
 }
 
+// Targets that tell no load are not asked: their health path would wait for a slot. The one with the least of our own work is taken.
+static void SendUnasked(const CallPtr& call)
+{
+    PoolTarget* target = PoolNext(&call->Service->Pool, call->Tried, NowUs(), call->Owner->Rng);
+    if (target == nullptr || target->InFlight >= call->Owner->Config.UnaskedMost * target->Slots)
+    {
+        Refuse(call, target == nullptr ? Code_NoTargetLeft : Code_TargetsBusy, "targets tell no load");
+        return;
+    }
+    Send(call, target);
+}
+
 static void AskMore(const CallPtr& call)
 {
+    if (!call->Service->Pool.TellsLoad)
+    {
+        SendUnasked(call);
+        return;
+    }
     const ForwardConfig& config = call->Owner->Config;
     const TimeUs now = NowUs();
     while (now < call->AskUntilUs && call->Asking < config.AsksAtOnce && static_cast<int>(call->Asked.size()) < config.AsksMost)
@@ -447,6 +464,7 @@
     const std::optional<LoadReport> report = load != nullptr ? ParseLoadReport(*load) : std::nullopt;
     if (report)
     {
+        call->Service->Pool.TellsLoad = true;
         PoolReport(target, *report, NowUs());
     }
     if (verdict == Verdict_Pass && answer.Status < 500)
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -22,6 +22,7 @@
     int AsksMost = 6;                         // Targets asked for one request.
     TimeUs AskTimeoutUs = 40 * UsPerMs;       // A target that takes longer to tell its load is passed over; usual: 0.6 to 3 ms.
     double AskShare = 0.2;                    // Part of a route's aim that choosing may take; refusals are early up to a quarter of it.
+    int UnaskedMost = 2;                      // Where targets tell no load: our requests at one target, as a multiple of its slots.
     TimeUs ConnectUs = 250 * UsPerMs;         // To connect to a target on our own network.
     TimeUs BusyRetryUs = 300 * UsPerMs;       // When to come back after all targets were busy: about the work of one request.
     TimeUs EmptyRetryUs = 500 * UsPerMs;      // When to come back where there is no target or no plan yet.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -140,7 +140,7 @@
         }
         DirectoryAnswered(&gateway->Requests.Directory, NowUs());
     };
-    StoreReaderStart(&store, &gateway->Loop, &gateway->Control, &gateway->Rng);
+    StoreReaderStart(&store, gateway->Loop, &gateway->Control, &gateway->Rng);
 }
 
 //-----------------------------------------------------------------------------
@@ -177,14 +177,14 @@
     ListenerConfig config;
     config.ConnectionsMost = 64;
     config.Address = gateway->Config.ReadyAddress;
-    const Result<void> ready = ListenerStart(&gateway->Readiness, &gateway->Loop, config, [gateway](const ExchangePtr& exchange)
+    const Result<void> ready = ListenerStart(&gateway->Readiness, gateway->Loop, config, [gateway](const ExchangePtr& exchange)
                                              { Reply(exchange, CallerReply{IsReady(*gateway) ? 200 : 503, {}, "", false}); });
     if (!ready || gateway->Config.MetricsAddress.empty())
     {
         return ready;
     }
     config.Address = gateway->Config.MetricsAddress;
-    return ListenerStart(&gateway->Metrics, &gateway->Loop, config, [gateway](const ExchangePtr& exchange)
+    return ListenerStart(&gateway->Metrics, gateway->Loop, config, [gateway](const ExchangePtr& exchange)
                          { Reply(exchange, CallerReply{200, {{"Content-Type", "text/plain"}}, MetricsText(*gateway), false}); });
 }
 
@@ -203,17 +203,19 @@
     const bool done = out_of_balancer && gateway->Callers.Open.empty();
     if (done || since > gateway->Config.GraceUs - StopMarginUs)
     {
-        LoopStop(&gateway->Loop);
+        gateway->Stopped = true;
+        LoopStop(gateway->Loop);
         return;
     }
-    gateway->Stopping = TimerStart(&gateway->Loop, StopStepUs, [gateway]() { StopStep(gateway); });
+    gateway->Stopping = TimerStart(gateway->Loop, StopStepUs, [gateway]() { StopStep(gateway); });
 }
 
-static void OnStopSignal(Gateway* gateway)
+void GatewayStop(Gateway* gateway)
 {
     if (gateway->StopUs != 0)
     {
-        LoopStop(&gateway->Loop); // The second signal ends it at once.
+        gateway->Stopped = true;
+        LoopStop(gateway->Loop);
         return;
     }
     gateway->StopUs = NowUs();
@@ -238,7 +240,7 @@
     ForwarderFollow(&gateway->Requests);
 }
 
-static void Reload(Gateway* gateway)
+void GatewayReload(Gateway* gateway)
 {
     const Result<std::string> json = ReadFile(gateway->SettingsFile);
     const CheckedGatewaySettings checked = json ? ParseGatewaySettings(json.value()) : CheckedGatewaySettings();
@@ -265,7 +267,7 @@
     if (changed != 0 && changed != gateway->SettingsTime)
     {
         gateway->SettingsTime = changed;
-        Reload(gateway);
+        GatewayReload(gateway);
     }
 }
 
@@ -280,37 +282,37 @@
         ForwarderFollow(&gateway->Requests);
     }
     CheckSettingsFile(gateway);
-    gateway->Second = TimerStart(&gateway->Loop, TickUs, [gateway]() { Tick(gateway); });
+    gateway->Second = TimerStart(gateway->Loop, TickUs, [gateway]() { Tick(gateway); });
 }
 
-static void StartSignals(Gateway* gateway)
+void GatewayWatchSignals(Gateway* gateway)
 {
     for (const int number : {SIGTERM, SIGINT})
     {
-        gateway->Signals.push_back(SignalStart(&gateway->Loop, number, [gateway]() { OnStopSignal(gateway); }));
+        gateway->Signals.push_back(SignalStart(gateway->Loop, number, [gateway]() { GatewayStop(gateway); }));
     }
-    gateway->Signals.push_back(SignalStart(&gateway->Loop, SIGHUP, [gateway]() { Reload(gateway); }));
+    gateway->Signals.push_back(SignalStart(gateway->Loop, SIGHUP, [gateway]() { GatewayReload(gateway); }));
 }
 
-Result<void> GatewayStart(Gateway* gateway, const GatewaySettings& settings)
+Result<void> GatewayStart(Gateway* gateway, EventLoop* loop, const GatewaySettings& settings)
 {
+    gateway->Loop = loop;
     gateway->Config = settings;
     gateway->Rng.seed(std::random_device()());
     gateway->SettingsTime = ChangeTime(gateway->SettingsFile);
-    ClientStart(&gateway->Targets, &gateway->Loop);
-    ClientStart(&gateway->Control, &gateway->Loop);
+    ClientStart(&gateway->Targets, gateway->Loop);
+    ClientStart(&gateway->Control, gateway->Loop);
     Forwarder& requests = gateway->Requests;
     requests.Names = PlatformNames();
-    requests.Loop = &gateway->Loop;
+    requests.Loop = gateway->Loop;
     requests.Targets = &gateway->Targets;
     requests.Rng = &gateway->Rng;
     ApplySettings(gateway, settings);
-    StartSignals(gateway);
     ListenerConfig callers;
     callers.Address = settings.CallerAddress;
     callers.ConnectionsMost = settings.ConnectionsMost;
     const Result<void> listening =
-        ListenerStart(&gateway->Callers, &gateway->Loop, callers, [&requests](const ExchangePtr& exchange) { ForwardRequest(&requests, exchange); });
+        ListenerStart(&gateway->Callers, gateway->Loop, callers, [&requests](const ExchangePtr& exchange) { ForwardRequest(&requests, exchange); });
     if (!listening)
     {
         return listening.error();
@@ -327,7 +329,10 @@
 
 int GatewayRun(Gateway* gateway)
 {
-    LoopRun(&gateway->Loop);
+    while (!gateway->Stopped)
+    {
+        LoopRun(gateway->Loop);
+    }
     return gateway->Requests.InProgress;
 }
 
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -13,7 +13,7 @@
 {
     GatewaySettings Config;
     std::string SettingsFile; // Read again on SIGHUP and when it changes.
-    EventLoop Loop;
+    EventLoop* Loop = nullptr; // Borrowed.
     Random Rng;
     Client Targets;
     Client Control; // For the store: its connections are kept apart from those to targets.
@@ -26,13 +26,24 @@
     Timer Second;            // Once a second: settings file, vanished targets.
     Timer Stopping;          // Steps of a planned stop.
     TimeUs StopUs = 0;       // When the stop signal came; 0: not yet.
+    bool Stopped = false;    // The planned stop is over.
     int64_t SettingsTime = 0; // When the settings file was last changed.
 };
 
-// Starts an instance; on an error nothing runs.
-Result<void> GatewayStart(Gateway* gateway, const GatewaySettings& settings);
+// Starts an instance in a loop of yours; on an error nothing runs.
+Result<void> GatewayStart(Gateway* gateway, EventLoop* loop, const GatewaySettings& settings);
 
-// Runs until the instance has been stopped by a signal. Returns how many requests were cut.
+// Lets signals stop it (SIGTERM, SIGINT) and reload its settings (SIGHUP).
+void GatewayWatchSignals(Gateway* gateway);
+
+// Planned stop: not ready, still serving until the balancer in front has noticed, then ends idle connections. `Stopped` is set when all
+// connections are closed or the grace time is nearly over. Calling it again ends it at once.
+void GatewayStop(Gateway* gateway);
+
+// Reads the settings file again; what can't be used is logged and the old settings stay.
+void GatewayReload(Gateway* gateway);
+
+// Runs until the instance has stopped. Returns how many requests were cut.
 int GatewayRun(Gateway* gateway);
 
 } // namespace Winchlink
--- a/gateway/listener.cpp
+++ b/gateway/listener.cpp
@@ -187,9 +187,10 @@
     {
         return;
     }
-    if (exchange->OnGone)
+    const std::function<void()> gone = std::move(exchange->OnGone); // It may answer, which takes it away.
+    if (gone)
     {
-        exchange->OnGone();
+        gone();
     }
     if (!exchange->Answer)
     {
@@ -304,11 +305,40 @@
     }
     const MHD_DaemonInfo* info = MHD_get_daemon_info(listener->Daemon, MHD_DAEMON_INFO_EPOLL_FD);
     listener->Ready = WatchStart(loop, info->epoll_fd, UV_READABLE, [listener](int) { RunDaemon(listener); });
-    LoopBeforeWait(loop, [listener]() { BeforeWait(listener); });
+    listener->Hook = LoopBeforeWait(loop, [listener]() { BeforeWait(listener); });
     CheckTimeouts(listener);
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+void ListenerStop(Listener* listener)
+{
+    if (listener->Daemon == nullptr)
+    {
+        return;
+    }
+    std::vector<MHD_Connection*> open;
+    for (const auto& entry : listener->Open)
+    {
+        open.push_back(entry.first);
+    }
+    for (MHD_Connection* connection : open)
+    {
+        OnHangup(listener, connection);
+    }
+    MHD_run(listener->Daemon); // Suspended connections must have been resumed before the daemon ends.
+    listener->Timeout = nullptr;
+    listener->Ready = nullptr;
+    LoopEndBeforeWait(listener->Loop, listener->Hook);
+    MHD_stop_daemon(listener->Daemon);
+    listener->Daemon = nullptr;
+    listener->Open.clear();
+}
+
+Listener::~Listener()
+{
+    ListenerStop(this);
+}
+
 void ListenerSetLimits(Listener* listener, size_t body_most, TimeUs idle_timeout)
 {
     listener->Config.BodyMost = body_most;
--- a/gateway/listener.h
+++ b/gateway/listener.h
@@ -76,10 +76,12 @@
     MHD_Daemon* Daemon = nullptr;
     Watch Ready;                                          // libmicrohttpd's own poll set.
     Timer Timeout;                                        // Its next timeout.
+    uint64_t Hook = 0;                                    // Of the loop, before each wait.
     bool RunWanted = false;                               // A reply waits to be written.
     std::map<MHD_Connection*, CallerConnection> Open; // Connections.
 
     Listener() = default;
+    ~Listener();
     Listener(const Listener&) = delete;
     Listener& operator=(const Listener&) = delete;
 };
@@ -87,6 +89,9 @@
 // Starts to listen; Code_ListenFailed if the address can't be had.
 Result<void> ListenerStart(Listener* listener, EventLoop* loop, const ListenerConfig& config, ExchangeHandler handler);
 
+// Stops at once: requests in progress are treated as if their callers had left.
+void ListenerStop(Listener* listener);
+
 // Other limits from now on; the idle timeout holds for connections opened later, and for open ones from their next request.
 void ListenerSetLimits(Listener* listener, size_t body_most, TimeUs idle_timeout);
 
--- a/gateway/loop.cpp
+++ b/gateway/loop.cpp
@@ -21,9 +21,9 @@
 
 static void RunHooks(uv_prepare_t* prepare)
 {
-    for (const std::function<void()>& hook : static_cast<EventLoop*>(prepare->data)->Hooks)
+    for (const auto& entry : static_cast<EventLoop*>(prepare->data)->Hooks)
     {
-        hook();
+        entry.second();
     }
 }
 
@@ -54,9 +54,26 @@
     uv_stop(&loop->Uv);
 }
 
-void LoopBeforeWait(EventLoop* loop, std::function<void()> hook)
+bool LoopRunUntil(EventLoop* loop, TimeUs limit, const std::function<bool()>& done)
 {
-    loop->Hooks.push_back(std::move(hook));
+    bool over = false;
+    const Timer guard = TimerStart(loop, limit, [&over]() { over = true; });
+    while (!done() && !over)
+    {
+        uv_run(&loop->Uv, UV_RUN_ONCE);
+    }
+    return done();
+}
+
+uint64_t LoopBeforeWait(EventLoop* loop, std::function<void()> hook)
+{
+    loop->Hooks[++loop->LastHook] = std::move(hook);
+    return loop->LastHook;
+}
+
+void LoopEndBeforeWait(EventLoop* loop, uint64_t number)
+{
+    loop->Hooks.erase(number);
 }
 
 template <class Handle> static void CloseAndFree(Handle* handle)
--- a/gateway/loop.h
+++ b/gateway/loop.h
@@ -27,7 +27,8 @@
 {
     uv_loop_t Uv = {};                        // libuv's part.
     uv_prepare_t Prepare = {};                // Runs BeforeWait.
-    std::vector<std::function<void()>> Hooks; // Called before each wait.
+    std::map<uint64_t, std::function<void()>> Hooks; // Called before each wait.
+    uint64_t LastHook = 0;                    //
 
     EventLoop();
     ~EventLoop();
@@ -39,8 +40,12 @@
 void LoopRun(EventLoop* loop);
 void LoopStop(EventLoop* loop);
 
-// Calls `hook` each time the loop is about to wait, after all that was ready has been handled.
-void LoopBeforeWait(EventLoop* loop, std::function<void()> hook);
+// Runs until `done` holds or the time is over. True if it holds.
+bool LoopRunUntil(EventLoop* loop, TimeUs limit, const std::function<bool()>& done);
+
+// Calls `hook` each time the loop is about to wait, after all that was ready has been handled. The number takes it back.
+uint64_t LoopBeforeWait(EventLoop* loop, std::function<void()> hook);
+void LoopEndBeforeWait(EventLoop* loop, uint64_t number);
 
 //-----------------------------------------------------------------------------
 // [SECTION] Timers
--- /dev/null
+++ b/tests/directory_test.cpp
@@ -0,0 +1,136 @@
+// directory_test.cpp: the target directory against a simple oracle, and its rule for entries that vanish.
+
+#include "check.h"
+
+#include <fmt/format.h>
+
+namespace Winchlink
+{
+
+static DirectoryTarget Entry(const std::string& id, uint64_t revision, Presence_ presence = Presence_Ready)
+{
+    DirectoryTarget target;
+    target.Id = id;
+    target.Service = "svc";
+    target.Address = "10.0.0.1:80";
+    target.Revision = revision;
+    target.Presence = presence;
+    return target;
+}
+
+static Presence_ PresenceOf(const TargetDirectory& directory, const std::string& id)
+{
+    const auto found = directory.Targets.find(id);
+    return found != directory.Targets.end() ? found->second.Presence : Presence_COUNT;
+}
+
+class DirectoryTest : public CPPUNIT_NS::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DirectoryTest);
+    CPPUNIT_TEST(EndsWhereTheStoreIsInWhateverOrder);
+    CPPUNIT_TEST(LeavingIsForGood);
+    CPPUNIT_TEST(VanishedEntriesGoInTime);
+    CPPUNIT_TEST(LostEntriesWaitForTheStoresReturn);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Changes and whole reads reach an instance late, again, and in any order; what counts is the highest revision of each entry.
+    void EndsWhereTheStoreIsInWhateverOrder()
+    {
+        CHECK_PROPERTY("after a last whole read, the directory holds what the store holds",
+                       []()
+                       {
+                           Dice dice;
+                           TargetDirectory directory;
+                           std::map<std::string, DirectoryTarget> store;
+                           std::vector<std::pair<DirectoryTarget, bool>> changes; // Entry, and whether it went.
+                           TimeUs now = UsPerSecond;
+                           uint64_t revision = 0;
+                           for (int step = 0; step < 60; step++)
+                           {
+                               now += dice.Between(0, 200) * UsPerMs;
+                               const std::string id = fmt::format("t{}", dice.Between(0, 5));
+                               revision++;
+                               const bool goes = dice.OneIn(3);
+                               changes.push_back({Entry(id, revision), goes});
+                               if (goes)
+                               {
+                                   store.erase(id);
+                               }
+                               else
+                               {
+                                   store[id] = Entry(id, revision);
+                               }
+                               const auto& heard = changes[static_cast<size_t>(dice.Between(0, static_cast<int64_t>(changes.size())))];
+                               if (heard.second)
+                               {
+                                   DirectoryRemove(&directory, heard.first.Id, heard.first.Revision, now);
+                               }
+                               else
+                               {
+                                   DirectoryPut(&directory, heard.first, now);
+                               }
+                               DirectoryTick(&directory, now);
+                           }
+                           std::vector<DirectoryTarget> all;
+                           for (const auto& entry : store)
+                           {
+                               all.push_back(entry.second);
+                           }
+                           DirectoryReplace(&directory, all, revision, now);
+                           DirectoryTick(&directory, now + 10 * UsPerSecond);
+                           RC_ASSERT(directory.Targets.size() == store.size());
+                           for (const auto& entry : store)
+                           {
+                               RC_ASSERT(directory.Targets.at(entry.first).Revision == entry.second.Revision);
+                           }
+                       });
+    }
+
+    void LeavingIsForGood()
+    {
+        TargetDirectory directory;
+        DirectoryPut(&directory, Entry("t", 5), 0);
+        DirectoryLeaves(&directory, "t"); // By its own word, before the store knows.
+        DirectoryPut(&directory, Entry("t", 6), 0);
+        CPPUNIT_ASSERT_EQUAL(Presence_Leaving, PresenceOf(directory, "t"));
+        DirectoryRemove(&directory, "t", 7, 0);
+        CPPUNIT_ASSERT_EQUAL(Presence_COUNT, PresenceOf(directory, "t"));
+    }
+
+    void VanishedEntriesGoInTime()
+    {
+        TargetDirectory directory;
+        DirectoryPut(&directory, Entry("t", 5), 0);
+        const TimeUs went = 10 * UsPerSecond;
+        DirectoryRemove(&directory, "t", 4, went); // Older than the entry.
+        CPPUNIT_ASSERT_EQUAL(Presence_Ready, PresenceOf(directory, "t"));
+        DirectoryRemove(&directory, "t", 6, went);
+        CPPUNIT_ASSERT_EQUAL(Presence_Vanished, PresenceOf(directory, "t"));
+        DirectoryPut(&directory, Entry("t", 5), went); // Heard late: the entry has gone since.
+        CPPUNIT_ASSERT_EQUAL(Presence_Vanished, PresenceOf(directory, "t"));
+        CPPUNIT_ASSERT(!DirectoryTick(&directory, went + directory.Config.VanishedUs - 1));
+        CPPUNIT_ASSERT(DirectoryTick(&directory, went + directory.Config.VanishedUs));
+        CPPUNIT_ASSERT(directory.Targets.empty());
+        // A target that left serves on for two seconds after its entry went, and gets nothing later than that.
+        CPPUNIT_ASSERT(directory.Config.VanishedUs < 2 * UsPerSecond);
+    }
+
+    void LostEntriesWaitForTheStoresReturn()
+    {
+        TargetDirectory directory;
+        DirectoryPut(&directory, Entry("t", 5), 0);
+        DirectoryTrouble(&directory, 20 * UsPerSecond);
+        const TimeUs returned = 24 * UsPerSecond;
+        DirectoryAnswered(&directory, returned);
+        DirectoryReplace(&directory, {}, 9, returned);
+        CPPUNIT_ASSERT_EQUAL(Presence_Vanished, PresenceOf(directory, "t"));
+        DirectoryTick(&directory, returned + 2 * UsPerSecond); // Entries are back within two seconds.
+        CPPUNIT_ASSERT_EQUAL(Presence_Vanished, PresenceOf(directory, "t"));
+        DirectoryPut(&directory, Entry("t", 10), returned + 2 * UsPerSecond);
+        CPPUNIT_ASSERT_EQUAL(Presence_Ready, PresenceOf(directory, "t"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DirectoryTest);
+
+} // namespace Winchlink
--- /dev/null
+++ b/tests/gateway_faults_test.cpp
@@ -0,0 +1,447 @@
+// gateway_faults_test.cpp: what a gateway instance does when targets and the store misbehave. Each test causes the failure it is about.
+
+#include "gateway_rig.h"
+
+#include <fmt/format.h>
+
+namespace Winchlink
+{
+
+// Acts after which a request may have been run, and there is no answer that can be passed on.
+static const std::vector<TargetAct_> LosingActs = {
+    TargetAct_BareShed, TargetAct_Reset,    TargetAct_Close,   TargetAct_Garbage,       TargetAct_CutShort,
+    TargetAct_Unsigned, TargetAct_Encoded,  TargetAct_OtherId, TargetAct_NoLengthReset,
+};
+
+static bool PromisesNotRun(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+class GatewayFaultsTest : public CPPUNIT_NS::TestFixture
+{
+    CPPUNIT_TEST_SUITE(GatewayFaultsTest);
+    CPPUNIT_TEST(NeverRepeatsWhatMayNotBeRepeated);
+    CPPUNIT_TEST(NeverRepeatsOnAConnectionThatDied);
+    CPPUNIT_TEST(RepeatsWhatMayBeRepeated);
+    CPPUNIT_TEST(SendsToNoMoreTargetsThanAllowed);
+    CPPUNIT_TEST(TriesElsewhereWhatWasNotRun);
+    CPPUNIT_TEST(SaysNotRunOnlyWhereItIsTrue);
+    CPPUNIT_TEST(SurplusAnswersReachNobody);
+    CPPUNIT_TEST(AnswersBeforeTheBodyIsReadMixNothing);
+    CPPUNIT_TEST(ReusedAddressesRunNothing);
+    CPPUNIT_TEST(PassesOverTargetsThatDoNotAnswer);
+    CPPUNIT_TEST(KeepsTheRepeatBudget);
+    CPPUNIT_TEST(SendsNothingToTargetsThatLeave);
+    CPPUNIT_TEST(UsesVanishedTargetsLastAndNotForLong);
+    CPPUNIT_TEST(LapsedEntriesComeBack);
+    CPPUNIT_TEST(NoticesASilentStore);
+    CPPUNIT_TEST(NoticesWhatLeftWhileWaitsHeardNothing);
+    CPPUNIT_TEST(ReadsAgainWhenTheHistoryIsGone);
+    CPPUNIT_TEST(LivesThroughARefusingStore);
+    CPPUNIT_TEST(ServesOnWithoutTheStore);
+    CPPUNIT_TEST(StartsWhenTheStoreComes);
+    CPPUNIT_TEST_SUITE_END();
+
+    static UsersRoute Writes()
+    {
+        UsersRoute route;
+        route.Name = "w";
+        route.Prefix = "/w/";
+        route.Safe = false;
+        return route;
+    }
+
+    static RigCall Write()
+    {
+        RigCall call;
+        call.Method = "POST";
+        call.Target = "/w/x";
+        call.Body = "once";
+        return call;
+    }
+
+    void NeverRepeatsWhatMayNotBeRepeated()
+    {
+        Rig rig;
+        RigTarget(&rig, "t1");
+        RigTarget(&rig, "t2");
+        RigConfigure(&rig, {Writes()});
+        const Gateway& instance = RigInstance(&rig, 2);
+        for (const TargetAct_ act : LosingActs)
+        {
+            for (const auto& target : rig.Targets)
+            {
+                target->Script = {act};
+            }
+            const RigAnswer answer = RigAsk(&rig, instance, Write());
+            const std::string text = fmt::format("act {} status {}", static_cast<int>(act), answer.Answer.Status);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(text, 1, RigRuns(rig, answer.Id));
+            CPPUNIT_ASSERT_MESSAGE(text, answer.Answer.Status >= 500 && !PromisesNotRun(answer.Answer.Status));
+            CPPUNIT_ASSERT_MESSAGE(text, FindHeader(answer.Answer.Headers, "Winchlink-Response-Signature") == nullptr);
+        }
+    }
+
+    // libcurl would send a request again on its own when a kept connection closes without an answer.
+    void NeverRepeatsOnAConnectionThatDied()
+    {
+        Rig rig;
+        UsersTarget& target = RigTarget(&rig, "t1");
+        RigConfigure(&rig, {Writes()});
+        const Gateway& instance = RigInstance(&rig, 1);
+        for (int n = 0; n < 10; n++)
+        {
+            target.Script = {TargetAct_Good, TargetAct_Close};
+            CPPUNIT_ASSERT_EQUAL(200, RigAsk(&rig, instance, Write()).Answer.Status);
+            const RigAnswer answer = RigAsk(&rig, instance, Write());
+            CPPUNIT_ASSERT_EQUAL(502, answer.Answer.Status);
+            CPPUNIT_ASSERT_EQUAL(1, RigRuns(rig, answer.Id));
+            RigIdle(&rig, 210 * UsPerMs); // It is avoided for a while.
+        }
+    }
+
+    void RepeatsWhatMayBeRepeated()
+    {
+        for (const TargetAct_ act : LosingActs)
+        {
+            Rig rig;
+            RigTarget(&rig, "t1").Script = {act};
+            RigTarget(&rig, "t2").Script = {};
+            RigTarget(&rig, "t3").Script = {};
+            UsersRoute route;
+            route.Attempts = 2;
+            RigConfigure(&rig, {route});
+            const Gateway& instance = RigInstance(&rig, 3);
+            rig.Targets[1]->Running = 1; // So that the first is the cheapest.
+            rig.Targets[2]->Running = 1;
+            const RigAnswer answer = RigAsk(&rig, instance, RigCall());
+            const std::string text = fmt::format("act {} status {}", static_cast<int>(act), answer.Answer.Status);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(text, 200, answer.Answer.Status);
+            rig.Targets[1]->Running = 0;
+            rig.Targets[2]->Running = 0;
+        }
+    }
+
+    void SendsToNoMoreTargetsThanAllowed()
+    {
+        Rig rig;
+        for (int n = 0; n < 5; n++)
+        {
+            RigTarget(&rig, fmt::format("t{}", n));
+        }
+        UsersRoute route;
+        route.Attempts = 2;
+        RigConfigure(&rig, {route});
+        Gateway& instance = RigInstance(&rig, 5);
+        instance.Requests.Services["svc"].Repeats.Extra = 100;
+        for (const auto& target : rig.Targets)
+        {
+            target->Script = {TargetAct_Reset, TargetAct_Reset, TargetAct_Reset};
+        }
+        const RigAnswer answer = RigAsk(&rig, instance, RigCall());
+        CPPUNIT_ASSERT_EQUAL(502, answer.Answer.Status);
+        CPPUNIT_ASSERT_EQUAL(2, RigRuns(rig, answer.Id));
+    }
+
+    void TriesElsewhereWhatWasNotRun()
+    {
+        Rig rig;
+        RigTarget(&rig, "t1").Script = {TargetAct_Shed};
+        RigTarget(&rig, "t2").Script = {TargetAct_Shed};
+        RigTarget(&rig, "t3");
+        UsersRoute route = Writes();
+        route.Attempts = 3;
+        RigConfigure(&rig, {route});
+        Gateway& instance = RigInstance(&rig, 3);
+        instance.Requests.Services["svc"].Repeats.Extra = 100;
+        const RigAnswer answer = RigAsk(&rig, instance, Write());
+        CPPUNIT_ASSERT_EQUAL(200, answer.Answer.Status);
+        CPPUNIT_ASSERT_EQUAL(1, RigRuns(rig, answer.Id));
+    }
+
+    void SaysNotRunOnlyWhereItIsTrue()
+    {
+        Rig rig;
+        RigTarget(&rig, "t1");
+        RigTarget(&rig, "t2");
+        RigConfigure(&rig, {Writes()});
+        const Gateway& instance = RigInstance(&rig, 2);
+        for (const auto& target : rig.Targets)
+        {
+            target->Script = {TargetAct_Shed, TargetAct_Shed, TargetAct_Shed};
+        }
+        const RigAnswer shed = RigAsk(&rig, instance, Write());
+        CPPUNIT_ASSERT_EQUAL(503, shed.Answer.Status);
+        CPPUNIT_ASSERT(std::stod(*FindHeader(shed.Answer.Headers, "Retry-After")) > 0);
+        CPPUNIT_ASSERT_EQUAL(0, RigRuns(rig, shed.Id));
+        for (const auto& target : rig.Targets)
+        {
+            UsersTargetStop(target.get()); // Connections are refused from now on.
+        }
+        const RigAnswer refused = RigAsk(&rig, instance, Write());
+        CPPUNIT_ASSERT_EQUAL(503, refused.Answer.Status);
+        CPPUNIT_ASSERT_EQUAL(0, RigRuns(rig, refused.Id));
+    }
+
+    void SurplusAnswersReachNobody()
+    {
+        for (const TargetAct_ act : {TargetAct_Surplus, TargetAct_LateSurplus})
+        {
+            Rig rig;
+            UsersTarget& target = RigTarget(&rig, "t1");
+            RigConfigure(&rig, {UsersRoute(), Writes()});
+            const Gateway& instance = RigInstance(&rig, 1);
+            for (int n = 0; n < 30; n++)
+            {
+                target.Script = {act};
+                RigCall call = n % 2 == 0 ? RigCall() : Write();
+                call.Target += std::to_string(n);
+                const RigAnswer answer = RigAsk(&rig, instance, call);
+                const bool own = answer.Answer.Body.find(call.Target + " ") != std::string::npos;
+                CPPUNIT_ASSERT(answer.Answer.Status != 200 || own);
+                CPPUNIT_ASSERT(RigRuns(rig, answer.Id) <= (n % 2 == 0 ? 2 : 1));
+                RigIdle(&rig, (n % 3) * 2 * UsPerMs);
+            }
+        }
+    }
+
+    void AnswersBeforeTheBodyIsReadMixNothing()
+    {
+        Rig rig;
+        UsersTarget& target = RigTarget(&rig, "t1");
+        RigConfigure(&rig, {Writes()});
+        const Gateway& instance = RigInstance(&rig, 1);
+        for (int n = 0; n < 10; n++)
+        {
+            target.Script = {TargetAct_Early};
+            RigCall early = Write();
+            early.Body = std::string(600000, 'x');
+            const RigAnswer answer = RigAsk(&rig, instance, early);
+            CPPUNIT_ASSERT(answer.Answer.Status == 400 || answer.Answer.Status == 502);
+            RigCall next = Write();
+            next.Target = fmt::format("/w/{}", n);
+            const RigAnswer after = RigAsk(&rig, instance, next);
+            CPPUNIT_ASSERT_EQUAL(200, after.Answer.Status);
+            CPPUNIT_ASSERT_EQUAL(fmt::format("t1 ran POST /w/{} with 4 bytes", n), after.Answer.Body);
+        }
+    }
+
+    void ReusedAddressesRunNothing()
+    {
+        Rig rig;
+        UsersTarget& target = RigTarget(&rig, "t1");
+        const UsersTarget& other = RigTarget(&rig, "t2");
+        RigConfigure(&rig, {Writes()});
+        const Gateway& instance = RigInstance(&rig, 2);
+        target.Id = "t9"; // Another target has the address, and the store does not know yet.
+        for (int n = 0; n < 10; n++)
+        {
+            CPPUNIT_ASSERT_EQUAL(200, RigAsk(&rig, instance, Write()).Answer.Status);
+        }
+        for (const TargetSaw& saw : target.Saw)
+        {
+            CPPUNIT_ASSERT(!saw.Run);
+        }
+        CPPUNIT_ASSERT_EQUAL(size_t{10}, other.Saw.size());
+    }
+
+    void PassesOverTargetsThatDoNotAnswer()
+    {
+        Rig rig;
+        UsersTarget& dead = RigTarget(&rig, "t1");
+        const UsersTarget& ill = RigTarget(&rig, "t2");
+        rig.Targets[1]->Ill = true;
+        const UsersTarget& well = RigTarget(&rig, "t3");
+        RigConfigure(&rig, {Writes()});
+        const Gateway& instance = RigInstance(&rig, 3);
+        UsersTargetStop(&dead);
+        for (int n = 0; n < 10; n++)
+        {
+            CPPUNIT_ASSERT_EQUAL(200, RigAsk(&rig, instance, Write()).Answer.Status);
+        }
+        CPPUNIT_ASSERT_EQUAL(size_t{0}, ill.Saw.size());
+        CPPUNIT_ASSERT_EQUAL(size_t{10}, well.Saw.size());
+    }
+
+    void KeepsTheRepeatBudget()
+    {
+        Rig rig;
+        RigTarget(&rig, "t1");
+        RigTarget(&rig, "t2");
+        RigConfigure(&rig, {UsersRoute()});
+        Gateway& instance = RigInstance(&rig, 2);
+        RepeatBudget& budget = instance.Requests.Services["svc"].Repeats;
+        budget.Share = 0.2;
+        budget.Extra = 1;
+        constexpr int Requests = 100;
+        for (int n = 0; n < Requests; n++)
+        {
+            for (const auto& target : rig.Targets)
+            {
+                target->Script = {TargetAct_Shed};
+            }
+            RigAsk(&rig, instance, RigCall());
+        }
+        const size_t arrivals = rig.Targets[0]->Saw.size() + rig.Targets[1]->Saw.size();
+        CPPUNIT_ASSERT(arrivals > Requests);
+        CPPUNIT_ASSERT(arrivals <= Requests * 1.2 + 1);
+    }
+
+    void SendsNothingToTargetsThatLeave()
+    {
+        Rig rig;
+        UsersTarget& leaving = RigTarget(&rig, "t1");
+        const UsersTarget& other = RigTarget(&rig, "t2", "svc", "dc-b");
+        RigConfigure(&rig, {UsersRoute()});
+        const Gateway& instance = RigInstance(&rig, 2);
+        RigAsk(&rig, instance, RigCall());
+        CPPUNIT_ASSERT_EQUAL(size_t{1}, leaving.Saw.size());
+        UsersStoreTarget(&rig.Store, "t1", "svc", leaving.Address, "dc-a", true);
+        const auto known = [&]() { return instance.Requests.Directory.Targets.at("t1").Presence == Presence_Leaving; };
+        CPPUNIT_ASSERT(RigRun(&rig, known));
+        for (int n = 0; n < 5; n++)
+        {
+            CPPUNIT_ASSERT_EQUAL(200, RigAsk(&rig, instance, RigCall()).Answer.Status);
+        }
+        CPPUNIT_ASSERT_EQUAL(size_t{1}, leaving.Saw.size());
+        CPPUNIT_ASSERT_EQUAL(size_t{5}, other.Saw.size());
+    }
+
+    void UsesVanishedTargetsLastAndNotForLong()
+    {
+        Rig rig;
+        const UsersTarget& vanished = RigTarget(&rig, "t1");
+        const UsersTarget& other = RigTarget(&rig, "t2", "svc", "dc-b");
+        RigConfigure(&rig, {UsersRoute()});
+        Gateway& instance = RigInstance(&rig, 2);
+        instance.Requests.Directory.Config.VanishedUs = 300 * UsPerMs;
+        UsersStoreRemove(&rig.Store, "servers/t1");
+        const auto gone = [&]() { return instance.Requests.Directory.Targets.at("t1").Presence == Presence_Vanished; };
+        CPPUNIT_ASSERT(RigRun(&rig, gone));
+        RigAsk(&rig, instance, RigCall());
+        CPPUNIT_ASSERT_EQUAL(size_t{0}, vanished.Saw.size());
+        CPPUNIT_ASSERT_EQUAL(size_t{1}, other.Saw.size());
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return instance.Requests.Directory.Targets.count("t1") == 0; }));
+        CPPUNIT_ASSERT_EQUAL(size_t{1}, instance.Requests.Services["svc"].Pool.Targets.size());
+    }
+
+    void LapsedEntriesComeBack()
+    {
+        Rig rig;
+        const UsersTarget& target = RigTarget(&rig, "t1");
+        RigConfigure(&rig, {UsersRoute()});
+        Gateway& instance = RigInstance(&rig, 1);
+        instance.Store.Config.WaitUs = 100 * UsPerMs;
+        instance.Store.Config.MarginUs = 100 * UsPerMs;
+        UsersStoreSetMode(&rig.Store, StoreMode_Refusing);
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return instance.Requests.Directory.InTrouble; }));
+        UsersStoreRemove(&rig.Store, "servers/t1"); // It could not renew its entry.
+        UsersStoreSetMode(&rig.Store, StoreMode_Good);
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return !instance.Requests.Directory.InTrouble; }));
+        CPPUNIT_ASSERT_EQUAL(200, RigAsk(&rig, instance, RigCall()).Answer.Status); // It lives, whatever the store says.
+        UsersStoreTarget(&rig.Store, "t1", "svc", target.Address, "dc-a");
+        const auto back = [&]() { return instance.Requests.Directory.Targets.at("t1").Presence == Presence_Ready; };
+        CPPUNIT_ASSERT(RigRun(&rig, back));
+        CPPUNIT_ASSERT_EQUAL(200, RigAsk(&rig, instance, RigCall()).Answer.Status);
+    }
+
+    void NoticesASilentStore()
+    {
+        Rig rig;
+        RigTarget(&rig, "t1");
+        RigConfigure(&rig, {UsersRoute()});
+        Gateway& instance = RigInstance(&rig, 1);
+        instance.Store.Config.WaitUs = 100 * UsPerMs;
+        instance.Store.Config.MarginUs = 100 * UsPerMs;
+        instance.Store.Config.ReadUs = 100 * UsPerMs;
+        UsersStoreSetMode(&rig.Store, StoreMode_Silent);
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return instance.Requests.Directory.InTrouble; }));
+        RigConfigure(&rig, {UsersRoute()});
+        UsersStoreSetMode(&rig.Store, StoreMode_Good);
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return instance.Requests.Plan->Version == 2; }));
+    }
+
+    void NoticesWhatLeftWhileWaitsHeardNothing()
+    {
+        Rig rig;
+        RigTarget(&rig, "t1");
+        RigTarget(&rig, "t2");
+        RigConfigure(&rig, {UsersRoute()});
+        Gateway& instance = RigInstance(&rig, 2);
+        UsersStoreSetMode(&rig.Store, StoreMode_Deaf);
+        UsersStoreRemove(&rig.Store, "servers/t1");
+        RigIdle(&rig, 100 * UsPerMs);
+        CPPUNIT_ASSERT(instance.Requests.Directory.Targets.at("t1").Presence == Presence_Ready); // Nobody could know.
+        UsersStoreSetMode(&rig.Store, StoreMode_Good);
+        UsersStoreCompact(&rig.Store);
+        const auto noticed = [&]()
+        {
+            const auto& all = instance.Requests.Directory.Targets;
+            return all.count("t1") == 0 || all.at("t1").Presence == Presence_Vanished;
+        };
+        CPPUNIT_ASSERT(RigRun(&rig, noticed));
+    }
+
+    void ReadsAgainWhenTheHistoryIsGone()
+    {
+        Rig rig;
+        RigTarget(&rig, "t1");
+        RigConfigure(&rig, {UsersRoute()});
+        const Gateway& instance = RigInstance(&rig, 1);
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return !rig.Store.Waits.empty(); }));
+        const int pages = rig.Store.PageCalls;
+        UsersStoreCompact(&rig.Store);
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return rig.Store.PageCalls > pages; }));
+        RigConfigure(&rig, {UsersRoute()});
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return instance.Requests.Plan->Version == 2; }));
+        CPPUNIT_ASSERT(!instance.Requests.Directory.InTrouble); // Forgetting history is not trouble.
+    }
+
+    void LivesThroughARefusingStore()
+    {
+        for (const StoreMode_ mode : {StoreMode_Refusing, StoreMode_TooMany, StoreMode_Torn})
+        {
+            Rig rig;
+            RigTarget(&rig, "t1");
+            RigConfigure(&rig, {UsersRoute()});
+            Gateway& instance = RigInstance(&rig, 1);
+            instance.Store.Config.WaitUs = 50 * UsPerMs;
+            UsersStoreSetMode(&rig.Store, mode);
+            CPPUNIT_ASSERT(RigRun(&rig, [&]() { return instance.Requests.Directory.InTrouble; }));
+            const int calls = rig.Store.Calls;
+            RigIdle(&rig, UsPerSecond);
+            CPPUNIT_ASSERT(rig.Store.Calls - calls <= 8); // Each refused call has its price too.
+            CPPUNIT_ASSERT_EQUAL(200, RigAsk(&rig, instance, RigCall()).Answer.Status);
+            UsersStoreSetMode(&rig.Store, StoreMode_Good);
+            CPPUNIT_ASSERT(RigRun(&rig, [&]() { return !instance.Requests.Directory.InTrouble; }));
+        }
+    }
+
+    void ServesOnWithoutTheStore()
+    {
+        Rig rig;
+        RigTarget(&rig, "t1");
+        RigConfigure(&rig, {UsersRoute()});
+        const Gateway& instance = RigInstance(&rig, 1);
+        ListenerStop(&rig.Store.Server);
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return instance.Requests.Directory.InTrouble; }));
+        CPPUNIT_ASSERT_EQUAL(200, RigAsk(&rig, instance, RigCall()).Answer.Status);
+    }
+
+    void StartsWhenTheStoreComes()
+    {
+        Rig rig;
+        RigTarget(&rig, "t1");
+        RigConfigure(&rig, {UsersRoute()});
+        UsersStoreSetMode(&rig.Store, StoreMode_Refusing);
+        const Gateway& instance = RigStart(&rig);
+        CPPUNIT_ASSERT_EQUAL(503, RigAsk(&rig, instance, RigCall()).Answer.Status);
+        UsersStoreSetMode(&rig.Store, StoreMode_Good);
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return instance.Requests.Plan != nullptr; }));
+        CPPUNIT_ASSERT_EQUAL(200, RigAsk(&rig, instance, RigCall()).Answer.Status);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewayFaultsTest);
+
+} // namespace Winchlink
--- /dev/null
+++ b/tests/plan_test.cpp
@@ -0,0 +1,140 @@
+// plan_test.cpp: the route plan: which route a request belongs to, and how a route's requests are divided.
+
+#include "check.h"
+
+#include <cmath>
+#include <fmt/format.h>
+
+namespace Winchlink
+{
+
+static Route MakeRoute(const std::string& name, const std::string& host, const std::string& prefix)
+{
+    Route route;
+    route.Name = name;
+    route.Host = host;
+    route.PathPrefix = prefix;
+    route.Parts = {{"svc", 1}};
+    return route;
+}
+
+// The same question answered the plain way: try every prefix of the path, longest first.
+static std::string FoundByTrying(const RoutePlan& plan, const std::string& host, const std::string& path)
+{
+    for (size_t length = path.size(); length > 0; length--)
+    {
+        for (const Route& route : plan.Routes)
+        {
+            if (route.Host == host && route.PathPrefix == path.substr(0, length))
+            {
+                return route.Name;
+            }
+        }
+    }
+    return "";
+}
+
+class PlanTest : public CPPUNIT_NS::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PlanTest);
+    CPPUNIT_TEST(LongestPrefixOfTheHostWins);
+    CPPUNIT_TEST(QueryAndPortDoNotCount);
+    CPPUNIT_TEST(PartsKeepTheirWeightsOverAnyRun);
+    CPPUNIT_TEST(AFleetKeepsWeightsOverTwoHundred);
+    CPPUNIT_TEST_SUITE_END();
+
+    void LongestPrefixOfTheHostWins()
+    {
+        CHECK_PROPERTY("the route found is the one that trying every prefix finds",
+                       []()
+                       {
+                           Dice dice;
+                           RoutePlan plan;
+                           std::set<std::string> used;
+                           for (int n = 0; n < 12; n++)
+                           {
+                               const std::string host = dice.OneIn(2) ? "a" : "b";
+                               std::string prefix = "/";
+                               for (int64_t part = dice.Between(0, 4); part > 0; part--)
+                               {
+                                   prefix += dice.OneIn(2) ? "x/" : "xy/";
+                               }
+                               if (used.insert(host + prefix).second)
+                               {
+                                   plan.Routes.push_back(MakeRoute(fmt::format("r{}", n), host, prefix));
+                               }
+                           }
+                           std::string path = "/";
+                           for (int64_t part = dice.Between(0, 6); part > 0; part--)
+                           {
+                               path += dice.OneIn(2) ? "x/" : "xy";
+                           }
+                           const std::string host = dice.OneIn(2) ? "a" : "b";
+                           const Route* found = FindRoute(plan, host, path);
+                           RC_ASSERT((found != nullptr ? found->Name : "") == FoundByTrying(plan, host, path));
+                       });
+    }
+
+    void QueryAndPortDoNotCount()
+    {
+        RoutePlan plan;
+        plan.Routes = {MakeRoute("r", "a.example", "/a/"), MakeRoute("q", "a.example", "/a/b/")};
+        CPPUNIT_ASSERT_EQUAL(std::string("r"), FindRoute(plan, "A.example:8080", "/a/?x=/a/b/")->Name);
+        CPPUNIT_ASSERT_EQUAL(std::string("q"), FindRoute(plan, "a.example", "/a/b/?x")->Name);
+        CPPUNIT_ASSERT(FindRoute(plan, "a.example", "/?/a/") == nullptr);
+        CPPUNIT_ASSERT(FindRoute(plan, "", "/a/") == nullptr);
+    }
+
+    void PartsKeepTheirWeightsOverAnyRun()
+    {
+        CHECK_PROPERTY("after any number of requests each part is within one request of its share",
+                       []()
+                       {
+                           Dice dice;
+                           std::vector<RoutePart> parts;
+                           int64_t sum = 0;
+                           for (int64_t n = dice.Between(2, 5); n > 0; n--)
+                           {
+                               const int weight = static_cast<int>(dice.Between(0, 100));
+                               parts.push_back({std::to_string(n), weight});
+                               sum += weight;
+                           }
+                           RC_PRE(sum > 0);
+                           RouteSplit split;
+                           std::vector<int> got(parts.size(), 0);
+                           const int64_t requests = dice.Between(1, 400);
+                           for (int64_t n = 0; n < requests; n++)
+                           {
+                               got[RouteSplitNext(&split, parts, &dice.Rng)]++;
+                           }
+                           for (size_t n = 0; n < parts.size(); n++)
+                           {
+                               const double share = static_cast<double>(requests * parts[n].Weight) / static_cast<double>(sum);
+                               RC_ASSERT(std::fabs(got[n] - share) <= 2.0); // One for the start in the middle of a round.
+                               RC_ASSERT(parts[n].Weight > 0 || got[n] == 0);
+                           }
+                       });
+    }
+
+    // Eighteen instances that know nothing of each other, each with a handful of the 200 requests.
+    void AFleetKeepsWeightsOverTwoHundred()
+    {
+        CHECK_PROPERTY("over 200 requests of a fleet each part is within 0.1 of its weight",
+                       []()
+                       {
+                           Dice dice;
+                           const std::vector<RoutePart> parts = {{"a", 90}, {"b", 10}};
+                           std::vector<RouteSplit> fleet(18);
+                           int few = 0;
+                           for (int n = 0; n < 200; n++)
+                           {
+                               few += RouteSplitNext(&fleet[static_cast<size_t>(dice.Between(0, 18))], parts, &dice.Rng) == 1 ? 1 : 0;
+                           }
+                           RC_ASSERT(few >= 0 && few <= 40);
+                       });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlanTest);
+
+} // namespace Winchlink
--- /dev/null
+++ b/tests/pool_test.cpp
@@ -0,0 +1,216 @@
+// pool_test.cpp: the target pool's choice, and the repeat budget over a fleet.
+
+#include "check.h"
+
+#include <fmt/format.h>
+
+namespace Winchlink
+{
+
+static TargetPool PoolOf(int targets)
+{
+    TargetDirectory directory;
+    for (int n = 0; n < targets; n++)
+    {
+        DirectoryTarget target;
+        target.Id = fmt::format("t{}", n);
+        target.Service = "svc";
+        target.Address = fmt::format("10.0.0.{}:80", n + 1);
+        target.DataCentre = n % 2 == 0 ? "near" : "far";
+        target.Slots = 3;
+        target.Revision = 1;
+        DirectoryPut(&directory, target, 0);
+    }
+    TargetPool pool;
+    PoolFollow(&pool, directory, "svc", "near");
+    return pool;
+}
+
+// Fleet-wide counts of one service, as the users count them: any span of the window's length.
+struct FleetCounts
+{
+    std::vector<TimeUs> Requests;
+    std::vector<TimeUs> Repeats;
+};
+
+static int CountIn(const std::vector<TimeUs>& times, TimeUs from, TimeUs to)
+{
+    return static_cast<int>(std::count_if(times.begin(), times.end(), [&](TimeUs t) { return t >= from && t < to; }));
+}
+
+class PoolTest : public CPPUNIT_NS::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PoolTest);
+    CPPUNIT_TEST(ReadsLoadReports);
+    CPPUNIT_TEST(AsksNearTargetsFirst);
+    CPPUNIT_TEST(AsksFarOnesBeforeNearOnesKnownToBeSlow);
+    CPPUNIT_TEST(AvoidsFailingTargetsForAWhile);
+    CPPUNIT_TEST(VanishedTargetsComeLast);
+    CPPUNIT_TEST(KeepsWhatIsKnownOfTargetsThatStay);
+    CPPUNIT_TEST(CostsFollowLoadAndPace);
+    CPPUNIT_TEST(AFleetKeepsTheRepeatBudgetInEveryWindow);
+    CPPUNIT_TEST(AFreeRepeatBudgetIsFound);
+    CPPUNIT_TEST_SUITE_END();
+
+    void ReadsLoadReports()
+    {
+        const std::optional<LoadReport> four = ParseLoadReport("2,5,3,480");
+        CPPUNIT_ASSERT(four && four->Running == 2 && four->Waiting == 5 && four->Slots == 3 && four->PacePercent == 480);
+        const std::optional<LoadReport> three = ParseLoadReport("3,0,8");
+        CPPUNIT_ASSERT(three && three->Slots == 8 && three->PacePercent == 100);
+        for (const char* bad : {"", "3", "a,b,c", "1,2", "-1,0,3", "1,0,0", "1,0,3,0"})
+        {
+            CPPUNIT_ASSERT_MESSAGE(bad, !ParseLoadReport(bad));
+        }
+    }
+
+    void AsksNearTargetsFirst()
+    {
+        TargetPool pool = PoolOf(6);
+        Random random(1);
+        std::vector<std::string> asked;
+        for (int n = 0; n < 6; n++)
+        {
+            const PoolTarget* next = PoolNext(&pool, asked, UsPerSecond, &random);
+            CPPUNIT_ASSERT(next != nullptr);
+            CPPUNIT_ASSERT_EQUAL(n < 3, next->Near);
+            asked.push_back(next->Id);
+        }
+        CPPUNIT_ASSERT(PoolNext(&pool, asked, UsPerSecond, &random) == nullptr);
+    }
+
+    void AsksFarOnesBeforeNearOnesKnownToBeSlow()
+    {
+        TargetPool pool = PoolOf(2);
+        Random random(1);
+        const TimeUs now = UsPerSecond;
+        PoolReport(PoolFind(&pool, "t0"), {0, 0, 3, 500}, now);
+        CPPUNIT_ASSERT_EQUAL(std::string("t1"), PoolNext(&pool, {}, now + UsPerMs, &random)->Id);
+        const TimeUs later = now + pool.Config.ReportUs + 1; // The report says nothing any more.
+        CPPUNIT_ASSERT_EQUAL(std::string("t0"), PoolNext(&pool, {}, later, &random)->Id);
+    }
+
+    void AvoidsFailingTargetsForAWhile()
+    {
+        TargetPool pool = PoolOf(4);
+        Random random(1);
+        TimeUs now = UsPerSecond;
+        PoolTarget* failing = PoolFind(&pool, "t0");
+        for (int n = 0; n < 10; n++)
+        {
+            PoolFailed(pool.Config, failing, now);
+            CPPUNIT_ASSERT(PoolNext(&pool, {}, now, &random)->Id != "t0");
+            CPPUNIT_ASSERT(failing->AvoidUntilUs <= now + 16 * pool.Config.AvoidUs); // It gets another chance before long.
+            now = failing->AvoidUntilUs;
+        }
+        PoolGood(failing);
+        CPPUNIT_ASSERT_EQUAL(0, failing->FailuresInRow);
+    }
+
+    void VanishedTargetsComeLast()
+    {
+        TargetPool pool = PoolOf(4);
+        Random random(1);
+        PoolFind(&pool, "t0")->Doubtful = true;
+        std::vector<std::string> asked;
+        for (int n = 0; n < 3; n++)
+        {
+            asked.push_back(PoolNext(&pool, asked, UsPerSecond, &random)->Id);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("t0"), PoolNext(&pool, asked, UsPerSecond, &random)->Id);
+    }
+
+    void KeepsWhatIsKnownOfTargetsThatStay()
+    {
+        TargetDirectory directory;
+        DirectoryTarget target;
+        target.Id = "t";
+        target.Service = "svc";
+        target.Revision = 1;
+        DirectoryPut(&directory, target, 0);
+        TargetPool pool;
+        PoolFollow(&pool, directory, "svc", "near");
+        PoolFind(&pool, "t")->InFlight = 2;
+        target.Id = "u";
+        DirectoryPut(&directory, target, 0);
+        PoolFollow(&pool, directory, "svc", "near");
+        CPPUNIT_ASSERT_EQUAL(size_t{2}, pool.Targets.size());
+        CPPUNIT_ASSERT_EQUAL(2, PoolFind(&pool, "t")->InFlight);
+        DirectoryLeaves(&directory, "t");
+        PoolFollow(&pool, directory, "svc", "near");
+        CPPUNIT_ASSERT(PoolFind(&pool, "t") == nullptr);
+    }
+
+    void CostsFollowLoadAndPace()
+    {
+        CHECK_PROPERTY("more work, a slower pace or a cold start never make a target cheaper",
+                       []()
+                       {
+                           Dice dice;
+                           const PoolConfig config;
+                           const TimeUs now = 10 * UsPerSecond;
+                           PoolTarget a;
+                           const LoadReport report = {static_cast<int>(dice.Between(0, 4)), static_cast<int>(dice.Between(0, 6)), 3,
+                                                      static_cast<int>(dice.Between(50, 600))};
+                           PoolReport(&a, report, now);
+                           const double cost = PoolCost(config, a, now);
+                           RC_ASSERT(cost > 0);
+                           PoolTarget busier = a;
+                           busier.Since++;
+                           RC_ASSERT(PoolCost(config, busier, now) >= cost);
+                           PoolTarget slower = a;
+                           slower.Report.PacePercent += 50;
+                           RC_ASSERT(PoolCost(config, slower, now) >= cost);
+                           PoolTarget cold = a;
+                           cold.WarmUntilUs = now + 1;
+                           RC_ASSERT(PoolCost(config, cold, now) >= cost);
+                       });
+    }
+
+    // Each instance keeps its own budget and sees only its own requests; the users add up the fleet.
+    static void PlayFleet(bool unlimited)
+    {
+        Dice dice;
+        const auto instances = static_cast<size_t>(dice.Between(1, 30));
+        std::vector<RepeatBudget> fleet(instances);
+        FleetCounts counts;
+        TimeUs now = 100 * UsPerSecond;
+        const TimeUs window = fleet[0].WindowUs;
+        for (int n = 0; n < 4000; n++)
+        {
+            // Load that rises and falls, and instances that come into use and go out of it.
+            now += dice.Between(0, n % 1000 < 500 ? 4 : 40) * UsPerMs;
+            RepeatBudget& budget = fleet[static_cast<size_t>(dice.Between(0, static_cast<int64_t>(instances)))];
+            RepeatBudgetRequest(&budget, now);
+            counts.Requests.push_back(now);
+            if (dice.OneIn(2) && (RepeatBudgetTake(&budget, now) || unlimited))
+            {
+                counts.Repeats.push_back(now);
+            }
+        }
+        const double extra = 64; // The users' smallest allowance, for 13 to 18 instances; it grows with the fleet.
+        const double allowed_extra = std::max(extra, 2.0 * static_cast<double>(instances));
+        for (const TimeUs at : counts.Repeats)
+        {
+            const TimeUs from = at + 1 - window;
+            const int repeats = CountIn(counts.Repeats, from, at + 1);
+            const int most = std::max({CountIn(counts.Requests, from, at + 1), CountIn(counts.Requests, from - window, from),
+                                       CountIn(counts.Requests, from - window / 2, from + window / 2)});
+            RC_ASSERT(repeats <= 0.2 * most + allowed_extra);
+        }
+    }
+
+    void AFleetKeepsTheRepeatBudgetInEveryWindow()
+    {
+        CHECK_COSTLY_PROPERTY(10, "repeats of the fleet in any window are within the users' budget", []() { PlayFleet(false); });
+    }
+
+    void AFreeRepeatBudgetIsFound()
+    {
+        CHECK_FINDS_FAULT("repeats that ask nobody break the users' budget", []() { PlayFleet(true); });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PoolTest);
+
+} // namespace Winchlink
--- /dev/null
+++ b/tests/store_reader_test.cpp
@@ -0,0 +1,141 @@
+// store_reader_test.cpp: the users' spelling, read into the project's types: what is good, what is bad, pages.
+
+#include "gateway_rig.h"
+#include "wire.h"
+
+#include <fmt/format.h>
+
+namespace Winchlink
+{
+
+static const char* const GoodPlan =
+    R"({"version":"0000000c","routes":[{"name":"r","host":"h.example","pathPrefix":"/p/","type":"unsafe","timeoutS":1.2,)"
+    R"("targetLatencyS":0.3,"priority":1,"service":"s","maxAttempts":2},{"name":"q","host":"h.example","pathPrefix":"/q/","type":"safe",)"
+    R"("timeoutS":1,"targetLatencyS":0.25,"priority":2,"backends":[{"service":"s","weight":90},{"service":"u","weight":10}],)"
+    R"("maxAttempts":3,"later":"unknown"}],"services":[{"name":"s","healthPath":"/health","maxConnections":260,"protocol":"h1"}],)"
+    R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15}})";
+
+class StoreReaderTest : public CPPUNIT_NS::TestFixture
+{
+    CPPUNIT_TEST_SUITE(StoreReaderTest);
+    CPPUNIT_TEST(ReadsPlans);
+    CPPUNIT_TEST(RefusesPlansThatAreNotWhole);
+    CPPUNIT_TEST(ReadsTargets);
+    CPPUNIT_TEST(ReadsPagesAndChanges);
+    CPPUNIT_TEST(ReadsAllPages);
+    CPPUNIT_TEST(GathersChanges);
+    CPPUNIT_TEST_SUITE_END();
+
+    void ReadsPlans()
+    {
+        const Result<RoutePlan> plan = PlatformReadPlan(GoodPlan);
+        CPPUNIT_ASSERT(bool(plan));
+        CPPUNIT_ASSERT_EQUAL(uint64_t{12}, plan.value().Version);
+        const Route& first = plan.value().Routes[0];
+        CPPUNIT_ASSERT_EQUAL(TimeUs{1200000}, first.TimeoutUs);
+        CPPUNIT_ASSERT_EQUAL(TimeUs{300000}, first.AimUs);
+        CPPUNIT_ASSERT(!first.Repeatable);
+        CPPUNIT_ASSERT_EQUAL(size_t{1}, first.Parts.size());
+        const Route& second = plan.value().Routes[1];
+        CPPUNIT_ASSERT(second.Repeatable);
+        CPPUNIT_ASSERT_EQUAL(90, second.Parts[0].Weight);
+        CPPUNIT_ASSERT_EQUAL(std::string("u"), second.Parts[1].Service);
+        CPPUNIT_ASSERT_EQUAL(3, second.AttemptsMost);
+        CPPUNIT_ASSERT_EQUAL(std::string("/health"), plan.value().Services[0].HealthPath);
+        CPPUNIT_ASSERT_EQUAL(TimeUs{15000000}, plan.value().Limits.IdleTimeoutUs);
+    }
+
+    void RefusesPlansThatAreNotWhole()
+    {
+        const std::string good = GoodPlan;
+        for (const char* key : {"version", "host", "pathPrefix", "type", "timeoutS", "targetLatencyS", "priority", "maxAttempts", "healthPath",
+                                "weight", "limits", "idleTimeoutS", "routes", "services"})
+        {
+            std::string without = good;
+            const size_t at = without.find(fmt::format("\"{}\"", key));
+            CPPUNIT_ASSERT(at != std::string::npos);
+            without.replace(at + 1, 1, "?");
+            const Result<RoutePlan> plan = PlatformReadPlan(without);
+            CPPUNIT_ASSERT_MESSAGE(key, !plan);
+            CPPUNIT_ASSERT_EQUAL(Code_PlatformBadAnswer, plan.error().Code);
+        }
+        for (size_t length = 0; length < good.size(); length += 7)
+        {
+            CPPUNIT_ASSERT(!PlatformReadPlan(good.substr(0, length)));
+        }
+    }
+
+    void ReadsTargets()
+    {
+        StoreItem item;
+        item.Key = "servers/i-1";
+        item.Revision = 44;
+        item.Value = R"({"address":"10.128.0.9:8080","info":{"service":"s","version":"v1","zone":"z","capacity":3},)"
+                     R"("status":{"state":"ready","sequence":4,"warmupLeftS":1.5}})";
+        const Result<DirectoryTarget> ready = PlatformReadTarget(item, UsPerSecond);
+        CPPUNIT_ASSERT(bool(ready));
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), ready.value().Id);
+        CPPUNIT_ASSERT_EQUAL(std::string("z"), ready.value().DataCentre);
+        CPPUNIT_ASSERT_EQUAL(TimeUs{2500000}, ready.value().WarmUntilUs);
+        CPPUNIT_ASSERT_EQUAL(Presence_Ready, ready.value().Presence);
+        item.Value.replace(item.Value.find("\"ready\""), 7, "\"draining\"");
+        CPPUNIT_ASSERT_EQUAL(Presence_Leaving, PlatformReadTarget(item, 0).value().Presence);
+        item.Value.replace(item.Value.find("10.128.0.9:8080"), 15, "nowhere");
+        CPPUNIT_ASSERT(!PlatformReadTarget(item, 0));
+        CPPUNIT_ASSERT_EQUAL(PlatformItem_Target, PlatformItemKind("servers/i-1"));
+        CPPUNIT_ASSERT_EQUAL(PlatformItem_Plan, PlatformItemKind("op/config"));
+        CPPUNIT_ASSERT_EQUAL(PlatformItem_None, PlatformItemKind("op/config2"));
+    }
+
+    void ReadsPagesAndChanges()
+    {
+        const StoreDialect dialect = PlatformStoreDialect();
+        const Result<StorePage> page =
+            dialect.ReadPage(R"({"items":[{"privateKey":"my/leader","value":"bm9kZS0x","revision":412,"made":412,"lease":0}],"more":true,"at":530})");
+        CPPUNIT_ASSERT(bool(page));
+        CPPUNIT_ASSERT(page.value().More);
+        CPPUNIT_ASSERT_EQUAL(uint64_t{530}, page.value().At);
+        CPPUNIT_ASSERT_EQUAL(std::string("node-1"), page.value().Items[0].Value);
+        const Result<StorePage> changes = dialect.ReadChanges(R"({"events":[{"privateKey":"my/old","revision":413,"gone":true}],"at":413})");
+        CPPUNIT_ASSERT(bool(changes) && changes.value().Items[0].Gone);
+        for (const char* bad : {"", "[]", "{}", R"({"items":[]})", R"({"items":[{"privateKey":"k"}],"at":1})",
+                                R"({"items":[{"privateKey":"k","value":"%%","revision":1}],"at":1})"})
+        {
+            CPPUNIT_ASSERT_MESSAGE(bad, !dialect.ReadPage(bad));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("/kv-watch?pathPrefix=&after=7&waitMs=5000"), dialect.ChangesTarget(7, 5 * UsPerSecond));
+        CPPUNIT_ASSERT_EQUAL(std::string("/kv-range?pathPrefix=&after=servers%2Fi%2D1"), dialect.PageTarget("servers/i-1"));
+    }
+
+    void ReadsAllPages()
+    {
+        Rig rig;
+        rig.Store.PageItems = 7;
+        for (int n = 0; n < 50; n++)
+        {
+            UsersStoreTarget(&rig.Store, fmt::format("t{}", n), "svc", fmt::format("127.0.0.1:{}", 1000 + n), "dc-a");
+        }
+        RigConfigure(&rig, {UsersRoute()});
+        RigInstance(&rig, 50);
+        CPPUNIT_ASSERT(rig.Store.PageCalls >= 8);
+    }
+
+    void GathersChanges()
+    {
+        Rig rig;
+        RigConfigure(&rig, {UsersRoute()});
+        const Gateway& instance = RigInstance(&rig, 0);
+        const int calls = rig.Store.Calls;
+        for (int n = 0; n < 20; n++)
+        {
+            UsersStoreTarget(&rig.Store, fmt::format("t{}", n), "svc", fmt::format("127.0.0.1:{}", 1000 + n), "dc-a");
+            RigIdle(&rig, 5 * UsPerMs);
+        }
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return instance.Requests.Directory.Targets.size() == 20; }));
+        CPPUNIT_ASSERT(rig.Store.Calls - calls <= 6); // 20 changes within 0.1 s and more.
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreReaderTest);
+
+} // namespace Winchlink
