--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -35,6 +35,7 @@
     const Route* Row = nullptr;
     const ServiceInfo* Spec = nullptr;
     ServiceState* Service = nullptr;
+    RouteWork* Work = nullptr;
     std::string ServiceName;
     std::string Id;                   // The caller's.
     TimeUs DeadlineUs = 0;            // Answered by then.
@@ -45,6 +46,10 @@
     bool Choosing = false;            // No target is chosen yet.
     uint64_t Sending = 0;             // The attempt in progress; 0: none.
     std::string Target;               // Of that attempt.
+    LoadReport Report;                // The target's load as it was known when it was chosen.
+    TimeUs ReportUs = 0;              // When that was told; 0: never.
+    double Cost = 1;                  // What was expected of the target, see PoolCost().
+    Timer Again;                      // Asks again after all targets were busy.
     TimeUs SentUs = 0;                // When it began.
     int Attempts = 0;                 // Sends that reached, or may have reached, a target.
     int MayHaveRun = 0;               // Of those, attempts that may have been run.
@@ -99,6 +104,11 @@
          {"status", status},
          {"attempts", call.Attempts},
          {"asked", static_cast<int>(call.Asked.size())},
+         {"running", call.Report.Running},
+         {"waiting", call.Report.Waiting},
+         {"pace", call.Report.PacePercent},
+         {"reportAgeUs", call.ReportUs > 0 ? call.SentUs - call.ReportUs : -1},
+         {"sentAfterUs", call.SentUs > 0 ? call.SentUs - call.From->ArrivedUs : -1},
          {"tookUs", NowUs() - call.From->ArrivedUs},
          {"detail", detail}});
 }
@@ -108,6 +118,7 @@
     assert(!call->Ended && "a request ends once");
     call->Ended = true;
     call->Choosing = false;
+    call->Again = nullptr;
     call->Deadline = nullptr;
     call->Owner->InProgress--;
     Count(*call, code);
@@ -220,11 +231,14 @@
 static void Send(const CallPtr& call, PoolTarget* target)
 {
     assert((call->Row->Repeatable || call->MayHaveRun == 0) && "a request that may not be repeated may have been run already");
-    target->InFlight++;
-    target->Since++;
     call->Choosing = false;
     call->Target = target->Id;
     call->SentUs = NowUs();
+    call->Report = target->Report;
+    call->ReportUs = target->ReportUs;
+    call->Cost = PoolCost(call->Service->Pool.Config, *target, call->SentUs);
+    target->InFlight++;
+    target->Since++;
     call->Tried.push_back(target->Id);
     call->Attempts++;
     ClientRequest request;
@@ -273,7 +287,7 @@
     for (const std::string& id : call.Asked)
     {
         PoolTarget* target = PoolFind(&pool, id);
-        const bool usable = target != nullptr && target->ReportUs > 0 && now < target->ReportUs + pool.Config.ReportUs && PoolHasRoom(*target);
+        const bool usable = target != nullptr && target->ReportUs > 0 && now < target->ReportUs + pool.Config.ReportUs && PoolHasRoom(pool.Config, *target);
         if (usable && (best == nullptr || PoolCost(pool.Config, *target, now) < PoolCost(pool.Config, *best, now)))
         {
             best = target;
@@ -282,15 +296,31 @@
     return best;
 }
 
+// Whether a request is expected to be answered within its aim by a target of that cost.
+static bool InTime(const Call& call, double cost, TimeUs now)
+{
+    const auto left = static_cast<double>(call.Row->AimUs - (now - call.From->ArrivedUs));
+    return cost * call.Work->MeanUs < left;
+}
+
+// All targets that may be asked were asked, and none is good.
 static void Decide(const CallPtr& call)
 {
-    PoolTarget* best = BestAsked(*call, NowUs());
-    if (best != nullptr)
+    const ForwardConfig& config = call->Owner->Config;
+    const TimeUs now = NowUs();
+    if (now + config.AskAgainUs < call->AskUntilUs)
+    {
+        call->Asked.clear();
+        call->Again = TimerStart(call->Owner->Loop, config.AskAgainUs, [call]() { AskMore(call); });
+        return;
+    }
+    PoolTarget* best = BestAsked(*call, now);
+    if (best != nullptr && InTime(*call, PoolCost(call->Service->Pool.Config, *best, now), now))
     {
         Send(call, best);
         return;
     }
-    Refuse(call, call->Asked.empty() ? Code_NoTargetLeft : Code_TargetsBusy, "");
+    Refuse(call, call->Asked.empty() ? Code_NoTargetLeft : Code_TargetsBusy, best != nullptr ? "too slow" : "");
 }
 
 static void LearnFromAsk(Forwarder* forwarder, ServiceState* service, const std::string& id, const ClientAnswer& answer)
@@ -333,7 +363,7 @@
     const TimeUs now = NowUs();
     PoolTarget* target = PoolFind(&call->Service->Pool, id);
     const bool fresh = target != nullptr && answer.End == ClientEnd_Answered && target->ReportUs > 0;
-    if (fresh && PoolHasRoom(*target) && PoolCost(call->Service->Pool.Config, *target, now) <= call->Service->Pool.Config.GoodCost)
+    if (fresh && PoolHasRoom(call->Service->Pool.Config, *target) && PoolCost(call->Service->Pool.Config, *target, now) <= call->Service->Pool.Config.GoodCost)
     {
         Send(call, target);
         return;
@@ -374,6 +404,10 @@
 
 static void AskMore(const CallPtr& call)
 {
+    if (!call->Choosing)
+    {
+        return;
+    }
     if (!call->Service->Pool.TellsLoad)
     {
         SendUnasked(call);
@@ -444,6 +478,14 @@
     return good ? Verdict_Pass : Verdict_Lost;
 }
 
+// What a request of the route takes at a target of cost 1.
+static void LearnWork(RouteWork* work, TimeUs took, double cost)
+{
+    constexpr double Gain = 0.05; // Of the latest answer; work varies by a third and more.
+    const double usual = static_cast<double>(took) / cost;
+    work->MeanUs = work->MeanUs == 0 ? usual : work->MeanUs + Gain * (usual - work->MeanUs);
+}
+
 static void LearnFromAnswer(const CallPtr& call, const ClientAnswer& answer, Verdict_ verdict)
 {
     Forwarder* forwarder = call->Owner;
@@ -469,6 +511,7 @@
     }
     if (verdict == Verdict_Pass && answer.Status < 500)
     {
+        LearnWork(call->Work, answer.TookUs, call->Cost);
         PoolGood(target);
     }
     else if (answer.End != ClientEnd_HeldBack)
@@ -552,6 +595,7 @@
     call->ServiceName = call->Row->Parts[part].Service;
     call->Spec = FindService(*call->Plan, call->ServiceName);
     call->Service = &forwarder->Services[call->ServiceName];
+    call->Work = &forwarder->Work[call->Row->Name];
     SetDeadline(call);
     RepeatBudgetRequest(&call->Service->Repeats, NowUs());
     if (call->Spec == nullptr)
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -21,6 +21,7 @@
     int AsksAtOnce = 2;                       // Targets asked at the same time for one request.
     int AsksMost = 6;                         // Targets asked for one request.
     TimeUs AskTimeoutUs = 40 * UsPerMs;       // A target that takes longer to tell its load is passed over; usual: 0.6 to 3 ms.
+    TimeUs AskAgainUs = 12 * UsPerMs;         // All busy: pause before asking again.
     double AskShare = 0.2;                    // Part of a route's aim that choosing may take; refusals are early up to a quarter of it.
     int UnaskedMost = 2;                      // Where targets tell no load: our requests at one target, as a multiple of its slots.
     TimeUs ConnectUs = 250 * UsPerMs;         // To connect to a target on our own network.
@@ -38,6 +39,12 @@
     RowMetrics Metrics;
 };
 
+// What is known of the work that a route's requests make.
+struct RouteWork
+{
+    double MeanUs = 0; // At a target of cost 1; 0 before the first answer.
+};
+
 struct Forwarder
 {
     ForwardConfig Config;
@@ -51,6 +58,7 @@
     uint64_t Followed = 0;                        // Changes of the directory that the pools hold.
     std::map<std::string, ServiceState> Services; // By name. Never erased: requests hold on to them.
     std::map<std::string, RouteSplit> Splits;     // By route name.
+    std::map<std::string, RouteWork> Work;        // By route name.
     bool Leaving = false;                         // Tell callers to open their next connection elsewhere.
     int InProgress = 0;                           // Requests not answered yet.
     uint64_t AsksSent = 0;                        // Counter.
--- a/winchlink.h
+++ b/winchlink.h
@@ -1321,8 +1321,9 @@
 // The next target to ask, or to try where targets tell no load; null when all are in `passed`.
 PoolTarget* PoolNext(TargetPool* pool, const std::vector<std::string>& passed, TimeUs now, Random* random);
 
-// Whether the target's last report leaves room for one more request.
-bool PoolHasRoom(const PoolTarget& target);
+// Whether the target's last report leaves room for one more request. The last slots of a target are not used: work in them takes so much
+// longer that the target does less in all (docs/MEASUREMENTS.md).
+bool PoolHasRoom(const PoolConfig& config, const PoolTarget& target);
 
 // How many times longer than usual one more request is expected to take there.
 double PoolCost(const PoolConfig& config, const PoolTarget& target, TimeUs now);
--- a/winchlink_pool.cpp
+++ b/winchlink_pool.cpp
@@ -96,9 +96,11 @@
     return pace * queue * warm * (nearly_full ? config.NearlyFullFactor : 1.0);
 }
 
-bool PoolHasRoom(const PoolTarget& target)
+bool PoolHasRoom(const PoolConfig& config, const PoolTarget& target)
 {
-    return target.Report.Running + target.Report.Waiting + target.Since < target.Report.Slots;
+    const int busy = target.Report.Running + target.Report.Waiting + target.Since;
+    const int usable = std::max(1, static_cast<int>(config.NearlyFullShare * target.Report.Slots));
+    return busy < usable;
 }
 
 PoolTarget* PoolNext(TargetPool* pool, const std::vector<std::string>& passed, TimeUs now, Random* random)
