--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -43,6 +43,7 @@
     std::vector<std::string> Asked;   // Targets asked in this choice.
     std::vector<std::string> Tried;   // Targets that it was sent to.
     int Asking = 0;                   // Questions without an answer.
+    int AsksMade = 0;                 // Questions in all.
     bool Choosing = false;            // No target is chosen yet.
     uint64_t Sending = 0;             // The attempt in progress; 0: none.
     std::string Target;               // Of that attempt.
@@ -312,6 +313,7 @@
     {
         call->Asked.clear();
         call->Again = TimerStart(call->Owner->Loop, config.AskAgainUs, [call]() { AskMore(call); });
+        call->Service->Waiting.push_back(call);
         return;
     }
     PoolTarget* best = BestAsked(*call, now);
@@ -352,6 +354,13 @@
     }
 }
 
+// Whether a target is good enough to be taken without asking others.
+static bool IsGood(const Call& call, const PoolTarget& target, TimeUs now)
+{
+    const PoolConfig& config = call.Service->Pool.Config;
+    return PoolHasRoom(config, target) && PoolCost(config, target, now) <= config.GoodCost;
+}
+
 static void OnAsked(const CallPtr& call, const std::string& id, const ClientAnswer& answer)
 {
     call->Asking--;
@@ -362,8 +371,8 @@
     }
     const TimeUs now = NowUs();
     PoolTarget* target = PoolFind(&call->Service->Pool, id);
-    const bool fresh = target != nullptr && answer.End == ClientEnd_Answered && target->ReportUs > 0;
-    if (fresh && PoolHasRoom(call->Service->Pool.Config, *target) && PoolCost(call->Service->Pool.Config, *target, now) <= call->Service->Pool.Config.GoodCost)
+    const bool told = target != nullptr && answer.End == ClientEnd_Answered && target->ReportUs > 0;
+    if (told && IsGood(*call, *target, now))
     {
         Send(call, target);
         return;
@@ -373,8 +382,8 @@
 
 static void Ask(const CallPtr& call, const PoolTarget& target)
 {
-    call->Asked.push_back(target.Id);
     call->Asking++;
+    call->AsksMade++;
     call->Owner->AsksSent++;
     ClientRequest request;
     request.Address = target.Address;
@@ -404,6 +413,7 @@
 
 static void AskMore(const CallPtr& call)
 {
+    call->Again = nullptr;
     if (!call->Choosing)
     {
         return;
@@ -415,14 +425,25 @@
     }
     const ForwardConfig& config = call->Owner->Config;
     const TimeUs now = NowUs();
-    while (now < call->AskUntilUs && call->Asking < config.AsksAtOnce && static_cast<int>(call->Asked.size()) < config.AsksMost)
+    while (now < call->AskUntilUs)
     {
-        const PoolTarget* next = PoolNext(&call->Service->Pool, Passed(*call), now, call->Owner->Rng);
-        if (next == nullptr)
+        PoolTarget* next = PoolNext(&call->Service->Pool, Passed(*call), now, call->Owner->Rng);
+        const bool known = next != nullptr && next->ReportUs > 0 && now < next->ReportUs + config.ReuseUs;
+        const int at_once = next != nullptr && next->Near ? config.AsksAtOnce : config.FarAsksAtOnce;
+        if (next == nullptr || (!known && (call->Asking >= at_once || call->AsksMade >= config.AsksMost)))
         {
             break;
         }
-        Ask(call, *next);
+        call->Asked.push_back(next->Id);
+        if (!known)
+        {
+            Ask(call, *next);
+        }
+        else if (IsGood(*call, *next, now))
+        {
+            Send(call, next);
+            return;
+        }
     }
     if (call->Asking == 0)
     {
@@ -520,6 +541,32 @@
     }
 }
 
+// A slot has come free: the most urgent of those that wait gets it, the longest waiting of equals.
+static void ServeWaiting(ServiceState* service, const std::string& id)
+{
+    CallPtr first;
+    std::vector<std::weak_ptr<Call>> still;
+    for (const std::weak_ptr<Call>& entry : service->Waiting)
+    {
+        const CallPtr waiting = entry.lock();
+        if (!waiting || !waiting->Again)
+        {
+            continue; // It asks again by now, or has ended.
+        }
+        still.push_back(entry);
+        first = !first || waiting->Row->Priority < first->Row->Priority ? waiting : first;
+    }
+    service->Waiting = std::move(still);
+    PoolTarget* target = PoolFind(&service->Pool, id);
+    const TimeUs now = NowUs();
+    const bool told = target != nullptr && target->ReportUs > 0;
+    if (first && told && IsGood(*first, *target, now))
+    {
+        first->Again = nullptr;
+        Send(first, target);
+    }
+}
+
 // Another target may get the request, if the budget allows it. What never left a process costs nothing.
 static bool MayTryAgain(const CallPtr& call, const ClientAnswer& answer)
 {
@@ -549,6 +596,7 @@
     call->Sending = 0;
     const Verdict_ verdict = Judge(*call->Owner, answer);
     LearnFromAnswer(call, answer, verdict);
+    ServeWaiting(call->Service, call->Target);
     if (call->Ended)
     {
         return;
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -19,9 +19,11 @@
 struct ForwardConfig
 {
     int AsksAtOnce = 2;                       // Targets asked at the same time for one request.
-    int AsksMost = 6;                         // Targets asked for one request.
+    int FarAsksAtOnce = 1;                    // The same for targets in other data centres: bytes between them have a price.
+    int AsksMost = 8;                         // Questions asked for one request.
+    TimeUs ReuseUs = 8 * UsPerMs;             // A report is believed for so long without asking again.
     TimeUs AskTimeoutUs = 40 * UsPerMs;       // A target that takes longer to tell its load is passed over; usual: 0.6 to 3 ms.
-    TimeUs AskAgainUs = 12 * UsPerMs;         // All busy: pause before asking again.
+    TimeUs AskAgainUs = 20 * UsPerMs;         // All busy: pause before asking again.
     double AskShare = 0.2;                    // Part of a route's aim that choosing may take; refusals are early up to a quarter of it.
     int UnaskedMost = 2;                      // Where targets tell no load: our requests at one target, as a multiple of its slots.
     TimeUs ConnectUs = 250 * UsPerMs;         // To connect to a target on our own network.
@@ -31,11 +33,14 @@
     TimeUs RepeatWindowUs = 10 * UsPerSecond; //
 };
 
+struct Call;
+
 // What an instance knows of one service.
 struct ServiceState
 {
     TargetPool Pool;
     RepeatBudget Repeats;
+    std::vector<std::weak_ptr<Call>> Waiting; // Requests that found all targets busy and will ask again.
     RowMetrics Metrics;
 };
 
