Learn how much slower nearly full targets are, a service at a time

Cause: work that fills a Dakar target's last slot takes 1.8 times as long (medians by pace and running: 166 against 92 ms), so three at a time do less than two; Attica's targets have no such loss. Also: answers take as long as the pace at their start says, so nothing is sent where it would be late while waiting may help.

--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -49,7 +49,7 @@
     std::string Target;               // Of that attempt.
     LoadReport Report;                // The target's load as it was known when it was chosen.
     TimeUs ReportUs = 0;              // When that was told; 0: never.
-    double Cost = 1;                  // What was expected of the target, see PoolCost().
+    bool NearlyFull = false;          // It made the target nearly full.
     Timer Again;                      // Asks again after all targets were busy.
     TimeUs SentUs = 0;                // When it began.
     int Attempts = 0;                 // Sends that reached, or may have reached, a target.
@@ -237,7 +237,7 @@
     call->SentUs = NowUs();
     call->Report = target->Report;
     call->ReportUs = target->ReportUs;
-    call->Cost = PoolCost(call->Service->Pool.Config, *target, call->SentUs);
+    call->NearlyFull = PoolNearlyFull(call->Service->Pool.Config, target->Report, target->Since);
     target->InFlight++;
     target->Since++;
     call->Tried.push_back(target->Id);
@@ -288,8 +288,8 @@
     for (const std::string& id : call.Asked)
     {
         PoolTarget* target = PoolFind(&pool, id);
-        const bool usable = target != nullptr && target->ReportUs > 0 && now < target->ReportUs + pool.Config.ReportUs && PoolHasRoom(pool.Config, *target);
-        if (usable && (best == nullptr || PoolCost(pool.Config, *target, now) < PoolCost(pool.Config, *best, now)))
+        const bool usable = target != nullptr && target->ReportUs > 0 && now < target->ReportUs + pool.Config.ReportUs && PoolHasRoom(pool, *target);
+        if (usable && (best == nullptr || PoolCost(pool, *target, now) < PoolCost(pool, *best, now)))
         {
             best = target;
         }
@@ -309,6 +309,13 @@
 {
     const ForwardConfig& config = call->Owner->Config;
     const TimeUs now = NowUs();
+    PoolTarget* best = BestAsked(*call, now);
+    const double cost = best != nullptr ? PoolCost(call->Service->Pool, *best, now) : 0;
+    if (best != nullptr && cost <= config.SettleCost && InTime(*call, cost, now))
+    {
+        Send(call, best);
+        return;
+    }
     if (now + config.AskAgainUs < call->AskUntilUs)
     {
         call->Asked.clear();
@@ -316,8 +323,7 @@
         call->Service->Waiting.push_back(call);
         return;
     }
-    PoolTarget* best = BestAsked(*call, now);
-    if (best != nullptr && InTime(*call, PoolCost(call->Service->Pool.Config, *best, now), now))
+    if (best != nullptr && InTime(*call, cost, now))
     {
         Send(call, best);
         return;
@@ -357,8 +363,8 @@
 // Whether a target is good enough to be taken without asking others.
 static bool IsGood(const Call& call, const PoolTarget& target, TimeUs now)
 {
-    const PoolConfig& config = call.Service->Pool.Config;
-    return PoolHasRoom(config, target) && PoolCost(config, target, now) <= config.GoodCost;
+    const TargetPool& pool = call.Service->Pool;
+    return PoolHasRoom(pool, target) && PoolCost(pool, target, now) <= pool.Config.GoodCost;
 }
 
 static void OnAsked(const CallPtr& call, const std::string& id, const ClientAnswer& answer)
@@ -499,12 +505,22 @@
     return good ? Verdict_Pass : Verdict_Lost;
 }
 
-// What a request of the route takes at a target of cost 1.
-static void LearnWork(RouteWork* work, TimeUs took, double cost)
+// What a request of the route takes at a target of cost 1, and how much slower nearly full targets are.
+static void LearnWork(Call* call, TimeUs took)
 {
     constexpr double Gain = 0.05; // Of the latest answer; work varies by a third and more.
-    const double usual = static_cast<double>(took) / cost;
-    work->MeanUs = work->MeanUs == 0 ? usual : work->MeanUs + Gain * (usual - work->MeanUs);
+    TargetPool& pool = call->Service->Pool;
+    double& mean = call->Work->MeanUs;
+    const double usual = static_cast<double>(took) * 100.0 / call->Report.PacePercent;
+    if (call->NearlyFull && mean > 0)
+    {
+        PoolLearnNearlyFull(&pool, usual / mean);
+        return;
+    }
+    if (!call->NearlyFull)
+    {
+        mean = mean == 0 ? usual : mean + Gain * (usual - mean);
+    }
 }
 
 static void LearnFromAnswer(const CallPtr& call, const ClientAnswer& answer, Verdict_ verdict)
@@ -532,7 +548,7 @@
     }
     if (verdict == Verdict_Pass && answer.Status < 500)
     {
-        LearnWork(call->Work, answer.TookUs, call->Cost);
+        LearnWork(call.get(), answer.TookUs);
         PoolGood(target);
     }
     else if (answer.End != ClientEnd_HeldBack)
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -147,23 +147,23 @@
                        []()
                        {
                            Dice dice;
-                           const PoolConfig config;
+                           const TargetPool pool;
                            const TimeUs now = 10 * UsPerSecond;
                            PoolTarget a;
                            const LoadReport report = {static_cast<int>(dice.Between(0, 4)), static_cast<int>(dice.Between(0, 6)), 3,
                                                       static_cast<int>(dice.Between(50, 600))};
                            PoolReport(&a, report, now);
-                           const double cost = PoolCost(config, a, now);
+                           const double cost = PoolCost(pool, a, now);
                            RC_ASSERT(cost > 0);
                            PoolTarget busier = a;
                            busier.Since++;
-                           RC_ASSERT(PoolCost(config, busier, now) >= cost);
+                           RC_ASSERT(PoolCost(pool, busier, now) >= cost);
                            PoolTarget slower = a;
                            slower.Report.PacePercent += 50;
-                           RC_ASSERT(PoolCost(config, slower, now) >= cost);
+                           RC_ASSERT(PoolCost(pool, slower, now) >= cost);
                            PoolTarget cold = a;
                            cold.WarmUntilUs = now + 1;
-                           RC_ASSERT(PoolCost(config, cold, now) >= cost);
+                           RC_ASSERT(PoolCost(pool, cold, now) >= cost);
                        });
     }
 
--- a/winchlink.h
+++ b/winchlink.h
@@ -1296,10 +1296,11 @@
 
 struct PoolConfig
 {
-    double NearlyFullShare = 0.8;           // Targets that are fuller than this are slower (users' site files, "knee").
-    double NearlyFullFactor = 1.7;          // By so much.
-    double WarmFactor = 2.0;                // So are those that have just started.
-    double GoodCost = 1.6;                  // A target at this cost or less is taken without asking further.
+    double NearlyFullShare = 0.8;           // Some targets are slower when fuller than this (users' site files, "knee").
+    double NearlyFullGain = 0.05;           // Weight of a new answer in the estimate of by how much.
+    double NearlyFullMost = 3.0;            // Longest factor that one answer may tell: more has other causes.
+    double WarmFactor = 2.0;                // Those that have just started are slower too.
+    double GoodCost = 1.25;                 // A target at this cost or less is taken without asking further.
     TimeUs ReportUs = 150 * UsPerMs;        // Load shifts within this time: an older report says nothing (users' site files, "noise").
     TimeUs AvoidUs = 200 * UsPerMs;         // First pause after a failure; doubles with each further one.
     int AvoidDoublings = 4;                 // At most so often.
@@ -1309,7 +1310,8 @@
 {
     PoolConfig Config;
     std::vector<PoolTarget> Targets;
-    bool TellsLoad = true; // Targets of this service tell their load; false once one has answered without.
+    bool TellsLoad = true;         // Targets of this service tell their load; false once one has answered without.
+    double NearlyFullFactor = 1.3; // How many times longer work takes at a nearly full target: learnt, from a guess between none and 1.7.
 };
 
 // Brings the pool in line with the directory; what is known of targets that stay is kept.
@@ -1321,12 +1323,18 @@
 // The next target to ask, or to try where targets tell no load; null when all are in `passed`.
 PoolTarget* PoolNext(TargetPool* pool, const std::vector<std::string>& passed, TimeUs now, Random* random);
 
-// Whether the target's last report leaves room for one more request. The last slots of a target are not used: work in them takes so much
-// longer that the target does less in all (docs/MEASUREMENTS.md).
-bool PoolHasRoom(const PoolConfig& config, const PoolTarget& target);
+// Whether one more request would make the target nearly full.
+bool PoolNearlyFull(const PoolConfig& config, const LoadReport& report, int more);
+
+// Whether the target's last report leaves room for one more request. Where nearly full targets are so much slower that they do less in
+// all, their last slots are not used (docs/MEASUREMENTS.md).
+bool PoolHasRoom(const TargetPool& pool, const PoolTarget& target);
+
+// Learns from an answer how much slower nearly full targets are: it took `factor` times what the same work takes elsewhere.
+void PoolLearnNearlyFull(TargetPool* pool, double factor);
 
 // How many times longer than usual one more request is expected to take there.
-double PoolCost(const PoolConfig& config, const PoolTarget& target, TimeUs now);
+double PoolCost(const TargetPool& pool, const PoolTarget& target, TimeUs now);
 
 void PoolReport(PoolTarget* target, const LoadReport& report, TimeUs now);
 void PoolFailed(const PoolConfig& config, PoolTarget* target, TimeUs now);
--- a/winchlink_pool.cpp
+++ b/winchlink_pool.cpp
@@ -84,8 +84,14 @@
     return target.ReportUs > 0 && now < target.ReportUs + config.ReportUs;
 }
 
-double PoolCost(const PoolConfig& config, const PoolTarget& target, TimeUs now)
+bool PoolNearlyFull(const PoolConfig& config, const LoadReport& report, int more)
 {
+    return report.Running + report.Waiting + more + 1 > config.NearlyFullShare * report.Slots;
+}
+
+double PoolCost(const TargetPool& pool, const PoolTarget& target, TimeUs now)
+{
+    const PoolConfig& config = pool.Config;
     const bool fresh = IsFresh(config, target, now);
     const int slots = fresh ? target.Report.Slots : target.Slots;
     const int busy = fresh ? target.Report.Running + target.Report.Waiting + target.Since : target.InFlight;
@@ -93,14 +99,21 @@
     const bool nearly_full = busy + 1 > config.NearlyFullShare * slots;
     const double queue = busy >= slots ? 1.0 + static_cast<double>(busy + 1 - slots) / slots : 1.0;
     const double warm = now < target.WarmUntilUs ? config.WarmFactor : 1.0;
-    return pace * queue * warm * (nearly_full ? config.NearlyFullFactor : 1.0);
+    return pace * queue * warm * (nearly_full ? pool.NearlyFullFactor : 1.0);
+}
+
+bool PoolHasRoom(const TargetPool& pool, const PoolTarget& target)
+{
+    const int slots = target.Report.Slots;
+    const int below = std::max(1, static_cast<int>(pool.Config.NearlyFullShare * slots));
+    const bool more_is_less = slots / pool.NearlyFullFactor < below;
+    return target.Report.Running + target.Report.Waiting + target.Since < (more_is_less ? below : slots);
 }
 
-bool PoolHasRoom(const PoolConfig& config, const PoolTarget& target)
+void PoolLearnNearlyFull(TargetPool* pool, double factor)
 {
-    const int busy = target.Report.Running + target.Report.Waiting + target.Since;
-    const int usable = std::max(1, static_cast<int>(config.NearlyFullShare * target.Report.Slots));
-    return busy < usable;
+    const double told = std::clamp(factor, 1.0, pool->Config.NearlyFullMost);
+    pool->NearlyFullFactor += pool->Config.NearlyFullGain * (told - pool->NearlyFullFactor);
 }
 
 PoolTarget* PoolNext(TargetPool* pool, const std::vector<std::string>& passed, TimeUs now, Random* random)
@@ -115,7 +128,7 @@
             continue;
         }
         const int trust = now < target.AvoidUntilUs ? 2 : target.Doubtful ? 1 : 0;
-        const double cost = PoolCost(pool->Config, target, now);
+        const double cost = PoolCost(*pool, target, now);
         const int far = target.Near ? 0 : 1;
         const Rank rank(trust, cost > pool->Config.GoodCost ? 2 + far : far, cost, (*random)());
         if (best == nullptr || rank < best_rank)
