--- a/winchlink.h
+++ b/winchlink.h
@@ -1297,7 +1297,8 @@
 struct PoolConfig
 {
     double NearlyFullShare = 0.8;           // Some targets are slower when fuller than this (users' site files, "knee").
-    double NearlyFullGain = 0.05;           // Weight of a new answer in the estimate of by how much.
+    double NearlyFullGain = 0.05;           // Least weight of a new answer in the estimate of by how much.
+    int NearlyFullPrior = 3;                // The first guess counts as so many answers.
     double NearlyFullMost = 3.0;            // Longest factor that one answer may tell: more has other causes.
     double WarmFactor = 2.0;                // Those that have just started are slower too.
     double GoodCost = 1.25;                 // A target at this cost or less is taken without asking further.
@@ -1311,7 +1312,8 @@
     PoolConfig Config;
     std::vector<PoolTarget> Targets;
     bool TellsLoad = true;         // Targets of this service tell their load; false once one has answered without.
-    double NearlyFullFactor = 1.3; // How many times longer work takes at a nearly full target: learnt, from a guess between none and 1.7.
+    double NearlyFullFactor = 1.4; // How many times longer work takes at a nearly full target: learnt, from a guess between none and 1.8.
+    int NearlyFullSeen = 0;        // Answers that it was learnt from.
 };
 
 // Brings the pool in line with the directory; what is known of targets that stay is kept.
--- a/winchlink_pool.cpp
+++ b/winchlink_pool.cpp
@@ -113,7 +113,9 @@
 void PoolLearnNearlyFull(TargetPool* pool, double factor)
 {
     const double told = std::clamp(factor, 1.0, pool->Config.NearlyFullMost);
-    pool->NearlyFullFactor += pool->Config.NearlyFullGain * (told - pool->NearlyFullFactor);
+    pool->NearlyFullSeen++;
+    const double gain = std::max(pool->Config.NearlyFullGain, 1.0 / (pool->NearlyFullSeen + pool->Config.NearlyFullPrior));
+    pool->NearlyFullFactor += gain * (told - pool->NearlyFullFactor);
 }
 
 PoolTarget* PoolNext(TargetPool* pool, const std::vector<std::string>& passed, TimeUs now, Random* random)
