Reading through few: instances that others know by name read the store, the rest follow them

The same reader works with a list of sources: the store, or another instance that hands on what it holds; a source that is silent, behind, or has lost the store is left within 1.3 s.

--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -304,6 +304,15 @@
     return cost * call.Work->MeanUs < left;
 }
 
+static void AskAgain(const CallPtr& call)
+{
+    if (NowUs() < call->AskUntilUs)
+    {
+        call->Asked.clear();
+    }
+    AskMore(call);
+}
+
 // All targets that may be asked were asked, and none is good.
 static void Decide(const CallPtr& call)
 {
@@ -318,8 +327,7 @@
     }
     if (now + config.AskAgainUs < call->AskUntilUs)
     {
-        call->Asked.clear();
-        call->Again = TimerStart(call->Owner->Loop, config.AskAgainUs, [call]() { AskMore(call); });
+        call->Again = TimerStart(call->Owner->Loop, config.AskAgainUs, [call]() { AskAgain(call); });
         call->Service->Waiting.push_back(call);
         return;
     }
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -12,6 +12,7 @@
 #include "clock.h"
 #include "wire.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fmt/format.h>
 #include <sys/stat.h>
@@ -107,38 +108,91 @@
     }
 }
 
+// Where changes come from, by preference. Those that others name as their first contacts read the store; all others follow them, each
+// beginning with another one.
+static std::vector<StoreSource> MakeSources(Gateway* gateway)
+{
+    const GatewaySettings& settings = gateway->Config;
+    const bool reads = std::find(settings.Peers.begin(), settings.Peers.end(), settings.PeerAddress) != settings.Peers.end();
+    StoreSource store;
+    store.Address = settings.StoreAddress;
+    store.Dialect = PlatformStoreDialect();
+    store.WaitUs = reads ? gateway->Timing.ReaderWaitUs : gateway->Timing.StoreWaitUs;
+    store.MarginUs = gateway->Timing.StoreMarginUs;
+    store.GatherUs = gateway->Timing.StoreGatherUs;
+    store.IsStore = true;
+    std::vector<StoreSource> peers;
+    for (const std::string& address : settings.Peers)
+    {
+        if (address != settings.PeerAddress)
+        {
+            peers.push_back({address, RelayDialect(), gateway->Timing.PeerWaitUs, gateway->Timing.PeerMarginUs, 0, false});
+        }
+    }
+    std::shuffle(peers.begin(), peers.end(), gateway->Rng);
+    peers.insert(reads ? peers.begin() : peers.end(), store);
+    return peers;
+}
+
+static void OnStoreTrouble(Gateway* gateway, const std::string& why)
+{
+    if (!gateway->Requests.Directory.InTrouble)
+    {
+        Log(LogLevel_Warn, Code_PlatformUnreachable, "store lost", {{"detail", why}, {"revision", gateway->Store.At}});
+    }
+    DirectoryTrouble(&gateway->Requests.Directory, NowUs());
+    RelaySetTrouble(&gateway->Peers, true);
+}
+
+static void OnStoreAnswered(Gateway* gateway)
+{
+    if (gateway->Requests.Directory.InTrouble)
+    {
+        Log(LogLevel_Info, Code_None, "store regained", {{"revision", gateway->Store.At}});
+    }
+    DirectoryAnswered(&gateway->Requests.Directory, NowUs());
+    RelaySetTrouble(&gateway->Peers, false);
+}
+
+static void OnStoreAll(Gateway* gateway, const std::vector<StoreItem>& items, uint64_t at)
+{
+    std::vector<DirectoryTarget> all;
+    TakeItems(gateway, items, &all);
+    DirectoryReplace(&gateway->Requests.Directory, all, at, NowUs());
+    ForwarderFollow(&gateway->Requests);
+    RelaySetAll(&gateway->Peers, items, at);
+}
+
+static void OnStoreChanges(Gateway* gateway, const std::vector<StoreItem>& items, uint64_t at)
+{
+    TakeItems(gateway, items, nullptr);
+    ForwarderFollow(&gateway->Requests);
+    RelayAddChanges(&gateway->Peers, items, at);
+}
+
 static void StartStore(Gateway* gateway)
 {
     StoreReader& store = gateway->Store;
-    store.Config.Address = gateway->Config.StoreAddress;
-    store.Dialect = PlatformStoreDialect();
+    store.Sources = MakeSources(gateway);
     store.OnAll = [gateway](const std::vector<StoreItem>& items, uint64_t at)
     {
-        std::vector<DirectoryTarget> all;
-        TakeItems(gateway, items, &all);
-        DirectoryReplace(&gateway->Requests.Directory, all, at, NowUs());
-        ForwarderFollow(&gateway->Requests);
+        OnStoreAll(gateway, items, at);
     };
-    store.OnChanges = [gateway](const std::vector<StoreItem>& items, uint64_t)
+    store.OnChanges = [gateway](const std::vector<StoreItem>& items, uint64_t at)
     {
-        TakeItems(gateway, items, nullptr);
-        ForwarderFollow(&gateway->Requests);
+        OnStoreChanges(gateway, items, at);
     };
     store.OnTrouble = [gateway](const std::string& why)
     {
-        if (!gateway->Requests.Directory.InTrouble)
-        {
-            Log(LogLevel_Warn, Code_PlatformUnreachable, "store lost", {{"detail", why}, {"revision", gateway->Store.At}});
-        }
-        DirectoryTrouble(&gateway->Requests.Directory, NowUs());
+        OnStoreTrouble(gateway, why);
     };
     store.OnAnswered = [gateway]()
     {
-        if (gateway->Requests.Directory.InTrouble)
-        {
-            Log(LogLevel_Info, Code_None, "store regained", {{"revision", gateway->Store.At}});
-        }
-        DirectoryAnswered(&gateway->Requests.Directory, NowUs());
+        OnStoreAnswered(gateway);
+    };
+    gateway->Peers.Age = [&store]()
+    {
+        return NowUs() - store.FreshUs;
     };
     StoreReaderStart(&store, gateway->Loop, &gateway->Control, &gateway->Rng);
 }
@@ -167,7 +221,7 @@
     text += fmt::format("winchlink_in_progress {}\n", gateway.Requests.InProgress);
     text += fmt::format("winchlink_load_questions {}\n", gateway.Requests.AsksSent);
     text += fmt::format("winchlink_target_connections_opened {}\n", gateway.Targets.ConnectionsOpened);
-    text += fmt::format("winchlink_store_calls {}\nwinchlink_store_failures {}\n", gateway.Store.CallsMade, gateway.Store.CallsFailed);
+    text += fmt::format("winchlink_store_calls {}\nwinchlink_store_failures {}\n", gateway.Store.StoreCalls, gateway.Store.CallsFailed);
     text += fmt::format("winchlink_plan_version {}\n", gateway.Requests.Plan ? gateway.Requests.Plan->Version : 0);
     return text;
 }
@@ -232,7 +286,8 @@
 {
     gateway->Config.GraceUs = settings.GraceUs;
     gateway->Config.Peers = settings.Peers;
-    gateway->Store.Config.Address = settings.StoreAddress;
+    gateway->Config.StoreAddress = settings.StoreAddress;
+    StoreReaderSetSources(&gateway->Store, MakeSources(gateway));
     gateway->Requests.Config.RepeatShare = settings.RepeatShare;
     gateway->Requests.Config.RepeatWindowUs = settings.RepeatWindowUs;
     gateway->Requests.DataCentre = settings.DataCentre;
@@ -322,6 +377,14 @@
     {
         return pages.error();
     }
+    if (!settings.PeerAddress.empty())
+    {
+        const Result<void> peers = RelayStart(&gateway->Peers, loop, settings.PeerAddress);
+        if (!peers)
+        {
+            return peers.error();
+        }
+    }
     StartStore(gateway);
     Tick(gateway);
     return BOOST_OUTCOME_V2_NAMESPACE::success();
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -4,20 +4,33 @@
 
 #include "forward.h"
 #include "gateway_settings.h"
-#include "store_reader.h"
+#include "relay.h"
 
 namespace Winchlink
 {
 
+// How long an instance waits for changes, and for a sign of life, at its sources.
+struct GatewayTiming
+{
+    TimeUs ReaderWaitUs = UsPerSecond;      // At the store, where others follow us: they must hear of its loss within their bounds (2 s).
+    TimeUs StoreWaitUs = 2 * UsPerSecond;   // At the store, where nobody does. Each call has its price.
+    TimeUs StoreMarginUs = 350 * UsPerMs;   // The store answers within milliseconds.
+    TimeUs StoreGatherUs = 300 * UsPerMs;   // Changes that come so close together cost one call.
+    TimeUs PeerWaitUs = UsPerSecond;        // At another instance.
+    TimeUs PeerMarginUs = 300 * UsPerMs;    // It may be busy.
+};
+
 struct Gateway
 {
     GatewaySettings Config;
+    GatewayTiming Timing;
     std::string SettingsFile; // Read again on SIGHUP and when it changes.
     EventLoop* Loop = nullptr; // Borrowed.
     Random Rng;
     Client Targets;
     Client Control; // For the store: its connections are kept apart from those to targets.
     StoreReader Store;
+    Relay Peers;
     Forwarder Requests;
     Listener Callers;
     Listener Readiness;
--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -18,6 +18,7 @@
     libulfius-dev           # HTTP server
     libmicrohttpd-dev       # HTTP server of gateway instances; ulfius is built on it
     libuv1-dev              # event loop of gateway instances
+    zlib1g-dev              # compression of what instances hand on
     libjansson-dev          # JSON; ulfius needs it anyway, and it can refuse duplicate keys
     libfmt-dev              # log lines
     libpopt-dev             # command line
