--- a/gateway/store_reader.cpp
+++ b/gateway/store_reader.cpp
@@ -151,13 +151,19 @@
         ReadPage(reader);
         return;
     }
-    if (!Believe(reader, page.value()))
+    // One that knows nothing takes what anybody holds, however old, and goes on looking for a better source.
+    const bool first = reader->At == 0;
+    if (!first && !Believe(reader, page.value()))
     {
         return;
     }
     reader->At = std::max(reader->At, reader->PagesAt);
     reader->OnAll(reader->Pages, reader->PagesAt);
     reader->Pages.clear();
+    if (first && !Believe(reader, page.value()))
+    {
+        return;
+    }
     Use(reader, 0);
     AwaitChanges(reader);
 }
--- a/tests/gateway_rig.cpp
+++ b/tests/gateway_rig.cpp
@@ -14,7 +14,7 @@
 
 static const char* const Loopback = "127.0.0.1";
 
-static std::string FreeAddress()
+std::string FreeAddress()
 {
     return fmt::format("{}:{}", Loopback, FreePort(Loopback));
 }
@@ -90,23 +90,33 @@
     return settings;
 }
 
-Gateway& RigStart(Rig* rig)
+Gateway& RigStartWith(Rig* rig, const GatewaySettings& settings)
 {
     rig->Instances.push_back(std::make_unique<Gateway>());
     Gateway& gateway = *rig->Instances.back();
-    CPPUNIT_ASSERT(bool(GatewayStart(&gateway, &rig->Loop, RigSettings(*rig))));
+    CPPUNIT_ASSERT(bool(GatewayStart(&gateway, &rig->Loop, settings)));
     return gateway;
 }
 
-Gateway& RigInstance(Rig* rig, size_t targets)
+Gateway& RigStart(Rig* rig)
+{
+    return RigStartWith(rig, RigSettings(*rig));
+}
+
+void RigAwait(Rig* rig, const Gateway& gateway, size_t targets)
 {
-    Gateway& gateway = RigStart(rig);
     const auto knows = [&]()
     {
         const RoutePlanPtr& plan = gateway.Requests.Plan;
         return plan && plan->Version == rig->Version && gateway.Requests.Directory.Targets.size() == targets;
     };
     CPPUNIT_ASSERT(RigRun(rig, knows));
+}
+
+Gateway& RigInstance(Rig* rig, size_t targets)
+{
+    Gateway& gateway = RigStart(rig);
+    RigAwait(rig, gateway, targets);
     return gateway;
 }
 
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -59,6 +59,15 @@
 
 GatewaySettings RigSettings(const Rig& rig);
 
+// An address of this machine that nobody listens on.
+std::string FreeAddress();
+
+// An instance with settings of its own.
+Gateway& RigStartWith(Rig* rig, const GatewaySettings& settings);
+
+// Waits until it holds the latest configuration and `targets` targets.
+void RigAwait(Rig* rig, const Gateway& gateway, size_t targets);
+
 bool RigRun(Rig* rig, const std::function<bool()>& done);
 
 // Runs the loop for a while, for what must not happen.
--- /dev/null
+++ b/tests/relay_test.cpp
@@ -0,0 +1,301 @@
+// relay_test.cpp: reading through few: what instances hand on to each other, and what happens when a source fails.
+
+#include "gateway_rig.h"
+#include "socket.h"
+
+#include <fmt/format.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace Winchlink
+{
+
+static StorePage RandomPage(Dice* dice)
+{
+    StorePage page;
+    page.At = static_cast<uint64_t>(dice->Between(0, 1000000));
+    page.AgeUs = dice->Between(0, UsPerSecond);
+    page.Trouble = dice->OneIn(2);
+    for (int64_t n = dice->Between(0, 20); n > 0; n--)
+    {
+        StoreItem item;
+        item.Key = fmt::format("servers/{}", n);
+        item.Value = std::string(static_cast<size_t>(dice->Between(0, 300)), static_cast<char>('a' + n % 26));
+        item.Revision = static_cast<uint64_t>(dice->Between(0, 1000000));
+        item.Gone = dice->OneIn(3);
+        page.Items.push_back(item);
+    }
+    return page;
+}
+
+// A listening socket whose owner stands still: connections come up and nothing is ever answered.
+struct FrozenPeer
+{
+    std::string Address;
+    int Socket = -1;
+
+    FrozenPeer() : Address(FreeAddress()), Socket(OpenBound(SOCK_STREAM, ParseEndpoint(Address).value()))
+    {
+        CPPUNIT_ASSERT(Socket >= 0);
+        CPPUNIT_ASSERT_EQUAL(0, listen(Socket, 16));
+    }
+
+    ~FrozenPeer()
+    {
+        close(Socket);
+    }
+
+    FrozenPeer(const FrozenPeer&) = delete;
+    FrozenPeer& operator=(const FrozenPeer&) = delete;
+};
+
+class RelayTest : public CPPUNIT_NS::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RelayTest);
+    CPPUNIT_TEST(MessagesComeThrough);
+    CPPUNIT_TEST(BytesThatAreNoMessageAreRefused);
+    CPPUNIT_TEST(FollowersLeaveTheStoreAlone);
+    CPPUNIT_TEST(FollowersOutliveTheirReader);
+    CPPUNIT_TEST(FollowersLeaveAFrozenReader);
+    CPPUNIT_TEST(FollowersLeaveAReaderThatLostTheStore);
+    CPPUNIT_TEST(ReadersFollowOthersWhenTheStoreTurnsThemAway);
+    CPPUNIT_TEST(NobodyGoesBackToAReaderThatIsBehind);
+    CPPUNIT_TEST(StartsFromPeersWhenTheStoreIsAway);
+    CPPUNIT_TEST(FollowersThatWereAwayForLongReadEverything);
+    CPPUNIT_TEST(StalePeerNamesDoNoHarm);
+    CPPUNIT_TEST_SUITE_END();
+
+    void MessagesComeThrough()
+    {
+        CHECK_PROPERTY("a page is read as it was written",
+                       []()
+                       {
+                           Dice dice;
+                           const StorePage page = RandomPage(&dice);
+                           const Result<StorePage> read = DecodePage(EncodePage(page));
+                           RC_ASSERT(bool(read));
+                           RC_ASSERT(read.value().At == page.At && read.value().AgeUs == page.AgeUs && read.value().Trouble == page.Trouble);
+                           RC_ASSERT(read.value().Items.size() == page.Items.size());
+                           for (size_t n = 0; n < page.Items.size(); n++)
+                           {
+                               RC_ASSERT(read.value().Items[n].Key == page.Items[n].Key && read.value().Items[n].Value == page.Items[n].Value);
+                               RC_ASSERT(read.value().Items[n].Gone == page.Items[n].Gone);
+                           }
+                       });
+    }
+
+    void BytesThatAreNoMessageAreRefused()
+    {
+        CHECK_PROPERTY("cut or changed bytes give an error or a page, never more",
+                       []()
+                       {
+                           Dice dice;
+                           std::string bytes = EncodePage(RandomPage(&dice));
+                           const bool cut = dice.OneIn(2);
+                           const auto at = static_cast<size_t>(dice.Between(0, static_cast<int64_t>(bytes.size())));
+                           if (cut)
+                           {
+                               RC_ASSERT(!DecodePage(bytes.substr(0, at)));
+                               return;
+                           }
+                           bytes[at] = static_cast<char>(dice.Between(0, 256));
+                           const Result<StorePage> read = DecodePage(bytes);
+                           RC_ASSERT(read || read.error().Code == Code_MessageMalformed);
+                       });
+        CPPUNIT_ASSERT(!DecodePage(std::string("\xff\xff\xff\xff", 4) + "x")); // Would be four gigabytes.
+    }
+
+    // An instance that others know by name, and so reads the store.
+    static GatewaySettings ReaderSettings(const Rig& rig, const std::vector<std::string>& readers, size_t index)
+    {
+        GatewaySettings settings = RigSettings(rig);
+        settings.PeerAddress = readers[index];
+        settings.Peers = readers;
+        return settings;
+    }
+
+    static GatewaySettings FollowerSettings(const Rig& rig, const std::vector<std::string>& readers)
+    {
+        GatewaySettings settings = RigSettings(rig);
+        settings.PeerAddress = FreeAddress();
+        settings.Peers = readers;
+        return settings;
+    }
+
+    static bool FollowsAPeer(const Gateway& gateway)
+    {
+        return !gateway.Store.Sources[gateway.Store.Current].IsStore && gateway.Store.FailuresInRow == 0;
+    }
+
+    void FollowersLeaveTheStoreAlone()
+    {
+        Rig rig;
+        RigTarget(&rig, "t1");
+        RigConfigure(&rig, {UsersRoute()});
+        const std::vector<std::string> readers = {FreeAddress()};
+        RigAwait(&rig, RigStartWith(&rig, ReaderSettings(rig, readers, 0)), 1);
+        std::vector<const Gateway*> followers;
+        for (int n = 0; n < 5; n++)
+        {
+            followers.push_back(&RigStartWith(&rig, FollowerSettings(rig, readers)));
+            RigAwait(&rig, *followers.back(), 1);
+            CPPUNIT_ASSERT(RigRun(&rig, [&]() { return FollowsAPeer(*followers.back()); }));
+        }
+        RigTarget(&rig, "t2");
+        RigConfigure(&rig, {UsersRoute()});
+        for (const Gateway* follower : followers)
+        {
+            RigAwait(&rig, *follower, 2);
+            CPPUNIT_ASSERT_EQUAL(uint64_t{1}, follower->Store.StoreCalls); // Its start.
+        }
+    }
+
+    void FollowersOutliveTheirReader()
+    {
+        Rig rig;
+        RigTarget(&rig, "t1");
+        RigConfigure(&rig, {UsersRoute()});
+        const std::vector<std::string> readers = {FreeAddress()};
+        Gateway& reader = RigStartWith(&rig, ReaderSettings(rig, readers, 0));
+        RigAwait(&rig, reader, 1);
+        const Gateway& follower = RigStartWith(&rig, FollowerSettings(rig, readers));
+        RigAwait(&rig, follower, 1);
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return FollowsAPeer(follower); }));
+        ListenerStop(&reader.Peers.Server);
+        RigConfigure(&rig, {UsersRoute()});
+        RigAwait(&rig, follower, 1);
+        CPPUNIT_ASSERT(!follower.Requests.Directory.InTrouble); // The loss of a peer is not the loss of the store.
+    }
+
+    void FollowersLeaveAFrozenReader()
+    {
+        Rig rig;
+        RigTarget(&rig, "t1");
+        RigConfigure(&rig, {UsersRoute()});
+        const FrozenPeer frozen;
+        const Gateway& follower = RigStartWith(&rig, FollowerSettings(rig, {frozen.Address}));
+        RigAwait(&rig, follower, 1);
+        RigConfigure(&rig, {UsersRoute()});
+        RigAwait(&rig, follower, 1);
+    }
+
+    void FollowersLeaveAReaderThatLostTheStore()
+    {
+        Rig rig;
+        UsersStore second; // The same store, seen by the other instances while the first one's door is shut.
+        CPPUNIT_ASSERT(bool(UsersStoreStart(&second, &rig.Loop, FreeAddress())));
+        RigConfigure(&rig, {UsersRoute()});
+        UsersStoreConfigure(&second, 1, {UsersRoute()});
+        const std::vector<std::string> readers = {FreeAddress()};
+        GatewaySettings settings = ReaderSettings(rig, readers, 0);
+        settings.StoreAddress = second.Address;
+        const Gateway& reader = RigStartWith(&rig, settings);
+        RigAwait(&rig, reader, 0);
+        const Gateway& follower = RigStartWith(&rig, FollowerSettings(rig, readers));
+        RigAwait(&rig, follower, 0);
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return FollowsAPeer(follower); }));
+        UsersStoreSetMode(&second, StoreMode_Silent);
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return reader.Peers.Trouble; }));
+        RigConfigure(&rig, {UsersRoute()});
+        RigAwait(&rig, follower, 0);
+    }
+
+    void ReadersFollowOthersWhenTheStoreTurnsThemAway()
+    {
+        Rig rig;
+        UsersStore shut;
+        CPPUNIT_ASSERT(bool(UsersStoreStart(&shut, &rig.Loop, FreeAddress())));
+        RigConfigure(&rig, {UsersRoute()});
+        UsersStoreConfigure(&shut, 1, {UsersRoute()});
+        const std::vector<std::string> readers = {FreeAddress(), FreeAddress()};
+        GatewaySettings turned_away = ReaderSettings(rig, readers, 0);
+        turned_away.StoreAddress = shut.Address;
+        const Gateway& first = RigStartWith(&rig, turned_away);
+        const Gateway& second = RigStartWith(&rig, ReaderSettings(rig, readers, 1));
+        RigAwait(&rig, first, 0);
+        RigAwait(&rig, second, 0);
+        UsersStoreSetMode(&shut, StoreMode_Refusing);
+        RigConfigure(&rig, {UsersRoute()});
+        RigAwait(&rig, first, 0);
+        CPPUNIT_ASSERT(FollowsAPeer(first));
+    }
+
+    void NobodyGoesBackToAReaderThatIsBehind()
+    {
+        Rig rig;
+        UsersStore old; // Stands still at an early revision.
+        CPPUNIT_ASSERT(bool(UsersStoreStart(&old, &rig.Loop, FreeAddress())));
+        UsersStoreConfigure(&old, 1, {UsersRoute()});
+        RigConfigure(&rig, {UsersRoute()});
+        RigConfigure(&rig, {UsersRoute()});
+        RigConfigure(&rig, {UsersRoute()});
+        const std::vector<std::string> readers = {FreeAddress()};
+        GatewaySettings behind = ReaderSettings(rig, readers, 0);
+        behind.StoreAddress = old.Address;
+        const Gateway& reader = RigStartWith(&rig, behind);
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return reader.Requests.Plan != nullptr; }));
+        const Gateway& follower = RigStartWith(&rig, FollowerSettings(rig, readers));
+        RigAwait(&rig, follower, 0);
+        const uint64_t failures = follower.Store.CallsFailed;
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return follower.Store.CallsFailed > failures; }));
+        CPPUNIT_ASSERT_EQUAL(uint64_t{3}, follower.Requests.Plan->Version);
+        RigConfigure(&rig, {UsersRoute()});
+        RigAwait(&rig, follower, 0);
+    }
+
+    void StartsFromPeersWhenTheStoreIsAway()
+    {
+        Rig rig;
+        RigTarget(&rig, "t1");
+        RigConfigure(&rig, {UsersRoute()});
+        const std::vector<std::string> readers = {FreeAddress()};
+        const Gateway& reader = RigStartWith(&rig, ReaderSettings(rig, readers, 0));
+        RigAwait(&rig, reader, 1);
+        UsersStoreSetMode(&rig.Store, StoreMode_Refusing);
+        GatewaySettings settings = FollowerSettings(rig, readers);
+        const Gateway& late = RigStartWith(&rig, settings);
+        RigAwait(&rig, late, 1);
+        CPPUNIT_ASSERT_EQUAL(200, RigAsk(&rig, late, RigCall()).Answer.Status);
+    }
+
+    void FollowersThatWereAwayForLongReadEverything()
+    {
+        Rig rig;
+        RigConfigure(&rig, {UsersRoute()});
+        const std::vector<std::string> readers = {FreeAddress()};
+        Gateway& reader = RigStartWith(&rig, ReaderSettings(rig, readers, 0));
+        reader.Peers.Config.ChangesKept = 2;
+        RigAwait(&rig, reader, 0);
+        Gateway& follower = RigStartWith(&rig, FollowerSettings(rig, readers));
+        RigAwait(&rig, follower, 0);
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return FollowsAPeer(follower); }));
+        for (int n = 0; n < 10; n++)
+        {
+            UsersStoreTarget(&rig.Store, fmt::format("t{}", n), "svc", fmt::format("127.0.0.1:{}", 1000 + n), "dc-a");
+        }
+        UsersStoreRemove(&rig.Store, "servers/t0");
+        const auto same = [&]()
+        {
+            return follower.Store.At == rig.Store.Revision && reader.Store.At == rig.Store.Revision;
+        };
+        CPPUNIT_ASSERT(RigRun(&rig, same));
+        CPPUNIT_ASSERT(follower.Requests.Directory.Targets.count("t9") == 1);
+        const auto& all = follower.Requests.Directory.Targets;
+        CPPUNIT_ASSERT(all.count("t0") == 0 || all.at("t0").Presence == Presence_Vanished);
+    }
+
+    void StalePeerNamesDoNoHarm()
+    {
+        Rig rig;
+        RigConfigure(&rig, {UsersRoute()});
+        const Gateway& follower = RigStartWith(&rig, FollowerSettings(rig, {FreeAddress(), FreeAddress(), FreeAddress()}));
+        RigAwait(&rig, follower, 0);
+        RigConfigure(&rig, {UsersRoute()});
+        RigAwait(&rig, follower, 0);
+        CPPUNIT_ASSERT(!follower.Requests.Directory.InTrouble);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
+
+} // namespace Winchlink
