--- a/bench/users_store.cpp
+++ b/bench/users_store.cpp
@@ -286,9 +286,9 @@
 
 static json_t* FormatRoute(const UsersRoute& route)
 {
-    json_t* object = json_pack("{s:s, s:s, s:s, s:s, s:f, s:f, s:i, s:i}", "name", route.Name.c_str(), "host", route.Host.c_str(), "pathPrefix",
-                               route.Prefix.c_str(), "type", route.Safe ? "safe" : "unsafe", "timeoutS", route.TimeoutS, "targetLatencyS",
-                               route.AimS, "priority", route.Priority, "maxAttempts", route.Attempts);
+    json_t* object = json_pack("{s:s, s:s, s:s, s:s, s:f, s:f, s:i, s:i}", "name", route.Name.c_str(), "host", route.Host.c_str(),
+                               "pathPrefix", route.Prefix.c_str(), "type", route.Safe ? "safe" : "unsafe", "timeoutS", route.TimeoutS,
+                               "targetLatencyS", route.AimS, "priority", route.Priority, "maxAttempts", route.Attempts);
     if (route.Parts.size() == 1)
     {
         json_object_set_new(object, "service", JsonText(route.Parts[0].Service));
@@ -324,19 +324,19 @@
     json_t* limits =
         json_pack("{s:i, s:i, s:f, s:f}", "maxHeaderBytes", 16384, "maxBodyBytes", 1000000, "headerTimeoutS", 3.0, "idleTimeoutS", 15.0);
     const std::string text = fmt::format("{:08x}", version);
-    UsersStorePut(store, "op/config",
-                  DumpJson(json_pack("{s:s, s:o, s:o, s:o}", "version", text.c_str(), "routes", route_list, "services", services, "limits", limits),
-                           JSON_COMPACT));
+    UsersStorePut(
+        store, "op/config",
+        DumpJson(json_pack("{s:s, s:o, s:o, s:o}", "version", text.c_str(), "routes", route_list, "services", services, "limits", limits),
+                 JSON_COMPACT));
 }
 
 void UsersStoreTarget(UsersStore* store, const std::string& id, const std::string& service, const std::string& address,
                       const std::string& zone, bool draining)
 {
-    const std::string value =
-        DumpJson(json_pack("{s:s, s:{s:s, s:s, s:s, s:i}, s:{s:s, s:i, s:f}}", "address", address.c_str(), "info", "service", service.c_str(),
-                           "version", "v1", "zone", zone.c_str(), "capacity", 3, "status", "state", draining ? "draining" : "ready", "sequence",
-                           1, "warmupLeftS", 0.0),
-                 JSON_COMPACT);
+    const std::string value = DumpJson(json_pack("{s:s, s:{s:s, s:s, s:s, s:i}, s:{s:s, s:i, s:f}}", "address", address.c_str(), "info",
+                                                 "service", service.c_str(), "version", "v1", "zone", zone.c_str(), "capacity", 3, "status",
+                                                 "state", draining ? "draining" : "ready", "sequence", 1, "warmupLeftS", 0.0),
+                                       JSON_COMPACT);
     UsersStorePut(store, "servers/" + id, value);
 }
 
--- a/bench/users_store.h
+++ b/bench/users_store.h
@@ -63,9 +63,9 @@
     std::vector<UsersEvent> History;        // In order.
     std::map<uint64_t, UsersWait> Waits;    // Calls that wait for a change.
     uint64_t LastWait = 0;
-    int Calls = 0;                          // Read calls of any kind.
-    int PageCalls = 0;                      // Of those, for pages.
-    std::vector<ExchangePtr> Held;          // Calls that a silent store holds.
+    int Calls = 0;                 // Read calls of any kind.
+    int PageCalls = 0;             // Of those, for pages.
+    std::vector<ExchangePtr> Held; // Calls that a silent store holds.
 
     UsersStore() = default;
     ~UsersStore();
--- a/bench/users_target.cpp
+++ b/bench/users_target.cpp
@@ -30,10 +30,10 @@
 {
     uint64_t Id = 0;
     int Socket = -1;
-    std::string Read;       // Bytes not taken yet.
-    bool Busy = false;      // A request is in work or waits.
-    size_t Request = 0;     // Its index in Saw.
-    size_t SkipBytes = 0;   // Of a body that was answered before it was read.
+    std::string Read;     // Bytes not taken yet.
+    bool Busy = false;    // A request is in work or waits.
+    size_t Request = 0;   // Its index in Saw.
+    size_t SkipBytes = 0; // Of a body that was answered before it was read.
     Watch Readable;
     Timer Work;
     Timer Later;
@@ -79,8 +79,8 @@
 
 static std::string Load(const UsersTarget& target)
 {
-    const std::string load = fmt::format("Winchlink-Server-Load: {},{},{},{}\r\n", target.Running, target.Waiting.size(), target.Slots,
-                                         target.PacePercent);
+    const std::string load =
+        fmt::format("Winchlink-Server-Load: {},{},{},{}\r\n", target.Running, target.Waiting.size(), target.Slots, target.PacePercent);
     return target.TellsLoad ? load : "";
 }
 
@@ -451,7 +451,10 @@
 
 int UsersTargetRuns(const UsersTarget& target, const std::string& id)
 {
-    const auto ran = [&](const TargetSaw& saw) { return saw.Run && saw.Id == id; };
+    const auto ran = [&](const TargetSaw& saw)
+    {
+        return saw.Run && saw.Id == id;
+    };
     return static_cast<int>(std::count_if(target.Saw.begin(), target.Saw.end(), ran));
 }
 
--- a/bench/users_target.h
+++ b/bench/users_target.h
@@ -59,12 +59,12 @@
     int Slots = 3;
     int Queue = 6;
     TimeUs WorkUs = 5 * UsPerMs;
-    int PacePercent = 100;      // Told to whoever asks.
-    bool Ill = false;           // Health answers 503.
-    bool TellsLoad = true;      // Answers carry the load.
-    bool ResetsWhenFull = false; // Else it sheds.
+    int PacePercent = 100;         // Told to whoever asks.
+    bool Ill = false;              // Health answers 503.
+    bool TellsLoad = true;         // Answers carry the load.
+    bool ResetsWhenFull = false;   // Else it sheds.
     std::deque<TargetAct_> Script; // For the next requests that it runs or sheds; good when empty.
-    std::vector<TargetSaw> Saw; // Every request, health questions apart.
+    std::vector<TargetSaw> Saw;    // Every request, health questions apart.
     int HealthAsked = 0;
     int Running = 0;
     int Accepted = 0; // Connections.
--- /dev/null
+++ b/gateway/attempt.cpp
@@ -0,0 +1,362 @@
+// attempt.cpp: sending a request to a target, and what its answer means.
+//
+// A request that may not be repeated is sent again only after a target has said that it did not run it, or when it never left. One that
+// may be repeated gets a second attempt beside the first when that takes much longer than expected; the faster one is passed on.
+//
+// Index of this file:
+// [SECTION] Judging answers
+// [SECTION] Learning from answers
+// [SECTION] What comes next
+// [SECTION] Sending
+
+#include "call.h"
+
+#include "clock.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace Winchlink
+{
+
+//-----------------------------------------------------------------------------
+// [SECTION] Judging answers
+//-----------------------------------------------------------------------------
+
+enum Verdict_ : int
+{
+    Verdict_Pass,   // Pass the answer on.
+    Verdict_NotRun, // The target did not get the request, or did not run it.
+    Verdict_Lost,   // It may have been run, and there is no answer.
+    Verdict_COUNT,
+};
+
+static bool SaysNotExecuted(const Forwarder& forwarder, const ClientAnswer& answer)
+{
+    return answer.End == ClientEnd_Answered && (answer.Status == 421 || FindHeader(answer.Headers, forwarder.Names.NotExecuted) != nullptr);
+}
+
+// A success that does not carry what only a target can give is no success, and neither is a body in another encoding.
+static bool IsGenuine(const Forwarder& forwarder, const ClientAnswer& answer)
+{
+    const bool signature = forwarder.Names.Signature.empty() || FindHeader(answer.Headers, forwarder.Names.Signature) != nullptr;
+    return signature && FindHeader(answer.Headers, "Content-Encoding") == nullptr;
+}
+
+// The caller would read these as "not run", and the target did not say so.
+static bool IsFalsePromise(int status)
+{
+    return status == 408 || status == 429 || status == 503;
+}
+
+static Verdict_ Judge(const Forwarder& forwarder, const ClientAnswer& answer)
+{
+    if (answer.End == ClientEnd_NotConnected || answer.End == ClientEnd_HeldBack || SaysNotExecuted(forwarder, answer))
+    {
+        return Verdict_NotRun;
+    }
+    const bool good = answer.End == ClientEnd_Answered && IsGenuine(forwarder, answer) && !IsFalsePromise(answer.Status);
+    return good ? Verdict_Pass : Verdict_Lost;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Learning from answers
+//-----------------------------------------------------------------------------
+
+// What a request of the route takes at a target of cost 1, and how much slower nearly full targets are.
+static void LearnWork(Call* call, const Attempt& attempt, TimeUs took)
+{
+    constexpr double gain = 0.05; // Of the latest answer; work varies by a third and more.
+    double& mean = call->Work->MeanUs;
+    const double usual = static_cast<double>(took) * 100.0 / attempt.Report.PacePercent;
+    if (!attempt.NearlyFull)
+    {
+        mean = mean == 0 ? usual : mean + gain * (usual - mean);
+    }
+    else if (mean > 0)
+    {
+        PoolLearnNearlyFull(&call->Service->Pool, usual / mean);
+    }
+}
+
+static void LearnReport(ServiceState* service, PoolTarget* target, const std::string* load)
+{
+    const std::optional<LoadReport> report = load != nullptr ? ParseLoadReport(*load) : std::nullopt;
+    if (report)
+    {
+        service->Pool.TellsLoad = true;
+        PoolReport(target, *report, NowUs());
+    }
+}
+
+// The target has one request of ours less.
+static void Release(PoolTarget* target, const Attempt& attempt)
+{
+    const bool unreported = target->ReportUs < attempt.SentUs && target->Since > 0;
+    target->InFlight--;
+    target->Since -= unreported ? 1 : 0;
+}
+
+static void Learn(const CallPtr& call, const Attempt& attempt, const ClientAnswer& answer, Verdict_ verdict)
+{
+    Forwarder* forwarder = call->Owner;
+    if (answer.End == ClientEnd_Answered && answer.Status == 421)
+    {
+        DirectoryLeaves(&forwarder->Directory, attempt.Target);
+        ForwarderFollow(forwarder);
+    }
+    PoolTarget* target = PoolFind(&call->Service->Pool, attempt.Target);
+    if (target == nullptr)
+    {
+        return;
+    }
+    Release(target, attempt);
+    LearnReport(call->Service, target, FindHeader(answer.Headers, forwarder->Names.Load));
+    if (verdict == Verdict_Pass && answer.Status < 500)
+    {
+        LearnWork(call.get(), attempt, answer.TookUs);
+        PoolGood(target);
+    }
+    else if (answer.End != ClientEnd_HeldBack)
+    {
+        PoolFailed(call->Service->Pool.Config, target, NowUs());
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] What comes next
+//-----------------------------------------------------------------------------
+
+static void PassOn(const CallPtr& call, ClientAnswer answer)
+{
+    CancelAttempts(call);
+    CallerReply reply;
+    reply.Status = answer.Status;
+    reply.Body = std::move(answer.Body);
+    for (Header& header : answer.Headers)
+    {
+        if (!IsHopHeader(header.Name) && !SameHeader(header.Name, call->Owner->Names.Load))
+        {
+            reply.Headers.push_back(std::move(header));
+        }
+    }
+    EndCall(call, Code_None, "", std::move(reply));
+}
+
+static bool LeftUsAtAll(const ClientAnswer& answer)
+{
+    return answer.End != ClientEnd_NotConnected && answer.End != ClientEnd_HeldBack;
+}
+
+// Another target may get the request, if the budget allows it. What never left costs nothing.
+static bool MayTryAgain(const CallPtr& call, const ClientAnswer& answer)
+{
+    constexpr size_t tries_most = 8; // Connections that fail at once must not be tried for ever.
+    const TimeUs now = NowUs();
+    if (LeftUs(*call, now) <= 0)
+    {
+        return false;
+    }
+    if (!LeftUsAtAll(answer))
+    {
+        return call->Tried.size() < tries_most;
+    }
+    const bool allowed = call->Row->Repeatable || call->MayHaveRun == 0;
+    return allowed && call->Attempts < call->Row->AttemptsMost && RepeatBudgetTake(&call->Service->Repeats, 1.0, now);
+}
+
+static void EndUnanswered(const CallPtr& call, const ClientAnswer& answer)
+{
+    if (call->MayHaveRun == 0)
+    {
+        EndCallWith(call, Code_TargetRefused, answer.Detail, call->Owner->Config.BusyRetryUs);
+        return;
+    }
+    EndCallWith(call, answer.End == ClientEnd_TimedOut ? Code_DeadlinePassed : Code_OutcomeUnknown, answer.Detail);
+}
+
+static void GoOn(const CallPtr& call, Verdict_ verdict, ClientAnswer answer)
+{
+    const bool failed = verdict == Verdict_Pass && answer.Status >= 500;
+    const bool done = verdict == Verdict_Pass && !(failed && call->Row->Repeatable);
+    if (done)
+    {
+        PassOn(call, std::move(answer));
+        return;
+    }
+    if (!call->Active.empty())
+    {
+        return; // The other attempt goes on.
+    }
+    if (call->Choosing != Choosing_None)
+    {
+        call->Choosing = Choosing_First; // The second attempt that is being prepared is the only one now.
+        return;
+    }
+    if (MayTryAgain(call, answer))
+    {
+        ChooseTarget(call, Choosing_First);
+        return;
+    }
+    if (verdict == Verdict_Pass)
+    {
+        PassOn(call, std::move(answer));
+        return;
+    }
+    EndUnanswered(call, answer);
+}
+
+// Takes an attempt out of those in progress.
+static Attempt TakeAttempt(Call* call, const std::string& target)
+{
+    const auto found =
+        std::find_if(call->Active.begin(), call->Active.end(), [&](const Attempt& attempt) { return attempt.Target == target; });
+    assert(found != call->Active.end() && "an attempt ends once");
+    const Attempt attempt = *found;
+    call->Active.erase(found);
+    return attempt;
+}
+
+static void OnAnswer(const CallPtr& call, const std::string& target, ClientAnswer answer)
+{
+    call->Last = TakeAttempt(call.get(), target);
+    const Verdict_ verdict = Judge(*call->Owner, answer);
+    call->Attempts -= LeftUsAtAll(answer) ? 0 : 1;
+    call->MayHaveRun += verdict == Verdict_NotRun ? 0 : 1;
+    Learn(call, call->Last, answer, verdict);
+    if (!call->Ended)
+    {
+        GoOn(call, verdict, std::move(answer));
+    }
+    ServeWaiting(call->Service, target);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Sending
+//-----------------------------------------------------------------------------
+
+static std::vector<Header> HeadersForTarget(const Call& call, const std::string& target, TimeUs now)
+{
+    const WireNames& names = call.Owner->Names;
+    std::vector<Header> headers;
+    for (const Header& header : call.From->Headers)
+    {
+        const bool ours =
+            SameHeader(header.Name, names.Deadline) || SameHeader(header.Name, names.ExpectedTarget) || SameHeader(header.Name, "Expect");
+        if (!ours && !IsHopHeader(header.Name))
+        {
+            headers.push_back(header);
+        }
+    }
+    const TimeUs left_ms = std::max<TimeUs>(LeftUs(call, now) / UsPerMs, 1);
+    headers.push_back({names.Deadline, std::to_string(left_ms)});
+    headers.push_back({names.ExpectedTarget, target});
+    return headers;
+}
+
+static ClientRequest MakeRequest(const CallPtr& call, const PoolTarget& target, TimeUs now)
+{
+    ClientRequest request;
+    request.Address = target.Address;
+    request.Method = call->From->Method;
+    request.Target = call->From->Target;
+    request.Headers = HeadersForTarget(*call, target.Id, now);
+    request.HasBody = !call->From->Body.empty() || call->From->Method == "POST" || call->From->Method == "PUT";
+    request.Body = call->From->Body;
+    request.TimeoutUs = LeftUs(*call, now) + UsPerSecond; // The call's own deadline comes first.
+    request.ConnectUs = call->Owner->Config.ConnectUs;
+    // Right before the request leaves: news since the choice may stop it.
+    request.MaySend = [call, id = target.Id]()
+    {
+        return !call->Ended && LeftUs(*call, NowUs()) > 0 && PoolFind(&call->Service->Pool, id) != nullptr;
+    };
+    request.Fits = [call](const std::vector<Header>& headers)
+    {
+        const std::string* id = FindHeader(headers, call->Owner->Names.RequestId);
+        return id != nullptr && *id == call->Id;
+    };
+    return request;
+}
+
+// The first attempt takes much longer than expected: its target is avoided for a while, and the request goes to a second one as well.
+static void OnSlow(const CallPtr& call)
+{
+    call->Slow = nullptr;
+    if (call->Active.size() != 1)
+    {
+        return;
+    }
+    const TimeUs now = NowUs();
+    PoolTarget* target = PoolFind(&call->Service->Pool, call->Active[0].Target);
+    if (target != nullptr)
+    {
+        PoolFailed(call->Service->Pool.Config, target, now);
+    }
+    const bool time_left = static_cast<double>(LeftUs(*call, now)) > call->Work->MeanUs;
+    const bool allowed = call->Row->Repeatable && call->Attempts < call->Row->AttemptsMost && time_left;
+    if (allowed && RepeatBudgetTake(&call->Service->Repeats, call->Owner->Config.SecondShare, now))
+    {
+        ChooseTarget(call, Choosing_Second);
+    }
+}
+
+static void WatchForSlowness(const CallPtr& call, const Attempt& attempt)
+{
+    const auto patience = static_cast<TimeUs>(call->Owner->Config.SlowFactor * attempt.ExpectedUs);
+    if (patience > 0)
+    {
+        call->Slow = TimerStart(call->Owner->Loop, patience, [call]() { OnSlow(call); });
+    }
+}
+
+static Attempt MakeAttempt(const Call& call, const PoolTarget& target, TimeUs now)
+{
+    const TargetPool& pool = call.Service->Pool;
+    Attempt attempt;
+    attempt.Target = target.Id;
+    attempt.SentUs = now;
+    attempt.Report = target.Report;
+    attempt.ReportUs = target.ReportUs;
+    attempt.NearlyFull = PoolNearlyFull(pool.Config, target.Report, target.Since);
+    attempt.ExpectedUs = PoolCost(pool, target, now) * call.Work->MeanUs;
+    return attempt;
+}
+
+void SendTo(const CallPtr& call, PoolTarget* target)
+{
+    assert((call->Row->Repeatable || (call->MayHaveRun == 0 && call->Active.empty())) && "it may not be repeated, and may have been run");
+    const TimeUs now = NowUs();
+    Attempt attempt = MakeAttempt(*call, *target, now);
+    call->Choosing = Choosing_None;
+    call->Tried.push_back(target->Id);
+    call->Attempts++;
+    target->InFlight++;
+    target->Since++;
+    const std::string id = target->Id;
+    attempt.Id = ClientSend(call->Owner->Targets, MakeRequest(call, *target, now),
+                            [call, id](ClientAnswer answer) { OnAnswer(call, id, std::move(answer)); });
+    call->Active.push_back(attempt);
+    if (call->Active.size() == 1)
+    {
+        WatchForSlowness(call, attempt);
+    }
+}
+
+void CancelAttempts(const CallPtr& call)
+{
+    const std::vector<Attempt> active = std::move(call->Active);
+    call->Active.clear();
+    for (const Attempt& attempt : active)
+    {
+        ClientCancel(call->Owner->Targets, attempt.Id);
+        call->Last = attempt;
+        PoolTarget* target = PoolFind(&call->Service->Pool, attempt.Target);
+        if (target != nullptr)
+        {
+            Release(target, attempt);
+        }
+    }
+}
+
+} // namespace Winchlink
--- /dev/null
+++ b/gateway/call.h
@@ -0,0 +1,108 @@
+// call.h: one caller's request inside a gateway instance, as the parts of the forwarder share it (forward.cpp, choose.cpp, attempt.cpp).
+//
+// A Call is held by the callbacks that will move it on. It ends exactly once, in EndCall(); whatever comes later for it is only learnt
+// from.
+//
+// Index of this file:
+// [SECTION] Call
+// [SECTION] Ends (forward.cpp)
+// [SECTION] Choosing a target (choose.cpp)
+// [SECTION] Sending (attempt.cpp)
+
+#pragma once
+
+#include "forward.h"
+
+namespace Winchlink
+{
+
+//-----------------------------------------------------------------------------
+// [SECTION] Call
+//-----------------------------------------------------------------------------
+
+// One send to one target.
+struct Attempt
+{
+    uint64_t Id = 0;          // Of the client's call.
+    std::string Target;       // Which target.
+    TimeUs SentUs = 0;        // When it began.
+    LoadReport Report;        // The target's load as it was known when it was chosen.
+    TimeUs ReportUs = 0;      // When that was told; 0: never.
+    bool NearlyFull = false;  // It made the target nearly full.
+    double ExpectedUs = 0;    // How long it was expected to take; 0: nothing was known.
+};
+
+enum Choosing_ : int
+{
+    Choosing_None,   // No target is wanted.
+    Choosing_First,  // For the request, or for its next attempt after one has failed.
+    Choosing_Second, // For a second attempt beside a slow first one: only what is good at once.
+    Choosing_COUNT,
+};
+
+struct Call
+{
+    Forwarder* Owner = nullptr;
+    ExchangePtr From;
+    RoutePlanPtr Plan;                // Keeps Row and Spec alive.
+    const Route* Row = nullptr;       // Null if no route fits.
+    const ServiceInfo* Spec = nullptr;
+    ServiceState* Service = nullptr;  // Null before a service is chosen.
+    RouteWork* Work = nullptr;        //
+    std::string ServiceName;          //
+    std::string Id;                   // The caller's.
+    TimeUs DeadlineUs = 0;            // Answered by then.
+    TimeUs ChooseUntilUs = 0;         // A target is chosen by then, or the request refused.
+    Choosing_ Choosing = Choosing_None;
+    std::vector<std::string> Asked;   // Targets asked in this round.
+    std::vector<std::string> Tried;   // Targets that it was sent to.
+    int Asking = 0;                   // Questions without an answer.
+    int AsksMade = 0;                 // Questions in all.
+    std::vector<Attempt> Active;      // Attempts in progress, two at the most.
+    Attempt Last;                     // The latest attempt that ended, for the log.
+    int Attempts = 0;                 // Sends that reached, or may have reached, a target.
+    int MayHaveRun = 0;               // Of those that have ended, attempts that may have been run.
+    bool Ended = false;               // The caller has been answered.
+    Timer Deadline;                   // Ends it at DeadlineUs.
+    Timer Again;                      // Asks again after all targets were busy.
+    Timer Slow;                       // The first attempt takes longer than expected.
+};
+
+using CallPtr = std::shared_ptr<Call>;
+
+inline TimeUs LeftUs(const Call& call, TimeUs now)
+{
+    return call.DeadlineUs - now;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Ends (forward.cpp)
+//-----------------------------------------------------------------------------
+
+// Answers the caller. Call it once.
+void EndCall(const CallPtr& call, Code_ code, const std::string& detail, CallerReply reply);
+
+// Our own answer, with the status that goes with the code. Asserts that "not run" is true where the status promises it.
+void EndCallWith(const CallPtr& call, Code_ code, const std::string& detail, TimeUs retry_after = 0);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Choosing a target (choose.cpp)
+//-----------------------------------------------------------------------------
+
+// Chooses a target and sends, or ends the call. For a second attempt it only sends, or does nothing.
+void ChooseTarget(const CallPtr& call, Choosing_ choosing);
+
+// A slot of that target has come free: the most urgent of the requests that wait gets it, the longest waiting of equals.
+void ServeWaiting(ServiceState* service, const std::string& target_id);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Sending (attempt.cpp)
+//-----------------------------------------------------------------------------
+
+// Sends the request to the target.
+void SendTo(const CallPtr& call, PoolTarget* target);
+
+// Ends all attempts in progress, and so the targets' work.
+void CancelAttempts(const CallPtr& call);
+
+} // namespace Winchlink
--- /dev/null
+++ b/gateway/choose.cpp
@@ -0,0 +1,274 @@
+// choose.cpp: choosing a target for a request: asking targets for their load, and waiting a moment when all are busy.
+//
+// Index of this file:
+// [SECTION] Learning from answers
+// [SECTION] Asking
+// [SECTION] Deciding
+// [SECTION] Waiting
+
+#include "call.h"
+
+#include "clock.h"
+#include "log.h"
+
+namespace Winchlink
+{
+
+static void AskMore(const CallPtr& call);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Learning from answers
+//-----------------------------------------------------------------------------
+
+static void LearnFromAsk(Forwarder* forwarder, ServiceState* service, const std::string& id, const ClientAnswer& answer)
+{
+    PoolTarget* target = PoolFind(&service->Pool, id);
+    if (target == nullptr)
+    {
+        return;
+    }
+    const std::string* told = FindHeader(answer.Headers, forwarder->Names.TargetId);
+    if (answer.End == ClientEnd_Answered && told != nullptr && *told != id)
+    {
+        Log(LogLevel_Info, Code_None, "target replaced", {{"target", id}, {"address", target->Address}, {"now", *told}});
+        DirectoryLeaves(&forwarder->Directory, id);
+        ForwarderFollow(forwarder);
+        return;
+    }
+    if (answer.End != ClientEnd_Answered || answer.Status != 200 || told == nullptr)
+    {
+        PoolFailed(service->Pool.Config, target, NowUs());
+        return;
+    }
+    const std::string* load = FindHeader(answer.Headers, forwarder->Names.Load);
+    const std::optional<LoadReport> report = load != nullptr ? ParseLoadReport(*load) : std::nullopt;
+    service->Pool.TellsLoad = report.has_value();
+    if (report)
+    {
+        PoolReport(target, *report, NowUs());
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Deciding
+//-----------------------------------------------------------------------------
+
+// Whether a target is good enough to be taken without asking others.
+static bool IsGood(const Call& call, const PoolTarget& target, TimeUs now)
+{
+    const TargetPool& pool = call.Service->Pool;
+    return PoolHasRoom(pool, target) && PoolCost(pool, target, now) <= pool.Config.GoodCost;
+}
+
+// Whether the request is expected to be answered within its aim by a target of that cost.
+static bool InTime(const Call& call, double cost, TimeUs now)
+{
+    const auto left = static_cast<double>(call.Row->AimUs - (now - call.From->ArrivedUs));
+    return cost * call.Work->MeanUs < left;
+}
+
+// A target passes if it was asked in this round or has had the request already.
+static std::vector<std::string> Passed(const Call& call)
+{
+    std::vector<std::string> all = call.Asked;
+    all.insert(all.end(), call.Tried.begin(), call.Tried.end());
+    return all;
+}
+
+static void Refuse(const CallPtr& call, Code_ code, const std::string& detail)
+{
+    call->Choosing = Choosing_None;
+    if (!call->Active.empty())
+    {
+        return; // It was for a second attempt; the first goes on.
+    }
+    const ForwardConfig& config = call->Owner->Config;
+    if (call->MayHaveRun > 0)
+    {
+        EndCallWith(call, Code_OutcomeUnknown, detail);
+        return;
+    }
+    EndCallWith(call, code, detail, call->Service->Pool.Targets.empty() ? config.EmptyRetryUs : config.BusyRetryUs);
+}
+
+// The cheapest of those asked that have room; null if none has.
+static PoolTarget* BestAsked(const Call& call, TimeUs now)
+{
+    TargetPool& pool = call.Service->Pool;
+    PoolTarget* best = nullptr;
+    for (const std::string& id : call.Asked)
+    {
+        PoolTarget* target = PoolFind(&pool, id);
+        const bool told = target != nullptr && target->ReportUs > 0 && now < target->ReportUs + pool.Config.ReportUs;
+        const bool usable = told && PoolHasRoom(pool, *target);
+        if (usable && (best == nullptr || PoolCost(pool, *target, now) < PoolCost(pool, *best, now)))
+        {
+            best = target;
+        }
+    }
+    return best;
+}
+
+static void AskAgain(const CallPtr& call)
+{
+    call->Again = nullptr;
+    if (NowUs() < call->ChooseUntilUs)
+    {
+        call->Asked.clear();
+    }
+    AskMore(call);
+}
+
+// All targets that may be asked were asked, and none is good.
+static void Decide(const CallPtr& call)
+{
+    const ForwardConfig& config = call->Owner->Config;
+    const TimeUs now = NowUs();
+    PoolTarget* best = BestAsked(*call, now);
+    const double cost = best != nullptr ? PoolCost(call->Service->Pool, *best, now) : 0;
+    const bool in_time = best != nullptr && InTime(*call, cost, now);
+    const bool may_wait = call->Choosing == Choosing_First && now + config.AskAgainUs < call->ChooseUntilUs;
+    if (in_time && (cost <= config.SettleCost || !may_wait))
+    {
+        SendTo(call, best);
+        return;
+    }
+    if (may_wait)
+    {
+        call->Again = TimerStart(call->Owner->Loop, config.AskAgainUs, [call]() { AskAgain(call); });
+        call->Service->Waiting.push_back(call);
+        return;
+    }
+    Refuse(call, call->Asked.empty() ? Code_NoTargetLeft : Code_TargetsBusy, best != nullptr ? "too slow" : "");
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Asking
+//-----------------------------------------------------------------------------
+
+static void OnAsked(const CallPtr& call, const std::string& id, const ClientAnswer& answer)
+{
+    call->Asking--;
+    LearnFromAsk(call->Owner, call->Service, id, answer);
+    if (call->Choosing == Choosing_None || call->Again)
+    {
+        return;
+    }
+    PoolTarget* target = PoolFind(&call->Service->Pool, id);
+    const bool told = target != nullptr && answer.End == ClientEnd_Answered && target->ReportUs > 0;
+    if (told && IsGood(*call, *target, NowUs()))
+    {
+        SendTo(call, target);
+        return;
+    }
+    AskMore(call);
+}
+
+static void Ask(const CallPtr& call, const PoolTarget& target)
+{
+    call->Asking++;
+    call->AsksMade++;
+    call->Owner->AsksSent++;
+    ClientRequest request;
+    request.Address = target.Address;
+    request.Target = call->Spec->HealthPath;
+    request.TimeoutUs = call->Owner->Config.AskTimeoutUs;
+    const std::string id = target.Id;
+    const std::string id_header = call->Owner->Names.TargetId;
+    // An answer to a request that was given up may come instead; it has no such header.
+    request.Fits = [id_header](const std::vector<Header>& headers)
+    {
+        return FindHeader(headers, id_header) != nullptr;
+    };
+    ClientSend(call->Owner->Targets, std::move(request), [call, id](const ClientAnswer& answer) { OnAsked(call, id, answer); });
+}
+
+// Targets that tell no load are not asked: their health path would wait for a slot. The one with the least of our own work is taken.
+static void SendUnasked(const CallPtr& call)
+{
+    PoolTarget* target = PoolNext(&call->Service->Pool, call->Tried, NowUs(), call->Owner->Rng);
+    if (target == nullptr || target->InFlight >= call->Owner->Config.UnaskedMost * target->Slots)
+    {
+        Refuse(call, target == nullptr ? Code_NoTargetLeft : Code_TargetsBusy, "targets tell no load");
+        return;
+    }
+    SendTo(call, target);
+}
+
+static void AskMore(const CallPtr& call)
+{
+    if (call->Choosing == Choosing_None)
+    {
+        return;
+    }
+    if (!call->Service->Pool.TellsLoad)
+    {
+        SendUnasked(call);
+        return;
+    }
+    const ForwardConfig& config = call->Owner->Config;
+    const TimeUs now = NowUs();
+    while (now < call->ChooseUntilUs)
+    {
+        PoolTarget* next = PoolNext(&call->Service->Pool, Passed(*call), now, call->Owner->Rng);
+        const bool known = next != nullptr && next->ReportUs > 0 && now < next->ReportUs + config.ReuseUs;
+        const int at_once = next != nullptr && next->Near ? config.AsksAtOnce : config.FarAsksAtOnce;
+        if (next == nullptr || (!known && (call->Asking >= at_once || call->AsksMade >= config.AsksMost)))
+        {
+            break;
+        }
+        call->Asked.push_back(next->Id);
+        if (!known)
+        {
+            Ask(call, *next);
+        }
+        else if (IsGood(*call, *next, now))
+        {
+            SendTo(call, next);
+            return;
+        }
+    }
+    if (call->Asking == 0)
+    {
+        Decide(call);
+    }
+}
+
+void ChooseTarget(const CallPtr& call, Choosing_ choosing)
+{
+    const double share = call->Owner->Config.ChooseShare;
+    call->Choosing = choosing;
+    call->Asked.clear();
+    call->ChooseUntilUs = NowUs() + static_cast<TimeUs>(share * static_cast<double>(call->Row->AimUs));
+    AskMore(call);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Waiting
+//-----------------------------------------------------------------------------
+
+void ServeWaiting(ServiceState* service, const std::string& target_id)
+{
+    CallPtr first;
+    std::vector<std::weak_ptr<Call>> still;
+    for (const std::weak_ptr<Call>& entry : service->Waiting)
+    {
+        const CallPtr waiting = entry.lock();
+        if (!waiting || !waiting->Again)
+        {
+            continue; // It asks again by now, or has ended.
+        }
+        still.push_back(entry);
+        first = !first || waiting->Row->Priority < first->Row->Priority ? waiting : first;
+    }
+    service->Waiting = std::move(still);
+    PoolTarget* target = PoolFind(&service->Pool, target_id);
+    const bool told = target != nullptr && target->ReportUs > 0;
+    if (first && told && IsGood(*first, *target, NowUs()))
+    {
+        first->Again = nullptr;
+        SendTo(first, target);
+    }
+}
+
+} // namespace Winchlink
--- a/gateway/client.cpp
+++ b/gateway/client.cpp
@@ -20,7 +20,7 @@
 namespace Winchlink
 {
 
-static constexpr long ConnectionsKept = 256;   // Idle ones over all targets; each target sees far fewer.
+static constexpr long ConnectionsKept = 256;    // Idle ones over all targets; each target sees far fewer.
 static constexpr long IdleReuseMostSeconds = 8; // Targets close idle connections after 10 s and more.
 
 //-----------------------------------------------------------------------------
@@ -39,11 +39,11 @@
     CURL* Easy = nullptr;
     HeaderList Headers{nullptr, curl_slist_free_all};
     TimeUs StartedUs = 0;
-    bool Sent = false;       // The request was about to leave.
-    bool HeldBack = false;   // MaySend said no.
-    bool Foreign = false;    // The answer belongs to another request.
-    bool TooLarge = false;   // The answer is over its limit.
-    bool HeadRead = false;   // All headers of the answer were read.
+    bool Sent = false;     // The request was about to leave.
+    bool HeldBack = false; // MaySend said no.
+    bool Foreign = false;  // The answer belongs to another request.
+    bool TooLarge = false; // The answer is over its limit.
+    bool HeadRead = false; // All headers of the answer were read.
 };
 
 //-----------------------------------------------------------------------------
@@ -211,8 +211,8 @@
 
 static void OnReady(Client* client, curl_socket_t socket, int events)
 {
-    const int flags = ((events & (UV_READABLE | UV_DISCONNECT)) != 0 ? CURL_CSELECT_IN : 0) |
-                      ((events & UV_WRITABLE) != 0 ? CURL_CSELECT_OUT : 0);
+    const int flags =
+        ((events & (UV_READABLE | UV_DISCONNECT)) != 0 ? CURL_CSELECT_IN : 0) | ((events & UV_WRITABLE) != 0 ? CURL_CSELECT_OUT : 0);
     int running = 0;
     curl_multi_socket_action(client->Multi, socket, flags, &running);
     FinishAll(client);
--- a/gateway/client.h
+++ b/gateway/client.h
@@ -15,17 +15,17 @@
 
 struct ClientRequest
 {
-    std::string Address;                // IP:port.
-    std::string Method = "GET";         // As it goes on the wire.
-    std::string Target;                 // Path and query, untouched.
-    std::vector<Header> Headers;        // Ready to be sent.
-    std::string Body;                   // Sent with its length.
-    bool HasBody = false;               // Send Body even if it is empty.
-    TimeUs TimeoutUs = UsPerSecond;     // To the last byte of the answer.
-    TimeUs ConnectUs = 0;               // To the connection; 0: as long as TimeoutUs.
-    size_t AnswerMost = 16 * MiB;       // Largest answer body in bytes.
-    bool NewConnection = false;         // Don't take a kept connection.
-    std::function<bool()> MaySend;      // Asked right before the request leaves; may be empty.
+    std::string Address;                                  // IP:port.
+    std::string Method = "GET";                           // As it goes on the wire.
+    std::string Target;                                   // Path and query, untouched.
+    std::vector<Header> Headers;                          // Ready to be sent.
+    std::string Body;                                     // Sent with its length.
+    bool HasBody = false;                                 // Send Body even if it is empty.
+    TimeUs TimeoutUs = UsPerSecond;                       // To the last byte of the answer.
+    TimeUs ConnectUs = 0;                                 // To the connection; 0: as long as TimeoutUs.
+    size_t AnswerMost = 16 * MiB;                         // Largest answer body in bytes.
+    bool NewConnection = false;                           // Don't take a kept connection.
+    std::function<bool()> MaySend;                        // Asked right before the request leaves; may be empty.
     std::function<bool(const std::vector<Header>&)> Fits; // False: these headers belong to another request. May be empty.
 };
 
@@ -60,12 +60,12 @@
 {
     EventLoop* Loop = nullptr;
     CURLM* Multi = nullptr;
-    Timer Timeout;                                  // libcurl's next timeout.
-    std::map<curl_socket_t, Watch> Sockets;         // Watched for libcurl.
+    Timer Timeout;                                         // libcurl's next timeout.
+    std::map<curl_socket_t, Watch> Sockets;                // Watched for libcurl.
     std::map<uint64_t, std::unique_ptr<ClientCall>> Calls; // In progress, by id.
-    std::vector<CURL*> Spare;                       // Easy handles to be used again.
-    uint64_t LastId = 0;                            // Of the latest call.
-    uint64_t ConnectionsOpened = 0;                 // Counters.
+    std::vector<CURL*> Spare;                              // Easy handles to be used again.
+    uint64_t LastId = 0;                                   // Of the latest call.
+    uint64_t ConnectionsOpened = 0;                        // Counters.
     uint64_t ReplaysStopped = 0;
 
     Client();
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -25,11 +25,13 @@
     TimeUs AskTimeoutUs = 40 * UsPerMs;       // A target that takes longer to tell its load is passed over; usual: 0.6 to 3 ms.
     double SettleCost = 1.6;                  // A target at this cost or less is taken when no better one was found.
     TimeUs AskAgainUs = 20 * UsPerMs;         // All busy: pause before asking again.
-    double AskShare = 0.2;                    // Part of a route's aim that choosing may take; refusals are early up to a quarter of it.
+    double ChooseShare = 0.2;                    // Part of a route's aim that choosing may take; refusals are early up to a quarter of it.
     int UnaskedMost = 2;                      // Where targets tell no load: our requests at one target, as a multiple of its slots.
     TimeUs ConnectUs = 250 * UsPerMs;         // To connect to a target on our own network.
     TimeUs BusyRetryUs = 300 * UsPerMs;       // When to come back after all targets were busy: about the work of one request.
     TimeUs EmptyRetryUs = 500 * UsPerMs;      // When to come back where there is no target or no plan yet.
+    double SlowFactor = 2.2;                  // An attempt that takes so many times as long as expected is slow; 1 in 100 usual ones does.
+    double SecondShare = 0.5;                 // Part of the repeat budget that second attempts may use; the rest is for failures.
     double RepeatShare = 0.2;                 // See RepeatBudget.
     TimeUs RepeatWindowUs = 10 * UsPerSecond; //
 };
@@ -63,6 +65,8 @@
     TargetDirectory Directory;                    //
     uint64_t Followed = 0;                        // Changes of the directory that the pools hold.
     std::map<std::string, ServiceState> Services; // By name. Never erased: requests hold on to them.
+    RowMetrics Unrouted;                          // Requests that belong to no service.
+    std::map<int, LatencyStats> ByPriority;       // Answers, by the route's priority.
     std::map<std::string, RouteSplit> Splits;     // By route name.
     std::map<std::string, RouteWork> Work;        // By route name.
     bool Leaving = false;                         // Tell callers to open their next connection elsewhere.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -20,10 +20,10 @@
 namespace Winchlink
 {
 
-static constexpr TimeUs TickUs = 250 * UsPerMs;            // How often vanished targets are looked at.
-static constexpr TimeUs StopStepUs = 50 * UsPerMs;         // How often a stopping instance looks whether it is done.
-static constexpr TimeUs StillAcceptUs = 3 * UsPerSecond;   // The balancer in front takes two misses, a second each, to notice.
-static constexpr TimeUs StopMarginUs = 300 * UsPerMs;      // An instance ends by itself so long before it would be killed.
+static constexpr TimeUs TickUs = 250 * UsPerMs;          // How often vanished targets are looked at.
+static constexpr TimeUs StopStepUs = 50 * UsPerMs;       // How often a stopping instance looks whether it is done.
+static constexpr TimeUs StillAcceptUs = 3 * UsPerSecond; // The balancer in front takes two misses, a second each, to notice.
+static constexpr TimeUs StopMarginUs = 300 * UsPerMs;    // An instance ends by itself so long before it would be killed.
 
 //-----------------------------------------------------------------------------
 // [SECTION] What the store says
@@ -218,6 +218,10 @@
             text += fmt::format("winchlink_requests_ended{{{},code=\"{}\"}} {}\n", labels, static_cast<int>(count.Code), count.Count);
         }
     }
+    for (const auto& entry : gateway.Requests.ByPriority)
+    {
+        text += FormatLatency("winchlink_priority_seconds", fmt::format("priority=\"{}\"", entry.first), entry.second);
+    }
     text += fmt::format("winchlink_in_progress {}\n", gateway.Requests.InProgress);
     text += fmt::format("winchlink_load_questions {}\n", gateway.Requests.AsksSent);
     text += fmt::format("winchlink_target_connections_opened {}\n", gateway.Targets.ConnectionsOpened);
@@ -231,15 +235,19 @@
     ListenerConfig config;
     config.ConnectionsMost = 64;
     config.Address = gateway->Config.ReadyAddress;
-    const Result<void> ready = ListenerStart(&gateway->Readiness, gateway->Loop, config, [gateway](const ExchangePtr& exchange)
-                                             { Reply(exchange, CallerReply{IsReady(*gateway) ? 200 : 503, {}, "", false}); });
+    const Result<void> ready = ListenerStart(&gateway->Readiness, gateway->Loop, config,
+                                             [gateway](const ExchangePtr& exchange) {
+                                                 Reply(exchange, CallerReply{IsReady(*gateway) ? 200 : 503, {}, "", false});
+                                             });
     if (!ready || gateway->Config.MetricsAddress.empty())
     {
         return ready;
     }
     config.Address = gateway->Config.MetricsAddress;
-    return ListenerStart(&gateway->Metrics, gateway->Loop, config, [gateway](const ExchangePtr& exchange)
-                         { Reply(exchange, CallerReply{200, {{"Content-Type", "text/plain"}}, MetricsText(*gateway), false}); });
+    return ListenerStart(&gateway->Metrics, gateway->Loop, config,
+                         [gateway](const ExchangePtr& exchange) {
+                             Reply(exchange, CallerReply{200, {{"Content-Type", "text/plain"}}, MetricsText(*gateway), false});
+                         });
 }
 
 //-----------------------------------------------------------------------------
@@ -366,8 +374,8 @@
     ListenerConfig callers;
     callers.Address = settings.CallerAddress;
     callers.ConnectionsMost = settings.ConnectionsMost;
-    const Result<void> listening =
-        ListenerStart(&gateway->Callers, gateway->Loop, callers, [&requests](const ExchangePtr& exchange) { ForwardRequest(&requests, exchange); });
+    const Result<void> listening = ListenerStart(&gateway->Callers, gateway->Loop, callers,
+                                                 [&requests](const ExchangePtr& exchange) { ForwardRequest(&requests, exchange); });
     if (!listening)
     {
         return listening.error();
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -12,19 +12,19 @@
 // How long an instance waits for changes, and for a sign of life, at its sources.
 struct GatewayTiming
 {
-    TimeUs ReaderWaitUs = UsPerSecond;      // At the store, where others follow us: they must hear of its loss within their bounds (2 s).
-    TimeUs StoreWaitUs = 2 * UsPerSecond;   // At the store, where nobody does. Each call has its price.
-    TimeUs StoreMarginUs = 350 * UsPerMs;   // The store answers within milliseconds.
-    TimeUs StoreGatherUs = 300 * UsPerMs;   // Changes that come so close together cost one call.
-    TimeUs PeerWaitUs = UsPerSecond;        // At another instance.
-    TimeUs PeerMarginUs = 300 * UsPerMs;    // It may be busy.
+    TimeUs ReaderWaitUs = UsPerSecond;    // At the store, where others follow us: they must hear of its loss within their bounds (2 s).
+    TimeUs StoreWaitUs = 2 * UsPerSecond; // At the store, where nobody does. Each call has its price.
+    TimeUs StoreMarginUs = 350 * UsPerMs; // The store answers within milliseconds.
+    TimeUs StoreGatherUs = 300 * UsPerMs; // Changes that come so close together cost one call.
+    TimeUs PeerWaitUs = UsPerSecond;      // At another instance.
+    TimeUs PeerMarginUs = 300 * UsPerMs;  // It may be busy.
 };
 
 struct Gateway
 {
     GatewaySettings Config;
     GatewayTiming Timing;
-    std::string SettingsFile; // Read again on SIGHUP and when it changes.
+    std::string SettingsFile;  // Read again on SIGHUP and when it changes.
     EventLoop* Loop = nullptr; // Borrowed.
     Random Rng;
     Client Targets;
@@ -36,10 +36,10 @@
     Listener Readiness;
     Listener Metrics;
     std::vector<SignalWatch> Signals;
-    Timer Second;            // Once a second: settings file, vanished targets.
-    Timer Stopping;          // Steps of a planned stop.
-    TimeUs StopUs = 0;       // When the stop signal came; 0: not yet.
-    bool Stopped = false;    // The planned stop is over.
+    Timer Second;             // Once a second: settings file, vanished targets.
+    Timer Stopping;           // Steps of a planned stop.
+    TimeUs StopUs = 0;        // When the stop signal came; 0: not yet.
+    bool Stopped = false;     // The planned stop is over.
     int64_t SettingsTime = 0; // When the settings file was last changed.
 };
 
--- a/gateway/gateway_settings.h
+++ b/gateway/gateway_settings.h
@@ -12,19 +12,19 @@
 
 struct GatewaySettings
 {
-    std::string Instance;                      // Name in logs.
-    std::string DataCentre;                    // Own data centre.
-    std::string CallerAddress;                 // IP:port where callers connect.
-    std::string ReadyAddress;                  // IP:port where the balancer in front asks whether we serve.
-    std::string MetricsAddress;                // IP:port of the counters; empty: none.
-    std::string PeerAddress;                   // IP:port for other instances; empty: none.
-    std::string StoreAddress;                  // IP:port of the store of routes and targets.
-    std::vector<std::string> Peers;            // Peer addresses to try first; may be stale.
-    int ConnectionsMost = 1024;                // Callers' connections.
-    TimeUs GraceUs = 6 * UsPerSecond;          // From the stop signal to the kill.
-    TimeUs RepeatWindowUs = 10 * UsPerSecond;  // Window of the repeat budget.
-    double RepeatShare = 0.2;                  // Repeated sends as a share of a service's requests in a window.
-    LogLevel_ Level = LogLevel_Info;           // Least level of log lines.
+    std::string Instance;                     // Name in logs.
+    std::string DataCentre;                   // Own data centre.
+    std::string CallerAddress;                // IP:port where callers connect.
+    std::string ReadyAddress;                 // IP:port where the balancer in front asks whether we serve.
+    std::string MetricsAddress;               // IP:port of the counters; empty: none.
+    std::string PeerAddress;                  // IP:port for other instances; empty: none.
+    std::string StoreAddress;                 // IP:port of the store of routes and targets.
+    std::vector<std::string> Peers;           // Peer addresses to try first; may be stale.
+    int ConnectionsMost = 1024;               // Callers' connections.
+    TimeUs GraceUs = 6 * UsPerSecond;         // From the stop signal to the kill.
+    TimeUs RepeatWindowUs = 10 * UsPerSecond; // Window of the repeat budget.
+    double RepeatShare = 0.2;                 // Repeated sends as a share of a service's requests in a window.
+    LogLevel_ Level = LogLevel_Info;          // Least level of log lines.
 };
 
 struct CheckedGatewaySettings
--- a/gateway/listener.cpp
+++ b/gateway/listener.cpp
@@ -22,11 +22,11 @@
 namespace Winchlink
 {
 
-static constexpr int StatusGone = 499;                     // Told to nobody: the caller has left.
-static constexpr TimeUs TimeoutCheckUs = UsPerSecond;      // How often libmicrohttpd looks for idle connections to close.
-static constexpr unsigned ListenBacklog = 512;             // Connections that wait to be accepted.
-static constexpr size_t ConnectionMemory = 32 * KiB;       // Headers of a request and of its answer; more gets status 431.
-static constexpr TimeUs IdleGraceUs = 2 * UsPerSecond;     // Idle connections are kept so much longer than callers expect.
+static constexpr int StatusGone = 499;                 // Told to nobody: the caller has left.
+static constexpr TimeUs TimeoutCheckUs = UsPerSecond;  // How often libmicrohttpd looks for idle connections to close.
+static constexpr unsigned ListenBacklog = 512;         // Connections that wait to be accepted.
+static constexpr size_t ConnectionMemory = 32 * KiB;   // Headers of a request and of its answer; more gets status 431.
+static constexpr TimeUs IdleGraceUs = 2 * UsPerSecond; // Idle connections are kept so much longer than callers expect.
 
 //-----------------------------------------------------------------------------
 // [SECTION] Answering
@@ -215,14 +215,16 @@
     CallerConnection& connection = listener->Open[mhd];
     connection.Socket = info->connect_fd;
     connection.Mhd = mhd;
-    connection.Hangup =
-        WatchStart(listener->Loop, info->connect_fd, UV_DISCONNECT, [listener, mhd](int) { OnHangup(listener, mhd); });
+    connection.Hangup = WatchStart(listener->Loop, info->connect_fd, UV_DISCONNECT, [listener, mhd](int) { OnHangup(listener, mhd); });
     MHD_set_connection_option(mhd, MHD_CONNECTION_OPTION_TIMEOUT, SecondsOf(listener->Config.IdleTimeoutUs + IdleGraceUs));
 }
 
 int ListenerBusy(const Listener& listener)
 {
-    const auto busy = [](const auto& entry) { return entry.second.Current != nullptr; };
+    const auto busy = [](const auto& entry)
+    {
+        return entry.second.Current != nullptr;
+    };
     return static_cast<int>(std::count_if(listener.Open.begin(), listener.Open.end(), busy));
 }
 
@@ -273,17 +275,16 @@
 static MHD_Daemon* StartDaemon(Listener* listener, sockaddr_in* address)
 {
     const unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
-    return MHD_start_daemon(
-        flags, 0, nullptr, nullptr, OnAccess, listener,                                 //
-        MHD_OPTION_NOTIFY_COMPLETED, OnCompleted, listener,                             //
-        MHD_OPTION_URI_LOG_CALLBACK, OnFirstLine, listener,                             //
-        MHD_OPTION_NOTIFY_CONNECTION, OnConnection, listener,                           //
-        MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr*>(address),                     //
-        MHD_OPTION_CONNECTION_LIMIT, static_cast<unsigned>(listener->Config.ConnectionsMost), //
-        MHD_OPTION_CONNECTION_MEMORY_LIMIT, ConnectionMemory,                           //
-        MHD_OPTION_LISTEN_BACKLOG_SIZE, ListenBacklog,                                  //
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,                                         //
-        MHD_OPTION_END);
+    return MHD_start_daemon(flags, 0, nullptr, nullptr, OnAccess, listener,                                       //
+                            MHD_OPTION_NOTIFY_COMPLETED, OnCompleted, listener,                                   //
+                            MHD_OPTION_URI_LOG_CALLBACK, OnFirstLine, listener,                                   //
+                            MHD_OPTION_NOTIFY_CONNECTION, OnConnection, listener,                                 //
+                            MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr*>(address),                           //
+                            MHD_OPTION_CONNECTION_LIMIT, static_cast<unsigned>(listener->Config.ConnectionsMost), //
+                            MHD_OPTION_CONNECTION_MEMORY_LIMIT, ConnectionMemory,                                 //
+                            MHD_OPTION_LISTEN_BACKLOG_SIZE, ListenBacklog,                                        //
+                            MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,                                               //
+                            MHD_OPTION_END);
 }
 
 Result<void> ListenerStart(Listener* listener, EventLoop* loop, const ListenerConfig& config, ExchangeHandler handler)
--- a/gateway/listener.h
+++ b/gateway/listener.h
@@ -61,11 +61,11 @@
 
 struct CallerConnection
 {
-    Watch Hangup;                 // Watches for the caller's leaving.
-    int Socket = -1;              //
-    ExchangePtr Current;          // Request in progress, or null.
+    Watch Hangup;                  // Watches for the caller's leaving.
+    int Socket = -1;               //
+    ExchangePtr Current;           // Request in progress, or null.
     MHD_Connection* Mhd = nullptr; // libmicrohttpd's part.
-    bool Gone = false;            // The caller has left.
+    bool Gone = false;             // The caller has left.
 };
 
 struct Listener
@@ -74,10 +74,10 @@
     EventLoop* Loop = nullptr;
     ExchangeHandler Handler;
     MHD_Daemon* Daemon = nullptr;
-    Watch Ready;                                          // libmicrohttpd's own poll set.
-    Timer Timeout;                                        // Its next timeout.
-    uint64_t Hook = 0;                                    // Of the loop, before each wait.
-    bool RunWanted = false;                               // A reply waits to be written.
+    Watch Ready;                                      // libmicrohttpd's own poll set.
+    Timer Timeout;                                    // Its next timeout.
+    uint64_t Hook = 0;                                // Of the loop, before each wait.
+    bool RunWanted = false;                           // A reply waits to be written.
     std::map<MHD_Connection*, CallerConnection> Open; // Connections.
 
     Listener() = default;
--- a/gateway/loop.h
+++ b/gateway/loop.h
@@ -25,10 +25,10 @@
 
 struct EventLoop
 {
-    uv_loop_t Uv = {};                        // libuv's part.
-    uv_prepare_t Prepare = {};                // Runs BeforeWait.
+    uv_loop_t Uv = {};                               // libuv's part.
+    uv_prepare_t Prepare = {};                       // Runs BeforeWait.
     std::map<uint64_t, std::function<void()>> Hooks; // Called before each wait.
-    uint64_t LastHook = 0;                    //
+    uint64_t LastHook = 0;                           //
 
     EventLoop();
     ~EventLoop();
--- a/gateway/relay.cpp
+++ b/gateway/relay.cpp
@@ -18,9 +18,9 @@
 namespace Winchlink
 {
 
-static constexpr size_t MessageMost = 32 * MiB;           // Decoded; a store of 6,600 targets is some 3 MB.
-static constexpr int CompressionLevel = 1;                // Routes repeat themselves so much that more gains little.
-static constexpr TimeUs WaitMostUs = 10 * UsPerSecond;    // A follower that asks for more waits so long.
+static constexpr size_t MessageMost = 32 * MiB;        // Decoded; a store of 6,600 targets is some 3 MB.
+static constexpr int CompressionLevel = 1;             // Routes repeat themselves so much that more gains little.
+static constexpr TimeUs WaitMostUs = 10 * UsPerSecond; // A follower that asks for more waits so long.
 
 //-----------------------------------------------------------------------------
 // [SECTION] Messages
--- a/gateway/relay.h
+++ b/gateway/relay.h
@@ -34,18 +34,18 @@
     RelayConfig Config;
     EventLoop* Loop = nullptr;
     Listener Server;
-    std::map<std::string, StoreItem> Items;    // All, by key.
-    std::deque<StoreItem> Changes;             // The latest, in order.
-    uint64_t ChangesFrom = 0;                  // All changes above this revision are in Changes.
-    uint64_t At = 0;                           // Revision of Items; 0: nothing is known.
-    std::function<TimeUs()> Age;               // How long ago Items was known to be the store's state.
-    bool Trouble = false;                      // We have lost the store.
-    std::map<uint64_t, RelayWait> Waits;       // Followers that wait for a change.
-    uint64_t LastWait = 0;                     //
-    uint64_t EncodedAfter = 0;                 // Most followers wait for the same: their answer is coded once.
-    uint64_t EncodedAt = 0;                    //
-    std::string Encoded;                       //
-    uint64_t Answers = 0;                      // Counter.
+    std::map<std::string, StoreItem> Items; // All, by key.
+    std::deque<StoreItem> Changes;          // The latest, in order.
+    uint64_t ChangesFrom = 0;               // All changes above this revision are in Changes.
+    uint64_t At = 0;                        // Revision of Items; 0: nothing is known.
+    std::function<TimeUs()> Age;            // How long ago Items was known to be the store's state.
+    bool Trouble = false;                   // We have lost the store.
+    std::map<uint64_t, RelayWait> Waits;    // Followers that wait for a change.
+    uint64_t LastWait = 0;                  //
+    uint64_t EncodedAfter = 0;              // Most followers wait for the same: their answer is coded once.
+    uint64_t EncodedAt = 0;                 //
+    std::string Encoded;                    //
+    uint64_t Answers = 0;                   // Counter.
 
     Relay() = default;
     ~Relay();
--- a/gateway/store_reader.cpp
+++ b/gateway/store_reader.cpp
@@ -233,7 +233,10 @@
     reader->Loop = loop;
     reader->Calls = client;
     reader->Rng = random;
-    const auto is_store = [](const StoreSource& source) { return source.IsStore; };
+    const auto is_store = [](const StoreSource& source)
+    {
+        return source.IsStore;
+    };
     const auto store = std::find_if(reader->Sources.begin(), reader->Sources.end(), is_store);
     Use(reader, store != reader->Sources.end() ? static_cast<size_t>(store - reader->Sources.begin()) : 0);
     ReadAll(reader);
--- a/gateway/store_reader.h
+++ b/gateway/store_reader.h
@@ -31,10 +31,10 @@
 struct StorePage
 {
     std::vector<StoreItem> Items;
-    bool More = false;     // Another page follows.
-    uint64_t At = 0;       // The store's revision.
-    TimeUs AgeUs = 0;      // How long ago this was known to be the store's state; 0 from the store itself.
-    bool Trouble = false;  // The source has lost the store.
+    bool More = false;    // Another page follows.
+    uint64_t At = 0;      // The store's revision.
+    TimeUs AgeUs = 0;     // How long ago this was known to be the store's state; 0 from the store itself.
+    bool Trouble = false; // The source has lost the store.
 
     template <class Archive> void serialize(Archive& archive)
     {
@@ -45,31 +45,31 @@
 // How a source spells its calls and answers.
 struct StoreDialect
 {
-    std::function<std::string(const std::string& after_key)> PageTarget; // Path and query of a page of all items.
+    std::function<std::string(const std::string& after_key)> PageTarget;   // Path and query of a page of all items.
     std::function<std::string(uint64_t after, TimeUs wait)> ChangesTarget; // Path and query of a wait for changes.
-    std::function<Result<StorePage>(const std::string& body)> ReadPage; // Answer to the first.
+    std::function<Result<StorePage>(const std::string& body)> ReadPage;    // Answer to the first.
     std::function<Result<StorePage>(const std::string& body)> ReadChanges; // Answer to the second.
-    int HistoryGoneStatus = 410; // Changes since that revision are forgotten.
+    int HistoryGoneStatus = 410;                                           // Changes since that revision are forgotten.
 };
 
 struct StoreSource
 {
     std::string Address; // IP:port.
     StoreDialect Dialect;
-    TimeUs WaitUs = 0;   // A wait for changes; with the margin, the longest that silence goes unnoticed.
-    TimeUs MarginUs = 0; // An answer that is later than this after its time is lost.
-    TimeUs GatherUs = 0; // Pause after changes, so that several come in one answer.
+    TimeUs WaitUs = 0;    // A wait for changes; with the margin, the longest that silence goes unnoticed.
+    TimeUs MarginUs = 0;  // An answer that is later than this after its time is lost.
+    TimeUs GatherUs = 0;  // Pause after changes, so that several come in one answer.
     bool IsStore = false; // The store itself, not another instance.
 };
 
 struct StoreReaderConfig
 {
-    TimeUs ReadUs = 1500 * UsPerMs;     // Longest time for a page.
-    TimeUs ConnectUs = 400 * UsPerMs;   // Longest time for a connection.
-    TimeUs RetryUs = 250 * UsPerMs;     // First pause after all sources failed; doubles. Refused calls have their price too.
-    TimeUs RetryMostUs = UsPerSecond;   // Longest such pause.
-    TimeUs StaleUs = 1600 * UsPerMs;    // A source that is further behind the store is left.
-    TimeUs ReturnUs = 8 * UsPerSecond;  // After so long the preferred source is tried again; up to half more, by chance.
+    TimeUs ReadUs = 1500 * UsPerMs;    // Longest time for a page.
+    TimeUs ConnectUs = 400 * UsPerMs;  // Longest time for a connection.
+    TimeUs RetryUs = 250 * UsPerMs;    // First pause after all sources failed; doubles. Refused calls have their price too.
+    TimeUs RetryMostUs = UsPerSecond;  // Longest such pause.
+    TimeUs StaleUs = 1600 * UsPerMs;   // A source that is further behind the store is left.
+    TimeUs ReturnUs = 8 * UsPerSecond; // After so long the preferred source is tried again; up to half more, by chance.
 };
 
 struct StoreReader
@@ -93,8 +93,8 @@
     Timer Next;                   // The next call.
     uint64_t Running = 0;         // The call in progress.
     int FailuresInRow = 0;
-    uint64_t StoreCalls = 0;      // Counters: calls to the store itself.
-    uint64_t CallsFailed = 0;     // Of any source.
+    uint64_t StoreCalls = 0;  // Counters: calls to the store itself.
+    uint64_t CallsFailed = 0; // Of any source.
 };
 
 // Starts to read everything from the first source that is the store itself, then follows the sources.
--- a/tests/gateway_faults_test.cpp
+++ b/tests/gateway_faults_test.cpp
@@ -9,8 +9,8 @@
 
 // Acts after which a request may have been run, and there is no answer that can be passed on.
 static const std::vector<TargetAct_> LosingActs = {
-    TargetAct_BareShed, TargetAct_Reset,    TargetAct_Close,   TargetAct_Garbage,       TargetAct_CutShort,
-    TargetAct_Unsigned, TargetAct_Encoded,  TargetAct_OtherId, TargetAct_NoLengthReset,
+    TargetAct_BareShed, TargetAct_Reset,   TargetAct_Close,   TargetAct_Garbage,       TargetAct_CutShort,
+    TargetAct_Unsigned, TargetAct_Encoded, TargetAct_OtherId, TargetAct_NoLengthReset,
 };
 
 static bool PromisesNotRun(int status)
@@ -297,7 +297,10 @@
         RigAsk(&rig, instance, RigCall());
         CPPUNIT_ASSERT_EQUAL(size_t{1}, leaving.Saw.size());
         UsersStoreTarget(&rig.Store, "t1", "svc", leaving.Address, "dc-a", true);
-        const auto known = [&]() { return instance.Requests.Directory.Targets.at("t1").Presence == Presence_Leaving; };
+        const auto known = [&]()
+        {
+            return instance.Requests.Directory.Targets.at("t1").Presence == Presence_Leaving;
+        };
         CPPUNIT_ASSERT(RigRun(&rig, known));
         for (int n = 0; n < 5; n++)
         {
@@ -316,7 +319,10 @@
         Gateway& instance = RigInstance(&rig, 2);
         instance.Requests.Directory.Config.VanishedUs = 300 * UsPerMs;
         UsersStoreRemove(&rig.Store, "servers/t1");
-        const auto gone = [&]() { return instance.Requests.Directory.Targets.at("t1").Presence == Presence_Vanished; };
+        const auto gone = [&]()
+        {
+            return instance.Requests.Directory.Targets.at("t1").Presence == Presence_Vanished;
+        };
         CPPUNIT_ASSERT(RigRun(&rig, gone));
         RigAsk(&rig, instance, RigCall());
         CPPUNIT_ASSERT_EQUAL(size_t{0}, vanished.Saw.size());
@@ -340,7 +346,10 @@
         CPPUNIT_ASSERT(RigRun(&rig, [&]() { return !instance.Requests.Directory.InTrouble; }));
         CPPUNIT_ASSERT_EQUAL(200, RigAsk(&rig, instance, RigCall()).Answer.Status); // It lives, whatever the store says.
         UsersStoreTarget(&rig.Store, "t1", "svc", target.Address, "dc-a");
-        const auto back = [&]() { return instance.Requests.Directory.Targets.at("t1").Presence == Presence_Ready; };
+        const auto back = [&]()
+        {
+            return instance.Requests.Directory.Targets.at("t1").Presence == Presence_Ready;
+        };
         CPPUNIT_ASSERT(RigRun(&rig, back));
         CPPUNIT_ASSERT_EQUAL(200, RigAsk(&rig, instance, RigCall()).Answer.Status);
     }
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -145,7 +145,8 @@
         std::string bytes;
         for (int n = 0; n < 5; n++)
         {
-            bytes += fmt::format("GET /a/{} HTTP/1.1\r\nHost: a.example\r\nWinchlink-Request-Id: p{}\r\nWinchlink-Deadline-Ms: 900\r\n\r\n", n, n);
+            bytes += fmt::format("GET /a/{} HTTP/1.1\r\nHost: a.example\r\nWinchlink-Request-Id: p{}\r\nWinchlink-Deadline-Ms: 900\r\n\r\n",
+                                 n, n);
         }
         RawSend(caller, bytes);
         CPPUNIT_ASSERT(RigRun(&rig, [&]() { return caller.Read.find("ran GET /a/4") != std::string::npos; }));
@@ -337,7 +338,10 @@
         added.Name = "r2";
         added.Prefix = "/a/more/";
         RigConfigure(&rig, {moved, added});
-        const auto in_force = [&](uint64_t version) { return instance.Requests.Plan->Version == version; };
+        const auto in_force = [&](uint64_t version)
+        {
+            return instance.Requests.Plan->Version == version;
+        };
         CPPUNIT_ASSERT(RigRun(&rig, [&]() { return in_force(2); }));
         CPPUNIT_ASSERT(RigAsk(&rig, instance, RigCall()).Answer.Body.rfind("t2 ran", 0) == 0);
         RigCall longest;
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -174,6 +174,7 @@
         const auto instances = static_cast<size_t>(dice.Between(1, 30));
         std::vector<RepeatBudget> fleet(instances);
         FleetCounts counts;
+        counts.Requests.reserve(4000);
         TimeUs now = 100 * UsPerSecond;
         const TimeUs window = fleet[0].WindowUs;
         for (int n = 0; n < 4000; n++)
@@ -183,7 +184,7 @@
             RepeatBudget& budget = fleet[static_cast<size_t>(dice.Between(0, static_cast<int64_t>(instances)))];
             RepeatBudgetRequest(&budget, now);
             counts.Requests.push_back(now);
-            if (dice.OneIn(2) && (RepeatBudgetTake(&budget, now) || unlimited))
+            if (dice.OneIn(2) && (RepeatBudgetTake(&budget, dice.OneIn(2) ? 1.0 : 0.5, now) || unlimited))
             {
                 counts.Repeats.push_back(now);
             }
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -67,21 +67,22 @@
 
     void MessagesComeThrough()
     {
-        CHECK_PROPERTY("a page is read as it was written",
-                       []()
-                       {
-                           Dice dice;
-                           const StorePage page = RandomPage(&dice);
-                           const Result<StorePage> read = DecodePage(EncodePage(page));
-                           RC_ASSERT(bool(read));
-                           RC_ASSERT(read.value().At == page.At && read.value().AgeUs == page.AgeUs && read.value().Trouble == page.Trouble);
-                           RC_ASSERT(read.value().Items.size() == page.Items.size());
-                           for (size_t n = 0; n < page.Items.size(); n++)
-                           {
-                               RC_ASSERT(read.value().Items[n].Key == page.Items[n].Key && read.value().Items[n].Value == page.Items[n].Value);
-                               RC_ASSERT(read.value().Items[n].Gone == page.Items[n].Gone);
-                           }
-                       });
+        CHECK_PROPERTY(
+            "a page is read as it was written",
+            []()
+            {
+                Dice dice;
+                const StorePage page = RandomPage(&dice);
+                const Result<StorePage> read = DecodePage(EncodePage(page));
+                RC_ASSERT(bool(read));
+                RC_ASSERT(read.value().At == page.At && read.value().AgeUs == page.AgeUs && read.value().Trouble == page.Trouble);
+                RC_ASSERT(read.value().Items.size() == page.Items.size());
+                for (size_t n = 0; n < page.Items.size(); n++)
+                {
+                    RC_ASSERT(read.value().Items[n].Key == page.Items[n].Key && read.value().Items[n].Value == page.Items[n].Value);
+                    RC_ASSERT(read.value().Items[n].Gone == page.Items[n].Gone);
+                }
+            });
     }
 
     void BytesThatAreNoMessageAreRefused()
--- a/tests/store_reader_test.cpp
+++ b/tests/store_reader_test.cpp
@@ -48,8 +48,8 @@
     void RefusesPlansThatAreNotWhole()
     {
         const std::string good = GoodPlan;
-        for (const char* key : {"version", "host", "pathPrefix", "type", "timeoutS", "targetLatencyS", "priority", "maxAttempts", "healthPath",
-                                "weight", "limits", "idleTimeoutS", "routes", "services"})
+        for (const char* key : {"version", "host", "pathPrefix", "type", "timeoutS", "targetLatencyS", "priority", "maxAttempts",
+                                "healthPath", "weight", "limits", "idleTimeoutS", "routes", "services"})
         {
             std::string without = good;
             const size_t at = without.find(fmt::format("\"{}\"", key));
@@ -90,13 +90,14 @@
     void ReadsPagesAndChanges()
     {
         const StoreDialect dialect = PlatformStoreDialect();
-        const Result<StorePage> page =
-            dialect.ReadPage(R"({"items":[{"privateKey":"my/leader","value":"bm9kZS0x","revision":412,"made":412,"lease":0}],"more":true,"at":530})");
+        const Result<StorePage> page = dialect.ReadPage(
+            R"({"items":[{"privateKey":"my/leader","value":"bm9kZS0x","revision":412,"made":412,"lease":0}],"more":true,"at":530})");
         CPPUNIT_ASSERT(bool(page));
         CPPUNIT_ASSERT(page.value().More);
         CPPUNIT_ASSERT_EQUAL(uint64_t{530}, page.value().At);
         CPPUNIT_ASSERT_EQUAL(std::string("node-1"), page.value().Items[0].Value);
-        const Result<StorePage> changes = dialect.ReadChanges(R"({"events":[{"privateKey":"my/old","revision":413,"gone":true}],"at":413})");
+        const Result<StorePage> changes =
+            dialect.ReadChanges(R"({"events":[{"privateKey":"my/old","revision":413,"gone":true}],"at":413})");
         CPPUNIT_ASSERT(bool(changes) && changes.value().Items[0].Gone);
         for (const char* bad : {"", "[]", "{}", R"({"items":[]})", R"({"items":[{"privateKey":"k"}],"at":1})",
                                 R"({"items":[{"privateKey":"k","value":"%%","revision":1}],"at":1})"})
--- a/winchlink.h
+++ b/winchlink.h
@@ -1159,9 +1159,9 @@
 
 struct ServiceInfo
 {
-    std::string Name;         // Unique in the plan.
-    std::string HealthPath;   // GET of it tells health and load of a target.
-    int ConnectionsMost = 0;  // That one target accepts, from the whole fleet.
+    std::string Name;        // Unique in the plan.
+    std::string HealthPath;  // GET of it tells health and load of a target.
+    int ConnectionsMost = 0; // That one target accepts, from the whole fleet.
 };
 
 // What callers may send.
@@ -1228,9 +1228,9 @@
 
 struct DirectoryConfig
 {
-    TimeUs VanishedUs = 1500 * UsPerMs;      // An entry that went is kept so long; targets serve on for 2 s after it.
-    TimeUs ReturnUs = 2200 * UsPerMs;        // After trouble of the store, entries that it lost are back by then.
-    TimeUs TroubleMemoryUs = UsPerSecond;    // Entries that go so soon after trouble may have been lost by the store.
+    TimeUs VanishedUs = 1500 * UsPerMs;   // An entry that went is kept so long; targets serve on for 2 s after it.
+    TimeUs ReturnUs = 2200 * UsPerMs;     // After trouble of the store, entries that it lost are back by then.
+    TimeUs TroubleMemoryUs = UsPerSecond; // Entries that go so soon after trouble may have been lost by the store.
 };
 
 struct TargetDirectory
@@ -1282,29 +1282,29 @@
 {
     std::string Id;
     std::string Address;
-    bool Near = false;      // In our own data centre.
-    bool Doubtful = false;  // Its entry has vanished.
-    int Slots = 1;          // As its entry says.
-    TimeUs WarmUntilUs = 0; // It is slow until then.
-    int InFlight = 0;       // Our requests there.
-    int Since = 0;          // Of those, sent since Report was made.
-    LoadReport Report;      // The last one.
-    TimeUs ReportUs = 0;    // When it came; 0: never.
-    int FailuresInRow = 0;  // Requests and questions without a good answer.
+    bool Near = false;       // In our own data centre.
+    bool Doubtful = false;   // Its entry has vanished.
+    int Slots = 1;           // As its entry says.
+    TimeUs WarmUntilUs = 0;  // It is slow until then.
+    int InFlight = 0;        // Our requests there.
+    int Since = 0;           // Of those, sent since Report was made.
+    LoadReport Report;       // The last one.
+    TimeUs ReportUs = 0;     // When it came; 0: never.
+    int FailuresInRow = 0;   // Requests and questions without a good answer.
     TimeUs AvoidUntilUs = 0; // After failures: taken only where nothing else is left.
 };
 
 struct PoolConfig
 {
-    double NearlyFullShare = 0.8;           // Some targets are slower when fuller than this (users' site files, "knee").
-    double NearlyFullGain = 0.05;           // Least weight of a new answer in the estimate of by how much.
-    int NearlyFullPrior = 3;                // The first guess counts as so many answers.
-    double NearlyFullMost = 3.0;            // Longest factor that one answer may tell: more has other causes.
-    double WarmFactor = 2.0;                // Those that have just started are slower too.
-    double GoodCost = 1.25;                 // A target at this cost or less is taken without asking further.
-    TimeUs ReportUs = 150 * UsPerMs;        // Load shifts within this time: an older report says nothing (users' site files, "noise").
-    TimeUs AvoidUs = 200 * UsPerMs;         // First pause after a failure; doubles with each further one.
-    int AvoidDoublings = 4;                 // At most so often.
+    double NearlyFullShare = 0.8;    // Some targets are slower when fuller than this (users' site files, "knee").
+    double NearlyFullGain = 0.05;    // Least weight of a new answer in the estimate of by how much.
+    int NearlyFullPrior = 3;         // The first guess counts as so many answers.
+    double NearlyFullMost = 3.0;     // Longest factor that one answer may tell: more has other causes.
+    double WarmFactor = 2.0;         // Those that have just started are slower too.
+    double GoodCost = 1.25;          // A target at this cost or less is taken without asking further.
+    TimeUs ReportUs = 150 * UsPerMs; // Load shifts within this time: an older report says nothing (users' site files, "noise").
+    TimeUs AvoidUs = 200 * UsPerMs;  // First pause after a failure; doubles with each further one.
+    int AvoidDoublings = 4;          // At most so often.
 };
 
 struct TargetPool
@@ -1363,7 +1363,7 @@
 
 void RepeatBudgetRequest(RepeatBudget* budget, TimeUs now);
 
-// Takes one repeat if there is one.
-bool RepeatBudgetTake(RepeatBudget* budget, TimeUs now);
+// Takes one repeat if there is one. `part` of the budget may be used for it, 0 to 1.
+bool RepeatBudgetTake(RepeatBudget* budget, double part, TimeUs now);
 
 } // namespace Winchlink
--- a/winchlink_plan.cpp
+++ b/winchlink_plan.cpp
@@ -21,7 +21,8 @@
     const Route* best = nullptr;
     for (const Route& route : plan.Routes)
     {
-        const bool fits = path.compare(0, route.PathPrefix.size(), route.PathPrefix) == 0 && strcasecmp(route.Host.c_str(), name.c_str()) == 0;
+        const bool fits =
+            path.compare(0, route.PathPrefix.size(), route.PathPrefix) == 0 && strcasecmp(route.Host.c_str(), name.c_str()) == 0;
         const bool longer = best == nullptr || route.PathPrefix.size() > best->PathPrefix.size();
         if (fits && longer)
         {
@@ -39,7 +40,10 @@
 
 static bool SameParts(const std::vector<RoutePart>& a, const std::vector<RoutePart>& b)
 {
-    const auto same = [](const RoutePart& x, const RoutePart& y) { return x.Service == y.Service && x.Weight == y.Weight; };
+    const auto same = [](const RoutePart& x, const RoutePart& y)
+    {
+        return x.Service == y.Service && x.Weight == y.Weight;
+    };
     return std::equal(a.begin(), a.end(), b.begin(), b.end(), same);
 }
 
--- a/winchlink_pool.cpp
+++ b/winchlink_pool.cpp
@@ -162,7 +162,7 @@
     StepAt(budget, now)->Requests++;
 }
 
-bool RepeatBudgetTake(RepeatBudget* budget, TimeUs now)
+bool RepeatBudgetTake(RepeatBudget* budget, double part, TimeUs now)
 {
     RepeatBudget::Step* current = StepAt(budget, now);
     const auto steps = static_cast<int64_t>(RepeatBudget::Steps);
@@ -175,7 +175,7 @@
         requests += step.Number >= 0 && age < steps ? step.Requests : 0;
         repeats += step.Number >= 0 && age <= steps ? step.Repeats : 0;
     }
-    if (repeats + 1 > budget->Share * requests + budget->Extra)
+    if (repeats + 1 > part * (budget->Share * requests + budget->Extra))
     {
         return false;
     }
