--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -30,7 +30,7 @@
     TimeUs ConnectUs = 250 * UsPerMs;         // To connect to a target on our own network.
     TimeUs BusyRetryUs = 300 * UsPerMs;       // When to come back after all targets were busy: about the work of one request.
     TimeUs EmptyRetryUs = 500 * UsPerMs;      // When to come back where there is no target or no plan yet.
-    double SlowFactor = 2.2;                  // An attempt that takes so many times as long as expected is slow; 1 in 100 usual ones does.
+    double SlowFactor = 1.7;                  // An attempt that takes so many times as long as expected is slow (docs/MEASUREMENTS.md).
     double SecondShare = 0.5;                 // Part of the repeat budget that second attempts may use; the rest is for failures.
     double RepeatShare = 0.2;                 // See RepeatBudget.
     TimeUs RepeatWindowUs = 10 * UsPerSecond; //
