Followers wait for their readers before they go to the store; an instance keeps to the same targets among equals

Cause: at the start every follower found no reader yet, and read the store for 8 s and more. New targets are asked first until they have had a request.

--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -331,8 +331,7 @@
     call->Choosing = Choosing_None;
     call->Tried.push_back(target->Id);
     call->Attempts++;
-    target->InFlight++;
-    target->Since++;
+    PoolSent(target, call->Owner->Rng);
     const std::string id = target->Id;
     attempt.Id = ClientSend(call->Owner->Targets, MakeRequest(call, *target, now),
                             [call, id](ClientAnswer answer) { OnAnswer(call, id, std::move(answer)); });
--- a/gateway/call.h
+++ b/gateway/call.h
@@ -23,13 +23,13 @@
 // One send to one target.
 struct Attempt
 {
-    uint64_t Id = 0;          // Of the client's call.
-    std::string Target;       // Which target.
-    TimeUs SentUs = 0;        // When it began.
-    LoadReport Report;        // The target's load as it was known when it was chosen.
-    TimeUs ReportUs = 0;      // When that was told; 0: never.
-    bool NearlyFull = false;  // It made the target nearly full.
-    double ExpectedUs = 0;    // How long it was expected to take; 0: nothing was known.
+    uint64_t Id = 0;         // Of the client's call.
+    std::string Target;      // Which target.
+    TimeUs SentUs = 0;       // When it began.
+    LoadReport Report;       // The target's load as it was known when it was chosen.
+    TimeUs ReportUs = 0;     // When that was told; 0: never.
+    bool NearlyFull = false; // It made the target nearly full.
+    double ExpectedUs = 0;   // How long it was expected to take; 0: nothing was known.
 };
 
 enum Choosing_ : int
@@ -44,28 +44,28 @@
 {
     Forwarder* Owner = nullptr;
     ExchangePtr From;
-    RoutePlanPtr Plan;                // Keeps Row and Spec alive.
-    const Route* Row = nullptr;       // Null if no route fits.
+    RoutePlanPtr Plan;          // Keeps Row and Spec alive.
+    const Route* Row = nullptr; // Null if no route fits.
     const ServiceInfo* Spec = nullptr;
-    ServiceState* Service = nullptr;  // Null before a service is chosen.
-    RouteWork* Work = nullptr;        //
-    std::string ServiceName;          //
-    std::string Id;                   // The caller's.
-    TimeUs DeadlineUs = 0;            // Answered by then.
-    TimeUs ChooseUntilUs = 0;         // A target is chosen by then, or the request refused.
+    ServiceState* Service = nullptr; // Null before a service is chosen.
+    RouteWork* Work = nullptr;       //
+    std::string ServiceName;         //
+    std::string Id;                  // The caller's.
+    TimeUs DeadlineUs = 0;           // Answered by then.
+    TimeUs ChooseUntilUs = 0;        // A target is chosen by then, or the request refused.
     Choosing_ Choosing = Choosing_None;
-    std::vector<std::string> Asked;   // Targets asked in this round.
-    std::vector<std::string> Tried;   // Targets that it was sent to.
-    int Asking = 0;                   // Questions without an answer.
-    int AsksMade = 0;                 // Questions in all.
-    std::vector<Attempt> Active;      // Attempts in progress, two at the most.
-    Attempt Last;                     // The latest attempt that ended, for the log.
-    int Attempts = 0;                 // Sends that reached, or may have reached, a target.
-    int MayHaveRun = 0;               // Of those that have ended, attempts that may have been run.
-    bool Ended = false;               // The caller has been answered.
-    Timer Deadline;                   // Ends it at DeadlineUs.
-    Timer Again;                      // Asks again after all targets were busy.
-    Timer Slow;                       // The first attempt takes longer than expected.
+    std::vector<std::string> Asked; // Targets asked in this round.
+    std::vector<std::string> Tried; // Targets that it was sent to.
+    int Asking = 0;                 // Questions without an answer.
+    int AsksMade = 0;               // Questions in all.
+    std::vector<Attempt> Active;    // Attempts in progress, two at the most.
+    Attempt Last;                   // The latest attempt that ended, for the log.
+    int Attempts = 0;               // Sends that reached, or may have reached, a target.
+    int MayHaveRun = 0;             // Of those that have ended, attempts that may have been run.
+    bool Ended = false;             // The caller has been answered.
+    Timer Deadline;                 // Ends it at DeadlineUs.
+    Timer Again;                    // Asks again after all targets were busy.
+    Timer Slow;                     // The first attempt takes longer than expected.
 };
 
 using CallPtr = std::shared_ptr<Call>;
--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -196,7 +196,7 @@
     }
     for (auto& entry : forwarder->Services)
     {
-        PoolFollow(&entry.second.Pool, forwarder->Directory, entry.first, forwarder->DataCentre);
+        PoolFollow(&entry.second.Pool, forwarder->Directory, entry.first, forwarder->DataCentre, forwarder->Rng);
     }
 }
 
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -25,7 +25,7 @@
     TimeUs AskTimeoutUs = 40 * UsPerMs;       // A target that takes longer to tell its load is passed over; usual: 0.6 to 3 ms.
     double SettleCost = 1.6;                  // A target at this cost or less is taken when no better one was found.
     TimeUs AskAgainUs = 20 * UsPerMs;         // All busy: pause before asking again.
-    double ChooseShare = 0.2;                    // Part of a route's aim that choosing may take; refusals are early up to a quarter of it.
+    double ChooseShare = 0.2;                 // Part of a route's aim that choosing may take; refusals are early up to a quarter of it.
     int UnaskedMost = 2;                      // Where targets tell no load: our requests at one target, as a multiple of its slots.
     TimeUs ConnectUs = 250 * UsPerMs;         // To connect to a target on our own network.
     TimeUs BusyRetryUs = 300 * UsPerMs;       // When to come back after all targets were busy: about the work of one request.
--- a/gateway/store_reader.cpp
+++ b/gateway/store_reader.cpp
@@ -83,7 +83,15 @@
         reader->OnTrouble(why);
     }
     const TimeUs pause = PauseAfterFailure(reader);
-    Use(reader, (reader->Current + 1) % reader->Sources.size());
+    const size_t next = (reader->Current + 1) % reader->Sources.size();
+    const bool fresh = NowUs() < reader->FreshUs + reader->Config.PatienceUs;
+    if (next != 0 && reader->Sources[next].IsStore && fresh)
+    {
+        Use(reader, 0);
+        After(reader, reader->Config.PeerRetryUs, GoOn);
+        return;
+    }
+    Use(reader, next);
     After(reader, pause, GoOn);
 }
 
--- a/gateway/store_reader.h
+++ b/gateway/store_reader.h
@@ -65,11 +65,13 @@
 struct StoreReaderConfig
 {
     TimeUs ReadUs = 1500 * UsPerMs;    // Longest time for a page.
-    TimeUs ConnectUs = 400 * UsPerMs;  // Longest time for a connection.
+    TimeUs ConnectUs = 250 * UsPerMs;  // Longest time for a connection.
     TimeUs RetryUs = 250 * UsPerMs;    // First pause after all sources failed; doubles. Refused calls have their price too.
     TimeUs RetryMostUs = UsPerSecond;  // Longest such pause.
     TimeUs StaleUs = 1600 * UsPerMs;   // A source that is further behind the store is left.
-    TimeUs ReturnUs = 8 * UsPerSecond; // After so long the preferred source is tried again; up to half more, by chance.
+    TimeUs ReturnUs = 4 * UsPerSecond; // After so long the preferred source is tried again; up to half more, by chance.
+    TimeUs PatienceUs = 800 * UsPerMs; // While all is as fresh as this, one that follows others does not go to the store for a failure.
+    TimeUs PeerRetryUs = 80 * UsPerMs; // It tries the others again after this pause instead.
 };
 
 struct StoreReader
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -22,7 +22,8 @@
         DirectoryPut(&directory, target, 0);
     }
     TargetPool pool;
-    PoolFollow(&pool, directory, "svc", "near");
+    Random random(1);
+    PoolFollow(&pool, directory, "svc", "near", &random);
     return pool;
 }
 
@@ -47,6 +48,8 @@
     CPPUNIT_TEST(AvoidsFailingTargetsForAWhile);
     CPPUNIT_TEST(VanishedTargetsComeLast);
     CPPUNIT_TEST(KeepsWhatIsKnownOfTargetsThatStay);
+    CPPUNIT_TEST(KeepsToTheSameTargetsAmongEquals);
+    CPPUNIT_TEST(AsksNewTargetsUntilTheyHaveHadARequest);
     CPPUNIT_TEST(CostsFollowLoadAndPace);
     CPPUNIT_TEST(AFleetKeepsTheRepeatBudgetInEveryWindow);
     CPPUNIT_TEST(AFreeRepeatBudgetIsFound);
@@ -67,39 +70,36 @@
     void AsksNearTargetsFirst()
     {
         TargetPool pool = PoolOf(6);
-        Random random(1);
         std::vector<std::string> asked;
         for (int n = 0; n < 6; n++)
         {
-            const PoolTarget* next = PoolNext(&pool, asked, UsPerSecond, &random);
+            const PoolTarget* next = PoolNext(&pool, asked, UsPerSecond);
             CPPUNIT_ASSERT(next != nullptr);
             CPPUNIT_ASSERT_EQUAL(n < 3, next->Near);
             asked.push_back(next->Id);
         }
-        CPPUNIT_ASSERT(PoolNext(&pool, asked, UsPerSecond, &random) == nullptr);
+        CPPUNIT_ASSERT(PoolNext(&pool, asked, UsPerSecond) == nullptr);
     }
 
     void AsksFarOnesBeforeNearOnesKnownToBeSlow()
     {
         TargetPool pool = PoolOf(2);
-        Random random(1);
         const TimeUs now = UsPerSecond;
         PoolReport(PoolFind(&pool, "t0"), {0, 0, 3, 500}, now);
-        CPPUNIT_ASSERT_EQUAL(std::string("t1"), PoolNext(&pool, {}, now + UsPerMs, &random)->Id);
+        CPPUNIT_ASSERT_EQUAL(std::string("t1"), PoolNext(&pool, {}, now + UsPerMs)->Id);
         const TimeUs later = now + pool.Config.ReportUs + 1; // The report says nothing any more.
-        CPPUNIT_ASSERT_EQUAL(std::string("t0"), PoolNext(&pool, {}, later, &random)->Id);
+        CPPUNIT_ASSERT_EQUAL(std::string("t0"), PoolNext(&pool, {}, later)->Id);
     }
 
     void AvoidsFailingTargetsForAWhile()
     {
         TargetPool pool = PoolOf(4);
-        Random random(1);
         TimeUs now = UsPerSecond;
         PoolTarget* failing = PoolFind(&pool, "t0");
         for (int n = 0; n < 10; n++)
         {
             PoolFailed(pool.Config, failing, now);
-            CPPUNIT_ASSERT(PoolNext(&pool, {}, now, &random)->Id != "t0");
+            CPPUNIT_ASSERT(PoolNext(&pool, {}, now)->Id != "t0");
             CPPUNIT_ASSERT(failing->AvoidUntilUs <= now + 16 * pool.Config.AvoidUs); // It gets another chance before long.
             now = failing->AvoidUntilUs;
         }
@@ -110,14 +110,13 @@
     void VanishedTargetsComeLast()
     {
         TargetPool pool = PoolOf(4);
-        Random random(1);
         PoolFind(&pool, "t0")->Doubtful = true;
         std::vector<std::string> asked;
         for (int n = 0; n < 3; n++)
         {
-            asked.push_back(PoolNext(&pool, asked, UsPerSecond, &random)->Id);
+            asked.push_back(PoolNext(&pool, asked, UsPerSecond)->Id);
         }
-        CPPUNIT_ASSERT_EQUAL(std::string("t0"), PoolNext(&pool, asked, UsPerSecond, &random)->Id);
+        CPPUNIT_ASSERT_EQUAL(std::string("t0"), PoolNext(&pool, asked, UsPerSecond)->Id);
     }
 
     void KeepsWhatIsKnownOfTargetsThatStay()
@@ -129,18 +128,54 @@
         target.Revision = 1;
         DirectoryPut(&directory, target, 0);
         TargetPool pool;
-        PoolFollow(&pool, directory, "svc", "near");
+        Random random(1);
+        PoolFollow(&pool, directory, "svc", "near", &random);
         PoolFind(&pool, "t")->InFlight = 2;
         target.Id = "u";
         DirectoryPut(&directory, target, 0);
-        PoolFollow(&pool, directory, "svc", "near");
+        PoolFollow(&pool, directory, "svc", "near", &random);
         CPPUNIT_ASSERT_EQUAL(size_t{2}, pool.Targets.size());
         CPPUNIT_ASSERT_EQUAL(2, PoolFind(&pool, "t")->InFlight);
         DirectoryLeaves(&directory, "t");
-        PoolFollow(&pool, directory, "svc", "near");
+        PoolFollow(&pool, directory, "svc", "near", &random);
         CPPUNIT_ASSERT(PoolFind(&pool, "t") == nullptr);
     }
 
+    void KeepsToTheSameTargetsAmongEquals()
+    {
+        TargetPool pool = PoolOf(20);
+        const std::string first = PoolNext(&pool, {}, UsPerSecond)->Id;
+        for (int n = 0; n < 10; n++)
+        {
+            CPPUNIT_ASSERT_EQUAL(first, PoolNext(&pool, {}, n * UsPerSecond)->Id);
+        }
+    }
+
+    void AsksNewTargetsUntilTheyHaveHadARequest()
+    {
+        TargetPool pool = PoolOf(20);
+        TargetDirectory directory;
+        for (const PoolTarget& known : pool.Targets)
+        {
+            DirectoryTarget target;
+            target.Id = known.Id;
+            target.Service = "svc";
+            target.DataCentre = known.Near ? "near" : "far";
+            DirectoryPut(&directory, target, 0);
+        }
+        DirectoryTarget added;
+        added.Id = "new";
+        added.Service = "svc";
+        added.DataCentre = "near";
+        DirectoryPut(&directory, added, 0);
+        Random random(7);
+        PoolFollow(&pool, directory, "svc", "near", &random);
+        CPPUNIT_ASSERT_EQUAL(std::string("new"), PoolNext(&pool, {}, UsPerSecond)->Id);
+        PoolSent(PoolFind(&pool, "new"), &random);
+        PoolFind(&pool, "new")->InFlight = 0;
+        CPPUNIT_ASSERT(PoolFind(&pool, "new")->Order >= 0);
+    }
+
     void CostsFollowLoadAndPace()
     {
         CHECK_PROPERTY("more work, a slower pace or a cold start never make a target cheaper",
--- a/winchlink.h
+++ b/winchlink.h
@@ -1286,6 +1286,7 @@
     bool Doubtful = false;   // Its entry has vanished.
     int Slots = 1;           // As its entry says.
     TimeUs WarmUntilUs = 0;  // It is slow until then.
+    int64_t Order = 0;       // Among equals the lowest is asked first: an instance keeps to the same few, and to their connections.
     int InFlight = 0;        // Our requests there.
     int Since = 0;           // Of those, sent since Report was made.
     LoadReport Report;       // The last one.
@@ -1311,19 +1312,25 @@
 {
     PoolConfig Config;
     std::vector<PoolTarget> Targets;
+    bool Filled = false;           // It has had targets: those that come later are new.
     bool TellsLoad = true;         // Targets of this service tell their load; false once one has answered without.
     double NearlyFullFactor = 1.4; // How many times longer work takes at a nearly full target: learnt, from a guess between none and 1.8.
     int NearlyFullSeen = 0;        // Answers that it was learnt from.
 };
 
-// Brings the pool in line with the directory; what is known of targets that stay is kept.
-void PoolFollow(TargetPool* pool, const TargetDirectory& directory, const std::string& service, const std::string& data_centre);
+// Brings the pool in line with the directory; what is known of targets that stay is kept. New targets are asked first until they have had
+// a request.
+void PoolFollow(TargetPool* pool, const TargetDirectory& directory, const std::string& service, const std::string& data_centre,
+                Random* random);
+
+// A request goes to the target.
+void PoolSent(PoolTarget* target, Random* random);
 
 // The target of that id, or null.
 PoolTarget* PoolFind(TargetPool* pool, const std::string& id);
 
 // The next target to ask, or to try where targets tell no load; null when all are in `passed`.
-PoolTarget* PoolNext(TargetPool* pool, const std::vector<std::string>& passed, TimeUs now, Random* random);
+PoolTarget* PoolNext(TargetPool* pool, const std::vector<std::string>& passed, TimeUs now);
 
 // Whether one more request would make the target nearly full.
 bool PoolNearlyFull(const PoolConfig& config, const LoadReport& report, int more);
--- a/winchlink_pool.cpp
+++ b/winchlink_pool.cpp
@@ -56,7 +56,25 @@
     return found != pool->Targets.end() ? &*found : nullptr;
 }
 
-void PoolFollow(TargetPool* pool, const TargetDirectory& directory, const std::string& service, const std::string& data_centre)
+static constexpr int64_t OrderOfNew = -1;
+
+static int64_t DrawOrder(Random* random)
+{
+    return static_cast<int64_t>((*random)() >> 1);
+}
+
+void PoolSent(PoolTarget* target, Random* random)
+{
+    target->InFlight++;
+    target->Since++;
+    if (target->Order == OrderOfNew)
+    {
+        target->Order = DrawOrder(random);
+    }
+}
+
+void PoolFollow(TargetPool* pool, const TargetDirectory& directory, const std::string& service, const std::string& data_centre,
+                Random* random)
 {
     std::vector<PoolTarget> next;
     for (const auto& entry : directory.Targets)
@@ -68,6 +86,7 @@
         }
         const PoolTarget* known = PoolFind(pool, listed.Id);
         PoolTarget target = known != nullptr ? *known : PoolTarget();
+        target.Order = known != nullptr ? known->Order : pool->Filled ? OrderOfNew : DrawOrder(random);
         target.Id = listed.Id;
         target.Address = listed.Address;
         target.Near = listed.DataCentre == data_centre;
@@ -77,6 +96,7 @@
         next.push_back(target);
     }
     pool->Targets = std::move(next);
+    pool->Filled = pool->Filled || !pool->Targets.empty();
 }
 
 static bool IsFresh(const PoolConfig& config, const PoolTarget& target, TimeUs now)
@@ -118,9 +138,9 @@
     pool->NearlyFullFactor += gain * (told - pool->NearlyFullFactor);
 }
 
-PoolTarget* PoolNext(TargetPool* pool, const std::vector<std::string>& passed, TimeUs now, Random* random)
+PoolTarget* PoolNext(TargetPool* pool, const std::vector<std::string>& passed, TimeUs now)
 {
-    using Rank = std::tuple<int, int, double, uint64_t>;
+    using Rank = std::tuple<int, int, double, int64_t>;
     PoolTarget* best = nullptr;
     Rank best_rank;
     for (PoolTarget& target : pool->Targets)
@@ -132,7 +152,7 @@
         const int trust = now < target.AvoidUntilUs ? 2 : target.Doubtful ? 1 : 0;
         const double cost = PoolCost(*pool, target, now);
         const int far = target.Near ? 0 : 1;
-        const Rank rank(trust, cost > pool->Config.GoodCost ? 2 + far : far, cost, (*random)());
+        const Rank rank(trust, cost > pool->Config.GoodCost ? 2 + far : far, cost, target.Order);
         if (best == nullptr || rank < best_rank)
         {
             best = &target;
