Targets are new only to a pool that has had a request

Cause: targets that register one after the other at the start were all taken for new ones, and each instance opened a connection to each.

--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -154,6 +154,7 @@
     void AsksNewTargetsUntilTheyHaveHadARequest()
     {
         TargetPool pool = PoolOf(20);
+        pool.InUse = true;
         TargetDirectory directory;
         for (const PoolTarget& known : pool.Targets)
         {
@@ -171,7 +172,7 @@
         Random random(7);
         PoolFollow(&pool, directory, "svc", "near", &random);
         CPPUNIT_ASSERT_EQUAL(std::string("new"), PoolNext(&pool, {}, UsPerSecond)->Id);
-        PoolSent(PoolFind(&pool, "new"), &random);
+        PoolSent(&pool, PoolFind(&pool, "new"), &random);
         PoolFind(&pool, "new")->InFlight = 0;
         CPPUNIT_ASSERT(PoolFind(&pool, "new")->Order >= 0);
     }
--- a/winchlink.h
+++ b/winchlink.h
@@ -1312,7 +1312,7 @@
 {
     PoolConfig Config;
     std::vector<PoolTarget> Targets;
-    bool Filled = false;           // It has had targets: those that come later are new.
+    bool InUse = false;            // It has had a request: targets that come later are new.
     bool TellsLoad = true;         // Targets of this service tell their load; false once one has answered without.
     double NearlyFullFactor = 1.4; // How many times longer work takes at a nearly full target: learnt, from a guess between none and 1.8.
     int NearlyFullSeen = 0;        // Answers that it was learnt from.
@@ -1324,7 +1324,7 @@
                 Random* random);
 
 // A request goes to the target.
-void PoolSent(PoolTarget* target, Random* random);
+void PoolSent(TargetPool* pool, PoolTarget* target, Random* random);
 
 // The target of that id, or null.
 PoolTarget* PoolFind(TargetPool* pool, const std::string& id);
--- a/winchlink_pool.cpp
+++ b/winchlink_pool.cpp
@@ -63,8 +63,9 @@
     return static_cast<int64_t>((*random)() >> 1);
 }
 
-void PoolSent(PoolTarget* target, Random* random)
+void PoolSent(TargetPool* pool, PoolTarget* target, Random* random)
 {
+    pool->InUse = true;
     target->InFlight++;
     target->Since++;
     if (target->Order == OrderOfNew)
@@ -86,7 +87,7 @@
         }
         const PoolTarget* known = PoolFind(pool, listed.Id);
         PoolTarget target = known != nullptr ? *known : PoolTarget();
-        target.Order = known != nullptr ? known->Order : pool->Filled ? OrderOfNew : DrawOrder(random);
+        target.Order = known != nullptr ? known->Order : pool->InUse ? OrderOfNew : DrawOrder(random);
         target.Id = listed.Id;
         target.Address = listed.Address;
         target.Near = listed.DataCentre == data_centre;
@@ -96,7 +97,6 @@
         next.push_back(target);
     }
     pool->Targets = std::move(next);
-    pool->Filled = pool->Filled || !pool->Targets.empty();
 }
 
 static bool IsFresh(const PoolConfig& config, const PoolTarget& target, TimeUs now)
