--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -279,34 +279,48 @@
     return request;
 }
 
+static void WatchForSlowness(const CallPtr& call, const Attempt& attempt, double factor, double share);
+
 // The first attempt takes much longer than expected: its target is avoided for a while, and the request goes to a second one as well.
-static void OnSlow(const CallPtr& call)
+static void OnSlow(const CallPtr& call, double share)
 {
     call->Slow = nullptr;
-    if (call->Active.size() != 1)
+    if (call->Active.size() != 1 || call->Choosing != Choosing_None)
     {
         return;
     }
+    const ForwardConfig& config = call->Owner->Config;
+    const Attempt attempt = call->Active[0];
     const TimeUs now = NowUs();
-    PoolTarget* target = PoolFind(&call->Service->Pool, call->Active[0].Target);
+    PoolTarget* target = PoolFind(&call->Service->Pool, attempt.Target);
     if (target != nullptr)
     {
         PoolFailed(call->Service->Pool.Config, target, now);
     }
     const bool time_left = static_cast<double>(LeftUs(*call, now)) > call->Work->MeanUs;
-    const bool allowed = call->Row->Repeatable && call->Attempts < call->Row->AttemptsMost && time_left;
-    if (allowed && RepeatBudgetTake(&call->Service->Repeats, call->Owner->Config.SecondShare, now))
+    if (!call->Row->Repeatable || call->Attempts >= call->Row->AttemptsMost || !time_left)
+    {
+        return;
+    }
+    if (RepeatBudgetTake(&call->Service->Repeats, share, now))
     {
         ChooseTarget(call, Choosing_Second);
+        return;
+    }
+    if (share < config.StuckShare)
+    {
+        WatchForSlowness(call, attempt, config.StuckFactor, config.StuckShare);
     }
 }
 
-static void WatchForSlowness(const CallPtr& call, const Attempt& attempt)
+// Looks again when the attempt has taken `factor` times as long as expected.
+static void WatchForSlowness(const CallPtr& call, const Attempt& attempt, double factor, double share)
 {
-    const auto patience = static_cast<TimeUs>(call->Owner->Config.SlowFactor * attempt.ExpectedUs);
+    const auto patience = static_cast<TimeUs>(factor * attempt.ExpectedUs);
     if (patience > 0)
     {
-        call->Slow = TimerStart(call->Owner->Loop, patience, [call]() { OnSlow(call); });
+        const TimeUs left = attempt.SentUs + patience - NowUs();
+        call->Slow = TimerStart(call->Owner->Loop, left, [call, share]() { OnSlow(call, share); });
     }
 }
 
@@ -338,7 +352,8 @@
     call->Active.push_back(attempt);
     if (call->Active.size() == 1)
     {
-        WatchForSlowness(call, attempt);
+        const ForwardConfig& config = call->Owner->Config;
+        WatchForSlowness(call, attempt, config.SlowFactor, config.SecondShare);
     }
 }
 
--- a/gateway/choose.cpp
+++ b/gateway/choose.cpp
@@ -186,7 +186,7 @@
 // Targets that tell no load are not asked: their health path would wait for a slot. The one with the least of our own work is taken.
 static void SendUnasked(const CallPtr& call)
 {
-    PoolTarget* target = PoolNext(&call->Service->Pool, call->Tried, NowUs());
+    PoolTarget* target = PoolNext(&call->Service->Pool, call->Tried, !call->Row->Repeatable, NowUs());
     if (target == nullptr || target->InFlight >= call->Owner->Config.UnaskedMost * target->Slots)
     {
         Refuse(call, target == nullptr ? Code_NoTargetLeft : Code_TargetsBusy, "targets tell no load");
@@ -210,7 +210,7 @@
     const TimeUs now = NowUs();
     while (now < call->ChooseUntilUs)
     {
-        PoolTarget* next = PoolNext(&call->Service->Pool, Passed(*call), now);
+        PoolTarget* next = PoolNext(&call->Service->Pool, Passed(*call), !call->Row->Repeatable, now);
         const bool known = next != nullptr && next->ReportUs > 0 && now < next->ReportUs + config.ReuseUs;
         const int at_once = next != nullptr && next->Near ? config.AsksAtOnce : config.FarAsksAtOnce;
         if (next == nullptr || (!known && (call->Asking >= at_once || call->AsksMade >= config.AsksMost)))
--- a/gateway/command_gateway.cpp
+++ b/gateway/command_gateway.cpp
@@ -13,7 +13,7 @@
 
 static constexpr const char* SettingsVariable = "WINCHLINK_BOOT"; // Names the settings file where the command line does not.
 
-static int Run(const std::string& file)
+static int Run(const std::string& file, bool check_only)
 {
     const Result<std::string> json = ReadFile(file);
     if (!json)
@@ -28,8 +28,14 @@
     }
     if (!checked.Faults.empty())
     {
-        return Exit_Usage;
+        return check_only ? Exit_Faults : Exit_Usage;
+    }
+    if (check_only)
+    {
+        fmt::print("{}: no faults\n", file);
+        return Exit_Good;
     }
+    SetLogLevel(checked.Value.Level);
     std::signal(SIGPIPE, SIG_IGN);
     EventLoop loop;
     Gateway gateway;
@@ -50,8 +56,11 @@
 int RunGateway(int argc, const char** argv)
 {
     char* file = nullptr;
-    const poptOption table[] = {{"settings", 's', POPT_ARG_STRING, &file, 0, "settings of this instance (JSON)", "FILE"}, OPTIONS_TAIL};
-    const ParsedOptions parsed = ParseOptions("winchlink gateway", argc, argv, table, "[--settings FILE]");
+    int check_only = 0;
+    const poptOption table[] = {{"settings", 's', POPT_ARG_STRING, &file, 0, "settings of this instance (JSON)", "FILE"},
+                                {"check", 'c', POPT_ARG_NONE, &check_only, 0, "only check the settings", nullptr},
+                                OPTIONS_TAIL};
+    const ParsedOptions parsed = ParseOptions("winchlink gateway", argc, argv, table, "[--check] [--settings FILE]");
     const std::unique_ptr<char, decltype(&free)> owner(file, free);
     if (parsed.Exit)
     {
@@ -64,7 +73,7 @@
                    static_cast<int>(Code_Usage), SettingsVariable);
         return Exit_Usage;
     }
-    return Run(named);
+    return Run(named, check_only != 0);
 }
 
 } // namespace Winchlink
--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -38,24 +38,25 @@
 {
     const Attempt& last = call.Last;
     const bool good = code == Code_None && status < 500;
-    Log(good ? LogLevel_Debug : LogLevel_Info, code, code == Code_None ? "answered" : "not answered",
-        {{"requestId", call.Id},
-         {"route", call.Row != nullptr ? call.Row->Name : ""},
-         {"service", call.ServiceName},
-         {"plan", call.Plan ? call.Plan->Version : 0},
-         {"target", last.Target},
-         {"status", status},
-         {"attempts", call.Attempts},
-         {"asked", call.AsksMade},
-         {"targets", call.Service != nullptr ? static_cast<int>(call.Service->Pool.Targets.size()) : 0},
-         {"running", last.Report.Running},
-         {"waiting", last.Report.Waiting},
-         {"pace", last.Report.PacePercent},
-         {"reportAgeUs", last.ReportUs > 0 ? last.SentUs - last.ReportUs : -1},
-         {"sentAfterUs", last.SentUs > 0 ? last.SentUs - call.From->ArrivedUs : -1},
-         {"expectedUs", static_cast<int64_t>(last.ExpectedUs)},
-         {"tookUs", NowUs() - call.From->ArrivedUs},
-         {"detail", detail}});
+    const auto write = good ? LogSample : Log; // Failures are never sampled.
+    write(LogLevel_Info, code, code == Code_None ? "answered" : "not answered",
+          {{"requestId", call.Id},
+           {"route", call.Row != nullptr ? call.Row->Name : ""},
+           {"service", call.ServiceName},
+           {"plan", call.Plan ? call.Plan->Version : 0},
+           {"target", last.Target},
+           {"status", status},
+           {"attempts", call.Attempts},
+           {"asked", call.AsksMade},
+           {"targets", call.Service != nullptr ? static_cast<int>(call.Service->Pool.Targets.size()) : 0},
+           {"running", last.Report.Running},
+           {"waiting", last.Report.Waiting},
+           {"pace", last.Report.PacePercent},
+           {"reportAgeUs", last.ReportUs > 0 ? last.SentUs - last.ReportUs : -1},
+           {"sentAfterUs", last.SentUs > 0 ? last.SentUs - call.From->ArrivedUs : -1},
+           {"expectedUs", static_cast<int64_t>(last.ExpectedUs)},
+           {"tookUs", NowUs() - call.From->ArrivedUs},
+           {"detail", detail}});
 }
 
 void EndCall(const CallPtr& call, Code_ code, const std::string& detail, CallerReply reply)
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -31,7 +31,9 @@
     TimeUs BusyRetryUs = 300 * UsPerMs;       // When to come back after all targets were busy: about the work of one request.
     TimeUs EmptyRetryUs = 500 * UsPerMs;      // When to come back where there is no target or no plan yet.
     double SlowFactor = 1.7;                  // An attempt that takes so many times as long as expected is slow (docs/MEASUREMENTS.md).
-    double SecondShare = 0.5;                 // Part of the repeat budget that second attempts may use; the rest is for failures.
+    double SecondShare = 0.4;                 // Part of the repeat budget for second attempts beside slow ones.
+    double StuckFactor = 3.0;                 // An attempt that takes so many times as long as expected is hardly ever answered in time.
+    double StuckShare = 0.9;                  // Part of the repeat budget for second attempts beside such ones.
     double RepeatShare = 0.2;                 // See RepeatBudget.
     TimeUs RepeatWindowUs = 10 * UsPerSecond; //
 };
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -20,7 +20,7 @@
 namespace Winchlink
 {
 
-static constexpr TimeUs TickUs = 250 * UsPerMs;          // How often vanished targets are looked at.
+static constexpr TimeUs TickUs = 500 * UsPerMs;          // How often vanished targets are looked at.
 static constexpr TimeUs StopStepUs = 50 * UsPerMs;       // How often a stopping instance looks whether it is done.
 static constexpr TimeUs StillAcceptUs = 3 * UsPerSecond; // The balancer in front takes two misses, a second each, to notice.
 static constexpr TimeUs StopMarginUs = 300 * UsPerMs;    // An instance ends by itself so long before it would be killed.
--- a/gateway/listener.cpp
+++ b/gateway/listener.cpp
@@ -22,11 +22,11 @@
 namespace Winchlink
 {
 
-static constexpr int StatusGone = 499;                 // Told to nobody: the caller has left.
-static constexpr TimeUs TimeoutCheckUs = UsPerSecond;  // How often libmicrohttpd looks for idle connections to close.
-static constexpr unsigned ListenBacklog = 512;         // Connections that wait to be accepted.
-static constexpr size_t ConnectionMemory = 32 * KiB;   // Headers of a request and of its answer; more gets status 431.
-static constexpr TimeUs IdleGraceUs = 2 * UsPerSecond; // Idle connections are kept so much longer than callers expect.
+static constexpr int StatusGone = 499;                    // Told to nobody: the caller has left.
+static constexpr TimeUs TimeoutCheckUs = 3 * UsPerSecond; // How often libmicrohttpd looks for idle connections to close.
+static constexpr unsigned ListenBacklog = 512;            // Connections that wait to be accepted.
+static constexpr size_t ConnectionMemory = 32 * KiB;      // Headers of a request and of its answer; more gets status 431.
+static constexpr TimeUs IdleGraceUs = 2 * UsPerSecond;    // Idle connections are kept so much longer than callers expect.
 
 //-----------------------------------------------------------------------------
 // [SECTION] Answering
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -73,12 +73,12 @@
         std::vector<std::string> asked;
         for (int n = 0; n < 6; n++)
         {
-            const PoolTarget* next = PoolNext(&pool, asked, UsPerSecond);
+            const PoolTarget* next = PoolNext(&pool, asked, false, UsPerSecond);
             CPPUNIT_ASSERT(next != nullptr);
             CPPUNIT_ASSERT_EQUAL(n < 3, next->Near);
             asked.push_back(next->Id);
         }
-        CPPUNIT_ASSERT(PoolNext(&pool, asked, UsPerSecond) == nullptr);
+        CPPUNIT_ASSERT(PoolNext(&pool, asked, false, UsPerSecond) == nullptr);
     }
 
     void AsksFarOnesBeforeNearOnesKnownToBeSlow()
@@ -86,9 +86,9 @@
         TargetPool pool = PoolOf(2);
         const TimeUs now = UsPerSecond;
         PoolReport(PoolFind(&pool, "t0"), {0, 0, 3, 500}, now);
-        CPPUNIT_ASSERT_EQUAL(std::string("t1"), PoolNext(&pool, {}, now + UsPerMs)->Id);
+        CPPUNIT_ASSERT_EQUAL(std::string("t1"), PoolNext(&pool, {}, false, now + UsPerMs)->Id);
         const TimeUs later = now + pool.Config.ReportUs + 1; // The report says nothing any more.
-        CPPUNIT_ASSERT_EQUAL(std::string("t0"), PoolNext(&pool, {}, later)->Id);
+        CPPUNIT_ASSERT_EQUAL(std::string("t0"), PoolNext(&pool, {}, false, later)->Id);
     }
 
     void AvoidsFailingTargetsForAWhile()
@@ -99,11 +99,13 @@
         for (int n = 0; n < 10; n++)
         {
             PoolFailed(pool.Config, failing, now);
-            CPPUNIT_ASSERT(PoolNext(&pool, {}, now)->Id != "t0");
+            CPPUNIT_ASSERT(PoolNext(&pool, {}, false, now)->Id != "t0");
             CPPUNIT_ASSERT(failing->AvoidUntilUs <= now + 16 * pool.Config.AvoidUs); // It gets another chance before long.
             now = failing->AvoidUntilUs;
         }
         PoolGood(failing);
+        // A request that may not be repeated still goes elsewhere for a while.
+        CPPUNIT_ASSERT(PoolNext(&pool, {}, true, now)->Id != "t0");
         CPPUNIT_ASSERT_EQUAL(0, failing->FailuresInRow);
     }
 
@@ -114,9 +116,9 @@
         std::vector<std::string> asked;
         for (int n = 0; n < 3; n++)
         {
-            asked.push_back(PoolNext(&pool, asked, UsPerSecond)->Id);
+            asked.push_back(PoolNext(&pool, asked, false, UsPerSecond)->Id);
         }
-        CPPUNIT_ASSERT_EQUAL(std::string("t0"), PoolNext(&pool, asked, UsPerSecond)->Id);
+        CPPUNIT_ASSERT_EQUAL(std::string("t0"), PoolNext(&pool, asked, false, UsPerSecond)->Id);
     }
 
     void KeepsWhatIsKnownOfTargetsThatStay()
@@ -144,10 +146,10 @@
     void KeepsToTheSameTargetsAmongEquals()
     {
         TargetPool pool = PoolOf(20);
-        const std::string first = PoolNext(&pool, {}, UsPerSecond)->Id;
+        const std::string first = PoolNext(&pool, {}, false, UsPerSecond)->Id;
         for (int n = 0; n < 10; n++)
         {
-            CPPUNIT_ASSERT_EQUAL(first, PoolNext(&pool, {}, n * UsPerSecond)->Id);
+            CPPUNIT_ASSERT_EQUAL(first, PoolNext(&pool, {}, false, n * UsPerSecond)->Id);
         }
     }
 
@@ -171,7 +173,7 @@
         DirectoryPut(&directory, added, 0);
         Random random(7);
         PoolFollow(&pool, directory, "svc", "near", &random);
-        CPPUNIT_ASSERT_EQUAL(std::string("new"), PoolNext(&pool, {}, UsPerSecond)->Id);
+        CPPUNIT_ASSERT_EQUAL(std::string("new"), PoolNext(&pool, {}, false, UsPerSecond)->Id);
         PoolSent(&pool, PoolFind(&pool, "new"), &random);
         PoolFind(&pool, "new")->InFlight = 0;
         CPPUNIT_ASSERT(PoolFind(&pool, "new")->Order >= 0);
--- a/winchlink.h
+++ b/winchlink.h
@@ -1282,30 +1282,32 @@
 {
     std::string Id;
     std::string Address;
-    bool Near = false;       // In our own data centre.
-    bool Doubtful = false;   // Its entry has vanished.
-    int Slots = 1;           // As its entry says.
-    TimeUs WarmUntilUs = 0;  // It is slow until then.
-    int64_t Order = 0;       // Among equals the lowest is asked first: an instance keeps to the same few, and to their connections.
-    int InFlight = 0;        // Our requests there.
-    int Since = 0;           // Of those, sent since Report was made.
-    LoadReport Report;       // The last one.
-    TimeUs ReportUs = 0;     // When it came; 0: never.
-    int FailuresInRow = 0;   // Requests and questions without a good answer.
-    TimeUs AvoidUntilUs = 0; // After failures: taken only where nothing else is left.
+    bool Near = false;         // In our own data centre.
+    bool Doubtful = false;     // Its entry has vanished.
+    int Slots = 1;             // As its entry says.
+    TimeUs WarmUntilUs = 0;    // It is slow until then.
+    int64_t Order = 0;         // Among equals the lowest is asked first: an instance keeps to the same few, and to their connections.
+    int InFlight = 0;          // Our requests there.
+    int Since = 0;             // Of those, sent since Report was made.
+    LoadReport Report;         // The last one.
+    TimeUs ReportUs = 0;       // When it came; 0: never.
+    int FailuresInRow = 0;     // Requests and questions without a good answer.
+    TimeUs AvoidUntilUs = 0;   // After failures: taken only where nothing else is left.
+    TimeUs CarefulUntilUs = 0; // After failures: it gets what may not be repeated only where nothing better is left.
 };
 
 struct PoolConfig
 {
-    double NearlyFullShare = 0.8;    // Some targets are slower when fuller than this (users' site files, "knee").
-    double NearlyFullGain = 0.05;    // Least weight of a new answer in the estimate of by how much.
-    int NearlyFullPrior = 3;         // The first guess counts as so many answers.
-    double NearlyFullMost = 3.0;     // Longest factor that one answer may tell: more has other causes.
-    double WarmFactor = 2.0;         // Those that have just started are slower too.
-    double GoodCost = 1.25;          // A target at this cost or less is taken without asking further.
-    TimeUs ReportUs = 150 * UsPerMs; // Load shifts within this time: an older report says nothing (users' site files, "noise").
-    TimeUs AvoidUs = 200 * UsPerMs;  // First pause after a failure; doubles with each further one.
-    int AvoidDoublings = 4;          // At most so often.
+    double NearlyFullShare = 0.8;       // Some targets are slower when fuller than this (users' site files, "knee").
+    double NearlyFullGain = 0.05;       // Least weight of a new answer in the estimate of by how much.
+    int NearlyFullPrior = 3;            // The first guess counts as so many answers.
+    double NearlyFullMost = 3.0;        // Longest factor that one answer may tell: more has other causes.
+    double WarmFactor = 2.0;            // Those that have just started are slower too.
+    double GoodCost = 1.25;             // A target at this cost or less is taken without asking further.
+    TimeUs ReportUs = 150 * UsPerMs;    // Load shifts within this time: an older report says nothing (users' site files, "noise").
+    TimeUs AvoidUs = 200 * UsPerMs;     // First pause after a failure; doubles with each further one.
+    int AvoidDoublings = 4;             // At most so often.
+    TimeUs CarefulUs = 3 * UsPerSecond; // A failure speaks against requests that may not be repeated for so long.
 };
 
 struct TargetPool
@@ -1329,8 +1331,9 @@
 // The target of that id, or null.
 PoolTarget* PoolFind(TargetPool* pool, const std::string& id);
 
-// The next target to ask, or to try where targets tell no load; null when all are in `passed`.
-PoolTarget* PoolNext(TargetPool* pool, const std::vector<std::string>& passed, TimeUs now);
+// The next target to ask, or to try where targets tell no load; null when all are in `passed`. `careful`, for what may not be repeated:
+// those that have failed of late come after those that have not.
+PoolTarget* PoolNext(TargetPool* pool, const std::vector<std::string>& passed, bool careful, TimeUs now);
 
 // Whether one more request would make the target nearly full.
 bool PoolNearlyFull(const PoolConfig& config, const LoadReport& report, int more);
--- a/winchlink_pool.cpp
+++ b/winchlink_pool.cpp
@@ -37,6 +37,7 @@
 {
     const int doublings = std::min(target->FailuresInRow, config.AvoidDoublings);
     target->AvoidUntilUs = now + (config.AvoidUs << doublings);
+    target->CarefulUntilUs = now + config.CarefulUs;
     target->FailuresInRow++;
 }
 
@@ -138,7 +139,7 @@
     pool->NearlyFullFactor += gain * (told - pool->NearlyFullFactor);
 }
 
-PoolTarget* PoolNext(TargetPool* pool, const std::vector<std::string>& passed, TimeUs now)
+PoolTarget* PoolNext(TargetPool* pool, const std::vector<std::string>& passed, bool careful, TimeUs now)
 {
     using Rank = std::tuple<int, int, double, int64_t>;
     PoolTarget* best = nullptr;
@@ -149,7 +150,8 @@
         {
             continue;
         }
-        const int trust = now < target.AvoidUntilUs ? 2 : target.Doubtful ? 1 : 0;
+        const bool failed = careful && now < target.CarefulUntilUs;
+        const int trust = now < target.AvoidUntilUs ? 2 : target.Doubtful || failed ? 1 : 0;
         const double cost = PoolCost(*pool, target, now);
         const int far = target.Near ? 0 : 1;
         const Rank rank(trust, cost > pool->Config.GoodCost ? 2 + far : far, cost, target.Order);
