--- a/bench/bench.h
+++ b/bench/bench.h
@@ -29,6 +29,7 @@
 int RunPolicies(int argc, const char** argv);
 int RunCapacity(int argc, const char** argv);
 int RunSoak(int argc, const char** argv);
+int RunGatewaySoak(int argc, const char** argv);
 
 //-----------------------------------------------------------------------------
 // [SECTION] HTTP calls
--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -67,7 +67,8 @@
     variables.push_back(nullptr);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     posix_spawnattr_t attributes;
     posix_spawnattr_init(&attributes);
     sigset_t none;
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -26,6 +26,7 @@
     {"policies", "the product's policy against ordinary ones", RunPolicies},
     {"capacity", "slopes over instances, rows, edits and calls", RunCapacity},
     {"soak", "a long randomised run under faults", RunSoak},
+    {"gateway-soak", "randomised runs of gateway processes under faults, audited", RunGatewaySoak},
     {"added", "latency added against calling the target directly", RunAdded},
 };
 
@@ -41,7 +42,7 @@
     fmt::print("Usage: winchbench COMMAND [OPTION...]\n\n");
     for (const BenchCommand& command : BenchCommands)
     {
-        fmt::print("  {:<10} {}\n", command.Name, command.Text);
+        fmt::print("  {:<13} {}\n", command.Name, command.Text);
     }
     return 2;
 }
--- /dev/null
+++ b/bench/proxy.cpp
@@ -0,0 +1,201 @@
+// proxy.cpp: a loopback proxy inside an event loop.
+
+#include "proxy.h"
+
+#include "socket.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace Winchlink
+{
+
+static constexpr size_t ReadAtOnce = 64 * KiB;
+static constexpr size_t HeldMost = MiB; // More than that is not read: the sender waits, as on a real link.
+
+// One direction of a connection.
+struct ProxyFlow
+{
+    int From = -1;
+    int To = -1;
+    Watch Readable;
+    std::string Held; // Read and not passed on yet.
+    bool Ended = false;
+    Timer Later;
+};
+
+struct ProxyPair
+{
+    int Caller = -1;
+    int Server = -1;
+    ProxyFlow Up;   // To the server.
+    ProxyFlow Down; // Back.
+
+    ~ProxyPair()
+    {
+        Up.Readable = nullptr;
+        Down.Readable = nullptr;
+        close(Caller);
+        close(Server);
+    }
+};
+
+Proxy::Proxy() = default;
+
+Proxy::~Proxy()
+{
+    Accepting = nullptr;
+    Pairs.clear();
+    if (Listening >= 0)
+    {
+        close(Listening);
+    }
+}
+
+static ProxyPair* FindPair(Proxy* proxy, uint64_t id)
+{
+    const auto found = proxy->Pairs.find(id);
+    return found != proxy->Pairs.end() ? found->second.get() : nullptr;
+}
+
+static bool Passes(const Proxy& proxy, const ProxyPair& pair, const ProxyFlow& flow)
+{
+    const bool down = &flow == &pair.Down;
+    return proxy.Mode == ProxyMode_Good || proxy.Mode == ProxyMode_Delay || (proxy.Mode == ProxyMode_OneWay && !down);
+}
+
+// Passes on what is held; false if the connection is over.
+static bool Pass(Proxy* proxy, ProxyPair* pair, ProxyFlow* flow)
+{
+    if (!Passes(*proxy, *pair, *flow))
+    {
+        return true;
+    }
+    if (!flow->Held.empty())
+    {
+        const ssize_t sent = send(flow->To, flow->Held.data(), flow->Held.size(), MSG_NOSIGNAL);
+        flow->Held.erase(0, sent > 0 ? static_cast<size_t>(sent) : 0);
+    }
+    return !(flow->Ended && flow->Held.empty());
+}
+
+static void PassLater(Proxy* proxy, uint64_t id, bool up)
+{
+    ProxyPair* pair = FindPair(proxy, id);
+    if (pair == nullptr)
+    {
+        return;
+    }
+    ProxyFlow* flow = up ? &pair->Up : &pair->Down;
+    if (!Pass(proxy, pair, flow))
+    {
+        proxy->Pairs.erase(id);
+        return;
+    }
+    constexpr TimeUs again = 5 * UsPerMs; // The receiver did not take all, or the mode holds it back.
+    if (!flow->Held.empty() || flow->Ended)
+    {
+        flow->Later = TimerStart(proxy->Loop, again, [proxy, id, up]() { PassLater(proxy, id, up); });
+    }
+}
+
+static void OnReadable(Proxy* proxy, uint64_t id, bool up)
+{
+    ProxyPair* pair = FindPair(proxy, id);
+    ProxyFlow* flow = up ? &pair->Up : &pair->Down;
+    if (flow->Held.size() > HeldMost)
+    {
+        return;
+    }
+    std::string buffer(ReadAtOnce, '\0');
+    const ssize_t got = recv(flow->From, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    if (got < 0 && (errno == EAGAIN || errno == EINTR))
+    {
+        return;
+    }
+    flow->Held.append(buffer, 0, got > 0 ? static_cast<size_t>(got) : 0);
+    flow->Ended = got <= 0;
+    if (flow->Ended)
+    {
+        flow->Readable = nullptr;
+    }
+    const TimeUs pause = proxy->Mode == ProxyMode_Delay ? proxy->DelayUs : 0;
+    flow->Later = TimerStart(proxy->Loop, pause, [proxy, id, up]() { PassLater(proxy, id, up); });
+}
+
+static void ResetBoth(Proxy* proxy, uint64_t id)
+{
+    const linger at_once = {1, 0};
+    const ProxyPair* pair = FindPair(proxy, id);
+    setsockopt(pair->Caller, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    setsockopt(pair->Server, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    proxy->Pairs.erase(id);
+}
+
+static void OnAccept(Proxy* proxy)
+{
+    const int caller = accept4(proxy->Listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (caller < 0)
+    {
+        return;
+    }
+    const sockaddr_in to = ToSocketAddress(ParseEndpoint(proxy->Server).value());
+    const int server = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (connect(server, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0)
+    {
+        close(server);
+        close(caller); // The server is gone, and so is the connection.
+        return;
+    }
+    const uint64_t id = ++proxy->LastPair;
+    auto pair = std::make_unique<ProxyPair>();
+    pair->Caller = caller;
+    pair->Server = server;
+    pair->Up.From = caller;
+    pair->Up.To = server;
+    pair->Down.From = server;
+    pair->Down.To = caller;
+    pair->Up.Readable = WatchStart(proxy->Loop, caller, UV_READABLE, [proxy, id](int) { OnReadable(proxy, id, true); });
+    pair->Down.Readable = WatchStart(proxy->Loop, server, UV_READABLE, [proxy, id](int) { OnReadable(proxy, id, false); });
+    proxy->Pairs[id] = std::move(pair);
+    if (proxy->Mode == ProxyMode_Reset)
+    {
+        ResetBoth(proxy, id);
+    }
+}
+
+bool ProxyStart(Proxy* proxy, EventLoop* loop, const std::string& address, const std::string& server)
+{
+    proxy->Loop = loop;
+    proxy->Address = address;
+    proxy->Server = server;
+    proxy->Listening = OpenBound(SOCK_STREAM, ParseEndpoint(address).value());
+    if (proxy->Listening < 0 || listen(proxy->Listening, SOMAXCONN) != 0)
+    {
+        return false;
+    }
+    proxy->Accepting = WatchStart(loop, proxy->Listening, UV_READABLE, [proxy](int) { OnAccept(proxy); });
+    return true;
+}
+
+void ProxySetMode(Proxy* proxy, ProxyMode_ mode)
+{
+    proxy->Mode = mode;
+    std::vector<uint64_t> ids;
+    for (const auto& entry : proxy->Pairs)
+    {
+        ids.push_back(entry.first);
+    }
+    for (const uint64_t id : ids)
+    {
+        if (mode == ProxyMode_Reset)
+        {
+            ResetBoth(proxy, id);
+            continue;
+        }
+        PassLater(proxy, id, true);
+        PassLater(proxy, id, false);
+    }
+}
+
+} // namespace Winchlink
--- /dev/null
+++ b/bench/soak_audit.cpp
@@ -0,0 +1,198 @@
+// soak_audit.cpp: the checks on what a soak of gateway instances saw.
+
+#include "soak_audit.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace Winchlink
+{
+
+using Findings = std::map<std::string, std::vector<std::string>>; // By kind.
+
+static bool PromisesNotRun(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+// Whether nothing was done to the instance and the store in the time before, and until then.
+static bool InTouch(const SoakLog& log, const SoakBounds& bounds, int instance, TimeUs from, TimeUs until, bool planned_counts)
+{
+    const auto strikes = [&](const SoakTrouble& trouble)
+    {
+        const bool concerns = trouble.Instance == instance || trouble.Instance < 0;
+        const bool overlaps = trouble.FromUs < until && trouble.UntilUs > from - bounds.TouchUs;
+        return concerns && overlaps && (planned_counts || !trouble.Planned);
+    };
+    return std::none_of(log.Troubles.begin(), log.Troubles.end(), strikes);
+}
+
+static std::map<std::string, std::vector<const SoakArrival*>> ByRequest(const SoakLog& log)
+{
+    std::map<std::string, std::vector<const SoakArrival*>> all;
+    for (const SoakArrival& arrival : log.Arrivals)
+    {
+        all[arrival.Id].push_back(&arrival);
+    }
+    return all;
+}
+
+static int Runs(const std::vector<const SoakArrival*>& arrivals)
+{
+    return static_cast<int>(std::count_if(arrivals.begin(), arrivals.end(), [](const SoakArrival* a) { return a->Run; }));
+}
+
+static void CheckRequest(const SoakLog& log, const SoakBounds& bounds, const SoakRequest& request,
+                         const std::vector<const SoakArrival*>& arrivals, Findings* found)
+{
+    const int runs = Runs(arrivals);
+    if (!request.Repeatable && runs > 1)
+    {
+        (*found)["ran twice"].push_back(request.Id);
+    }
+    if (!request.Repeatable && PromisesNotRun(request.Status) && runs > 0)
+    {
+        (*found)["refused and run"].push_back(request.Id);
+    }
+    if (request.Status == 200 && (!request.OwnAnswer || runs == 0))
+    {
+        (*found)["not its own answer"].push_back(request.Id);
+    }
+    const bool cut = request.EndedUs > 0 && request.Status == 0 && !arrivals.empty();
+    if (cut && InTouch(log, bounds, request.Instance, request.SentUs, request.EndedUs, false))
+    {
+        (*found)["cut without an answer"].push_back(request.Id);
+    }
+}
+
+static void CheckKnown(const SoakLog& log, const std::map<std::string, std::vector<const SoakArrival*>>& arrivals, Findings* found)
+{
+    std::set<std::string> known;
+    for (const SoakRequest& request : log.Requests)
+    {
+        known.insert(request.Id);
+    }
+    for (const auto& entry : arrivals)
+    {
+        if (known.count(entry.first) == 0)
+        {
+            (*found)["run without being asked"].push_back(entry.first);
+        }
+    }
+}
+
+static void CheckLeavings(const SoakLog& log, const SoakBounds& bounds, Findings* found)
+{
+    for (const SoakLeaving& leaving : log.Leavings)
+    {
+        for (const SoakArrival& arrival : log.Arrivals)
+        {
+            const bool late = arrival.Target == leaving.Target && arrival.AtUs > leaving.AtUs + bounds.DrainUs;
+            if (late && InTouch(log, bounds, arrival.Instance, leaving.AtUs, arrival.AtUs, true))
+            {
+                (*found)["sent to a target that leaves"].push_back(fmt::format("{} to {}", arrival.Id, arrival.Target));
+            }
+        }
+    }
+}
+
+// The services that a request may be run by: of the newest version that is in force everywhere, and of all later ones.
+static std::set<std::string> Allowed(const SoakLog& log, const SoakBounds& bounds, const SoakRequest& request)
+{
+    std::set<std::string> allowed;
+    for (size_t n = 0; n < log.Versions.size(); n++)
+    {
+        const bool replaced = n + 1 < log.Versions.size() && log.Versions[n + 1].AtUs + bounds.ApplyUs < request.SentUs;
+        const bool came = log.Versions[n].AtUs < (request.EndedUs > 0 ? request.EndedUs : request.SentUs + bounds.ApplyUs);
+        if (!replaced && came)
+        {
+            allowed.insert(log.Versions[n].Service);
+        }
+    }
+    return allowed;
+}
+
+static void CheckVersion(const SoakLog& log, const SoakBounds& bounds, const SoakRequest& request,
+                         const std::vector<const SoakArrival*>& arrivals, Findings* found)
+{
+    const TimeUs from = request.SentUs - bounds.ApplyUs;
+    if (!request.MovingRoute || !InTouch(log, bounds, request.Instance, from, request.SentUs, true))
+    {
+        return;
+    }
+    const std::set<std::string> allowed = Allowed(log, bounds, request);
+    for (const SoakArrival* arrival : arrivals)
+    {
+        if (arrival->Run && allowed.count(arrival->Service) == 0)
+        {
+            (*found)["handled as an older version says"].push_back(request.Id);
+        }
+    }
+}
+
+static int CountIn(const std::vector<TimeUs>& times, TimeUs from, TimeUs until)
+{
+    return static_cast<int>(std::count_if(times.begin(), times.end(), [&](TimeUs t) { return t >= from && t < until; }));
+}
+
+static void CheckBudget(const SoakLog& log, const SoakBounds& bounds, Findings* found)
+{
+    std::map<std::string, std::vector<TimeUs>> repeats; // By service.
+    std::map<std::string, std::vector<TimeUs>> firsts;
+    std::set<std::string> seen;
+    for (const SoakArrival& arrival : log.Arrivals)
+    {
+        (seen.insert(arrival.Id).second ? firsts : repeats)[arrival.Service].push_back(arrival.AtUs);
+    }
+    for (const auto& entry : repeats)
+    {
+        for (const TimeUs at : entry.second)
+        {
+            const TimeUs from = at + 1 - bounds.WindowUs;
+            const std::vector<TimeUs>& asked = firsts[entry.first];
+            const int most = std::max({CountIn(asked, from, at + 1), CountIn(asked, from - bounds.WindowUs, from),
+                                       CountIn(asked, from - bounds.WindowUs / 2, from + bounds.WindowUs / 2)});
+            if (CountIn(entry.second, from, at + 1) > bounds.RepeatShare * most + bounds.RepeatExtra * log.Instances)
+            {
+                (*found)["more repeats than the budget"].push_back(entry.first);
+                break;
+            }
+        }
+    }
+}
+
+std::vector<std::string> AuditSoak(const SoakLog& log, const SoakBounds& bounds)
+{
+    Findings found;
+    const std::map<std::string, std::vector<const SoakArrival*>> arrivals = ByRequest(log);
+    for (const SoakRequest& request : log.Requests)
+    {
+        const auto of = arrivals.find(request.Id);
+        const std::vector<const SoakArrival*> none;
+        CheckRequest(log, bounds, request, of != arrivals.end() ? of->second : none, &found);
+        CheckVersion(log, bounds, request, of != arrivals.end() ? of->second : none, &found);
+    }
+    CheckKnown(log, arrivals, &found);
+    CheckLeavings(log, bounds, &found);
+    CheckBudget(log, bounds, &found);
+    if (log.RecoveryGood < bounds.RecoveryShare * log.RecoveryAsked)
+    {
+        found["not recovered"].push_back(fmt::format("{} of {}", log.RecoveryGood, log.RecoveryAsked));
+    }
+    if (log.OwnEnds > 0)
+    {
+        found["ended by itself"].push_back(std::to_string(log.OwnEnds));
+    }
+    if (log.LateEnds > 0)
+    {
+        found["still there after its grace time"].push_back(std::to_string(log.LateEnds));
+    }
+    std::vector<std::string> lines;
+    for (const auto& entry : found)
+    {
+        lines.push_back(fmt::format("{}: {} (first: {})", entry.first, entry.second.size(), entry.second.front()));
+    }
+    return lines;
+}
+
+} // namespace Winchlink
--- /dev/null
+++ b/bench/soak_audit.h
@@ -0,0 +1,87 @@
+// soak_audit.h: what a soak of gateway instances saw, and the checks on it. Pure, so that tests can plant each fault.
+
+#pragma once
+
+#include "winchlink.h"
+
+#include <set>
+
+namespace Winchlink
+{
+
+// A request as its caller saw it.
+struct SoakRequest
+{
+    std::string Id;
+    bool Repeatable = false;
+    int Instance = -1;        // Which instance it was sent to.
+    std::string Path;         //
+    TimeUs SentUs = 0;        //
+    TimeUs EndedUs = 0;       // 0: not yet.
+    int Status = 0;           // 0: no whole answer.
+    bool OwnAnswer = false;   // A success is signed, whole, and names the request's method and path.
+    bool MovingRoute = false; // It went to the route whose service changes with each configuration.
+};
+
+// A request as a target saw it.
+struct SoakArrival
+{
+    std::string Id;
+    std::string Target;  // Its id.
+    std::string Service; //
+    int Instance = -1;   // From which instance.
+    TimeUs AtUs = 0;     //
+    bool Run = false;    // Work began.
+};
+
+// A span in which something was done to an instance or to the store.
+struct SoakTrouble
+{
+    int Instance = -1; // -1: the store.
+    TimeUs FromUs = 0;
+    TimeUs UntilUs = 0;
+    bool Planned = false; // A planned stop, and nothing else.
+};
+
+struct SoakVersion
+{
+    std::string Service; // Of the moving route.
+    TimeUs AtUs = 0;     // Acknowledged by the store.
+};
+
+struct SoakLeaving
+{
+    std::string Target;
+    TimeUs AtUs = 0; // Acknowledged by the store.
+};
+
+struct SoakLog
+{
+    std::vector<SoakRequest> Requests;
+    std::vector<SoakArrival> Arrivals;
+    std::vector<SoakTrouble> Troubles;
+    std::vector<SoakVersion> Versions; // In order.
+    std::vector<SoakLeaving> Leavings;
+    int Instances = 0;
+    int OwnEnds = 0;       // Instances that ended by themselves.
+    int LateEnds = 0;      // Instances that had to be killed after their grace time.
+    int RecoveryAsked = 0; // After all faults.
+    int RecoveryGood = 0;
+};
+
+// The bounds of the users' pages that the checks go by.
+struct SoakBounds
+{
+    TimeUs DrainUs = 2 * UsPerSecond;
+    TimeUs ApplyUs = 2 * UsPerSecond;
+    TimeUs TouchUs = 3 * UsPerSecond;   // An instance counts after so long without trouble.
+    TimeUs WindowUs = 10 * UsPerSecond; // Of the repeat budget.
+    double RepeatShare = 0.2;           //
+    int RepeatExtra = 2;                // Repeats beyond it, an instance and service.
+    double RecoveryShare = 0.95;        // Of the requests after all faults are served.
+};
+
+// One line for each broken promise, the first of each kind with its request.
+std::vector<std::string> AuditSoak(const SoakLog& log, const SoakBounds& bounds);
+
+} // namespace Winchlink
--- a/gateway/choose.cpp
+++ b/gateway/choose.cpp
@@ -186,7 +186,7 @@
 // Targets that tell no load are not asked: their health path would wait for a slot. The one with the least of our own work is taken.
 static void SendUnasked(const CallPtr& call)
 {
-    PoolTarget* target = PoolNext(&call->Service->Pool, call->Tried, !call->Row->Repeatable, NowUs());
+    PoolTarget* target = PoolNextUnasked(&call->Service->Pool, call->Tried, !call->Row->Repeatable, NowUs(), call->Owner->Rng);
     if (target == nullptr || target->InFlight >= call->Owner->Config.UnaskedMost * target->Slots)
     {
         Refuse(call, target == nullptr ? Code_NoTargetLeft : Code_TargetsBusy, "targets tell no load");
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -59,7 +59,7 @@
 Variant build-tsan "thread" RelWithDebInfo --only Winchlink::Instance --only Winchlink::Upstream
 
 # The fuzz targets, for a fixed number of inputs from a fixed seed.
-for Target in fuzz_heartbeat fuzz_reply fuzz_permit fuzz_documents
+for Target in fuzz_heartbeat fuzz_reply fuzz_permit fuzz_documents fuzz_page fuzz_platform
 do
     if scripts/fuzz.sh --runs 20000 "$Target"
     then
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -103,7 +103,9 @@
             CPPUNIT_ASSERT(failing->AvoidUntilUs <= now + 16 * pool.Config.AvoidUs); // It gets another chance before long.
             now = failing->AvoidUntilUs;
         }
+        PoolFailed(pool.Config, failing, now);
         PoolGood(failing);
+        CPPUNIT_ASSERT_EQUAL(TimeUs{0}, failing->AvoidUntilUs);
         // A request that may not be repeated still goes elsewhere for a while.
         CPPUNIT_ASSERT(PoolNext(&pool, {}, true, now)->Id != "t0");
         CPPUNIT_ASSERT_EQUAL(0, failing->FailuresInRow);
--- /dev/null
+++ b/tests/soak_audit_test.cpp
@@ -0,0 +1,175 @@
+// soak_audit_test.cpp: the checks of the gateway soak each find a planted breach, and nothing in a clean log.
+
+#include "check.h"
+#include "soak_audit.h"
+
+namespace Winchlink
+{
+
+static constexpr TimeUs Start = 100 * UsPerSecond;
+
+static SoakRequest Asked(const std::string& id, int status, bool repeatable)
+{
+    SoakRequest request;
+    request.Id = id;
+    request.Repeatable = repeatable;
+    request.Instance = 0;
+    request.SentUs = Start;
+    request.EndedUs = Start + 10 * UsPerMs;
+    request.Status = status;
+    request.OwnAnswer = status == 200;
+    return request;
+}
+
+static SoakArrival Arrived(const std::string& id, TimeUs at, bool run)
+{
+    return {id, "t1", "svc", 0, at, run};
+}
+
+// One request served, nothing done to anybody.
+static SoakLog CleanLog()
+{
+    SoakLog log;
+    log.Instances = 2;
+    log.Versions = {{"svc", Start - 50 * UsPerSecond}};
+    log.Requests = {Asked("q1", 200, false)};
+    log.Arrivals = {Arrived("q1", Start + UsPerMs, true)};
+    log.RecoveryAsked = 100;
+    log.RecoveryGood = 99;
+    return log;
+}
+
+static void CheckFinds(const SoakLog& log, const std::string& kind)
+{
+    const std::vector<std::string> found = AuditSoak(log, SoakBounds());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(kind, size_t{1}, found.size());
+    CPPUNIT_ASSERT_MESSAGE(found[0], found[0].rfind(kind, 0) == 0);
+}
+
+class SoakAuditTest : public CPPUNIT_NS::TestFixture
+{
+    CPPUNIT_TEST_SUITE(SoakAuditTest);
+    CPPUNIT_TEST(NothingInACleanLog);
+    CPPUNIT_TEST(RunTwice);
+    CPPUNIT_TEST(RefusedAndRun);
+    CPPUNIT_TEST(ForeignAnswers);
+    CPPUNIT_TEST(UnaskedRuns);
+    CPPUNIT_TEST(CutRequests);
+    CPPUNIT_TEST(RequestsToLeavingTargets);
+    CPPUNIT_TEST(OlderVersions);
+    CPPUNIT_TEST(TooManyRepeats);
+    CPPUNIT_TEST(EndsAndRecovery);
+    CPPUNIT_TEST_SUITE_END();
+
+    void NothingInACleanLog()
+    {
+        CPPUNIT_ASSERT(AuditSoak(CleanLog(), SoakBounds()).empty());
+    }
+
+    void RunTwice()
+    {
+        SoakLog log = CleanLog();
+        log.Arrivals.push_back(Arrived("q1", Start + 2 * UsPerMs, true));
+        CheckFinds(log, "ran twice");
+        log.Requests[0].Repeatable = true;
+        CPPUNIT_ASSERT(AuditSoak(log, SoakBounds()).empty());
+    }
+
+    void RefusedAndRun()
+    {
+        for (const int status : {408, 421, 429, 503})
+        {
+            SoakLog log = CleanLog();
+            log.Requests.push_back(Asked("q2", status, false));
+            log.Arrivals.push_back(Arrived("q2", Start + UsPerMs, false));
+            CPPUNIT_ASSERT(AuditSoak(log, SoakBounds()).empty());
+            log.Arrivals.back().Run = true;
+            CheckFinds(log, "refused and run");
+        }
+    }
+
+    void ForeignAnswers()
+    {
+        SoakLog log = CleanLog();
+        log.Requests[0].OwnAnswer = false;
+        CheckFinds(log, "not its own answer");
+        log = CleanLog();
+        log.Arrivals[0].Run = false;
+        CheckFinds(log, "not its own answer");
+    }
+
+    void UnaskedRuns()
+    {
+        SoakLog log = CleanLog();
+        log.Arrivals.push_back(Arrived("q9", Start, true));
+        CheckFinds(log, "run without being asked");
+    }
+
+    void CutRequests()
+    {
+        SoakLog log = CleanLog();
+        log.Requests[0].Status = 0;
+        CheckFinds(log, "cut without an answer");
+        log.Troubles = {{0, Start - UsPerSecond, Start + UsPerSecond, true}}; // A planned stop is no excuse.
+        CheckFinds(log, "cut without an answer");
+        log.Troubles[0].Planned = false;
+        CPPUNIT_ASSERT(AuditSoak(log, SoakBounds()).empty());
+        log.Troubles[0].Instance = 1; // It happened to another one.
+        CheckFinds(log, "cut without an answer");
+    }
+
+    void RequestsToLeavingTargets()
+    {
+        SoakLog log = CleanLog();
+        log.Leavings = {{"t1", Start - 3 * UsPerSecond}};
+        CheckFinds(log, "sent to a target that leaves");
+        log.Leavings[0].AtUs = Start - UsPerSecond;
+        CPPUNIT_ASSERT(AuditSoak(log, SoakBounds()).empty());
+        log.Leavings[0].AtUs = Start - 3 * UsPerSecond;
+        log.Troubles = {{-1, Start - 4 * UsPerSecond, Start - 2 * UsPerSecond, false}}; // The store was away.
+        CPPUNIT_ASSERT(AuditSoak(log, SoakBounds()).empty());
+    }
+
+    void OlderVersions()
+    {
+        SoakLog log = CleanLog();
+        log.Requests[0].MovingRoute = true;
+        log.Versions.push_back({"other", Start - 3 * UsPerSecond});
+        CheckFinds(log, "handled as an older version says");
+        log.Versions[1].AtUs = Start - UsPerSecond;
+        CPPUNIT_ASSERT(AuditSoak(log, SoakBounds()).empty());
+        log.Versions[1].AtUs = Start + UsPerSecond; // It came when all was over.
+        log.Arrivals[0].Service = "other";
+        CheckFinds(log, "handled as an older version says");
+    }
+
+    void TooManyRepeats()
+    {
+        SoakLog log = CleanLog();
+        log.Requests[0].Repeatable = true;
+        for (int n = 0; n < 4; n++)
+        {
+            log.Arrivals.push_back(Arrived("q1", Start + n * UsPerMs, false));
+        }
+        CPPUNIT_ASSERT(AuditSoak(log, SoakBounds()).empty());
+        log.Arrivals.push_back(Arrived("q1", Start + 9 * UsPerMs, false));
+        CheckFinds(log, "more repeats than the budget");
+    }
+
+    void EndsAndRecovery()
+    {
+        SoakLog log = CleanLog();
+        log.OwnEnds = 1;
+        CheckFinds(log, "ended by itself");
+        log = CleanLog();
+        log.LateEnds = 1;
+        CheckFinds(log, "still there after its grace time");
+        log = CleanLog();
+        log.RecoveryGood = 90;
+        CheckFinds(log, "not recovered");
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SoakAuditTest);
+
+} // namespace Winchlink
--- a/winchlink.h
+++ b/winchlink.h
@@ -1335,6 +1335,9 @@
 // those that have failed of late come after those that have not.
 PoolTarget* PoolNext(TargetPool* pool, const std::vector<std::string>& passed, bool careful, TimeUs now);
 
+// The same where targets are not asked: among equals by chance, as nothing would tell an instance that others keep to the same ones.
+PoolTarget* PoolNextUnasked(TargetPool* pool, const std::vector<std::string>& passed, bool careful, TimeUs now, Random* random);
+
 // Whether one more request would make the target nearly full.
 bool PoolNearlyFull(const PoolConfig& config, const LoadReport& report, int more);
 
--- a/winchlink_pool.cpp
+++ b/winchlink_pool.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <functional>
 #include <tuple>
 
 namespace Winchlink
@@ -139,7 +140,9 @@
     pool->NearlyFullFactor += gain * (told - pool->NearlyFullFactor);
 }
 
-PoolTarget* PoolNext(TargetPool* pool, const std::vector<std::string>& passed, bool careful, TimeUs now)
+// The target with the lowest rank; equals are told apart by `order`.
+static PoolTarget* FindBest(TargetPool* pool, const std::vector<std::string>& passed, bool careful, TimeUs now,
+                            const std::function<int64_t(const PoolTarget&)>& order)
 {
     using Rank = std::tuple<int, int, double, int64_t>;
     PoolTarget* best = nullptr;
@@ -154,7 +157,7 @@
         const int trust = now < target.AvoidUntilUs ? 2 : target.Doubtful || failed ? 1 : 0;
         const double cost = PoolCost(*pool, target, now);
         const int far = target.Near ? 0 : 1;
-        const Rank rank(trust, cost > pool->Config.GoodCost ? 2 + far : far, cost, target.Order);
+        const Rank rank(trust, cost > pool->Config.GoodCost ? 2 + far : far, cost, order(target));
         if (best == nullptr || rank < best_rank)
         {
             best = &target;
@@ -164,6 +167,16 @@
     return best;
 }
 
+PoolTarget* PoolNext(TargetPool* pool, const std::vector<std::string>& passed, bool careful, TimeUs now)
+{
+    return FindBest(pool, passed, careful, now, [](const PoolTarget& target) { return target.Order; });
+}
+
+PoolTarget* PoolNextUnasked(TargetPool* pool, const std::vector<std::string>& passed, bool careful, TimeUs now, Random* random)
+{
+    return FindBest(pool, passed, careful, now, [random](const PoolTarget&) { return DrawOrder(random); });
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Repeat budget
 //-----------------------------------------------------------------------------
