--- a/bench/gateway_soak.cpp
+++ b/bench/gateway_soak.cpp
@@ -26,11 +26,11 @@
 #include <fstream>
 #include <sys/stat.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 namespace Winchlink
 {
 
-static constexpr const char* Loopback = "127.0.0.1";
 static constexpr double GraceS = 4;
 static constexpr const char* InstanceHeader = "X-Soak-Instance";
 static constexpr const char* MovingPrefix = "/m/";
@@ -95,9 +95,13 @@
     return Between(soak, least, most) * UsPerMs;
 }
 
+// Each run has a loopback address of its own, so that runs side by side do not take each other's ports.
 static std::string FreeLoopback()
 {
-    return fmt::format("{}:{}", Loopback, FreePort(Loopback));
+    constexpr int numbers = 250;
+    const int pid = getpid();
+    const std::string ip = fmt::format("127.{}.{}.1", 1 + pid / numbers % numbers, 1 + pid % numbers);
+    return fmt::format("{}:{}", ip, FreePort(ip));
 }
 
 static void Later(GatewaySoak* soak, TimeUs delay, std::function<void()> run)
--- a/bench/users_store.cpp
+++ b/bench/users_store.cpp
@@ -217,34 +217,35 @@
 // [SECTION] Changes
 //-----------------------------------------------------------------------------
 
+// Ending a wait takes it out of the store's list.
+static std::vector<uint64_t> WaitIds(const UsersStore& store)
+{
+    std::vector<uint64_t> ids;
+    ids.reserve(store.Waits.size());
+    for (const auto& entry : store.Waits)
+    {
+        ids.push_back(entry.first);
+    }
+    return ids;
+}
+
 static void WakeWaits(UsersStore* store)
 {
     if (store->Mode != StoreMode_Good)
     {
         return;
     }
-    const std::map<uint64_t, UsersWait>& waits = store->Waits;
-    std::vector<uint64_t> ids;
-    for (const auto& entry : waits)
-    {
-        ids.push_back(entry.first);
-    }
-    for (const uint64_t id : ids)
+    for (const uint64_t id : WaitIds(*store))
     {
-        EndWait(store, id, ChangesAfter(*store, waits.at(id).After));
+        EndWait(store, id, ChangesAfter(*store, store->Waits.at(id).After));
     }
 }
 
 void UsersStoreSetMode(UsersStore* store, StoreMode_ mode)
 {
     store->Mode = mode;
-    std::vector<uint64_t> ids;
-    for (const auto& entry : store->Waits)
-    {
-        ids.push_back(entry.first);
-    }
     const bool refuses = mode == StoreMode_Refusing || mode == StoreMode_TooMany;
-    for (const uint64_t id : refuses ? ids : std::vector<uint64_t>())
+    for (const uint64_t id : refuses ? WaitIds(*store) : std::vector<uint64_t>())
     {
         EndWait(store, id, CallerReply{503, {}, "", false});
     }
@@ -254,12 +255,7 @@
 {
     store->HistoryFrom = store->Revision;
     store->History.clear();
-    std::vector<uint64_t> ids;
-    for (const auto& entry : store->Waits)
-    {
-        ids.push_back(entry.first);
-    }
-    for (const uint64_t id : ids)
+    for (const uint64_t id : WaitIds(*store))
     {
         EndWait(store, id, CallerReply{410, {}, "", false});
     }
--- a/bench/users_target.cpp
+++ b/bench/users_target.cpp
@@ -109,7 +109,7 @@
 {
     const std::string signature = Signature(target, request);
     const std::string body = BodyFor(target, request);
-    const std::string good = Whole(Head(target, 200, request.Id, signature), body);
+    std::string good = Whole(Head(target, 200, request.Id, signature), body);
     switch (act)
     {
     case TargetAct_Failed:
--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -213,7 +213,7 @@
     const auto found =
         std::find_if(call->Active.begin(), call->Active.end(), [&](const Attempt& attempt) { return attempt.Target == target; });
     assert(found != call->Active.end() && "an attempt ends once");
-    const Attempt attempt = *found;
+    Attempt attempt = *found;
     call->Active.erase(found);
     return attempt;
 }
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -235,10 +235,10 @@
     ListenerConfig config;
     config.ConnectionsMost = 64;
     config.Address = gateway->Config.ReadyAddress;
-    const Result<void> ready = ListenerStart(&gateway->Readiness, gateway->Loop, config,
-                                             [gateway](const ExchangePtr& exchange) {
-                                                 Reply(exchange, CallerReply{IsReady(*gateway) ? 200 : 503, {}, "", false});
-                                             });
+    Result<void> ready = ListenerStart(&gateway->Readiness, gateway->Loop, config,
+                                       [gateway](const ExchangePtr& exchange) {
+                                           Reply(exchange, CallerReply{IsReady(*gateway) ? 200 : 503, {}, "", false});
+                                       });
     if (!ready || gateway->Config.MetricsAddress.empty())
     {
         return ready;
--- a/gateway/listener.cpp
+++ b/gateway/listener.cpp
@@ -255,8 +255,8 @@
 // Runs the daemon while it has something to do, but not for ever: other sockets want to be read too.
 static void BeforeWait(Listener* listener)
 {
-    constexpr int RoundsMost = 8;
-    for (int round = 0; round < RoundsMost && listener->RunWanted; round++)
+    constexpr int rounds_most = 8;
+    for (int round = 0; round < rounds_most && listener->RunWanted; round++)
     {
         RunDaemon(listener);
     }
--- a/gateway/relay.cpp
+++ b/gateway/relay.cpp
@@ -59,13 +59,13 @@
 
 Result<StorePage> DecodePage(const std::string& bytes)
 {
-    constexpr size_t HeadSize = 4;
-    if (bytes.size() < HeadSize)
+    constexpr size_t head_size = 4;
+    if (bytes.size() < head_size)
     {
         return Malformed("too short");
     }
     uLongf size = 0;
-    for (size_t n = 0; n < HeadSize; n++)
+    for (size_t n = 0; n < head_size; n++)
     {
         size |= static_cast<uLongf>(static_cast<uint8_t>(bytes[n])) << (8 * n);
     }
@@ -74,8 +74,8 @@
         return Malformed("too large");
     }
     std::string plain(size, '\0');
-    const auto* packed = reinterpret_cast<const Bytef*>(bytes.data() + HeadSize);
-    if (uncompress(reinterpret_cast<Bytef*>(plain.data()), &size, packed, bytes.size() - HeadSize) != Z_OK || size != plain.size())
+    const auto* packed = reinterpret_cast<const Bytef*>(bytes.data() + head_size);
+    if (uncompress(reinterpret_cast<Bytef*>(plain.data()), &size, packed, bytes.size() - head_size) != Z_OK || size != plain.size())
     {
         return Malformed("not compressed as it says");
     }
--- a/gateway/store_reader.cpp
+++ b/gateway/store_reader.cpp
@@ -66,8 +66,8 @@
     {
         return 0;
     }
-    constexpr int DoublingsMost = 8;
-    const TimeUs pause = std::min(config.RetryMostUs, config.RetryUs << std::min(rounds - 1, DoublingsMost));
+    constexpr int doublings_most = 8;
+    const TimeUs pause = std::min(config.RetryMostUs, config.RetryUs << std::min(rounds - 1, doublings_most));
     return pause / 2 + UpTo(reader, pause / 2);
 }
 
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -72,6 +72,7 @@
                                DirectoryTick(&directory, now);
                            }
                            std::vector<DirectoryTarget> all;
+                           all.reserve(store.size());
                            for (const auto& entry : store)
                            {
                                all.push_back(entry.second);
--- a/tests/gateway_faults_test.cpp
+++ b/tests/gateway_faults_test.cpp
@@ -200,7 +200,7 @@
                 const bool own = answer.Answer.Body.find(call.Target + " ") != std::string::npos;
                 CPPUNIT_ASSERT(answer.Answer.Status != 200 || own);
                 CPPUNIT_ASSERT(RigRuns(rig, answer.Id) <= (n % 2 == 0 ? 2 : 1));
-                RigIdle(&rig, (n % 3) * 2 * UsPerMs);
+                RigIdle(&rig, TimeUs{n % 3} * 2 * UsPerMs);
             }
         }
     }
@@ -273,8 +273,8 @@
         RepeatBudget& budget = instance.Requests.Services["svc"].Repeats;
         budget.Share = 0.2;
         budget.Extra = 1;
-        constexpr int Requests = 100;
-        for (int n = 0; n < Requests; n++)
+        constexpr int requests = 100;
+        for (int n = 0; n < requests; n++)
         {
             for (const auto& target : rig.Targets)
             {
@@ -283,8 +283,8 @@
             RigAsk(&rig, instance, RigCall());
         }
         const size_t arrivals = rig.Targets[0]->Saw.size() + rig.Targets[1]->Saw.size();
-        CPPUNIT_ASSERT(arrivals > Requests);
-        CPPUNIT_ASSERT(arrivals <= Requests * 1.2 + 1);
+        CPPUNIT_ASSERT(arrivals > requests);
+        CPPUNIT_ASSERT(arrivals <= requests * 1.2 + 1);
     }
 
     void SendsNothingToTargetsThatLeave()
--- a/tests/gateway_rig.cpp
+++ b/tests/gateway_rig.cpp
@@ -132,7 +132,7 @@
 
 RigAnswerPtr RigSend(Rig* rig, const Gateway& instance, const RigCall& call)
 {
-    const auto out = std::make_shared<RigAnswer>();
+    auto out = std::make_shared<RigAnswer>();
     out->Id = call.Id.empty() ? fmt::format("id-{}", ++rig->LastId) : call.Id;
     ClientRequest request;
     request.Address = instance.Config.CallerAddress;
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -116,6 +116,7 @@
         TargetPool pool = PoolOf(4);
         PoolFind(&pool, "t0")->Doubtful = true;
         std::vector<std::string> asked;
+        asked.reserve(3);
         for (int n = 0; n < 3; n++)
         {
             asked.push_back(PoolNext(&pool, asked, false, UsPerSecond)->Id);
--- a/winchlink_plan.cpp
+++ b/winchlink_plan.cpp
@@ -80,10 +80,10 @@
     assert(sum > 0 && "the weights of a route have a sum above zero");
     if (!SameParts(split->Parts, parts))
     {
-        constexpr int64_t SkippedMost = 1000; // A round is as long as the sum of weights; beyond this the place is random enough.
+        constexpr int64_t skipped_most = 1000; // A round is as long as the sum of weights; beyond this the place is random enough.
         split->Parts = parts;
         split->Credit.assign(parts.size(), 0);
-        const int64_t skipped = std::uniform_int_distribution<int64_t>(0, std::min(sum, SkippedMost) - 1)(*random);
+        const int64_t skipped = std::uniform_int_distribution<int64_t>(0, std::min(sum, skipped_most) - 1)(*random);
         for (int64_t n = 0; n < skipped; n++)
         {
             Step(split, sum);
