A target's failure is passed on where no other target has room; a waiting request does not get the target it has had

The test for it found a second fault: a request that waits took a slot that came free at the target it had just been sent to. Also: a closed connection is logged as such, not as an aborted callback.

--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -128,7 +128,7 @@
 // [SECTION] What comes next
 //-----------------------------------------------------------------------------
 
-static void PassOn(const CallPtr& call, ClientAnswer answer)
+void PassOn(const CallPtr& call, ClientAnswer answer)
 {
     CancelAttempts(call);
     CallerReply reply;
@@ -196,12 +196,16 @@
     }
     if (MayTryAgain(call, answer))
     {
+        if (verdict == Verdict_Pass)
+        {
+            call->Kept = std::move(answer);
+        }
         ChooseTarget(call, Choosing_First);
         return;
     }
-    if (verdict == Verdict_Pass)
+    if (verdict == Verdict_Pass || call->Kept)
     {
-        PassOn(call, std::move(answer));
+        PassOn(call, verdict == Verdict_Pass ? std::move(answer) : std::move(*call->Kept));
         return;
     }
     EndUnanswered(call, answer);
--- a/gateway/call.h
+++ b/gateway/call.h
@@ -54,18 +54,19 @@
     TimeUs DeadlineUs = 0;           // Answered by then.
     TimeUs ChooseUntilUs = 0;        // A target is chosen by then, or the request refused.
     Choosing_ Choosing = Choosing_None;
-    std::vector<std::string> Asked; // Targets asked in this round.
-    std::vector<std::string> Tried; // Targets that it was sent to.
-    int Asking = 0;                 // Questions without an answer.
-    int AsksMade = 0;               // Questions in all.
-    std::vector<Attempt> Active;    // Attempts in progress, two at the most.
-    Attempt Last;                   // The latest attempt that ended, for the log.
-    int Attempts = 0;               // Sends that reached, or may have reached, a target.
-    int MayHaveRun = 0;             // Of those that have ended, attempts that may have been run.
-    bool Ended = false;             // The caller has been answered.
-    Timer Deadline;                 // Ends it at DeadlineUs.
-    Timer Again;                    // Asks again after all targets were busy.
-    Timer Slow;                     // The first attempt takes longer than expected.
+    std::vector<std::string> Asked;   // Targets asked in this round.
+    std::vector<std::string> Tried;   // Targets that it was sent to.
+    int Asking = 0;                   // Questions without an answer.
+    int AsksMade = 0;                 // Questions in all.
+    std::vector<Attempt> Active;      // Attempts in progress, two at the most.
+    Attempt Last;                     // The latest attempt that ended, for the log.
+    int Attempts = 0;                 // Sends that reached, or may have reached, a target.
+    int MayHaveRun = 0;               // Of those that have ended, attempts that may have been run.
+    std::optional<ClientAnswer> Kept; // A target's failure, passed on if no other attempt comes to more.
+    bool Ended = false;               // The caller has been answered.
+    Timer Deadline;                   // Ends it at DeadlineUs.
+    Timer Again;                      // Asks again after all targets were busy.
+    Timer Slow;                       // The first attempt takes longer than expected.
 };
 
 using CallPtr = std::shared_ptr<Call>;
@@ -102,6 +103,9 @@
 // Sends the request to the target.
 void SendTo(const CallPtr& call, PoolTarget* target);
 
+// Passes a target's answer on.
+void PassOn(const CallPtr& call, ClientAnswer answer);
+
 // Ends all attempts in progress, and so the targets' work.
 void CancelAttempts(const CallPtr& call);
 
--- a/gateway/choose.cpp
+++ b/gateway/choose.cpp
@@ -11,6 +11,8 @@
 #include "clock.h"
 #include "log.h"
 
+#include <algorithm>
+
 namespace Winchlink
 {
 
@@ -83,6 +85,11 @@
         return; // It was for a second attempt; the first goes on.
     }
     const ForwardConfig& config = call->Owner->Config;
+    if (call->Kept)
+    {
+        PassOn(call, std::move(*call->Kept));
+        return;
+    }
     if (call->MayHaveRun > 0)
     {
         EndCallWith(call, Code_OutcomeUnknown, detail);
@@ -259,7 +266,8 @@
             continue; // It asks again by now, or has ended.
         }
         still.push_back(entry);
-        first = !first || waiting->Row->Priority < first->Row->Priority ? waiting : first;
+        const bool had_it = std::find(waiting->Tried.begin(), waiting->Tried.end(), target_id) != waiting->Tried.end();
+        first = had_it ? first : !first || waiting->Row->Priority < first->Row->Priority ? waiting : first;
     }
     service->Waiting = std::move(still);
     PoolTarget* target = PoolFind(&service->Pool, target_id);
--- a/gateway/client.cpp
+++ b/gateway/client.cpp
@@ -39,11 +39,12 @@
     CURL* Easy = nullptr;
     HeaderList Headers{nullptr, curl_slist_free_all};
     TimeUs StartedUs = 0;
-    bool Sent = false;     // The request was about to leave.
-    bool HeldBack = false; // MaySend said no.
-    bool Foreign = false;  // The answer belongs to another request.
-    bool TooLarge = false; // The answer is over its limit.
-    bool HeadRead = false; // All headers of the answer were read.
+    bool Sent = false;             // The request was about to leave.
+    bool ClosedUnanswered = false; // The connection closed without an answer; libcurl wanted to send the request again.
+    bool HeldBack = false;         // MaySend said no.
+    bool Foreign = false;          // The answer belongs to another request.
+    bool TooLarge = false;         // The answer is over its limit.
+    bool HeadRead = false;         // All headers of the answer were read.
 };
 
 //-----------------------------------------------------------------------------
@@ -55,6 +56,7 @@
     auto* call = static_cast<ClientCall*>(user);
     if (call->Sent)
     {
+        call->ClosedUnanswered = true;
         call->Owner->ReplaysStopped++;
         return CURL_PREREQFUNC_ABORT;
     }
@@ -155,7 +157,10 @@
         answer.Status = static_cast<int>(status);
         return;
     }
-    answer.Detail = call->Foreign ? "answer of another request" : call->TooLarge ? "answer too large" : curl_easy_strerror(result);
+    answer.Detail = call->ClosedUnanswered ? "connection closed without an answer"
+                    : call->Foreign        ? "answer of another request"
+                    : call->TooLarge       ? "answer too large"
+                                           : curl_easy_strerror(result);
     answer.Headers.clear();
     answer.Body.clear();
 }
--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -107,6 +107,11 @@
 {
     const bool sent = call->MayHaveRun > 0 || !call->Active.empty();
     BlameTargets(*call);
+    if (call->Kept)
+    {
+        PassOn(call, std::move(*call->Kept));
+        return;
+    }
     CancelAttempts(call);
     EndCallWith(call, sent ? Code_DeadlinePassed : Code_TargetsBusy, "deadline", call->Owner->Config.BusyRetryUs);
 }
--- a/tests/gateway_faults_test.cpp
+++ b/tests/gateway_faults_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(NeverRepeatsWhatMayNotBeRepeated);
     CPPUNIT_TEST(NeverRepeatsOnAConnectionThatDied);
     CPPUNIT_TEST(RepeatsWhatMayBeRepeated);
+    CPPUNIT_TEST(AFailureIsPassedOnWhereNoOtherTargetHasRoom);
     CPPUNIT_TEST(SendsToNoMoreTargetsThanAllowed);
     CPPUNIT_TEST(TriesElsewhereWhatWasNotRun);
     CPPUNIT_TEST(SaysNotRunOnlyWhereItIsTrue);
@@ -122,6 +123,21 @@
         }
     }
 
+    // Found in a recorded day: the second target was too slow, and the first one's failure was replaced by our own 502.
+    void AFailureIsPassedOnWhereNoOtherTargetHasRoom()
+    {
+        Rig rig;
+        RigTarget(&rig, "t1").Script = {TargetAct_Failed};
+        UsersTarget& full = RigTarget(&rig, "t2");
+        full.Running = full.Slots; // Others' work.
+        RigConfigure(&rig, {UsersRoute()});
+        const Gateway& instance = RigInstance(&rig, 2);
+        const RigAnswer answer = RigAsk(&rig, instance, RigCall());
+        CPPUNIT_ASSERT_EQUAL(500, answer.Answer.Status);
+        CPPUNIT_ASSERT(FindHeader(answer.Answer.Headers, "Winchlink-Response-Signature") != nullptr);
+        full.Running = 0;
+    }
+
     void SendsToNoMoreTargetsThanAllowed()
     {
         Rig rig;
