--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 
 soak: all
 	@build/winchbench soak --seconds $${SECONDS_LONG:-300}
+	@build/winchbench gateway-soak --seed $${SEED:-1} --seeds $${SEEDS:-10} --seconds 12
 
 fuzz: deps
 	@scripts/fuzz.sh $${FUZZ_SECONDS:-60}
--- a/bench/gateway_soak.cpp
+++ b/bench/gateway_soak.cpp
@@ -668,7 +668,8 @@
         fmt::print(stderr, "the store stand-in can't listen\n");
         return 1;
     }
-    Play(&soak, seconds * UsPerSecond, instances * 6);
+    constexpr int callers_most = 24; // More than the targets of one service can serve would be refused, whatever the instances do.
+    Play(&soak, seconds * UsPerSecond, std::min(instances * 6, callers_most));
     EndProcesses(&soak);
     MarkRuns(&soak);
     Report(soak, seed);
--- a/gateway/choose.cpp
+++ b/gateway/choose.cpp
@@ -146,7 +146,7 @@
         call->Service->Waiting.push_back(call);
         return;
     }
-    Refuse(call, call->Asked.empty() ? Code_NoTargetLeft : Code_TargetsBusy, best != nullptr ? "too slow" : "");
+    Refuse(call, call->AsksMade == 0 ? Code_NoTargetLeft : Code_TargetsBusy, best != nullptr ? "too slow" : "");
 }
 
 //-----------------------------------------------------------------------------
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -69,5 +69,13 @@
     fi
 done
 
+# A short soak of real gateway processes, from a fixed seed.
+if build/winchbench gateway-soak --seed 1 --seconds 8 --instances 3
+then
+    Passed=$((Passed + 1))
+else
+    Failed=$((Failed + 1))
+fi
+
 echo "$Passed passed, $Failed failed"
 [ "$Failed" -eq 0 ]
