Gateway: one reading of a target's load, one way to blame targets; state that nothing read is gone

Found on reading the whole change again. The load header was read in choose.cpp and attempt.cpp alike; slow attempts and deadlines each had their loop that marks targets. When everything was read, each target was put into the directory twice, and at the start the sources were made twice. Forwarder::Followed, CallerConnection::Mhd and StoreReader::Running were never read.

--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -80,13 +80,21 @@
     }
 }
 
-static void LearnReport(ServiceState* service, PoolTarget* target, const std::string* load)
+std::optional<LoadReport> ReadLoad(const Forwarder& forwarder, const std::vector<Header>& headers)
 {
-    const std::optional<LoadReport> report = load != nullptr ? ParseLoadReport(*load) : std::nullopt;
-    if (report)
+    const std::string* load = FindHeader(headers, forwarder.Names.Load);
+    return load != nullptr ? ParseLoadReport(*load) : std::nullopt;
+}
+
+void BlameTargets(const Call& call)
+{
+    for (const Attempt& attempt : call.Active)
     {
-        service->Pool.TellsLoad = true;
-        PoolReport(target, *report, NowUs());
+        PoolTarget* target = PoolFind(&call.Service->Pool, attempt.Target);
+        if (target != nullptr)
+        {
+            PoolFailed(call.Service->Pool.Config, target, NowUs());
+        }
     }
 }
 
@@ -112,7 +120,12 @@
         return;
     }
     Release(target, attempt);
-    LearnReport(call->Service, target, FindHeader(answer.Headers, forwarder->Names.Load));
+    const std::optional<LoadReport> report = ReadLoad(*forwarder, answer.Headers);
+    if (report)
+    {
+        call->Service->Pool.TellsLoad = true;
+        PoolReport(target, *report, NowUs());
+    }
     if (verdict == Verdict_Pass && answer.Status < 500)
     {
         LearnWork(call.get(), attempt, answer.TookUs);
@@ -296,11 +309,7 @@
     const ForwardConfig& config = call->Owner->Config;
     const Attempt attempt = call->Active[0];
     const TimeUs now = NowUs();
-    PoolTarget* target = PoolFind(&call->Service->Pool, attempt.Target);
-    if (target != nullptr)
-    {
-        PoolFailed(call->Service->Pool.Config, target, now);
-    }
+    BlameTargets(*call);
     const bool time_left = static_cast<double>(LeftUs(*call, now)) > call->Work->MeanUs;
     if (!call->Row->Repeatable || call->Attempts >= call->Row->AttemptsMost || !time_left)
     {
--- a/gateway/call.h
+++ b/gateway/call.h
@@ -106,6 +106,12 @@
 // Passes a target's answer on.
 void PassOn(const CallPtr& call, ClientAnswer answer);
 
+// Targets of the attempts in progress are avoided for a while: they did not answer in time.
+void BlameTargets(const Call& call);
+
+// The load in a target's answer; none where it tells none.
+std::optional<LoadReport> ReadLoad(const Forwarder& forwarder, const std::vector<Header>& headers);
+
 // Ends all attempts in progress, and so the targets' work.
 void CancelAttempts(const CallPtr& call);
 
--- a/gateway/choose.cpp
+++ b/gateway/choose.cpp
@@ -42,8 +42,7 @@
         PoolFailed(service->Pool.Config, target, NowUs());
         return;
     }
-    const std::string* load = FindHeader(answer.Headers, forwarder->Names.Load);
-    const std::optional<LoadReport> report = load != nullptr ? ParseLoadReport(*load) : std::nullopt;
+    const std::optional<LoadReport> report = ReadLoad(*forwarder, answer.Headers);
     service->Pool.TellsLoad = report.has_value();
     if (report)
     {
--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -90,19 +90,6 @@
     EndCall(call, code, detail, std::move(reply));
 }
 
-// Targets that did not answer in time are avoided for a while.
-static void BlameTargets(const Call& call)
-{
-    for (const Attempt& attempt : call.Active)
-    {
-        PoolTarget* target = PoolFind(&call.Service->Pool, attempt.Target);
-        if (target != nullptr)
-        {
-            PoolFailed(call.Service->Pool.Config, target, NowUs());
-        }
-    }
-}
-
 static void OnDeadline(const CallPtr& call)
 {
     const bool sent = call->MayHaveRun > 0 || !call->Active.empty();
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -65,7 +65,6 @@
     Random* Rng = nullptr;
     RoutePlanPtr Plan;                            // Null before the first.
     TargetDirectory Directory;                    //
-    uint64_t Followed = 0;                        // Changes of the directory that the pools hold.
     std::map<std::string, ServiceState> Services; // By name. Never erased: requests hold on to them.
     RowMetrics Unrouted;                          // Requests that belong to no service.
     std::map<int, LatencyStats> ByPriority;       // Answers, by the route's priority.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -80,11 +80,12 @@
         return;
     }
     LogTarget("target entry", target.value());
-    DirectoryPut(&directory, target.value(), NowUs());
     if (all != nullptr)
     {
-        all->push_back(target.value());
+        all->push_back(target.value()); // DirectoryReplace() takes them all at once.
+        return;
     }
+    DirectoryPut(&directory, target.value(), NowUs());
 }
 
 static void TakeItems(Gateway* gateway, const std::vector<StoreItem>& items, std::vector<DirectoryTarget>* all)
@@ -173,7 +174,6 @@
 static void StartStore(Gateway* gateway)
 {
     StoreReader& store = gateway->Store;
-    store.Sources = MakeSources(gateway);
     store.OnAll = [gateway](const std::vector<StoreItem>& items, uint64_t at)
     {
         OnStoreAll(gateway, items, at);
@@ -254,6 +254,12 @@
 // [SECTION] Planned stop
 //-----------------------------------------------------------------------------
 
+static void EndLoop(Gateway* gateway)
+{
+    gateway->Stopped = true;
+    LoopStop(gateway->Loop);
+}
+
 static void StopStep(Gateway* gateway)
 {
     const TimeUs since = NowUs() - gateway->StopUs;
@@ -265,8 +271,7 @@
     const bool done = out_of_balancer && gateway->Callers.Open.empty();
     if (done || since > gateway->Config.GraceUs - StopMarginUs)
     {
-        gateway->Stopped = true;
-        LoopStop(gateway->Loop);
+        EndLoop(gateway);
         return;
     }
     gateway->Stopping = TimerStart(gateway->Loop, StopStepUs, [gateway]() { StopStep(gateway); });
@@ -276,8 +281,7 @@
 {
     if (gateway->StopUs != 0)
     {
-        gateway->Stopped = true;
-        LoopStop(gateway->Loop);
+        EndLoop(gateway);
         return;
     }
     gateway->StopUs = NowUs();
--- a/gateway/listener.cpp
+++ b/gateway/listener.cpp
@@ -214,7 +214,6 @@
     const MHD_ConnectionInfo* info = MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_CONNECTION_FD);
     CallerConnection& connection = listener->Open[mhd];
     connection.Socket = info->connect_fd;
-    connection.Mhd = mhd;
     connection.Hangup = WatchStart(listener->Loop, info->connect_fd, UV_DISCONNECT, [listener, mhd](int) { OnHangup(listener, mhd); });
     MHD_set_connection_option(mhd, MHD_CONNECTION_OPTION_TIMEOUT, SecondsOf(listener->Config.IdleTimeoutUs + IdleGraceUs));
 }
--- a/gateway/listener.h
+++ b/gateway/listener.h
@@ -61,11 +61,10 @@
 
 struct CallerConnection
 {
-    Watch Hangup;                  // Watches for the caller's leaving.
-    int Socket = -1;               //
-    ExchangePtr Current;           // Request in progress, or null.
-    MHD_Connection* Mhd = nullptr; // libmicrohttpd's part.
-    bool Gone = false;             // The caller has left.
+    Watch Hangup;        // Watches for the caller's leaving.
+    int Socket = -1;     //
+    ExchangePtr Current; // Request in progress, or null.
+    bool Gone = false;   // The caller has left.
 };
 
 struct Listener
--- a/gateway/store_reader.cpp
+++ b/gateway/store_reader.cpp
@@ -109,7 +109,7 @@
     request.TimeoutUs = timeout;
     request.ConnectUs = reader->Config.ConnectUs;
     reader->StoreCalls += source.IsStore ? 1 : 0;
-    reader->Running = ClientSend(reader->Calls, std::move(request), [reader, done](const ClientAnswer& answer) { done(reader, answer); });
+    ClientSend(reader->Calls, std::move(request), [reader, done](const ClientAnswer& answer) { done(reader, answer); });
 }
 
 // Whether what a source says may be believed; if not, it is left.
--- a/gateway/store_reader.h
+++ b/gateway/store_reader.h
@@ -93,7 +93,6 @@
     size_t Current = 0;           // Index of the source in use.
     TimeUs ReturnAtUs = 0;        // When to go back to the preferred one.
     Timer Next;                   // The next call.
-    uint64_t Running = 0;         // The call in progress.
     int FailuresInRow = 0;
     uint64_t StoreCalls = 0;  // Counters: calls to the store itself.
     uint64_t CallsFailed = 0; // Of any source.
