Second attempts look again for a target; a stop first shuts out new connections

Test: ASecondAttemptWaitsForRoom, 504 before, 200 after.

ListenerTest::AStopLoses... failed once (6 and 10 requests lost): callers that open one connection after another kept the instance from ever being empty, so it ended at the end of its grace time. New connections are shut out as soon as the balancer must have noticed; the tests now also demand that all connections are closed at the end.

--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -363,6 +363,14 @@
     }
 }
 
+void SecondAgain(const CallPtr& call)
+{
+    const ForwardConfig& config = call->Owner->Config;
+    RepeatBudgetReturn(&call->Service->Repeats, NowUs());
+    const double share = config.SecondShare;
+    call->Slow = TimerStart(call->Owner->Loop, config.SecondAgainUs, [call, share]() { OnSlow(call, share); });
+}
+
 static Attempt MakeAttempt(const Call& call, const PoolTarget& target, TimeUs now)
 {
     const TargetPool& pool = call.Service->Pool;
--- a/gateway/call.h
+++ b/gateway/call.h
@@ -59,6 +59,7 @@
     std::vector<std::string> Tried;   // Targets that it was sent to.
     int Asking = 0;                   // Questions without an answer.
     int AsksMade = 0;                 // Questions in all.
+    int AsksBefore = 0;               // Of those, for former attempts.
     std::vector<Attempt> Active;      // Attempts in progress, two at the most.
     Attempt Last;                     // The latest attempt that ended, for the log.
     int Attempts = 0;                 // Sends that reached, or may have reached, a target.
@@ -107,6 +108,9 @@
 // Passes a target's answer on.
 void PassOn(const CallPtr& call, ClientAnswer answer);
 
+// No target was found for a second attempt: looks again in a while.
+void SecondAgain(const CallPtr& call);
+
 // Targets of the attempts in progress are avoided for a while: they did not answer in time.
 void BlameTargets(const Call& call);
 
--- a/gateway/choose.cpp
+++ b/gateway/choose.cpp
@@ -74,11 +74,13 @@
     return HasRoom(call, target) && PoolCost(pool, target, now) <= pool.Config.GoodCost;
 }
 
-// Whether the request is expected to be answered within its aim by a target of that cost.
+// Whether the request is expected to be answered in time by a target of that cost: within its aim, as it can be refused before it has been
+// sent and may then be served elsewhere; after that, by its deadline.
 static bool InTime(const Call& call, double cost, TimeUs now)
 {
-    const auto left = static_cast<double>(call.Row->AimUs - (now - call.From->ArrivedUs));
-    return cost * call.Work->MeanUs < left;
+    const bool sent = call.MayHaveRun > 0 || !call.Active.empty();
+    const TimeUs left = sent ? LeftUs(call, now) : call.From->ArrivedUs + call.Row->AimUs - now;
+    return cost * call.Work->MeanUs < static_cast<double>(left);
 }
 
 // A target passes if it was asked in this round or has had the request already.
@@ -94,7 +96,8 @@
     call->Choosing = Choosing_None;
     if (!call->Active.empty())
     {
-        return; // It was for a second attempt; the first goes on.
+        SecondAgain(call);
+        return;
     }
     const ForwardConfig& config = call->Owner->Config;
     if (call->Kept)
@@ -259,7 +262,7 @@
         PoolTarget* next = PoolNext(&call->Service->Pool, Passed(*call), !call->Repeatable, now);
         const bool known = next != nullptr && next->ReportUs > 0 && now < next->ReportUs + config.ReuseUs;
         const int at_once = next != nullptr && next->Near ? config.AsksAtOnce : config.FarAsksAtOnce;
-        if (next == nullptr || (!known && (call->Asking >= at_once || call->AsksMade >= config.AsksMost)))
+        if (next == nullptr || (!known && (call->Asking >= at_once || call->AsksMade - call->AsksBefore >= config.AsksMost)))
         {
             break;
         }
@@ -289,6 +292,7 @@
     const double share = call->Owner->Config.ChooseShare;
     call->Choosing = choosing;
     call->Asked.clear();
+    call->AsksBefore = call->AsksMade;
     call->ChooseUntilUs = NowUs() + static_cast<TimeUs>(share * static_cast<double>(call->Row->AimUs));
     AskMore(call);
 }
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -20,7 +20,7 @@
 {
     int AsksAtOnce = 2;                       // Targets asked at the same time for one request.
     int FarAsksAtOnce = 1;                    // The same for targets in other data centres: bytes between them have a price.
-    int AsksMost = 8;                         // Questions asked for one request.
+    int AsksMost = 8;                         // Questions asked for one attempt.
     TimeUs ReuseUs = 8 * UsPerMs;             // A report is believed for so long without asking again.
     TimeUs AskTimeoutUs = 40 * UsPerMs;       // A target that takes longer to tell its load is passed over; usual: 0.6 to 3 ms.
     double SettleCost = 1.6;                  // A target at this cost or less is taken when no better one was found.
@@ -32,6 +32,7 @@
     TimeUs EmptyRetryUs = 500 * UsPerMs;      // When to come back where there is no target or no plan yet.
     double SlowFactor = 1.7;                  // An attempt that takes so many times as long as expected is slow (docs/MEASUREMENTS.md).
     double SecondShare = 0.4;                 // Part of the repeat budget for second attempts beside slow ones.
+    TimeUs SecondAgainUs = 50 * UsPerMs;      // No target for a second attempt: pause before looking again. Slots come free within this time.
     double StuckFactor = 3.0;                 // An attempt that takes so many times as long as expected is hardly ever answered in time.
     double StuckShare = 0.9;                  // Part of the repeat budget for second attempts beside such ones.
     double RepeatShare = 0.2;                 // See RepeatBudget.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -248,13 +248,13 @@
     {
         ListenerCloseIdle(&gateway->Callers);
     }
-    const bool empty = out_of_balancer && gateway->Callers.Open.empty();
-    if (empty && gateway->QuietUs == 0)
+    if (out_of_balancer && gateway->QuietUs == 0)
     {
-        ListenerIgnoreNew(&gateway->Callers);
+        ListenerIgnoreNew(&gateway->Callers); // Or callers that open one connection after another would keep it up until it is killed.
         gateway->QuietUs = NowUs();
     }
-    const bool done = empty && NowUs() > gateway->QuietUs + QuietUs;
+    const bool quiet = out_of_balancer && NowUs() > gateway->QuietUs + QuietUs;
+    const bool done = quiet && gateway->Callers.Open.empty();
     if (done || since > gateway->Config.GraceUs - StopMarginUs)
     {
         EndLoop(gateway);
--- a/tests/gateway_faults_test.cpp
+++ b/tests/gateway_faults_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(NeverRepeatsWhatMayNotBeRepeated);
     CPPUNIT_TEST(NeverRepeatsOnAConnectionThatDied);
     CPPUNIT_TEST(RepeatsWhatMayBeRepeated);
+    CPPUNIT_TEST(ASecondAttemptWaitsForRoom);
     CPPUNIT_TEST(AFailureIsPassedOnWhereNoOtherTargetHasRoom);
     CPPUNIT_TEST(SendsToNoMoreTargetsThanAllowed);
     CPPUNIT_TEST(TriesElsewhereWhatWasNotRun);
@@ -124,6 +125,34 @@
     }
 
     // Found in a recorded day: the second target was too slow, and the first one's failure was replaced by our own 502.
+    // The first target never answers, and all slots of the second are in use when that is noticed.
+    void ASecondAttemptWaitsForRoom()
+    {
+        Rig rig;
+        UsersTarget& hanging = RigTarget(&rig, "t1");
+        UsersTarget& busy = RigTarget(&rig, "t2", "svc", "dc-b"); // Asked only where there is no room nearby.
+        UsersRoute route;
+        route.TimeoutS = 3;
+        route.AimS = 3;
+        RigConfigure(&rig, {route});
+        const Gateway& instance = RigInstance(&rig, 2);
+        for (int n = 0; n < 10; n++)
+        {
+            CPPUNIT_ASSERT_EQUAL(200, RigAsk(&rig, instance, RigCall()).Answer.Status); // How long work takes is learnt.
+        }
+        hanging.Script = {TargetAct_Silence};
+        busy.Running = busy.Slots;
+        const RigAnswerPtr answer = RigSend(&rig, instance, RigCall());
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return hanging.Running == 1; }));
+        hanging.Ill = true; // It is no choice any more.
+        RigIdle(&rig, 400 * UsPerMs);
+        CPPUNIT_ASSERT(!answer->Done);
+        busy.Running = 0;
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return answer->Done; }));
+        CPPUNIT_ASSERT_EQUAL(200, answer->Answer.Status);
+        CPPUNIT_ASSERT_EQUAL(1, static_cast<int>(busy.Saw.size()));
+    }
+
     void AFailureIsPassedOnWhereNoOtherTargetHasRoom()
     {
         Rig rig;
--- a/tests/listener_test.cpp
+++ b/tests/listener_test.cpp
@@ -82,6 +82,7 @@
         CPPUNIT_ASSERT(RigRun(&rig, [&]() { return callers.Answered > 100; }));
         GatewayStop(&instance);
         CPPUNIT_ASSERT(RigRun(&rig, [&]() { return instance.Stopped; }));
+        CPPUNIT_ASSERT(instance.Callers.Open.empty()); // It was done, and not at the end of its time.
         rig.Instances.clear(); // The process ends.
         CPPUNIT_ASSERT(RigRun(&rig, [&]() { return callers.Calling == 0; }));
         CPPUNIT_ASSERT_EQUAL(0, callers.Lost);
--- a/winchlink.h
+++ b/winchlink.h
@@ -477,4 +477,7 @@
 // Takes one repeat if there is one. `part` of the budget may be used for it, 0 to 1.
 bool RepeatBudgetTake(RepeatBudget* budget, double part, TimeUs now);
 
+// Gives back one that was taken just now and not used.
+void RepeatBudgetReturn(RepeatBudget* budget, TimeUs now);
+
 } // namespace Winchlink
--- a/winchlink_budget.cpp
+++ b/winchlink_budget.cpp
@@ -42,4 +42,10 @@
     return true;
 }
 
+void RepeatBudgetReturn(RepeatBudget* budget, TimeUs now)
+{
+    RepeatBudget::Step* current = StepAt(budget, now);
+    current->Repeats -= current->Repeats > 0 ? 1 : 0; // In another step it is left: too few repeats break no promise.
+}
+
 } // namespace Winchlink
