--- a/bench/demo.cpp
+++ b/bench/demo.cpp
@@ -128,8 +128,8 @@
                DemoUs / UsPerSecond);
     DemoLeaving leaving;
     const Timer edit = TimerStart(&fleet.Loop, 4 * UsPerSecond, [&]() { TakeOut(&fleet, &leaving); });
-    const Timer count = TimerStart(&fleet.Loop, 6 * UsPerSecond,
-                                   [&]() { leaving.SawBefore = fleet.Targets[LeavingTarget]->Part.Saw.size(); });
+    const Timer count =
+        TimerStart(&fleet.Loop, 6 * UsPerSecond, [&]() { leaving.SawBefore = fleet.Targets[LeavingTarget]->Part.Saw.size(); });
     const Timer kill = TimerStart(&fleet.Loop, 8 * UsPerSecond,
                                   [&]()
                                   {
--- a/bench/users_target.h
+++ b/bench/users_target.h
@@ -63,11 +63,11 @@
     TimeUs WorkUs = 5 * UsPerMs;       // At the usual pace.
     WireNames Names = PlatformNames(); // Header names that it speaks.
     int PacePercent = 100;             // Time that work takes now, for requests that begin now; told to whoever asks.
-    bool Ill = false;              // Health answers 503.
-    bool TellsLoad = true;         // Answers carry the load.
-    bool ResetsWhenFull = false;   // Else it sheds.
-    std::deque<TargetAct_> Script; // For the next requests that it runs or sheds; good when empty.
-    std::vector<TargetSaw> Saw;    // Every request, health questions apart.
+    bool Ill = false;                  // Health answers 503.
+    bool TellsLoad = true;             // Answers carry the load.
+    bool ResetsWhenFull = false;       // Else it sheds.
+    std::deque<TargetAct_> Script;     // For the next requests that it runs or sheds; good when empty.
+    std::vector<TargetSaw> Saw;        // Every request, health questions apart.
     int HealthAsked = 0;
     int Running = 0;
     int Accepted = 0; // Connections.
--- a/examples/embed.cpp
+++ b/examples/embed.cpp
@@ -45,7 +45,7 @@
         DirectoryPut(&directory, target, now);
     }
     TargetPool pool;
-    PoolFollow(&pool, directory, "loans", "dc1", &random);
+    PoolFollow(&pool, DirectoryByService(directory)["loans"], "dc1", &random);
 
     // Ask targets for their load until one has room. Here the first to be asked says that all its slots are in use.
     const PoolTarget* first = PoolNext(&pool, {}, false, now);
--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -176,7 +176,10 @@
     {
         call->Service->Metrics.RepeatsRefused++;
         Log(LogLevel_Info, Code_None, "repeat refused by the budget",
-            {{"requestId", call->Id}, {"service", call->ServiceName}, {"attempts", call->Attempts}, {"partPercent", std::lround(part * 100)}});
+            {{"requestId", call->Id},
+             {"service", call->ServiceName},
+             {"attempts", call->Attempts},
+             {"partPercent", std::lround(part * 100)}});
     }
     return taken;
 }
--- a/gateway/command_status.cpp
+++ b/gateway/command_status.cpp
@@ -104,9 +104,10 @@
     json_t* target = nullptr;
     json_array_foreach(json_object_get(service, "targets"), n, target)
     {
-        fmt::print("  target   {} at {}{}: {}; {} of ours in progress, {} of {} slots in use at {} % pace, told {} ago\n", Text(target, "id"),
-                   Text(target, "address"), Is(target, "near") ? "" : " (far)", Text(target, "why"), Number(target, "inFlight"),
-                   Number(target, "running"), Number(target, "slots"), Number(target, "pacePercent"), Seconds(target, "reportAgeMs"));
+        fmt::print("  target   {} at {}{}: {}; {} of ours in progress, {} of {} slots in use at {} % pace, told {} ago\n",
+                   Text(target, "id"), Text(target, "address"), Is(target, "near") ? "" : " (far)", Text(target, "why"),
+                   Number(target, "inFlight"), Number(target, "running"), Number(target, "slots"), Number(target, "pacePercent"),
+                   Seconds(target, "reportAgeMs"));
     }
 }
 
--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -232,9 +232,11 @@
             state.Repeats.WindowUs = forwarder->Config.RepeatWindowUs;
         }
     }
+    const std::map<std::string, TargetList> targets = DirectoryByService(forwarder->Directory);
     for (auto& entry : forwarder->Services)
     {
-        PoolFollow(&entry.second.Pool, forwarder->Directory, entry.first, forwarder->DataCentre, forwarder->Rng);
+        const auto listed = targets.find(entry.first);
+        PoolFollow(&entry.second.Pool, listed != targets.end() ? listed->second : TargetList(), forwarder->DataCentre, forwarder->Rng);
     }
 }
 
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -123,7 +123,8 @@
     {
         if (address != settings.PeerAddress)
         {
-            peers.push_back({address, RelayDialect(settings.PeerAddress), gateway->Timing.PeerWaitUs, gateway->Timing.PeerMarginUs, 0, false});
+            peers.push_back(
+                {address, RelayDialect(settings.PeerAddress), gateway->Timing.PeerWaitUs, gateway->Timing.PeerMarginUs, 0, false});
         }
     }
     std::shuffle(peers.begin(), peers.end(), gateway->Rng);
@@ -299,8 +300,7 @@
     if (!checked.Faults.empty())
     {
         const Fault& fault = checked.Faults.front();
-        Log(LogLevel_Error, fault.Code, "settings kept",
-            {{"file", gateway->SettingsFile}, {"key", fault.Where}, {"detail", fault.Detail}});
+        Log(LogLevel_Error, fault.Code, "settings kept", {{"file", gateway->SettingsFile}, {"key", fault.Where}, {"detail", fault.Detail}});
         return;
     }
     ApplySettings(gateway, checked.Value);
--- a/gateway/pages.cpp
+++ b/gateway/pages.cpp
@@ -24,8 +24,8 @@
     std::string text;
     for (const CodeCount& count : metrics.Ended)
     {
-        text += fmt::format("winchlink_requests_ended{{service=\"{}\",code=\"{}\"}} {}\n", service, static_cast<int>(count.Code),
-                            count.Count);
+        text +=
+            fmt::format("winchlink_requests_ended{{service=\"{}\",code=\"{}\"}} {}\n", service, static_cast<int>(count.Code), count.Count);
     }
     return text;
 }
--- a/gateway/relay.h
+++ b/gateway/relay.h
@@ -19,9 +19,9 @@
 
 struct RelayConfig
 {
-    size_t ChangesKept = 2000;  // Changes that a follower may be behind without reading everything.
-    size_t FollowersMost = 64;  // Followers beyond that are sent on to some of these (docs/CAPACITY.md has what each costs).
-    size_t NamedMost = 3;       // How many of them are named to one that is sent on.
+    size_t ChangesKept = 2000;     // Changes that a follower may be behind without reading everything.
+    size_t FollowersMost = 64;     // Followers beyond that are sent on to some of these (docs/CAPACITY.md has what each costs).
+    size_t NamedMost = 3;          // How many of them are named to one that is sent on.
     TimeUs BeatUs = 800 * UsPerMs; // Followers are told that nothing has changed no more often than this.
 };
 
--- a/gateway/store_reader.h
+++ b/gateway/store_reader.h
@@ -31,10 +31,10 @@
 struct StorePage
 {
     std::vector<StoreItem> Items;
-    bool More = false;    // Another page follows.
-    uint64_t At = 0;      // The store's revision.
-    TimeUs AgeUs = 0;     // How long ago this was known to be the store's state; 0 from the store itself.
-    bool Trouble = false; // The source has lost the store.
+    bool More = false;                  // Another page follows.
+    uint64_t At = 0;                    // The store's revision.
+    TimeUs AgeUs = 0;                   // How long ago this was known to be the store's state; 0 from the store itself.
+    bool Trouble = false;               // The source has lost the store.
     std::vector<std::string> Elsewhere; // The source has as many followers as it takes: these instances know the same.
 
     template <class Archive> void serialize(Archive& archive)
@@ -87,14 +87,14 @@
     EventLoop* Loop = nullptr;
     Client* Calls = nullptr;
     Random* Rng = nullptr;
-    uint64_t At = 0;              // Revision up to which all is known; 0: nothing is.
-    TimeUs FreshUs = 0;           // When that was last known to be the store's state.
-    std::vector<StoreItem> Pages; // Pages read so far.
-    uint64_t PagesAt = 0;         // Revision of the first of them.
-    size_t Current = 0;           // Index of the source in use.
+    uint64_t At = 0;                     // Revision up to which all is known; 0: nothing is.
+    TimeUs FreshUs = 0;                  // When that was last known to be the store's state.
+    std::vector<StoreItem> Pages;        // Pages read so far.
+    uint64_t PagesAt = 0;                // Revision of the first of them.
+    size_t Current = 0;                  // Index of the source in use.
     std::optional<StoreSource> Referred; // In use instead: where that source has sent us.
-    TimeUs ReturnAtUs = 0;        // When to go back to the preferred one.
-    Timer Next;                   // The next call.
+    TimeUs ReturnAtUs = 0;               // When to go back to the preferred one.
+    Timer Next;                          // The next call.
     int FailuresInRow = 0;
     uint64_t StoreCalls = 0;  // Counters: calls to the store itself.
     uint64_t CallsFailed = 0; // Of any source.
--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -12,20 +12,18 @@
     libclang-rt-14-dev      # libFuzzer and the sanitizers' runtimes
     clang-format            # format check
     clang-tidy              # lint check
-    libboost-dev            # Outcome (errors), Accumulators (metrics), Histogram, Lockfree
+    libboost-dev            # Outcome (errors), Accumulators and Histogram (metrics)
     libcereal-dev           # codec of the messages between instances
-    libcurl4-gnutls-dev     # upstream HTTP; the GnuTLS one, since libulfius-dev conflicts with the OpenSSL one
-    libulfius-dev           # HTTP server
-    libmicrohttpd-dev       # HTTP server of gateway instances; ulfius is built on it
-    libuv1-dev              # event loop of gateway instances
+    libcurl4-gnutls-dev     # HTTP to targets, to the store and between instances
+    libmicrohttpd-dev       # HTTP server; ulfius, the house server, is built on it (docs/DESIGN.md)
+    libuv1-dev              # event loop
     zlib1g-dev              # compression of what instances hand on
-    libjansson-dev          # JSON; ulfius needs it anyway, and it can refuse duplicate keys
+    libjansson-dev          # JSON; it can refuse duplicate keys
     libfmt-dev              # log lines
     libpopt-dev             # command line
-    libsodium-dev           # HMAC, digests, keyed hashing
+    libsodium-dev           # base64 of the users' store
     libcppunit-dev          # unit tests
-    librapidcheck-dev       # stateful property tests
-    gnuplot-nox             # plots of the reports (run by scripts, never by the product)
+    librapidcheck-dev       # property tests
 )
 
 Missing=()
--- a/winchlink.h
+++ b/winchlink.h
@@ -233,16 +233,16 @@
 
 struct Route
 {
-    std::string Name;             // Unique in the plan.
-    std::string Host;             // Requests with this Host header; empty: with any, where no route names theirs.
-    std::string PathPrefix;       // Requests whose path is this or lies below it.
-    std::vector<RoutePart> Parts; // At least one.
-    bool Repeatable = false;      // Requests of any method may be run more than once.
+    std::string Name;                       // Unique in the plan.
+    std::string Host;                       // Requests with this Host header; empty: with any, where no route names theirs.
+    std::string PathPrefix;                 // Requests whose path is this or lies below it.
+    std::vector<RoutePart> Parts;           // At least one.
+    bool Repeatable = false;                // Requests of any method may be run more than once.
     std::vector<std::string> RepeatMethods; // Where not Repeatable: methods that may be.
-    TimeUs TimeoutUs = 0;         // A request is answered by then, whatever the answer.
-    TimeUs AimUs = 0;             // An answer within this time is good.
-    int Priority = 0;             // 0 is the most urgent.
-    int AttemptsMost = 1;         // Targets that one request may be sent to.
+    TimeUs TimeoutUs = 0;                   // A request is answered by then, whatever the answer.
+    TimeUs AimUs = 0;                       // An answer within this time is good.
+    int Priority = 0;                       // 0 is the most urgent.
+    int AttemptsMost = 1;                   // Targets that one request may be sent to.
 };
 
 struct ServiceInfo
@@ -336,6 +336,11 @@
     TimeUs ReturnedUs = 0;                          // When it answered again.
 };
 
+using TargetList = std::vector<const DirectoryTarget*>; // Borrowed from a directory, until its next change.
+
+// All targets of each service, by its name.
+std::map<std::string, TargetList> DirectoryByService(const TargetDirectory& directory);
+
 // The store failed to answer, or answers again.
 void DirectoryTrouble(TargetDirectory* directory, TimeUs now);
 void DirectoryAnswered(TargetDirectory* directory, TimeUs now);
@@ -414,10 +419,9 @@
     int NearlyFullSeen = 0;        // Answers that it was learnt from.
 };
 
-// Brings the pool in line with the directory; what is known of targets that stay is kept. New targets are asked first until they have had
-// a request.
-void PoolFollow(TargetPool* pool, const TargetDirectory& directory, const std::string& service, const std::string& data_centre,
-                Random* random);
+// Brings the pool in line with the targets of its service; what is known of targets that stay is kept. New targets are asked first until
+// they have had a request.
+void PoolFollow(TargetPool* pool, const TargetList& listed, const std::string& data_centre, Random* random);
 
 // A request goes to the target.
 void PoolSent(TargetPool* pool, PoolTarget* target, Random* random);
--- a/winchlink_directory.cpp
+++ b/winchlink_directory.cpp
@@ -12,6 +12,16 @@
 namespace Winchlink
 {
 
+std::map<std::string, TargetList> DirectoryByService(const TargetDirectory& directory)
+{
+    std::map<std::string, TargetList> services;
+    for (const auto& entry : directory.Targets)
+    {
+        services[entry.second.Service].push_back(&entry.second);
+    }
+    return services;
+}
+
 void DirectoryTrouble(TargetDirectory* directory, TimeUs now)
 {
     directory->TroubleUs = now;
--- a/winchlink_pool.cpp
+++ b/winchlink_pool.cpp
@@ -76,14 +76,13 @@
     }
 }
 
-void PoolFollow(TargetPool* pool, const TargetDirectory& directory, const std::string& service, const std::string& data_centre,
-                Random* random)
+void PoolFollow(TargetPool* pool, const TargetList& listed_targets, const std::string& data_centre, Random* random)
 {
     std::vector<PoolTarget> next;
-    for (const auto& entry : directory.Targets)
+    for (const DirectoryTarget* entry : listed_targets)
     {
-        const DirectoryTarget& listed = entry.second;
-        if (listed.Service != service || listed.Presence == Presence_Leaving)
+        const DirectoryTarget& listed = *entry;
+        if (listed.Presence == Presence_Leaving)
         {
             continue;
         }
--- a/winchlink_table.cpp
+++ b/winchlink_table.cpp
@@ -150,8 +150,8 @@
     {
         faults->push_back({Code_TableOutOfRange, where + ".name", "a name can't be empty"});
     }
-    const bool plain = std::all_of(row.Name.begin(), row.Name.end(),
-                                   [](unsigned char c) { return isalnum(c) != 0 || c == '-' || c == '_' || c == '.'; });
+    const bool plain =
+        std::all_of(row.Name.begin(), row.Name.end(), [](unsigned char c) { return isalnum(c) != 0 || c == '-' || c == '_' || c == '.'; });
     if (!plain)
     {
         faults->push_back({Code_TableOutOfRange, where + ".name", "expected letters, digits, '-', '_' and '.' only"});
