--- a/gateway/relay.cpp
+++ b/gateway/relay.cpp
@@ -144,6 +144,25 @@
     return EncodePage(page);
 }
 
+static const std::string& EncodeAll(Relay* relay)
+{
+    constexpr TimeUs reuse = 100 * UsPerMs; // By so much the age that is told may be too low.
+    const TimeUs now = NowUs();
+    if (relay->AllAt == relay->At && now < relay->AllUs + reuse && !relay->Trouble)
+    {
+        return relay->All;
+    }
+    StorePage page = MakePage(*relay);
+    for (const auto& entry : relay->Items)
+    {
+        page.Items.push_back(entry.second);
+    }
+    relay->All = EncodePage(page);
+    relay->AllAt = relay->Trouble ? 0 : relay->At;
+    relay->AllUs = now;
+    return relay->All;
+}
+
 static void AnswerChanges(Relay* relay, const ExchangePtr& call, uint64_t after)
 {
     relay->Answers++;
@@ -260,12 +279,7 @@
         BeginWait(relay, call);
         return;
     }
-    StorePage page = MakePage(*relay);
-    for (const auto& entry : relay->Items)
-    {
-        page.Items.push_back(entry.second);
-    }
-    Reply(call, BytesReply(EncodePage(page)));
+    Reply(call, BytesReply(EncodeAll(relay)));
 }
 
 //-----------------------------------------------------------------------------
--- a/gateway/relay.h
+++ b/gateway/relay.h
@@ -50,6 +50,9 @@
     uint64_t EncodedAfter = 0;              // Most followers wait for the same: their answer is coded once.
     uint64_t EncodedAt = 0;                 //
     std::string Encoded;                    //
+    std::string All;                        // All items, coded: a fleet that starts asks for the same at once.
+    uint64_t AllAt = 0;                     // Their revision.
+    TimeUs AllUs = 0;                       // When they were coded: the age that they tell is of then.
     uint64_t Answers = 0;                   // Counter.
 
     Relay() = default;
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -69,7 +69,7 @@
 
 static std::string WriteFile(const std::string& text)
 {
-    const std::string path = MakeFolder("winchlink-test") + "/settings.json";
+    std::string path = MakeFolder("winchlink-test") + "/settings.json";
     std::ofstream(path) << text;
     return path;
 }
--- a/tests/table_adapter_test.cpp
+++ b/tests/table_adapter_test.cpp
@@ -315,7 +315,9 @@
         rig.Row.RequestsPerInstance = 2;
         const Gateway& instance = StartInstance(&rig);
         std::vector<RigAnswerPtr> answers;
-        for (int n = 0; n < 5; n++)
+        constexpr int asked = 5;
+        answers.reserve(asked);
+        for (int n = 0; n < asked; n++)
         {
             answers.push_back(Send(&rig, instance, "GET", {{"X-Request-Id", std::to_string(n)}}));
         }
