Targets are asked one at a time, and another one after 5 ms

Ruled out: that a target that hangs holds requests up: after 5 ms another is asked (AsksOneTargetAndAnotherIfThatTakesLong).

--- a/bench/users_target.cpp
+++ b/bench/users_target.cpp
@@ -311,6 +311,10 @@
 static void AnswerHealth(UsersTarget* target, const TargetConnection& connection)
 {
     target->HealthAsked++;
+    if (target->Mute)
+    {
+        return;
+    }
     const std::string id = Line(target->Names.TargetId, target->Id);
     Write(connection, fmt::format("HTTP/1.1 {} Health\r\n{}{}Content-Length: 0\r\n\r\n", target->Ill ? 503 : 200, id, Load(*target)));
 }
--- a/bench/users_target.h
+++ b/bench/users_target.h
@@ -64,6 +64,7 @@
     WireNames Names = PlatformNames(); // Header names that it speaks.
     int PacePercent = 100;             // Time that work takes now, for requests that begin now; told to whoever asks.
     bool Ill = false;                  // Health answers 503.
+    bool Mute = false;                 // Health questions are read and never answered.
     bool TellsLoad = true;             // Answers carry the load.
     bool ResetsWhenFull = false;       // Else it sheds.
     std::deque<TargetAct_> Script;     // For the next requests that it runs or sheds; good when empty.
--- a/gateway/call.h
+++ b/gateway/call.h
@@ -60,6 +60,7 @@
     int Asking = 0;                   // Questions without an answer.
     int AsksMade = 0;                 // Questions in all.
     int AsksBefore = 0;               // Of those, for former attempts.
+    int AsksAtOnce = 1;               // Questions without an answer, at the most: more when one takes longer than usual.
     std::vector<Attempt> Active;      // Attempts in progress, two at the most.
     Attempt Last;                     // The latest attempt that ended, for the log.
     int Attempts = 0;                 // Sends that reached, or may have reached, a target.
@@ -67,6 +68,7 @@
     std::optional<ClientAnswer> Kept; // A target's failure, passed on if no other attempt comes to more.
     bool Ended = false;               // The caller has been answered.
     Timer Deadline;                   // Ends it at DeadlineUs.
+    Timer Patience;                   // A question takes longer than usual.
     Timer Again;                      // Asks again after all targets were busy.
     Timer Slow;                       // The first attempt takes longer than expected.
 };
--- a/gateway/choose.cpp
+++ b/gateway/choose.cpp
@@ -216,6 +216,17 @@
                [forwarder, service, id](const ClientAnswer& answer) { OnAnswerToQuestion(forwarder, service, id, answer); });
 }
 
+// The target may hang: another one is asked as well.
+static void OnImpatient(const CallPtr& call)
+{
+    call->Patience = nullptr;
+    if (call->Choosing != Choosing_None && !call->Again)
+    {
+        call->AsksAtOnce++;
+        AskMore(call);
+    }
+}
+
 // Asks the target for its load, or waits for the answer to the same question of another request.
 static void Ask(const CallPtr& call, const PoolTarget& target)
 {
@@ -223,6 +234,7 @@
     call->Asking++;
     call->AsksMade++;
     askers.push_back(call);
+    call->Patience = TimerStart(call->Owner->Loop, call->Owner->Config.AskPatienceUs, [call]() { OnImpatient(call); });
     if (askers.size() == 1)
     {
         SendQuestion(*call, target);
@@ -261,8 +273,7 @@
     {
         PoolTarget* next = PoolNext(&call->Service->Pool, Passed(*call), !call->Repeatable, now);
         const bool known = next != nullptr && next->ReportUs > 0 && now < next->ReportUs + config.ReuseUs;
-        const int at_once = next != nullptr && next->Near ? config.AsksAtOnce : config.FarAsksAtOnce;
-        if (next == nullptr || (!known && (call->Asking >= at_once || call->AsksMade - call->AsksBefore >= config.AsksMost)))
+        if (next == nullptr || (!known && (call->Asking >= call->AsksAtOnce || call->AsksMade - call->AsksBefore >= config.AsksMost)))
         {
             break;
         }
@@ -293,6 +304,7 @@
     call->Choosing = choosing;
     call->Asked.clear();
     call->AsksBefore = call->AsksMade;
+    call->AsksAtOnce = 1;
     call->ChooseUntilUs = NowUs() + static_cast<TimeUs>(share * static_cast<double>(call->Row->AimUs));
     AskMore(call);
 }
--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -67,6 +67,7 @@
     call->Choosing = Choosing_None;
     call->Deadline = nullptr;
     call->Again = nullptr;
+    call->Patience = nullptr;
     call->Slow = nullptr;
     call->Owner->InProgress--;
     if (call->Service != nullptr)
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -18,8 +18,7 @@
 
 struct ForwardConfig
 {
-    int AsksAtOnce = 2;                  // Targets asked at the same time for one request.
-    int FarAsksAtOnce = 1;               // The same for targets in other data centres: bytes between them have a price.
+    TimeUs AskPatienceUs = 5 * UsPerMs;  // A target that takes longer to tell its load is not waited for alone; usual: 0.6 to 3 ms.
     int AsksMost = 8;                    // Questions asked for one attempt.
     TimeUs ReuseUs = 8 * UsPerMs;        // A report is believed for so long without asking again.
     TimeUs AskTimeoutUs = 40 * UsPerMs;  // A target that takes longer to tell its load is passed over; usual: 0.6 to 3 ms.
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -30,6 +30,8 @@
     CPPUNIT_TEST(CancelsTheWorkOfCallersThatLeave);
     CPPUNIT_TEST(RefusesAtOnceWhenAllSlotsAreTaken);
     CPPUNIT_TEST(PrefersTheIdleTargetAtItsUsualPace);
+    CPPUNIT_TEST(AsksOneTargetAndAnotherIfThatTakesLong);
+    CPPUNIT_TEST(RequestsShareAQuestion);
     CPPUNIT_TEST(GoesToAnotherDataCentreForRoom);
     CPPUNIT_TEST(ServesTargetsThatTellNoLoad);
     CPPUNIT_TEST(FollowsConfigurationsAndNeverGoesBack);
@@ -289,6 +291,46 @@
         CPPUNIT_ASSERT_EQUAL(size_t{10}, usual.Saw.size());
     }
 
+    void AsksOneTargetAndAnotherIfThatTakesLong()
+    {
+        Rig rig;
+        UsersTarget& first = RigTarget(&rig, "t1");
+        UsersTarget& second = RigTarget(&rig, "t2");
+        RigConfigure(&rig, {UsersRoute()});
+        Gateway& instance = RigInstance(&rig, 2);
+        instance.Requests.Config.AskTimeoutUs = RigLimitUs; // A question is never given up here.
+        CPPUNIT_ASSERT_EQUAL(200, RigAsk(&rig, instance, RigCall()).Answer.Status);
+        CPPUNIT_ASSERT(first.HealthAsked + second.HealthAsked >= 1);
+        for (UsersTarget* mute : {&first, &second})
+        {
+            UsersTarget& other = mute == &first ? second : first;
+            mute->Mute = true;
+            RigIdle(&rig, 200 * UsPerMs); // Its report is old by now.
+            const RigAnswer answer = RigAsk(&rig, instance, RigCall());
+            CPPUNIT_ASSERT_EQUAL(200, answer.Answer.Status);
+            CPPUNIT_ASSERT_EQUAL(1, UsersTargetRuns(other, answer.Id));
+            mute->Mute = false;
+        }
+    }
+
+    void RequestsShareAQuestion()
+    {
+        Rig rig;
+        UsersTarget& target = RigTarget(&rig, "t1");
+        RigConfigure(&rig, {UsersRoute()});
+        const Gateway& instance = RigInstance(&rig, 1);
+        target.Mute = true; // The question stays on its way while all three come.
+        const std::vector<RigAnswerPtr> answers = {RigSend(&rig, instance, RigCall()), RigSend(&rig, instance, RigCall()),
+                                                   RigSend(&rig, instance, RigCall())};
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return instance.Requests.AsksShared == 2; }));
+        CPPUNIT_ASSERT_EQUAL(uint64_t{1}, instance.Requests.AsksSent);
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return std::all_of(answers.begin(), answers.end(), [](const auto& a) { return a->Done; }); }));
+        for (const RigAnswerPtr& answer : answers)
+        {
+            CPPUNIT_ASSERT_EQUAL(503, answer->Answer.Status);
+        }
+    }
+
     void GoesToAnotherDataCentreForRoom()
     {
         Rig rig;
