Vanished targets are forgotten at the moment their time is over

An entry that goes without a word was the last choice for 1.5 s, learnt of 0.3 s late, and forgotten when the directory was next looked at, twice a second. Change: a timer for the next such entry, and 1.3 s. Ruled out: news that were lost on the way (all thirteen instances had the entry's end within 0.31 s).

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -19,7 +19,7 @@
 namespace Winchlink
 {
 
-static constexpr TimeUs TickUs = 500 * UsPerMs;          // How often vanished targets are looked at.
+static constexpr TimeUs TickUs = 500 * UsPerMs;          // How often the settings file is looked at.
 static constexpr TimeUs StopStepUs = 50 * UsPerMs;       // How often a stopping instance looks whether it is done.
 static constexpr TimeUs StillAcceptUs = 3 * UsPerSecond; // The balancer in front takes two misses, a second each, to notice.
 static constexpr TimeUs QuietUs = 200 * UsPerMs;         // Connections under way when the listening socket was shut arrive by then.
@@ -82,6 +82,23 @@
     DirectoryReplace(&gateway->Requests.Directory, all, at, NowUs());
 }
 
+// Vanished targets are forgotten at the very moment: what is sent to them after that may come too late.
+static void ForgetInTime(Gateway* gateway)
+{
+    const std::optional<TimeUs> next = DirectoryNextForget(gateway->Requests.Directory);
+    gateway->Forgetting = nullptr;
+    if (next)
+    {
+        gateway->Forgetting = TimerStart(gateway->Loop, *next - NowUs(),
+                                         [gateway]()
+                                         {
+                                             DirectoryTick(&gateway->Requests.Directory, NowUs());
+                                             ForwarderFollow(&gateway->Requests);
+                                             ForgetInTime(gateway);
+                                         });
+    }
+}
+
 static void TakeItems(Gateway* gateway, const std::vector<StoreItem>& list, uint64_t at, bool everything)
 {
     const StoreNews news = gateway->Platform.Read({list, at, everything, NowUs()});
@@ -103,6 +120,7 @@
         ForgetOthers(gateway, news, at);
     }
     ForwarderFollow(&gateway->Requests);
+    ForgetInTime(gateway);
 }
 
 // Where changes come from, by preference. Those that others name as their first contacts read the store; all others follow them, each
@@ -329,10 +347,6 @@
 
 static void Tick(Gateway* gateway)
 {
-    if (DirectoryTick(&gateway->Requests.Directory, NowUs()))
-    {
-        ForwarderFollow(&gateway->Requests);
-    }
     CheckSettingsFile(gateway);
     gateway->Second = TimerStart(gateway->Loop, TickUs, [gateway]() { Tick(gateway); });
 }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -38,7 +38,8 @@
     Listener Readiness;
     Listener Metrics;
     std::vector<SignalWatch> Signals;
-    Timer Second;             // Once a second: settings file, vanished targets.
+    Timer Second;             // Twice a second: settings file.
+    Timer Forgetting;         // The next vanished target is forgotten then.
     Timer Stopping;           // Steps of a planned stop.
     TimeUs StartedUs = 0;     // When it was started.
     TimeUs PlanUs = 0;        // When the plan came in force; 0: there is none.
--- a/tests/gateway_faults_test.cpp
+++ b/tests/gateway_faults_test.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(KeepsTheRepeatBudget);
     CPPUNIT_TEST(SendsNothingToTargetsThatLeave);
     CPPUNIT_TEST(UsesVanishedTargetsLastAndNotForLong);
+    CPPUNIT_TEST(VanishedTargetsAreForgottenAtOnceWhenTheirTimeIsOver);
     CPPUNIT_TEST(LapsedEntriesComeBack);
     CPPUNIT_TEST(NoticesASilentStore);
     CPPUNIT_TEST(NoticesWhatLeftWhileWaitsHeardNothing);
@@ -376,6 +377,27 @@
         CPPUNIT_ASSERT_EQUAL(size_t{1}, instance.Requests.Services["svc"].Pool.Targets.size());
     }
 
+    // Timers fire in the order of their times, so a busy machine does not change the verdict.
+    void VanishedTargetsAreForgottenAtOnceWhenTheirTimeIsOver()
+    {
+        Rig rig;
+        RigConfigure(&rig, {UsersRoute()});
+        Gateway& instance = RigInstance(&rig, 0);
+        const TargetDirectory& directory = instance.Requests.Directory;
+        instance.Requests.Directory.Config.VanishedUs = 20 * UsPerMs;
+        for (int round = 0; round < 5; round++)
+        {
+            const std::string id = fmt::format("t{}", round);
+            RigTarget(&rig, id);
+            CPPUNIT_ASSERT(RigRun(&rig, [&]() { return directory.Targets.count(id) == 1; }));
+            UsersStoreRemove(&rig.Store, "servers/" + id);
+            CPPUNIT_ASSERT(RigRun(&rig, [&]() { return directory.Targets.at(id).Presence == Presence_Vanished; }));
+            RigIdle(&rig, 60 * UsPerMs);
+            CPPUNIT_ASSERT(directory.Targets.empty());
+            CPPUNIT_ASSERT(instance.Requests.Services["svc"].Pool.Targets.empty());
+        }
+    }
+
     void LapsedEntriesComeBack()
     {
         Rig rig;
--- a/winchlink.h
+++ b/winchlink.h
@@ -321,7 +321,8 @@
 
 struct DirectoryConfig
 {
-    TimeUs VanishedUs = 1500 * UsPerMs;   // An entry that went is kept so long; targets serve on for 2 s after it.
+    TimeUs VanishedUs =
+        1300 * UsPerMs; // An entry that went is kept so long. Targets serve on for 2 s after it, and we learn of it up to 0.4 s late.
     TimeUs ReturnUs = 2200 * UsPerMs;     // After trouble of the store, entries that it lost are back by then.
     TimeUs TroubleMemoryUs = UsPerSecond; // Entries that go so soon after trouble may have been lost by the store.
 };
@@ -360,6 +361,9 @@
 // Forgets vanished entries when their time is over. True if any went.
 bool DirectoryTick(TargetDirectory* directory, TimeUs now);
 
+// When the next vanished entry must be forgotten; none if there is no such entry.
+std::optional<TimeUs> DirectoryNextForget(const TargetDirectory& directory);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Target pool (which target to ask for its load, and which to take)
 //-----------------------------------------------------------------------------
--- a/winchlink_directory.cpp
+++ b/winchlink_directory.cpp
@@ -130,4 +130,19 @@
     return any;
 }
 
+std::optional<TimeUs> DirectoryNextForget(const TargetDirectory& directory)
+{
+    std::optional<TimeUs> next;
+    for (const auto& entry : directory.Targets)
+    {
+        const DirectoryTarget& target = entry.second;
+        const bool sooner = !next || target.ForgetUs < *next;
+        if (target.Presence == Presence_Vanished && sooner)
+        {
+            next = target.ForgetUs;
+        }
+    }
+    return next;
+}
+
 } // namespace Winchlink
