--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Builds and runs every test: all of them in the ordinary build, then those that a sanitizer can say something about under
-# ASan+UBSan and TSan. The last line is "N passed, N failed".
+# ASan+UBSan. (An instance has one thread: TSan has nothing to say of it.) The last line is "N passed, N failed".
 set -u
 cd "$(dirname "$0")/.."
 
