--- a/bench/added.cpp
+++ b/bench/added.cpp
@@ -56,7 +56,6 @@
     plan.Rows = {row};
     if (!FleetStart(&fleet, plan))
     {
-        fmt::print("the fleet did not become ready; its logs are in {}\n", fleet.Folder);
         return false;
     }
     for (const double rate : {120.0, 500.0, 1000.0, 2000.0})
--- a/bench/bench.h
+++ b/bench/bench.h
@@ -37,14 +37,4 @@
 
 Spread SpreadOf(const std::vector<double>& values);
 
-struct Line
-{
-    double Intercept = 0;
-    double Slope = 0;
-    double R2 = 0; // Share of the variance that the line explains.
-};
-
-// Least squares.
-Line FitLine(const std::vector<double>& x, const std::vector<double>& y);
-
 } // namespace Winchlink
--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -8,7 +8,6 @@
 #include "fleet.h"
 #include "options.h"
 #include "relay.h"
-#include "table_adapter.h"
 
 #include <fmt/format.h>
 
@@ -17,19 +16,22 @@
 
 static constexpr int TargetsPerRow = 11;
 
-static double CpuShare(int64_t before_us, int64_t after_us, TimeUs span)
+static constexpr TimeUs SettleUs = 3 * UsPerSecond; // Until what was just started has nothing more to do.
+
+static double CpuShare(int64_t used_us, TimeUs span)
 {
-    return static_cast<double>(after_us - before_us) / static_cast<double>(span) * 100;
+    return static_cast<double>(used_us) / static_cast<double>(span) * 100;
 }
 
-static bool StartOne(Fleet* fleet, const FleetPlan& plan)
+// Lets the fleet settle; then the processor time in percent of a core that its one instance takes while nothing happens.
+static double MeasureIdle(Fleet* fleet)
 {
-    if (!FleetStart(fleet, plan))
-    {
-        fmt::print("the fleet did not become ready; its logs are in {}\n", fleet->Folder);
-        return false;
-    }
-    return true;
+    constexpr TimeUs idle = 5 * UsPerSecond;
+    FleetRun(fleet, SettleUs);
+    const pid_t pid = fleet->Instances[0].Pid;
+    const int64_t from = CpuTimeUs(pid);
+    FleetRun(fleet, idle);
+    return CpuShare(CpuTimeUs(pid) - from, idle);
 }
 
 //-----------------------------------------------------------------------------
@@ -50,7 +52,7 @@
             row.Targets.push_back({fmt::format("10.{}.{}.1:{}", n / 250, n % 250, first_port + target), "dc1", 1, 3});
         }
         fleet->Rows[row.Name] = row;
-        UsersStorePut(&fleet->Store, row.Name, FormatRow(row));
+        FleetPublish(fleet, row.Name);
     }
 }
 
@@ -62,17 +64,14 @@
     FleetPlan plan;
     plan.Instances = 1;
     plan.Rows = {{"plain", Class_Normal, 1}};
-    if (!StartOne(&fleet, plan))
+    if (!FleetStart(&fleet, plan))
     {
         return false;
     }
     PublishRows(&fleet, rows);
-    FleetRun(&fleet, 3 * UsPerSecond);
+    const double idle_share = MeasureIdle(&fleet);
     const pid_t pid = fleet.Instances[0].Pid;
-    const int64_t idle_from = CpuTimeUs(pid);
-    constexpr TimeUs idle = 5 * UsPerSecond;
-    FleetRun(&fleet, idle);
-    const int64_t idle_to = CpuTimeUs(pid);
+    const int64_t from = CpuTimeUs(pid);
     for (int n = 0; n < edits; n++)
     {
         ServiceRow& row = fleet.Rows[fmt::format("row-{}", n % rows)];
@@ -80,9 +79,8 @@
         FleetPublish(&fleet, row.Name);
         FleetRun(&fleet, between_edits);
     }
-    const int64_t edited = CpuTimeUs(pid);
-    const double idle_share = CpuShare(idle_from, idle_to, idle);
-    const double per_edit_ms = static_cast<double>(edited - idle_to) / edits / UsPerMs - idle_share / 100 * between_edits / UsPerMs;
+    const double all_ms = static_cast<double>(CpuTimeUs(pid) - from) / UsPerMs;
+    const double per_edit_ms = all_ms / edits - idle_share / 100 * between_edits / UsPerMs;
     fmt::print("| {} | {:.1f} | {:.2f} | {:.2f} | {:.1f} | {} |\n", rows, static_cast<double>(ResidentKb(pid)) / 1024, idle_share,
                per_edit_ms, FleetMetric(&fleet, 0, "winchlink_longest_step_us") / UsPerMs,
                FleetMetric(&fleet, 0, "winchlink_plan_version"));
@@ -128,7 +126,7 @@
     FleetPlan plan;
     plan.Instances = 1;
     plan.Rows = {{"plain", Class_Normal, TargetsPerRow}};
-    if (!StartOne(&fleet, plan))
+    if (!FleetStart(&fleet, plan))
     {
         return false;
     }
@@ -141,12 +139,7 @@
         followers.push_back(std::make_unique<Follower>());
         StartFollower(&fleet, followers.back().get(), &client, &random);
     }
-    FleetRun(&fleet, 3 * UsPerSecond);
-    const pid_t pid = fleet.Instances[0].Pid;
-    const int64_t from = CpuTimeUs(pid);
-    constexpr TimeUs idle = 5 * UsPerSecond;
-    FleetRun(&fleet, idle);
-    const int64_t to = CpuTimeUs(pid);
+    const double idle_share = MeasureIdle(&fleet);
     std::vector<double> last_ms;
     for (int n = 0; n < edits; n++)
     {
@@ -161,7 +154,8 @@
         }
         last_ms.push_back(static_cast<double>(last - published) / UsPerMs);
     }
-    fmt::print("| {} | {:.2f} | {:.1f} | {:.1f} | {:.0f} |\n", count, CpuShare(from, to, idle), static_cast<double>(ResidentKb(pid)) / 1024,
+    fmt::print("| {} | {:.2f} | {:.1f} | {:.1f} | {:.0f} |\n", count, idle_share,
+               static_cast<double>(ResidentKb(fleet.Instances[0].Pid)) / 1024,
                FleetMetric(&fleet, 0, "winchlink_longest_step_us") / UsPerMs, QuantileOf(last_ms, 0.5));
     fflush(stdout);
     return true;
@@ -178,7 +172,7 @@
     FleetPlan plan;
     plan.Instances = 1;
     plan.Rows = {{"plain", Class_Normal, TargetsPerRow, 100, 2 * UsPerMs, 1000, asks}};
-    if (!StartOne(&fleet, plan))
+    if (!FleetStart(&fleet, plan))
     {
         return false;
     }
@@ -190,8 +184,7 @@
     const LoadSummary s = Summarize(records, kinds, -1);
     const double questions = FleetMetric(&fleet, 0, "winchlink_load_questions") / static_cast<double>(s.Count);
     fmt::print("| {} | {:.0f} | {} of {} | {:.1f} | {:.0f} | {:.2f} | {:.2f} | {:.2f} | {:.1f} |\n", asks ? "yes" : "no", rate, s.Good,
-               s.Count, static_cast<double>(used) / static_cast<double>(length) * 100,
-               static_cast<double>(used) / static_cast<double>(s.Count), questions, s.P50Ms, s.P99Ms,
+               s.Count, CpuShare(used, length), static_cast<double>(used) / static_cast<double>(s.Count), questions, s.P50Ms, s.P99Ms,
                static_cast<double>(ResidentKb(pid)) / 1024);
     fflush(stdout);
     return true;
--- a/bench/demo.cpp
+++ b/bench/demo.cpp
@@ -31,20 +31,12 @@
     return plan;
 }
 
-// Targets that the table took out, and when.
-struct DemoLeaving
-{
-    TimeUs AtUs = 0;
-    size_t SawBefore = 0; // Requests that it had seen two seconds later.
-};
-
-static void TakeOut(Fleet* fleet, DemoLeaving* leaving)
+static void TakeOut(Fleet* fleet)
 {
     const FleetTarget& target = *fleet->Targets[LeavingTarget];
     fmt::print("  4 s  edit: target {} of {} gets the weight 0\n", target.Part.Address, target.Row);
     fleet->Rows[target.Row].Targets[0].Weight = 0;
     FleetPublish(fleet, target.Row);
-    leaving->AtUs = NowUs();
 }
 
 static void PrintCalls(const std::vector<LoadRecord>& records)
@@ -89,9 +81,10 @@
     return repeated;
 }
 
-static void PrintFleet(Fleet* fleet, const DemoLeaving& leaving)
+// `saw_before`: requests that the target which left had seen two seconds later.
+static void PrintFleet(Fleet* fleet, size_t saw_before)
 {
-    const size_t later = fleet->Targets[LeavingTarget]->Part.Saw.size() - leaving.SawBefore;
+    const size_t later = fleet->Targets[LeavingTarget]->Part.Saw.size() - saw_before;
     fmt::print("\nrequests that may not be repeated and ran twice: {}\n", CountRepeatedWrites(*fleet));
     fmt::print("requests to the target that left, from 2 s after the edit on: {}\n", later);
     fmt::print("calls to the table's service: {}\n\ninstance                plan  questions  connections opened\n", fleet->Store.Calls);
@@ -121,15 +114,13 @@
     const TimeUs start = NowUs();
     if (!FleetStart(&fleet, DemoPlan()))
     {
-        fmt::print("the fleet did not become ready; its logs are in {}\n", fleet.Folder);
         return 1;
     }
     fmt::print("ready after {:.1f} s; a load of 360 calls/s runs for {} s\n", static_cast<double>(NowUs() - start) / UsPerSecond,
                DemoUs / UsPerSecond);
-    DemoLeaving leaving;
-    const Timer edit = TimerStart(&fleet.Loop, 4 * UsPerSecond, [&]() { TakeOut(&fleet, &leaving); });
-    const Timer count =
-        TimerStart(&fleet.Loop, 6 * UsPerSecond, [&]() { leaving.SawBefore = fleet.Targets[LeavingTarget]->Part.Saw.size(); });
+    size_t saw_before = 0;
+    const Timer edit = TimerStart(&fleet.Loop, 4 * UsPerSecond, [&]() { TakeOut(&fleet); });
+    const Timer count = TimerStart(&fleet.Loop, 6 * UsPerSecond, [&]() { saw_before = fleet.Targets[LeavingTarget]->Part.Saw.size(); });
     const Timer kill = TimerStart(&fleet.Loop, 8 * UsPerSecond,
                                   [&]()
                                   {
@@ -138,7 +129,7 @@
                                   });
     const std::vector<LoadRecord> records = FleetPlayLoad(&fleet, FleetEntries(fleet), DemoLoad(), DemoUs, 1);
     PrintCalls(records);
-    PrintFleet(&fleet, leaving);
+    PrintFleet(&fleet, saw_before);
     return 0;
 }
 
--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -14,13 +14,11 @@
 
 #include <csignal>
 #include <fmt/format.h>
-#include <fstream>
 
 namespace Winchlink
 {
 
 static constexpr TimeUs ReadyMostUs = 20 * UsPerSecond;
-static constexpr int ReadersMost = 3; // Instances that read the service; the others follow them.
 
 //-----------------------------------------------------------------------------
 // [SECTION] Table and targets
@@ -75,18 +73,21 @@
 // [SECTION] Instances
 //-----------------------------------------------------------------------------
 
-static void WriteSettings(const Fleet& fleet, const FleetInstance& instance, int index)
+static Settings MakeSettings(const Fleet& fleet, const FleetInstance& instance, int index)
 {
-    std::string peers;
+    Settings settings;
+    settings.Instance = fmt::format("i{}", index);
+    settings.DataCentre = DataCentreOf(fleet.Plan, index);
+    settings.CallerAddress = instance.Callers;
+    settings.ReadyAddress = instance.Ready;
+    settings.MetricsAddress = instance.Pages;
+    settings.PeerAddress = instance.Peers;
+    settings.StoreAddress = fleet.Store.Address;
     for (size_t n = 0; n < fleet.Instances.size() && n < ReadersMost; n++)
     {
-        peers += fmt::format("{}\"{}\"", n == 0 ? "" : ",", fleet.Instances[n].Peers);
+        settings.Peers.push_back(fleet.Instances[n].Peers);
     }
-    std::ofstream out(instance.SettingsFile);
-    out << fmt::format(R"({{"instance":"i{}","dataCentre":"{}","callerAddress":"{}","readyAddress":"{}","metricsAddress":"{}",)"
-                       R"("peerAddress":"{}","storeAddress":"{}","peers":[{}]}})",
-                       index, DataCentreOf(fleet.Plan, index), instance.Callers, instance.Ready, instance.Pages, instance.Peers,
-                       fleet.Store.Address, peers);
+    return settings;
 }
 
 static void StartInstances(Fleet* fleet)
@@ -100,23 +101,18 @@
     for (int n = 0; n < fleet->Plan.Instances; n++)
     {
         FleetInstance& instance = fleet->Instances[static_cast<size_t>(n)];
-        WriteSettings(*fleet, instance, n);
+        WriteSettings(instance.SettingsFile, MakeSettings(*fleet, instance, n));
         instance.Pid = StartProcess({program, "serve", "--settings", instance.SettingsFile}, fmt::format("{}/i{}.log", fleet->Folder, n),
                                     fleet->Plan.Environment);
     }
 }
 
-static bool IsReady(Fleet* fleet, const FleetInstance& instance)
+static ClientAnswer Get(Fleet* fleet, const std::string& address, const std::string& path)
 {
-    constexpr TimeUs patience = 500 * UsPerMs;
-    std::optional<int> status;
     ClientRequest request;
-    request.Address = instance.Ready;
-    request.Target = "/ready";
-    request.TimeoutUs = patience;
-    ClientSend(&fleet->Calls, std::move(request), [&status](const ClientAnswer& answer) { status = answer.Status; });
-    LoopRunUntil(&fleet->Loop, 2 * patience, [&status]() { return status.has_value(); });
-    return status == 200;
+    request.Address = address;
+    request.Target = path;
+    return ClientAsk(&fleet->Calls, std::move(request));
 }
 
 static bool AwaitReady(Fleet* fleet)
@@ -125,7 +121,7 @@
     const TimeUs until = NowUs() + ReadyMostUs;
     for (const FleetInstance& instance : fleet->Instances)
     {
-        while (!IsReady(fleet, instance))
+        while (Get(fleet, instance.Ready, "/ready").Status != 200)
         {
             if (NowUs() > until)
             {
@@ -137,7 +133,7 @@
     return true;
 }
 
-bool FleetStart(Fleet* fleet, const FleetPlan& plan)
+static bool StartAll(Fleet* fleet, const FleetPlan& plan)
 {
     std::signal(SIGPIPE, SIG_IGN);
     fleet->Plan = plan;
@@ -159,6 +155,16 @@
     return AwaitReady(fleet);
 }
 
+bool FleetStart(Fleet* fleet, const FleetPlan& plan)
+{
+    const bool good = StartAll(fleet, plan);
+    if (!good)
+    {
+        fmt::print("the fleet did not become ready; its logs are in {}\n", fleet->Folder);
+    }
+    return good;
+}
+
 void FleetKillInstance(Fleet* fleet, size_t index)
 {
     FleetInstance& instance = fleet->Instances[index];
@@ -199,20 +205,9 @@
 // [SECTION] Asking
 //-----------------------------------------------------------------------------
 
-std::string FleetGet(Fleet* fleet, const std::string& address, const std::string& path)
-{
-    std::optional<std::string> body;
-    ClientRequest request;
-    request.Address = address;
-    request.Target = path;
-    ClientSend(&fleet->Calls, std::move(request), [&body](const ClientAnswer& answer) { body = answer.Body; });
-    LoopRunUntil(&fleet->Loop, 2 * UsPerSecond, [&body]() { return body.has_value(); });
-    return body.value_or("");
-}
-
 double FleetMetric(Fleet* fleet, size_t index, const std::string& name)
 {
-    const std::string text = "\n" + FleetGet(fleet, fleet->Instances[index].Pages, "/metrics");
+    const std::string text = "\n" + Get(fleet, fleet->Instances[index].Pages, "/metrics").Body;
     const size_t at = text.find("\n" + name + " ");
     return at == std::string::npos ? 0 : std::strtod(text.c_str() + at + name.size() + 2, nullptr);
 }
--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -74,7 +74,7 @@
     Fleet& operator=(const Fleet&) = delete;
 };
 
-// Starts all and waits until every instance is ready. False if that does not come.
+// Starts all and waits until every instance is ready. If that does not come: false, and a line that says where the logs are.
 bool FleetStart(Fleet* fleet, const FleetPlan& plan);
 
 // Publishes a row as it stands in fleet->Rows.
@@ -85,9 +85,6 @@
 // Lets the loop run.
 void FleetRun(Fleet* fleet, TimeUs time);
 
-// The body of a page of an instance; empty if it does not answer.
-std::string FleetGet(Fleet* fleet, const std::string& address, const std::string& path);
-
 // A value of an instance's metrics page; 0 if it is not there.
 double FleetMetric(Fleet* fleet, size_t index, const std::string& name);
 
--- a/bench/numbers.cpp
+++ b/bench/numbers.cpp
@@ -1,4 +1,4 @@
-// numbers.cpp: quantiles, spreads and fits.
+// numbers.cpp: quantiles and spreads.
 
 #include "bench.h"
 
@@ -31,30 +31,4 @@
     return {QuantileOf(values, 0.5), *ends.first, *ends.second};
 }
 
-Line FitLine(const std::vector<double>& x, const std::vector<double>& y)
-{
-    const double n = static_cast<double>(x.size());
-    double sx = 0;
-    double sy = 0;
-    double sxx = 0;
-    double sxy = 0;
-    double syy = 0;
-    for (size_t i = 0; i < x.size(); i++)
-    {
-        sx += x[i];
-        sy += y[i];
-        sxx += x[i] * x[i];
-        sxy += x[i] * y[i];
-        syy += y[i] * y[i];
-    }
-    Line line;
-    const double dx = n * sxx - sx * sx;
-    const double dy = n * syy - sy * sy;
-    const double dxy = n * sxy - sx * sy;
-    line.Slope = dx != 0 ? dxy / dx : 0;
-    line.Intercept = n > 0 ? (sy - line.Slope * sx) / n : 0;
-    line.R2 = dx != 0 && dy != 0 ? dxy * dxy / (dx * dy) : 1;
-    return line;
-}
-
 } // namespace Winchlink
--- a/bench/policies.cpp
+++ b/bench/policies.cpp
@@ -91,7 +91,6 @@
     plan.Rows = {row};
     if (!FleetStart(&fleet, plan))
     {
-        fmt::print("the fleet did not become ready; its logs are in {}\n", fleet.Folder);
         return false;
     }
     Random random(static_cast<uint64_t>(round) + 1);
--- a/bench/process.cpp
+++ b/bench/process.cpp
@@ -7,7 +7,7 @@
 
 #include "process.h"
 
-#include "winchlink.h"
+#include "winchlink_internal.h"
 
 #include <arpa/inet.h>
 #include <atomic>
@@ -87,6 +87,33 @@
     return pid;
 }
 
+static json_t* JsonSeconds(TimeUs time)
+{
+    return json_real(static_cast<double>(time) / static_cast<double>(UsPerSecond));
+}
+
+void WriteSettings(const std::string& file, const Settings& settings)
+{
+    json_t* peers = json_array();
+    for (const std::string& peer : settings.Peers)
+    {
+        json_array_append_new(peers, JsonText(peer));
+    }
+    json_t* object = json_object();
+    json_object_set_new(object, "instance", JsonText(settings.Instance));
+    json_object_set_new(object, "dataCentre", JsonText(settings.DataCentre));
+    json_object_set_new(object, "callerAddress", JsonText(settings.CallerAddress));
+    json_object_set_new(object, "readyAddress", JsonText(settings.ReadyAddress));
+    json_object_set_new(object, "metricsAddress", JsonText(settings.MetricsAddress));
+    json_object_set_new(object, "peerAddress", JsonText(settings.PeerAddress));
+    json_object_set_new(object, "storeAddress", JsonText(settings.StoreAddress));
+    json_object_set_new(object, "peers", peers);
+    json_object_set_new(object, "graceS", JsonSeconds(settings.GraceUs));
+    json_object_set_new(object, "repeatShare", json_real(settings.RepeatShare));
+    json_object_set_new(object, "repeatWindowS", JsonSeconds(settings.RepeatWindowUs));
+    std::ofstream(file) << DumpJson(object, JSON_COMPACT);
+}
+
 void KillProcess(pid_t pid)
 {
     kill(pid, SIGCONT);
@@ -103,9 +130,9 @@
 static constexpr int FirstPort = 10000;
 static constexpr int PortCount = 22000;
 
-static bool CanBind(int type, const std::string& ip, int port)
+static bool CanBind(const std::string& ip, int port)
 {
-    const int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address = {};
     address.sin_family = AF_INET;
     address.sin_port = htons(static_cast<uint16_t>(port));
@@ -121,7 +148,7 @@
     for (int tries = 0; tries < PortCount; tries++)
     {
         const int port = FirstPort + next++ % PortCount;
-        if (CanBind(SOCK_STREAM, ip, port) && CanBind(SOCK_DGRAM, ip, port))
+        if (CanBind(ip, port))
         {
             return port;
         }
--- a/bench/process.h
+++ b/bench/process.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "headers.h"
+#include "settings.h"
 
 #include <sys/types.h>
 
@@ -15,6 +16,11 @@
 // A new folder under /tmp; empty if there can be none.
 std::string MakeFolder(const std::string& name);
 
+inline constexpr size_t ReadersMost = 3; // Instances of a fleet that read the store; the others follow them.
+
+// Writes the settings file of an instance.
+void WriteSettings(const std::string& file, const Settings& settings);
+
 // Starts a program with its output appended to the file `log`; `environment` is added to our own. -1 if it can't be started.
 pid_t StartProcess(const std::vector<std::string>& command, const std::string& log, const std::vector<Header>& environment);
 
--- a/bench/proxy.cpp
+++ b/bench/proxy.cpp
@@ -169,7 +169,7 @@
     proxy->Loop = loop;
     proxy->Address = address;
     proxy->Server = server;
-    proxy->Listening = OpenBound(SOCK_STREAM, ParseEndpoint(address).value());
+    proxy->Listening = OpenBound(ParseEndpoint(address).value());
     if (proxy->Listening < 0 || listen(proxy->Listening, SOMAXCONN) != 0)
     {
         return false;
--- a/bench/soak.h
+++ b/bench/soak.h
@@ -58,7 +58,7 @@
 // [SECTION] Parts
 //-----------------------------------------------------------------------------
 
-inline constexpr double SoakGraceS = 4;                              // Given to instances that are stopped.
+inline constexpr TimeUs SoakGraceUs = 4 * UsPerSecond;               // Given to instances that are stopped.
 inline constexpr const char* SoakInstanceHeader = "X-Soak-Instance"; // Of a request: the instance that it was sent to.
 
 struct SoakInstance
--- a/bench/soak_audit.cpp
+++ b/bench/soak_audit.cpp
@@ -1,4 +1,4 @@
-// soak_audit.cpp: the checks on what a soak of gateway instances saw.
+// soak_audit.cpp: the checks on what a soak of instances saw.
 
 #include "soak_audit.h"
 
--- a/bench/soak_audit.h
+++ b/bench/soak_audit.h
@@ -1,4 +1,4 @@
-// soak_audit.h: what a soak of gateway instances saw, and the checks on it. Pure, so that tests can plant each fault.
+// soak_audit.h: what a soak of instances saw, and the checks on it. Pure, so that tests can plant each fault.
 
 #pragma once
 
--- a/bench/soak_faults.cpp
+++ b/bench/soak_faults.cpp
@@ -53,8 +53,7 @@
     kill(instance->Pid, SIGTERM);
     Later(soak, 2 * UsPerSecond, [instance]() { instance->Leaving = instance->Ending; }); // The balancer notices.
     constexpr TimeUs slack = UsPerSecond;
-    const auto grace = static_cast<TimeUs>(SoakGraceS * static_cast<double>(UsPerSecond));
-    instance->Next = TimerStart(&soak->Loop, grace + slack,
+    instance->Next = TimerStart(&soak->Loop, SoakGraceUs + slack,
                                 [soak, instance]()
                                 {
                                     soak->Log.LateEnds++;
--- a/bench/soak_parts.cpp
+++ b/bench/soak_parts.cpp
@@ -9,14 +9,12 @@
 #include "clock.h"
 
 #include <fmt/format.h>
-#include <fstream>
 #include <limits>
 
 namespace Winchlink
 {
 
 static constexpr const char* MovingPrefix = "/m/";
-static constexpr int ReadersMost = 3;
 
 //-----------------------------------------------------------------------------
 // [SECTION] Parts
@@ -53,24 +51,32 @@
     }
 }
 
+static std::string SettingsFile(const SoakInstance& instance)
+{
+    return instance.Folder + "/settings.json";
+}
+
 void WriteSettings(const Soak& soak, const SoakInstance& instance, double repeat_share)
 {
-    std::string peers;
+    Settings settings;
+    settings.Instance = fmt::format("i{}", instance.Index);
+    settings.DataCentre = fmt::format("dc-{}", instance.Index % 2);
+    settings.CallerAddress = instance.CallerAddress;
+    settings.ReadyAddress = FreeLoopback();
+    settings.PeerAddress = instance.PeerAddress;
+    settings.StoreAddress = instance.ToStore.Address;
+    settings.GraceUs = SoakGraceUs;
+    settings.RepeatShare = repeat_share;
     for (size_t n = 0; n < soak.Instances.size() && n < ReadersMost; n++)
     {
-        peers += fmt::format("{}\"{}\"", n == 0 ? "" : ",", soak.Instances[n]->PeerAddress);
+        settings.Peers.push_back(soak.Instances[n]->PeerAddress);
     }
-    std::ofstream out(instance.Folder + "/settings.json");
-    out << fmt::format(R"({{"instance":"i{}","dataCentre":"dc-{}","callerAddress":"{}","readyAddress":"{}","peerAddress":"{}",)"
-                       R"("storeAddress":"{}","peers":[{}],"graceS":{},"repeatShare":{},"repeatWindowS":10}})",
-                       instance.Index, instance.Index % 2, instance.CallerAddress, FreeLoopback(), instance.PeerAddress,
-                       instance.ToStore.Address, peers, SoakGraceS, repeat_share);
+    WriteSettings(SettingsFile(instance), settings);
 }
 
 void StartInstance(Soak* soak, SoakInstance* instance)
 {
-    instance->Pid =
-        StartProcess({soak->Plan.Program, "gateway", "--settings", instance->Folder + "/settings.json"}, instance->Folder + "/log", {});
+    instance->Pid = StartProcess({soak->Plan.Program, "gateway", "--settings", SettingsFile(*instance)}, instance->Folder + "/log", {});
     instance->Ending = false;
     instance->Leaving = false;
     CloseTrouble(soak, &instance->Trouble);
--- a/bench/users_store.cpp
+++ b/bench/users_store.cpp
@@ -67,23 +67,6 @@
     return CallerReply{200, {{"Content-Type", "application/json"}}, DumpJson(object, JSON_COMPACT), false};
 }
 
-static std::string QueryValue(const std::string& target, const std::string& key)
-{
-    const size_t query = target.find('?');
-    size_t at = query;
-    while (at != std::string::npos)
-    {
-        const size_t end = target.find('&', at + 1);
-        const std::string pair = target.substr(at + 1, end == std::string::npos ? end : end - at - 1);
-        if (pair.compare(0, key.size() + 1, key + "=") == 0)
-        {
-            return pair.substr(key.size() + 1);
-        }
-        at = end;
-    }
-    return "";
-}
-
 // Keys are sent percent-encoded.
 static std::string Decoded(const std::string& text)
 {
--- a/bench/users_target.cpp
+++ b/bench/users_target.cpp
@@ -435,7 +435,7 @@
     const Result<Endpoint> endpoint = ParseEndpoint(address);
     target->Id = id;
     target->Loop = loop;
-    target->Listening = endpoint ? OpenBound(SOCK_STREAM, endpoint.value()) : -1;
+    target->Listening = endpoint ? OpenBound(endpoint.value()) : -1;
     if (target->Listening < 0 || listen(target->Listening, SOMAXCONN) != 0)
     {
         return false;
--- a/daemon/clock.h
+++ b/daemon/clock.h
@@ -1,4 +1,4 @@
-// clock.h: the clocks of the daemon.
+// clock.h: the clocks of an instance.
 //
 // Everything that decides takes time as an argument; these are read at the edges only.
 
@@ -24,16 +24,10 @@
     return ReadClock(CLOCK_BOOTTIME);
 }
 
-// Wall clock, for the turns of the measuring budget and for people.
+// Wall clock, for people.
 inline TimeUs WallUs()
 {
     return ReadClock(CLOCK_REALTIME);
 }
 
-// Processor time of the calling thread.
-inline TimeUs ThreadCpuUs()
-{
-    return ReadClock(CLOCK_THREAD_CPUTIME_ID);
-}
-
 } // namespace Winchlink
--- a/daemon/headers.cpp
+++ b/daemon/headers.cpp
@@ -1,4 +1,4 @@
-// headers.cpp: HTTP header fields.
+// headers.cpp: HTTP header fields and query values.
 
 #include "headers.h"
 
@@ -45,4 +45,21 @@
     return text.substr(first, text.find_last_not_of(blanks) - first + 1);
 }
 
+std::string QueryValue(const std::string& target, const std::string& key)
+{
+    const size_t query = target.find('?');
+    size_t at = query;
+    while (at != std::string::npos)
+    {
+        const size_t end = target.find('&', at + 1);
+        const std::string pair = target.substr(at + 1, end == std::string::npos ? end : end - at - 1);
+        if (pair.compare(0, key.size() + 1, key + "=") == 0)
+        {
+            return pair.substr(key.size() + 1);
+        }
+        at = end;
+    }
+    return "";
+}
+
 } // namespace Winchlink
--- a/daemon/headers.h
+++ b/daemon/headers.h
@@ -1,4 +1,4 @@
-// headers.h: HTTP header fields, as every server and client of ours holds them.
+// headers.h: HTTP header fields, as every server and client of ours holds them, and query values.
 
 #pragma once
 
@@ -26,4 +26,7 @@
 // Without leading and trailing blanks and line ends.
 std::string TrimBlanks(const std::string& text);
 
+// The value of a key in the query of a path, as it was sent; empty if there is none.
+std::string QueryValue(const std::string& target, const std::string& key);
+
 } // namespace Winchlink
--- a/daemon/socket.cpp
+++ b/daemon/socket.cpp
@@ -20,15 +20,12 @@
     return address;
 }
 
-int OpenBound(int type, const Endpoint& endpoint)
+int OpenBound(const Endpoint& endpoint)
 {
-    const int fd = socket(AF_INET, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const sockaddr_in address = ToSocketAddress(endpoint);
     const int on = 1;
-    if (type == SOCK_STREAM)
-    {
-        setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    }
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     if (bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0)
     {
         const int reason = errno;
--- a/gateway/call.h
+++ b/gateway/call.h
@@ -1,4 +1,4 @@
-// call.h: one caller's request inside a gateway instance, as the parts of the forwarder share it (forward.cpp, choose.cpp, attempt.cpp).
+// call.h: one caller's request inside an instance, as the parts of the forwarder share it (forward.cpp, choose.cpp, attempt.cpp).
 //
 // A Call is held by the callbacks that will move it on. It ends exactly once, in EndCall(); whatever comes later for it is only learnt
 // from.
--- a/gateway/choose.cpp
+++ b/gateway/choose.cpp
@@ -2,8 +2,8 @@
 //
 // Index of this file:
 // [SECTION] Learning from answers
-// [SECTION] Asking
 // [SECTION] Deciding
+// [SECTION] Asking
 // [SECTION] Waiting
 
 #include "call.h"
@@ -282,11 +282,7 @@
         {
             Ask(call, *next);
         }
-        else if (!known)
-        {
-            continue;
-        }
-        else if (IsGood(*call, *next, now))
+        else if (known && IsGood(*call, *next, now))
         {
             SendTo(call, next);
             return;
--- a/gateway/client.cpp
+++ b/gateway/client.cpp
@@ -399,6 +399,21 @@
     return id;
 }
 
+ClientAnswer ClientAsk(Client* client, ClientRequest request)
+{
+    const TimeUs limit = request.TimeoutUs + UsPerSecond; // The request's own timeout comes first.
+    std::optional<ClientAnswer> got;
+    const uint64_t id = ClientSend(client, std::move(request), [&got](ClientAnswer answer) { got = std::move(answer); });
+    if (!LoopRunUntil(client->Loop, limit, [&got]() { return got.has_value(); }))
+    {
+        ClientCancel(client, id); // The loop was held up for long.
+        got.emplace();
+        got->End = ClientEnd_TimedOut;
+        got->Detail = "no answer";
+    }
+    return std::move(*got);
+}
+
 void ClientCancel(Client* client, uint64_t id)
 {
     const std::unique_ptr<ClientCall> call = TakeOut(client, id);
--- a/gateway/client.h
+++ b/gateway/client.h
@@ -79,6 +79,9 @@
 // Sends a request and returns its id. `done` is never called before this function returns.
 uint64_t ClientSend(Client* client, ClientRequest request, ClientDone done);
 
+// Sends a request and runs the loop until its answer is there: for commands and tools that have nothing else to do meanwhile.
+ClientAnswer ClientAsk(Client* client, ClientRequest request);
+
 // Ends a request; its connection is closed, so that the other side may stop its work. Unknown ids are ignored: it has ended.
 void ClientCancel(Client* client, uint64_t id);
 
--- a/gateway/command_status.cpp
+++ b/gateway/command_status.cpp
@@ -25,23 +25,21 @@
     EventLoop loop;
     Client client;
     ClientStart(&client, &loop);
-    std::optional<ClientAnswer> got;
     ClientRequest request;
     request.Address = address;
     request.Target = "/status";
     request.TimeoutUs = StatusTimeoutUs;
     request.AnswerMost = StatusMost;
-    ClientSend(&client, std::move(request), [&got](ClientAnswer answer) { got = std::move(answer); });
-    LoopRunUntil(&loop, 2 * StatusTimeoutUs, [&got]() { return got.has_value(); });
-    if (!got || got->End != ClientEnd_Answered)
+    ClientAnswer answer = ClientAsk(&client, std::move(request));
+    if (answer.End != ClientEnd_Answered)
     {
-        return Error{Code_StatusUnreachable, address + ": " + (got ? got->Detail : "no answer")};
+        return Error{Code_StatusUnreachable, address + ": " + answer.Detail};
     }
-    if (got->Status != 200)
+    if (answer.Status != 200)
     {
-        return Error{Code_StatusUnreachable, fmt::format("{}: status {}", address, got->Status)};
+        return Error{Code_StatusUnreachable, fmt::format("{}: status {}", address, answer.Status)};
     }
-    return std::move(got->Body);
+    return std::move(answer.Body);
 }
 
 static json_int_t Number(json_t* object, const char* key)
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -1,4 +1,4 @@
-// gateway.cpp: one gateway instance.
+// gateway.cpp: one instance.
 //
 // Index of this file:
 // [SECTION] What the store says
@@ -71,15 +71,12 @@
 // Targets that `news` does not name are gone.
 static void ForgetOthers(Gateway* gateway, const StoreNews& news, uint64_t at)
 {
-    std::vector<DirectoryTarget> all;
+    std::set<std::string> named;
     for (const TargetNews& target : news.Targets)
     {
-        if (!target.Gone && target.Target.Presence != Presence_Leaving)
-        {
-            all.push_back(target.Target);
-        }
+        named.insert(target.Target.Id);
     }
-    DirectoryReplace(&gateway->Requests.Directory, all, at, NowUs());
+    DirectoryKeep(&gateway->Requests.Directory, named, at, NowUs());
 }
 
 // Vanished targets are forgotten at the very moment: what is sent to them after that may come too late.
@@ -259,27 +256,24 @@
     LoopStop(gateway->Loop);
 }
 
-static void StopStep(Gateway* gateway)
+// Waits until all connections are closed, or the grace time is nearly over.
+static void EndWhenEmpty(Gateway* gateway)
 {
+    ListenerCloseIdle(&gateway->Callers);
     const TimeUs since = NowUs() - gateway->StopUs;
-    const bool out_of_balancer = since > StillAcceptUs;
-    if (out_of_balancer)
-    {
-        ListenerCloseIdle(&gateway->Callers);
-    }
-    if (out_of_balancer && gateway->QuietUs == 0)
-    {
-        ListenerIgnoreNew(&gateway->Callers); // Or callers that open one connection after another would keep it up until it is killed.
-        gateway->QuietUs = NowUs();
-    }
-    const bool quiet = out_of_balancer && NowUs() > gateway->QuietUs + QuietUs;
-    const bool done = quiet && gateway->Callers.Open.empty();
+    const bool done = since > StillAcceptUs + QuietUs && gateway->Callers.Open.empty();
     if (done || since > gateway->Config.GraceUs - StopMarginUs)
     {
         EndLoop(gateway);
         return;
     }
-    gateway->Stopping = TimerStart(gateway->Loop, StopStepUs, [gateway]() { StopStep(gateway); });
+    gateway->Stopping = TimerStart(gateway->Loop, StopStepUs, [gateway]() { EndWhenEmpty(gateway); });
+}
+
+static void ShutOut(Gateway* gateway)
+{
+    ListenerIgnoreNew(&gateway->Callers); // Or callers that open one connection after another would keep it up until it is killed.
+    EndWhenEmpty(gateway);
 }
 
 void GatewayStop(Gateway* gateway)
@@ -292,7 +286,8 @@
     gateway->StopUs = NowUs();
     gateway->Requests.Leaving = true;
     Log(LogLevel_Info, Code_None, "stopping", {{"inProgress", gateway->Requests.InProgress}});
-    StopStep(gateway);
+    const TimeUs serve_on = std::min(StillAcceptUs, gateway->Config.GraceUs - StopMarginUs);
+    gateway->Stopping = TimerStart(gateway->Loop, serve_on, [gateway]() { ShutOut(gateway); });
 }
 
 //-----------------------------------------------------------------------------
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -40,11 +40,10 @@
     std::vector<SignalWatch> Signals;
     Timer Second;             // Twice a second: settings file.
     Timer Forgetting;         // The next vanished target is forgotten then.
-    Timer Stopping;           // Steps of a planned stop.
+    Timer Stopping;           // The next step of a planned stop.
     TimeUs StartedUs = 0;     // When it was started.
     TimeUs PlanUs = 0;        // When the plan came in force; 0: there is none.
     std::string Refused;      // Why the latest news of the store could not be used; empty if they could.
-    TimeUs QuietUs = 0;       // Planned stop: when the listening socket was shut; 0: not yet.
     TimeUs StopUs = 0;        // When the stop signal came; 0: not yet.
     bool Stopped = false;     // The planned stop is over.
     int64_t SettingsTime = 0; // When the settings file was last changed.
--- a/gateway/listener.cpp
+++ b/gateway/listener.cpp
@@ -261,15 +261,6 @@
     MHD_set_connection_option(mhd, MHD_CONNECTION_OPTION_TIMEOUT, SecondsOf(listener->Config.Limits.IdleTimeoutUs + IdleGraceUs));
 }
 
-int ListenerBusy(const Listener& listener)
-{
-    const auto busy = [](const auto& entry)
-    {
-        return entry.second.Current != nullptr;
-    };
-    return static_cast<int>(std::count_if(listener.Open.begin(), listener.Open.end(), busy));
-}
-
 void ListenerCloseIdle(Listener* listener)
 {
     for (const auto& entry : listener->Open)
--- a/gateway/listener.h
+++ b/gateway/listener.h
@@ -101,9 +101,6 @@
 // Answers a request. Call exactly once for each exchange.
 void Reply(const ExchangePtr& exchange, CallerReply reply);
 
-// Requests that were read whole and whose answers are not yet handed over.
-int ListenerBusy(const Listener& listener);
-
 // Ends connections that wait for their next request; what has been sent on them already is still read.
 void ListenerCloseIdle(Listener* listener);
 
--- a/gateway/loop.cpp
+++ b/gateway/loop.cpp
@@ -1,4 +1,4 @@
-// loop.cpp: the event loop of a gateway instance, on libuv.
+// loop.cpp: the event loop of an instance, on libuv.
 //
 // libuv frees nothing by itself: a handle may go only after its close callback, so each handle owns itself from then on.
 //
--- a/gateway/loop.h
+++ b/gateway/loop.h
@@ -1,4 +1,4 @@
-// loop.h: the event loop of a gateway instance, on libuv: timers, watched sockets and signals.
+// loop.h: the event loop of an instance, on libuv: timers, watched sockets and signals.
 //
 // How to use it: start timers and watches, then LoopRun(). All callbacks run on the thread that runs the loop, so nothing here locks. A
 // handle ends its timer or watch when it is destroyed; a callback may destroy its own handle.
--- a/gateway/relay.cpp
+++ b/gateway/relay.cpp
@@ -148,7 +148,7 @@
 {
     constexpr TimeUs reuse = 100 * UsPerMs; // By so much the age that is told may be too low.
     const TimeUs now = NowUs();
-    if (relay->AllAt == relay->At && now < relay->AllUs + reuse && !relay->Trouble)
+    if (relay->AllAt == relay->At && now < relay->AllUs + reuse)
     {
         return relay->All;
     }
@@ -158,7 +158,7 @@
         page.Items.push_back(entry.second);
     }
     relay->All = EncodePage(page);
-    relay->AllAt = relay->Trouble ? 0 : relay->At;
+    relay->AllAt = relay->At;
     relay->AllUs = now;
     return relay->All;
 }
@@ -191,16 +191,13 @@
 
 static uint64_t NumberIn(const std::string& target, const std::string& key)
 {
-    const size_t at = target.find(key + "=");
-    return at == std::string::npos ? 0 : std::strtoull(target.c_str() + at + key.size() + 1, nullptr, 10);
+    return std::strtoull(QueryValue(target, key).c_str(), nullptr, 10);
 }
 
 // Where a follower can be followed itself; empty if it does not say.
 static std::string FollowerIn(const std::string& target)
 {
-    const std::string key = "from=";
-    const size_t at = target.find(key);
-    const std::string address = at == std::string::npos ? "" : target.substr(at + key.size());
+    const std::string address = QueryValue(target, "from");
     return IsAddress(address) ? address : "";
 }
 
@@ -341,9 +338,13 @@
 
 void RelaySetTrouble(Relay* relay, bool trouble)
 {
-    const bool news = trouble && !relay->Trouble;
+    if (trouble == relay->Trouble)
+    {
+        return;
+    }
     relay->Trouble = trouble;
-    if (news)
+    relay->AllAt = 0; // What was coded says otherwise.
+    if (trouble)
     {
         TellFollowers(relay);
     }
--- a/gateway/table_adapter.cpp
+++ b/gateway/table_adapter.cpp
@@ -180,19 +180,25 @@
     news->Targets.push_back({leaving, true});
 }
 
-static void AddTargets(TableState* state, uint64_t revision, StoreNews* news)
+// Where everything was read all targets are named, else those of rows that have changed.
+static void AddTargets(TableState* state, const StoreItems& items, StoreNews* news)
 {
     std::map<std::string, DirectoryTarget> next = MakeTargets(*state);
     for (const auto& entry : state->InForce)
     {
         if (next.count(entry.first) == 0)
         {
-            AddLeaving(entry.second, revision, news);
+            AddLeaving(entry.second, items.At, news);
         }
     }
     for (const auto& entry : next)
     {
-        news->Targets.push_back({entry.second, false});
+        const auto before = state->InForce.find(entry.first);
+        const bool same = before != state->InForce.end() && before->second.Revision == entry.second.Revision;
+        if (items.Everything || !same)
+        {
+            news->Targets.push_back({entry.second, false});
+        }
     }
     state->InForce = std::move(next);
 }
@@ -214,14 +220,16 @@
         news.Refused.push_back(entry.second);
     }
     const Table table = MakeTable(*state, items.At);
-    for (const Fault& fault : CheckTable(table))
+    std::vector<Fault> faults;
+    CheckRows(table, &faults); // Each row by itself was checked when it was read.
+    for (const Fault& fault : faults)
     {
         news.Refused.push_back({fault.Code, fault.Where + ": " + fault.Detail});
     }
     if (news.Refused.empty())
     {
         news.Plan = MakePlan(table);
-        AddTargets(state, items.At, &news);
+        AddTargets(state, items, &news);
     }
     return news;
 }
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -71,13 +71,13 @@
                                }
                                DirectoryTick(&directory, now);
                            }
-                           std::vector<DirectoryTarget> all;
-                           all.reserve(store.size());
+                           std::set<std::string> ids;
                            for (const auto& entry : store)
                            {
-                               all.push_back(entry.second);
+                               DirectoryPut(&directory, entry.second, now);
+                               ids.insert(entry.first);
                            }
-                           DirectoryReplace(&directory, all, revision, now);
+                           DirectoryKeep(&directory, ids, revision, now);
                            DirectoryTick(&directory, now + 10 * UsPerSecond);
                            RC_ASSERT(directory.Targets.size() == store.size());
                            for (const auto& entry : store)
@@ -123,7 +123,7 @@
         DirectoryTrouble(&directory, 20 * UsPerSecond);
         const TimeUs returned = 24 * UsPerSecond;
         DirectoryAnswered(&directory, returned);
-        DirectoryReplace(&directory, {}, 9, returned);
+        DirectoryKeep(&directory, {}, 9, returned);
         CPPUNIT_ASSERT_EQUAL(Presence_Vanished, PresenceOf(directory, "t"));
         DirectoryTick(&directory, returned + 2 * UsPerSecond); // Entries are back within two seconds.
         CPPUNIT_ASSERT_EQUAL(Presence_Vanished, PresenceOf(directory, "t"));
--- a/tests/docs_test.cpp
+++ b/tests/docs_test.cpp
@@ -63,34 +63,30 @@
         CPPUNIT_ASSERT(ParseTable(ReadSource("examples/table.json")).Faults.empty());
     }
 
-    void EverySettingIsDocumented()
+    // Every key that stands behind `mark` in the source is on the operators' page. Returns how many there are.
+    static int CheckKeys(const std::string& file, const std::string& mark)
     {
-        const std::string source = ReadSource("gateway/settings.cpp");
+        const std::string source = ReadSource(file);
         const std::string page = ReadSource("docs/OPERATORS.md");
         int keys = 0;
-        for (size_t at = source.find("(r, \""); at != std::string::npos; at = source.find("(r, \"", at + 1))
+        for (size_t at = source.find(mark); at != std::string::npos; at = source.find(mark, at + 1))
         {
-            const size_t start = at + 5;
+            const size_t start = at + mark.size();
             const std::string key = source.substr(start, source.find('"', start) - start);
             CPPUNIT_ASSERT_MESSAGE(key, page.find("`" + key + "`") != std::string::npos);
             keys++;
         }
-        CPPUNIT_ASSERT(keys > 10);
+        return keys;
+    }
+
+    void EverySettingIsDocumented()
+    {
+        CPPUNIT_ASSERT(CheckKeys("gateway/settings.cpp", "(r, \"") > 10);
     }
 
     void EveryKeyOfTheTableIsDocumented()
     {
-        const std::string source = ReadSource("winchlink_document.cpp");
-        const std::string page = ReadSource("docs/OPERATORS.md");
-        int keys = 0;
-        for (size_t at = source.find("(&r, \""); at != std::string::npos; at = source.find("(&r, \"", at + 1))
-        {
-            const size_t start = at + 6;
-            const std::string key = source.substr(start, source.find('"', start) - start);
-            CPPUNIT_ASSERT_MESSAGE(key, page.find("`" + key + "`") != std::string::npos);
-            keys++;
-        }
-        CPPUNIT_ASSERT(keys > 15);
+        CPPUNIT_ASSERT(CheckKeys("winchlink_document.cpp", "(&r, \"") > 15);
     }
 
     void SettingsAreChecked()
--- a/tests/fuzz/fuzz_page.cpp
+++ b/tests/fuzz/fuzz_page.cpp
@@ -1,4 +1,4 @@
-// fuzz_page.cpp: libFuzzer target: what one gateway instance hands on to another.
+// fuzz_page.cpp: libFuzzer target: what one instance hands on to another.
 
 #include "relay.h"
 
--- a/tests/gateway_faults_test.cpp
+++ b/tests/gateway_faults_test.cpp
@@ -1,4 +1,4 @@
-// gateway_faults_test.cpp: what a gateway instance does when targets and the store misbehave. Each test causes the failure it is about.
+// gateway_faults_test.cpp: what an instance does when targets and the store misbehave. Each test causes the failure it is about.
 
 #include "gateway_rig.h"
 
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(SendsNothingToTargetsThatLeave);
     CPPUNIT_TEST(UsesVanishedTargetsLastAndNotForLong);
     CPPUNIT_TEST(VanishedTargetsAreForgottenAtOnceWhenTheirTimeIsOver);
+    CPPUNIT_TEST(AWholeReadKeepsLeavingTargetsMarked);
     CPPUNIT_TEST(LapsedEntriesComeBack);
     CPPUNIT_TEST(NoticesASilentStore);
     CPPUNIT_TEST(NoticesWhatLeftWhileWaitsHeardNothing);
@@ -398,6 +399,22 @@
         }
     }
 
+    void AWholeReadKeepsLeavingTargetsMarked()
+    {
+        Rig rig;
+        const UsersTarget& target = RigTarget(&rig, "t1");
+        RigConfigure(&rig, {UsersRoute()});
+        const Gateway& instance = RigInstance(&rig, 1);
+        const std::map<std::string, DirectoryTarget>& known = instance.Requests.Directory.Targets;
+        UsersStoreTarget(&rig.Store, "t1", "svc", target.Address, "dc-a", true);
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return known.at("t1").Presence == Presence_Leaving; }));
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return !rig.Store.Waits.empty(); }));
+        const int pages = rig.Store.PageCalls;
+        UsersStoreCompact(&rig.Store); // Everything is read again.
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return rig.Store.PageCalls > pages && !rig.Store.Waits.empty(); }));
+        CPPUNIT_ASSERT_EQUAL(int(Presence_Leaving), int(known.at("t1").Presence));
+    }
+
     void LapsedEntriesComeBack()
     {
         Rig rig;
--- a/tests/gateway_rig.cpp
+++ b/tests/gateway_rig.cpp
@@ -1,4 +1,4 @@
-// gateway_rig.cpp: gateway instances, a store, targets and callers in one event loop.
+// gateway_rig.cpp: instances, a store, targets and callers in one event loop.
 
 #include "gateway_rig.h"
 
@@ -133,17 +133,11 @@
     LoopRunUntil(&rig->Loop, time, []() { return false; });
 }
 
-RigAnswerPtr RigSend(Rig* rig, const Gateway& instance, const RigCall& call)
+RigAnswerPtr RigSendRequest(Rig* rig, const Gateway& instance, ClientRequest request)
 {
     auto out = std::make_shared<RigAnswer>();
-    out->Id = call.Id.empty() ? fmt::format("id-{}", ++rig->LastId) : call.Id;
-    ClientRequest request;
     request.Address = instance.Config.CallerAddress;
-    request.Method = call.Method;
-    request.Target = call.Target;
-    request.Headers = {{"Host", call.Host}, {"Winchlink-Request-Id", out->Id}, {"Winchlink-Deadline-Ms", std::to_string(call.DeadlineMs)}};
-    request.Body = call.Body;
-    request.HasBody = call.Method == "POST";
+    request.HasBody = request.Method == "POST";
     request.TimeoutUs = RigLimitUs;
     ClientSend(&rig->Callers, std::move(request),
                [out](ClientAnswer answer)
@@ -154,6 +148,19 @@
     return out;
 }
 
+RigAnswerPtr RigSend(Rig* rig, const Gateway& instance, const RigCall& call)
+{
+    const std::string id = call.Id.empty() ? fmt::format("id-{}", ++rig->LastId) : call.Id;
+    ClientRequest request;
+    request.Method = call.Method;
+    request.Target = call.Target;
+    request.Headers = {{"Host", call.Host}, {"Winchlink-Request-Id", id}, {"Winchlink-Deadline-Ms", std::to_string(call.DeadlineMs)}};
+    request.Body = call.Body;
+    RigAnswerPtr out = RigSendRequest(rig, instance, std::move(request));
+    out->Id = id;
+    return out;
+}
+
 RigAnswer RigAsk(Rig* rig, const Gateway& instance, const RigCall& call)
 {
     const RigAnswerPtr answer = RigSend(rig, instance, call);
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -1,4 +1,4 @@
-// gateway_rig.h: gateway instances, a store, targets and callers in one event loop, for tests without processes and threads.
+// gateway_rig.h: instances, a store, targets and callers in one event loop, for tests without processes and threads.
 //
 // Waiting is always for something to happen, with a generous limit that is no verdict on speed.
 
@@ -92,7 +92,10 @@
 
 using RigAnswerPtr = std::shared_ptr<RigAnswer>;
 
-// Sends a request, without waiting for its answer.
+// Sends a request as it is, to an instance, without waiting for its answer.
+RigAnswerPtr RigSendRequest(Rig* rig, const Gateway& instance, ClientRequest request);
+
+// Sends a request of the users' platform, without waiting for its answer.
 RigAnswerPtr RigSend(Rig* rig, const Gateway& instance, const RigCall& call);
 
 // Sends a request and waits for its answer.
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -1,4 +1,4 @@
-// gateway_test.cpp: what a gateway instance does with callers, targets that behave, configurations and its own stop.
+// gateway_test.cpp: what an instance does with callers, targets that behave, configurations and its own stop.
 
 #include "clock.h"
 #include "gateway_rig.h"
--- a/tests/listener_test.cpp
+++ b/tests/listener_test.cpp
@@ -142,16 +142,23 @@
         CPPUNIT_ASSERT_EQUAL(0, RigRuns(rig, "b"));
     }
 
+    // An instance with a target, whose callers have so long for their headers.
+    static const Gateway& StartWithHeaderTimeout(Rig* rig, TimeUs timeout)
+    {
+        RigTarget(rig, "t1");
+        RigConfigure(rig, {UsersRoute()});
+        Gateway& instance = RigInstance(rig, 1);
+        CallerLimits limits = instance.Requests.Plan->Limits;
+        limits.HeaderTimeoutUs = timeout;
+        ListenerSetLimits(&instance.Callers, limits);
+        return instance;
+    }
+
     // One header after the other, each soon after the last: only a limit on the whole time ends it.
     void HeadersThatComeTooSlowlyEndTheConnection()
     {
         Rig rig;
-        RigTarget(&rig, "t1");
-        RigConfigure(&rig, {UsersRoute()});
-        Gateway& instance = RigInstance(&rig, 1);
-        CallerLimits limits = instance.Requests.Plan->Limits;
-        limits.HeaderTimeoutUs = 300 * UsPerMs;
-        ListenerSetLimits(&instance.Callers, limits);
+        const Gateway& instance = StartWithHeaderTimeout(&rig, 300 * UsPerMs);
         RawCaller slow(&rig.Loop, instance.Config.CallerAddress);
         RawSend(slow, "GET /a/x HTTP/1.1\r\nHost: a.example\r\nWinchlink-Request-Id: slow\r\n");
         int sent = 0;
@@ -167,12 +174,7 @@
     void SlowBodiesAreTaken()
     {
         Rig rig;
-        RigTarget(&rig, "t1");
-        RigConfigure(&rig, {UsersRoute()});
-        Gateway& instance = RigInstance(&rig, 1);
-        CallerLimits limits = instance.Requests.Plan->Limits;
-        limits.HeaderTimeoutUs = 100 * UsPerMs;
-        ListenerSetLimits(&instance.Callers, limits);
+        const Gateway& instance = StartWithHeaderTimeout(&rig, 100 * UsPerMs);
         RawCaller slow(&rig.Loop, instance.Config.CallerAddress);
         RawSend(slow, "POST /a/x HTTP/1.1\r\nHost: a.example\r\nWinchlink-Request-Id: body\r\nContent-Length: 8\r\n\r\n");
         for (int n = 0; n < 8; n++)
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -34,7 +34,7 @@
     std::string Address;
     int Socket = -1;
 
-    FrozenPeer() : Address(FreeAddress()), Socket(OpenBound(SOCK_STREAM, ParseEndpoint(Address).value()))
+    FrozenPeer() : Address(FreeAddress()), Socket(OpenBound(ParseEndpoint(Address).value()))
     {
         CPPUNIT_ASSERT(Socket >= 0);
         CPPUNIT_ASSERT_EQUAL(0, listen(Socket, 16));
--- a/tests/table_adapter_test.cpp
+++ b/tests/table_adapter_test.cpp
@@ -59,21 +59,11 @@
 
 static RigAnswerPtr Send(TableRig* rig, const Gateway& instance, const std::string& method, const std::vector<Header>& headers)
 {
-    auto out = std::make_shared<RigAnswer>();
     ClientRequest request;
-    request.Address = instance.Config.CallerAddress;
     request.Method = method;
     request.Target = "/loans/7";
     request.Headers = headers;
-    request.HasBody = method == "POST";
-    request.TimeoutUs = RigLimitUs;
-    ClientSend(&rig->Callers, std::move(request),
-               [out](ClientAnswer answer)
-               {
-                   out->Done = true;
-                   out->Answer = std::move(answer);
-               });
-    return out;
+    return RigSendRequest(rig, instance, std::move(request));
 }
 
 static ClientAnswer Ask(TableRig* rig, const Gateway& instance, const std::string& method = "GET",
--- a/winchlink.h
+++ b/winchlink.h
@@ -26,6 +26,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -216,10 +217,6 @@
 std::string FormatRow(const ServiceRow& row);
 std::string FormatTable(const Table& table);
 
-// The plan that serves the table: a route and a service for each row, under the table's revision.
-struct RoutePlan;
-RoutePlan MakePlan(const Table& table);
-
 //-----------------------------------------------------------------------------
 // [SECTION] Route plan (what an instance serves; newer versions win)
 //-----------------------------------------------------------------------------
@@ -272,6 +269,11 @@
 
 using RoutePlanPtr = std::shared_ptr<const RoutePlan>;
 
+// The plan that serves a table: a route and a service for each row, under the table's revision.
+RoutePlan MakePlan(const Table& table);
+
+int64_t SumOfWeights(const std::vector<RoutePart>& parts);
+
 // The route of a request: of those with its host, else of those with none, the one with the longest prefix of the path. "/a" serves "/a"
 // and "/a/b" but not "/ab". Null if none. The port in `host` and the query in `target` are passed over.
 const Route* FindRoute(const RoutePlan& plan, const std::string& host, const std::string& target);
@@ -352,8 +354,8 @@
 // The store says that an entry went at that revision.
 void DirectoryRemove(TargetDirectory* directory, const std::string& id, uint64_t revision, TimeUs now);
 
-// All entries as of a revision: what is not among them and not newer went.
-void DirectoryReplace(TargetDirectory* directory, const std::vector<DirectoryTarget>& all, uint64_t revision, TimeUs now);
+// These are all entries as of a revision: what is not among them and not newer went.
+void DirectoryKeep(TargetDirectory* directory, const std::set<std::string>& ids, uint64_t revision, TimeUs now);
 
 // A target itself says that it leaves, or that its address belongs to another one.
 void DirectoryLeaves(TargetDirectory* directory, const std::string& id);
--- a/winchlink_directory.cpp
+++ b/winchlink_directory.cpp
@@ -7,7 +7,6 @@
 #include "winchlink.h"
 
 #include <algorithm>
-#include <set>
 
 namespace Winchlink
 {
@@ -85,18 +84,12 @@
     Vanish(directory, &found->second, now);
 }
 
-void DirectoryReplace(TargetDirectory* directory, const std::vector<DirectoryTarget>& all, uint64_t revision, TimeUs now)
+void DirectoryKeep(TargetDirectory* directory, const std::set<std::string>& ids, uint64_t revision, TimeUs now)
 {
-    std::set<std::string> present;
-    for (const DirectoryTarget& target : all)
-    {
-        present.insert(target.Id);
-        DirectoryPut(directory, target, now);
-    }
-    std::vector<std::string> missing;
+    std::vector<std::string> missing; // Removing them changes the directory.
     for (const auto& entry : directory->Targets)
     {
-        if (present.count(entry.first) == 0)
+        if (ids.count(entry.first) == 0)
         {
             missing.push_back(entry.first);
         }
--- a/winchlink_plan.cpp
+++ b/winchlink_plan.cpp
@@ -67,7 +67,7 @@
     return std::equal(a.begin(), a.end(), b.begin(), b.end(), same);
 }
 
-static int64_t SumOfWeights(const std::vector<RoutePart>& parts)
+int64_t SumOfWeights(const std::vector<RoutePart>& parts)
 {
     int64_t sum = 0;
     for (const RoutePart& part : parts)
--- a/winchlink_pool.cpp
+++ b/winchlink_pool.cpp
@@ -109,9 +109,15 @@
     return target.ReportUs > 0 && now < target.ReportUs + config.ReportUs;
 }
 
+// Whether one more request would make a target nearly full that works on `busy` already.
+static bool MakesNearlyFull(const PoolConfig& config, int busy, int slots)
+{
+    return busy + 1 > config.NearlyFullShare * slots;
+}
+
 bool PoolNearlyFull(const PoolConfig& config, const LoadReport& report, int more)
 {
-    return report.Running + report.Waiting + more + 1 > config.NearlyFullShare * report.Slots;
+    return MakesNearlyFull(config, report.Running + report.Waiting + more, report.Slots);
 }
 
 double PoolCost(const TargetPool& pool, const PoolTarget& target, TimeUs now)
@@ -121,7 +127,7 @@
     const int slots = fresh ? target.Report.Slots : target.Slots;
     const int busy = fresh ? target.Report.Running + target.Report.Waiting + target.Since : target.InFlight;
     const double pace = fresh ? target.Report.PacePercent / 100.0 : 1.0;
-    const bool nearly_full = busy + 1 > config.NearlyFullShare * slots;
+    const bool nearly_full = MakesNearlyFull(config, busy, slots);
     const double queue = busy >= slots ? 1.0 + static_cast<double>(busy + 1 - slots) / slots : 1.0;
     const double warm = now < target.WarmUntilUs ? config.WarmFactor : 1.0;
     return pace * queue * warm * (nearly_full ? pool.NearlyFullFactor : 1.0);
