Requests that callers send ahead are worked on side by side

Change: a listener of our own on the loop, with Boost.Beast's parser: requests that may be repeated run side by side, eight of a connection at most, and are answered in order; any other waits for what is before it and nothing behind it begins. An answer that closes the connection is the last of those begun. Ruled out: libmicrohttpd (can't read ahead), several connections (the callers').

--- /dev/null
+++ b/gateway/caller_connection.cpp
@@ -0,0 +1,412 @@
+// caller_connection.cpp: one connection of a caller: reading ahead, beginning requests, answering in order.
+//
+// Answers of requests that ran side by side wait in their exchanges until all before them have been written. The answer after which the
+// connection closes is the last of those begun; a request behind it that has not been begun was not run, and HTTP lets its caller send it
+// again elsewhere.
+//
+// Index of this file:
+// [SECTION] Ends
+// [SECTION] Answering
+// [SECTION] Beginning requests
+// [SECTION] Reading and writing
+// [SECTION] Start
+
+#include "caller_connection.h"
+
+#include "clock.h"
+#include "log.h"
+#include "wire_names.h"
+
+#include <array>
+#include <boost/beast/http/status.hpp>
+#include <cassert>
+#include <cerrno>
+#include <fmt/format.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace Winchlink
+{
+
+static constexpr int StatusGone = 499;          // Told to nobody: the caller has left.
+static constexpr size_t ReadAtOnce = 16 * KiB;  // Bytes.
+static constexpr int ReadsInRow = 4;            // Other sockets want to be read too.
+static constexpr size_t OutputMost = 256 * KiB; // Bytes that wait for a caller; beyond that, nothing more is begun for it.
+static constexpr TimeUs LingerUs = UsPerSecond; // A caller that goes on sending after the last answer is read so long.
+
+static CallerConnection* Find(Listener* listener, uint64_t id)
+{
+    const auto found = listener->Open.find(id);
+    return found != listener->Open.end() ? found->second.get() : nullptr;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Ends
+//-----------------------------------------------------------------------------
+
+// Nobody will read the answer.
+static void TellGone(const ExchangePtr& exchange)
+{
+    const std::function<void()> gone = std::move(exchange->OnGone); // It may answer, which takes it away.
+    if (gone)
+    {
+        gone();
+    }
+    if (!exchange->Answer)
+    {
+        exchange->Answer = CallerReply{StatusGone, {}, "", true};
+    }
+}
+
+void ConnectionEnd(Listener* listener, uint64_t id)
+{
+    const auto found = listener->Open.find(id);
+    assert(found != listener->Open.end() && "a connection ends once");
+    const std::unique_ptr<CallerConnection> connection = std::move(found->second);
+    listener->Open.erase(found);
+    connection->Events = nullptr;
+    close(connection->Socket);
+    for (const ExchangePtr& exchange : connection->Requests)
+    {
+        if (exchange->Begun && !exchange->Answer)
+        {
+            TellGone(exchange);
+        }
+    }
+}
+
+static void Touch(CallerConnection* connection, Listener* listener)
+{
+    if (!connection->Touched)
+    {
+        connection->Touched = true;
+        listener->Touched.push_back(connection->Id);
+    }
+}
+
+void Reply(const ExchangePtr& exchange, CallerReply reply)
+{
+    assert(!exchange->Answer && "a request is answered once");
+    exchange->Answer = std::move(reply);
+    exchange->OnGone = nullptr;
+    CallerConnection* connection = Find(exchange->Owner, exchange->Connection);
+    if (connection != nullptr)
+    {
+        connection->Last = connection->Last || exchange->Answer->CloseConnection;
+        Touch(connection, exchange->Owner);
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Answering
+//-----------------------------------------------------------------------------
+
+static bool HasNoLength(int status)
+{
+    constexpr int no_content = 204;
+    return status < 200 || status == no_content;
+}
+
+static void WriteAnswer(CallerConnection* connection, const Exchange& exchange, bool closes)
+{
+    constexpr int not_modified = 304;
+    const CallerReply& reply = *exchange.Answer;
+    const auto reason = boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(static_cast<unsigned>(reply.Status)));
+    std::string& out = connection->Output;
+    out += fmt::format("HTTP/1.1 {} {}\r\n", reply.Status, std::string(reason));
+    for (const Header& header : reply.Headers)
+    {
+        out.append(header.Name).append(": ").append(header.Value).append("\r\n");
+    }
+    if (!HasNoLength(reply.Status))
+    {
+        out += fmt::format("Content-Length: {}\r\n", reply.Body.size());
+    }
+    out += closes ? "Connection: close\r\n\r\n" : "\r\n";
+    const bool has_body = !HasNoLength(reply.Status) && reply.Status != not_modified && exchange.Method != "HEAD";
+    out += has_body ? reply.Body : "";
+}
+
+// Writes the answers that are ready and have none before them.
+static void WriteAnswers(CallerConnection* connection)
+{
+    std::deque<ExchangePtr>& requests = connection->Requests;
+    while (!requests.empty() && requests.front()->Answer)
+    {
+        const ExchangePtr exchange = requests.front();
+        requests.pop_front();
+        const bool last_begun = requests.empty() || !requests.front()->Begun;
+        const bool closes = connection->Last && last_begun;
+        WriteAnswer(connection, *exchange, closes);
+        if (closes)
+        {
+            requests.clear(); // To its caller, what stands behind counts as not read.
+        }
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Beginning requests
+//-----------------------------------------------------------------------------
+
+// Whether a further request may be read: all that are in progress may overlap, and there is room for one more.
+static bool MayRead(const Listener& listener, const CallerConnection& connection)
+{
+    const std::deque<ExchangePtr>& requests = connection.Requests;
+    if (connection.Last || connection.Output.size() - connection.Written > OutputMost)
+    {
+        return false;
+    }
+    return requests.empty() || (requests.back()->Begun && requests.back()->Overlaps && requests.size() < listener.Config.OverlapMost);
+}
+
+static void AddRequest(Listener* listener, CallerConnection* connection)
+{
+    CallerRequest& request = connection->Reader.Request;
+    const auto exchange = std::make_shared<Exchange>();
+    exchange->Method = std::move(request.Method);
+    exchange->Target = std::move(request.Target);
+    exchange->Headers = std::move(request.Headers);
+    exchange->Body = std::move(request.Body);
+    exchange->ArrivedUs = connection->ReadUs;
+    exchange->Owner = listener;
+    exchange->Connection = connection->Id;
+    exchange->Overlaps = exchange->Body.empty() && listener->Config.MayOverlap && listener->Config.MayOverlap(*exchange);
+    exchange->EndsConnection = !request.KeepsConnection;
+    connection->Requests.push_back(exchange);
+    RequestReaderBegin(&connection->Reader, listener->Config.Limits);
+}
+
+// What was sent can't be read: it is answered behind the requests before it, and the connection ends.
+static void AddRefusal(Listener* listener, CallerConnection* connection)
+{
+    const RequestReader& reader = connection->Reader;
+    const std::string code = std::to_string(static_cast<int>(reader.Code));
+    Log(LogLevel_Info, reader.Code, "request refused unread", {{"target", reader.Request.Target}, {"status", reader.Status}});
+    const auto exchange = std::make_shared<Exchange>();
+    exchange->Begun = true;
+    exchange->Answer = CallerReply{reader.Status, {{HeaderCode, code}}, "", true};
+    exchange->Owner = listener;
+    connection->Requests.push_back(exchange);
+    connection->Last = true;
+    connection->Input.clear();
+}
+
+// Headers that come too slowly end the connection, once what was begun has been answered.
+static void OnHeadersLate(Listener* listener, uint64_t id)
+{
+    CallerConnection* connection = Find(listener, id);
+    connection->HeadersLate = nullptr;
+    Log(LogLevel_Info, Code_None, "headers came too slowly", {{"inProgress", static_cast<int>(connection->Requests.size())}});
+    connection->Last = true;
+    ConnectionServe(listener, id);
+}
+
+static void WatchHeaders(Listener* listener, CallerConnection* connection)
+{
+    if (connection->Reader.State != ReadState_Headers)
+    {
+        connection->HeadersLate = nullptr;
+    }
+    else if (!connection->HeadersLate)
+    {
+        connection->HeadersLate = TimerStart(listener->Loop, listener->Config.Limits.HeaderTimeoutUs,
+                                             [listener, id = connection->Id]() { OnHeadersLate(listener, id); });
+    }
+}
+
+// Reads the next request out of the input. False if none is whole, or none may be read now.
+static bool ReadNext(Listener* listener, CallerConnection* connection)
+{
+    if (!MayRead(*listener, *connection))
+    {
+        return false;
+    }
+    if (connection->Reader.State == ReadState_Begin)
+    {
+        RequestReaderBegin(&connection->Reader, listener->Config.Limits); // They may have changed since the last request.
+    }
+    const ReadState_ state = RequestReaderFeed(&connection->Reader, &connection->Input);
+    WatchHeaders(listener, connection);
+    if (state == ReadState_Body && connection->Reader.WantsContinue && connection->Requests.empty())
+    {
+        connection->Output += "HTTP/1.1 100 Continue\r\n\r\n";
+        connection->Reader.WantsContinue = false;
+    }
+    if (state == ReadState_Whole)
+    {
+        AddRequest(listener, connection);
+    }
+    else if (state == ReadState_Refused)
+    {
+        AddRefusal(listener, connection);
+    }
+    return state == ReadState_Whole || state == ReadState_Refused;
+}
+
+// Hands the latest request over if its turn has come. False if there is none to begin.
+static bool BeginLatest(Listener* listener, CallerConnection* connection)
+{
+    if (connection->Requests.empty() || connection->Requests.back()->Begun)
+    {
+        return false;
+    }
+    const ExchangePtr latest = connection->Requests.back();
+    const bool alone = connection->Requests.size() == 1;
+    if (!alone && !latest->Overlaps)
+    {
+        return false;
+    }
+    latest->Begun = true;
+    connection->Last = connection->Last || latest->EndsConnection;
+    listener->Overlapped += alone ? 0 : 1;
+    listener->Handler(latest);
+    return true;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Reading and writing
+//-----------------------------------------------------------------------------
+
+// False if the caller has left.
+static bool Read(CallerConnection* connection, bool drop)
+{
+    std::array<char, ReadAtOnce> buffer;
+    for (int n = 0; n < ReadsInRow; n++)
+    {
+        const ssize_t got = recv(connection->Socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        if (got <= 0)
+        {
+            return got < 0 && (errno == EAGAIN || errno == EINTR);
+        }
+        connection->Input.append(buffer.data(), drop ? 0 : static_cast<size_t>(got));
+        connection->ReadUs = NowUs();
+        connection->ActiveUs = connection->ReadUs;
+        if (static_cast<size_t>(got) < buffer.size())
+        {
+            return true;
+        }
+    }
+    return true;
+}
+
+// False if the caller has left.
+static bool Write(CallerConnection* connection)
+{
+    while (connection->Written < connection->Output.size())
+    {
+        const char* from = connection->Output.data() + connection->Written;
+        const ssize_t sent = send(connection->Socket, from, connection->Output.size() - connection->Written, MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (sent < 0)
+        {
+            return errno == EAGAIN || errno == EINTR;
+        }
+        connection->Written += static_cast<size_t>(sent);
+        connection->ActiveUs = NowUs();
+    }
+    connection->Output = std::string(); // Large answers give their memory back.
+    connection->Written = 0;
+    return true;
+}
+
+// Closes our side. Closing both at once would reset the connection if the caller still sends, and take the answer from it.
+static void Linger(Listener* listener, CallerConnection* connection)
+{
+    shutdown(connection->Socket, SHUT_WR);
+    connection->HeadersLate = nullptr;
+    connection->Lingering = TimerStart(listener->Loop, LingerUs, [listener, id = connection->Id]() { ConnectionEnd(listener, id); });
+}
+
+static void WatchAnew(const Listener& listener, CallerConnection* connection)
+{
+    const bool reads = connection->Lingering || MayRead(listener, *connection);
+    const int wanted = UV_DISCONNECT | (reads ? UV_READABLE : 0) | (connection->Output.empty() ? 0 : UV_WRITABLE);
+    if (wanted != connection->Watched)
+    {
+        connection->Watched = wanted;
+        WatchChange(connection->Events.get(), wanted);
+    }
+}
+
+void ConnectionServe(Listener* listener, uint64_t id)
+{
+    CallerConnection* connection = Find(listener, id);
+    do
+    {
+        WriteAnswers(connection);
+    } while (BeginLatest(listener, connection) || ReadNext(listener, connection));
+    if (!Write(connection))
+    {
+        ConnectionEnd(listener, id);
+        return;
+    }
+    const bool over = connection->Last && connection->Output.empty() && connection->Requests.empty();
+    if (over && !connection->Lingering)
+    {
+        Linger(listener, connection);
+    }
+    WatchAnew(*listener, connection);
+}
+
+static void OnEvents(Listener* listener, uint64_t id, int events)
+{
+    CallerConnection* connection = Find(listener, id);
+    const bool left = (events & UV_DISCONNECT) != 0;
+    if (left || ((events & UV_READABLE) != 0 && !Read(connection, connection->Lingering != nullptr)))
+    {
+        ConnectionEnd(listener, id);
+        return;
+    }
+    ConnectionServe(listener, id);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Start
+//-----------------------------------------------------------------------------
+
+void ConnectionBegin(Listener* listener, int socket)
+{
+    const int on = 1;
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    const uint64_t id = ++listener->LastId;
+    auto connection = std::make_unique<CallerConnection>();
+    connection->Id = id;
+    connection->Socket = socket;
+    connection->ActiveUs = NowUs();
+    connection->Watched = UV_READABLE | UV_DISCONNECT;
+    connection->Events =
+        WatchStart(listener->Loop, socket, connection->Watched, [listener, id](int events) { OnEvents(listener, id, events); });
+    RequestReaderBegin(&connection->Reader, listener->Config.Limits);
+    listener->Open[id] = std::move(connection);
+}
+
+bool ConnectionRested(const CallerConnection& connection, TimeUs limit, TimeUs now)
+{
+    const bool we_work = !connection.Requests.empty() && connection.Output.empty();
+    return !we_work && now > connection.ActiveUs + limit;
+}
+
+static bool WaitsForNext(const CallerConnection& connection)
+{
+    const bool nothing_read = connection.Input.empty() && connection.Reader.State == ReadState_Begin;
+    return nothing_read && connection.Requests.empty() && connection.Output.empty() && !connection.Lingering;
+}
+
+void ConnectionEndIfIdle(Listener* listener, uint64_t id)
+{
+    CallerConnection* connection = Find(listener, id);
+    assert(connection != nullptr && "only open connections can rest");
+    if (!WaitsForNext(*connection))
+    {
+        return;
+    }
+    if (!Read(connection, false) || WaitsForNext(*connection))
+    {
+        ConnectionEnd(listener, id);
+        return;
+    }
+    ConnectionServe(listener, id); // A request has just come: it is served.
+}
+
+} // namespace Winchlink
--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -187,6 +187,12 @@
     ChooseTarget(call, Choosing_First);
 }
 
+bool ForwardMayOverlap(const Forwarder& forwarder, const Exchange& exchange)
+{
+    const Route* row = forwarder.Plan ? FindRoute(*forwarder.Plan, HeaderOr(exchange, "Host", ""), exchange.Target) : nullptr;
+    return row != nullptr && MayRepeat(*row, exchange.Method);
+}
+
 void ForwardRequest(Forwarder* forwarder, const ExchangePtr& exchange)
 {
     const auto call = std::make_shared<Call>();
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -85,4 +85,7 @@
 
 void ForwardRequest(Forwarder* forwarder, const ExchangePtr& exchange);
 
+// Whether a request may be worked on beside others of its connection: its route says that it may run more than once.
+bool ForwardMayOverlap(const Forwarder& forwarder, const Exchange& exchange);
+
 } // namespace Winchlink
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -375,6 +375,10 @@
     ListenerConfig callers;
     callers.Address = settings.CallerAddress;
     callers.ConnectionsMost = settings.ConnectionsMost;
+    callers.MayOverlap = [&requests](const Exchange& exchange)
+    {
+        return ForwardMayOverlap(requests, exchange);
+    };
     const Result<void> listening = ListenerStart(&gateway->Callers, gateway->Loop, callers,
                                                  [&requests](const ExchangePtr& exchange) { ForwardRequest(&requests, exchange); });
     if (!listening)
--- a/gateway/listener.h
+++ b/gateway/listener.h
@@ -1,19 +1,19 @@
-// listener.h: HTTP from callers, on libmicrohttpd inside the event loop.
+// listener.h: HTTP from callers, and from other instances, inside the event loop.
 //
-// The house server is ulfius, which needs a thread for each request that waits for a target; libmicrohttpd, which ulfius is built on, can
-// suspend a request instead, so that one thread holds any number of them (docs/DESIGN.md gives the measurement).
+// A caller may send further requests on a connection before the first is answered. Those that may overlap are worked on at the same time,
+// and their answers are returned in the order of the requests. All others are worked on alone: such a request waits for those before it,
+// and nothing behind it is begun before its end.
 //
-// How to use it: ListenerStart() with a handler; the handler gets each request once it has been read whole, keeps the exchange, and calls
-// Reply() once, at once or later. OnGone is called if the caller leaves before that.
+// How to use it: ListenerStart() with a handler; the handler gets each request once it has been read whole and its turn has come, keeps the
+// exchange, and calls Reply() once, at once or later. OnGone is called if the answer will reach nobody.
 
 #pragma once
 
-#include "headers.h"
 #include "loop.h"
+#include "request_reader.h"
 
-struct MHD_Daemon;
-struct MHD_Connection;
-struct MHD_Response;
+#include <deque>
+#include <unordered_map>
 
 namespace Winchlink
 {
@@ -28,7 +28,7 @@
 
 struct Listener;
 
-// One request of a caller, from its first line to the last byte of its answer.
+// One request of a caller, from its first byte to the last byte of its answer.
 struct Exchange
 {
     std::string Method;           // As sent.
@@ -40,12 +40,11 @@
 
     // The listener's own part.
     Listener* Owner = nullptr;
-    MHD_Connection* Connection = nullptr;
+    uint64_t Connection = 0;           // Which of the listener's.
     std::optional<CallerReply> Answer; // Set by Reply().
-    bool Begun = false;                // The headers have been read.
-    bool Handed = false;               // The handler has the request.
-    bool Suspended = false;            // libmicrohttpd does not touch the connection until Reply().
-    bool BodyTooLarge = false;
+    bool Begun = false;                // The handler has had it.
+    bool Overlaps = false;             // Others that overlap may be worked on at the same time.
+    bool EndsConnection = false;       // The caller sends nothing after it.
 };
 
 using ExchangePtr = std::shared_ptr<Exchange>;
@@ -55,16 +54,31 @@
 {
     std::string Address;        // IP:port.
     int ConnectionsMost = 1024; // More are closed unread.
+    size_t OverlapMost = 8;     // Requests of one connection that are worked on at the same time; bounds what one caller can occupy.
     CallerLimits Limits;        // What callers may send, and how slowly.
+
+    // Whether a request may be worked on beside others of its connection; if empty, none may. Requests with a body never are: at most one
+    // body is held for each connection.
+    std::function<bool(const Exchange&)> MayOverlap;
 };
 
 struct CallerConnection
 {
-    Watch Hangup;        // Watches for the caller's leaving.
-    Timer HeadersLate;   // Runs from a request's first line until its headers have been read.
-    int Socket = -1;     //
-    ExchangePtr Current; // Request in progress, or null.
-    bool Gone = false;   // The caller has left.
+    uint64_t Id = 0;
+    int Socket = -1;
+    Watch Events;                     // Readable, writable, or closed by the caller.
+    int Watched = 0;                  // Which of these are watched for.
+    std::string Input;                // Bytes that were read and belong to no request yet.
+    RequestReader Reader;             // Of the request that is being read.
+    std::deque<ExchangePtr> Requests; // Read whole and not answered, in order; only the last one may not have been begun.
+    std::string Output;               // Answers, from the byte Written on.
+    size_t Written = 0;               // Bytes of Output that have left.
+    TimeUs ReadUs = 0;                // When bytes last came.
+    TimeUs ActiveUs = 0;              // When bytes last came or went.
+    Timer HeadersLate;                // Runs while the headers of a request are incomplete.
+    bool Last = false;                // No further request is read: the last answer closes the connection.
+    Timer Lingering;                  // Our side is closed; until then, what the caller still sends is read and dropped.
+    bool Touched = false;             // An answer is ready; it is written before the loop waits.
 };
 
 struct Listener
@@ -72,12 +86,15 @@
     ListenerConfig Config;
     EventLoop* Loop = nullptr;
     ExchangeHandler Handler;
-    MHD_Daemon* Daemon = nullptr;
-    Watch Ready;                                      // libmicrohttpd's own poll set.
-    Timer Timeout;                                    // Its next timeout.
-    uint64_t Hook = 0;                                // Of the loop, before each wait.
-    bool RunWanted = false;                           // A reply waits to be written.
-    std::map<MHD_Connection*, CallerConnection> Open; // Connections.
+    int Socket = -1;
+    Watch Ready;                                                          // A connection waits to be accepted.
+    Timer Pause;                                                          // Accepting has failed: a moment until the next try.
+    Timer IdleCheck;                                                      // Ends connections that have rested for too long.
+    uint64_t Hook = 0;                                                    // Of the loop, before each wait.
+    std::vector<uint64_t> Touched;                                        // Connections with answers to be written.
+    std::unordered_map<uint64_t, std::unique_ptr<CallerConnection>> Open; // By id.
+    uint64_t LastId = 0;                                                  // Of the latest connection.
+    uint64_t Overlapped = 0;                                              // Counter: requests begun beside others of their connection.
 
     Listener() = default;
     ~Listener();
@@ -91,7 +108,7 @@
 // Stops at once: requests in progress are treated as if their callers had left.
 void ListenerStop(Listener* listener);
 
-// Other limits from now on; the idle timeout holds for connections opened later, and for open ones from their next request.
+// Other limits from now on, for requests that have not begun to come.
 void ListenerSetLimits(Listener* listener, const CallerLimits& limits);
 
 // Connections that begin from now on are ignored; those already under way are still served. For a planned stop: closing the listening
@@ -101,7 +118,7 @@
 // Answers a request. Call exactly once for each exchange.
 void Reply(const ExchangePtr& exchange, CallerReply reply);
 
-// Ends connections that wait for their next request; what has been sent on them already is still read.
+// Ends connections that wait for their next request; what has been sent on them already is still read and answered.
 void ListenerCloseIdle(Listener* listener);
 
 } // namespace Winchlink
--- /dev/null
+++ b/gateway/request_reader.cpp
@@ -0,0 +1,185 @@
+// request_reader.cpp: reads one HTTP/1.1 request of a caller, on Boost.Beast's parser.
+//
+// Beast's parser is given the bytes that wait and says how many it took; no part of Beast that does input or output is used. What it lets
+// pass and would make a message ambiguous is refused here: a transfer coding that is not "chunked", and a host that is missing or named
+// twice. Each could make us and a target see different requests in the same bytes.
+//
+// Index of this file:
+// [SECTION] Errors
+// [SECTION] Headers
+// [SECTION] Feeding
+
+#include "request_reader.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <string_view>
+
+namespace Winchlink
+{
+
+namespace http = boost::beast::http;
+
+struct RequestParser
+{
+    http::request_parser<http::string_body> Beast;
+};
+
+RequestReader::RequestReader() = default;
+RequestReader::~RequestReader() = default;
+
+//-----------------------------------------------------------------------------
+// [SECTION] Errors
+//-----------------------------------------------------------------------------
+
+static ReadState_ Refuse(RequestReader* reader, Code_ code)
+{
+    reader->State = ReadState_Refused;
+    reader->Code = code;
+    reader->Status = FindCode(code).HttpStatus;
+    reader->Parser = nullptr;
+    return reader->State;
+}
+
+static Code_ CodeOf(const boost::beast::error_code& error)
+{
+    if (error == http::error::header_limit)
+    {
+        return Code_HeadersTooLarge;
+    }
+    return error == http::error::body_limit ? Code_BodyTooLarge : Code_BadRequest;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Headers
+//-----------------------------------------------------------------------------
+
+// Bytes of the first line and the headers as they were sent.
+static size_t HeaderBytes(const CallerRequest& request)
+{
+    constexpr size_t line_extra = std::string_view("  HTTP/1.1\r\n").size();
+    constexpr size_t header_extra = std::string_view(": \r\n").size();
+    size_t bytes = request.Method.size() + request.Target.size() + line_extra;
+    for (const Header& header : request.Headers)
+    {
+        bytes += header.Name.size() + header.Value.size() + header_extra;
+    }
+    return bytes;
+}
+
+// Whether there is exactly one host, no foreign transfer coding, and a version that we speak.
+static bool IsUnambiguous(const RequestParser& parser)
+{
+    constexpr unsigned http_1_0 = 10;
+    constexpr unsigned http_1_1 = 11;
+    const auto& message = parser.Beast.get();
+    const size_t hosts = message.count(http::field::host);
+    const bool one_host = hosts == 1 || (hosts == 0 && message.version() == http_1_0);
+    const bool known_coding = message.count(http::field::transfer_encoding) == 0 || parser.Beast.chunked();
+    return one_host && known_coding && (message.version() == http_1_0 || message.version() == http_1_1);
+}
+
+static void TakeHeaders(RequestReader* reader)
+{
+    const auto& message = reader->Parser->Beast.get();
+    CallerRequest& request = reader->Request;
+    request.Method = std::string(message.method_string());
+    request.Target = std::string(message.target());
+    for (const auto& field : message)
+    {
+        request.Headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    request.KeepsConnection = message.keep_alive();
+    const std::string* expects = FindHeader(request.Headers, "Expect");
+    reader->WantsContinue = expects != nullptr && SameHeader(*expects, "100-continue");
+}
+
+static ReadState_ JudgeHeaders(RequestReader* reader)
+{
+    TakeHeaders(reader);
+    if (!IsUnambiguous(*reader->Parser))
+    {
+        return Refuse(reader, Code_BadRequest);
+    }
+    if (HeaderBytes(reader->Request) > reader->Limits.HeaderBytesMost)
+    {
+        return Refuse(reader, Code_HeadersTooLarge);
+    }
+    reader->State = ReadState_Body;
+    return reader->State;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Feeding
+//-----------------------------------------------------------------------------
+
+// Line ends before a request are left over from a sloppy one before (RFC 9112, 2.2).
+static void SkipLineEnds(std::string* bytes)
+{
+    bytes->erase(0, std::min(bytes->find_first_not_of("\r\n"), bytes->size()));
+}
+
+static void BeginParser(RequestReader* reader)
+{
+    reader->Parser = std::make_unique<RequestParser>();
+    auto& beast = reader->Parser->Beast;
+    beast.eager(true);
+    beast.header_limit(static_cast<std::uint32_t>(reader->Limits.HeaderBytesMost));
+    beast.body_limit(reader->Limits.BodyBytesMost);
+    reader->State = ReadState_Headers;
+}
+
+static ReadState_ TakeWhole(RequestReader* reader)
+{
+    reader->Request.Body = std::move(reader->Parser->Beast.get().body());
+    reader->Parser = nullptr;
+    reader->State = ReadState_Whole;
+    return reader->State;
+}
+
+void RequestReaderBegin(RequestReader* reader, const CallerLimits& limits)
+{
+    reader->State = ReadState_Begin;
+    reader->Request = CallerRequest();
+    reader->WantsContinue = false;
+    reader->Limits = limits;
+    reader->Parser = nullptr;
+}
+
+ReadState_ RequestReaderFeed(RequestReader* reader, std::string* bytes)
+{
+    if (reader->State == ReadState_Whole || reader->State == ReadState_Refused)
+    {
+        return reader->State;
+    }
+    if (reader->State == ReadState_Begin)
+    {
+        SkipLineEnds(bytes);
+        if (bytes->empty())
+        {
+            return reader->State;
+        }
+        BeginParser(reader);
+    }
+    auto& beast = reader->Parser->Beast;
+    size_t taken = 0;
+    boost::beast::error_code error;
+    while (!error && !beast.is_done() && taken < bytes->size())
+    {
+        taken += beast.put(boost::asio::buffer(bytes->data() + taken, bytes->size() - taken), error);
+    }
+    bytes->erase(0, taken);
+    if (error && error != http::error::need_more)
+    {
+        return Refuse(reader, CodeOf(error));
+    }
+    if (reader->State == ReadState_Headers && beast.is_header_done() && JudgeHeaders(reader) == ReadState_Refused)
+    {
+        return reader->State;
+    }
+    return beast.is_done() ? TakeWhole(reader) : reader->State;
+}
+
+} // namespace Winchlink
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 
 Limit="-max_total_time=${1:-60}"
-Targets=(fuzz_documents fuzz_page fuzz_platform)
+Targets=(fuzz_documents fuzz_page fuzz_platform fuzz_request)
 if [ "${1:-}" = "--runs" ]
 then
     Limit="-runs=$2"
@@ -16,7 +16,7 @@
 for Target in "${Targets[@]}"
 do
     Corpus=$(mktemp -d)
-    cp examples/*.json tests/*.json tests/fuzz/*.json "$Corpus"/
+    cp examples/*.json tests/*.json tests/fuzz/*.json tests/fuzz/*.http "$Corpus"/
     "build-fuzz/$Target" -seed=1 -rss_limit_mb=1024 -artifact_prefix=build-fuzz/ "$Limit" "$Corpus" >"build-fuzz/$Target.log" 2>&1 ||
         { tail -40 "build-fuzz/$Target.log"; rm -rf "$Corpus"; exit 1; }
     rm -rf "$Corpus"
--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -12,10 +12,9 @@
     libclang-rt-14-dev      # libFuzzer and the sanitizers' runtimes
     clang-format            # format check
     clang-tidy              # lint check
-    libboost-dev            # Outcome (errors), Accumulators and Histogram (metrics)
+    libboost-dev            # Outcome (errors), Accumulators and Histogram (metrics), Beast (HTTP of callers; docs/DESIGN.md says why)
     libcereal-dev           # codec of the messages between instances
     libcurl4-gnutls-dev     # HTTP to targets, to the store and between instances
-    libmicrohttpd-dev       # HTTP server; ulfius, the house server, is built on it (docs/DESIGN.md)
     libuv1-dev              # event loop
     zlib1g-dev              # compression of what instances hand on
     libjansson-dev          # JSON; it can refuse duplicate keys
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -57,7 +57,7 @@
 Variant build-asan "address,undefined" RelWithDebInfo --skip Winchlink::Process
 
 # The fuzz targets, for a fixed number of inputs from a fixed seed.
-for Target in fuzz_documents fuzz_page fuzz_platform
+for Target in fuzz_documents fuzz_page fuzz_platform fuzz_request
 do
     if scripts/fuzz.sh --runs 20000 "$Target"
     then
--- a/winchlink.h
+++ b/winchlink.h
@@ -88,6 +88,7 @@
     Code_BadDeadline = 2201,
     Code_BodyTooLarge = 2202,
     Code_HeadersTooLarge = 2204,
+    Code_BadRequest = 2205,
 
     Code_MessageMalformed = 3005,
 
--- a/winchlink_codes.cpp
+++ b/winchlink_codes.cpp
@@ -50,6 +50,7 @@
         {Code_BadDeadline, "BadDeadline", 400, "Not run: the deadline header is not a number of milliseconds."},
         {Code_BodyTooLarge, "BodyTooLarge", 413, "Not run: the request's body is larger than the limit."},
         {Code_HeadersTooLarge, "HeadersTooLarge", 431, "Not run: the request's headers are larger than the limit."},
+        {Code_BadRequest, "BadRequest", 400, "Not run: what was sent is not a request in HTTP/1.1, or can be read in two ways."},
         {Code_MessageMalformed, "MessageMalformed", 0, "A message can't be decoded."},
         {Code_PlatformUnreachable, "PlatformUnreachable", 0, "The platform's service does not answer."},
         {Code_PlatformBadAnswer, "PlatformBadAnswer", 0, "The platform's answer can't be understood."},
