A stopping instance closes its listening socket once it is quiet

Cause: the packet filter that keeps new connections out has no effect on the users' network; callers that open one connection after another kept a stopping instance busy to its end, where it cut what had just come. Ruled out: kept connections, a second signal, the server's library.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -261,7 +261,12 @@
 {
     ListenerCloseIdle(&gateway->Callers);
     const TimeUs since = NowUs() - gateway->StopUs;
-    const bool done = since > StillAcceptUs + QuietUs && gateway->Callers.Open.empty();
+    const bool quiet = since > StillAcceptUs + QuietUs;
+    if (quiet)
+    {
+        ListenerCloseSocket(&gateway->Callers);
+    }
+    const bool done = quiet && gateway->Callers.Open.empty();
     if (done || since > gateway->Config.GraceUs - StopMarginUs)
     {
         EndLoop(gateway);
--- a/gateway/listener.cpp
+++ b/gateway/listener.cpp
@@ -41,7 +41,20 @@
                                  });
 }
 
-static void AcceptAll(Listener* listener)
+// A connection was accepted: it is served, or closed unread where there are too many.
+static void TakeSocket(Listener* listener, int socket)
+{
+    if (listener->Open.size() >= static_cast<size_t>(listener->Config.ConnectionsMost))
+    {
+        LogSample(LogLevel_Warn, Code_None, "connection closed unread", {{"open", static_cast<int>(listener->Open.size())}});
+        close(socket);
+        return;
+    }
+    ConnectionBegin(listener, socket);
+}
+
+// Accepts some of the connections that wait. True if more may wait.
+static bool AcceptSome(Listener* listener)
 {
     for (int n = 0; n < AcceptsInRow; n++)
     {
@@ -54,16 +67,11 @@
             {
                 PauseAccepting(listener);
             }
-            return;
+            return it_left;
         }
-        if (listener->Open.size() >= static_cast<size_t>(listener->Config.ConnectionsMost))
-        {
-            LogSample(LogLevel_Warn, Code_None, "connection closed unread", {{"open", static_cast<int>(listener->Open.size())}});
-            close(socket);
-            continue;
-        }
-        ConnectionBegin(listener, socket);
+        TakeSocket(listener, socket);
     }
+    return true;
 }
 
 //-----------------------------------------------------------------------------
@@ -150,31 +158,44 @@
     {
         return Error{Code_ListenFailed, config.Address};
     }
-    listener->Ready = WatchStart(loop, listener->Socket, UV_READABLE, [listener](int) { AcceptAll(listener); });
+    listener->Ready = WatchStart(loop, listener->Socket, UV_READABLE, [listener](int) { AcceptSome(listener); });
     listener->Hook = LoopBeforeWait(loop, [listener]() { BeforeWait(listener); });
     CheckIdle(listener);
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-void ListenerStop(Listener* listener)
+static void EndListening(Listener* listener)
 {
-    if (listener->Socket < 0)
+    listener->Pause = nullptr;
+    listener->Ready = nullptr;
+    if (listener->Socket >= 0)
     {
-        return;
+        close(listener->Socket);
     }
+    listener->Socket = -1;
+}
+
+void ListenerCloseSocket(Listener* listener)
+{
+    while (listener->Socket >= 0 && AcceptSome(listener))
+    {
+    }
+    EndListening(listener);
+}
+
+void ListenerStop(Listener* listener)
+{
+    EndListening(listener);
     for (const uint64_t id : OpenIds(*listener))
     {
         ConnectionEnd(listener, id);
     }
     listener->IdleCheck = nullptr;
-    listener->Pause = nullptr;
-    listener->Ready = nullptr;
     if (listener->Hook != 0)
     {
         LoopEndBeforeWait(listener->Loop, listener->Hook);
+        listener->Hook = 0;
     }
-    close(listener->Socket);
-    listener->Socket = -1;
 }
 
 Listener::~Listener()
--- a/gateway/listener.h
+++ b/gateway/listener.h
@@ -115,6 +115,10 @@
 // socket would reset what waits in its queue.
 void ListenerIgnoreNew(Listener* listener);
 
+// Accepts what waits, then refuses further connections. Call it some moments after ListenerIgnoreNew(), when nothing is under way any more:
+// not every network honours that, and callers that open one connection after another would otherwise keep a stopping instance busy.
+void ListenerCloseSocket(Listener* listener);
+
 // Answers a request. Call exactly once for each exchange.
 void Reply(const ExchangePtr& exchange, CallerReply reply);
 
--- a/tests/listener_test.cpp
+++ b/tests/listener_test.cpp
@@ -55,6 +55,7 @@
     CPPUNIT_TEST(AStopLosesNoNewConnection);
     CPPUNIT_TEST(AStopLosesNoKeptConnection);
     CPPUNIT_TEST(AStopAnswersWhatWaitsToBeAccepted);
+    CPPUNIT_TEST(AStopRefusesConnectionsOnceItIsQuiet);
     CPPUNIT_TEST(HeadersBeyondTheLimitAreRefused);
     CPPUNIT_TEST(HeadersThatComeTooSlowlyEndTheConnection);
     CPPUNIT_TEST(SlowBodiesAreTaken);
@@ -124,6 +125,32 @@
         CPPUNIT_ASSERT_EQUAL(0, RigRuns(rig, answer->Id));
     }
 
+    // A stopping instance that goes on accepting is kept busy to its end by callers that open one connection after another, and cuts them
+    // then.
+    void AStopRefusesConnectionsOnceItIsQuiet()
+    {
+        Rig rig;
+        RigTarget(&rig, "t1").WorkUs = 4500 * UsPerMs; // Keeps the instance up.
+        UsersRoute route;
+        route.TimeoutS = 10;
+        RigConfigure(&rig, {route});
+        Gateway& instance = RigInstance(&rig, 1);
+        RigCall call;
+        call.DeadlineMs = 10000;
+        const RigAnswerPtr answer = RigSend(&rig, instance, call);
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return RigRuns(rig, answer->Id) == 1; }));
+        GatewayStop(&instance);
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return instance.Callers.Socket < 0; }));
+        CPPUNIT_ASSERT(!answer->Done);
+        RigCall late;
+        const RigAnswerPtr refused = RigSend(&rig, instance, late);
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return refused->Done; }));
+        CPPUNIT_ASSERT_EQUAL(ClientEnd_NotConnected, refused->Answer.End);
+        CPPUNIT_ASSERT_EQUAL(std::string("Couldn't connect to server"), refused->Answer.Detail); // At once, and not by a timeout.
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return answer->Done; }));
+        CPPUNIT_ASSERT_EQUAL(200, answer->Answer.Status);
+    }
+
     void HeadersBeyondTheLimitAreRefused()
     {
         Rig rig;
