When refused callers come back follows from the measured service

Cause: Retry-After was always 0.3 s. Change: a schedule in the library. Each refused caller gets the next place; places are as far apart as a quarter of the measured rate of service allows, at least 0.3 s, at most 5 s and half of the caller's time. Tests: ReturnsTest.

--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -205,7 +205,7 @@
 {
     if (call->MayHaveRun == 0)
     {
-        EndCallWith(call, Code_TargetRefused, answer.Detail, call->Owner->Config.BusyRetryUs);
+        EndCallBusy(call, Code_TargetRefused, answer.Detail);
         return;
     }
     EndCallWith(call, answer.End == ClientEnd_TimedOut ? Code_DeadlinePassed : Code_OutcomeUnknown, answer.Detail);
--- a/gateway/call.h
+++ b/gateway/call.h
@@ -52,6 +52,7 @@
     std::string ServiceName;         //
     std::string Id;                  // The caller's.
     bool Repeatable = false;         // It may be run more than once.
+    TimeUs CallerUntilUs = 0;        // The caller waits until then, over all of its tries.
     TimeUs DeadlineUs = 0;           // Answered by then.
     TimeUs ChooseUntilUs = 0;        // A target is chosen by then, or the request refused.
     Choosing_ Choosing = Choosing_None;
@@ -90,6 +91,9 @@
 // Our own answer, with the status that goes with the code. Asserts that "not run" is true where the status promises it.
 void EndCallWith(const CallPtr& call, Code_ code, const std::string& detail, TimeUs retry_after = 0);
 
+// Refuses a request that has not run because targets are busy, and tells the caller when there may be room.
+void EndCallBusy(const CallPtr& call, Code_ code, const std::string& detail);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Choosing a target (choose.cpp)
 //-----------------------------------------------------------------------------
--- a/gateway/choose.cpp
+++ b/gateway/choose.cpp
@@ -99,7 +99,6 @@
         SecondAgain(call);
         return;
     }
-    const ForwardConfig& config = call->Owner->Config;
     if (call->Kept)
     {
         PassOn(call, std::move(*call->Kept));
@@ -110,7 +109,12 @@
         EndCallWith(call, Code_OutcomeUnknown, detail);
         return;
     }
-    EndCallWith(call, code, detail, call->Service->Pool.Targets.empty() ? config.EmptyRetryUs : config.BusyRetryUs);
+    if (call->Service->Pool.Targets.empty())
+    {
+        EndCallWith(call, code, detail, call->Owner->Config.EmptyRetryUs);
+        return;
+    }
+    EndCallBusy(call, code, detail);
 }
 
 // The cheapest of those asked that have room; null if none has.
--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -30,6 +30,7 @@
     metrics.Repeats += static_cast<uint64_t>(std::max(call.Attempts - 1, 0));
     if (code == Code_None)
     {
+        ReturnScheduleServed(&call.Service->Returns, NowUs());
         LatencyAdd(&metrics.Latency, NowUs() - call.From->ArrivedUs);
         LatencyAdd(&call.Owner->ByPriority[call.Row->Priority], NowUs() - call.From->ArrivedUs);
     }
@@ -102,6 +103,14 @@
     EndCall(call, code, detail, std::move(reply));
 }
 
+void EndCallBusy(const CallPtr& call, Code_ code, const std::string& detail)
+{
+    const TimeUs now = NowUs();
+    const auto left = static_cast<double>(std::max<TimeUs>(call->CallerUntilUs - now, 0));
+    const auto most = static_cast<TimeUs>(call->Owner->Config.ReturnShare * left);
+    EndCallWith(call, code, detail, std::min(ReturnScheduleTake(&call->Service->Returns, now, call->Owner->Rng), most));
+}
+
 static void OnDeadline(const CallPtr& call)
 {
     const bool sent = call->MayHaveRun > 0 || !call->Active.empty();
@@ -112,7 +121,12 @@
         return;
     }
     CancelAttempts(call);
-    EndCallWith(call, sent ? Code_DeadlinePassed : Code_TargetsBusy, "deadline", call->Owner->Config.BusyRetryUs);
+    if (sent)
+    {
+        EndCallWith(call, Code_DeadlinePassed, "deadline");
+        return;
+    }
+    EndCallBusy(call, Code_TargetsBusy, "deadline");
 }
 
 static void OnCallerGone(const CallPtr& call)
@@ -146,14 +160,14 @@
     {
         return std::nullopt;
     }
-    const auto most = static_cast<double>(call.Row->TimeoutUs);
-    return static_cast<TimeUs>(std::min(ms * static_cast<double>(UsPerMs), most));
+    constexpr double longest = 3600.0 * UsPerSecond; // No caller waits longer, and it fits the type.
+    return ms > 0 ? static_cast<TimeUs>(std::min(ms * static_cast<double>(UsPerMs), longest)) : call.Row->TimeoutUs;
 }
 
 static void SetDeadline(const CallPtr& call, TimeUs asked)
 {
-    const TimeUs allowed = asked > 0 ? asked : call->Row->TimeoutUs;
-    call->DeadlineUs = call->From->ArrivedUs + allowed;
+    call->CallerUntilUs = call->From->ArrivedUs + asked;
+    call->DeadlineUs = call->From->ArrivedUs + std::min(asked, call->Row->TimeoutUs);
     call->Deadline = TimerStart(call->Owner->Loop, LeftUs(*call, NowUs()), [call]() { OnDeadline(call); });
 }
 
@@ -181,7 +195,7 @@
     }
     if (call->Spec->RequestsMost > 0 && call->Service->InProgress > call->Spec->RequestsMost)
     {
-        EndCallWith(call, Code_RowLimit, "", forwarder->Config.BusyRetryUs);
+        EndCallBusy(call, Code_RowLimit, "");
         return;
     }
     ChooseTarget(call, Choosing_First);
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -18,16 +18,16 @@
 
 struct ForwardConfig
 {
-    TimeUs AskPatienceUs = 5 * UsPerMs;  // A target that takes longer to tell its load is not waited for alone; usual: 0.6 to 3 ms.
-    int AsksMost = 8;                    // Questions asked for one attempt.
-    TimeUs ReuseUs = 8 * UsPerMs;        // A report is believed for so long without asking again.
-    TimeUs AskTimeoutUs = 40 * UsPerMs;  // A target that takes longer to tell its load is passed over; usual: 0.6 to 3 ms.
-    double SettleCost = 1.6;             // A target at this cost or less is taken when no better one was found.
-    TimeUs AskAgainUs = 20 * UsPerMs;    // All busy: pause before asking again.
-    double ChooseShare = 0.2;            // Part of a route's aim that choosing may take; refusals are early up to a quarter of it.
-    int UnaskedMost = 2;                 // Where targets tell no load: our requests at one target, as a multiple of its slots.
-    TimeUs ConnectUs = 250 * UsPerMs;    // To connect to a target on our own network.
-    TimeUs BusyRetryUs = 300 * UsPerMs;  // When to come back after all targets were busy: about the work of one request.
+    TimeUs AskPatienceUs = 5 * UsPerMs; // A target that takes longer to tell its load is not waited for alone; usual: 0.6 to 3 ms.
+    int AsksMost = 8;                   // Questions asked for one attempt.
+    TimeUs ReuseUs = 8 * UsPerMs;       // A report is believed for so long without asking again.
+    TimeUs AskTimeoutUs = 40 * UsPerMs; // A target that takes longer to tell its load is passed over; usual: 0.6 to 3 ms.
+    double SettleCost = 1.6;            // A target at this cost or less is taken when no better one was found.
+    TimeUs AskAgainUs = 20 * UsPerMs;   // All busy: pause before asking again.
+    double ChooseShare = 0.2;           // Part of a route's aim that choosing may take; refusals are early up to a quarter of it.
+    int UnaskedMost = 2;                // Where targets tell no load: our requests at one target, as a multiple of its slots.
+    TimeUs ConnectUs = 250 * UsPerMs;   // To connect to a target on our own network.
+    double ReturnShare = 0.5; // Part of the time that a refused caller has left after which it is told to come back, at the latest.
     TimeUs EmptyRetryUs = 500 * UsPerMs; // When to come back where there is no target or no plan yet.
     double SlowFactor = 1.7;             // An attempt that takes so many times as long as expected is slow (docs/MEASUREMENTS.md).
     double SecondShare = 0.4;            // Part of the repeat budget for second attempts beside slow ones.
@@ -45,6 +45,7 @@
 {
     TargetPool Pool;
     RepeatBudget Repeats;
+    ReturnSchedule Returns;                                              // Of callers that were refused because targets were busy.
     std::vector<std::weak_ptr<Call>> Waiting;                            // Requests that found all targets busy and will ask again.
     std::map<std::string, std::vector<std::shared_ptr<Call>>> Questions; // To targets, in progress: requests that wait for each answer.
     int InProgress = 0;                                                  // Requests not answered yet.
--- /dev/null
+++ b/tests/returns_test.cpp
@@ -0,0 +1,146 @@
+// returns_test.cpp: the schedule of refused callers: near places in a short overload, far ones in a long one, none together.
+
+#include "gateway_rig.h"
+
+namespace Winchlink
+{
+
+static constexpr TimeUs StepUs = 100 * UsPerMs;
+
+// Serves and refuses at fixed rates for a while, and returns the places that were given out, as times.
+static std::vector<TimeUs> Play(ReturnSchedule* schedule, Random* random, TimeUs from, TimeUs time, int served, int refused)
+{
+    std::vector<TimeUs> places;
+    for (TimeUs now = from; now < from + time; now += StepUs)
+    {
+        for (int n = 0; n < served; n++)
+        {
+            ReturnScheduleServed(schedule, now);
+        }
+        for (int n = 0; n < refused; n++)
+        {
+            places.push_back(now + ReturnScheduleTake(schedule, now, random));
+        }
+    }
+    return places;
+}
+
+static int MostInOneSecond(const std::vector<TimeUs>& places)
+{
+    int most = 0;
+    for (const TimeUs from : places)
+    {
+        const auto within = [from](TimeUs place)
+        {
+            return place >= from && place < from + UsPerSecond;
+        };
+        most = std::max(most, static_cast<int>(std::count_if(places.begin(), places.end(), within)));
+    }
+    return most;
+}
+
+class ReturnsTest : public CPPUNIT_NS::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ReturnsTest);
+    CPPUNIT_TEST(OneRefusalComesBackSoon);
+    CPPUNIT_TEST(ALongOverloadKeepsCallersAwayLonger);
+    CPPUNIT_TEST(TheScheduleEmptiesWhenTheOverloadIsOver);
+    CPPUNIT_TEST(CallersDoNotReturnTogether);
+    CPPUNIT_TEST(PlacesStayWithinTheirBounds);
+    CPPUNIT_TEST(ARefusedCallerIsNotSentBeyondItsDeadline);
+    CPPUNIT_TEST_SUITE_END();
+
+    void OneRefusalComesBackSoon()
+    {
+        ReturnSchedule schedule;
+        Random random(1);
+        Play(&schedule, &random, 0, 5 * UsPerSecond, 1, 0);
+        const TimeUs wait = ReturnScheduleTake(&schedule, 5 * UsPerSecond, &random);
+        CPPUNIT_ASSERT(wait >= schedule.LeastUs * 8 / 10 && wait <= schedule.LeastUs * 12 / 10);
+    }
+
+    void ALongOverloadKeepsCallersAwayLonger()
+    {
+        ReturnSchedule schedule;
+        Random random(1);
+        Play(&schedule, &random, 0, 3 * UsPerSecond, 1, 1);
+        const TimeUs now = 3 * UsPerSecond;
+        CPPUNIT_ASSERT(ReturnScheduleTake(&schedule, now, &random) > 3 * UsPerSecond);
+    }
+
+    void TheScheduleEmptiesWhenTheOverloadIsOver()
+    {
+        ReturnSchedule schedule;
+        Random random(1);
+        Play(&schedule, &random, 0, 3 * UsPerSecond, 1, 1);
+        Play(&schedule, &random, 3 * UsPerSecond, schedule.MostUs, 1, 0);
+        const TimeUs wait = ReturnScheduleTake(&schedule, 3 * UsPerSecond + schedule.MostUs, &random);
+        CPPUNIT_ASSERT(wait <= schedule.LeastUs * 12 / 10);
+    }
+
+    // Refused within one step, they return at the rate that the share of the service allows; a fixed time brings them back at once.
+    void CallersDoNotReturnTogether()
+    {
+        ReturnSchedule schedule;
+        schedule.Spread = 0; // What is counted is the schedule's own spacing.
+        Random random(1);
+        Play(&schedule, &random, 0, 10 * UsPerSecond, 2, 0); // 20 a second.
+        const std::vector<TimeUs> places = Play(&schedule, &random, 10 * UsPerSecond, StepUs, 0, 15);
+        CPPUNIT_ASSERT(MostInOneSecond(places) <= 6);
+        schedule.MostUs = schedule.LeastUs;
+        CPPUNIT_ASSERT_EQUAL(15, MostInOneSecond(Play(&schedule, &random, 30 * UsPerSecond, StepUs, 0, 15)));
+    }
+
+    void PlacesStayWithinTheirBounds()
+    {
+        const auto within = []()
+        {
+            Dice dice;
+            ReturnSchedule schedule;
+            TimeUs now = dice.Between(0, UsPerSecond);
+            for (int n = 0; n < 300; n++)
+            {
+                now += dice.OneIn(20) ? dice.Between(0, 20 * UsPerSecond) : dice.Between(0, 50 * UsPerMs);
+                if (dice.OneIn(2))
+                {
+                    ReturnScheduleServed(&schedule, now);
+                    continue;
+                }
+                const TimeUs wait = ReturnScheduleTake(&schedule, now, &dice.Rng);
+                RC_ASSERT(static_cast<double>(wait) >= (1 - schedule.Spread) * static_cast<double>(schedule.LeastUs) - 1);
+                RC_ASSERT(static_cast<double>(wait) <= (1 + schedule.Spread) * static_cast<double>(schedule.MostUs));
+            }
+        };
+        CHECK_PROPERTY("places are between the least and the most, whatever was served and refused", within);
+    }
+
+    // Half of the time it has left, at the latest: it must still be served then.
+    void ARefusedCallerIsNotSentBeyondItsDeadline()
+    {
+        Rig rig;
+        UsersTarget& target = RigTarget(&rig, "t1");
+        target.Running = target.Slots; // Busy for good.
+        RigConfigure(&rig, {UsersRoute()});
+        const Gateway& instance = RigInstance(&rig, 1);
+        std::vector<RigAnswerPtr> answers;
+        for (int n = 0; n < 20; n++)
+        {
+            RigCall call;
+            call.DeadlineMs = 1500;
+            answers.push_back(RigSend(&rig, instance, call));
+        }
+        double longest = 0;
+        for (const RigAnswerPtr& answer : answers)
+        {
+            CPPUNIT_ASSERT(RigRun(&rig, [&]() { return answer->Done; }));
+            CPPUNIT_ASSERT_EQUAL(503, answer->Answer.Status);
+            longest = std::max(longest, std::stod(*FindHeader(answer->Answer.Headers, "Retry-After")));
+        }
+        CPPUNIT_ASSERT(longest > 0.4); // The schedule has filled,
+        CPPUNIT_ASSERT(longest <= 0.75);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReturnsTest);
+
+} // namespace Winchlink
--- a/winchlink.h
+++ b/winchlink.h
@@ -16,6 +16,7 @@
 // [SECTION] Target directory (which targets there are, as a lagging store tells it)
 // [SECTION] Target pool (which target to ask for its load, and which to take)
 // [SECTION] Repeat budget (which requests may be sent twice)
+// [SECTION] Return schedule (when refused callers may come back)
 
 #pragma once
 
@@ -491,4 +492,30 @@
 // Gives back one that was taken just now and not used.
 void RepeatBudgetReturn(RepeatBudget* budget, TimeUs now);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Return schedule (when refused callers may come back)
+//-----------------------------------------------------------------------------
+
+// Places in time for refused callers, one after the other, as fast as a part of the measured rate of service allows. In a short overload
+// the next place is near; in a long one the schedule fills, and callers stay away until it is likely to be over instead of taking the slots
+// of those who could still be served in time. An instance knows only its own refusals and service; as callers come back to any instance,
+// what it gives out and what it gets are alike where load is spread evenly, and wrong by as much as it is not.
+struct ReturnSchedule
+{
+    TimeUs LeastUs = 300 * UsPerMs;    // The next place is no nearer: about the work of one request.
+    TimeUs MostUs = 5 * UsPerSecond;   // And no farther.
+    double Share = 0.25;               // Part of the service that may go to callers who come back; the rest is for new requests.
+    double Spread = 0.2;               // Places are moved by up to this part, so that callers of one moment don't return together.
+    TimeUs MemoryUs = 2 * UsPerSecond; // Service is counted over about this time.
+    double Served = 0;                 // Requests served within that memory.
+    TimeUs ServedUs = 0;               // When Served was last brought up to date.
+    TimeUs NextUs = 0;                 // The latest place that was given out.
+};
+
+// A request has been served.
+void ReturnScheduleServed(ReturnSchedule* schedule, TimeUs now);
+
+// Gives a refused caller its place: how long it should stay away.
+TimeUs ReturnScheduleTake(ReturnSchedule* schedule, TimeUs now, Random* random);
+
 } // namespace Winchlink
