A target that refuses though it has room sends its caller to others at once

Change: a refusal whose own load shows a free slot gives Retry-After 0.05 s; the caller's next try meets another instance and another target.

--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -201,8 +201,20 @@
     return allowed && call->Attempts < call->Row->AttemptsMost && TakeRepeat(call, 1.0);
 }
 
+// A target that refuses though it has free slots is ill, not busy.
+static bool RefusedWithRoom(const Call& call, const ClientAnswer& answer)
+{
+    const std::optional<LoadReport> load = ReadLoad(*call.Owner, answer.Headers);
+    return load && load->Running + load->Waiting < load->Slots;
+}
+
 static void EndUnanswered(const CallPtr& call, const ClientAnswer& answer)
 {
+    if (call->MayHaveRun == 0 && RefusedWithRoom(*call, answer))
+    {
+        EndCallWith(call, Code_TargetRefused, answer.Detail, call->Owner->Config.IllRetryUs);
+        return;
+    }
     if (call->MayHaveRun == 0)
     {
         EndCallBusy(call, Code_TargetRefused, answer.Detail);
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -27,7 +27,8 @@
     double ChooseShare = 0.2;           // Part of a route's aim that choosing may take; refusals are early up to a quarter of it.
     int UnaskedMost = 2;                // Where targets tell no load: our requests at one target, as a multiple of its slots.
     TimeUs ConnectUs = 250 * UsPerMs;   // To connect to a target on our own network.
-    double ReturnShare = 0.5; // Part of the time that a refused caller has left after which it is told to come back, at the latest.
+    double ReturnShare = 0.5;         // Part of the time that a refused caller has left after which it is told to come back, at the latest.
+    TimeUs IllRetryUs = 50 * UsPerMs; // When to come back after a target refused that has room: at once, but not in step with others.
     TimeUs EmptyRetryUs = 500 * UsPerMs; // When to come back where there is no target or no plan yet.
     double SlowFactor = 1.7;             // An attempt that takes so many times as long as expected is slow (docs/MEASUREMENTS.md).
     double SecondShare = 0.4;            // Part of the repeat budget for second attempts beside slow ones.
--- /dev/null
+++ b/scripts/ablation.sh
@@ -0,0 +1,54 @@
+#!/usr/bin/env bash
+# What each mechanism is worth: builds a copy of this tree with one mechanism switched off, and plays days with it.
+#
+# Usage: ablation.sh FOLDER PLAY...   PLAY is run in each copy, with the mechanism's name as its last argument; it plays and notes the days.
+# FOLDER gets a copy for each mechanism; remove it afterwards. ONLY="name name" limits the list.
+#
+# A mechanism is switched off by an edit of a constant or a condition, so the shipped settings get no switches that operators don't need.
+# An edit that changes nothing is an error: the list must follow the code.
+set -eu
+cd "$(dirname "$0")/.."
+
+Folder=$1
+shift
+
+# name ~ file ~ sed expression that switches it off
+Mechanisms=(
+    "nothing~winchlink.h~"
+    "asking before sending~gateway/choose.cpp~s/if (!call->Service->Pool.TellsLoad || call->Spec->HealthPath.empty())/if (true)/"
+    "sharing questions~gateway/choose.cpp~s/if (askers.size() == 1)/if (true)/"
+    "reusing reports~gateway/forward.h~s/ReuseUs = 8 \* UsPerMs/ReuseUs = 0/"
+    "near first~winchlink_pool.cpp~s/target.Near = listed.DataCentre == data_centre/target.Near = true/"
+    "keeping to the same targets~winchlink_pool.cpp~s/target->Order == OrderOfNew/true/"
+    "waiting for a slot~gateway/forward.h~s/AskAgainUs = 20 \* UsPerMs/AskAgainUs = 60 * UsPerSecond/"
+    "handing freed slots on~gateway/choose.cpp~s/if (first \&\& told \&\& IsGood/if (false \&\& first \&\& told \&\& IsGood/"
+    "leaving out what would be late~gateway/choose.cpp~s/return cost \* call.Work->MeanUs < static_cast<double>(left);/return cost >= 0 || left > 0;/"
+    "learning nearly full targets~winchlink.h~s/double NearlyFullFactor = 1.4;/double NearlyFullFactor = 1.0;/;s/double NearlyFullMost = 3.0;/double NearlyFullMost = 1.0;/"
+    "warm-up of new targets~winchlink.h~s/double WarmFactor = 2.0;/double WarmFactor = 1.0;/"
+    "avoiding failed targets~winchlink.h~s/TimeUs AvoidUs = 200 \* UsPerMs;/TimeUs AvoidUs = 0;/"
+    "careful with unsafe requests~winchlink.h~s/TimeUs CarefulUs = 3 \* UsPerSecond;/TimeUs CarefulUs = 0;/"
+    "second attempts~gateway/forward.h~s/double SlowFactor = 1.7;/double SlowFactor = 1e6;/"
+    "stuck share~gateway/forward.h~s/double StuckShare = 0.9;/double StuckShare = 0.4;/"
+    "requests side by side~gateway/listener.h~s/size_t OverlapMost = 8;/size_t OverlapMost = 1;/"
+    "return schedule~winchlink.h~s/TimeUs MostUs = 5 \* UsPerSecond;/TimeUs MostUs = 300 * UsPerMs;/"
+    "quick return from ill targets~gateway/attempt.cpp~s/return load \&\& load->Running/return false \&\& load \&\& load->Running/"
+    "priorities~gateway/choose.cpp~s/waiting->Row->Priority < first->Row->Priority/false/"
+    "new targets first~winchlink_pool.cpp~s/known == nullptr \&\& pool->InUse/false/"
+    "reading through few~gateway/gateway.cpp~s/const bool reads = /const bool reads = true || /"
+)
+
+for Entry in "${Mechanisms[@]}"
+do
+    IFS='~' read -r Name File Edit <<<"$Entry"
+    [ -z "${ONLY:-}" ] || [[ " $ONLY " == *" ${Name// /-} "* ]] || continue
+    Copy="$Folder/${Name// /-}"
+    mkdir -p "$Copy"
+    git ls-files -z | grep -zv '^journal/' | xargs -0 tar cf - | tar xf - -C "$Copy"
+    sed -i "$Edit" "$Copy/$File"
+    if [ -n "$Edit" ] && cmp -s "$File" "$Copy/$File"
+    then
+        echo "ablation: the edit for '$Name' changes nothing in $File" >&2
+        exit 1
+    fi
+    (cd "$Copy" && "$@" "${Name// /-}")
+done
