--- a/tests/gateway_faults_test.cpp
+++ b/tests/gateway_faults_test.cpp
@@ -219,7 +219,8 @@
         }
         const RigAnswer shed = RigAsk(&rig, instance, Write());
         CPPUNIT_ASSERT_EQUAL(503, shed.Answer.Status);
-        CPPUNIT_ASSERT_EQUAL(std::string("0.050"), *FindHeader(shed.Answer.Headers, "Retry-After")); // The targets have room: others may serve.
+        CPPUNIT_ASSERT_EQUAL(std::string("0.050"),
+                             *FindHeader(shed.Answer.Headers, "Retry-After")); // The targets have room: others may serve.
         CPPUNIT_ASSERT_EQUAL(0, RigRuns(rig, shed.Id));
         for (const auto& target : rig.Targets)
         {
