A start is not taken for an overload by the schedule of refused callers

Cause: an instance that has just started has served nothing, so that the schedule put places 16 s apart: the second caller that it refused was sent away for the longest time. After a power loss all instances are like that. Change: a first guess of ten requests in the schedule's memory of 2 s, which fades as what is measured does. Test: ReturnsTest::AStartIsNotTakenForAnOverload, failing before.

--- a/tests/returns_test.cpp
+++ b/tests/returns_test.cpp
@@ -43,6 +43,7 @@
 {
     CPPUNIT_TEST_SUITE(ReturnsTest);
     CPPUNIT_TEST(OneRefusalComesBackSoon);
+    CPPUNIT_TEST(AStartIsNotTakenForAnOverload);
     CPPUNIT_TEST(ALongOverloadKeepsCallersAwayLonger);
     CPPUNIT_TEST(TheScheduleEmptiesWhenTheOverloadIsOver);
     CPPUNIT_TEST(CallersDoNotReturnTogether);
@@ -59,6 +60,16 @@
         CPPUNIT_ASSERT(wait >= schedule.LeastUs * 8 / 10 && wait <= schedule.LeastUs * 12 / 10);
     }
 
+    // After a start nothing has been served yet, which says nothing about the targets.
+    void AStartIsNotTakenForAnOverload()
+    {
+        ReturnSchedule schedule;
+        Random random(1);
+        const TimeUs start = 5000 * UsPerSecond;
+        ReturnScheduleTake(&schedule, start, &random);
+        CPPUNIT_ASSERT(ReturnScheduleTake(&schedule, start + StepUs, &random) < 2 * UsPerSecond);
+    }
+
     void ALongOverloadKeepsCallersAwayLonger()
     {
         ReturnSchedule schedule;
--- a/winchlink.h
+++ b/winchlink.h
@@ -507,9 +507,9 @@
     double Share = 0.25;               // Part of the service that may go to callers who come back; the rest is for new requests.
     double Spread = 0.2;               // Places are moved by up to this part, so that callers of one moment don't return together.
     TimeUs MemoryUs = 2 * UsPerSecond; // Service is counted over about this time.
-    double Served = 0;                 // Requests served within that memory.
-    TimeUs ServedUs = 0;               // When Served was last brought up to date.
-    TimeUs NextUs = 0;                 // The latest place that was given out.
+    double Served = 10;  // Requests served within that memory; at first a guess, so that a start is not taken for an overload.
+    TimeUs ServedUs = 0; // When Served was last brought up to date.
+    TimeUs NextUs = 0;   // The latest place that was given out.
 };
 
 // A request has been served.
--- a/winchlink_returns.cpp
+++ b/winchlink_returns.cpp
@@ -11,7 +11,8 @@
 // Brings the count of served requests up to date: what was served long ago fades.
 static void Fade(ReturnSchedule* schedule, TimeUs now)
 {
-    const auto passed = static_cast<double>(std::max<TimeUs>(now - schedule->ServedUs, 0));
+    const TimeUs since = schedule->ServedUs > 0 ? schedule->ServedUs : now;
+    const auto passed = static_cast<double>(std::max<TimeUs>(now - since, 0));
     schedule->Served *= std::exp(-passed / static_cast<double>(schedule->MemoryUs));
     schedule->ServedUs = now;
 }
