Soak: callers that send requests ahead

Audited as all others, and: what stands behind an answer that closes the connection must not have run; no bytes beyond answers to what was asked. Tests plant both.

--- /dev/null
+++ b/bench/plot_overload.sh
@@ -0,0 +1,32 @@
+#!/usr/bin/env bash
+# Draws what became of callers' requests over a day, before and after a change, with gnuplot (Debian: gnuplot-nox).
+#
+# Usage: plot_overload.sh OUT.svg BEFORE AFTER   each a text that holds a table of rows "second asked in-time late refused failed ...", as the
+# users' bench prints one ("from second"); rows of two seconds.
+set -eu
+Out=$1
+Folder=$(mktemp -d)
+trap 'rm -rf "$Folder"' EXIT
+for Which in before after
+do
+    [ "$Which" = before ] && Text=$2 || Text=$3
+    awk '/^from second/ { on = 1; next } on && NF < 6 { on = 0 } on { print $1, $3, $4, $5 + $6 }' "$Text" >"$Folder/$Which"
+    [ -s "$Folder/$Which" ] || { echo "plot_overload: $Text has no such table" >&2; exit 1; }
+done
+gnuplot <<PLOT
+set terminal svg size 900,520 background "white" font "sans,11"
+set output "$Out"
+set multiplot layout 2,1
+set style data histograms
+set style histogram rowstacked
+set style fill solid 0.9 border -1
+set boxwidth 0.9
+set yrange [0:850]
+set ylabel "requests in two seconds"
+set xtics font "sans,8"
+set key top right
+do for [Which in "before after"] {
+    set title Which
+    plot "$Folder/".Which using 2:xtic(1) title "in time" lc rgb "#4c9f70", "" using 3 title "late" lc rgb "#e0a030", "" using 4 title "refused or failed" lc rgb "#c0392b"
+}
+PLOT
--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -125,6 +125,10 @@
     {
         Ask(soak);
     }
+    for (int n = 0; n < soak->Plan.BatchCallers; n++)
+    {
+        AskInBatches(soak);
+    }
     Reap(soak);
     CollectArrivals(soak);
     Strike(soak);
--- a/bench/soak.h
+++ b/bench/soak.h
@@ -41,7 +41,8 @@
     int Seed = 1;
     int Seconds = 20; // Length of the faults.
     int Instances = 4;
-    int Callers = 24; // More than the targets of one service can serve would be refused, whatever the instances do.
+    int Callers = 24;     // More than the targets of one service can serve would be refused, whatever the instances do.
+    int BatchCallers = 3; // Of them, some that send requests ahead.
 };
 
 struct SoakResult
@@ -124,9 +125,18 @@
 // Publishes the next configuration.
 void Configure(Soak* soak);
 
+// An instance that takes new callers, by chance; null if there is none.
+SoakInstance* PickInstance(Soak* soak);
+
+// A request of a kind drawn by chance to the instance, as of now; not in the log yet.
+SoakRequest DrawSoakRequest(Soak* soak, const SoakInstance& instance);
+
 // Sends a request, and another one a while after its answer, until callers are told to end.
 void Ask(Soak* soak);
 
+// Sends some requests on one connection before the first is answered, and again a while after the last answer.
+void AskInBatches(Soak* soak);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Faults
 //-----------------------------------------------------------------------------
--- a/bench/soak_audit.cpp
+++ b/bench/soak_audit.cpp
@@ -50,7 +50,7 @@
     {
         (*found)["ran twice"].push_back(request.Id);
     }
-    if (!request.Repeatable && PromisesNotRun(request.Status) && runs > 0)
+    if (!request.Repeatable && (request.NotRead || PromisesNotRun(request.Status)) && runs > 0)
     {
         (*found)["refused and run"].push_back(request.Id);
     }
@@ -58,7 +58,7 @@
     {
         (*found)["not its own answer"].push_back(request.Id);
     }
-    const bool cut = request.EndedUs > 0 && request.Status == 0 && !arrivals.empty();
+    const bool cut = request.EndedUs > 0 && request.Status == 0 && !request.NotRead && !arrivals.empty();
     if (cut && InTouch(log, bounds, request.Instance, request.SentUs, request.EndedUs, false))
     {
         (*found)["cut without an answer"].push_back(request.Id);
@@ -183,6 +183,10 @@
     {
         found["ended by itself"].push_back(std::to_string(log.OwnEnds));
     }
+    if (log.ForeignBytes > 0)
+    {
+        found["bytes that answer nothing"].push_back(std::to_string(log.ForeignBytes));
+    }
     if (log.LateEnds > 0)
     {
         found["still there after its grace time"].push_back(std::to_string(log.LateEnds));
--- a/bench/soak_audit.h
+++ b/bench/soak_audit.h
@@ -20,6 +20,7 @@
     TimeUs EndedUs = 0;       // 0: not yet.
     int Status = 0;           // 0: no whole answer.
     bool OwnAnswer = false;   // A success is signed, whole, and names the request's method and path.
+    bool NotRead = false;     // It stood behind an answer that closed its connection: to its caller it was not read.
     bool MovingRoute = false; // It went to the route whose service changes with each configuration.
 };
 
@@ -64,6 +65,7 @@
     std::vector<SoakLeaving> Leavings;
     int Instances = 0;
     int OwnEnds = 0;       // Instances that ended by themselves.
+    int ForeignBytes = 0;  // Connections on which more came than answers to what was asked.
     int LateEnds = 0;      // Instances that had to be killed after their grace time.
     int RecoveryAsked = 0; // After all faults.
     int RecoveryGood = 0;
--- a/bench/soak_parts.cpp
+++ b/bench/soak_parts.cpp
@@ -125,7 +125,7 @@
 // [SECTION] Callers
 //-----------------------------------------------------------------------------
 
-static SoakInstance* PickInstance(Soak* soak)
+SoakInstance* PickInstance(Soak* soak)
 {
     std::vector<SoakInstance*> open;
     for (const auto& instance : soak->Instances)
@@ -157,23 +157,29 @@
     AskLater(soak);
 }
 
-void Ask(Soak* soak)
+SoakRequest DrawSoakRequest(Soak* soak, const SoakInstance& instance)
 {
-    const SoakInstance* instance = PickInstance(soak);
-    if (instance == nullptr)
-    {
-        AskLater(soak);
-        return;
-    }
     const int64_t kind = Between(soak, 0, 2);
     SoakRequest request;
     request.Id = fmt::format("q{}", ++soak->LastRequest);
     request.Repeatable = kind != 1;
     request.MovingRoute = kind == 2;
-    request.Instance = instance->Index;
+    request.Instance = instance.Index;
     request.Path = fmt::format("{}{}", kind == 0 ? "/a/" : kind == 1 ? "/w/" : MovingPrefix, soak->LastRequest);
     request.SentUs = NowUs();
-    const std::string method = kind == 1 ? "POST" : "GET";
+    return request;
+}
+
+void Ask(Soak* soak)
+{
+    const SoakInstance* instance = PickInstance(soak);
+    if (instance == nullptr)
+    {
+        AskLater(soak);
+        return;
+    }
+    const SoakRequest request = DrawSoakRequest(soak, *instance);
+    const std::string method = request.Repeatable ? "GET" : "POST";
     ClientRequest call;
     call.Address = instance->CallerAddress;
     call.Method = method;
@@ -182,8 +188,8 @@
                     {"Winchlink-Request-Id", request.Id},
                     {"Winchlink-Deadline-Ms", "1500"},
                     {SoakInstanceHeader, std::to_string(instance->Index)}};
-    call.Body = kind == 1 ? "once" : "";
-    call.HasBody = kind == 1;
+    call.Body = request.Repeatable ? "" : "once";
+    call.HasBody = !request.Repeatable;
     call.TimeoutUs = 5 * UsPerSecond;
     call.ConnectUs = UsPerSecond;
     const size_t index = soak->Log.Requests.size();
--- a/tests/soak_audit_test.cpp
+++ b/tests/soak_audit_test.cpp
@@ -52,6 +52,7 @@
     CPPUNIT_TEST(NothingInACleanLog);
     CPPUNIT_TEST(RunTwice);
     CPPUNIT_TEST(RefusedAndRun);
+    CPPUNIT_TEST(RunBehindAClosingAnswer);
     CPPUNIT_TEST(ForeignAnswers);
     CPPUNIT_TEST(UnaskedRuns);
     CPPUNIT_TEST(CutRequests);
@@ -88,9 +89,23 @@
         }
     }
 
+    // Its caller sends it again, as it was not read.
+    void RunBehindAClosingAnswer()
+    {
+        SoakLog log = CleanLog();
+        log.Requests.push_back(Asked("q2", 0, false));
+        log.Requests.back().NotRead = true;
+        CPPUNIT_ASSERT(AuditSoak(log, SoakBounds()).empty());
+        log.Arrivals.push_back(Arrived("q2", Start + UsPerMs, true));
+        CheckFinds(log, "refused and run");
+    }
+
     void ForeignAnswers()
     {
         SoakLog log = CleanLog();
+        log.ForeignBytes = 1;
+        CheckFinds(log, "bytes that answer nothing");
+        log = CleanLog();
         log.Requests[0].OwnAnswer = false;
         CheckFinds(log, "not its own answer");
         log = CleanLog();
