--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -337,18 +337,14 @@
     return request;
 }
 
-static void WatchForSlowness(const CallPtr& call, const Attempt& attempt, double factor, double share);
-
 // The first attempt takes much longer than expected: its target is avoided for a while, and the request goes to a second one as well.
-static void OnSlow(const CallPtr& call, double share)
+static void OnSlow(const CallPtr& call)
 {
     call->Slow = nullptr;
     if (call->Active.size() != 1 || call->Choosing != Choosing_None)
     {
         return;
     }
-    const ForwardConfig& config = call->Owner->Config;
-    const Attempt attempt = call->Active[0];
     const TimeUs now = NowUs();
     BlameTargets(*call);
     const bool time_left = static_cast<double>(LeftUs(*call, now)) > call->Work->MeanUs;
@@ -356,34 +352,27 @@
     {
         return;
     }
-    if (TakeRepeat(call, share))
+    if (TakeRepeat(call, call->Owner->Config.SecondShare))
     {
         ChooseTarget(call, Choosing_Second);
-        return;
-    }
-    if (share < config.StuckShare)
-    {
-        WatchForSlowness(call, attempt, config.StuckFactor, config.StuckShare);
     }
 }
 
-// Looks again when the attempt has taken `factor` times as long as expected.
-static void WatchForSlowness(const CallPtr& call, const Attempt& attempt, double factor, double share)
+// Looks again when the attempt has taken much longer than expected.
+static void WatchForSlowness(const CallPtr& call, const Attempt& attempt)
 {
-    const auto patience = static_cast<TimeUs>(factor * attempt.ExpectedUs);
+    const auto patience = static_cast<TimeUs>(call->Owner->Config.SlowFactor * attempt.ExpectedUs);
     if (patience > 0)
     {
         const TimeUs left = attempt.SentUs + patience - NowUs();
-        call->Slow = TimerStart(call->Owner->Loop, left, [call, share]() { OnSlow(call, share); });
+        call->Slow = TimerStart(call->Owner->Loop, left, [call]() { OnSlow(call); });
     }
 }
 
 void SecondAgain(const CallPtr& call)
 {
-    const ForwardConfig& config = call->Owner->Config;
     RepeatBudgetReturn(&call->Service->Repeats, NowUs());
-    const double share = config.SecondShare;
-    call->Slow = TimerStart(call->Owner->Loop, config.SecondAgainUs, [call, share]() { OnSlow(call, share); });
+    call->Slow = TimerStart(call->Owner->Loop, call->Owner->Config.SecondAgainUs, [call]() { OnSlow(call); });
 }
 
 static Attempt MakeAttempt(const Call& call, const PoolTarget& target, TimeUs now)
@@ -414,8 +403,7 @@
     call->Active.push_back(attempt);
     if (call->Active.size() == 1)
     {
-        const ForwardConfig& config = call->Owner->Config;
-        WatchForSlowness(call, attempt, config.SlowFactor, config.SecondShare);
+        WatchForSlowness(call, attempt);
     }
 }
 
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -34,8 +34,6 @@
     double SlowFactor = 1.7;             // An attempt that takes so many times as long as expected is slow (docs/MEASUREMENTS.md).
     double SecondShare = 0.4;            // Part of the repeat budget for second attempts beside slow ones.
     TimeUs SecondAgainUs = 50 * UsPerMs; // No target for a second attempt: pause before looking again. Slots come free within this time.
-    double StuckFactor = 3.0;            // An attempt that takes so many times as long as expected is hardly ever answered in time.
-    double StuckShare = 0.9;             // Part of the repeat budget for second attempts beside such ones.
     double RepeatShare = 0.2;            // See RepeatBudget.
     TimeUs RepeatWindowUs = 10 * UsPerSecond; //
 };
--- a/scripts/ablation.sh
+++ b/scripts/ablation.sh
@@ -28,7 +28,6 @@
     "avoiding failed targets~winchlink.h~s/TimeUs AvoidUs = 200 \* UsPerMs;/TimeUs AvoidUs = 0;/"
     "careful with unsafe requests~winchlink.h~s/TimeUs CarefulUs = 3 \* UsPerSecond;/TimeUs CarefulUs = 0;/"
     "second attempts~gateway/forward.h~s/double SlowFactor = 1.7;/double SlowFactor = 1e6;/"
-    "stuck share~gateway/forward.h~s/double StuckShare = 0.9;/double StuckShare = 0.4;/"
     "requests side by side~gateway/listener.h~s/size_t OverlapMost = 8;/size_t OverlapMost = 1;/"
     "return schedule~winchlink.h~s/TimeUs MostUs = 5 \* UsPerSecond;/TimeUs MostUs = 300 * UsPerMs;/"
     "quick return from ill targets~gateway/attempt.cpp~s/return load \&\& load->Running/return false \&\& load \&\& load->Running/"
