--- a/gateway/listener.h
+++ b/gateway/listener.h
@@ -1,8 +1,9 @@
 // listener.h: HTTP from callers, and from other instances, inside the event loop.
 //
 // A caller may send further requests on a connection before the first is answered. Those that may overlap are worked on at the same time,
-// and their answers are returned in the order of the requests. All others are worked on alone: such a request waits for those before it,
-// and nothing behind it is begun before its end.
+// and their answers are returned in the order of the requests: on a day without trouble 59 of 2,626 requests more were served in time than
+// one after the other (docs/DECISIONS.md). All others are worked on alone: such a request waits for those before it, and nothing behind it
+// is begun before its end.
 //
 // How to use it: ListenerStart() with a handler; the handler gets each request once it has been read whole and its turn has come, keeps the
 // exchange, and calls Reply() once, at once or later. OnGone is called if the answer will reach nobody.
