--- a/winchlink.h
+++ b/winchlink.h
@@ -498,8 +498,8 @@
 
 // Places in time for refused callers, one after the other, as fast as a part of the measured rate of service allows. In a short overload
 // the next place is near; in a long one the schedule fills, and callers stay away until it is likely to be over instead of taking the slots
-// of those who could still be served in time. An instance knows only its own refusals and service; as callers come back to any instance,
-// what it gives out and what it gets are alike where load is spread evenly, and wrong by as much as it is not.
+// of those who could still be served in time (0.01 of an overloaded day's worth, docs/DECISIONS.md). An instance knows only its own
+// refusals and service; as callers come back to any instance, what it gives out and what it gets are alike where load is spread evenly.
 struct ReturnSchedule
 {
     TimeUs LeastUs = 300 * UsPerMs;    // The next place is no nearer: about the work of one request.
