Log: each lost attempt, with what is the same at every try of a request

The key is a hash of method, host, path, credentials and body (libsodium); not of the caller's address, as the tries of one request came to instances of all data centres within 0.3 s.

Ruled out: the address as part of the key; targets never see it.

--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -13,6 +13,7 @@
 
 #include "clock.h"
 #include "log.h"
+#include "request_key.h"
 
 #include <algorithm>
 #include <cassert>
@@ -273,10 +274,29 @@
     return attempt;
 }
 
+// The answer to the caller names only the last attempt, and its id only this try of the caller: this line ties both to what was lost
+// before.
+static void LogLost(const Call& call, const ClientAnswer& answer)
+{
+    Log(LogLevel_Info, Code_OutcomeUnknown, "attempt lost",
+        {{"requestId", call.Id},
+         {"request", RequestKey(*call.From)},
+         {"service", call.ServiceName},
+         {"target", call.Last.Target},
+         {"attempt", call.Attempts},
+         {"tookUs", answer.TookUs},
+         {"status", answer.Status},
+         {"detail", answer.Detail}});
+}
+
 static void OnAnswer(const CallPtr& call, const std::string& target, ClientAnswer answer)
 {
     call->Last = TakeAttempt(call.get(), target);
     const Verdict_ verdict = Judge(*call->Owner, answer);
+    if (verdict == Verdict_Lost)
+    {
+        LogLost(*call, answer);
+    }
     call->Attempts -= LeftUsAtAll(answer) ? 0 : 1;
     call->MayHaveRun += verdict == Verdict_NotRun ? 0 : 1;
     Learn(call, call->Last, answer, verdict);
--- /dev/null
+++ b/gateway/request_key.cpp
@@ -0,0 +1,51 @@
+// request_key.cpp: what makes two requests the same one to a target, whatever their ids.
+//
+// Index of this file:
+// [SECTION] Hashing
+
+#include "request_key.h"
+
+#include <sodium.h>
+
+namespace Winchlink
+{
+
+//-----------------------------------------------------------------------------
+// [SECTION] Hashing
+//-----------------------------------------------------------------------------
+
+static constexpr size_t KeyBytes = crypto_generichash_BYTES_MIN; // 16: no two requests of one fleet share a key by chance.
+
+// The length goes first, so that two parts never read like two others.
+static void AddPart(crypto_generichash_state* state, const std::string& part)
+{
+    const uint64_t size = part.size();
+    crypto_generichash_update(state, reinterpret_cast<const unsigned char*>(&size), sizeof size);
+    crypto_generichash_update(state, reinterpret_cast<const unsigned char*>(part.data()), part.size());
+}
+
+static void AddHeader(crypto_generichash_state* state, const Exchange& exchange, const char* name)
+{
+    const std::string* value = FindHeader(exchange.Headers, name);
+    AddPart(state, value != nullptr ? *value : "");
+}
+
+std::string RequestKey(const Exchange& exchange)
+{
+    crypto_generichash_state state;
+    crypto_generichash_init(&state, nullptr, 0, KeyBytes);
+    AddPart(&state, exchange.Method);
+    AddPart(&state, exchange.Target);
+    for (const char* name : {"Host", "Authorization", "Cookie"})
+    {
+        AddHeader(&state, exchange, name);
+    }
+    AddPart(&state, exchange.Body);
+    std::array<unsigned char, KeyBytes> hash = {};
+    crypto_generichash_final(&state, hash.data(), hash.size());
+    std::array<char, 2 * KeyBytes + 1> hex = {};
+    sodium_bin2hex(hex.data(), hex.size(), hash.data(), hash.size());
+    return hex.data();
+}
+
+} // namespace Winchlink
