Requests under which three targets have ended are held, by what the whole fleet has seen

Cause: the way of a request ends with its answer. Each try of a caller has a new id and comes to another instance; nobody remembered what ended under the tries before, and no instance heard of what others have seen. Repeat budgets don't see it, as each try is a new request.

Change: a quarantine in the library (who ended, under which request; sets that merge in any order), a look whether a target that closed its connection takes another one, refusal with code 2014, and an exchange between instances along the tree of followers, both ways. Beliefs of a target end with its life (born), so that one that starts again under its id counts again.

Ruled out: our own repeats and second attempts (12 of 18 lost lines have one attempt). An address in the key: targets never see it. Telling only along the tree: two first contacts may read the store at once, each with a tree of its own (seen in the test).

--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -13,7 +13,6 @@
 
 #include "clock.h"
 #include "log.h"
-#include "request_key.h"
 
 #include <algorithm>
 #include <cassert>
@@ -140,6 +139,7 @@
     if (verdict == Verdict_Pass && answer.Status < 500)
     {
         LearnWork(call.get(), attempt, answer.TookUs);
+        NoteAnswered(call.get());
         PoolGood(target);
     }
     else if (answer.End != ClientEnd_HeldBack)
@@ -194,7 +194,7 @@
 {
     constexpr size_t tries_most = 8; // Connections that fail at once must not be tried for ever.
     const TimeUs now = NowUs();
-    if (LeftUs(*call, now) <= 0)
+    if (LeftUs(*call, now) <= 0 || IsHeld(call.get()))
     {
         return false;
     }
@@ -215,6 +215,11 @@
 
 static void EndUnanswered(const CallPtr& call, const ClientAnswer& answer)
 {
+    if (call->MayHaveRun == 0 && IsHeld(call.get()))
+    {
+        EndCallHeld(call);
+        return;
+    }
     if (call->MayHaveRun == 0 && RefusedWithRoom(*call, answer))
     {
         EndCallWith(call, Code_TargetRefused, answer.Detail, call->Owner->Config.IllRetryUs);
@@ -276,14 +281,14 @@
 
 // The answer to the caller names only the last attempt, and its id only this try of the caller: this line ties both to what was lost
 // before.
-static void LogLost(const Call& call, const ClientAnswer& answer)
+static void LogLost(Call* call, const ClientAnswer& answer)
 {
     Log(LogLevel_Info, Code_OutcomeUnknown, "attempt lost",
-        {{"requestId", call.Id},
-         {"request", RequestKey(*call.From)},
-         {"service", call.ServiceName},
-         {"target", call.Last.Target},
-         {"attempt", call.Attempts},
+        {{"requestId", call->Id},
+         {"request", CallKey(call)},
+         {"service", call->ServiceName},
+         {"target", call->Last.Target},
+         {"attempt", call->Attempts},
          {"tookUs", answer.TookUs},
          {"status", answer.Status},
          {"detail", answer.Detail}});
@@ -295,7 +300,11 @@
     const Verdict_ verdict = Judge(*call->Owner, answer);
     if (verdict == Verdict_Lost)
     {
-        LogLost(*call, answer);
+        LogLost(call.get(), answer);
+    }
+    if (answer.End == ClientEnd_Lost || answer.End == ClientEnd_Broken)
+    {
+        LookWhetherEnded(call.get(), call->Last);
     }
     call->Attempts -= LeftUsAtAll(answer) ? 0 : 1;
     call->MayHaveRun += verdict == Verdict_NotRun ? 0 : 1;
@@ -351,7 +360,7 @@
     // Right before the request leaves: news since the choice may stop it.
     request.MaySend = [call, id = target.Id]()
     {
-        return !call->Ended && LeftUs(*call, NowUs()) > 0 && PoolFind(&call->Service->Pool, id) != nullptr;
+        return !call->Ended && LeftUs(*call, NowUs()) > 0 && PoolFind(&call->Service->Pool, id) != nullptr && !IsHeld(call.get());
     };
     request.Fits = [call](const std::vector<Header>& headers)
     {
@@ -404,6 +413,8 @@
     const TargetPool& pool = call.Service->Pool;
     Attempt attempt;
     attempt.Target = target.Id;
+    attempt.Address = target.Address;
+    attempt.Life = target.Life;
     attempt.Entry = target.Entry;
     attempt.SentUs = now;
     attempt.Report = target.Report;
--- a/gateway/call.h
+++ b/gateway/call.h
@@ -8,6 +8,7 @@
 // [SECTION] Ends (forward.cpp)
 // [SECTION] Choosing a target (choose.cpp)
 // [SECTION] Sending (attempt.cpp)
+// [SECTION] Requests that end targets (held.cpp)
 
 #pragma once
 
@@ -25,6 +26,8 @@
 {
     uint64_t Id = 0;         // Of the client's call.
     std::string Target;      // Which target.
+    std::string Address;     // Where it is.
+    uint64_t Life = 0;       // Which start of it.
     uint64_t Entry = 0;      // Its entry into the pool: it may have left and come back since.
     TimeUs SentUs = 0;       // When it began.
     LoadReport Report;       // The target's load as it was known when it was chosen.
@@ -52,6 +55,7 @@
     RouteWork* Work = nullptr;       //
     std::string ServiceName;         //
     std::string Id;                  // The caller's.
+    std::string Key;                 // What is the same at every try of the request, see CallKey(); empty until it is wanted.
     bool Repeatable = false;         // It may be run more than once.
     TimeUs CallerUntilUs = 0;        // The caller waits until then, over all of its tries.
     TimeUs DeadlineUs = 0;           // Answered by then.
@@ -128,4 +132,23 @@
 // Ends all attempts in progress, and so the targets' work.
 void CancelAttempts(const CallPtr& call);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Requests that end targets (held.cpp)
+//-----------------------------------------------------------------------------
+
+// See RequestKey(); made when it is first wanted.
+const std::string& CallKey(Call* call);
+
+// Whether the request may be sent to no target now, because it has ended several.
+bool IsHeld(Call* call);
+
+// Refuses a request that is held and has not run.
+void EndCallHeld(const CallPtr& call);
+
+// The attempt's connection ended without an answer: if its target has ended, that counts against the request.
+void LookWhetherEnded(Call* call, const Attempt& attempt);
+
+// The request was answered: no target ends under it.
+void NoteAnswered(Call* call);
+
 } // namespace Winchlink
--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -195,6 +195,11 @@
         EndCallWith(call, Code_NoTargetLeft, "the plan has no such service", forwarder->Config.EmptyRetryUs);
         return;
     }
+    if (IsHeld(call.get()))
+    {
+        EndCallHeld(call);
+        return;
+    }
     if (call->Spec->RequestsMost > 0 && call->Service->InProgress > call->Spec->RequestsMost)
     {
         EndCallBusy(call, Code_RowLimit, "");
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -73,6 +73,8 @@
     std::vector<std::shared_ptr<Call>> Unplanned; // Requests that came before the first plan.
     std::function<void()> OnNeeded;               // Called for each NeedyCallers of them; may be empty.
     TargetDirectory Directory;                    //
+    Quarantine Held;                              // Requests that end targets.
+    std::function<void()> OnTargetEnd;            // Called after each change of Held by this instance itself; may be empty.
     std::map<std::string, ServiceState> Services; // By name. Never erased: requests hold on to them.
     RowMetrics Unrouted;                          // Requests that belong to no service.
     std::map<int, LatencyStats> ByPriority;       // Answers, by the route's priority.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 //
 // Index of this file:
 // [SECTION] What the store says
+// [SECTION] Requests that end targets
 // [SECTION] Readiness and pages
 // [SECTION] Planned stop
 // [SECTION] Settings
@@ -296,6 +297,48 @@
     StoreReaderStart(&store, gateway->Loop, &gateway->Control, &gateway->Rng);
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Requests that end targets
+//-----------------------------------------------------------------------------
+
+static bool ReadsStore(const Gateway& gateway)
+{
+    return gateway.Store.Following.Next.Kind == SourceKind_Store;
+}
+
+static void StartTargetEnds(Gateway* gateway)
+{
+    TargetEnds& ends = gateway->Ends;
+    ends.Loop = gateway->Loop;
+    ends.Calls = &gateway->Control;
+    ends.Known = &gateway->Requests.Held;
+    ends.Others = [gateway]()
+    {
+        const Follow& following = gateway->Store.Following;
+        return ReadsStore(*gateway) ? following.Contacts : std::vector<std::string>{following.Next.Address};
+    };
+    ends.OnTell = [gateway]()
+    {
+        RelayTell(&gateway->Peers);
+    };
+    gateway->Requests.OnTargetEnd = [&ends]()
+    {
+        TargetEndsChanged(&ends);
+    };
+    gateway->Store.OnEndsDigest = [&ends](uint64_t digest)
+    {
+        TargetEndsHeard(&ends, digest);
+    };
+    gateway->Peers.EndsDigest = [&ends]()
+    {
+        return ends.Known->Digest;
+    };
+    gateway->Peers.OnEnds = [&ends](const std::string& bytes)
+    {
+        return TargetEndsTold(&ends, bytes);
+    };
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Readiness and pages
 //-----------------------------------------------------------------------------
@@ -435,6 +478,11 @@
 static void Tick(Gateway* gateway)
 {
     CheckSettingsFile(gateway);
+    QuarantineForget(&gateway->Requests.Held, NowUs());
+    if (ReadsStore(*gateway))
+    {
+        TargetEndsCompare(&gateway->Ends);
+    }
     gateway->Second = TimerStart(gateway->Loop, TickUs, [gateway]() { Tick(gateway); });
 }
 
@@ -491,6 +539,7 @@
             return peers.error();
         }
     }
+    StartTargetEnds(gateway);
     StartStore(gateway);
     Tick(gateway);
     return BOOST_OUTCOME_V2_NAMESPACE::success();
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include "forward.h"
 #include "relay.h"
 #include "settings.h"
+#include "target_ends.h"
 
 namespace Winchlink
 {
@@ -49,6 +50,7 @@
     StoreReader Store;
     Relay Peers;
     Forwarder Requests;
+    TargetEnds Ends; // What others know of requests that end targets.
     Listener Callers;
     Listener Readiness;
     Listener Metrics;
--- /dev/null
+++ b/gateway/held.cpp
@@ -0,0 +1,114 @@
+// held.cpp: requests that end targets: seeing that a target has ended under one, and refusing those that are held.
+//
+// Index of this file:
+// [SECTION] Held requests
+// [SECTION] Ends of targets
+
+#include "call.h"
+
+#include "clock.h"
+#include "log.h"
+#include "request_key.h"
+
+namespace Winchlink
+{
+
+//-----------------------------------------------------------------------------
+// [SECTION] Held requests
+//-----------------------------------------------------------------------------
+
+const std::string& CallKey(Call* call)
+{
+    if (call->Key.empty())
+    {
+        call->Key = RequestKey(*call->From);
+    }
+    return call->Key;
+}
+
+static TimeUs HeldUntil(Call* call)
+{
+    const Quarantine& held = call->Owner->Held;
+    return held.Requests.empty() ? 0 : QuarantineUntil(held, CallKey(call), NowUs());
+}
+
+bool IsHeld(Call* call)
+{
+    return HeldUntil(call) > 0;
+}
+
+void EndCallHeld(const CallPtr& call)
+{
+    const TimeUs left = std::max<TimeUs>(HeldUntil(call.get()) - NowUs(), 0);
+    EndCallWith(call, Code_RequestHeld, CallKey(call.get()), left);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Ends of targets
+//-----------------------------------------------------------------------------
+
+static void NoteEnd(Forwarder* forwarder, const std::string& request, const std::string& target)
+{
+    const TimeUs now = NowUs();
+    const bool held_before = QuarantineUntil(forwarder->Held, request, now) > 0;
+    if (!QuarantineNote(&forwarder->Held, request, target, now))
+    {
+        return;
+    }
+    const TimeUs until = QuarantineUntil(forwarder->Held, request, now);
+    const bool held_now = !held_before && until > 0;
+    Log(held_now ? LogLevel_Warn : LogLevel_Info, held_now ? Code_RequestHeld : Code_None, held_now ? "request held" : "target ended",
+        {{"request", request},
+         {"target", target},
+         {"ends", QuarantineEnds(forwarder->Held, request)},
+         {"heldForUs", until > 0 ? until - now : 0}});
+    if (forwarder->OnTargetEnd)
+    {
+        forwarder->OnTargetEnd();
+    }
+}
+
+// A target that has ended takes no connection any more. One that has only cut ours does, and neither does it count where nothing can be
+// known: where a connection neither comes up nor is refused, the target may be cut off. Nothing is sent on the connection.
+void LookWhetherEnded(Call* call, const Attempt& attempt)
+{
+    Forwarder* forwarder = call->Owner;
+    const PoolTarget* target = PoolFind(&call->Service->Pool, attempt.Target);
+    if (target == nullptr || target->Entry != attempt.Entry || target->Doubtful)
+    {
+        return; // It leaves, or has left: its end is planned.
+    }
+    ClientRequest request;
+    request.Address = attempt.Address;
+    request.NewConnection = true;
+    request.TimeoutUs = forwarder->Config.ConnectUs;
+    request.MaySend = []()
+    {
+        return false;
+    };
+    const auto looked = [forwarder, key = CallKey(call), life = TargetLife(attempt.Target, attempt.Life)](const ClientAnswer& answer)
+    {
+        const bool refused = answer.End == ClientEnd_NotConnected && answer.TookUs < forwarder->Config.ConnectUs;
+        if (refused)
+        {
+            NoteEnd(forwarder, key, life);
+        }
+    };
+    ClientSend(forwarder->Targets, std::move(request), looked);
+}
+
+void NoteAnswered(Call* call)
+{
+    Forwarder* forwarder = call->Owner;
+    if (forwarder->Held.Requests.empty() || !QuarantineAnswered(&forwarder->Held, CallKey(call)))
+    {
+        return;
+    }
+    Log(LogLevel_Info, Code_None, "request cleared", {{"request", CallKey(call)}, {"requestId", call->Id}});
+    if (forwarder->OnTargetEnd)
+    {
+        forwarder->OnTargetEnd();
+    }
+}
+
+} // namespace Winchlink
--- a/gateway/relay.cpp
+++ b/gateway/relay.cpp
@@ -9,14 +9,11 @@
 #include "relay.h"
 
 #include "clock.h"
+#include "message_codec.h"
 
 #include <algorithm>
-#include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/vector.hpp>
 #include <fmt/format.h>
 #include <set>
-#include <sstream>
 #include <zlib.h>
 
 namespace Winchlink
@@ -43,31 +40,6 @@
     return out;
 }
 
-template <class T> static std::string Code(const T& value)
-{
-    std::ostringstream stream;
-    {
-        cereal::PortableBinaryOutputArchive archive(stream);
-        archive(value);
-    }
-    return stream.str();
-}
-
-template <class T> static bool Decode(const std::string& bytes, T* value)
-{
-    try
-    {
-        std::istringstream stream(bytes);
-        cereal::PortableBinaryInputArchive archive(stream);
-        archive(*value);
-    }
-    catch (const std::exception&) // cereal's way to say that the bytes end too soon, or ask for too much memory.
-    {
-        return false;
-    }
-    return true;
-}
-
 static void AppendNumber(std::string* out, size_t number)
 {
     for (int shift = 0; shift < 32; shift += 8)
@@ -93,7 +65,7 @@
     {
         return "";
     }
-    const std::string plain = Code(items);
+    const std::string plain = EncodeMessage(items);
     std::string out;
     AppendNumber(&out, plain.size());
     return out + Compress(plain);
@@ -126,7 +98,7 @@
     {
         return Malformed("not compressed as it says");
     }
-    if (!Decode(plain, &items))
+    if (!DecodeMessage(plain, &items))
     {
         return Malformed("not coded as it should be");
     }
@@ -141,12 +113,12 @@
 
     template <class Archive> void save(Archive& archive) const
     {
-        archive(Write->More, Write->At, Write->AgeUs, Write->Trouble, Write->TriedUs, Write->Origin, Write->Elsewhere);
+        archive(Write->More, Write->At, Write->AgeUs, Write->Trouble, Write->TriedUs, Write->Origin, Write->Elsewhere, Write->EndsDigest);
     }
 
     template <class Archive> void load(Archive& archive)
     {
-        archive(Read->More, Read->At, Read->AgeUs, Read->Trouble, Read->TriedUs, Read->Origin, Read->Elsewhere);
+        archive(Read->More, Read->At, Read->AgeUs, Read->Trouble, Read->TriedUs, Read->Origin, Read->Elsewhere, Read->EndsDigest);
     }
 };
 
@@ -160,7 +132,7 @@
 {
     PageHead writer;
     writer.Write = &head;
-    const std::string coded = Code(writer);
+    const std::string coded = EncodeMessage(writer);
     std::string out;
     AppendNumber(&out, coded.size());
     AppendNumber(&out, packed.size());
@@ -189,7 +161,7 @@
     PageHead reader;
     reader.Read = &page;
     const std::string head = bytes.substr(sizes, head_size);
-    if (Checksum(head) != NumberAt(bytes, 2 * NumberBytes) || !Decode(head, &reader))
+    if (Checksum(head) != NumberAt(bytes, 2 * NumberBytes) || !DecodeMessage(head, &reader))
     {
         return Malformed("not coded as it should be");
     }
@@ -238,6 +210,7 @@
     head.Trouble = relay.Trouble;
     head.TriedUs = relay.Trouble ? NowUs() - relay.TriedUs : 0;
     head.Origin = relay.Origin ? relay.Origin() : "";
+    head.EndsDigest = relay.EndsDigest ? relay.EndsDigest() : 0;
     return head;
 }
 
@@ -366,6 +339,11 @@
 
 static void OnCall(Relay* relay, const ExchangePtr& call)
 {
+    if (relay->OnEnds && call->Target == TargetEndsTarget)
+    {
+        Reply(call, CallerReply{200, {{"Content-Type", "application/octet-stream"}}, relay->OnEnds(call->Body), false});
+        return;
+    }
     RelayWait wait;
     wait.From = call;
     wait.Asker.Address = FollowerIn(call->Target);
@@ -540,6 +518,11 @@
     }
 }
 
+void RelayTell(Relay* relay)
+{
+    TellFollowers(relay);
+}
+
 void RelayAnswerLeads(Relay* relay)
 {
     EndWaits(relay, [](const RelayWait& wait) { return wait.Asker.Lead; });
--- a/gateway/relay.h
+++ b/gateway/relay.h
@@ -21,6 +21,8 @@
 namespace Winchlink
 {
 
+inline constexpr const char* TargetEndsTarget = "/ends"; // Path of what instances tell each other of requests that end targets.
+
 struct RelayConfig
 {
     size_t ChangesKept = 2000; // Changes that a follower may be behind without reading everything.
@@ -40,30 +42,32 @@
 struct Relay
 {
     RelayConfig Config;
-    Fanout Spread;                                 // How many are served here.
-    EventLoop* Loop = nullptr;                     //
-    Random* Rng = nullptr;                         //
-    Listener Server;                               //
-    std::map<std::string, StoreItem> Items;        // All, by key.
-    std::deque<StoreItem> Changes;                 // The latest, in order.
-    uint64_t ChangesFrom = 0;                      // All changes above this revision are in Changes.
-    uint64_t At = 0;                               // Revision of Items; 0: nothing is known.
-    std::function<TimeUs()> Age;                   // How long ago Items was known to be the store's state.
-    std::function<void()> OnLead;                  // Another instance wants us to ask the store; may be empty.
-    std::function<void(const std::string&)> OnMet; // An instance that can be followed has asked us; may be empty.
-    std::function<std::string()> Origin;           // Who reads the store for us; empty: unknown.
-    bool Trouble = false;                          // We have lost the store.
-    TimeUs TriedUs = 0;                            // If so: when it was last asked in vain.
-    TimeUs ToldUs = 0;                             // When all waits were last ended.
-    TimeUs ToldFreshUs = 0;                        // When what they were told was known to be the state of the store.
-    std::map<uint64_t, RelayWait> Waits;           // Those that wait.
-    uint64_t LastWait = 0;                         //
-    uint64_t PackedAfter = 0;                      // Most followers wait for the same: their items are coded once.
-    uint64_t PackedAt = 0;                         //
-    std::string Packed;                            //
-    std::string All;                               // All items, coded, as they came or for the first that asked.
-    uint64_t AllAt = 0;                            // Their revision.
-    uint64_t Answers = 0;                          // Counter.
+    Fanout Spread;                                         // How many are served here.
+    EventLoop* Loop = nullptr;                             //
+    Random* Rng = nullptr;                                 //
+    Listener Server;                                       //
+    std::map<std::string, StoreItem> Items;                // All, by key.
+    std::deque<StoreItem> Changes;                         // The latest, in order.
+    uint64_t ChangesFrom = 0;                              // All changes above this revision are in Changes.
+    uint64_t At = 0;                                       // Revision of Items; 0: nothing is known.
+    std::function<TimeUs()> Age;                           // How long ago Items was known to be the store's state.
+    std::function<void()> OnLead;                          // Another instance wants us to ask the store; may be empty.
+    std::function<void(const std::string&)> OnMet;         // An instance that can be followed has asked us; may be empty.
+    std::function<std::string()> Origin;                   // Who reads the store for us; empty: unknown.
+    std::function<uint64_t()> EndsDigest;                  // Of what is known of requests that end targets; empty: nothing is told of it.
+    std::function<std::string(const std::string&)> OnEnds; // Another instance tells what it knows of them; returns what we know.
+    bool Trouble = false;                                  // We have lost the store.
+    TimeUs TriedUs = 0;                                    // If so: when it was last asked in vain.
+    TimeUs ToldUs = 0;                                     // When all waits were last ended.
+    TimeUs ToldFreshUs = 0;                                // When what they were told was known to be the state of the store.
+    std::map<uint64_t, RelayWait> Waits;                   // Those that wait.
+    uint64_t LastWait = 0;                                 //
+    uint64_t PackedAfter = 0;                              // Most followers wait for the same: their items are coded once.
+    uint64_t PackedAt = 0;                                 //
+    std::string Packed;                                    //
+    std::string All;                                       // All items, coded, as they came or for the first that asked.
+    uint64_t AllAt = 0;                                    // Their revision.
+    uint64_t Answers = 0;                                  // Counter.
 
     Relay() = default;
     ~Relay();
@@ -86,6 +90,9 @@
 // passes.
 void RelayBeat(Relay* relay);
 
+// Followers are told at once, though the store says nothing new: of something else that we know.
+void RelayTell(Relay* relay);
+
 // The store has answered us, or failed: those for which we asked it are told.
 void RelayAnswerLeads(Relay* relay);
 
--- a/gateway/store_reader.cpp
+++ b/gateway/store_reader.cpp
@@ -130,6 +130,10 @@
 {
     const FollowStep step = reader->Following.Next;
     const uint64_t before = reader->Following.At;
+    if (reader->OnEndsDigest && step.Kind != SourceKind_Store)
+    {
+        reader->OnEndsDigest(page.EndsDigest);
+    }
     const SourceNews news = {page.At, page.AgeUs, page.Trouble, page.TriedUs, page.Origin};
     const FollowVerdict_ verdict = FollowHeard(&reader->Following, news, NowUs(), reader->Rng);
     const bool changed = !everything && page.At > before && !page.Items.empty();
--- a/gateway/store_reader.h
+++ b/gateway/store_reader.h
@@ -38,6 +38,7 @@
     TimeUs TriedUs = 0;                 // If so: how long ago the store was last asked in vain.
     std::string Origin;                 // Where the instance that reads the store for the source can be followed; may be empty.
     std::vector<std::string> Elsewhere; // The source serves as many as it can: these instances know the same.
+    uint64_t EndsDigest = 0;            // Of what the source knows of requests that end targets; only from an instance.
     std::string Packed;                 // Items as they came from another instance, to be handed on without coding them again.
 };
 
@@ -71,6 +72,7 @@
     std::function<void(const std::vector<StoreItem>&, uint64_t at)> OnChanges; // What changed up to a revision.
     std::function<void(const std::string& why, TimeUs tried)> OnTrouble;       // The store failed; `tried`: how long ago it was asked.
     std::function<void(bool changed)> OnAnswered;                              // A good answer came; `changed`: with changes.
+    std::function<void(uint64_t digest)> OnEndsDigest;                         // An instance has answered, see StorePage. May be empty.
 
     EventLoop* Loop = nullptr;
     Client* Calls = nullptr;
--- a/winchlink.h
+++ b/winchlink.h
@@ -4,8 +4,8 @@
 // twice. Each part is a plain struct and a few free functions. Time and random numbers are arguments, so that every part can be embedded,
 // replayed and fuzzed. Nothing here blocks, locks or does I/O; guard a struct with your own mutex if several threads use it.
 //
-// How to use it: read this file top to bottom, then examples/embed.cpp. Link libwinchlink and jansson. All times are microseconds of one
-// clock of yours; it must count while the machine sleeps (CLOCK_BOOTTIME).
+// How to use it: read this file top to bottom, then examples/embed.cpp. Link libwinchlink, jansson and libsodium. All times are
+// microseconds of one clock of yours; it must count while the machine sleeps (CLOCK_BOOTTIME).
 //
 // Index of this file:
 // [SECTION] Constants
@@ -16,6 +16,7 @@
 // [SECTION] Target directory (which targets there are, as a lagging store tells it)
 // [SECTION] Target pool (which target to ask for its load, and which to take)
 // [SECTION] Repeat budget (which requests may be sent twice)
+// [SECTION] Quarantine (requests that end the targets that run them)
 // [SECTION] Return schedule (when refused callers may come back)
 // [SECTION] Source of news (whom an instance asks, so that few of a fleet ask the store)
 // [SECTION] Fan-out (how many others an instance serves, and where it sends the rest)
@@ -89,6 +90,7 @@
     Code_TargetRefused = 2009,
     Code_TargetsBusy = 2012,
     Code_TargetsEvacuated = 2013,
+    Code_RequestHeld = 2014,
 
     Code_OutcomeUnknown = 2101,
     Code_DeadlinePassed = 2102,
@@ -322,7 +324,8 @@
 
 struct DirectoryTarget
 {
-    std::string Id;         // Of this start of the target; another start has another id.
+    std::string Id;         // Of the target.
+    uint64_t Life = 0;      // Which start of it: another start under the same id has another number; 0: starts have ids of their own.
     std::string Service;    // Which service it belongs to.
     std::string Address;    // IP:port; may have belonged to another target before.
     std::string DataCentre; // Where it runs.
@@ -421,6 +424,7 @@
 struct PoolTarget
 {
     std::string Id;
+    uint64_t Life = 0; // Which start of it, as its entry says.
     std::string Address;
     bool Near = false;         // In our own data centre.
     bool Doubtful = false;     // Its entry has vanished.
@@ -591,6 +595,84 @@
 // Gives back one that was taken just now and not used.
 void RepeatBudgetReturn(RepeatBudget* budget, TimeUs now);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Quarantine (requests that end the targets that run them)
+//-----------------------------------------------------------------------------
+
+// Some requests end every target that begins to run them, and their callers send them again. Each try has another request id and comes to
+// another instance, so that repeat budgets don't see it, and no instance alone meets enough of the ends. So each instance remembers which
+// targets have ended under which request, by what stays the same at every try (a key), and tells the others; what all have seen together
+// decides. Held requests are refused; without that one such request, sent again every 0.4 s, ends a service of twelve targets for good.
+//
+// A request that merely was at a target when it ended must not be taken for the one that ended it:
+//  - One that is answered somewhere clears itself of all ends before.
+//  - Ends that a request with more of them explains do not suffice: at least one must be its own.
+//  - So many ends are needed as a request that is just unlucky hardly meets without an answer in between.
+//
+// How to use it: QuarantineNote() for each request in progress at a target that has ended, QuarantineAnswered() when one was answered,
+// QuarantineUntil() before one is sent; hand on QuarantineTell() where digests differ, and take what comes with QuarantineTake(). In
+// whatever order news come, all that have heard the same hold the same requests.
+
+struct QuarantineConfig
+{
+    int EndsMost = 3;                            // A request is held once so many targets have ended under it: the users allow three.
+    TimeUs HoldUs = 600 * UsPerSecond;           // So long after the last end; doubled for each time that it ended a target again later.
+    TimeUs HoldMostUs = 24 * 3600 * UsPerSecond; // The longest time that it is held: targets have been mended by then.
+    size_t RequestsMost = 512;                   // Requests that are remembered; those with the fewest ends go first. 100 KB.
+    size_t EndsKept = 64;                        // Targets that are remembered of each.
+};
+
+// A target that ended while the request was there.
+struct TargetEnd
+{
+    TimeUs AtUs = 0;      // When.
+    bool Cleared = false; // The request has been answered since, or an operator has lifted it.
+};
+
+struct SuspectRequest
+{
+    std::map<std::string, TargetEnd> Ends; // By target and its life.
+    TimeUs HeldUntilUs = 0;                // It is refused until then; 0: it is not.
+};
+
+// What instances tell each other.
+struct TargetEndNews
+{
+    std::string Request; // Key.
+    std::string Target;  // And its life.
+    TimeUs AgeUs = 0;    // How long ago.
+    bool Cleared = false;
+};
+
+struct Quarantine
+{
+    QuarantineConfig Config;
+    std::map<std::string, SuspectRequest> Requests; // By key. Empty on nearly all days: then no request costs anything.
+    uint64_t Digest = 0;                            // Of all that is known but the times: alike where the same is known. 0: nothing is.
+};
+
+// A target's name in here: its id and which start of it.
+std::string TargetLife(const std::string& id, uint64_t life);
+
+// A target has ended while the request was in progress there. True if that was not known.
+bool QuarantineNote(Quarantine* quarantine, const std::string& request, const std::string& target, TimeUs now);
+
+// The request was answered, or an operator lifts it: its ends so far count no more. True if there were any.
+bool QuarantineAnswered(Quarantine* quarantine, const std::string& request);
+
+// Until when the request is refused; 0: it is not.
+TimeUs QuarantineUntil(const Quarantine& quarantine, const std::string& request, TimeUs now);
+
+// Ends that count against the request.
+int QuarantineEnds(const Quarantine& quarantine, const std::string& request);
+
+// All that is known, and what another instance has told. True if any of it was new. News that make no sense are passed over.
+std::vector<TargetEndNews> QuarantineTell(const Quarantine& quarantine, TimeUs now);
+bool QuarantineTake(Quarantine* quarantine, const std::vector<TargetEndNews>& news, TimeUs now);
+
+// Forgets what is too old to count. Call it every second or so.
+void QuarantineForget(Quarantine* quarantine, TimeUs now);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Return schedule (when refused callers may come back)
 //-----------------------------------------------------------------------------
--- a/winchlink_codes.cpp
+++ b/winchlink_codes.cpp
@@ -47,6 +47,8 @@
         {Code_TargetRefused, "TargetRefused", 503, "Not run: the target says that it did not run the request."},
         {Code_TargetsBusy, "TargetsBusy", 503, "Not run: no target that was asked has a free slot."},
         {Code_TargetsEvacuated, "TargetsEvacuated", 503, "Not run: all targets of the row are in evacuated data centres."},
+        {Code_RequestHeld, "RequestHeld", 503,
+         "Not run: targets have ended under this request, wherever it was tried; it is held for a while."},
         {Code_OutcomeUnknown, "OutcomeUnknown", 502, "Outcome unknown: the request was sent and no complete answer came."},
         {Code_DeadlinePassed, "DeadlinePassed", 504, "Outcome unknown: the deadline passed after the request was sent."},
         {Code_CallerGone, "CallerGone", 499, "The caller hung up; the target's work was cancelled."},
--- a/winchlink_directory.cpp
+++ b/winchlink_directory.cpp
@@ -95,8 +95,9 @@
     {
         return;
     }
-    const bool told_us = known.Presence == Presence_Leaving; // Perhaps by the target itself; nobody comes back from leaving.
-    directory->ChangedServices.insert(known.Service);        // It may have belonged to another one.
+    // Perhaps by the target itself; nobody comes back from leaving, but by another start.
+    const bool told_us = known.Presence == Presence_Leaving && known.Life == target.Life;
+    directory->ChangedServices.insert(known.Service); // It may have belonged to another one.
     known = target;
     known.Presence = told_us ? Presence_Leaving : target.Presence;
     known.Evacuated = IsEvacuated(*directory, target.DataCentre);
--- a/winchlink_pool.cpp
+++ b/winchlink_pool.cpp
@@ -111,6 +111,14 @@
     return target;
 }
 
+// Takes a target that is not marked out of the pool; returns the next one.
+static std::list<PoolTarget>::iterator RemoveTarget(TargetPool* pool, std::list<PoolTarget>::iterator target)
+{
+    TakeOutOfGroup(pool, &*target);
+    pool->Index.ById.erase(target->Id);
+    return pool->Targets.erase(target);
+}
+
 // Targets that the last PoolFollow() did not name.
 static void RemoveUnlisted(TargetPool* pool)
 {
@@ -122,19 +130,25 @@
     marked.erase(std::remove_if(marked.begin(), marked.end(), [&](const PoolTarget* target) { return unlisted(*target); }), marked.end());
     for (auto target = pool->Targets.begin(); target != pool->Targets.end();)
     {
-        if (!unlisted(*target))
-        {
-            ++target;
-            continue;
-        }
-        TakeOutOfGroup(pool, &*target);
-        pool->Index.ById.erase(target->Id);
-        target = pool->Targets.erase(target);
+        target = unlisted(*target) ? RemoveTarget(pool, target) : std::next(target);
+    }
+}
+
+// A target that has started again knows nothing of what we sent it, and what was believed of its former start says nothing of it.
+static void DropFormerLife(TargetPool* pool, const DirectoryTarget& listed)
+{
+    const auto found = pool->Index.ById.find(listed.Id);
+    if (found != pool->Index.ById.end() && found->second->Life != listed.Life)
+    {
+        std::vector<PoolTarget*>& marked = pool->Index.Marked;
+        marked.erase(std::remove(marked.begin(), marked.end(), &*found->second), marked.end());
+        RemoveTarget(pool, found->second);
     }
 }
 
 static void FollowEntry(TargetPool* pool, const DirectoryTarget& listed, bool near, Random* random)
 {
+    DropFormerLife(pool, listed);
     const auto found = pool->Index.ById.find(listed.Id);
     const bool known = found != pool->Index.ById.end();
     PoolTarget* target = known ? &*found->second : AddTarget(pool, listed.Id);
@@ -145,6 +159,7 @@
         TakeOutOfGroup(pool, target);
     }
     target->Listed = pool->Follows;
+    target->Life = listed.Life;
     target->Address = listed.Address;
     target->Near = near;
     target->Doubtful = listed.Presence == Presence_Vanished;
