Trailers of a chunked request never count as headers; they have a limit

Cause: headers were taken after Beast had read as much as it could. Fields behind a chunked body that came in the same read were among them: a second host refused the request, and any other field reached the target as a header; in pieces they were not seen. A class of request smuggling. Now headers are taken and judged before any of the body is read, and trailers are dropped (RFC 9112, 7.1.2). Beast has no limit for them, nor for a chunk's first line: 64 KiB.

Ruled out: a fault of Beast's. Refusing all trailers: allowed ones would be refused, and nothing is gained once they are dropped.

TrailersAreNoHeaders and TrailersWithoutEndAreRefused fail before.

--- a/gateway/request_reader.cpp
+++ b/gateway/request_reader.cpp
@@ -4,6 +4,9 @@
 // pass and would make a message ambiguous is refused here: a transfer coding that is not "chunked", and a host that is missing or named
 // twice. Each could make us and a target see different requests in the same bytes.
 //
+// Fields behind a chunked body (trailers) are read, must be well formed, and are dropped, as RFC 9112, 7.1.2 allows. They never count as
+// headers: Beast adds them to these, so that headers are taken and judged before any of the body is read.
+//
 // Index of this file:
 // [SECTION] Errors
 // [SECTION] Headers
@@ -22,6 +25,9 @@
 
 namespace http = boost::beast::http;
 
+// Bytes of a chunk's first line, or of all trailers: Beast wants each whole, and has no limit for them. No caller has need of more.
+static constexpr size_t ChunkHeadMost = 64 * KiB;
+
 struct RequestParser
 {
     http::request_parser<http::string_body> Beast;
@@ -125,12 +131,30 @@
 {
     reader->Parser = std::make_unique<RequestParser>();
     auto& beast = reader->Parser->Beast;
-    beast.eager(true);
     beast.header_limit(static_cast<std::uint32_t>(reader->Limits.HeaderBytesMost));
     beast.body_limit(reader->Limits.BodyBytesMost);
     reader->State = ReadState_Headers;
 }
 
+// Gives Beast the bytes that wait, up to the end of the headers or, once these are read, of the request.
+static boost::beast::error_code PutBytes(RequestParser* parser, std::string* bytes)
+{
+    auto& beast = parser->Beast;
+    const bool headers_first = !beast.is_header_done();
+    const auto at_end = [&]()
+    {
+        return headers_first ? beast.is_header_done() : beast.is_done();
+    };
+    boost::beast::error_code error;
+    size_t taken = 0;
+    while (!error && !at_end() && taken < bytes->size())
+    {
+        taken += beast.put(boost::asio::buffer(bytes->data() + taken, bytes->size() - taken), error);
+    }
+    bytes->erase(0, taken);
+    return error == http::error::need_more ? boost::beast::error_code() : error;
+}
+
 static ReadState_ TakeWhole(RequestReader* reader)
 {
     reader->Request.Body = std::move(reader->Parser->Beast.get().body());
@@ -163,23 +187,28 @@
         }
         BeginParser(reader);
     }
-    auto& beast = reader->Parser->Beast;
-    size_t taken = 0;
-    boost::beast::error_code error;
-    while (!error && !beast.is_done() && taken < bytes->size())
+    if (reader->State == ReadState_Headers)
     {
-        taken += beast.put(boost::asio::buffer(bytes->data() + taken, bytes->size() - taken), error);
+        const boost::beast::error_code error = PutBytes(reader->Parser.get(), bytes);
+        if (error)
+        {
+            return Refuse(reader, CodeOf(error));
+        }
+        if (!reader->Parser->Beast.is_header_done() || JudgeHeaders(reader) == ReadState_Refused)
+        {
+            return reader->State;
+        }
     }
-    bytes->erase(0, taken);
-    if (error && error != http::error::need_more)
+    const boost::beast::error_code error = PutBytes(reader->Parser.get(), bytes);
+    if (error)
     {
         return Refuse(reader, CodeOf(error));
     }
-    if (reader->State == ReadState_Headers && beast.is_header_done() && JudgeHeaders(reader) == ReadState_Refused)
+    if (reader->Parser->Beast.is_done())
     {
-        return reader->State;
+        return TakeWhole(reader);
     }
-    return beast.is_done() ? TakeWhole(reader) : reader->State;
+    return bytes->size() > ChunkHeadMost ? Refuse(reader, Code_HeadersTooLarge) : reader->State;
 }
 
 } // namespace Winchlink
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -16,7 +16,7 @@
 for Target in "${Targets[@]}"
 do
     Corpus=$(mktemp -d)
-    cp examples/settings.json examples/table.json tests/*.json tests/fuzz/*.json tests/fuzz/*.http "$Corpus"/
+    cp examples/settings.json examples/table.json examples/table-evacuated.json tests/*.json tests/fuzz/*.json tests/fuzz/*.http "$Corpus"/
     "build-fuzz/$Target" -seed=1 -rss_limit_mb=1024 -artifact_prefix=build-fuzz/ "$Limit" "$Corpus" >"build-fuzz/$Target.log" 2>&1 ||
         { tail -40 "build-fuzz/$Target.log"; rm -rf "$Corpus"; exit 1; }
     rm -rf "$Corpus"
--- a/tests/pipeline_test.cpp
+++ b/tests/pipeline_test.cpp
@@ -64,6 +64,8 @@
     CPPUNIT_TEST(BytesMayBeSplitAnywhere);
     CPPUNIT_TEST(ARequestWithABodyIsWorkedOnAlone);
     CPPUNIT_TEST(AmbiguousBytesAreRefusedAndRunNothing);
+    CPPUNIT_TEST(TrailersAreNoHeaders);
+    CPPUNIT_TEST(TrailersWithoutEndAreRefused);
     CPPUNIT_TEST(AMalformedRequestIsAnsweredBehindThoseBeforeIt);
     CPPUNIT_TEST(ABodyIsSentAfterTheCallerIsToldToContinue);
     CPPUNIT_TEST_SUITE_END();
@@ -292,6 +294,44 @@
         CPPUNIT_ASSERT_EQUAL(0, RigRuns(setting.Fleet, "amb") + RigRuns(setting.Fleet, "smuggled"));
     }
 
+    // What stands behind a chunked body, and came in the same read, counted as headers: a second host was refused when it came at once,
+    // and a request got other headers when it came in pieces.
+    void TrailersAreNoHeaders()
+    {
+        const std::string trailers = "Host: b.example\r\nWinchlink-Request-Id: other\r\nConnection: close\r\n\r\n";
+        const std::string bytes = "POST /u/x HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n" + trailers;
+        for (const size_t piece : {bytes.size(), size_t{1}, size_t{7}})
+        {
+            RequestReader reader;
+            RequestReaderBegin(&reader, CallerLimits());
+            std::string waiting;
+            for (size_t at = 0; at < bytes.size(); at += piece)
+            {
+                waiting += bytes.substr(at, piece);
+                RequestReaderFeed(&reader, &waiting);
+            }
+            CPPUNIT_ASSERT_EQUAL(ReadState_Whole, reader.State);
+            CPPUNIT_ASSERT_EQUAL(std::string("abc"), reader.Request.Body);
+            CPPUNIT_ASSERT_EQUAL(size_t{2}, reader.Request.Headers.size());
+            CPPUNIT_ASSERT_EQUAL(std::string("a.example"), reader.Request.Headers[0].Value);
+            CPPUNIT_ASSERT(reader.Request.KeepsConnection);
+        }
+    }
+
+    void TrailersWithoutEndAreRefused()
+    {
+        RequestReader reader;
+        RequestReaderBegin(&reader, CallerLimits());
+        std::string waiting = "POST /u/x HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+        for (int n = 0; n < 20000 && reader.State != ReadState_Refused; n++)
+        {
+            waiting += "X: y\r\n";
+            RequestReaderFeed(&reader, &waiting);
+        }
+        CPPUNIT_ASSERT_EQUAL(ReadState_Refused, reader.State);
+        CPPUNIT_ASSERT_EQUAL(Code_HeadersTooLarge, reader.Code);
+    }
+
     void AMalformedRequestIsAnsweredBehindThoseBeforeIt()
     {
         Setting setting;
