--- a/tests/gateway_faults_test.cpp
+++ b/tests/gateway_faults_test.cpp
@@ -140,11 +140,15 @@
         route.TimeoutS = 3;
         route.AimS = 3;
         RigConfigure(&rig, {route});
-        const Gateway& instance = RigInstance(&rig, 2);
+        Gateway& instance = RigInstance(&rig, 2);
+        // While it is learnt how long work takes none gets a second attempt: on a busy machine that could use up the budget of the one
+        // that needs it.
+        const double slow_factor = std::exchange(instance.Requests.Config.SlowFactor, 0);
         for (int n = 0; n < 10; n++)
         {
-            CPPUNIT_ASSERT_EQUAL(200, RigAsk(&rig, instance, RigCall()).Answer.Status); // How long work takes is learnt.
+            CPPUNIT_ASSERT_EQUAL(200, RigAsk(&rig, instance, RigCall()).Answer.Status);
         }
+        instance.Requests.Config.SlowFactor = slow_factor;
         hanging.Script = {TargetAct_Silence};
         busy.Running = busy.Slots;
         const RigAnswerPtr answer = RigSend(&rig, instance, RigCall());
