Operators see which requests are held and can let one go; settings for ends and time

winchlink lift, held requests in status with their targets, metrics, endsMost and holdS (3, 600), pages for operators. Any instance may be asked; what is lifted there is lifted everywhere (QuarantineTest::OperatorsSeeAndLiftIt).

The commands ask an instance by one function now.

--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -18,11 +18,12 @@
     int (*Run)(int argc, const char** argv);
 };
 
-static constexpr std::array<Subcommand, 4> Subcommands = {{
+static constexpr std::array<Subcommand, 5> Subcommands = {{
     {"serve", "run an instance that serves a table of rows", RunServe},
     {"gateway", "run an instance on the users' platform", RunGateway},
     {"check", "check tables and settings before they are published", RunCheck},
     {"status", "show what an instance knows and does", RunStatus},
+    {"lift", "let a request go that is held because targets ended under it", RunLift},
 }};
 
 static void PrintHelp()
--- a/gateway/command_status.cpp
+++ b/gateway/command_status.cpp
@@ -3,9 +3,9 @@
 // Reads the instance's /status page and prints the parts in the order in which one asks: is it serving, with which plan, does it hear the
 // store, and which target does not get work and why.
 
-#include "client.h"
 #include "commands.h"
 #include "options.h"
+#include "page_client.h"
 #include "winchlink_internal.h"
 
 #include <fmt/format.h>
@@ -13,35 +13,10 @@
 namespace Winchlink
 {
 
-static constexpr TimeUs StatusTimeoutUs = 3 * UsPerSecond;
-static constexpr size_t StatusMost = 64 * MiB;
-
 //-----------------------------------------------------------------------------
 // [SECTION] Reading the page
 //-----------------------------------------------------------------------------
 
-static Result<std::string> FetchStatus(const std::string& address)
-{
-    EventLoop loop;
-    Client client;
-    ClientStart(&client, &loop);
-    ClientRequest request;
-    request.Address = address;
-    request.Target = "/status";
-    request.TimeoutUs = StatusTimeoutUs;
-    request.AnswerMost = StatusMost;
-    ClientAnswer answer = ClientAsk(&client, std::move(request));
-    if (answer.End != ClientEnd_Answered)
-    {
-        return Error{Code_StatusUnreachable, address + ": " + answer.Detail};
-    }
-    if (answer.Status != 200)
-    {
-        return Error{Code_StatusUnreachable, fmt::format("{}: status {}", address, answer.Status)};
-    }
-    return std::move(answer.Body);
-}
-
 static json_int_t Number(json_t* object, const char* key)
 {
     return json_integer_value(json_object_get(object, key));
@@ -98,6 +73,17 @@
     }
 }
 
+static void PrintHeld(json_t* root)
+{
+    size_t n = 0;
+    json_t* held = nullptr;
+    json_array_foreach(json_object_get(root, "held"), n, held)
+    {
+        fmt::print("held       request {} for {} more: {} targets ended under it\n", Text(held, "request"), Seconds(held, "leftMs"),
+                   Number(held, "ends"));
+    }
+}
+
 static void PrintService(json_t* service)
 {
     fmt::print("service    {}: {} in progress, p50 {:.2f} ms, p99 {:.2f} ms, {} repeats\n", Text(service, "name"),
@@ -135,6 +121,7 @@
     }
     PrintInstance(root.get());
     PrintEvacuations(root.get());
+    PrintHeld(root.get());
     size_t n = 0;
     json_t* service = nullptr;
     json_array_foreach(json_object_get(root.get(), "services"), n, service)
@@ -158,7 +145,7 @@
         fmt::print(stderr, "winchlink status: code {}: name one address, IP:port\n", static_cast<int>(Code_Usage));
         return Exit_Usage;
     }
-    const Result<std::string> body = FetchStatus(parsed.Arguments[0]);
+    const Result<std::string> body = AskPage(parsed.Arguments[0], "GET", "/status");
     if (!body)
     {
         fmt::print(stderr, "winchlink status: code {}: {}\n", static_cast<int>(body.error().Code), body.error().Detail);
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -11,6 +11,7 @@
 #include "gateway.h"
 
 #include "clock.h"
+#include "page_client.h"
 #include "pages.h"
 
 #include <algorithm>
@@ -348,14 +349,31 @@
     return gateway.Requests.Plan != nullptr && gateway.StopUs == 0;
 }
 
-static void AnswerPage(const Gateway& gateway, const ExchangePtr& exchange)
+static void Lift(Gateway* gateway, const ExchangePtr& exchange)
 {
+    const std::string key = QueryValue(exchange->Target, "request");
+    const bool lifted = QuarantineAnswered(&gateway->Requests.Held, key);
+    Log(LogLevel_Warn, Code_None, "request lifted", {{"request", key}, {"wasHeld", lifted ? 1 : 0}});
+    if (lifted)
+    {
+        TargetEndsChanged(&gateway->Ends);
+    }
+    Reply(exchange, CallerReply{200, {{"Content-Type", "text/plain"}}, lifted ? LiftedText : NotHeldText, false});
+}
+
+static void AnswerPage(Gateway* gateway, const ExchangePtr& exchange)
+{
+    if (exchange->Method == "POST" && exchange->Target.rfind("/lift?", 0) == 0)
+    {
+        Lift(gateway, exchange);
+        return;
+    }
     if (exchange->Target == "/status")
     {
-        Reply(exchange, CallerReply{200, {{"Content-Type", "application/json"}}, StatusText(gateway), false});
+        Reply(exchange, CallerReply{200, {{"Content-Type", "application/json"}}, StatusText(*gateway), false});
         return;
     }
-    Reply(exchange, CallerReply{200, {{"Content-Type", "text/plain"}}, MetricsText(gateway), false});
+    Reply(exchange, CallerReply{200, {{"Content-Type", "text/plain"}}, MetricsText(*gateway), false});
 }
 
 static Result<void> StartPages(Gateway* gateway)
@@ -373,7 +391,7 @@
     }
     config.Address = gateway->Config.MetricsAddress;
     return ListenerStart(&gateway->Metrics, gateway->Loop, config,
-                         [gateway](const ExchangePtr& exchange) { AnswerPage(*gateway, exchange); });
+                         [gateway](const ExchangePtr& exchange) { AnswerPage(gateway, exchange); });
 }
 
 //-----------------------------------------------------------------------------
@@ -437,6 +455,8 @@
     SetSources(gateway);
     gateway->Requests.Config.RepeatShare = settings.RepeatShare;
     gateway->Requests.Config.RepeatWindowUs = settings.RepeatWindowUs;
+    gateway->Requests.Held.Config.EndsMost = settings.EndsMost;
+    gateway->Requests.Held.Config.HoldUs = settings.HoldUs;
     gateway->Requests.DataCentre = settings.DataCentre;
     SetLogLevel(settings.Level);
     ForwarderFollow(&gateway->Requests);
--- a/gateway/pages.cpp
+++ b/gateway/pages.cpp
@@ -9,6 +9,7 @@
 #include "clock.h"
 #include "winchlink_internal.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <sys/resource.h>
 
@@ -62,6 +63,15 @@
     return text;
 }
 
+static int64_t CountHeld(const Quarantine& quarantine)
+{
+    const auto held = [now = NowUs()](const auto& entry)
+    {
+        return now < entry.second.HeldUntilUs;
+    };
+    return std::count_if(quarantine.Requests.begin(), quarantine.Requests.end(), held);
+}
+
 std::string MetricsText(const Gateway& gateway)
 {
     const Forwarder& requests = gateway.Requests;
@@ -85,6 +95,9 @@
     text += fmt::format("winchlink_replays_stopped {}\n", gateway.Targets.ReplaysStopped);
     text += StoreCallsText(gateway.Store);
     text += EvacuationsText(requests.Directory);
+    text += fmt::format("winchlink_requests_held {}\n", CountHeld(requests.Held));
+    text += fmt::format("winchlink_requests_suspected {}\n", requests.Held.Requests.size());
+    text += fmt::format("winchlink_target_ends_calls {}\n", gateway.Ends.CallsMade);
     text += fmt::format("winchlink_followers_answered {}\n", gateway.Peers.Answers);
     text += fmt::format("winchlink_plan_version {}\n", requests.Plan ? requests.Plan->Version : 0);
     return text;
@@ -222,6 +235,29 @@
     return list;
 }
 
+static json_t* JsonOfHeld(const Quarantine& quarantine, TimeUs now)
+{
+    json_t* list = json_array();
+    for (const auto& [key, request] : quarantine.Requests)
+    {
+        if (now < request.HeldUntilUs)
+        {
+            json_t* targets = json_array();
+            for (const auto& end : request.Ends)
+            {
+                json_array_append_new(targets, JsonText(end.first));
+            }
+            json_t* object = json_object();
+            json_object_set_new(object, "request", JsonText(key));
+            json_object_set_new(object, "leftMs", JsonMs(request.HeldUntilUs - now));
+            json_object_set_new(object, "ends", json_integer(QuarantineEnds(quarantine, key)));
+            json_object_set_new(object, "targets", targets);
+            json_array_append_new(list, object);
+        }
+    }
+    return list;
+}
+
 std::string StatusText(const Gateway& gateway)
 {
     const TimeUs now = NowUs();
@@ -235,6 +271,7 @@
     json_object_set_new(object, "plan", JsonOfPlan(gateway, now));
     json_object_set_new(object, "store", JsonOfStore(gateway, now));
     json_object_set_new(object, "evacuated", JsonOfEvacuations(gateway.Requests.Directory));
+    json_object_set_new(object, "held", JsonOfHeld(gateway.Requests.Held, now));
     json_object_set_new(object, "services", services);
     return DumpJson(object, JSON_INDENT(1));
 }
--- a/gateway/settings.cpp
+++ b/gateway/settings.cpp
@@ -13,6 +13,7 @@
 namespace Winchlink
 {
 
+static constexpr int EndsMostMost = 64; // More are not remembered of one request.
 static constexpr int DescriptorsMost = 1000000;
 static constexpr int DescriptorsKept = 300; // For files (200, says the platform), the store, peers, and connections to targets.
 static constexpr double SecondsMost = 3600;
@@ -76,6 +77,8 @@
     ReadSeconds(r, "graceS", &out->GraceUs);
     ReadSeconds(r, "repeatWindowS", &out->RepeatWindowUs);
     ReadRealBetween(r, "repeatShare", false, 0, 1, &out->RepeatShare);
+    ReadIntBetween(r, "endsMost", false, 1, EndsMostMost, &out->EndsMost);
+    ReadSeconds(r, "holdS", &out->HoldUs);
     ReadLevel(r, &out->Level);
 }
 
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -24,6 +24,8 @@
     TimeUs GraceUs = 6 * UsPerSecond;         // From the stop signal to the kill.
     TimeUs RepeatWindowUs = 10 * UsPerSecond; // Window of the repeat budget.
     double RepeatShare = 0.2;                 // Repeated sends as a share of a service's requests in a window.
+    int EndsMost = 3;                         // A request is held once so many targets have ended under it.
+    TimeUs HoldUs = 600 * UsPerSecond;        // For so long, the first time.
     LogLevel_ Level = LogLevel_Info;          // Least level of log lines.
 };
 
--- a/tests/quarantine_test.cpp
+++ b/tests/quarantine_test.cpp
@@ -10,6 +10,8 @@
 
 #include "clock.h"
 #include "gateway_rig.h"
+#include "page_client.h"
+#include "pages.h"
 #include "request_key.h"
 
 #include <algorithm>
@@ -104,6 +106,7 @@
     CPPUNIT_TEST(ARequestThatIsAnsweredIsCleared);
     CPPUNIT_TEST(StartsUnderTheSameIdCountEach);
     CPPUNIT_TEST(InstancesThatWereApartLearnFromEachOther);
+    CPPUNIT_TEST(OperatorsSeeAndLiftIt);
     CPPUNIT_TEST(NewsMergeInAnyOrder);
     CPPUNIT_TEST(ItIsLetGoInTimeAndHeldForLongerTheNextTime);
     CPPUNIT_TEST(WhatIsRememberedIsBounded);
@@ -254,6 +257,34 @@
         CPPUNIT_ASSERT(RigRun(&fleet.Parts, know_all));
     }
 
+    void OperatorsSeeAndLiftIt()
+    {
+        QuarantineFleet fleet(2, 5);
+        for (int n = 0; n < 3; n++)
+        {
+            fleet.AskEnding(*fleet.Instances[0]);
+        }
+        const Gateway& other = *fleet.Instances[1];
+        CPPUNIT_ASSERT(RigRun(&fleet.Parts, [&]() { return !other.Requests.Held.Requests.empty(); }));
+        const std::string key = other.Requests.Held.Requests.begin()->first;
+        CPPUNIT_ASSERT(RigRun(&fleet.Parts, [&]() { return QuarantineEnds(other.Requests.Held, key) == 3; }));
+        CPPUNIT_ASSERT(StatusText(other).find(key) != std::string::npos);
+        CPPUNIT_ASSERT(MetricsText(other).find("winchlink_requests_held 1\n") != std::string::npos);
+        ClientRequest lift;
+        lift.Address = other.Config.MetricsAddress;
+        lift.Method = "POST";
+        lift.Target = "/lift?request=" + key;
+        lift.HasBody = true;
+        std::string said;
+        ClientSend(&fleet.Parts.Callers, lift, [&](const ClientAnswer& answer) { said = answer.Body; });
+        CPPUNIT_ASSERT(RigRun(&fleet.Parts, [&]() { return !said.empty(); }));
+        CPPUNIT_ASSERT_EQUAL(std::string(LiftedText), said);
+        const Quarantine& first = fleet.Instances[0]->Requests.Held;
+        CPPUNIT_ASSERT(RigRun(&fleet.Parts, [&]() { return QuarantineEnds(first, key) == 0; }));
+        CPPUNIT_ASSERT_EQUAL(502, fleet.AskEnding(*fleet.Instances[0]).Answer.Status); // It is sent again, and counts anew.
+        CPPUNIT_ASSERT_EQUAL(4, fleet.Ended());
+    }
+
     void NewsMergeInAnyOrder()
     {
         CHECK_PROPERTY("whoever has heard the same holds the same, in whatever order and however often",
--- a/winchlink.h
+++ b/winchlink.h
@@ -614,11 +614,11 @@
 
 struct QuarantineConfig
 {
-    int EndsMost = 3;                            // A request is held once so many targets have ended under it: the users allow three.
-    TimeUs HoldUs = 600 * UsPerSecond;           // So long after the last end; doubled for each time that it ended a target again later.
-    TimeUs HoldMostUs = 24 * 3600 * UsPerSecond; // The longest time that it is held: targets have been mended by then.
-    size_t RequestsMost = 512;                   // Requests that are remembered; those with the fewest ends go first. 100 KB.
-    size_t EndsKept = 64;                        // Targets that are remembered of each.
+    int EndsMost = 3;                              // A request is held once so many targets have ended under it: the users allow three.
+    TimeUs HoldUs = 600 * UsPerSecond;             // So long after the last end; doubled for each time that it ended a target again later.
+    TimeUs HoldMostUs = 24 * 3600LL * UsPerSecond; // The longest time that it is held: targets have been mended by then.
+    size_t RequestsMost = 512;                     // Requests that are remembered; those with the fewest ends go first. 100 KB.
+    size_t EndsKept = 64;                          // Targets that are remembered of each.
 };
 
 // A target that ended while the request was there.
