An invalid item of the store stands alone, and an invalid entry takes its target out of use

Cause: one value that can't be read failed the whole page or batch, so that no instance could start and those that ran heard nothing more; a state without meaning counted as ready; a target whose entry turned invalid stayed in use.

Now each item is read by itself, here and at the instances that follow; an invalid one is logged once a change, listed by status and counted. Entries need every field that the pages name (version and sequence too), a state that means something, a slot at least, a whole number for the start. In a table an invalid row still keeps the whole table from coming in force.

--- a/bench/users_store.cpp
+++ b/bench/users_store.cpp
@@ -34,8 +34,23 @@
     return object;
 }
 
+// What is no object is sent as it stands.
+static json_t* FormatForeign(const UsersItem& item)
+{
+    json_t* value = json_loads(item.Foreign.c_str(), JSON_DECODE_ANY, nullptr);
+    if (json_is_object(value) && json_object_get(value, "revision") == nullptr)
+    {
+        json_object_set_new(value, "revision", JsonNumber(item.Revision));
+    }
+    return value;
+}
+
 static json_t* FormatItem(const UsersStore& store, const UsersItem& item)
 {
+    if (!item.Foreign.empty())
+    {
+        return FormatForeign(item);
+    }
     if (store.SpeaksTable)
     {
         return FormatRowItem(item);
@@ -258,14 +273,24 @@
     }
 }
 
-void UsersStorePut(UsersStore* store, const std::string& key, const std::string& value)
+static void PutItem(UsersStore* store, UsersItem item)
 {
-    const UsersItem item = {key, value, ++store->Revision};
-    store->Items[key] = item;
+    item.Revision = ++store->Revision;
+    store->Items[item.Key] = item;
     store->History.push_back({item, false});
     WakeWaits(store);
 }
 
+void UsersStorePut(UsersStore* store, const std::string& key, const std::string& value)
+{
+    PutItem(store, {key, value, "", 0});
+}
+
+void UsersStorePutForeign(UsersStore* store, const std::string& key, const std::string& json)
+{
+    PutItem(store, {key, "", json, 0});
+}
+
 void UsersStorePutRow(UsersStore* store, const ServiceRow& row)
 {
     UsersStorePut(store, row.Name, FormatRow(row));
@@ -274,7 +299,7 @@
 void UsersStoreRemove(UsersStore* store, const std::string& key)
 {
     store->Items.erase(key);
-    store->History.push_back({{key, "", ++store->Revision}, true});
+    store->History.push_back({{key, "", "", ++store->Revision}, true});
     WakeWaits(store);
 }
 
--- a/bench/users_store.h
+++ b/bench/users_store.h
@@ -35,6 +35,7 @@
 {
     std::string Key;
     std::string Value;
+    std::string Foreign; // If not empty: the item's JSON, sent in place of all else.
     uint64_t Revision = 0;
 };
 
@@ -91,6 +92,9 @@
 void UsersStorePut(UsersStore* store, const std::string& key, const std::string& value);
 void UsersStoreRemove(UsersStore* store, const std::string& key);
 
+// Another writer's item: its JSON is sent as it stands, with no more than a revision added where it is an object.
+void UsersStorePutForeign(UsersStore* store, const std::string& key, const std::string& json);
+
 // For a store that SpeaksTable: publishes one row.
 void UsersStorePutRow(UsersStore* store, const ServiceRow& row);
 
--- a/gateway/adapter.h
+++ b/gateway/adapter.h
@@ -26,13 +26,21 @@
     Evacuation Word;
 };
 
+// An item that can't be used. A invalid entry of a target takes the target out of use; what else it would have replaced stays.
+struct InvalidItem
+{
+    std::string Key;
+    Error Why;
+};
+
 // What items of the store say.
 struct StoreNews
 {
     std::optional<RoutePlan> Plan;           // A plan, if they hold one.
     std::vector<TargetNews> Targets;         // In the store's order.
     std::vector<EvacuationNews> Evacuations; // In the store's order.
-    std::vector<Error> Refused;              // Items that can't be used; what they would have replaced stays.
+    std::vector<InvalidItem> Invalid;        //
+    bool InvalidIsAll = false;               // Invalid names all that are, also those that were read before.
 };
 
 // Items that were read together.
--- a/gateway/command_status.cpp
+++ b/gateway/command_status.cpp
@@ -51,10 +51,6 @@
     json_t* plan = json_object_get(root, "plan");
     fmt::print("plan       version {} in force for {}, {} routes\n", Number(plan, "version"), Seconds(plan, "inForceForMs"),
                Number(plan, "routes"));
-    if (!Text(plan, "refused").empty())
-    {
-        fmt::print("           REFUSED the latest news: {}\n", Text(plan, "refused"));
-    }
     json_t* store = json_object_get(root, "store");
     fmt::print("store      {} by {}{}, revision {}, known {} ago, {} calls, {} failed, {} followers\n",
                Is(store, "lost") ? "LOST" : "heard", Is(store, "isStore") ? "itself at " : "the instance at ", Text(store, "source"),
@@ -73,6 +69,16 @@
     }
 }
 
+static void PrintInvalid(json_t* root)
+{
+    size_t n = 0;
+    json_t* invalid = nullptr;
+    json_array_foreach(json_object_get(root, "invalid"), n, invalid)
+    {
+        fmt::print("REFUSED    {}: {}\n", Text(invalid, "key"), Text(invalid, "why"));
+    }
+}
+
 static void PrintHeld(json_t* root)
 {
     size_t n = 0;
@@ -121,6 +127,7 @@
     }
     PrintInstance(root.get());
     PrintEvacuations(root.get());
+    PrintInvalid(root.get());
     PrintHeld(root.get());
     size_t n = 0;
     json_t* service = nullptr;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -155,14 +155,34 @@
     }
 }
 
-static void TakeItems(Gateway* gateway, const std::vector<StoreItem>& list, uint64_t at, bool everything)
+// Each is told of once for each change.
+static void TakeInvalid(Gateway* gateway, const StoreNews& news, const std::vector<StoreItem>& list, uint64_t at, bool everything)
 {
-    const StoreNews news = gateway->Platform.Read({list, at, everything, NowUs()});
-    gateway->Refused = news.Refused.empty() ? "" : news.Refused.front().Detail;
-    for (const Error& refused : news.Refused)
+    const std::map<std::string, std::string> before = gateway->Invalid;
+    if (everything || news.InvalidIsAll)
+    {
+        gateway->Invalid.clear();
+    }
+    for (const StoreItem& item : list)
     {
-        Log(LogLevel_Error, refused.Code, "refused", {{"revision", at}, {"detail", refused.Detail}});
+        gateway->Invalid.erase(item.Key);
     }
+    for (const InvalidItem& invalid : news.Invalid)
+    {
+        gateway->Invalid[invalid.Key] = invalid.Why.Detail;
+        const auto known = before.find(invalid.Key);
+        if (known == before.end() || known->second != invalid.Why.Detail)
+        {
+            gateway->InvalidSeen++;
+            Log(LogLevel_Error, invalid.Why.Code, "item invalid", {{"key", invalid.Key}, {"revision", at}, {"detail", invalid.Why.Detail}});
+        }
+    }
+}
+
+static void TakeItems(Gateway* gateway, const std::vector<StoreItem>& list, uint64_t at, bool everything)
+{
+    const StoreNews news = gateway->Platform.Read({list, at, everything, NowUs()});
+    TakeInvalid(gateway, news, list, at, everything);
     if (news.Plan)
     {
         TakePlan(gateway, *news.Plan);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -55,17 +55,18 @@
     Listener Readiness;
     Listener Metrics;
     std::vector<SignalWatch> Signals;
-    Timer Second;                   // Twice a second: settings file.
-    std::vector<StoreBatch> Unread; // Learnt, handed on, and not read yet; in order.
-    Timer Reading;                  // It is read then.
-    Timer Forgetting;               // The next vanished target is forgotten then.
-    Timer Stopping;                 // The next step of a planned stop.
-    TimeUs StartedUs = 0;           // When it was started.
-    TimeUs PlanUs = 0;              // When the plan came in force; 0: there is none.
-    std::string Refused;            // Why the latest news of the store could not be used; empty if they could.
-    TimeUs StopUs = 0;              // When the stop signal came; 0: not yet.
-    bool Stopped = false;           // The planned stop is over.
-    int64_t SettingsTime = 0;       // When the settings file was last changed.
+    Timer Second;                               // Twice a second: settings file.
+    std::vector<StoreBatch> Unread;             // Learnt, handed on, and not read yet; in order.
+    Timer Reading;                              // It is read then.
+    Timer Forgetting;                           // The next vanished target is forgotten then.
+    Timer Stopping;                             // The next step of a planned stop.
+    TimeUs StartedUs = 0;                       // When it was started.
+    TimeUs PlanUs = 0;                          // When the plan came in force; 0: there is none.
+    std::map<std::string, std::string> Invalid; // Items of the store that can't be used, with the reason; by key.
+    uint64_t InvalidSeen = 0;                   // Counter.
+    TimeUs StopUs = 0;                          // When the stop signal came; 0: not yet.
+    bool Stopped = false;                       // The planned stop is over.
+    int64_t SettingsTime = 0;                   // When the settings file was last changed.
 };
 
 // Starts an instance in a loop of yours; on an error nothing runs.
--- a/gateway/pages.cpp
+++ b/gateway/pages.cpp
@@ -94,6 +94,8 @@
     text += fmt::format("winchlink_silent_connections {}\n", gateway.Targets.SilencesSeen + gateway.Control.SilencesSeen);
     text += fmt::format("winchlink_replays_stopped {}\n", gateway.Targets.ReplaysStopped);
     text += StoreCallsText(gateway.Store);
+    text += fmt::format("winchlink_items_invalid {}\n", gateway.Invalid.size());
+    text += fmt::format("winchlink_items_invalid_seen {}\n", gateway.InvalidSeen);
     text += EvacuationsText(requests.Directory);
     text += fmt::format("winchlink_requests_held {}\n", CountHeld(requests.Held));
     text += fmt::format("winchlink_requests_suspected {}\n", requests.Held.Requests.size());
@@ -198,7 +200,6 @@
     json_object_set_new(object, "version", JsonNumber(plan ? plan->Version : 0));
     json_object_set_new(object, "inForceForMs", plan ? JsonMs(now - gateway.PlanUs) : json_null());
     json_object_set_new(object, "routes", JsonNumber(plan ? plan->Routes.size() : 0));
-    json_object_set_new(object, "refused", JsonText(gateway.Refused));
     return object;
 }
 
@@ -235,6 +236,19 @@
     return list;
 }
 
+static json_t* JsonOfInvalid(const Gateway& gateway)
+{
+    json_t* list = json_array();
+    for (const auto& [key, why] : gateway.Invalid)
+    {
+        json_t* object = json_object();
+        json_object_set_new(object, "key", JsonText(key));
+        json_object_set_new(object, "why", JsonText(why));
+        json_array_append_new(list, object);
+    }
+    return list;
+}
+
 static json_t* JsonOfHeld(const Quarantine& quarantine, TimeUs now)
 {
     json_t* list = json_array();
@@ -271,6 +285,7 @@
     json_object_set_new(object, "plan", JsonOfPlan(gateway, now));
     json_object_set_new(object, "store", JsonOfStore(gateway, now));
     json_object_set_new(object, "evacuated", JsonOfEvacuations(gateway.Requests.Directory));
+    json_object_set_new(object, "invalid", JsonOfInvalid(gateway));
     json_object_set_new(object, "held", JsonOfHeld(gateway.Requests.Held, now));
     json_object_set_new(object, "services", services);
     return DumpJson(object, JSON_INDENT(1));
--- a/gateway/store_reader.cpp
+++ b/gateway/store_reader.cpp
@@ -130,6 +130,11 @@
 {
     const FollowStep step = reader->Following.Next;
     const uint64_t before = reader->Following.At;
+    for (const Error& nameless : page.Nameless)
+    {
+        Log(LogLevel_Error, nameless.Code, "item names nothing",
+            {{"address", step.Address}, {"revision", page.At}, {"detail", nameless.Detail}});
+    }
     if (reader->OnEndsDigest && step.Kind != SourceKind_Store)
     {
         reader->OnEndsDigest(page.EndsDigest);
--- a/gateway/store_reader.h
+++ b/gateway/store_reader.h
@@ -31,6 +31,7 @@
 struct StorePage
 {
     std::vector<StoreItem> Items;
+    std::vector<Error> Nameless;        // Items that name nothing; they are passed over, and hide no others.
     bool More = false;                  // Another page follows.
     uint64_t At = 0;                    // The store's revision.
     TimeUs AgeUs = 0;                   // How long ago this was known to be the store's state; 0 from the store itself.
--- a/gateway/table_adapter.cpp
+++ b/gateway/table_adapter.cpp
@@ -20,29 +20,35 @@
 // [SECTION] The service's calls
 //-----------------------------------------------------------------------------
 
-static bool ReadItem(json_t* value, const std::string& where, std::vector<Fault>* faults, StoreItem* out)
+// An item whose row can't be read is handed on without it: whoever reads it finds the row invalid. False if it names no row.
+static bool ReadItem(json_t* value, const std::string& where, uint64_t at, std::vector<Fault>* faults, StoreItem* out)
 {
     ObjectReader r;
+    const size_t before = faults->size();
     if (!OpenObject(value, where, PlatformCodes, faults, &r))
     {
         return false;
     }
     ReadText(&r, "name", true, &out->Key);
-    ReadRevision(&r, "revision", true, &out->Revision);
-    out->Gone = json_is_true(json_object_get(value, "gone"));
-    json_t* row = json_object_get(value, "row");
-    if (!out->Gone && !json_is_object(row))
+    if (faults->size() != before)
     {
-        AddFault(r, Code_PlatformBadAnswer, "row", "expected an object");
         return false;
     }
-    out->Value = out->Gone ? "" : DumpJson(json_incref(row), JSON_COMPACT);
+    std::vector<Fault> unread;
+    r.Faults = &unread;
+    ReadRevision(&r, "revision", true, &out->Revision);
+    out->Gone = unread.empty() && json_is_true(json_object_get(value, "gone"));
+    out->Revision = unread.empty() ? out->Revision : at;
+    json_t* row = json_object_get(value, "row");
+    const bool readable = unread.empty() && json_is_object(row);
+    out->Value = !out->Gone && readable ? DumpJson(json_incref(row), JSON_COMPACT) : "";
     return true;
 }
 
 static Result<StorePage> ReadRows(const std::string& body)
 {
     std::vector<Fault> faults;
+    std::vector<Fault> nameless;
     StorePage page;
     const JsonPtr root = LoadJson(body, PlatformCodes, &faults);
     ObjectReader r;
@@ -55,10 +61,17 @@
         json_t* rows = ReadList(&r, "rows", true);
         json_array_foreach(rows, n, value)
         {
-            page.Items.emplace_back();
-            ReadItem(value, ElementPath("rows", n), &faults, &page.Items.back());
+            StoreItem item;
+            if (ReadItem(value, ElementPath("rows", n), page.At, &nameless, &item))
+            {
+                page.Items.push_back(std::move(item));
+            }
         }
     }
+    for (const Fault& fault : nameless)
+    {
+        page.Nameless.push_back({fault.Code, fault.Where + ": " + fault.Detail});
+    }
     if (!faults.empty())
     {
         return FirstFault(faults);
@@ -240,6 +253,7 @@
         state->Rows.clear();
         state->Unusable.clear();
     }
+    news.InvalidIsAll = true; // A table is in force as a whole, or not at all.
     news.Evacuations = ReadEvacuations(items.List);
     for (const StoreItem& item : items.List)
     {
@@ -250,16 +264,16 @@
     }
     for (const auto& entry : state->Unusable)
     {
-        news.Refused.push_back(entry.second);
+        news.Invalid.push_back({entry.first, entry.second});
     }
     const Table table = MakeTable(*state, items.At);
     std::vector<Fault> faults;
     CheckRows(table, &faults); // Each row by itself was checked when it was read.
     for (const Fault& fault : faults)
     {
-        news.Refused.push_back({fault.Code, fault.Where + ": " + fault.Detail});
+        news.Invalid.push_back({fault.Where, {fault.Code, fault.Where + ": " + fault.Detail}});
     }
-    if (news.Refused.empty())
+    if (news.Invalid.empty())
     {
         news.Plan = MakePlan(table);
         AddTargets(state, items, &news);
--- /dev/null
+++ b/tests/foreign_entries_test.cpp
@@ -0,0 +1,286 @@
+// foreign_entries_test.cpp: items of the store that another writer has invalid: each names no target, and all others hold.
+//
+// Seen before there were these tests: one item whose bytes can't be read made all items that were read with it unreadable, so that no
+// instance could start; a state that has no meaning counted as ready; a target whose entry was invalid stayed in use.
+
+#include "clock.h"
+#include "gateway_rig.h"
+#include "pages.h"
+#include "table_adapter.h"
+#include "winchlink_internal.h"
+
+#include <fmt/format.h>
+
+namespace Winchlink
+{
+
+static const std::string BadKey = "servers/bad";
+
+// An entry as targets write it, before it is invalid.
+static JsonPtr GoodEntry(const std::string& address)
+{
+    return {json_pack("{s:s, s:I, s:{s:s, s:s, s:s, s:i}, s:{s:s, s:i, s:i}}", "address", address.c_str(), "born",
+                      json_int_t{1700000000000}, "info", "service", "svc", "version", "v1", "zone", "dc-a", "capacity", 3, "status",
+                      "state", "ready", "sequence", 1, "warmupLeftS", 0),
+            json_decref};
+}
+
+// One way to spoil an entry: a member gets another value, or goes.
+struct InvalidMember
+{
+    const char* Object; // "info", "status", or empty: the entry itself.
+    const char* Key;
+    const char* Value; // JSON; empty: the member is missing.
+};
+
+static const InvalidMember InvalidMembers[] = {
+    {"", "address", ""},
+    {"", "address", "7"},
+    {"", "address", "\"nowhere\""},
+    {"", "born", "1.5"},
+    {"", "born", "\"yesterday\""},
+    {"", "born", "null"},
+    {"", "info", ""},
+    {"", "info", "[]"},
+    {"", "status", "\"ready\""},
+    {"info", "service", ""},
+    {"info", "service", "3"},
+    {"info", "zone", "{}"},
+    {"info", "capacity", "\"3\""},
+    {"info", "capacity", "0"},
+    {"info", "version", "1"},
+    {"status", "state", ""},
+    {"status", "state", "1"},
+    {"status", "state", "\"up\""},
+    {"status", "sequence", "null"},
+    {"status", "warmupLeftS", "\"0\""},
+};
+
+static std::string InvalidEntry(const std::string& address, const InvalidMember& member)
+{
+    const JsonPtr entry = GoodEntry(address);
+    json_t* object = *member.Object != '\0' ? json_object_get(entry.get(), member.Object) : entry.get();
+    json_object_del(object, member.Key);
+    if (*member.Value != '\0')
+    {
+        json_object_set_new(object, member.Key, json_loads(member.Value, JSON_DECODE_ANY, nullptr));
+    }
+    return DumpJson(json_incref(entry.get()), JSON_COMPACT);
+}
+
+// Items of the store that can't be read themselves.
+static const std::string InvalidItems[] = {
+    R"({"privateKey":"servers/bad","value":7})",
+    R"({"privateKey":"servers/bad","value":"%%%"})",
+    R"({"privateKey":"servers/bad"})",
+    R"({"privateKey":"servers/bad","value":"e30=","revision":"new"})",
+};
+
+// The same, and they name nothing.
+static const std::string NamelessItems[] = {R"({"value":"e30="})", R"({"privateKey":5,"value":"e30="})", "7", "null", "[]"};
+
+struct ForeignSetting
+{
+    Rig Parts;
+    UsersTarget* Bad = nullptr;
+    Gateway* Instance = nullptr;
+
+    ForeignSetting()
+    {
+        RigTarget(&Parts, "t1");
+        Bad = &RigTarget(&Parts, "bad");
+        RigConfigure(&Parts, {UsersRoute()});
+    }
+
+    bool Uses(const std::string& id) const
+    {
+        const auto service = Instance->Requests.Services.find("svc");
+        return service != Instance->Requests.Services.end() && service->second.Pool.Index.ById.count(id) > 0;
+    }
+
+    void PutGood()
+    {
+        UsersStorePut(&Parts.Store, BadKey, DumpJson(json_incref(GoodEntry(Bad->Address).get()), JSON_COMPACT));
+    }
+
+    // Whether a start that finds this uses all targets but that one.
+    void CheckStart(const std::string& what, const std::function<void()>& put)
+    {
+        put();
+        Instance = &RigStart(&Parts);
+        CPPUNIT_ASSERT_MESSAGE(what, RigRun(&Parts, [&]() { return Instance->Requests.Plan && Uses("t1"); }));
+        CPPUNIT_ASSERT_MESSAGE(what, !Uses("bad"));
+        Parts.Instances.clear();
+    }
+
+    // The same, and an instance to which it is a change: it takes more than a second until a target is forgotten.
+    void CheckChange(const std::string& what, const std::function<void()>& put)
+    {
+        CheckStart(what, put);
+        PutGood();
+        Instance = &RigStart(&Parts);
+        CPPUNIT_ASSERT_MESSAGE(what, RigRun(&Parts, [&]() { return Uses("bad"); }));
+        put();
+        CPPUNIT_ASSERT_MESSAGE(what, RigRun(&Parts, [&]() { return !Uses("bad"); }));
+        CPPUNIT_ASSERT_MESSAGE(what, Uses("t1"));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 200, RigAsk(&Parts, *Instance, RigCall()).Answer.Status);
+        Parts.Instances.clear();
+    }
+};
+
+class ForeignEntriesTest : public CPPUNIT_NS::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ForeignEntriesTest);
+    CPPUNIT_TEST(AnInvalidEntryNamesNoTarget);
+    CPPUNIT_TEST(AnItemThatCantBeReadNamesNoTarget);
+    CPPUNIT_TEST(ItemsWithoutANameHideNothing);
+    CPPUNIT_TEST(AnInvalidPlanLeavesTheOneInForce);
+    CPPUNIT_TEST(FollowersHearOfItAsItIs);
+    CPPUNIT_TEST(OperatorsSeeWhatIsInvalid);
+    CPPUNIT_TEST(ExactlyTheGoodOnesAreNamed);
+    CPPUNIT_TEST(AnInvalidRowLeavesTheTableInForce);
+    CPPUNIT_TEST_SUITE_END();
+
+    void AnInvalidEntryNamesNoTarget()
+    {
+        ForeignSetting setting;
+        for (const InvalidMember& member : InvalidMembers)
+        {
+            const std::string entry = InvalidEntry(setting.Bad->Address, member);
+            setting.CheckStart(entry, [&]() { UsersStorePut(&setting.Parts.Store, BadKey, entry); });
+        }
+        const std::string no_address = InvalidEntry(setting.Bad->Address, InvalidMembers[0]);
+        setting.CheckChange(no_address, [&]() { UsersStorePut(&setting.Parts.Store, BadKey, no_address); });
+        for (const char* bytes : {"", "no JSON", "{", "\xff\xfe", "[1,2]", "null"})
+        {
+            setting.CheckStart(bytes, [&]() { UsersStorePut(&setting.Parts.Store, BadKey, bytes); });
+        }
+    }
+
+    void AnItemThatCantBeReadNamesNoTarget()
+    {
+        ForeignSetting setting;
+        for (const std::string& item : InvalidItems)
+        {
+            setting.CheckChange(item, [&]() { UsersStorePutForeign(&setting.Parts.Store, BadKey, item); });
+        }
+    }
+
+    void ItemsWithoutANameHideNothing()
+    {
+        ForeignSetting setting;
+        size_t n = 0;
+        for (const std::string& item : NamelessItems)
+        {
+            UsersStorePutForeign(&setting.Parts.Store, fmt::format("x{}", n++), item);
+        }
+        setting.Instance = &RigStart(&setting.Parts);
+        CPPUNIT_ASSERT(RigRun(&setting.Parts, [&]() { return setting.Uses("t1") && setting.Uses("bad"); }));
+        for (const std::string& item : NamelessItems)
+        {
+            UsersStorePutForeign(&setting.Parts.Store, fmt::format("x{}", n++), item);
+        }
+        UsersStoreRemove(&setting.Parts.Store, "servers/t1");
+        CPPUNIT_ASSERT(RigRun(&setting.Parts, [&]() { return !setting.Uses("t1"); })); // What comes after them is heard.
+    }
+
+    void AnInvalidPlanLeavesTheOneInForce()
+    {
+        ForeignSetting setting;
+        setting.Instance = &RigInstance(&setting.Parts, 2);
+        UsersStorePutForeign(&setting.Parts.Store, "op/config", R"({"privateKey":"op/config","value":"%"})");
+        RigTarget(&setting.Parts, "t3");
+        CPPUNIT_ASSERT(RigRun(&setting.Parts, [&]() { return setting.Uses("t3"); }));
+        CPPUNIT_ASSERT_EQUAL(uint64_t{1}, setting.Instance->Requests.Plan->Version);
+        CPPUNIT_ASSERT(!setting.Instance->Invalid.empty());
+        RigConfigure(&setting.Parts, {UsersRoute()});
+        CPPUNIT_ASSERT(RigRun(&setting.Parts, [&]() { return setting.Instance->Requests.Plan->Version == 2; }));
+        CPPUNIT_ASSERT(setting.Instance->Invalid.empty());
+    }
+
+    // One that follows another instance loses the target as well, and gets it back with the next good entry.
+    void FollowersHearOfItAsItIs()
+    {
+        ForeignSetting setting;
+        Settings first = RigSettings(setting.Parts);
+        first.PeerAddress = FreeAddress();
+        first.Peers = {first.PeerAddress};
+        RigAwait(&setting.Parts, RigStartWith(&setting.Parts, first), 2);
+        Settings second = RigSettings(setting.Parts);
+        second.PeerAddress = FreeAddress();
+        second.Peers = first.Peers;
+        setting.Instance = &RigStartWith(&setting.Parts, second);
+        RigAwait(&setting.Parts, *setting.Instance, 2);
+        UsersStorePutForeign(&setting.Parts.Store, BadKey, InvalidItems[0]);
+        CPPUNIT_ASSERT(RigRun(&setting.Parts, [&]() { return !setting.Uses("bad"); }));
+        setting.PutGood();
+        CPPUNIT_ASSERT(RigRun(&setting.Parts, [&]() { return setting.Uses("bad"); }));
+        CPPUNIT_ASSERT_EQUAL(uint64_t{0}, StoreCalls(setting.Instance->Store));
+    }
+
+    void OperatorsSeeWhatIsInvalid()
+    {
+        ForeignSetting setting;
+        UsersStorePut(&setting.Parts.Store, BadKey, "no JSON");
+        setting.Instance = &RigInstance(&setting.Parts, 1);
+        CPPUNIT_ASSERT(StatusText(*setting.Instance).find(BadKey) != std::string::npos);
+        CPPUNIT_ASSERT(MetricsText(*setting.Instance).find("winchlink_items_invalid 1\n") != std::string::npos);
+        setting.PutGood();
+        CPPUNIT_ASSERT(RigRun(&setting.Parts, [&]() { return setting.Instance->Invalid.empty(); }));
+        UsersStorePut(&setting.Parts.Store, BadKey, "no JSON");
+        CPPUNIT_ASSERT(RigRun(&setting.Parts, [&]() { return setting.Instance->Invalid.size() == 1; }));
+        UsersStoreRemove(&setting.Parts.Store, BadKey);
+        CPPUNIT_ASSERT(RigRun(&setting.Parts, [&]() { return setting.Instance->Invalid.empty(); }));
+    }
+
+    void ExactlyTheGoodOnesAreNamed()
+    {
+        CHECK_PROPERTY("of a page of good and invalid entries the good ones are named, whatever stands beside them",
+                       []()
+                       {
+                           Dice dice;
+                           std::vector<StoreItem> items;
+                           std::set<std::string> good;
+                           for (int64_t n = dice.Between(0, 12); n > 0; n--)
+                           {
+                               const std::string id = fmt::format("t{}", n);
+                               const bool invalid = dice.OneIn(2);
+                               const auto member = static_cast<size_t>(dice.Between(0, std::size(InvalidMembers)));
+                               const std::string value = invalid ? InvalidEntry("10.0.0.1:80", InvalidMembers[member])
+                                                                 : DumpJson(json_incref(GoodEntry("10.0.0.1:80").get()), JSON_COMPACT);
+                               items.push_back({"servers/" + id, value, static_cast<uint64_t>(n), false});
+                               if (!invalid)
+                               {
+                                   good.insert(id);
+                               }
+                           }
+                           const StoreNews news = PlatformAdapter().Read({items, 20, true, UsPerSecond});
+                           std::set<std::string> named;
+                           for (const TargetNews& target : news.Targets)
+                           {
+                               if (!target.Gone)
+                               {
+                                   named.insert(target.Target.Id);
+                               }
+                           }
+                           RC_ASSERT(named == good);
+                           RC_ASSERT(news.Invalid.size() == items.size() - good.size());
+                       });
+    }
+
+    void AnInvalidRowLeavesTheTableInForce()
+    {
+        const Result<StorePage> page = TableAdapter().Dialect.ReadPage(
+            R"({"at":9,"rows":[7,{"name":"a","revision":3,"row":"no"},{"name":"b","revision":4,"gone":true}]})");
+        CPPUNIT_ASSERT(bool(page));
+        CPPUNIT_ASSERT_EQUAL(size_t{2}, page.value().Items.size());
+        const StoreNews news = TableAdapter().Read({page.value().Items, 9, true, UsPerSecond});
+        CPPUNIT_ASSERT(!news.Plan);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), news.Invalid.front().Key);
+        CPPUNIT_ASSERT(news.Invalid.front().Why.Detail.find("row a") != std::string::npos);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ForeignEntriesTest);
+
+} // namespace Winchlink
