What was believed of a target ends with its start, also for what comes late from the former one

Targets may start again under the id that they had. The pool's entry is a new one since the start is part of it; but answers to questions and requests of the former start still taught the new one its load, its failures, and that it leaves. They are told apart by the entry now. A target whose entry has vanished counts as ended like any other: while the store is in trouble entries of living targets vanish.

--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -92,11 +92,18 @@
     return load != nullptr ? ParseLoadReport(*load) : std::nullopt;
 }
 
+// The attempt's target; null if it has left the pool. One that has come back since, or started again, is another one to us.
+static PoolTarget* FindTargetOf(const Call& call, const Attempt& attempt)
+{
+    PoolTarget* target = PoolFind(&call.Service->Pool, attempt.Target);
+    return target != nullptr && target->Entry == attempt.Entry ? target : nullptr;
+}
+
 void BlameTargets(const Call& call)
 {
     for (const Attempt& attempt : call.Active)
     {
-        PoolTarget* target = PoolFind(&call.Service->Pool, attempt.Target);
+        PoolTarget* target = FindTargetOf(call, attempt);
         if (target != nullptr)
         {
             PoolFailed(call.Service->Pool.Config, target, NowUs());
@@ -104,13 +111,9 @@
     }
 }
 
-// The target has one request of ours less; one that has left the pool and come back since does not count it.
+// The target has one request of ours less.
 static void Release(PoolTarget* target, const Attempt& attempt)
 {
-    if (target->Entry != attempt.Entry)
-    {
-        return;
-    }
     const bool unreported = target->ReportUs < attempt.SentUs && target->Since > 0;
     target->InFlight--;
     target->Since -= unreported ? 1 : 0;
@@ -119,12 +122,12 @@
 static void Learn(const CallPtr& call, const Attempt& attempt, const ClientAnswer& answer, Verdict_ verdict)
 {
     Forwarder* forwarder = call->Owner;
-    if (answer.End == ClientEnd_Answered && answer.Status == 421)
+    if (FindTargetOf(*call, attempt) != nullptr && answer.End == ClientEnd_Answered && answer.Status == 421)
     {
         DirectoryLeaves(&forwarder->Directory, attempt.Target);
         ForwarderFollow(forwarder);
     }
-    PoolTarget* target = PoolFind(&call->Service->Pool, attempt.Target);
+    PoolTarget* target = FindTargetOf(*call, attempt);
     if (target == nullptr)
     {
         return;
@@ -358,9 +361,11 @@
     request.TimeoutUs = LeftUs(*call, now) + UsPerSecond; // The call's own deadline comes first.
     request.ConnectUs = call->Owner->Config.ConnectUs;
     // Right before the request leaves: news since the choice may stop it.
-    request.MaySend = [call, id = target.Id]()
+    request.MaySend = [call, id = target.Id, entry = target.Entry]()
     {
-        return !call->Ended && LeftUs(*call, NowUs()) > 0 && PoolFind(&call->Service->Pool, id) != nullptr && !IsHeld(call.get());
+        const PoolTarget* still = PoolFind(&call->Service->Pool, id);
+        const bool same = still != nullptr && still->Entry == entry;
+        return !call->Ended && LeftUs(*call, NowUs()) > 0 && same && !IsHeld(call.get());
     };
     request.Fits = [call](const std::vector<Header>& headers)
     {
@@ -451,7 +456,7 @@
     {
         ClientCancel(call->Owner->Targets, attempt.Id);
         call->Last = attempt;
-        PoolTarget* target = PoolFind(&call->Service->Pool, attempt.Target);
+        PoolTarget* target = FindTargetOf(*call, attempt);
         if (target != nullptr)
         {
             Release(target, attempt);
--- a/gateway/choose.cpp
+++ b/gateway/choose.cpp
@@ -29,10 +29,11 @@
     return std::clamp<int64_t>(std::strtoll(text.c_str(), nullptr, 10), 0, longest_ms) * UsPerMs;
 }
 
-static void LearnFromAsk(Forwarder* forwarder, ServiceState* service, const std::string& id, const ClientAnswer& answer)
+// `entry`: of the target when it was asked. One that has come back since, or started again, was not asked.
+static void LearnFromAsk(Forwarder* forwarder, ServiceState* service, const std::string& id, uint64_t entry, const ClientAnswer& answer)
 {
     PoolTarget* target = PoolFind(&service->Pool, id);
-    if (target == nullptr)
+    if (target == nullptr || target->Entry != entry)
     {
         return;
     }
@@ -206,11 +207,12 @@
     AskMore(call);
 }
 
-static void OnAnswerToQuestion(Forwarder* forwarder, ServiceState* service, const std::string& id, const ClientAnswer& answer)
+static void OnAnswerToQuestion(Forwarder* forwarder, ServiceState* service, const std::string& id, uint64_t entry,
+                               const ClientAnswer& answer)
 {
     const std::vector<CallPtr> askers = std::move(service->Questions[id]);
     service->Questions.erase(id);
-    LearnFromAsk(forwarder, service, id, answer);
+    LearnFromAsk(forwarder, service, id, entry, answer);
     for (const CallPtr& asker : askers)
     {
         OnAsked(asker, id, answer.End == ClientEnd_Answered);
@@ -234,7 +236,8 @@
         return id_header.empty() || FindHeader(headers, id_header) != nullptr;
     };
     ClientSend(forwarder->Targets, std::move(request),
-               [forwarder, service, id](const ClientAnswer& answer) { OnAnswerToQuestion(forwarder, service, id, answer); });
+               [forwarder, service, id, entry = target.Entry](const ClientAnswer& answer)
+               { OnAnswerToQuestion(forwarder, service, id, entry, answer); });
 }
 
 // The target may hang: another one is asked as well.
--- a/gateway/held.cpp
+++ b/gateway/held.cpp
@@ -74,7 +74,7 @@
 {
     Forwarder* forwarder = call->Owner;
     const PoolTarget* target = PoolFind(&call->Service->Pool, attempt.Target);
-    if (target == nullptr || target->Entry != attempt.Entry || target->Doubtful)
+    if (target == nullptr || target->Entry != attempt.Entry)
     {
         return; // It leaves, or has left: its end is planned.
     }
