Timers count the time for which the machine is suspended

libuv's clock stands still meanwhile: a request was held, and a vanished target kept, for as much longer as the suspension lasted. Now the loop brings its timers forward when the time asleep has grown, before it waits again; each runs once. Log line and counter.

Not changed: libcurl's own time-outs; all are short, or come after a timer of the loop's.

The key of a request hashes at most the first MiB of a body.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -579,6 +579,11 @@
             return peers.error();
         }
     }
+    loop->OnSuspended = [gateway](TimeUs slept)
+    {
+        gateway->SuspendedUs += slept;
+        Log(LogLevel_Warn, Code_None, "was suspended", {{"forUs", slept}});
+    };
     StartTargetEnds(gateway);
     StartStore(gateway);
     Tick(gateway);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -65,6 +65,7 @@
     std::map<std::string, std::string> Invalid; // Items of the store that can't be used, with the reason; by key.
     uint64_t InvalidSeen = 0;                   // Counter.
     TimeUs StopUs = 0;                          // When the stop signal came; 0: not yet.
+    TimeUs SuspendedUs = 0;                     // Counter: how long the machine was suspended.
     bool Stopped = false;                       // The planned stop is over.
     int64_t SettingsTime = 0;                   // When the settings file was last changed.
 };
--- a/gateway/loop.cpp
+++ b/gateway/loop.cpp
@@ -10,7 +10,9 @@
 
 #include "loop.h"
 
+#include "clock.h"
 #include <algorithm>
+
 #include <cassert>
 
 namespace Winchlink
@@ -20,6 +22,13 @@
 // [SECTION] Loop
 //-----------------------------------------------------------------------------
 
+struct TimerHandle
+{
+    uv_timer_t Uv = {};
+    EventLoop* Owner = nullptr;
+    std::function<void()> Run;
+};
+
 // The time since the last wait began, less what was waited: how long everything else was held up.
 static void MeasureStep(EventLoop* loop)
 {
@@ -34,9 +43,41 @@
     loop->IdleNs = idle;
 }
 
+static TimeUs TimeAsleep()
+{
+    return ReadClock(CLOCK_BOOTTIME) - ReadClock(CLOCK_MONOTONIC);
+}
+
+static void StartTimer(TimerHandle* timer, uint64_t delay_ms);
+
+// libuv counts by a clock that stands still while the machine is suspended. Without this a request would be held, and a target that has
+// gone would be used, for as much longer as the suspension lasted.
+static void CountSuspension(EventLoop* loop)
+{
+    constexpr TimeUs least = 20 * UsPerMs; // Less is the time between the readings of two clocks.
+    const TimeUs asleep = loop->AsleepUs();
+    const TimeUs slept = asleep - loop->AsleepBeforeUs;
+    if (slept < least)
+    {
+        return;
+    }
+    loop->AsleepBeforeUs = asleep;
+    if (loop->OnSuspended)
+    {
+        loop->OnSuspended(slept);
+    }
+    const auto slept_ms = static_cast<uint64_t>(slept / UsPerMs);
+    for (TimerHandle* timer : loop->Timers)
+    {
+        const uint64_t left = uv_timer_get_due_in(&timer->Uv);
+        StartTimer(timer, left > slept_ms ? left - slept_ms : 0);
+    }
+}
+
 static void RunHooks(uv_prepare_t* prepare)
 {
     auto* loop = static_cast<EventLoop*>(prepare->data);
+    CountSuspension(loop);
     for (const auto& entry : loop->Hooks)
     {
         entry.second();
@@ -44,7 +85,7 @@
     MeasureStep(loop);
 }
 
-EventLoop::EventLoop()
+EventLoop::EventLoop() : AsleepUs(TimeAsleep), AsleepBeforeUs(TimeAsleep())
 {
     const int made = uv_loop_init(&Uv);
     assert(made == 0 && "the process has no descriptor left for an event loop");
@@ -103,31 +144,36 @@
 // [SECTION] Timers
 //-----------------------------------------------------------------------------
 
-struct TimerHandle
-{
-    uv_timer_t Uv = {};
-    std::function<void()> Run;
-};
-
 void TimerEnd::operator()(TimerHandle* timer) const
 {
     uv_timer_stop(&timer->Uv);
+    timer->Owner->Timers.erase(timer);
     CloseAndFree(timer);
 }
 
+static void OnTimer(uv_timer_t* uv)
+{
+    auto* timer = static_cast<TimerHandle*>(uv->data);
+    timer->Owner->Timers.erase(timer);
+    const std::function<void()> once = std::move(timer->Run); // The call may end the timer.
+    once();
+}
+
+static void StartTimer(TimerHandle* timer, uint64_t delay_ms)
+{
+    uv_timer_start(&timer->Uv, OnTimer, delay_ms, 0);
+}
+
 Timer TimerStart(EventLoop* loop, TimeUs delay, std::function<void()> run)
 {
     Timer timer(new TimerHandle());
+    timer->Owner = loop;
     timer->Run = std::move(run);
     uv_timer_init(&loop->Uv, &timer->Uv);
     timer->Uv.data = timer.get();
+    loop->Timers.insert(timer.get());
     const TimeUs rounded_up = (std::max<TimeUs>(delay, 0) + UsPerMs - 1) / UsPerMs;
-    const auto fire = [](uv_timer_t* uv)
-    {
-        const std::function<void()> once = std::move(static_cast<TimerHandle*>(uv->data)->Run); // The call may end the timer.
-        once();
-    };
-    uv_timer_start(&timer->Uv, fire, static_cast<uint64_t>(rounded_up), 0);
+    StartTimer(timer.get(), static_cast<uint64_t>(rounded_up));
     return timer;
 }
 
--- a/gateway/loop.h
+++ b/gateway/loop.h
@@ -14,6 +14,7 @@
 #include "winchlink.h"
 
 #include <functional>
+#include <set>
 #include <uv.h>
 
 namespace Winchlink
@@ -32,6 +33,10 @@
     uint64_t StepFromNs = 0;                         // When the loop last began to wait, by libuv's clock.
     uint64_t IdleNs = 0;                             // How long it had waited in all by then.
     TimeUs LongestStepUs = 0;                        // Longest time that it worked between two waits.
+    std::set<struct TimerHandle*> Timers;            // Not run yet.
+    std::function<TimeUs()> AsleepUs;                // How long the machine has been suspended in all; another one for tests.
+    std::function<void(TimeUs)> OnSuspended;         // Called after a suspension, with its length, before timers run. May be empty.
+    TimeUs AsleepBeforeUs = 0;                       // What AsleepUs() last said.
 
     EventLoop();
     ~EventLoop();
@@ -63,7 +68,8 @@
 
 using Timer = std::unique_ptr<TimerHandle, TimerEnd>;
 
-// Calls `run` once after `delay`, rounded up to milliseconds.
+// Calls `run` once after `delay`, rounded up to milliseconds. Time for which the machine is suspended counts, though libuv's clock stands
+// still meanwhile: it is noticed when the loop is next about to wait, and each timer that became due runs then, once.
 Timer TimerStart(EventLoop* loop, TimeUs delay, std::function<void()> run);
 
 //-----------------------------------------------------------------------------
--- a/gateway/pages.cpp
+++ b/gateway/pages.cpp
@@ -87,6 +87,7 @@
     }
     text += fmt::format("winchlink_in_progress {}\n", requests.InProgress);
     text += fmt::format("winchlink_longest_step_us {}\n", gateway.Loop->LongestStepUs);
+    text += fmt::format("winchlink_suspended_us {}\n", gateway.SuspendedUs);
     text += fmt::format("winchlink_load_questions {}\n", requests.AsksSent);
     text += fmt::format("winchlink_load_questions_shared {}\n", requests.AsksShared);
     text += fmt::format("winchlink_target_connections_opened {}\n", gateway.Targets.ConnectionsOpened);
--- a/gateway/request_key.cpp
+++ b/gateway/request_key.cpp
@@ -14,6 +14,7 @@
 // [SECTION] Hashing
 //-----------------------------------------------------------------------------
 
+static constexpr size_t BodyHashed = MiB;                        // Of a body: a millisecond of an instance's only thread.
 static constexpr size_t KeyBytes = crypto_generichash_BYTES_MIN; // 16: no two requests of one fleet share a key by chance.
 
 // The length goes first, so that two parts never read like two others.
@@ -40,7 +41,8 @@
     {
         AddHeader(&state, exchange, name);
     }
-    AddPart(&state, exchange.Body);
+    AddPart(&state, exchange.Body.substr(0, BodyHashed));
+    AddPart(&state, std::to_string(exchange.Body.size()));
     std::array<unsigned char, KeyBytes> hash = {};
     crypto_generichash_final(&state, hash.data(), hash.size());
     std::array<char, 2 * KeyBytes + 1> hex = {};
