--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -23,6 +23,7 @@
     libsodium-dev           # base64 of the users' store
     libcppunit-dev          # unit tests
     librapidcheck-dev       # property tests
+    libtomlplusplus-dev     # the test that reads deploy/days
 )
 
 Missing=()
--- a/tests/docs_test.cpp
+++ b/tests/docs_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <toml++/toml.h>
 
 namespace Winchlink
 {
@@ -29,6 +30,7 @@
     CPPUNIT_TEST(EverySettingIsDocumented);
     CPPUNIT_TEST(EveryKeyOfTheTableIsDocumented);
     CPPUNIT_TEST(SettingsAreChecked);
+    CPPUNIT_TEST(DaysCanBeRead);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -109,6 +111,49 @@
         CPPUNIT_ASSERT_EQUAL(int(Code_SettingsNotJson), int(ParseSettings("{").Faults.at(0).Code));
         CPPUNIT_ASSERT_EQUAL(int(Code_SettingsUnreadable), int(ReadFile("/does/not/exist").error().Code));
     }
+
+    static void CheckDisruption(const std::string& file, const toml::node& node)
+    {
+        static const std::set<std::string> numbers = {"at", "for_s", "share", "count", "x", "gap_s"};
+        static const std::set<std::string> texts = {"kind", "how", "on", "zone", "service", "class"};
+        CPPUNIT_ASSERT_MESSAGE(file, node.is_table());
+        const toml::table& disruption = *node.as_table();
+        CPPUNIT_ASSERT_MESSAGE(file, disruption.contains("at") && disruption.contains("kind"));
+        for (const auto& [key, value] : disruption)
+        {
+            const std::string name(key.str());
+            const bool good = (numbers.count(name) > 0 && value.is_number()) || (texts.count(name) > 0 && value.is_string());
+            CPPUNIT_ASSERT_MESSAGE(file + ": " + name, good);
+        }
+    }
+
+    // Days of our own for the users' bench: TOML, with a head line, planned work and faults in order of time.
+    void DaysCanBeRead()
+    {
+        size_t files = 0;
+        for (const auto& entry : std::filesystem::directory_iterator(std::string(WINCHLINK_SOURCE) + "/deploy/days"))
+        {
+            const std::string file = entry.path().filename().string();
+            const std::string text = ReadSource("deploy/days/" + file);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(file, size_t{0}, text.find("# Tries: "));
+            const toml::table day = toml::parse(text);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(file, entry.path().stem().string(), day["name"].value_or(std::string()));
+            for (const char* list : {"plan", "faults"})
+            {
+                CPPUNIT_ASSERT_MESSAGE(file, day[list].is_array());
+                double before = 0;
+                for (const toml::node& node : *day[list].as_array())
+                {
+                    CheckDisruption(file, node);
+                    const double at = node.as_table()->at("at").value_or(-1.0);
+                    CPPUNIT_ASSERT_MESSAGE(file + ": out of order", at >= before);
+                    before = at;
+                }
+            }
+            files++;
+        }
+        CPPUNIT_ASSERT(files >= 8);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DocsTest);
