Soak: requests that end targets, starts under the same id, entries of another writer

Drawn from a random source of their own. Audited: a request under which three targets have ended is sent on no more than three times later than the time in touch after that; a target gets nothing while its entry is spoilt.

Found on the way: a connection that comes up does not say that a target lives (the soak's targets stand behind proxies, as some do behind a process of their own that accepts for them): a question is asked instead where there is a health path.

--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -132,6 +132,7 @@
     Reap(soak);
     CollectArrivals(soak);
     Strike(soak);
+    StrikeByEnds(soak);
     RunFor(soak, soak->Plan.Seconds * UsPerSecond);
     soak->Striking = false;
     MeasureRecovery(soak);
@@ -142,6 +143,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     Soak soak;
     soak.Rng.seed(static_cast<uint64_t>(plan.Seed));
+    soak.EndsRng.seed(~static_cast<uint64_t>(plan.Seed));
     soak.Plan = plan;
     soak.Folder = MakeFolder("winchlink-soak");
     soak.Log.Instances = plan.Instances;
--- a/bench/soak.h
+++ b/bench/soak.h
@@ -2,9 +2,9 @@
 //
 // The store, the targets, a proxy before each of them for each instance, and the callers live in this process's event loop. Instances are
 // killed, paused, stopped, told to reload and restarted by signals; connections are delayed, silenced, cut one way and reset; the store
-// refuses, falls silent and forgets; targets lose and spoil answers, leave, vanish, turn cold and come back under another id; data centres
-// are evacuated; configurations come singly and in storms. All is drawn from a seed. soak_audit.h says what is checked. It ends only
-// processes that it started.
+// refuses, falls silent and forgets; targets lose and spoil answers, leave, vanish, turn cold and come back under another id or the same;
+// requests end the targets that run them; another writer spoils entries; data centres are evacuated; configurations come singly and in
+// storms. All is drawn from a seed. soak_audit.h says what is checked. It ends only processes that it started.
 //
 // Index of this file:
 // [SECTION] Plan
@@ -61,6 +61,7 @@
 //-----------------------------------------------------------------------------
 
 inline constexpr TimeUs SoakGraceUs = 4 * UsPerSecond;               // Given to instances that are stopped.
+inline constexpr const char* SoakEndingPrefix = "/a/ends-";          // Paths of requests that end the targets that run them.
 inline constexpr const char* SoakInstanceHeader = "X-Soak-Instance"; // Of a request: the instance that it was sent to.
 
 struct SoakInstance
@@ -84,6 +85,7 @@
     std::string Service;
     std::string Zone;
     bool Listed = true; // Its entry is in the store.
+    bool Down = false;  // It has ended, and will start again under its id.
     Timer Next;
     size_t Counted = 0; // Requests that are in the log already.
 };
@@ -92,6 +94,7 @@
 {
     EventLoop Loop;
     Random Rng;
+    Random EndsRng; // For requests that end targets and for starts under the same id, so that Rng draws for seeds what it always drew.
     UsersStore Store;
     std::vector<std::unique_ptr<SoakInstance>> Instances;
     std::vector<std::unique_ptr<SoakTarget>> Targets; // Never shrinks: the audit needs what all have seen.
@@ -123,6 +126,9 @@
 void StartInstance(Soak* soak, SoakInstance* instance);
 SoakTarget* AddTarget(Soak* soak, const std::string& service);
 
+// Another start of the target under its id, at another address; `born`: see UsersStoreTarget().
+SoakTarget* StartAgain(Soak* soak, const SoakTarget& former, uint64_t born);
+
 // Publishes the next configuration.
 void Configure(Soak* soak);
 
@@ -145,6 +151,9 @@
 // Strikes again and again until told to end.
 void Strike(Soak* soak);
 
+// Has requests end targets, starts those again under their ids, and spoils entries, until told to end.
+void StrikeByEnds(Soak* soak);
+
 // Takes note of processes that have ended, and starts those again that we have ended.
 void Reap(Soak* soak);
 
--- a/bench/soak_audit.h
+++ b/bench/soak_audit.h
@@ -4,6 +4,7 @@
 
 #include "winchlink.h"
 
+#include <limits>
 #include <set>
 
 namespace Winchlink
@@ -51,10 +52,19 @@
     TimeUs AtUs = 0;     // Acknowledged by the store.
 };
 
+// A target that leaves, or whose entry another writer has spoilt.
 struct SoakLeaving
 {
     std::string Target;
-    TimeUs AtUs = 0; // Acknowledged by the store.
+    TimeUs AtUs = 0;                                     // Acknowledged by the store.
+    TimeUs UntilUs = std::numeric_limits<TimeUs>::max(); // Its entry is good again.
+};
+
+// A target that has ended under a request.
+struct SoakEnd
+{
+    std::string Path; // Of the request.
+    TimeUs AtUs = 0;
 };
 
 struct SoakEvacuation
@@ -81,6 +91,7 @@
     std::vector<SoakLeaving> Leavings;
     std::vector<SoakEvacuation> Evacuations;
     std::vector<SoakCold> Colds;
+    std::vector<SoakEnd> Ends; // In order.
     int Instances = 0;
     int OwnEnds = 0;       // Instances that ended by themselves.
     int ForeignBytes = 0;  // Connections on which more came than answers to what was asked.
@@ -101,7 +112,8 @@
     TimeUs WindowUs = 10 * UsPerSecond;   // Of the repeat budget.
     double RepeatShare = 0.2;             //
     int RepeatExtra = 2;                  // Repeats beyond it, an instance and service.
-    double RecoveryShare = 0.95;          // Of the requests after all faults are served.
+    size_t EndsMost = 3;         // Targets that may end under a request; so many times is it sent on later than TouchUs after that.
+    double RecoveryShare = 0.95; // Of the requests after all faults are served.
 };
 
 // One line for each broken promise, the first of each kind with its request.
--- a/bench/soak_parts.cpp
+++ b/bench/soak_parts.cpp
@@ -82,18 +82,32 @@
     CloseTrouble(soak, &instance->Trouble);
 }
 
-SoakTarget* AddTarget(Soak* soak, const std::string& service)
+static SoakTarget* StartTarget(Soak* soak, const std::string& id, const std::string& service, const std::string& zone, uint64_t born)
 {
     soak->Targets.push_back(std::make_unique<SoakTarget>());
     SoakTarget* target = soak->Targets.back().get();
-    const std::string id = fmt::format("t{}", ++soak->LastTarget);
     target->Service = service;
-    target->Zone = fmt::format("dc-{}", soak->LastTarget % 2);
+    target->Zone = zone;
     target->Part.WorkUs = 15 * UsPerMs;
-    target->Part.ResetsWhenFull = soak->LastTarget % 3 == 0;
+    target->Part.EndsOn = SoakEndingPrefix;
     UsersTargetStart(&target->Part, &soak->Loop, id, FreeLoopback());
     ProxyStart(&target->Before, &soak->Loop, FreeLoopback(), target->Part.Address);
-    UsersStoreTarget(&soak->Store, id, service, target->Before.Address, target->Zone);
+    UsersStoreTarget(&soak->Store, id, service, target->Before.Address, target->Zone, false, 0, born);
+    return target;
+}
+
+SoakTarget* AddTarget(Soak* soak, const std::string& service)
+{
+    const int number = ++soak->LastTarget;
+    SoakTarget* target = StartTarget(soak, fmt::format("t{}", number), service, fmt::format("dc-{}", number % 2), 0);
+    target->Part.ResetsWhenFull = number % 3 == 0;
+    return target;
+}
+
+SoakTarget* StartAgain(Soak* soak, const SoakTarget& former, uint64_t born)
+{
+    SoakTarget* target = StartTarget(soak, former.Part.Id, former.Service, former.Zone, born);
+    target->Part.ResetsWhenFull = former.Part.ResetsWhenFull;
     return target;
 }
 
--- a/bench/users_target.h
+++ b/bench/users_target.h
@@ -68,7 +68,8 @@
     bool Mute = false;                 // Health questions are read and never answered.
     bool TellsLoad = true;             // Answers carry the load.
     bool ResetsWhenFull = false;       // Else it sheds.
-    std::string EndsOn;                // A request of this path and query ends it, once its work is done, as a crash does; empty: none.
+    std::string EndsOn;                // A request whose path begins so ends it, once its work is done, as a crash does; empty: none.
+    std::string EndedBy;               // Path of the request that has ended it.
     std::deque<TargetAct_> Script;     // For the next requests that it runs or sheds; good when empty.
     std::vector<TargetSaw> Saw;        // Every request, health questions apart.
     int HealthAsked = 0;
--- a/gateway/held.cpp
+++ b/gateway/held.cpp
@@ -68,8 +68,27 @@
     }
 }
 
-// A target that has ended takes no connection any more. One that has only cut ours does, and neither does it count where nothing can be
-// known: where a connection neither comes up nor is refused, the target may be cut off. Nothing is sent on the connection.
+// What a target says, or does not say, right after it closed a connection without an answer.
+static bool HasEnded(const Forwarder& forwarder, const std::string& id, const ClientAnswer& answer)
+{
+    switch (answer.End)
+    {
+    case ClientEnd_NotConnected:
+    case ClientEnd_Lost:
+    case ClientEnd_Broken:
+        return true; // Nobody is there, or something in front of it finds nobody.
+    case ClientEnd_Answered:
+    {
+        const std::string* told = FindHeader(answer.Headers, forwarder.Names.TargetId);
+        return told != nullptr && *told != id; // Another one has its address already.
+    }
+    default:
+        return false; // It lives, or nothing can be known: it may be cut off, or stand still.
+    }
+}
+
+// A target that has only cut our connection answers a question on a new one. Where it has no health path nothing is sent: that a connection
+// comes up must do.
 void LookWhetherEnded(Call* call, const Attempt& attempt)
 {
     Forwarder* forwarder = call->Owner;
@@ -80,18 +99,18 @@
     }
     ClientRequest request;
     request.Address = attempt.Address;
+    request.Target = call->Spec->HealthPath;
     request.NewConnection = true;
     request.TimeoutUs = forwarder->Config.ConnectUs;
-    request.MaySend = []()
+    request.MaySend = [asks = !call->Spec->HealthPath.empty()]()
     {
-        return false;
+        return asks;
     };
-    const auto looked = [forwarder, key = CallKey(call), life = TargetLife(attempt.Target, attempt.Life)](const ClientAnswer& answer)
+    const auto looked = [forwarder, key = CallKey(call), attempt](const ClientAnswer& answer)
     {
-        const bool refused = answer.End == ClientEnd_NotConnected && answer.TookUs < forwarder->Config.ConnectUs;
-        if (refused)
+        if (HasEnded(*forwarder, attempt.Target, answer))
         {
-            NoteEnd(forwarder, key, life);
+            NoteEnd(forwarder, key, TargetLife(attempt.Target, attempt.Life));
         }
     };
     ClientSend(forwarder->Targets, std::move(request), looked);
