--- a/tests/fuzz/fuzz_platform.cpp
+++ b/tests/fuzz/fuzz_platform.cpp
@@ -1,13 +1,50 @@
-// fuzz_platform.cpp: libFuzzer target: everything that the adapter to the users' platform reads, and load reports.
+// fuzz_platform.cpp: libFuzzer target: everything that the adapter to the users' platform reads, load reports, and news of ended targets.
+// Whatever stands beside it, a good entry is named.
 
+#include "target_ends.h"
 #include "wire.h"
 
+#include <algorithm>
+
+namespace
+{
+
+constexpr const char* GoodEntry = R"({"address":"10.0.0.1:80","born":5,"info":{"service":"s","version":"v","zone":"z","capacity":3},)"
+                                  R"("status":{"state":"ready","sequence":1,"warmupLeftS":0}})";
+
+// Reads the items of a page beside a good one.
+void ReadBesideGood(const Winchlink::StorePage& page)
+{
+    std::vector<Winchlink::StoreItem> items = page.Items;
+    items.push_back({"servers/good", GoodEntry, 9, false});
+    const Winchlink::StoreNews news = Winchlink::PlatformAdapter().Read({items, 9, true, 0});
+    const auto is_good = [](const Winchlink::TargetNews& target)
+    {
+        return !target.Gone && target.Target.Id == "good";
+    };
+    if (std::none_of(news.Targets.begin(), news.Targets.end(), is_good))
+    {
+        __builtin_trap();
+    }
+}
+
+} // namespace
+
 extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size)
 {
     const std::string text(reinterpret_cast<const char*>(data), size);
     const Winchlink::StoreDialect dialect = Winchlink::PlatformStoreDialect();
-    (void)dialect.ReadPage(text);
-    (void)dialect.ReadChanges(text);
+    for (const Winchlink::Result<Winchlink::StorePage>& page : {dialect.ReadPage(text), dialect.ReadChanges(text)})
+    {
+        if (page)
+        {
+            ReadBesideGood(page.value());
+        }
+    }
+    Winchlink::StorePage values;
+    values.Items = {{"servers/fuzzed", text, 8, false}, {"op/config", text, 7, false}};
+    ReadBesideGood(values);
+    (void)Winchlink::DecodeTargetEnds(text);
     Winchlink::StoreItem item;
     item.Key = "servers/fuzzed";
     item.Value = text;
--- a/tests/quarantine_test.cpp
+++ b/tests/quarantine_test.cpp
@@ -106,6 +106,7 @@
     CPPUNIT_TEST(ARequestThatIsAnsweredIsCleared);
     CPPUNIT_TEST(StartsUnderTheSameIdCountEach);
     CPPUNIT_TEST(InstancesThatWereApartLearnFromEachOther);
+    CPPUNIT_TEST(ItIsToldWithoutTheStore);
     CPPUNIT_TEST(OperatorsSeeAndLiftIt);
     CPPUNIT_TEST(NewsMergeInAnyOrder);
     CPPUNIT_TEST(ItIsLetGoInTimeAndHeldForLongerTheNextTime);
@@ -257,6 +258,25 @@
         CPPUNIT_ASSERT(RigRun(&fleet.Parts, know_all));
     }
 
+    // The store is silent from before the first end: whoever reads it has lost it, and others look for better sources.
+    void ItIsToldWithoutTheStore()
+    {
+        QuarantineFleet fleet(4, 6);
+        RigIdle(&fleet.Parts, SpreadUs);
+        UsersStoreSetMode(&fleet.Parts.Store, StoreMode_Silent);
+        RigIdle(&fleet.Parts, 3 * UsPerSecond); // All know it by now.
+        for (size_t n = 0; n < 3; n++)
+        {
+            fleet.AskEnding(*fleet.Instances[n]);
+        }
+        RigIdle(&fleet.Parts, 2 * UsPerSecond);
+        for (const Gateway* instance : fleet.Instances)
+        {
+            CPPUNIT_ASSERT_EQUAL(503, fleet.AskEnding(*instance).Answer.Status);
+        }
+        CPPUNIT_ASSERT_EQUAL(3, fleet.Ended());
+    }
+
     void OperatorsSeeAndLiftIt()
     {
         QuarantineFleet fleet(2, 5);
