What the store says is read in a file of its own; a page's head and the lists of targets by service are spelt once

The fields of what instances tell each other stood three times, two functions that list targets by service twice. A loop that outlives its instance calls it no more.

--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -68,6 +68,11 @@
     TimeUs SuspendedUs = 0;                     // Counter: how long the machine was suspended.
     bool Stopped = false;                       // The planned stop is over.
     int64_t SettingsTime = 0;                   // When the settings file was last changed.
+
+    Gateway() = default;
+    ~Gateway();
+    Gateway(const Gateway&) = delete;
+    Gateway& operator=(const Gateway&) = delete;
 };
 
 // Starts an instance in a loop of yours; on an error nothing runs.
--- a/gateway/relay.cpp
+++ b/gateway/relay.cpp
@@ -86,29 +86,10 @@
     return items;
 }
 
-// A page without its items.
-struct PageHead
-{
-    const StorePage* Write = nullptr;
-    StorePage* Read = nullptr;
-
-    template <class Archive> void save(Archive& archive) const
-    {
-        archive(Write->More, Write->At, Write->AgeUs, Write->Trouble, Write->TriedUs, Write->Origin, Write->Elsewhere, Write->EndsDigest);
-    }
-
-    template <class Archive> void load(Archive& archive)
-    {
-        archive(Read->More, Read->At, Read->AgeUs, Read->Trouble, Read->TriedUs, Read->Origin, Read->Elsewhere, Read->EndsDigest);
-    }
-};
-
 // The sizes of the head and of the packed items, the head's checksum (the items' is zlib's), and then these two.
 static std::string EncodePacked(const StorePage& head, const std::string& packed)
 {
-    PageHead writer;
-    writer.Write = &head;
-    const std::string coded = EncodeMessage(writer);
+    const std::string coded = EncodeMessage(head);
     std::string out;
     AppendNumber(&out, coded.size());
     AppendNumber(&out, packed.size());
@@ -134,10 +115,8 @@
         return Malformed("not as long as it says");
     }
     StorePage page;
-    PageHead reader;
-    reader.Read = &page;
     const std::string head = bytes.substr(sizes, head_size);
-    if (Checksum(head) != NumberAt(bytes, 2 * NumberBytes) || !DecodeMessage(head, &reader))
+    if (Checksum(head) != NumberAt(bytes, 2 * NumberBytes) || !DecodeMessage(head, &page))
     {
         return Malformed("not coded as it should be");
     }
--- /dev/null
+++ b/gateway/store_news.cpp
@@ -0,0 +1,230 @@
+// store_news.cpp: what an instance makes of items of the store: its plan, its targets, evacuated data centres, and items that are invalid.
+//
+// Index of this file:
+// [SECTION] Plan
+// [SECTION] Targets
+// [SECTION] Evacuations
+// [SECTION] Invalid items
+// [SECTION] All together
+
+#include "store_news.h"
+
+#include "clock.h"
+
+#include <algorithm>
+
+namespace Winchlink
+{
+
+//-----------------------------------------------------------------------------
+// [SECTION] Plan
+//-----------------------------------------------------------------------------
+
+static void TakePlan(Gateway* gateway, const RoutePlan& plan)
+{
+    Forwarder& requests = gateway->Requests;
+    const uint64_t held = requests.Plan ? requests.Plan->Version : 0;
+    if (plan.Version <= held)
+    {
+        return; // The same again, or an older one.
+    }
+    requests.Plan = std::make_shared<const RoutePlan>(plan);
+    gateway->PlanUs = NowUs();
+    ListenerSetLimits(&gateway->Callers, plan.Limits);
+    Log(LogLevel_Info, Code_None, "plan in force",
+        {{"version", plan.Version}, {"before", held}, {"routes", static_cast<int>(plan.Routes.size())}});
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Targets
+//-----------------------------------------------------------------------------
+
+static void LogTarget(const TargetNews& news)
+{
+    const DirectoryTarget& target = news.Target;
+    Log(LogLevel_Info, Code_None, news.Gone ? "target entry gone" : "target entry",
+        {{"target", target.Id},
+         {"service", target.Service},
+         {"address", target.Address},
+         {"leaving", target.Presence == Presence_Leaving ? 1 : 0},
+         {"revision", target.Revision}});
+}
+
+// All targets at once: a line a service, as 700 lines at the start of each instance would leave out others.
+static void LogAllTargets(const Gateway& gateway, uint64_t at)
+{
+    for (const auto& [service, targets] : DirectoryByService(gateway.Requests.Directory))
+    {
+        std::string ids;
+        for (const DirectoryTarget* target : targets)
+        {
+            ids += (ids.empty() ? "" : " ") + target->Id;
+        }
+        Log(LogLevel_Info, Code_None, "targets known",
+            {{"service", service}, {"count", static_cast<uint64_t>(targets.size())}, {"targets", ids}, {"revision", at}});
+    }
+}
+
+static void TakeTarget(Gateway* gateway, const TargetNews& news, bool everything)
+{
+    const DirectoryTarget& target = news.Target;
+    TargetDirectory& directory = gateway->Requests.Directory;
+    const auto known = directory.Targets.find(target.Id);
+    const bool repeated = !news.Gone && known != directory.Targets.end() && known->second.Revision >= target.Revision;
+    if (repeated)
+    {
+        return;
+    }
+    if (!everything)
+    {
+        LogTarget(news);
+    }
+    if (news.Gone)
+    {
+        DirectoryRemove(&directory, target.Id, target.Revision, NowUs());
+        return;
+    }
+    DirectoryPut(&directory, target, NowUs());
+}
+
+// Targets that `news` does not name are gone.
+static void ForgetOthers(Gateway* gateway, const StoreNews& news, uint64_t at)
+{
+    std::set<std::string> named;
+    for (const TargetNews& target : news.Targets)
+    {
+        named.insert(target.Target.Id);
+    }
+    DirectoryKeep(&gateway->Requests.Directory, named, at, NowUs());
+}
+
+// Vanished targets are forgotten at the very moment: what is sent to them after that may come too late.
+static void ForgetInTime(Gateway* gateway)
+{
+    const std::optional<TimeUs> next = DirectoryNextForget(gateway->Requests.Directory);
+    gateway->Forgetting = nullptr;
+    if (next)
+    {
+        gateway->Forgetting = TimerStart(gateway->Loop, *next - NowUs(),
+                                         [gateway]()
+                                         {
+                                             DirectoryTick(&gateway->Requests.Directory, NowUs());
+                                             ForwarderFollow(&gateway->Requests);
+                                             ForgetInTime(gateway);
+                                         });
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Evacuations
+//-----------------------------------------------------------------------------
+
+static void LogEvacuation(const Gateway& gateway, const std::string& data_centre, bool in_force, uint64_t revision)
+{
+    int known = 0;
+    for (const auto& entry : gateway.Requests.Directory.Targets)
+    {
+        known += entry.second.DataCentre == data_centre ? 1 : 0;
+    }
+    Log(LogLevel_Info, Code_None, in_force ? "data centre evacuated" : "data centre given back",
+        {{"dataCentre", data_centre}, {"revision", revision}, {"targets", known}});
+}
+
+static void TakeEvacuations(Gateway* gateway, const StoreNews& news, uint64_t at, bool everything)
+{
+    TargetDirectory& directory = gateway->Requests.Directory;
+    std::set<std::string> named;
+    for (const EvacuationNews& evacuation : news.Evacuations)
+    {
+        named.insert(evacuation.DataCentre);
+        if (DirectoryEvacuate(&directory, evacuation.DataCentre, evacuation.Word))
+        {
+            LogEvacuation(*gateway, evacuation.DataCentre, evacuation.Word.InForce, evacuation.Word.Revision);
+        }
+    }
+    if (!everything)
+    {
+        return;
+    }
+    for (const std::string& data_centre : DirectoryKeepEvacuated(&directory, named, at))
+    {
+        LogEvacuation(*gateway, data_centre, false, at);
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Invalid items
+//-----------------------------------------------------------------------------
+
+// Each is told of once for each change.
+static void TakeInvalid(Gateway* gateway, const StoreNews& news, const std::vector<StoreItem>& list, uint64_t at, bool everything)
+{
+    const std::map<std::string, std::string> before = gateway->Invalid;
+    if (everything || news.InvalidIsAll)
+    {
+        gateway->Invalid.clear();
+    }
+    for (const StoreItem& item : list)
+    {
+        gateway->Invalid.erase(item.Key);
+    }
+    for (const InvalidItem& invalid : news.Invalid)
+    {
+        gateway->Invalid[invalid.Key] = invalid.Why.Detail;
+        const auto known = before.find(invalid.Key);
+        if (known == before.end() || known->second != invalid.Why.Detail)
+        {
+            gateway->InvalidSeen++;
+            Log(LogLevel_Error, invalid.Why.Code, "item invalid", {{"key", invalid.Key}, {"revision", at}, {"detail", invalid.Why.Detail}});
+        }
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] All together
+//-----------------------------------------------------------------------------
+
+static void TakeItems(Gateway* gateway, const std::vector<StoreItem>& list, uint64_t at, bool everything)
+{
+    const StoreNews news = gateway->Platform.Read({list, at, everything, NowUs()});
+    TakeInvalid(gateway, news, list, at, everything);
+    if (news.Plan)
+    {
+        TakePlan(gateway, *news.Plan);
+    }
+    for (const TargetNews& target : news.Targets)
+    {
+        TakeTarget(gateway, target, everything);
+    }
+    TakeEvacuations(gateway, news, at, everything);
+    if (everything)
+    {
+        ForgetOthers(gateway, news, at);
+        LogAllTargets(*gateway, at);
+    }
+    ForwarderFollow(&gateway->Requests);
+    ForgetInTime(gateway);
+}
+
+// Reads what has been learnt, in order.
+static void ReadBatches(Gateway* gateway)
+{
+    gateway->Reading = nullptr;
+    const std::vector<StoreBatch> batches = std::move(gateway->Unread);
+    gateway->Unread.clear();
+    for (const StoreBatch& batch : batches)
+    {
+        TakeItems(gateway, batch.Items, batch.At, batch.Everything);
+    }
+}
+
+void ReadSoon(Gateway* gateway, StoreBatch batch)
+{
+    gateway->Unread.push_back(std::move(batch));
+    if (!gateway->Reading)
+    {
+        gateway->Reading = TimerStart(gateway->Loop, gateway->Timing.ApplyUs, [gateway]() { ReadBatches(gateway); });
+    }
+}
+
+} // namespace Winchlink
--- a/gateway/store_reader.h
+++ b/gateway/store_reader.h
@@ -41,6 +41,12 @@
     std::vector<std::string> Elsewhere; // The source serves as many as it can: these instances know the same.
     uint64_t EndsDigest = 0;            // Of what the source knows of requests that end targets; only from an instance.
     std::string Packed;                 // Items as they came from another instance, to be handed on without coding them again.
+
+    // What instances tell each other besides the items.
+    template <class Archive> void serialize(Archive& archive)
+    {
+        archive(More, At, AgeUs, Trouble, TriedUs, Origin, Elsewhere, EndsDigest);
+    }
 };
 
 // How a source spells its calls and answers.
--- a/tests/docs_test.cpp
+++ b/tests/docs_test.cpp
@@ -123,7 +123,7 @@
         {
             const std::string name(key.str());
             const bool good = (numbers.count(name) > 0 && value.is_number()) || (texts.count(name) > 0 && value.is_string());
-            CPPUNIT_ASSERT_MESSAGE(file + ": " + name, good);
+            CPPUNIT_ASSERT_MESSAGE(std::string(file).append(": ").append(name), good);
         }
     }
 
--- a/winchlink_directory.cpp
+++ b/winchlink_directory.cpp
@@ -26,12 +26,12 @@
 
 std::map<std::string, TargetList> DirectoryByService(const TargetDirectory& directory)
 {
-    std::map<std::string, TargetList> services;
+    std::set<std::string> services;
     for (const auto& entry : directory.Targets)
     {
-        services[entry.second.Service].push_back(&entry.second);
+        services.insert(entry.second.Service);
     }
-    return services;
+    return DirectoryOfServices(directory, services);
 }
 
 std::map<std::string, TargetList> DirectoryOfServices(const TargetDirectory& directory, const std::set<std::string>& services)
