Soak: an entry counts as spoilt until anybody writes a good one; an item that was invalid and good again in one answer is not listed

The audit now looks at the store for the end. What is checked is as strict: nothing may reach a target whose entry is spoilt.

--- a/bench/soak.h
+++ b/bench/soak.h
@@ -107,9 +107,10 @@
     int LastTarget = 0;
     bool Striking = true;
     bool Calling = true;
-    size_t StoreTrouble = 0;          // Index of the open trouble plus one.
-    std::vector<Timer> Pauses;        // Of callers and scheduled ends of faults.
-    std::map<std::string, int> Drawn; // Faults, by name.
+    size_t StoreTrouble = 0;              // Index of the open trouble plus one.
+    std::map<std::string, size_t> Spoilt; // Targets whose entries are spoilt, with the index in Log.Leavings.
+    std::vector<Timer> Pauses;            // Of callers and scheduled ends of faults.
+    std::map<std::string, int> Drawn;     // Faults, by name.
 };
 
 int64_t Between(Soak* soak, int64_t least, int64_t most);
--- a/bench/soak_ends.cpp
+++ b/bench/soak_ends.cpp
@@ -58,7 +58,9 @@
           });
 }
 
-// Takes note of targets that a request has ended.
+static void LookForMended(Soak* soak);
+
+// Takes note of targets that a request has ended, and of entries that are good again.
 static void LookForEnds(Soak* soak)
 {
     const size_t known = soak->Targets.size(); // It grows.
@@ -72,6 +74,7 @@
             ComeBackLater(soak, target);
         }
     }
+    LookForMended(soak);
     Later(soak, 5 * UsPerMs, [soak]() { LookForEnds(soak); });
 }
 
@@ -137,23 +140,51 @@
     return listed.empty() ? nullptr : listed[static_cast<size_t>(EndsBetween(soak, 0, static_cast<int64_t>(listed.size()) - 1))];
 }
 
+static std::string EntryKey(const std::string& id)
+{
+    return "servers/" + id;
+}
+
+static constexpr const char* SpoiltValue = "no entry";
+
+// Whoever writes a good entry, or takes it away, ends what was spoilt: other faults do so too.
+static void LookForMended(Soak* soak)
+{
+    for (auto spoilt = soak->Spoilt.begin(); spoilt != soak->Spoilt.end();)
+    {
+        const auto item = soak->Store.Items.find(EntryKey(spoilt->first));
+        const bool still = item != soak->Store.Items.end() && (!item->second.Foreign.empty() || item->second.Value == SpoiltValue);
+        if (still)
+        {
+            ++spoilt;
+            continue;
+        }
+        soak->Log.Leavings[spoilt->second].UntilUs = NowUs();
+        spoilt = soak->Spoilt.erase(spoilt);
+    }
+}
+
 static void SpoilEntry(Soak* soak, SoakTarget* target)
 {
-    const std::string key = "servers/" + target->Part.Id;
+    const std::string id = target->Part.Id;
+    const std::string key = EntryKey(id);
+    if (soak->Spoilt.count(id) > 0)
+    {
+        return;
+    }
     if (EndsBetween(soak, 0, 1) == 0)
     {
-        UsersStorePut(&soak->Store, key, "no entry");
+        UsersStorePut(&soak->Store, key, SpoiltValue);
     }
     else
     {
         UsersStorePutForeign(&soak->Store, key, fmt::format(R"({{"privateKey":"{}","value":7}})", key));
     }
-    soak->Log.Leavings.push_back({target->Part.Id, NowUs()});
-    const size_t index = soak->Log.Leavings.size() - 1;
+    soak->Log.Leavings.push_back({id, NowUs()});
+    soak->Spoilt[id] = soak->Log.Leavings.size() - 1;
     Later(soak, EndsBetween(soak, 200, 4000) * UsPerMs,
-          [soak, target, index]()
+          [soak, target]()
           {
-              soak->Log.Leavings[index].UntilUs = NowUs();
               if (target->Listed)
               {
                   UsersStoreTarget(&soak->Store, target->Part.Id, target->Service, target->Before.Address, target->Zone);
--- a/tests/foreign_entries_test.cpp
+++ b/tests/foreign_entries_test.cpp
@@ -231,6 +231,10 @@
         CPPUNIT_ASSERT(RigRun(&setting.Parts, [&]() { return setting.Instance->Invalid.size() == 1; }));
         UsersStoreRemove(&setting.Parts.Store, BadKey);
         CPPUNIT_ASSERT(RigRun(&setting.Parts, [&]() { return setting.Instance->Invalid.empty(); }));
+        UsersStorePut(&setting.Parts.Store, BadKey, "no JSON"); // Both changes come in one answer.
+        setting.PutGood();
+        CPPUNIT_ASSERT(RigRun(&setting.Parts, [&]() { return setting.Uses("bad"); }));
+        CPPUNIT_ASSERT(setting.Instance->Invalid.empty());
     }
 
     void ExactlyTheGoodOnesAreNamed()
