--- a/gateway/adapter.h
+++ b/gateway/adapter.h
@@ -26,7 +26,7 @@
     Evacuation Word;
 };
 
-// An item that can't be used. A invalid entry of a target takes the target out of use; what else it would have replaced stays.
+// An item that can't be used. An invalid entry of a target takes the target out of use; what else it would have replaced stays.
 struct InvalidItem
 {
     std::string Key;
