Tests: starts under the same id while the store is away and while an instance is cut off; callers that leave during a freeze; the key's cost in winchbench

All pass on the code as it is: a start at the same address while the store is silent is used without a false "not run", one at another address is taken when the store returns though its clock is behind, and an instance that was cut off takes the latest start and never gives back the former one. After a freeze nothing is sent for callers that left meanwhile: a question on the way, and so the close, is always read first (with the close ignored the test dies).

--- a/bench/pool_sizes.cpp
+++ b/bench/pool_sizes.cpp
@@ -1,9 +1,11 @@
-// pool_sizes.cpp: winchbench pool: what decisions of the target pool cost by the number of a service's targets, on one processor.
+// pool_sizes.cpp: winchbench pool: what decisions of the target pool cost by the number of a service's targets, and what it costs to know a
+// request again by the size of its body, on one processor.
 //
 // One instance's view: some requests in progress, a change of one entry, a question. Printed as Markdown.
 
 #include "bench.h"
 #include "options.h"
+#include "request_key.h"
 #include "winchlink_internal.h"
 
 #include <array>
@@ -93,6 +95,22 @@
                SecondsOf(find, requests) * 1e6);
 }
 
+// What a request costs while any request is suspected of ending targets.
+static void ReportKey(size_t body)
+{
+    constexpr int requests = 200;
+    Exchange exchange;
+    exchange.Method = "POST";
+    exchange.Target = "/renewals/2026/12?page=3";
+    exchange.Headers = {{"Host", "renewals.example"}, {"Authorization", std::string(64, 'a')}};
+    exchange.Body = std::string(body, 'x');
+    const auto make = [&]()
+    {
+        RequestKey(exchange);
+    };
+    fmt::print("| {} | {:.2f} |\n", body, SecondsOf(make, requests) * 1e6);
+}
+
 int RunPool(int argc, const char** argv)
 {
     const poptOption table[] = {OPTIONS_TAIL};
@@ -106,6 +124,11 @@
     {
         Report(size);
     }
+    fmt::print("\n| body, bytes | a request's key, us |\n|---|---|\n");
+    for (const size_t body : {size_t{0}, KiB, 64 * KiB, MiB, 4 * MiB})
+    {
+        ReportKey(body);
+    }
     return 0;
 }
 
--- a/tests/gateway_faults_test.cpp
+++ b/tests/gateway_faults_test.cpp
@@ -2,7 +2,9 @@
 
 #include "gateway_rig.h"
 
+#include <chrono>
 #include <fmt/format.h>
+#include <thread>
 
 namespace Winchlink
 {
@@ -47,6 +49,7 @@
     CPPUNIT_TEST(ServesOnWithoutTheStore);
     CPPUNIT_TEST(StartsWhenTheStoreComes);
     CPPUNIT_TEST(ConnectionsThatGoSilentLoseNothing);
+    CPPUNIT_TEST(AfterAFreezeNothingIsSentForCallersThatHaveLeft);
     CPPUNIT_TEST(CallersOfTheFirstMomentAreServed);
     CPPUNIT_TEST(CallersOfTheFirstMomentAreRefusedWhereNoPlanComes);
     CPPUNIT_TEST_SUITE_END();
@@ -607,6 +610,41 @@
     }
 
     // After a power loss callers are waiting when an instance starts, and its plan comes moments later.
+    // The instance stands still while requests wait for a slot; meanwhile half of the callers leave, and slots come free. What it believes
+    // is too old to be acted on, and the closes are read before any target's answer.
+    void AfterAFreezeNothingIsSentForCallersThatHaveLeft()
+    {
+        Rig rig;
+        UsersTarget& target = RigTarget(&rig, "t1");
+        UsersRoute route;
+        route.TimeoutS = 5;
+        route.AimS = 5; // Requests wait for a slot for a second.
+        RigConfigure(&rig, {route});
+        const Gateway& instance = RigInstance(&rig, 1);
+        CPPUNIT_ASSERT_EQUAL(200, RigAsk(&rig, instance, RigCall()).Answer.Status);
+        target.Running = target.Slots; // Others' work.
+        std::vector<std::unique_ptr<RawCaller>> callers;
+        constexpr size_t requests = 6;
+        for (size_t n = 0; n < requests; n++)
+        {
+            callers.push_back(std::make_unique<RawCaller>(&rig.Loop, instance.Config.CallerAddress));
+            RawSend(*callers.back(), fmt::format("GET /a/{} HTTP/1.1\r\nHost: a.example\r\nWinchlink-Request-Id: f{}\r\n\r\n", n, n));
+        }
+        const ServiceState& service = instance.Requests.Services.at("svc");
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return service.Waiting.size() >= requests; }));
+        for (size_t n = 0; n < requests; n += 2)
+        {
+            RawClose(callers[n].get());
+        }
+        target.Running = 0;
+        std::this_thread::sleep_for(std::chrono::milliseconds(100)); // Nobody runs the loop: every pause is over.
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return instance.Requests.InProgress == 0; }));
+        for (size_t n = 0; n < requests; n++)
+        {
+            CPPUNIT_ASSERT_EQUAL(static_cast<int>(n % 2), RigRuns(rig, fmt::format("f{}", n)));
+        }
+    }
+
     void CallersOfTheFirstMomentAreServed()
     {
         Rig rig;
--- a/tests/target_lives_test.cpp
+++ b/tests/target_lives_test.cpp
@@ -56,6 +56,9 @@
     CPPUNIT_TEST(ARequestOfBeforeIsNotCounted);
     CPPUNIT_TEST(WhatMayHaveRunInTheFormerStartMayHaveRun);
     CPPUNIT_TEST(LateNewsOfTheFormerStartAreOlder);
+    CPPUNIT_TEST(StartsWhileTheStoreIsAwayAreFoundAtTheSameAddress);
+    CPPUNIT_TEST(StartsWhileTheStoreIsAwayAreTakenWhenItReturns);
+    CPPUNIT_TEST(InstancesThatKnowDifferentStartsAgreeOnTheLatest);
     CPPUNIT_TEST_SUITE_END();
 
     void NothingIsBelievedOfTheFormerStart()
@@ -174,6 +177,84 @@
         CPPUNIT_ASSERT_EQUAL(uint64_t{2000}, directory.Targets.at("t1").Life);
         CPPUNIT_ASSERT_EQUAL(Presence_Ready, directory.Targets.at("t1").Presence);
     }
+
+    // Nothing tells the instance that it is another start; what was in progress in the former one may have run all the same.
+    void StartsWhileTheStoreIsAwayAreFoundAtTheSameAddress()
+    {
+        LivesSetting setting;
+        UsersRoute unsafe;
+        unsafe.Safe = false;
+        RigConfigure(&setting.Parts, {unsafe});
+        RigAwait(&setting.Parts, *setting.Instance, 1);
+        UsersTarget& former = setting.Latest();
+        former.WorkUs = UsPerSecond;
+        UsersStoreSetMode(&setting.Parts.Store, StoreMode_Silent);
+        RigCall call;
+        call.Method = "POST";
+        const RigAnswerPtr answer = RigSend(&setting.Parts, *setting.Instance, call);
+        CPPUNIT_ASSERT(RigRun(&setting.Parts, [&]() { return former.Running == 1; }));
+        const std::string address = former.Address;
+        UsersTargetStop(&former);
+        const UsersTarget& again = setting.Start(2000, address);
+        CPPUNIT_ASSERT(RigRun(&setting.Parts, [&]() { return answer->Done; }));
+        CPPUNIT_ASSERT_EQUAL(502, answer->Answer.Status);
+        CPPUNIT_ASSERT_EQUAL(uint64_t{1000}, setting.Known()->Life);
+        RigIdle(&setting.Parts, PoolConfig().CarefulUs); // Until unsafe requests are sent there again.
+        CPPUNIT_ASSERT_EQUAL(200, RigAsk(&setting.Parts, *setting.Instance, call).Answer.Status);
+        CPPUNIT_ASSERT_EQUAL(0, UsersTargetRuns(again, answer->Id));
+        UsersStoreSetMode(&setting.Parts.Store, StoreMode_Good);
+        setting.Await(2000);
+    }
+
+    // At another address: the former one is no choice, and the new one is used as soon as it is known.
+    void StartsWhileTheStoreIsAwayAreTakenWhenItReturns()
+    {
+        LivesSetting setting;
+        UsersStoreSetMode(&setting.Parts.Store, StoreMode_Silent);
+        UsersTargetStop(&setting.Latest());
+        const UsersTarget& again = setting.Start(500); // Its clock is behind.
+        const RigAnswer refused = RigAsk(&setting.Parts, *setting.Instance, RigCall());
+        CPPUNIT_ASSERT_EQUAL(503, refused.Answer.Status);
+        CPPUNIT_ASSERT_EQUAL(0, RigRuns(setting.Parts, refused.Id));
+        UsersStoreSetMode(&setting.Parts.Store, StoreMode_Good);
+        setting.Await(500);
+        const RigAnswer served = RigAsk(&setting.Parts, *setting.Instance, RigCall());
+        CPPUNIT_ASSERT_EQUAL(200, served.Answer.Status);
+        CPPUNIT_ASSERT_EQUAL(1, UsersTargetRuns(again, served.Id));
+    }
+
+    // A follower that is cut off keeps to the former start; when it hears the others again it never takes them back to that.
+    void InstancesThatKnowDifferentStartsAgreeOnTheLatest()
+    {
+        LivesSetting setting;
+        Settings reader_settings = RigSettings(setting.Parts);
+        reader_settings.PeerAddress = FreeAddress();
+        reader_settings.Peers = {reader_settings.PeerAddress};
+        Gateway& reader = RigStartWith(&setting.Parts, reader_settings);
+        RigAwait(&setting.Parts, reader, 1);
+        Settings follower_settings = reader_settings;
+        follower_settings.CallerAddress = FreeAddress();
+        follower_settings.ReadyAddress = FreeAddress();
+        follower_settings.MetricsAddress = FreeAddress();
+        follower_settings.PeerAddress = FreeAddress();
+        follower_settings.StoreAddress = FreeAddress(); // Cut off from the store, too.
+        Gateway& follower = RigStartWith(&setting.Parts, follower_settings);
+        RigAwait(&setting.Parts, follower, 1);
+        const auto life_at = [](const Gateway& gateway)
+        {
+            return gateway.Requests.Directory.Targets.at("t1").Life;
+        };
+        ListenerStop(&reader.Peers.Server);
+        setting.Start(700);
+        CPPUNIT_ASSERT(RigRun(&setting.Parts, [&]() { return life_at(reader) == 700; }));
+        RigIdle(&setting.Parts, UsPerSecond);
+        CPPUNIT_ASSERT_EQUAL(uint64_t{1000}, life_at(follower));
+        CPPUNIT_ASSERT(bool(RelayStart(&reader.Peers, &setting.Parts.Loop, &reader.Rng, reader_settings.PeerAddress)));
+        CPPUNIT_ASSERT(RigRun(&setting.Parts, [&]() { return life_at(follower) == 700; }));
+        RigIdle(&setting.Parts, 300 * UsPerMs);
+        CPPUNIT_ASSERT_EQUAL(uint64_t{700}, life_at(reader));
+        CPPUNIT_ASSERT_EQUAL(200, RigAsk(&setting.Parts, follower, RigCall()).Answer.Status);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TargetLivesTest);
