--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -95,8 +95,7 @@
 // The attempt's target; null if it has left the pool. One that has come back since, or started again, is another one to us.
 static PoolTarget* FindTargetOf(const Call& call, const Attempt& attempt)
 {
-    PoolTarget* target = PoolFind(&call.Service->Pool, attempt.Target);
-    return target != nullptr && target->Entry == attempt.Entry ? target : nullptr;
+    return PoolFindEntry(&call.Service->Pool, attempt.Target, attempt.Entry);
 }
 
 void BlameTargets(const Call& call)
@@ -368,9 +367,8 @@
     // Right before the request leaves: news since the choice may stop it.
     request.MaySend = [call, id = target.Id, entry = target.Entry]()
     {
-        const PoolTarget* still = PoolFind(&call->Service->Pool, id);
-        const bool same = still != nullptr && still->Entry == entry;
-        return !call->Ended && LeftUs(*call, NowUs()) > 0 && same && !IsHeld(call.get());
+        const bool still_there = PoolFindEntry(&call->Service->Pool, id, entry) != nullptr;
+        return !call->Ended && LeftUs(*call, NowUs()) > 0 && still_there && !IsHeld(call.get());
     };
     request.Fits = [call](const std::vector<Header>& headers)
     {
--- a/gateway/choose.cpp
+++ b/gateway/choose.cpp
@@ -32,8 +32,8 @@
 // `entry`: of the target when it was asked. One that has come back since, or started again, was not asked.
 static void LearnFromAsk(Forwarder* forwarder, ServiceState* service, const std::string& id, uint64_t entry, const ClientAnswer& answer)
 {
-    PoolTarget* target = PoolFind(&service->Pool, id);
-    if (target == nullptr || target->Entry != entry)
+    PoolTarget* target = PoolFindEntry(&service->Pool, id, entry);
+    if (target == nullptr)
     {
         return;
     }
--- a/gateway/held.cpp
+++ b/gateway/held.cpp
@@ -92,8 +92,7 @@
 void LookWhetherEnded(Call* call, const Attempt& attempt)
 {
     Forwarder* forwarder = call->Owner;
-    const PoolTarget* target = PoolFind(&call->Service->Pool, attempt.Target);
-    if (target == nullptr || target->Entry != attempt.Entry)
+    if (PoolFindEntry(&call->Service->Pool, attempt.Target, attempt.Entry) == nullptr)
     {
         return; // It leaves, or has left: its end is planned.
     }
--- a/winchlink.h
+++ b/winchlink.h
@@ -522,6 +522,9 @@
 
 // The same where targets are not asked: among equals by chance, as nothing would tell an instance that others keep to the same ones.
 PoolTarget* PoolNextUnasked(TargetPool* pool, const std::vector<std::string>& passed, bool careful, TimeUs now, Random* random);
+// The same, as long as it is that entry: one that has come back since, or started again, is another one to whoever had to do with it.
+PoolTarget* PoolFindEntry(TargetPool* pool, const std::string& id, uint64_t entry);
+
 
 // Whether one more request would make the target nearly full.
 bool PoolNearlyFull(const PoolConfig& config, const LoadReport& report, int more);
--- a/winchlink_pool.cpp
+++ b/winchlink_pool.cpp
@@ -71,6 +71,12 @@
     return &*found->second;
 }
 
+PoolTarget* PoolFindEntry(TargetPool* pool, const std::string& id, uint64_t entry)
+{
+    PoolTarget* target = PoolFind(pool, id);
+    return target != nullptr && target->Entry == entry ? target : nullptr;
+}
+
 int64_t PoolDrawOrder(const PoolTarget& target, Random* random)
 {
     constexpr double scale = 1e15; // Weights are at most 1000, so that orders of heavy targets still differ.
