Targets' signals: limits, back-off and leaving are read from answers of any kind, logged and counted

Callers saw requests refused and repeated at targets that had asked to be spared; neither logs nor metrics could show whether an instance had heard that. Now the headers of each whole head that fits its request are read once (status 200 or 503, cut off behind the head, answer to a health question); a sampled line 'target signal' and winchlink_target_signals{service,signal} tell what was heard. Nothing is decided by it yet. What a 421 or another target's health answer says is of another target and passed over; trailers and interim answers say nothing. TargetSignalsTest: each kind of answer.

--- a/bench/users_target.cpp
+++ b/bench/users_target.cpp
@@ -9,6 +9,7 @@
 
 #include "users_target.h"
 
+#include "clock.h"
 #include "socket.h"
 
 #include <algorithm>
@@ -89,9 +90,24 @@
     return target.TellsLoad ? Line(target.Names.Load, load) : "";
 }
 
+// What the target says of itself in an answer with that status.
+static std::string Sayings(const UsersTarget& target, int status)
+{
+    std::string text = Load(target);
+    for (const Header& header : target.Says)
+    {
+        text += Line(header.Name, header.Value);
+    }
+    for (const Header& header : status == 503 ? target.SaysRefusing : std::vector<Header>())
+    {
+        text += Line(header.Name, header.Value);
+    }
+    return text;
+}
+
 static std::string Head(const UsersTarget& target, int status, const std::string& request_id, const std::string& extra)
 {
-    return fmt::format("HTTP/1.1 {} Said\r\n{}{}{}", status, Line(target.Names.RequestId, request_id), Load(target), extra);
+    return fmt::format("HTTP/1.1 {} Said\r\n{}{}{}", status, Line(target.Names.RequestId, request_id), Sayings(target, status), extra);
 }
 
 static std::string Signature(const UsersTarget& target, const TargetSaw& request)
@@ -138,6 +154,13 @@
     case TargetAct_NoLength:
     case TargetAct_NoLengthReset:
         return Head(target, 200, request.Id, signature + "Connection: close\r\n") + "\r\n" + body;
+    case TargetAct_Trailers:
+    {
+        const std::string limit = Line("Server-Limit", "1");
+        const std::string head = Head(target, 200, request.Id, signature + "Transfer-Encoding: chunked\r\nTrailer: Server-Limit\r\n");
+        return "HTTP/1.1 103 Early Hints\r\n" + limit + "\r\n" + head +
+               fmt::format("\r\n{:x}\r\n{}\r\n0\r\n{}\r\n", body.size(), body, limit);
+    }
     case TargetAct_Closing:
         return Whole(Head(target, 200, request.Id, signature + "Connection: close\r\n"), body);
     default:
@@ -261,6 +284,7 @@
 {
     const uint64_t id = connection->Id;
     target->Saw.push_back(request);
+    target->Arrivals.push_back(NowUs());
     connection->Busy = true;
     connection->Request = target->Saw.size() - 1;
     const std::string* expected = FindHeader(request.Headers, target->Names.ExpectedTarget);
@@ -323,8 +347,8 @@
     }
     const std::string id = Line(target->Names.TargetId, target->Id);
     const std::string cold = target->ColdMs > 0 ? Line(target->Names.ColdMs, std::to_string(target->ColdMs)) : "";
-    Write(connection,
-          fmt::format("HTTP/1.1 {} Health\r\n{}{}{}Content-Length: 0\r\n\r\n", target->Ill ? 503 : 200, id, cold, Load(*target)));
+    const int status = target->Ill ? 503 : 200;
+    Write(connection, fmt::format("HTTP/1.1 {} Health\r\n{}{}{}Content-Length: 0\r\n\r\n", status, id, cold, Sayings(*target, status)));
 }
 
 static size_t LengthOf(const TargetSaw& request)
--- a/bench/users_target.h
+++ b/bench/users_target.h
@@ -35,6 +35,7 @@
     TargetAct_NoLength,      // A good answer without length that ends with the connection.
     TargetAct_NoLengthReset, // The same, but it ends with a reset.
     TargetAct_Closing,       // A good answer, after which it closes the connection, as it says.
+    TargetAct_Trailers,      // A good answer behind an interim one and before trailers, both of which name a limit.
     TargetAct_Early,         // Answers 400, signed, before it has read the body, and reads on.
     TargetAct_COUNT,
 };
@@ -67,12 +68,15 @@
     bool Ill = false;                  // Health answers 503.
     bool Mute = false;                 // Health questions are read and never answered.
     bool TellsLoad = true;             // Answers carry the load.
+    std::vector<Header> Says;          // Further headers of all its answers, health answers too.
+    std::vector<Header> SaysRefusing;  // And of those with status 503.
     bool ResetsWhenFull = false;       // Else it sheds.
     std::string EndsOn;                // A request whose path begins so ends it, once its work is done, as a crash does; empty: none.
     bool EndsSilently = false;         // Then its connections stay open, and nothing answers any more.
     std::string EndedBy;               // Path of the request that has ended it.
     std::deque<TargetAct_> Script;     // For the next requests that it runs or sheds; good when empty.
     std::vector<TargetSaw> Saw;        // Every request, health questions apart.
+    std::vector<TimeUs> Arrivals;      // When these came.
     int HealthAsked = 0;
     int Running = 0;
     int Accepted = 0; // Connections.
--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -13,6 +13,7 @@
 
 #include "clock.h"
 #include "log.h"
+#include "target_signals.h"
 
 #include <algorithm>
 #include <cassert>
@@ -387,6 +388,10 @@
         const std::string* id = FindHeader(headers, call->Owner->Names.RequestId);
         return id != nullptr ? *id == call->Id : !call->Owner->Names.AnswersNameRequest;
     };
+    request.OnHead = [call, source = SignalSource{target.Id, target.Life, false}](int status, const std::vector<Header>& headers)
+    {
+        HearTarget(call->Owner, call->Service, source, status, headers);
+    };
     return request;
 }
 
--- a/gateway/choose.cpp
+++ b/gateway/choose.cpp
@@ -10,6 +10,7 @@
 
 #include "clock.h"
 #include "log.h"
+#include "target_signals.h"
 
 #include <algorithm>
 
@@ -243,6 +244,14 @@
     {
         return id_header.empty() || FindHeader(headers, id_header) != nullptr;
     };
+    request.OnHead = [forwarder, service, source = SignalSource{id, target.Life, true}](int status, const std::vector<Header>& headers)
+    {
+        const std::string* told = FindHeader(headers, forwarder->Names.TargetId);
+        if (told == nullptr || *told == source.Target) // Another one may have its address.
+        {
+            HearTarget(forwarder, service, source, status, headers);
+        }
+    };
     ClientSend(forwarder->Targets, std::move(request),
                [forwarder, service, id, entry = target.Entry](const ClientAnswer& answer)
                { OnAnswerToQuestion(forwarder, service, id, entry, answer); });
--- a/gateway/client.cpp
+++ b/gateway/client.cpp
@@ -71,11 +71,26 @@
     return CURL_PREREQFUNC_OK;
 }
 
-static bool IsInterim(ClientCall* call)
+static int StatusOf(const ClientCall& call)
 {
     long status = 0;
-    curl_easy_getinfo(call->Easy, CURLINFO_RESPONSE_CODE, &status);
-    return status < 200;
+    curl_easy_getinfo(call.Easy, CURLINFO_RESPONSE_CODE, &status);
+    return static_cast<int>(status);
+}
+
+// All headers of a message were read; it may be an interim answer, which says nothing.
+static void OnHeadRead(ClientCall* call)
+{
+    constexpr int first_final = 200;
+    const ClientRequest& request = call->Request;
+    const std::vector<Header>& headers = call->Answer.Headers;
+    const int status = StatusOf(*call);
+    call->HeadRead = status >= first_final;
+    call->Foreign = call->HeadRead && request.Fits && !request.Fits(headers);
+    if (call->HeadRead && !call->Foreign && request.OnHead)
+    {
+        request.OnHead(status, headers);
+    }
 }
 
 static size_t OnHeader(char* data, size_t size, size_t count, void* user)
@@ -89,8 +104,10 @@
     }
     if (line == "\r\n" || line == "\n")
     {
-        call->HeadRead = !IsInterim(call);
-        call->Foreign = call->HeadRead && call->Request.Fits && !call->Request.Fits(call->Answer.Headers);
+        if (!call->HeadRead)
+        {
+            OnHeadRead(call);
+        }
         return call->Foreign ? 0 : line.size();
     }
     const size_t colon = line.find(':');
@@ -196,9 +213,7 @@
     answer.TookUs = NowUs() - call->StartedUs;
     if (answer.End == ClientEnd_Answered)
     {
-        long status = 0;
-        curl_easy_getinfo(call->Easy, CURLINFO_RESPONSE_CODE, &status);
-        answer.Status = static_cast<int>(status);
+        answer.Status = StatusOf(*call);
         return;
     }
     answer.Detail = call->ClosedUnanswered ? "connection closed without an answer"
--- a/gateway/client.h
+++ b/gateway/client.h
@@ -16,18 +16,20 @@
 
 struct ClientRequest
 {
-    std::string Address;                                  // IP:port.
-    std::string Method = "GET";                           // As it goes on the wire.
-    std::string Target;                                   // Path and query, untouched.
-    std::vector<Header> Headers;                          // Ready to be sent.
-    std::string Body;                                     // Sent with its length.
-    bool HasBody = false;                                 // Send Body even if it is empty.
-    TimeUs TimeoutUs = UsPerSecond;                       // To the last byte of the answer.
-    TimeUs ConnectUs = 0;                                 // To the connection; 0: as long as TimeoutUs.
-    size_t AnswerMost = 16 * MiB;                         // Largest answer body in bytes.
-    bool NewConnection = false;                           // Don't take a kept connection.
-    std::function<bool()> MaySend;                        // Asked right before the request leaves; may be empty.
-    std::function<bool(const std::vector<Header>&)> Fits; // False: these headers belong to another request. May be empty.
+    std::string Address;                                         // IP:port.
+    std::string Method = "GET";                                  // As it goes on the wire.
+    std::string Target;                                          // Path and query, untouched.
+    std::vector<Header> Headers;                                 // Ready to be sent.
+    std::string Body;                                            // Sent with its length.
+    bool HasBody = false;                                        // Send Body even if it is empty.
+    TimeUs TimeoutUs = UsPerSecond;                              // To the last byte of the answer.
+    TimeUs ConnectUs = 0;                                        // To the connection; 0: as long as TimeoutUs.
+    size_t AnswerMost = 16 * MiB;                                // Largest answer body in bytes.
+    bool NewConnection = false;                                  // Don't take a kept connection.
+    std::function<bool()> MaySend;                               // Asked right before the request leaves; may be empty.
+    std::function<bool(const std::vector<Header>&)> Fits;        // False: these headers belong to another request. May be empty.
+    std::function<void(int, const std::vector<Header>&)> OnHead; // The status and all headers of the answer are there, and fit, whatever
+                                                                 // becomes of the rest. It must not send or cancel. May be empty.
 };
 
 enum ClientEnd_ : int
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -40,6 +40,15 @@
 
 struct Call;
 
+// What targets of a service said of themselves: answers that named it.
+struct SignalCounters
+{
+    uint64_t Limits = 0;     // A limit on their requests.
+    uint64_t Backoffs = 0;   // That they want nothing for a while.
+    uint64_t Leaving = 0;    // That they leave.
+    uint64_t Unreadable = 0; // Values that make no sense.
+};
+
 // What an instance knows of one service.
 struct ServiceState
 {
@@ -52,6 +61,7 @@
     int InProgress = 0;                                                  // Requests not answered yet.
     std::optional<std::string> FollowedFrom;                             // Data centre for which Pool was last brought in line.
     RowMetrics Metrics;
+    SignalCounters Signals;
 };
 
 // What is known of the work that a route's requests make.
--- a/gateway/pages.cpp
+++ b/gateway/pages.cpp
@@ -37,6 +37,11 @@
     text += EndedText(name, service.Metrics);
     text += fmt::format("winchlink_repeats{{service=\"{}\"}} {}\n", name, service.Metrics.Repeats);
     text += fmt::format("winchlink_repeats_refused{{service=\"{}\"}} {}\n", name, service.Metrics.RepeatsRefused);
+    const SignalCounters& signals = service.Signals;
+    text += fmt::format("winchlink_target_signals{{service=\"{}\",signal=\"limit\"}} {}\n", name, signals.Limits);
+    text += fmt::format("winchlink_target_signals{{service=\"{}\",signal=\"backoff\"}} {}\n", name, signals.Backoffs);
+    text += fmt::format("winchlink_target_signals{{service=\"{}\",signal=\"leaving\"}} {}\n", name, signals.Leaving);
+    text += fmt::format("winchlink_target_signals{{service=\"{}\",signal=\"unreadable\"}} {}\n", name, signals.Unreadable);
     text += fmt::format("winchlink_question_limit_us{{service=\"{}\"}} {}\n", name, AskTimeNow(service.Asks));
     text += fmt::format("winchlink_nearly_full_factor{{service=\"{}\"}} {:.3f}\n", name, service.Pool.NearlyFullFactor);
     return text;
--- a/gateway/wire_names.h
+++ b/gateway/wire_names.h
@@ -26,7 +26,9 @@
     std::string ColdMs = "X-Winchlink-Cold-Ms";    // Answer to a health question: how much longer the target is cold.
     std::string TargetId;                          // Answer to a health question: which target answers. Empty: not checked.
     std::string Customer = "X-Winchlink-Customer"; // Request to a target: whose request it is, where the plan has customers.
-    std::string RetryAfter = "Retry-After";        // Answer to a caller: seconds, fractions included.
+    std::string Limit = "X-Winchlink-Limit";       // Answer: requests a second that the target takes from all instances together.
+    std::string Leaving = "X-Winchlink-Leaving";   // Answer: "1": the target takes no new requests.
+    std::string RetryAfter = "Retry-After";        // Refusal, to a caller or of a target: seconds, fractions included.
     std::string Outcome = "X-Winchlink-Run";       // Our own answer to a caller: one of the two words above. Empty: not sent.
 };
 
--- /dev/null
+++ b/tests/target_signals_test.cpp
@@ -0,0 +1,147 @@
+// target_signals_test.cpp: what targets say of themselves in the headers of their answers: how it is read, and in which answers.
+
+#include "gateway_rig.h"
+#include "target_signals.h"
+
+namespace Winchlink
+{
+
+static constexpr time_t Noon = 1767268800; // 2026-01-01 12:00:00 UTC.
+
+static TargetSignals Read(int status, const std::vector<Header>& headers)
+{
+    return ReadTargetSignals(WireNames(), status, headers, Noon);
+}
+
+static std::optional<double> Limit(const std::string& text)
+{
+    return Read(200, {{"X-Winchlink-Limit", text}}).LimitPerS;
+}
+
+static std::optional<TimeUs> Backoff(const std::string& text)
+{
+    return Read(503, {{"Retry-After", text}}).BackoffUs;
+}
+
+class TargetSignalsTest : public CPPUNIT_NS::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TargetSignalsTest);
+    CPPUNIT_TEST(ReadsLimits);
+    CPPUNIT_TEST(ReadsHowLongToBackOff);
+    CPPUNIT_TEST(OnlyRefusalsAskToBackOff);
+    CPPUNIT_TEST(LeavesWhereItSaysSo);
+    CPPUNIT_TEST(AnyValueIsReadOrPassedOver);
+    CPPUNIT_TEST(CountsInAnswersOfAnyKind);
+    CPPUNIT_TEST(WhatAnotherTargetSaysDoesNotCount);
+    CPPUNIT_TEST(TrailersAndInterimAnswersSayNothing);
+    CPPUNIT_TEST_SUITE_END();
+
+    void ReadsLimits()
+    {
+        CPPUNIT_ASSERT_EQUAL(2.0, Limit("2").value());
+        CPPUNIT_ASSERT_EQUAL(2.25, Limit("2.25").value());
+        CPPUNIT_ASSERT_EQUAL(0.0, Limit("0").value());
+        for (const char* wrong : {"", "-2", "two", "2 a second", "nan", "inf", "0x10", "2,5", "1.2.3"})
+        {
+            CPPUNIT_ASSERT_MESSAGE(wrong, !Limit(wrong));
+        }
+        CPPUNIT_ASSERT(!Read(200, {}).LimitPerS);
+    }
+
+    void ReadsHowLongToBackOff()
+    {
+        CPPUNIT_ASSERT_EQUAL(3 * UsPerSecond, Backoff("3").value());
+        CPPUNIT_ASSERT_EQUAL(250 * UsPerMs, Backoff("0.25").value());
+        CPPUNIT_ASSERT_EQUAL(TimeUs{0}, Backoff("0").value());
+        CPPUNIT_ASSERT_EQUAL(5 * UsPerSecond, Backoff("Thu, 01 Jan 2026 12:00:05 GMT").value());
+        CPPUNIT_ASSERT_EQUAL(TimeUs{0}, Backoff("Thu, 01 Jan 2026 11:59:00 GMT").value());
+        for (const char* wrong : {"", "-3", "soon", "3 s", "Thu, 99 Foo"})
+        {
+            CPPUNIT_ASSERT_MESSAGE(wrong, !Backoff(wrong));
+        }
+        CPPUNIT_ASSERT(Backoff("999999999999").value() <= 3600 * UsPerSecond);
+    }
+
+    void OnlyRefusalsAskToBackOff()
+    {
+        for (const int status : {200, 301, 404, 500, 502})
+        {
+            CPPUNIT_ASSERT(!Read(status, {{"Retry-After", "3"}}).BackoffUs);
+        }
+        CPPUNIT_ASSERT(Read(429, {{"Retry-After", "3"}}).BackoffUs);
+        // By the clock that the answer was made by, where it names it.
+        const std::vector<Header> dates = {{"Date", "Thu, 01 Jan 2026 09:00:00 GMT"}, {"Retry-After", "Thu, 01 Jan 2026 09:00:02 GMT"}};
+        CPPUNIT_ASSERT_EQUAL(2 * UsPerSecond, Read(503, dates).BackoffUs.value());
+    }
+
+    void LeavesWhereItSaysSo()
+    {
+        CPPUNIT_ASSERT(Read(200, {{"x-winchlink-leaving", "1"}}).Leaving);
+        CPPUNIT_ASSERT(!Read(200, {{"X-Winchlink-Leaving", "0"}}).Leaving);
+        CPPUNIT_ASSERT(!Read(200, {}).Leaving);
+    }
+
+    void AnyValueIsReadOrPassedOver()
+    {
+        CHECK_PROPERTY("what is read lies in its range, whatever the bytes",
+                       [](const std::string& text)
+                       {
+                           const std::vector<Header> headers = {{"X-Winchlink-Limit", text}, {"Retry-After", text}, {"Date", text}};
+                           const TargetSignals signals = Read(503, headers);
+                           RC_ASSERT(!signals.LimitPerS || *signals.LimitPerS >= 0);
+                           RC_ASSERT(!signals.BackoffUs || (*signals.BackoffUs >= 0 && *signals.BackoffUs <= 3600 * UsPerSecond));
+                       });
+    }
+
+    static uint64_t Heard(const Gateway& instance)
+    {
+        return instance.Requests.Services.at("svc").Signals.Limits;
+    }
+
+    // Answers that are passed on, that are none for the caller, that are cut off behind their headers, or that answer a health question.
+    void CountsInAnswersOfAnyKind()
+    {
+        for (const TargetAct_ act : {TargetAct_Good, TargetAct_Failed, TargetAct_Shed, TargetAct_BareShed, TargetAct_CutShort,
+                                     TargetAct_Unsigned, TargetAct_Encoded, TargetAct_NoLengthReset})
+        {
+            Rig rig;
+            UsersTarget& target = RigTarget(&rig, "t");
+            RigConfigure(&rig, {UsersRoute()});
+            const Gateway& instance = RigInstance(&rig, 1);
+            target.Script = {act};
+            target.Names.Load = "";
+            target.Says = {{"Server-Limit", "100"}};
+            RigAsk(&rig, instance, RigCall());
+            const std::string text = "act " + std::to_string(act);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(text, uint64_t{2}, Heard(instance)); // The health answer, and the answer to the request.
+        }
+    }
+
+    void WhatAnotherTargetSaysDoesNotCount()
+    {
+        Rig rig;
+        UsersTarget& target = RigTarget(&rig, "t");
+        RigConfigure(&rig, {UsersRoute()});
+        const Gateway& instance = RigInstance(&rig, 1);
+        CPPUNIT_ASSERT_EQUAL(200, RigAsk(&rig, instance, RigCall()).Answer.Status);
+        target.Id = "another"; // It has the address now; health answers and 421 name it.
+        target.Says = {{"Server-Limit", "100"}};
+        RigAsk(&rig, instance, RigCall());
+        CPPUNIT_ASSERT_EQUAL(uint64_t{0}, Heard(instance));
+    }
+
+    void TrailersAndInterimAnswersSayNothing()
+    {
+        Rig rig;
+        UsersTarget& target = RigTarget(&rig, "t");
+        RigConfigure(&rig, {UsersRoute()});
+        const Gateway& instance = RigInstance(&rig, 1);
+        target.Script = {TargetAct_Trailers};
+        CPPUNIT_ASSERT_EQUAL(200, RigAsk(&rig, instance, RigCall()).Answer.Status);
+        CPPUNIT_ASSERT_EQUAL(uint64_t{0}, Heard(instance));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TargetSignalsTest);
+
+} // namespace Winchlink
