--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -322,7 +322,11 @@
     {
         NoteSilent(call.get(), call->Last);
     }
-    call->Attempts -= LeftUsAtAll(answer) ? 0 : 1;
+    if (!LeftUsAtAll(answer))
+    {
+        call->Attempts--;
+        QuotaReturn(&call->Owner->TargetLimits, call->Last.Grant.LifeId, call->Last.Grant.TakenUs);
+    }
     call->MayHaveRun += verdict == Verdict_NotRun ? 0 : 1;
     if (verdict == Verdict_Pass && answer.Status < 500)
     {
@@ -439,9 +443,37 @@
 void SecondAgain(const CallPtr& call)
 {
     GiveRepeatBack(call.get());
+    GiveGrantsBack(call.get());
     call->Slow = TimerStart(call->Owner->Loop, call->Owner->Config.SecondAgainUs, [call]() { OnSlow(call); });
 }
 
+void GiveGrantsBack(Call* call)
+{
+    for (const LimitGrant& grant : call->Grants)
+    {
+        QuotaReturn(&call->Owner->TargetLimits, grant.LifeId, grant.TakenUs);
+    }
+    call->Grants.clear();
+}
+
+// The grant for the target; the others are given back.
+static LimitGrant TakeGrant(Call* call, const PoolTarget& target)
+{
+    LimitGrant taken;
+    const auto is_for = [&target](const LimitGrant& grant)
+    {
+        return grant.LifeId == target.LifeId;
+    };
+    const auto found = std::find_if(call->Grants.begin(), call->Grants.end(), is_for);
+    if (found != call->Grants.end())
+    {
+        taken = *found;
+        call->Grants.erase(found);
+    }
+    GiveGrantsBack(call);
+    return taken;
+}
+
 static Attempt MakeAttempt(const Call& call, const PoolTarget& target, TimeUs now)
 {
     const TargetPool& pool = call.Service->Pool;
@@ -467,6 +499,7 @@
     call->Tried.push_back(target->Id);
     call->Attempts++;
     call->RepeatTakenUs = 0;
+    attempt.Grant = TakeGrant(call.get(), *target);
     PoolSent(&call->Service->Pool, target);
     const std::string id = target->Id;
     attempt.Id = ClientSend(call->Owner->Targets, MakeRequest(call, *target, now),
--- a/gateway/call.h
+++ b/gateway/call.h
@@ -21,6 +21,13 @@
 // [SECTION] Call
 //-----------------------------------------------------------------------------
 
+// A request that counts against a target's limit, see QuotaTakeNamed().
+struct LimitGrant
+{
+    uint64_t LifeId = 0; // Of the target; 0: none.
+    TimeUs TakenUs = 0;  // When it was counted.
+};
+
 // One send to one target.
 struct Attempt
 {
@@ -34,6 +41,7 @@
     TimeUs ReportUs = 0;     // When that was told; 0: never.
     bool NearlyFull = false; // It made the target nearly full.
     double ExpectedUs = 0;   // How long it was expected to take; 0: nothing was known.
+    LimitGrant Grant;        // What it counts for at the target's limit.
 };
 
 enum Choosing_ : int
@@ -64,24 +72,26 @@
     TimeUs DeadlineUs = 0;           // Answered by then.
     TimeUs ChooseUntilUs = 0;        // A target is chosen by then, or the request refused.
     Choosing_ Choosing = Choosing_None;
-    std::vector<std::string> Asked;   // Targets asked in this round.
-    std::vector<std::string> Tried;   // Targets that it was sent to.
-    int Asking = 0;                   // Questions without an answer.
-    int AsksMade = 0;                 // Questions in all.
-    int AsksBefore = 0;               // Of those, for former attempts.
-    int AsksAtOnce = 1;               // Questions without an answer, at the most: more when one takes longer than usual.
-    std::vector<Attempt> Active;      // Attempts in progress, two at the most.
-    Attempt Last;                     // The latest attempt that ended, for the log.
-    int Attempts = 0;                 // Sends that reached, or may have reached, a target.
-    TimeUs RepeatTakenUs = 0;         // When a repeat was taken out of the budget for an attempt that has not begun; 0: none is.
-    int MayHaveRun = 0;               // Of those that have ended, attempts that may have been run.
-    std::optional<ClientAnswer> Kept; // A target's failure, passed on if no other attempt comes to more.
-    TimeUs ToldWaitUs = 0;            // When the refused caller was told to come back, from now; for the log.
-    bool Ended = false;               // The caller has been answered.
-    Timer Deadline;                   // Ends it at DeadlineUs.
-    Timer Patience;                   // A question takes longer than usual.
-    Timer Again;                      // Asks again after all targets were busy.
-    Timer Slow;                       // The first attempt takes longer than expected.
+    std::vector<std::string> Asked;     // Targets asked in this round.
+    std::vector<std::string> Tried;     // Targets that it was sent to.
+    std::vector<std::string> OverLimit; // Targets asked or considered in this round that are at their limits.
+    std::vector<LimitGrant> Grants;     // Of targets that it may be sent to; given back if it isn't.
+    int Asking = 0;                     // Questions without an answer.
+    int AsksMade = 0;                   // Questions in all.
+    int AsksBefore = 0;                 // Of those, for former attempts.
+    int AsksAtOnce = 1;                 // Questions without an answer, at the most: more when one takes longer than usual.
+    std::vector<Attempt> Active;        // Attempts in progress, two at the most.
+    Attempt Last;                       // The latest attempt that ended, for the log.
+    int Attempts = 0;                   // Sends that reached, or may have reached, a target.
+    TimeUs RepeatTakenUs = 0;           // When a repeat was taken out of the budget for an attempt that has not begun; 0: none is.
+    int MayHaveRun = 0;                 // Of those that have ended, attempts that may have been run.
+    std::optional<ClientAnswer> Kept;   // A target's failure, passed on if no other attempt comes to more.
+    TimeUs ToldWaitUs = 0;              // When the refused caller was told to come back, from now; for the log.
+    bool Ended = false;                 // The caller has been answered.
+    Timer Deadline;                     // Ends it at DeadlineUs.
+    Timer Patience;                     // A question takes longer than usual.
+    Timer Again;                        // Asks again after all targets were busy.
+    Timer Slow;                         // The first attempt takes longer than expected.
 };
 
 using CallPtr = std::shared_ptr<Call>;
@@ -140,6 +150,9 @@
 // while its target was chosen cost one, of 1.2 in ten seconds where a service has few requests.
 void GiveRepeatBack(Call* call);
 
+// It counts no more against the limits of targets that it was not sent to.
+void GiveGrantsBack(Call* call);
+
 // Targets of the attempts in progress are avoided for a while: they did not answer in time.
 void BlameTargets(const Call& call);
 
--- a/gateway/choose.cpp
+++ b/gateway/choose.cpp
@@ -85,17 +85,49 @@
     return most == 0 || target.InFlight < most;
 }
 
-static bool HasRoom(const Call& call, const PoolTarget& target, TimeUs now)
+static bool Contains(const std::vector<std::string>& ids, const std::string& id)
 {
-    const TargetPool& pool = call.Service->Pool;
-    return PoolHasRoom(pool, target) && PoolMayTakeCold(pool, target, now) && MayConnect(call, target);
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+// Counts the request against the limit that the target has named, once in a round of choosing. True if it may be sent there.
+static bool TakeLimit(Call* call, const PoolTarget& target, TimeUs now)
+{
+    const auto holds = [&target](const LimitGrant& grant)
+    {
+        return grant.LifeId == target.LifeId;
+    };
+    Quota* limits = &call->Owner->TargetLimits;
+    if (QuotaNamed(*limits, target.LifeId) == nullptr || std::any_of(call->Grants.begin(), call->Grants.end(), holds))
+    {
+        return true;
+    }
+    if (Contains(call->OverLimit, target.Id))
+    {
+        return false;
+    }
+    if (QuotaTakeNamed(limits, target.LifeId, now, call->Owner->Rng))
+    {
+        call->Grants.push_back({target.LifeId, now});
+        return true;
+    }
+    call->Service->Signals.OverLimit++;
+    call->OverLimit.push_back(target.Id);
+    return false;
+}
+
+static bool HasRoom(Call* call, const PoolTarget& target, TimeUs now)
+{
+    const TargetPool& pool = call->Service->Pool;
+    const bool room = PoolHasRoom(pool, target) && PoolMayTakeCold(pool, target, now) && MayConnect(*call, target);
+    return room && TakeLimit(call, target, now);
 }
 
 // Whether a target is good enough to be taken without asking others.
-static bool IsGood(const Call& call, const PoolTarget& target, TimeUs now)
+static bool IsGood(Call* call, const PoolTarget& target, TimeUs now)
 {
-    const TargetPool& pool = call.Service->Pool;
-    return HasRoom(call, target, now) && PoolCost(pool, target, now) <= pool.Config.GoodCost;
+    const TargetPool& pool = call->Service->Pool;
+    return PoolCost(pool, target, now) <= pool.Config.GoodCost && HasRoom(call, target, now);
 }
 
 // Whether the request is expected to be answered in time by a target of that cost: within its aim, as it can be refused before it has been
@@ -143,11 +175,11 @@
 }
 
 // The cheapest of those asked that have room; null if none has.
-static PoolTarget* BestAsked(const Call& call, TimeUs now)
+static PoolTarget* BestAsked(Call* call, TimeUs now)
 {
-    TargetPool& pool = call.Service->Pool;
+    TargetPool& pool = call->Service->Pool;
     PoolTarget* best = nullptr;
-    for (const std::string& id : call.Asked)
+    for (const std::string& id : call->Asked)
     {
         PoolTarget* target = PoolFind(&pool, id);
         const bool told = target != nullptr && target->ReportUs > 0 && now < target->ReportUs + pool.Config.ReportUs;
@@ -166,20 +198,28 @@
     if (NowUs() < call->ChooseUntilUs)
     {
         call->Asked.clear();
+        call->OverLimit.clear();
     }
     AskMore(call);
 }
 
+// Whether all targets that came into question are at their limits: none of them comes free while the request could wait.
+static bool AllOverLimit(const Call& call)
+{
+    return !call.OverLimit.empty() && call.OverLimit.size() == call.Asked.size();
+}
+
 // All targets that may be asked were asked, and none is good.
 static void Decide(const CallPtr& call)
 {
     const ForwardConfig& config = call->Owner->Config;
     const TimeUs now = NowUs();
-    PoolTarget* best = BestAsked(*call, now);
+    PoolTarget* best = BestAsked(call.get(), now);
     const double cost = best != nullptr ? PoolCost(call->Service->Pool, *best, now) : 0;
     const bool in_time = best != nullptr && InTime(*call, cost, now);
     const bool any = !call->Service->Pool.Targets.empty();
-    const bool may_wait = any && call->Choosing == Choosing_First && now + config.AskAgainUs < call->ChooseUntilUs;
+    const bool over_limit = AllOverLimit(*call);
+    const bool may_wait = any && !over_limit && call->Choosing == Choosing_First && now + config.AskAgainUs < call->ChooseUntilUs;
     const bool settles = in_time && PoolSettles(call->Service->Pool, *best, now);
     if (settles || (in_time && !may_wait))
     {
@@ -192,7 +232,8 @@
         call->Service->Waiting.push_back(call);
         return;
     }
-    Refuse(call, call->AsksMade == 0 ? Code_NoTargetLeft : Code_TargetsBusy, best != nullptr ? "too slow" : "");
+    const Code_ code = over_limit ? Code_TargetsLimited : call->AsksMade == 0 ? Code_NoTargetLeft : Code_TargetsBusy;
+    Refuse(call, code, best != nullptr ? "too slow" : "");
 }
 
 //-----------------------------------------------------------------------------
@@ -208,7 +249,7 @@
     }
     PoolTarget* target = PoolFind(&call->Service->Pool, id);
     const bool told = target != nullptr && answered && target->ReportUs > 0;
-    if (told && IsGood(*call, *target, NowUs()))
+    if (told && IsGood(call.get(), *target, NowUs()))
     {
         SendTo(call, target);
         return;
@@ -284,15 +325,32 @@
     call->Owner->AsksShared++;
 }
 
+// The best of those that are not at their limits; if all are, null.
+static PoolTarget* NextUnasked(Call* call)
+{
+    const TimeUs now = NowUs();
+    for (;;)
+    {
+        std::vector<std::string> passed = call->Tried;
+        passed.insert(passed.end(), call->OverLimit.begin(), call->OverLimit.end());
+        PoolTarget* target = PoolNextUnasked(&call->Service->Pool, passed, !call->Repeatable, now, call->Owner->Rng);
+        if (target == nullptr || TakeLimit(call, *target, now))
+        {
+            return target;
+        }
+    }
+}
+
 // Targets that tell no load are not asked: their health path would wait for a slot. The one with the least of our own work is taken.
 static void SendUnasked(const CallPtr& call)
 {
-    PoolTarget* target = PoolNextUnasked(&call->Service->Pool, call->Tried, !call->Repeatable, NowUs(), call->Owner->Rng);
+    PoolTarget* target = NextUnasked(call.get());
     const bool full = target != nullptr && target->InFlight >= call->Owner->Config.UnaskedMost * target->Slots;
     const bool cold = target != nullptr && !PoolMayTakeCold(call->Service->Pool, *target, NowUs());
     if (target == nullptr || full || cold || !MayConnect(*call, *target))
     {
-        Refuse(call, target == nullptr ? Code_NoTargetLeft : Code_TargetsBusy, "targets tell no load");
+        const Code_ none = call->OverLimit.empty() ? Code_NoTargetLeft : Code_TargetsLimited;
+        Refuse(call, target == nullptr ? none : Code_TargetsBusy, "targets tell no load");
         return;
     }
     SendTo(call, target);
@@ -311,7 +369,7 @@
     }
     const ForwardConfig& config = call->Owner->Config;
     const TimeUs now = NowUs();
-    while (now < call->ChooseUntilUs)
+    while (now < call->ChooseUntilUs && call->OverLimit.size() < config.OverLimitMost)
     {
         PoolTarget* next = PoolNext(&call->Service->Pool, Passed(*call), !call->Repeatable, now);
         const bool known = next != nullptr && next->ReportUs > 0 && now < next->ReportUs + config.ReuseUs;
@@ -320,11 +378,15 @@
             break;
         }
         call->Asked.push_back(next->Id);
+        if (!TakeLimit(call.get(), *next, now))
+        {
+            continue; // Nor is it asked.
+        }
         if (!known && MayConnect(*call, *next))
         {
             Ask(call, *next);
         }
-        else if (known && IsGood(*call, *next, now))
+        else if (known && IsGood(call.get(), *next, now))
         {
             SendTo(call, next);
             return;
@@ -341,6 +403,7 @@
     const double share = call->Owner->Config.ChooseShare;
     call->Choosing = choosing;
     call->Asked.clear();
+    call->OverLimit.clear();
     call->AsksBefore = call->AsksMade;
     call->AsksAtOnce = 1;
     call->ChooseUntilUs = NowUs() + static_cast<TimeUs>(share * static_cast<double>(call->Row->AimUs));
@@ -369,7 +432,7 @@
     service->Waiting = std::move(still);
     PoolTarget* target = PoolFind(&service->Pool, target_id);
     const bool told = target != nullptr && target->ReportUs > 0;
-    if (first && told && IsGood(*first, *target, NowUs()))
+    if (first && told && IsGood(first.get(), *target, NowUs()))
     {
         first->Again = nullptr;
         SendTo(first, target);
--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -53,6 +53,7 @@
            {"status", status},
            {"attempts", call.Attempts},
            {"asked", call.AsksMade},
+           {"overLimit", static_cast<int>(call.OverLimit.size())},
            {"targets", call.Service != nullptr ? static_cast<int>(call.Service->Pool.Targets.size()) : 0},
            {"running", last.Report.Running},
            {"waiting", last.Report.Waiting},
@@ -79,6 +80,7 @@
     {
         call->Service->InProgress--;
         GiveRepeatBack(call.get());
+        GiveGrantsBack(call.get());
     }
     if (call->QuotaTakenUs > 0 && call->MayHaveRun == 0)
     {
@@ -117,12 +119,27 @@
     EndCall(call, code, detail, std::move(reply));
 }
 
+// When one of the targets that were passed over for their limits takes a request again.
+static TimeUs LimitTurn(const Call& call)
+{
+    double per_us = 0;
+    for (const std::string& id : call.OverLimit)
+    {
+        const PoolTarget* target = PoolFind(&call.Service->Pool, id);
+        const TimeUs turn = target != nullptr ? QuotaNamedTurn(call.Owner->TargetLimits, target->LifeId) : 0;
+        per_us += turn > 0 ? 1.0 / static_cast<double>(turn) : 0;
+    }
+    return per_us > 0 ? static_cast<TimeUs>(1.0 / per_us) : 0;
+}
+
 void EndCallBusy(const CallPtr& call, Code_ code, const std::string& detail)
 {
     const TimeUs now = NowUs();
     const auto left = static_cast<double>(std::max<TimeUs>(call->CallerUntilUs - now, 0));
     const auto most = static_cast<TimeUs>(call->Owner->Config.ReturnShare * left);
-    EndCallWith(call, code, detail, std::min(ReturnScheduleTake(&call->Service->Returns, now, call->Owner->Rng), most));
+    const TimeUs place = ReturnScheduleTake(&call->Service->Returns, now, call->Owner->Rng);
+    const TimeUs wait = code == Code_TargetsLimited ? std::max(place, LimitTurn(*call)) : place;
+    EndCallWith(call, code, detail, std::min(wait, most));
 }
 
 // Attempts in progress end without an answer.
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -20,6 +20,7 @@
 {
     TimeUs AskPatienceUs = 5 * UsPerMs; // A target that takes longer to tell its load is not waited for alone; usual: 0.6 to 3 ms.
     int AsksMost = 8;                   // Questions asked for one attempt.
+    size_t OverLimitMost = 64;          // Targets at their limits that are passed over for one attempt: looking at each costs time.
     TimeUs ReuseUs = 8 * UsPerMs;       // A report is believed for so long without asking again.
     TimeUs AskAgainUs = 20 * UsPerMs;   // All busy: pause before asking again.
     double ChooseShare = 0.2;           // Part of a route's aim that choosing may take: 0.3 serves 0.5 % more in time.
@@ -47,6 +48,7 @@
     uint64_t Backoffs = 0;   // That they want nothing for a while.
     uint64_t Leaving = 0;    // That they leave.
     uint64_t Unreadable = 0; // Values that make no sense.
+    uint64_t OverLimit = 0;  // Requests passed over a target because it was at its limit.
 };
 
 // What an instance knows of one service.
@@ -84,6 +86,8 @@
     std::function<void()> OnNeeded;               // Called for each NeedyCallers of them; may be empty.
     TargetDirectory Directory;                    //
     Quota Quotas;                                 // What customers may ask.
+    Quota TargetLimits;                           // What targets that have named a limit take.
+    std::function<void()> OnLimit;                // Called after each change of these; may be empty.
     Quarantine Held;                              // Requests that end targets.
     SilentEnds Silent;                            // What may turn out to be an end of a target.
     std::function<void()> OnTargetEnd;            // Called after each change of Held by this instance itself; may be empty.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -184,12 +184,51 @@
     return instance ? step.Address : "";
 }
 
+static bool AnyQuota(const Customers& customers)
+{
+    return std::any_of(customers.List.begin(), customers.List.end(), [](const Customer& customer) { return customer.RatePerS > 0; });
+}
+
+static QuotaChannel CustomersChannel(Gateway* gateway)
+{
+    const auto wanted = [gateway]()
+    {
+        const RoutePlanPtr& plan = gateway->Requests.Plan;
+        return plan && AnyQuota(plan->Callers);
+    };
+    const auto decide = [gateway](TimeUs now)
+    {
+        const RoutePlanPtr& plan = gateway->Requests.Plan;
+        return plan && QuotaDecide(&gateway->Requests.Quotas, plan->Callers, now);
+    };
+    return {&gateway->Requests.Quotas, wanted, decide, nullptr};
+}
+
+static QuotaChannel TargetsChannel(Gateway* gateway)
+{
+    Quota* limits = &gateway->Requests.TargetLimits;
+    limits->Config = TargetQuotaConfig();
+    const auto wanted = [limits]()
+    {
+        return !limits->Named.empty();
+    };
+    const auto decide = [limits](TimeUs now)
+    {
+        return QuotaDecideNamed(limits, now);
+    };
+    return {limits, wanted, decide, nullptr};
+}
+
 static Result<void> StartQuotas(Gateway* gateway)
 {
     QuotaLink& link = gateway->Quotas;
     link.Loop = gateway->Loop;
-    link.Known = &gateway->Requests.Quotas;
-    link.Known->StartedUs = gateway->StartedUs;
+    link.Channels[QuotaSubject_Customers] = CustomersChannel(gateway);
+    link.Channels[QuotaSubject_Targets] = TargetsChannel(gateway);
+    for (QuotaChannel& channel : link.Channels)
+    {
+        channel.Known->StartedUs = gateway->StartedUs;
+    }
     link.Own = gateway->Config.PeerAddress;
     link.Port = gateway->Config.DatagramPort;
     link.Source = [gateway]()
@@ -200,9 +239,13 @@
     {
         return gateway->Store.Following.Contacts;
     };
-    link.Callers = [gateway]()
+    link.Followers = [gateway]()
+    {
+        return RelayFollowers(gateway->Peers);
+    };
+    gateway->Requests.OnLimit = [&link]()
     {
-        return gateway->Requests.Plan ? &gateway->Requests.Plan->Callers : nullptr;
+        QuotaLinkFollow(&link);
     };
     return QuotaLinkStart(&link);
 }
@@ -328,6 +371,7 @@
     gateway->Requests.Quotas.Config.Overage = settings.QuotaOverage;
     gateway->Requests.Quotas.Config.Slack = settings.QuotaSlack;
     gateway->Requests.Quotas.Decides = gateway->Store.Following.Reads;
+    gateway->Requests.TargetLimits.Decides = gateway->Store.Following.Reads;
     gateway->Requests.DataCentre = settings.DataCentre;
     SetLogLevel(settings.Level);
     ForwarderFollow(&gateway->Requests);
--- a/gateway/pages.cpp
+++ b/gateway/pages.cpp
@@ -42,6 +42,7 @@
     text += fmt::format("winchlink_target_signals{{service=\"{}\",signal=\"backoff\"}} {}\n", name, signals.Backoffs);
     text += fmt::format("winchlink_target_signals{{service=\"{}\",signal=\"leaving\"}} {}\n", name, signals.Leaving);
     text += fmt::format("winchlink_target_signals{{service=\"{}\",signal=\"unreadable\"}} {}\n", name, signals.Unreadable);
+    text += fmt::format("winchlink_passed_over_for_limit{{service=\"{}\"}} {}\n", name, signals.OverLimit);
     text += fmt::format("winchlink_question_limit_us{{service=\"{}\"}} {}\n", name, AskTimeNow(service.Asks));
     text += fmt::format("winchlink_nearly_full_factor{{service=\"{}\"}} {:.3f}\n", name, service.Pool.NearlyFullFactor);
     return text;
@@ -69,6 +70,11 @@
     return text;
 }
 
+static int64_t CountLimited(const Quota& limits)
+{
+    return std::count_if(limits.Named.begin(), limits.Named.end(), [](const auto& named) { return named.second.InForce; });
+}
+
 static std::string QuotasText(const Gateway& gateway)
 {
     std::string text;
@@ -80,6 +86,7 @@
     const Quota& quotas = gateway.Requests.Quotas;
     text += fmt::format("winchlink_quota_instances {}\n", quotas.MembersMost);
     text += fmt::format("winchlink_quota_customers_limited {}\n", quotas.Shares.size());
+    text += fmt::format("winchlink_targets_limited {}\n", CountLimited(gateway.Requests.TargetLimits));
     text += fmt::format("winchlink_quota_datagrams_sent {}\n", gateway.Quotas.Sent);
     text += fmt::format("winchlink_quota_datagrams_received {}\n", gateway.Quotas.Received);
     text += fmt::format("winchlink_quota_datagrams_unreadable {}\n", gateway.Quotas.Unreadable);
@@ -161,9 +168,10 @@
     return "good";
 }
 
-static json_t* JsonOfTarget(const TargetPool& pool, const PoolTarget& target, TimeUs now)
+static json_t* JsonOfTarget(const Quota& limits, const TargetPool& pool, const PoolTarget& target, TimeUs now)
 {
     json_t* object = json_object();
+    const NamedLimit* limit = QuotaNamed(limits, target.LifeId);
     json_object_set_new(object, "id", JsonText(target.Id));
     json_object_set_new(object, "address", JsonText(target.Address));
     json_object_set_new(object, "near", json_boolean(target.Near));
@@ -171,17 +179,19 @@
     json_object_set_new(object, "inFlight", json_integer(target.InFlight));
     json_object_set_new(object, "running", json_integer(target.Report.Running));
     json_object_set_new(object, "slots", json_integer(target.Slots));
+    json_object_set_new(object, "limitPerS", limit != nullptr ? json_real(limit->PerS) : json_null());
+    json_object_set_new(object, "limitAgeMs", limit != nullptr ? JsonMs(now - limit->HeardUs) : json_null());
     json_object_set_new(object, "pacePercent", json_integer(target.Report.PacePercent));
     json_object_set_new(object, "reportAgeMs", target.ReportUs > 0 ? JsonMs(now - target.ReportUs) : json_null());
     return object;
 }
 
-static json_t* JsonOfService(const std::string& name, const ServiceState& service, TimeUs now)
+static json_t* JsonOfService(const Quota& limits, const std::string& name, const ServiceState& service, TimeUs now)
 {
     json_t* targets = json_array();
     for (const PoolTarget& target : service.Pool.Targets)
     {
-        json_array_append_new(targets, JsonOfTarget(service.Pool, target, now));
+        json_array_append_new(targets, JsonOfTarget(limits, service.Pool, target, now));
     }
     json_t* ended = json_object();
     for (const CodeCount& count : service.Metrics.Ended)
@@ -325,7 +335,7 @@
     json_t* services = json_array();
     for (const auto& entry : gateway.Requests.Services)
     {
-        json_array_append_new(services, JsonOfService(entry.first, entry.second, now));
+        json_array_append_new(services, JsonOfService(gateway.Requests.TargetLimits, entry.first, entry.second, now));
     }
     json_t* object = json_object();
     json_object_set_new(object, "instance", JsonOfInstance(gateway, now));
--- a/gateway/quota_link.cpp
+++ b/gateway/quota_link.cpp
@@ -1,4 +1,4 @@
-// quota_link.cpp: what instances tell each other of customers' quotas.
+// quota_link.cpp: what instances tell each other of quotas.
 //
 // Index of this file:
 // [SECTION] Messages
@@ -58,24 +58,32 @@
     archive(most.AgeUs);
 }
 
+template <class Archive> void serialize(Archive& archive, NamedLimitNews& news)
+{
+    archive(news.Id);
+    SerializeCount(archive, news.PerS);
+    archive(news.InForce, news.AgeUs);
+}
+
 template <class Archive> void serialize(Archive& archive, QuotaReport& report)
 {
     archive(report.Most);
     SerializeCount(archive, report.Members);
     SerializeCount(archive, report.Covered);
-    archive(report.Entries);
+    archive(report.Entries, report.Named);
 }
 
 template <class Archive> void serialize(Archive& archive, QuotaAnswer& answer)
 {
     archive(answer.Most);
     SerializeCount(archive, answer.Covered);
-    archive(answer.Shares);
+    archive(answer.Shares, answer.Named);
 }
 
 std::string EncodeQuota(const QuotaMessage& message)
 {
-    const std::string coded = message.Kind == QuotaMessage_Answer ? EncodeMessage(message.Answer) : EncodeMessage(message.Report);
+    const std::string body = message.Kind == QuotaMessage_Answer ? EncodeMessage(message.Answer) : EncodeMessage(message.Report);
+    const std::string coded = static_cast<char>(message.Subject) + body;
     std::string out(1, static_cast<char>(message.Kind));
     AppendNumber(&out, Checksum(coded));
     return out + coded;
@@ -86,16 +94,19 @@
     constexpr size_t head = 1 + NumberBytes;
     QuotaMessage message;
     const std::string coded = bytes.substr(std::min(bytes.size(), head));
-    const bool whole = bytes.size() > head && Checksum(coded) == NumberAt(bytes, 1);
+    const uint8_t subject = coded.empty() ? uint8_t{QuotaSubject_COUNT} : static_cast<uint8_t>(coded[0]);
+    const bool whole = subject < QuotaSubject_COUNT && Checksum(coded) == NumberAt(bytes, 1);
+    const std::string body = whole ? coded.substr(1) : "";
     const auto kind = whole ? static_cast<uint8_t>(bytes[0]) : uint8_t{QuotaMessage_None};
     const bool answer = kind == QuotaMessage_Answer;
     const bool report = kind == QuotaMessage_Report || kind == QuotaMessage_Contact;
-    const bool read = answer ? DecodeMessage(coded, &message.Answer) : report && DecodeMessage(coded, &message.Report);
+    const bool read = answer ? DecodeMessage(body, &message.Answer) : report && DecodeMessage(body, &message.Report);
     if (!read)
     {
         return Error{Code_MessageMalformed, "not coded as it should be"};
     }
     message.Kind = static_cast<QuotaMessage_>(kind);
+    message.Subject = static_cast<QuotaSubject_>(subject);
     return message;
 }
 
@@ -124,60 +135,89 @@
     link->Sent++;
 }
 
-static void SendReports(QuotaLink* link, const std::vector<QuotaReport>& reports, const std::string& address, QuotaMessage_ kind)
+static QuotaChannel& ChannelOf(QuotaLink* link, QuotaSubject_ subject)
+{
+    return link->Channels[subject];
+}
+
+static void SendReports(QuotaLink* link, QuotaSubject_ subject, const std::string& address, QuotaMessage_ kind)
 {
-    for (const QuotaReport& report : reports)
+    for (const QuotaReport& report : QuotaReports(*ChannelOf(link, subject).Known, NowUs()))
     {
-        Send(link, address, {kind, report, {}});
+        Send(link, address, {kind, subject, report, {}});
     }
 }
 
-static void SendAnswers(QuotaLink* link, const std::string& address)
+static void SendAnswers(QuotaLink* link, QuotaSubject_ subject, const std::string& address)
 {
-    for (const QuotaAnswer& answer : QuotaAnswers(*link->Known, NowUs()))
+    for (const QuotaAnswer& answer : QuotaAnswers(*ChannelOf(link, subject).Known, NowUs()))
     {
-        Send(link, address, {QuotaMessage_Answer, {}, answer});
+        Send(link, address, {QuotaMessage_Answer, subject, {}, answer});
     }
 }
 
-static void TellFollowers(QuotaLink* link)
+static void TellReporters(QuotaLink* link, QuotaSubject_ subject)
 {
-    for (const auto& entry : link->Known->Followers)
+    for (const auto& entry : ChannelOf(link, subject).Known->Followers)
     {
-        SendAnswers(link, entry.first);
+        SendAnswers(link, subject, entry.first);
     }
 }
 
-static void ReportToSource(QuotaLink* link, const std::vector<QuotaReport>& reports)
+// The address that datagrams of an instance come from.
+static std::string DatagramAddress(const QuotaLink& link, const std::string& instance)
+{
+    Result<Endpoint> endpoint = ParseEndpoint(instance);
+    if (!endpoint)
+    {
+        return "";
+    }
+    endpoint.value().Port = static_cast<uint16_t>(link.Port);
+    return FormatEndpoint(endpoint.value());
+}
+
+// Followers that have nothing to report, or whose reports were lost, may not have heard of a limit.
+static void TellOthers(QuotaLink* link, QuotaSubject_ subject)
+{
+    const auto& reporters = ChannelOf(link, subject).Known->Followers;
+    for (const std::string& follower : link->Followers())
+    {
+        if (reporters.count(DatagramAddress(*link, follower)) == 0)
+        {
+            SendAnswers(link, subject, follower);
+        }
+    }
+}
+
+static void ReportToSource(QuotaLink* link, QuotaSubject_ subject)
 {
     const std::string source = link->Source();
     link->LastSource = source.empty() ? link->LastSource : source;
-    SendReports(link, reports, link->LastSource, QuotaMessage_Report);
+    SendReports(link, subject, link->LastSource, QuotaMessage_Report);
 }
 
-static void Decide(QuotaLink* link)
+static void Decide(QuotaLink* link, QuotaSubject_ subject)
 {
-    const Customers* customers = link->Callers();
-    if (customers != nullptr && QuotaDecide(link->Known, *customers, NowUs()))
+    if (ChannelOf(link, subject).Decide(NowUs()))
     {
-        TellFollowers(link);
+        TellReporters(link, subject);
     }
 }
 
-static void Report(QuotaLink* link)
+static void Report(QuotaLink* link, QuotaSubject_ subject)
 {
-    const TimeUs now = NowUs();
-    link->Reporting = TimerStart(link->Loop, QuotaReportIn(*link->Known), [link]() { Report(link); });
-    Decide(link);
-    const std::vector<QuotaReport> reports = QuotaReports(*link->Known, now);
-    if (!link->Known->Decides)
+    QuotaChannel& channel = ChannelOf(link, subject);
+    channel.Reporting = TimerStart(link->Loop, QuotaReportIn(*channel.Known), [link, subject]() { Report(link, subject); });
+    Decide(link, subject);
+    TellOthers(link, subject);
+    if (!channel.Known->Decides)
     {
-        ReportToSource(link, reports);
+        ReportToSource(link, subject);
         return;
     }
     for (const std::string& contact : link->Contacts())
     {
-        SendReports(link, reports, contact, QuotaMessage_Contact);
+        SendReports(link, subject, contact, QuotaMessage_Contact);
     }
 }
 
@@ -188,24 +228,26 @@
 static void Take(QuotaLink* link, const std::string& from, const QuotaMessage& message)
 {
     const TimeUs now = NowUs();
+    const QuotaSubject_ subject = message.Subject;
+    Quota* known = ChannelOf(link, subject).Known;
     if (message.Kind == QuotaMessage_Answer)
     {
-        if (QuotaHeardAnswer(link->Known, message.Answer, now))
+        if (QuotaHeardAnswer(known, message.Answer, now))
         {
-            TellFollowers(link);
+            TellReporters(link, subject);
         }
         return;
     }
     const bool contact = message.Kind == QuotaMessage_Contact;
-    const bool unknown = QuotaHeardReport(link->Known, from, message.Report, contact, now);
-    Decide(link);
+    const bool unknown = QuotaHeardReport(known, from, message.Report, contact, now);
+    Decide(link, subject);
     if (!contact)
     {
-        SendAnswers(link, from);
+        SendAnswers(link, subject, from);
     }
     else if (unknown)
     {
-        SendReports(link, QuotaReports(*link->Known, now), from, QuotaMessage_Contact);
+        SendReports(link, subject, from, QuotaMessage_Contact);
     }
 }
 
@@ -231,6 +273,7 @@
         return true;
     }
     Take(link, sender, message.value());
+    QuotaLinkFollow(link); // It may have told of the first limit.
     return true;
 }
 
@@ -265,22 +308,20 @@
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-static bool AnyQuota(const Customers& customers)
-{
-    return std::any_of(customers.List.begin(), customers.List.end(), [](const Customer& customer) { return customer.RatePerS > 0; });
-}
-
 void QuotaLinkFollow(QuotaLink* link)
 {
-    const Customers* customers = link->Callers();
-    if (customers == nullptr || !AnyQuota(*customers))
+    for (const QuotaSubject_ subject : {QuotaSubject_Customers, QuotaSubject_Targets})
     {
-        link->Reporting = nullptr;
-        return;
-    }
-    if (!link->Reporting)
-    {
-        Report(link);
+        QuotaChannel& channel = ChannelOf(link, subject);
+        const bool wanted = channel.Wanted();
+        if (!wanted)
+        {
+            channel.Reporting = nullptr;
+        }
+        else if (!channel.Reporting)
+        {
+            Report(link, subject);
+        }
     }
 }
 
--- a/gateway/relay.cpp
+++ b/gateway/relay.cpp
@@ -346,6 +346,19 @@
 // [SECTION] What the reader has learnt
 //-----------------------------------------------------------------------------
 
+std::vector<std::string> RelayFollowers(const Relay& relay)
+{
+    std::vector<std::string> followers;
+    for (const auto& entry : relay.Waits)
+    {
+        if (!entry.second.Asker.Address.empty())
+        {
+            followers.push_back(entry.second.Asker.Address);
+        }
+    }
+    return followers;
+}
+
 // Takes all waits out and answers each: answering may bring new calls.
 static void EndWaits(Relay* relay, const std::function<bool(const RelayWait&)>& ends)
 {
--- a/gateway/relay.h
+++ b/gateway/relay.h
@@ -94,6 +94,9 @@
 // Followers are told at once, though the store says nothing new: of something else that we know.
 void RelayTell(Relay* relay);
 
+// Addresses of the instances that follow this one now, as far as they can be followed themselves.
+std::vector<std::string> RelayFollowers(const Relay& relay);
+
 // The store has answered us, or failed: those for which we asked it are told.
 void RelayAnswerLeads(Relay* relay);
 
--- a/gateway/target_signals.cpp
+++ b/gateway/target_signals.cpp
@@ -146,6 +146,22 @@
     LogUnreadable(source, signals.Unreadable);
 }
 
+// A health answer without a limit says nothing of one that only answers to requests have named: some targets tell less there.
+static void HearLimit(Forwarder* forwarder, const SignalSource& source, const TargetSignals& signals)
+{
+    if (source.Health && !signals.LimitPerS)
+    {
+        return;
+    }
+    const uint64_t id = TargetLifeId(source.Target, source.Life);
+    if (QuotaName(&forwarder->TargetLimits, id, signals.LimitPerS, NowUs()))
+    {
+        Log(LogLevel_Info, Code_None, signals.LimitPerS ? "target names a limit" : "target names no limit any more",
+            {{"target", source.Target}, {"perS", fmt::format("{:.3f}", signals.LimitPerS.value_or(0))}, {"health", source.Health ? 1 : 0}});
+        forwarder->OnLimit();
+    }
+}
+
 void HearTarget(Forwarder* forwarder, ServiceState* service, const SignalSource& source, int status, const std::vector<Header>& headers)
 {
     constexpr int wrong_target = 421; // What it says is of another target at that address.
@@ -156,6 +172,7 @@
     const TargetSignals signals = ReadTargetSignals(forwarder->Names, status, headers, std::time(nullptr));
     CountSignals(signals, &service->Signals);
     LogSignals(source, status, signals);
+    HearLimit(forwarder, source, signals);
 }
 
 } // namespace Winchlink
--- a/tests/quota_fleet.cpp
+++ b/tests/quota_fleet.cpp
@@ -33,13 +33,14 @@
     QuotaFleetInstance& one = fleet->Instances[static_cast<size_t>(instance)];
     one.Known = Quota();
     one.Known.Config = fleet->Config;
-    one.Known.Decides = IsContact(instance);
+    one.Known.Decides = IsContact(instance) || fleet->Alone;
     one.Known.StartedUs = fleet->Now;
     one.Parent = ParentOf(instance);
     one.NextUs = fleet->Now + std::uniform_int_distribution<TimeUs>(0, TickUs)(fleet->Rng);
 }
 
-QuotaFleet::QuotaFleet(int instances, uint64_t seed) : Instances(static_cast<size_t>(instances)), Rng(seed)
+QuotaFleet::QuotaFleet(int instances, uint64_t seed, const QuotaConfig& config)
+    : Instances(static_cast<size_t>(instances)), Rng(seed), Config(config)
 {
     for (int n = 0; n < instances; n++)
     {
@@ -47,12 +48,12 @@
     }
 }
 
-size_t QuotaFleetAdd(QuotaFleet* fleet, double rate, double asked)
+static size_t Add(QuotaFleet* fleet, double rate, double burst, double asked)
 {
     Customer customer;
     customer.Name = "customer-" + std::to_string(fleet->All.List.size());
     customer.RatePerS = rate;
-    customer.Burst = rate;
+    customer.Burst = burst;
     CPPUNIT_ASSERT(bool(AddCustomer(&fleet->All, customer)));
     QuotaFleetCustomer asking;
     asking.Index = fleet->All.List.size() - 1;
@@ -61,9 +62,46 @@
     return fleet->Asking.size() - 1;
 }
 
+size_t QuotaFleetAdd(QuotaFleet* fleet, double rate, double asked)
+{
+    return Add(fleet, rate, rate, asked);
+}
+
+QuotaFleet TargetFleet(int instances, uint64_t seed)
+{
+    QuotaFleet fleet(instances, seed, TargetQuotaConfig());
+    fleet.OfTargets = true;
+    return fleet;
+}
+
+size_t QuotaFleetAddTarget(QuotaFleet* fleet, double limit, double asked)
+{
+    const size_t target = Add(fleet, limit, 0, asked);
+    fleet->Asking[target].IsTarget = true;
+    QuotaFleetName(fleet, target, limit);
+    return target;
+}
+
+void QuotaFleetName(QuotaFleet* fleet, size_t target, std::optional<double> limit)
+{
+    QuotaFleetCustomer& asking = fleet->Asking[target];
+    asking.Names = limit.has_value();
+    asking.NamedUs = fleet->Now;
+    asking.MostInWindow = 0;
+    asking.Runs.clear();
+    fleet->All.List[asking.Index].RatePerS = limit.value_or(0);
+}
+
 static bool IsUp(const QuotaFleet& fleet, int instance)
 {
-    return fleet.Instances[static_cast<size_t>(instance)].DownUntilUs <= fleet.Now;
+    const QuotaFleetInstance& one = fleet.Instances[static_cast<size_t>(instance)];
+    return one.DownUntilUs <= fleet.Now && !one.Paused;
+}
+
+// Whether the instance has anything to tell others.
+static bool Tells(const QuotaFleet& fleet, const Quota& known)
+{
+    return !fleet.Alone && (!fleet.OfTargets || !known.Named.empty());
 }
 
 static void Post(QuotaFleet* fleet, QuotaFleetMessage message)
@@ -140,16 +178,32 @@
 
 static void Decide(QuotaFleet* fleet, int instance)
 {
-    if (QuotaDecide(&fleet->Instances[static_cast<size_t>(instance)].Known, fleet->All, fleet->Now))
+    Quota& known = fleet->Instances[static_cast<size_t>(instance)].Known;
+    const bool moved = fleet->OfTargets ? QuotaDecideNamed(&known, fleet->Now) : QuotaDecide(&known, fleet->All, fleet->Now);
+    if (moved)
     {
         TellFollowers(fleet, instance);
     }
 }
 
+// Those that follow it and have nothing to report hear of limits all the same.
+static void TellOthers(QuotaFleet* fleet, int from)
+{
+    const Quota& known = fleet->Instances[static_cast<size_t>(from)].Known;
+    for (size_t n = 0; n < fleet->Instances.size(); n++)
+    {
+        const int other = static_cast<int>(n);
+        if (fleet->Instances[n].Parent == from && known.Followers.count(NameOf(other)) == 0)
+        {
+            PostAnswers(fleet, from, other);
+        }
+    }
+}
+
 static void Report(QuotaFleet* fleet, int instance)
 {
     QuotaFleetInstance& one = fleet->Instances[static_cast<size_t>(instance)];
-    if (!IsUp(*fleet, instance) || fleet->Now < one.NextUs)
+    if (!IsUp(*fleet, instance) || fleet->Now < one.NextUs || !Tells(*fleet, one.Known))
     {
         return;
     }
@@ -157,6 +211,10 @@
     FindSource(fleet, instance);
     Decide(fleet, instance);
     PostReports(fleet, instance);
+    if (fleet->OfTargets)
+    {
+        TellOthers(fleet, instance);
+    }
 }
 
 static void Deliver(QuotaFleet* fleet, const QuotaFleetMessage& message)
@@ -203,21 +261,47 @@
     return drawn;
 }
 
+// Whether the instance sends a request to the target; it hears at once what the answer says.
+static bool SendToTarget(QuotaFleet* fleet, QuotaFleetInstance* one, const QuotaFleetCustomer& asking)
+{
+    const Customer& target = fleet->All.List[asking.Index];
+    const bool taken = QuotaTakeNamed(&one->Known, target.Id, fleet->Now, &fleet->Rng);
+    if (taken)
+    {
+        QuotaName(&one->Known, target.Id, asking.Names ? std::optional<double>(target.RatePerS) : std::nullopt, fleet->Now);
+    }
+    return taken;
+}
+
+static bool Send(QuotaFleet* fleet, QuotaFleetInstance* one, QuotaFleetCustomer* asking)
+{
+    const Customer& customer = fleet->All.List[asking->Index];
+    return asking->IsTarget ? SendToTarget(fleet, one, *asking) : QuotaTake(&one->Known, customer, fleet->Now, &fleet->Rng);
+}
+
 static void Ask(QuotaFleet* fleet, QuotaFleetCustomer* asking)
 {
-    Quota& known = fleet->Instances[static_cast<size_t>(DrawInstance(fleet))].Known;
+    constexpr TimeUs spread_us = UsPerSecond;    // Of a word that is new: what is sent meanwhile does not count,
+    constexpr TimeUs named_us = 3 * UsPerSecond; // and windows do that end later than this.
     asking->Asked++;
-    if (!QuotaTake(&known, fleet->All.List[asking->Index], fleet->Now, &fleet->Rng))
+    if (!Send(fleet, &fleet->Instances[static_cast<size_t>(DrawInstance(fleet))], asking))
     {
         return;
     }
     asking->Admitted++;
+    if (asking->IsTarget && fleet->Now < asking->NamedUs + spread_us)
+    {
+        return;
+    }
     asking->Runs.push_back(fleet->Now);
     while (asking->Runs.front() <= fleet->Now - fleet->Config.WindowUs)
     {
         asking->Runs.pop_front();
     }
-    asking->MostInWindow = std::max(asking->MostInWindow, asking->Runs.size());
+    if (!asking->IsTarget || fleet->Now >= asking->NamedUs + named_us)
+    {
+        asking->MostInWindow = std::max(asking->MostInWindow, asking->Runs.size());
+    }
 }
 
 static void AskAll(QuotaFleet* fleet)
--- a/tests/quota_link_test.cpp
+++ b/tests/quota_link_test.cpp
@@ -37,6 +37,8 @@
 {
     CPPUNIT_TEST_SUITE(QuotaLinkTest);
     CPPUNIT_TEST(MessagesSurviveTheirBytes);
+    CPPUNIT_TEST(NamedLimitsSurviveTheirBytes);
+    CPPUNIT_TEST(LimitsThatMakeNoSenseArePassedOver);
     CPPUNIT_TEST(BytesThatAreNoMessageAreRefused);
     CPPUNIT_TEST(AReportOfManyCustomersFitsPackets);
     CPPUNIT_TEST(WhoIsBeyondItsQuotaIsRefusedAtOnce);
@@ -62,6 +64,36 @@
         CPPUNIT_ASSERT_EQUAL(0.5, back.value().Answer.Covered);
     }
 
+    void NamedLimitsSurviveTheirBytes()
+    {
+        QuotaMessage message = Report(1);
+        message.Subject = QuotaSubject_Targets;
+        message.Report.Named = {{9, 2.5, true, 30 * UsPerMs}, {10, 0, false, 0}};
+        const Result<QuotaMessage> back = DecodeQuota(EncodeQuota(message));
+        CPPUNIT_ASSERT(bool(back));
+        CPPUNIT_ASSERT_EQUAL(static_cast<int>(QuotaSubject_Targets), static_cast<int>(back.value().Subject));
+        CPPUNIT_ASSERT_EQUAL(size_t{2}, back.value().Report.Named.size());
+        CPPUNIT_ASSERT_EQUAL(2.5, back.value().Report.Named[0].PerS);
+        CPPUNIT_ASSERT(back.value().Report.Named[0].InForce);
+        CPPUNIT_ASSERT_EQUAL(30 * UsPerMs, back.value().Report.Named[0].AgeUs);
+    }
+
+    void LimitsThatMakeNoSenseArePassedOver()
+    {
+        Quota quota;
+        const TimeUs now = 1000 * UsPerSecond;
+        for (const double wrong : {-1.0, 1e300, std::nan("")})
+        {
+            QuotaReport report;
+            report.Named = {{1, wrong, true, 0}};
+            QuotaHeardReport(&quota, "x", report, false, now);
+        }
+        QuotaReport old;
+        old.Named = {{1, 1, true, quota.Config.NamedKeptUs + 1}, {2, 1, true, -1}};
+        QuotaHeardReport(&quota, "x", old, false, now);
+        CPPUNIT_ASSERT(quota.Named.empty());
+    }
+
     void BytesThatAreNoMessageAreRefused()
     {
         const std::string good = EncodeQuota(Report(3));
--- /dev/null
+++ b/tests/target_limit_load_test.cpp
@@ -0,0 +1,331 @@
+// target_limit_load_test.cpp: limits that targets name, kept over fleets of 3 to 587 instances, in virtual time: no window beyond what is
+// allowed, and what the target takes is used.
+//
+// The loads are those of a target that would get 3 to 30 times what it takes, as it does among ten others of which none has named a limit,
+// with callers that come three times as often to some instances as to others.
+
+#include "quota_fleet.h"
+
+#include <fmt/format.h>
+
+namespace Winchlink
+{
+
+static constexpr double UsedLeast = 0.8; // Of a limit, while more is asked: it is room to serve.
+
+static void CheckBounds(const QuotaFleet& fleet, const std::string& what)
+{
+    for (const QuotaFleetCustomer& asking : fleet.Asking)
+    {
+        const double bound = QuotaFleetBound(fleet, asking);
+        const std::string text = fmt::format("{}: {} in a window, {} allowed", what, asking.MostInWindow, bound);
+        CPPUNIT_ASSERT_MESSAGE(text, !asking.Names || static_cast<double>(asking.MostInWindow) <= bound);
+    }
+}
+
+// Plays the time; each target must have got most of what it takes.
+static void CheckUsed(QuotaFleet* fleet, TimeUs time, const std::string& what)
+{
+    for (QuotaFleetCustomer& asking : fleet->Asking)
+    {
+        QuotaFleetServed(&asking);
+    }
+    QuotaFleetRun(fleet, time);
+    for (const QuotaFleetCustomer& asking : fleet->Asking)
+    {
+        const double takes = fleet->All.List[asking.Index].RatePerS * static_cast<double>(time) / static_cast<double>(UsPerSecond);
+        const std::string text = fmt::format("{}: {} of {:.0f}", what, asking.Admitted, takes);
+        CPPUNIT_ASSERT_MESSAGE(text, static_cast<double>(asking.Admitted) >= UsedLeast * takes);
+    }
+}
+
+// A fleet in which the target has named its limit for a while.
+static QuotaFleet LimitedFleet(int instances, double limit, double asked, uint64_t seed)
+{
+    QuotaFleet fleet = TargetFleet(instances, seed);
+    fleet.Uneven = 3;
+    QuotaFleetRun(&fleet, 6 * UsPerSecond);
+    QuotaFleetAddTarget(&fleet, limit, asked);
+    QuotaFleetRun(&fleet, 8 * UsPerSecond);
+    return fleet;
+}
+
+static void SetSides(QuotaFleet* fleet, size_t one_in, bool together)
+{
+    for (size_t n = ContactsMost; n < fleet->Instances.size(); n += one_in)
+    {
+        fleet->Instances[n].Side = together ? 1 : static_cast<int>(n);
+    }
+}
+
+class TargetLimitLoadTest : public CPPUNIT_NS::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TargetLimitLoadTest);
+    CPPUNIT_TEST(ALimitIsKeptAndUsed);
+    CPPUNIT_TEST(ASmallLimitIsUsedByManyInstances);
+    CPPUNIT_TEST(EachByItselfPassesIt);
+    CPPUNIT_TEST(ThoseCutOffAndTheRestKeepItTogether);
+    CPPUNIT_TEST(AStartOfAllKeepsIt);
+    CPPUNIT_TEST(InstancesThatStartKeepIt);
+    CPPUNIT_TEST(APausedInstanceKeepsIt);
+    CPPUNIT_TEST(ALimitThatFallsIsKept);
+    CPPUNIT_TEST(ALimitThatRisesIsUsed);
+    CPPUNIT_TEST(ALimitThatIsNoLongerNamedIsGone);
+    CPPUNIT_TEST(ATargetThatTakesNothingIsTriedNowAndThen);
+    CPPUNIT_TEST(ManyTargetsMayNameOneAtOnce);
+    CPPUNIT_TEST(RequestsThatComeAllOfASuddenKeepIt);
+    CPPUNIT_TEST(AnyTroublesKeepIt);
+    CPPUNIT_TEST(AJumpOfWhatIsAskedAmongCuts);
+    CPPUNIT_TEST(ASeriesOfCutsAndKills);
+    CPPUNIT_TEST(AJumpOfWhatIsAskedAmongKills);
+    CPPUNIT_TEST_SUITE_END();
+
+    static void CheckKeptAndUsed(int instances, double limit, double times)
+    {
+        const std::string what = fmt::format("{} instances, {} a second, {} times as many asked", instances, limit, times);
+        QuotaFleet fleet = LimitedFleet(instances, limit, limit * times, 1);
+        CheckUsed(&fleet, 30 * UsPerSecond, what);
+        CheckBounds(fleet, what);
+    }
+
+    void ALimitIsKeptAndUsed()
+    {
+        for (const double limit : {2.0, 8.0, 40.0})
+        {
+            for (const double times : {3.0, 30.0})
+            {
+                CheckKeptAndUsed(3, limit, times);
+                CheckKeptAndUsed(13, limit, times);
+                CheckKeptAndUsed(117, limit, times);
+            }
+        }
+        CheckKeptAndUsed(587, 40, 30);
+    }
+
+    // Each of so many instances asks for less than one request in a minute.
+    void ASmallLimitIsUsedByManyInstances()
+    {
+        CheckKeptAndUsed(587, 2, 3);
+        CheckKeptAndUsed(587, 8, 3);
+    }
+
+    // Planted: the bounds must be seen to break.
+    void EachByItselfPassesIt()
+    {
+        QuotaFleet fleet = TargetFleet(13, 2);
+        fleet.Alone = true;
+        for (int n = 0; n < 13; n++)
+        {
+            QuotaFleetRestart(&fleet, n, 0);
+        }
+        QuotaFleetAddTarget(&fleet, 2, 60);
+        QuotaFleetRun(&fleet, 10 * UsPerSecond);
+        CPPUNIT_ASSERT(static_cast<double>(fleet.Asking[0].MostInWindow) > QuotaFleetBound(fleet, fleet.Asking[0]));
+    }
+
+    void ThoseCutOffAndTheRestKeepItTogether()
+    {
+        for (const int instances : {13, 117, 587})
+        {
+            for (const bool together : {false, true})
+            {
+                QuotaFleet fleet = LimitedFleet(instances, 2, 60, 3);
+                SetSides(&fleet, 3, together);
+                QuotaFleetRun(&fleet, 20 * UsPerSecond);
+                CheckBounds(fleet, fmt::format("{} instances, one in three cut off {}", instances, together ? "together" : "alone"));
+            }
+        }
+    }
+
+    void AStartOfAllKeepsIt()
+    {
+        for (const int instances : {3, 13, 117, 587})
+        {
+            QuotaFleet fleet = LimitedFleet(instances, 2, 60, 4);
+            for (int n = 0; n < instances; n++)
+            {
+                QuotaFleetRestart(&fleet, n, std::uniform_int_distribution<TimeUs>(0, UsPerSecond)(fleet.Rng));
+            }
+            QuotaFleetRun(&fleet, UsPerSecond);
+            QuotaFleetName(&fleet, 0, 2.0); // Nobody knows it any more: the time to hear of it begins anew.
+            QuotaFleetRun(&fleet, 10 * UsPerSecond);
+            CheckBounds(fleet, fmt::format("{} instances, all started at once", instances));
+        }
+    }
+
+    void InstancesThatStartKeepIt()
+    {
+        for (const int instances : {13, 117, 587})
+        {
+            QuotaFleet fleet = LimitedFleet(instances, 4, 60, 5);
+            for (int n = 0; n < instances; n += 5)
+            {
+                QuotaFleetRestart(&fleet, n, UsPerSecond);
+                QuotaFleetRun(&fleet, 100 * UsPerMs);
+            }
+            QuotaFleetRun(&fleet, 5 * UsPerSecond);
+            CheckBounds(fleet, fmt::format("{} instances, one in five started", instances));
+        }
+    }
+
+    // It goes on with decisions of before: these are believed for a moment only.
+    void APausedInstanceKeepsIt()
+    {
+        QuotaFleet fleet = LimitedFleet(13, 2, 60, 6);
+        for (int n = 0; n < 13; n += 2)
+        {
+            fleet.Instances[static_cast<size_t>(n)].Paused = true;
+        }
+        QuotaFleetRun(&fleet, 5 * UsPerSecond);
+        for (QuotaFleetInstance& instance : fleet.Instances)
+        {
+            instance.Paused = false;
+        }
+        QuotaFleetRun(&fleet, 10 * UsPerSecond);
+        CheckBounds(fleet, "half paused");
+        CheckUsed(&fleet, 20 * UsPerSecond, "after a pause");
+    }
+
+    void ALimitThatFallsIsKept()
+    {
+        for (const int instances : {13, 117})
+        {
+            QuotaFleet fleet = LimitedFleet(instances, 20, 60, 7);
+            QuotaFleetName(&fleet, 0, 2.0);
+            QuotaFleetRun(&fleet, 10 * UsPerSecond);
+            CheckBounds(fleet, fmt::format("{} instances, from 20 to 2 a second", instances));
+        }
+    }
+
+    void ALimitThatRisesIsUsed()
+    {
+        QuotaFleet fleet = LimitedFleet(13, 2, 60, 8);
+        QuotaFleetName(&fleet, 0, 20.0);
+        QuotaFleetRun(&fleet, 3 * UsPerSecond);
+        CheckUsed(&fleet, 10 * UsPerSecond, "from 2 to 20 a second");
+        CheckBounds(fleet, "from 2 to 20 a second");
+    }
+
+    void ALimitThatIsNoLongerNamedIsGone()
+    {
+        QuotaFleet fleet = LimitedFleet(13, 2, 30, 9);
+        QuotaFleetName(&fleet, 0, std::nullopt);
+        QuotaFleetRun(&fleet, 3 * UsPerSecond);
+        QuotaFleetServed(&fleet.Asking[0]);
+        QuotaFleetRun(&fleet, 5 * UsPerSecond);
+        CPPUNIT_ASSERT_EQUAL(1.0, QuotaFleetServed(&fleet.Asking[0]));
+    }
+
+    void ATargetThatTakesNothingIsTriedNowAndThen()
+    {
+        QuotaFleet fleet = LimitedFleet(13, 0, 60, 10);
+        QuotaFleetRun(&fleet, 240 * UsPerSecond);
+        CheckBounds(fleet, "a limit of 0");
+        QuotaFleetServed(&fleet.Asking[0]);
+        QuotaFleetRun(&fleet, 240 * UsPerSecond);
+        CPPUNIT_ASSERT(fleet.Asking[0].Admitted > 0);
+        CPPUNIT_ASSERT(fleet.Asking[0].Admitted < 12);
+    }
+
+    void ManyTargetsMayNameOneAtOnce()
+    {
+        QuotaFleet fleet = TargetFleet(18, 11);
+        QuotaFleetRun(&fleet, 6 * UsPerSecond);
+        for (int n = 0; n < 120; n++)
+        {
+            QuotaFleetAddTarget(&fleet, 2 + n % 5, 20);
+        }
+        QuotaFleetRun(&fleet, 8 * UsPerSecond);
+        CheckUsed(&fleet, 30 * UsPerSecond, "120 targets");
+        CheckBounds(fleet, "120 targets");
+    }
+
+    void RequestsThatComeAllOfASuddenKeepIt()
+    {
+        for (const int instances : {3, 13, 117, 587})
+        {
+            QuotaFleet fleet = LimitedFleet(instances, 2, 1, 12);
+            QuotaFleetRun(&fleet, 20 * UsPerSecond);
+            fleet.Asking[0].AskedPerS = 120;
+            QuotaFleetRun(&fleet, 6 * UsPerSecond);
+            CheckBounds(fleet, fmt::format("{} instances, from 1 to 120 a second", instances));
+        }
+    }
+
+    static void Trouble(QuotaFleet* fleet, Dice* dice)
+    {
+        const auto count = static_cast<int64_t>(fleet->Instances.size());
+        switch (dice->Between(0, 4))
+        {
+        case 0:
+            SetSides(fleet, static_cast<size_t>(dice->Between(3, 9)), dice->OneIn(2));
+            break;
+        case 1:
+            for (QuotaFleetInstance& instance : fleet->Instances)
+            {
+                instance.Side = 0;
+            }
+            break;
+        case 2:
+            for (int64_t n = dice->Between(1, count / 4); n > 0; n--)
+            {
+                QuotaFleetRestart(fleet, static_cast<int>(dice->Between(0, count)), dice->Between(0, 3) * UsPerSecond);
+            }
+            break;
+        default:
+            fleet->Asking[0].AskedPerS = static_cast<double>(dice->Between(1, 100));
+            break;
+        }
+    }
+
+    // A fleet after a series of troubles that the seed decides.
+    static QuotaFleet AfterTroubles(uint64_t seed)
+    {
+        Dice dice(seed);
+        const auto instances = static_cast<int>(dice.Between(12, 130));
+        const auto limit = static_cast<double>(dice.Between(2, 20));
+        QuotaFleet fleet = LimitedFleet(instances, limit, 60, dice.Rng());
+        for (int64_t n = dice.Between(2, 8); n > 0; n--)
+        {
+            Trouble(&fleet, &dice);
+            QuotaFleetRun(&fleet, dice.Between(200, 3000) * UsPerMs);
+        }
+        return fleet;
+    }
+
+    // A seed of the test below: what is asked rises to ten times as much while nearly all of it is admitted.
+    void AJumpOfWhatIsAskedAmongCuts()
+    {
+        CheckBounds(AfterTroubles(2787982915), "several cuts, from 7 to 70 a second");
+    }
+
+    // Another one: half of 78 instances alone, each by itself, after three cuts and three rounds of kills.
+    void ASeriesOfCutsAndKills()
+    {
+        CheckBounds(AfterTroubles(140), "cuts and kills in series");
+    }
+
+    // Another one: what is asked rises to thirty times as much within a moment.
+    void AJumpOfWhatIsAskedAmongKills()
+    {
+        CheckBounds(AfterTroubles(164357734471), "kills, from 3 to 91 a second");
+    }
+
+    void AnyTroublesKeepIt()
+    {
+        CHECK_COSTLY_PROPERTY(10, "no window beyond what a target takes, whatever is cut off or killed",
+                              []()
+                              {
+                                  const auto seed = *rc::gen::noShrink(rc::gen::arbitrary<uint64_t>());
+                                  const QuotaFleet fleet = AfterTroubles(seed);
+                                  const QuotaFleetCustomer& asking = fleet.Asking[0];
+                                  const double bound = QuotaFleetBound(fleet, asking);
+                                  RC_LOG() << "seed " << seed << ": " << asking.MostInWindow << " of " << bound << "\n";
+                                  RC_ASSERT(static_cast<double>(asking.MostInWindow) <= bound);
+                              });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TargetLimitLoadTest);
+
+} // namespace Winchlink
--- a/tests/target_limit_test.cpp
+++ b/tests/target_limit_test.cpp
@@ -71,6 +71,12 @@
 {
     CPPUNIT_TEST_SUITE(TargetLimitTest);
     CPPUNIT_TEST(InstancesKeepATargetsLimitTogether);
+    CPPUNIT_TEST(WhereAllAreAtTheirLimitsCallersAreRefusedAtOnce);
+    CPPUNIT_TEST(TargetsThatTellNoLoadHaveLimitsToo);
+    CPPUNIT_TEST(RepeatsCountAgainstTheLimit);
+    CPPUNIT_TEST(ALimitThatIsNoLongerNamedIsGone);
+    CPPUNIT_TEST(AnotherStartOfATargetHasNoLimit);
+    CPPUNIT_TEST(InstancesHearOfLimitsFromEachOther);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against instances that send on to a target in need as if it had named no limit, or that keep it each by itself.
@@ -88,6 +94,126 @@
         const std::string text = fmt::format("{} in a window, {} allowed", most, AllowedInWindow(limit));
         CPPUNIT_ASSERT_MESSAGE(text, static_cast<double>(most) <= AllowedInWindow(limit));
     }
+
+    static void CheckKept(const UsersTarget& target, double limit)
+    {
+        const size_t most = MostInWindow(target.Arrivals);
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("{} in a window", most), static_cast<double>(most) <= AllowedInWindow(limit));
+    }
+
+    void WhereAllAreAtTheirLimitsCallersAreRefusedAtOnce()
+    {
+        Rig rig;
+        for (const char* id : {"t1", "t2"})
+        {
+            RigTarget(&rig, id).Says = {{"Server-Limit", "0.5"}};
+        }
+        UsersRoute route;
+        route.Safe = false;
+        RigConfigure(&rig, {route});
+        const Gateway& instance = RigInstance(&rig, 2);
+        int refused = 0;
+        for (int n = 0; n < 40; n++)
+        {
+            const RigAnswer answer = RigAsk(&rig, instance, RigCall());
+            const std::string* code = FindHeader(answer.Answer.Headers, HeaderCode);
+            if (answer.Answer.Status == 503)
+            {
+                CPPUNIT_ASSERT_EQUAL(std::string("2017"), *code);
+                CPPUNIT_ASSERT_EQUAL(0, RigRuns(rig, answer.Id));
+                CPPUNIT_ASSERT(std::stod(*FindHeader(answer.Answer.Headers, "Retry-After")) >= 0.9); // One a second at both together.
+                refused++;
+            }
+        }
+        CPPUNIT_ASSERT(refused >= 20);
+        CPPUNIT_ASSERT_EQUAL(0, instance.Requests.Services.at("svc").InProgress);
+    }
+
+    void TargetsThatTellNoLoadHaveLimitsToo()
+    {
+        Rig rig;
+        UsersTarget& limited = RigTarget(&rig, "t1");
+        UsersTarget& other = RigTarget(&rig, "t2");
+        limited.TellsLoad = other.TellsLoad = false;
+        limited.Says = {{"Server-Limit", "1"}};
+        RigConfigure(&rig, {UsersRoute()});
+        const Gateway& instance = RigInstance(&rig, 2);
+        for (int n = 0; n < 100; n++)
+        {
+            CPPUNIT_ASSERT_EQUAL(200, RigAsk(&rig, instance, RigCall()).Answer.Status);
+        }
+        CheckKept(limited, 1);
+        CPPUNIT_ASSERT(!limited.Arrivals.empty());
+    }
+
+    // The other target turns each request away: all of them come to the limited one as repeats.
+    void RepeatsCountAgainstTheLimit()
+    {
+        Rig rig;
+        UsersTarget& limited = RigTarget(&rig, "t1");
+        UsersTarget& other = RigTarget(&rig, "t2");
+        limited.Says = {{"Server-Limit", "1"}};
+        other.Script.assign(1000, TargetAct_Shed);
+        RigConfigure(&rig, {UsersRoute()});
+        Gateway& instance = RigInstance(&rig, 2);
+        instance.Requests.Config.RepeatShare = 10;
+        ForwarderFollow(&instance.Requests);
+        for (int n = 0; n < 100; n++)
+        {
+            RigAsk(&rig, instance, RigCall());
+        }
+        CheckKept(limited, 1);
+    }
+
+    void ALimitThatIsNoLongerNamedIsGone()
+    {
+        Rig rig;
+        UsersTarget& target = RigTarget(&rig, "t1");
+        target.Says = {{"Server-Limit", "2"}};
+        RigConfigure(&rig, {UsersRoute()});
+        const Gateway& instance = RigInstance(&rig, 1);
+        RigAsk(&rig, instance, RigCall());
+        CPPUNIT_ASSERT_EQUAL(size_t{1}, instance.Requests.TargetLimits.Named.size());
+        target.Says.clear();
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return RigAsk(&rig, instance, RigCall()).Answer.Status == 200; }));
+        for (int n = 0; n < 50; n++)
+        {
+            CPPUNIT_ASSERT_EQUAL(200, RigAsk(&rig, instance, RigCall()).Answer.Status);
+        }
+    }
+
+    void AnotherStartOfATargetHasNoLimit()
+    {
+        Rig rig;
+        UsersTarget& target = RigTarget(&rig, "t1");
+        target.Says = {{"Server-Limit", "0"}};
+        UsersStoreTarget(&rig.Store, "t1", "svc", target.Address, "dc-a", false, 0, 1000);
+        RigConfigure(&rig, {UsersRoute()});
+        const Gateway& instance = RigInstance(&rig, 1);
+        RigAsk(&rig, instance, RigCall());
+        CPPUNIT_ASSERT_EQUAL(503, RigAsk(&rig, instance, RigCall()).Answer.Status);
+        target.Says.clear();
+        UsersStoreTarget(&rig.Store, "t1", "svc", target.Address, "dc-a", false, 0, 2000);
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return instance.Requests.Directory.Targets.at("t1").Life == 2000; }));
+        CPPUNIT_ASSERT_EQUAL(200, RigAsk(&rig, instance, RigCall()).Answer.Status);
+    }
+
+    void InstancesHearOfLimitsFromEachOther()
+    {
+        Rig rig;
+        RigTarget(&rig, "t1").Says = {{"Server-Limit", "100"}};
+        RigConfigure(&rig, {UsersRoute()});
+        const std::vector<const Gateway*> fleet = StartFleet(&rig, 4, 1);
+        RigAsk(&rig, *fleet.back(), RigCall());
+        const uint64_t id = TargetLifeId("t1", fleet[0]->Requests.Directory.Targets.at("t1").Life);
+        const auto all_know = [&]()
+        {
+            return std::all_of(fleet.begin(), fleet.end(),
+                               [id](const Gateway* instance) { return QuotaNamed(instance->Requests.TargetLimits, id) != nullptr; });
+        };
+        CPPUNIT_ASSERT(RigRun(&rig, all_know));
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return fleet[0]->Requests.TargetLimits.MembersMost == 4; }));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TargetLimitTest);
--- a/winchlink.h
+++ b/winchlink.h
@@ -20,7 +20,7 @@
 // [SECTION] Quarantine (requests that end the targets that run them)
 // [SECTION] Silent ends (targets that end without closing their connections)
 // [SECTION] Return schedule (when refused callers may come back)
-// [SECTION] Quotas (what customers may ask of the whole fleet, though nobody counts it)
+// [SECTION] Quotas (what customers may ask, and targets take, of the whole fleet, though nobody counts it)
 // [SECTION] Source of news (whom an instance asks, so that few of a fleet ask the store)
 // [SECTION] Fan-out (how many others an instance serves, and where it sends the rest)
 
@@ -96,6 +96,7 @@
     Code_RequestHeld = 2014,
     Code_QuotaUsedUp = 2015,
     Code_KeyNotLearnt = 2016,
+    Code_TargetsLimited = 2017,
 
     Code_OutcomeUnknown = 2101,
     Code_DeadlinePassed = 2102,
@@ -502,7 +503,8 @@
 struct PoolTarget
 {
     std::string Id;
-    uint64_t Life = 0; // Which start of it, as its entry says.
+    uint64_t Life = 0;   // Which start of it, as its entry says.
+    uint64_t LifeId = 0; // Stands for both, see TargetLifeId().
     std::string Address;
     bool Near = false;         // In our own data centre.
     bool Doubtful = false;     // Its entry has vanished.
@@ -734,6 +736,9 @@
 // A target's name in here: its id and which start of it.
 std::string TargetLife(const std::string& id, uint64_t life);
 
+// A number that stands for it.
+uint64_t TargetLifeId(const std::string& id, uint64_t life);
+
 // A target has ended while the request was in progress there. True if that was not known.
 bool QuarantineNote(Quarantine* quarantine, const std::string& request, const std::string& target, TimeUs now);
 
@@ -829,7 +834,7 @@
 TimeUs ReturnScheduleTake(ReturnSchedule* schedule, TimeUs now, Random* random);
 
 //-----------------------------------------------------------------------------
-// [SECTION] Quotas (what customers may ask of the whole fleet, though nobody counts it)
+// [SECTION] Quotas (what customers may ask, and targets take, of the whole fleet, though nobody counts it)
 //-----------------------------------------------------------------------------
 
 // A customer may make so many requests in any window, over all instances, whether they hear of each other or not; and one that stays below
@@ -849,10 +854,17 @@
 //  - An instance that has just started knows nothing of what it admitted before. Its part of the quota counts as used up in the window
 //    before its start.
 //
+// A target in need names a limit in its answers: so many requests a second, of all instances together. That is the same matter with the
+// roles changed, and the same mechanism keeps it, in a Quota of its own: what is counted are requests to the target, and the limit is not
+// in the plan but travels with reports and decisions, from the first instance that hears it. A request that is not admitted goes to another
+// target. While nobody can know how many requests are on their way, after a start or when a limit is new, each instance admits a few times
+// its even part at the most.
+//
 // How to use it: QuotaTake() for each request of a customer with a quota, QuotaReturn() for one that no target has run; QuotaDecide()
 // after each report that comes, and every QuotaReportIn(), then hand QuotaReports() to the instance that is followed, or, at a first
 // contact, to the others of them. Take what comes with QuotaHeardReport() and answer with QuotaAnswers(), which the sender takes with
-// QuotaHeardAnswer().
+// QuotaHeardAnswer(). For targets: TargetQuotaConfig(), QuotaName() for each of their answers, and QuotaTakeNamed() and QuotaDecideNamed()
+// in place of the other two.
 
 struct QuotaConfig
 {
@@ -870,6 +882,20 @@
     double StartParts = 3;     // After a start of all an instance admits so many times its even part, at the most: callers come unevenly.
     double MembersGuess = 100; // Instances of the fleet, for one that has never heard of any.
     double CutOffShare = 0.25; // Part of the fleet that may admit one request each by itself within Slack.
+    double SurgeShare = 2; // At this share and above, an instance admits StartParts at the most, in case many come at once; above 1: never.
+    double TrialPerS = 1.0 / 60; // Rate of a target that names a lower limit, or none at all: its answers tell when it takes more.
+    TimeUs NamedKeptUs = 300 * UsPerSecond; // A limit is believed for so long after it was last named.
+};
+
+// For limits that targets name: a target may get half as much again as it names, and 5 requests, in 4 s.
+QuotaConfig TargetQuotaConfig();
+
+// A limit that a target named in an answer. The latest word holds, wherever in the fleet it was heard.
+struct NamedLimit
+{
+    double PerS = 0;      // Requests a second, of all instances together.
+    bool InForce = false; // False: it has answered since without naming one.
+    TimeUs HeardUs = 0;   // When the answer came.
 };
 
 // What was seen of a customer.
@@ -905,6 +931,15 @@
     QuotaCount Count;
 };
 
+// A limit as instances tell it each other.
+struct NamedLimitNews
+{
+    uint64_t Id = 0; // Of the target's life.
+    double PerS = 0;
+    bool InForce = false;
+    TimeUs AgeUs = 0; // How long ago it was heard.
+};
+
 // How many instances there were at most of late. All tell it each other, so that it outlives whoever counted them.
 struct QuotaMost
 {
@@ -919,6 +954,7 @@
     double Members = 0; // Instances that the sums are of.
     double Covered = 0; // The same, each by the part of the window that it has been up for.
     std::vector<QuotaReportEntry> Entries;
+    std::vector<NamedLimitNews> Named;
 };
 
 struct QuotaShare
@@ -933,6 +969,7 @@
     QuotaMost Most;
     double Covered = 0; // Part of the window that is known, 0 to 1.
     std::vector<QuotaShare> Shares;
+    std::vector<NamedLimitNews> Named;
 };
 
 struct QuotaHeard
@@ -961,7 +998,8 @@
     QuotaConfig Config;
     bool Decides = false;                               // We are a first contact.
     TimeUs StartedUs = 0;                               // When this instance was started.
-    std::unordered_map<uint64_t, QuotaUse> Own;         // By customer; those without requests for a while are forgotten.
+    std::unordered_map<uint64_t, NamedLimit> Named;     // Of targets, by life.
+    std::unordered_map<uint64_t, QuotaUse> Own;         // By customer or target; those without requests for a while are forgotten.
     std::map<std::string, QuotaMember> Followers;       // By address: those that report to us.
     std::map<std::string, QuotaMember> Contacts;        // The same of other first contacts.
     std::unordered_map<uint64_t, QuotaDecision> Shares; // Of customers that are not admitted in full, or were not a moment ago.
@@ -978,8 +1016,20 @@
 // Whether a request of the customer may be served. It counts from now on.
 bool QuotaTake(Quota* quota, const Customer& customer, TimeUs now, Random* random);
 
-// One that was taken at `taken` was run by no target.
-void QuotaReturn(Quota* quota, uint64_t customer, TimeUs taken);
+// One that was taken at `taken` was run by no target, or did not go to this one.
+void QuotaReturn(Quota* quota, uint64_t id, TimeUs taken);
+
+// A target has answered, and named a limit or none. True if that is new.
+bool QuotaName(Quota* quota, uint64_t id, std::optional<double> per_s, TimeUs now);
+
+// The limit that is in force for a target, or null.
+const NamedLimit* QuotaNamed(const Quota& quota, uint64_t id);
+
+// Whether a request may go to a target. It counts from now on. True for targets without a limit.
+bool QuotaTakeNamed(Quota* quota, uint64_t id, TimeUs now, Random* random);
+
+// When a request that was not admitted at a target may be, from now.
+TimeUs QuotaNamedTurn(const Quota& quota, uint64_t id);
 
 // When a refused caller may come back with some hope, from now.
 TimeUs QuotaReturnTime(const Quota& quota, uint64_t customer, Random* random);
@@ -988,6 +1038,9 @@
 // it should be told at once.
 bool QuotaDecide(Quota* quota, const Customers& customers, TimeUs now);
 
+// The same for targets.
+bool QuotaDecideNamed(Quota* quota, TimeUs now);
+
 // How long to wait before the next report.
 TimeUs QuotaReportIn(const Quota& quota);
 
--- a/winchlink_customers.cpp
+++ b/winchlink_customers.cpp
@@ -1,6 +1,6 @@
 // winchlink_customers.cpp: customers and the hashes of their keys.
 
-#include "winchlink.h"
+#include "winchlink_internal.h"
 
 #include <cstring>
 #include <sodium.h>
@@ -8,8 +8,6 @@
 namespace Winchlink
 {
 
-static constexpr size_t IdBytes = sizeof(Customer::Id);
-
 static KeyHash HashText(const char* purpose, const std::string& text)
 {
     KeyHash hash = {};
@@ -51,11 +49,11 @@
     return value;
 }
 
-static uint64_t IdOf(const std::string& name)
+uint64_t HashId(const char* purpose, const std::string& text)
 {
-    const KeyHash hash = HashText("winchlink customer", name);
+    const KeyHash hash = HashText(purpose, text);
     uint64_t id = 0;
-    for (size_t n = 0; n < IdBytes; n++)
+    for (size_t n = 0; n < sizeof id; n++)
     {
         id = id << 8 | hash[n];
     }
@@ -64,7 +62,7 @@
 
 Result<void> AddCustomer(Customers* customers, Customer customer)
 {
-    customer.Id = IdOf(customer.Name);
+    customer.Id = HashId("winchlink customer", customer.Name);
     const size_t index = customers->List.size();
     if (!customers->ById.emplace(customer.Id, index).second)
     {
--- a/winchlink_internal.h
+++ b/winchlink_internal.h
@@ -9,6 +9,7 @@
 // [SECTION] Reading
 // [SECTION] Writing
 // [SECTION] Checks
+// [SECTION] Hashes
 // [SECTION] Policy
 
 #pragma once
@@ -118,6 +119,13 @@
 // Evacuated data centres must be known by name: a misspelt one would evacuate nothing.
 void CheckEvacuated(const Table& table, std::vector<Fault>* faults);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Hashes
+//-----------------------------------------------------------------------------
+
+// A number that stands for a text; the same text under another purpose has another one.
+uint64_t HashId(const char* purpose, const std::string& text);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Policy
 //-----------------------------------------------------------------------------
--- a/winchlink_pool.cpp
+++ b/winchlink_pool.cpp
@@ -125,14 +125,16 @@
     pool->Index.Groups[static_cast<size_t>(target->Group)].insert({target->Order, target});
 }
 
-static PoolTarget* AddTarget(TargetPool* pool, const std::string& id)
+static PoolTarget* AddTarget(TargetPool* pool, const DirectoryTarget& listed)
 {
     pool->Targets.emplace_back();
     PoolTarget* target = &pool->Targets.back();
-    target->Id = id;
+    target->Id = listed.Id;
+    target->Life = listed.Life;
+    target->LifeId = TargetLifeId(listed.Id, listed.Life);
     target->New = pool->InUse;
     target->Entry = ++pool->LastEntry;
-    pool->Index.ById[id] = std::prev(pool->Targets.end());
+    pool->Index.ById[listed.Id] = std::prev(pool->Targets.end());
     return target;
 }
 
@@ -176,7 +178,7 @@
     DropFormerLife(pool, listed);
     const auto found = pool->Index.ById.find(listed.Id);
     const bool known = found != pool->Index.ById.end();
-    PoolTarget* target = known ? &*found->second : AddTarget(pool, listed.Id);
+    PoolTarget* target = known ? &*found->second : AddTarget(pool, listed);
     const bool weighs_the_same = known && target->Weight == listed.Weight;
     const bool same_place = weighs_the_same && target->Near == near && target->Slots == listed.Slots;
     if (known && !same_place)
@@ -184,7 +186,6 @@
         TakeOutOfGroup(pool, target);
     }
     target->Listed = pool->Follows;
-    target->Life = listed.Life;
     target->Address = listed.Address;
     target->Near = near;
     target->Doubtful = listed.Presence == Presence_Vanished;
--- a/winchlink_quarantine.cpp
+++ b/winchlink_quarantine.cpp
@@ -9,7 +9,7 @@
 // [SECTION] What happened
 // [SECTION] Between instances
 
-#include "winchlink.h"
+#include "winchlink_internal.h"
 
 #include <algorithm>
 #include <sodium.h>
@@ -23,6 +23,11 @@
 
 static constexpr size_t NameMost = 200; // Bytes of a key or a target's name that another instance tells: ids of the store are no longer.
 
+uint64_t TargetLifeId(const std::string& id, uint64_t life)
+{
+    return HashId("winchlink target", TargetLife(id, life));
+}
+
 std::string TargetLife(const std::string& id, uint64_t life)
 {
     return life == 0 ? id : id + "@" + std::to_string(life);
--- a/winchlink_quota.cpp
+++ b/winchlink_quota.cpp
@@ -1,6 +1,7 @@
-// winchlink_quota.cpp: what customers may ask of the whole fleet.
+// winchlink_quota.cpp: what customers may ask of the whole fleet, and targets take of it.
 //
 // Index of this file:
+// [SECTION] Limits that targets name
 // [SECTION] Counting
 // [SECTION] Admitting
 // [SECTION] Deciding
@@ -11,15 +12,120 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <functional>
 
 namespace Winchlink
 {
 
-static constexpr size_t EntriesMost = 50; // Customers in one message: it fits a packet.
+static constexpr size_t EntriesMost = 48; // Customers, or limits, in one message: it fits a packet.
 static constexpr double CountMost = 1e9;  // Larger ones make no sense.
 static constexpr double ShareStep = 0.1;  // A share that moves by more is told at once.
 static constexpr double Seconds = 1.0 / static_cast<double>(UsPerSecond);
 
+// What may be asked in one name over the whole fleet.
+struct QuotaLimit
+{
+    uint64_t Id = 0;     // Of a customer, or of a target's life.
+    double RatePerS = 0; // Requests a second,
+    double Burst = 0;    // and so many on top.
+};
+
+static QuotaLimit LimitOf(const Customer& customer)
+{
+    return {customer.Id, customer.RatePerS, customer.Burst};
+}
+
+static bool IsCount(double value)
+{
+    return std::isfinite(value) && value >= 0 && value <= CountMost;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Limits that targets name
+//-----------------------------------------------------------------------------
+
+QuotaConfig TargetQuotaConfig()
+{
+    QuotaConfig config;
+    config.WindowUs = 4 * UsPerSecond;
+    config.Overage = 0.5;
+    config.Slack = 5;
+    config.OverageUsed = 0.15; // Shares end at 0 and 1, so that the mean lies below the aim: with it, at the limit.
+    config.StartParts = 2;
+    config.SurgeShare = 0.9;
+    config.CutOffShare = 1;
+    return config;
+}
+
+static QuotaLimit LimitOf(const Quota& quota, uint64_t id, const NamedLimit& named)
+{
+    return {id, std::max(named.PerS, quota.Config.TrialPerS), 0};
+}
+
+bool QuotaName(Quota* quota, uint64_t id, std::optional<double> per_s, TimeUs now)
+{
+    const auto found = quota->Named.find(id);
+    if (!per_s && found == quota->Named.end())
+    {
+        return false; // Nearly all targets, nearly always.
+    }
+    NamedLimit& known = quota->Named[id];
+    const bool same = known.InForce == per_s.has_value() && (!per_s || known.PerS == *per_s);
+    known = {per_s.value_or(known.PerS), per_s.has_value(), now};
+    return !same;
+}
+
+const NamedLimit* QuotaNamed(const Quota& quota, uint64_t id)
+{
+    const auto found = quota.Named.find(id);
+    return found != quota.Named.end() && found->second.InForce ? &found->second : nullptr;
+}
+
+TimeUs QuotaNamedTurn(const Quota& quota, uint64_t id)
+{
+    const NamedLimit* named = QuotaNamed(quota, id);
+    return named != nullptr ? static_cast<TimeUs>(static_cast<double>(UsPerSecond) / LimitOf(quota, id, *named).RatePerS) : 0;
+}
+
+static void ForgetNamed(Quota* quota, TimeUs now)
+{
+    for (auto named = quota->Named.begin(); named != quota->Named.end();)
+    {
+        const bool old = now - named->second.HeardUs > quota->Config.NamedKeptUs;
+        named = old ? quota->Named.erase(named) : std::next(named);
+    }
+}
+
+static std::vector<NamedLimitNews> NamedNews(const Quota& quota, TimeUs now)
+{
+    std::vector<NamedLimitNews> news;
+    for (const auto& [id, named] : quota.Named)
+    {
+        news.push_back({id, named.PerS, named.InForce, now - named.HeardUs});
+    }
+    return news;
+}
+
+// True if any of it is new.
+static bool HearNamed(Quota* quota, const std::vector<NamedLimitNews>& news, TimeUs now)
+{
+    bool changed = false;
+    for (const NamedLimitNews& told : news)
+    {
+        const bool sane = IsCount(told.PerS) && told.AgeUs >= 0 && told.AgeUs <= quota->Config.NamedKeptUs;
+        const TimeUs heard = now - told.AgeUs;
+        const auto found = quota->Named.find(told.Id);
+        const bool newer = found == quota->Named.end() || heard > found->second.HeardUs;
+        if (sane && newer)
+        {
+            const bool same = found != quota->Named.end() && found->second.PerS == told.PerS && found->second.InForce == told.InForce;
+            quota->Named[told.Id] = {told.PerS, told.InForce, heard};
+            changed = changed || !same;
+        }
+    }
+    return changed;
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Counting
 //-----------------------------------------------------------------------------
@@ -143,10 +249,11 @@
 //-----------------------------------------------------------------------------
 
 // Requests of a window that are aimed at.
-static double AimOf(const QuotaConfig& config, const Customer& customer)
+static double AimOf(const QuotaConfig& config, const QuotaLimit& limit)
 {
-    const double quota = customer.RatePerS * static_cast<double>(config.WindowUs) * Seconds + customer.Burst;
-    return quota + config.OverageUsed * (config.Overage * quota + config.Slack);
+    const double quota = limit.RatePerS * static_cast<double>(config.WindowUs) * Seconds + limit.Burst;
+    return quota +
+           config.OverageUsed * (config.Overage * quota + std::min(config.Slack, quota)); // Who may ask for little gets little more.
 }
 
 static double MembersOf(const Quota& quota)
@@ -209,9 +316,9 @@
     return taken;
 }
 
-static bool TakeAlone(Quota* quota, QuotaUse* use, const Customer& customer, TimeUs now, Random* random)
+static bool TakeAlone(Quota* quota, QuotaUse* use, const QuotaLimit& limit, TimeUs now, Random* random)
 {
-    FillAlone(*quota, use, AimOf(quota->Config, customer) / MembersOf(*quota), now, random);
+    FillAlone(*quota, use, AimOf(quota->Config, limit) / MembersOf(*quota), now, random);
     if (IsAlone(*quota, now) && use->ChargedUs != quota->ToldUs)
     {
         use->Alone -= AdmittedSince(*use, quota->Config, quota->ToldUs); // Nobody else knows of these.
@@ -220,44 +327,52 @@
     return TakeFilled(use);
 }
 
-// After a start of all, callers that waited come within less time than news take: besides its share, no instance admits more than a few
-// times its even part.
-static bool TakeShareAfterStart(Quota* quota, QuotaUse* use, const Customer& customer, double share, TimeUs now, Random* random)
+// For requests that may all come within less time than news take: besides its share, no instance admits more than a few times its even
+// part.
+static bool TakeShareOfPart(Quota* quota, QuotaUse* use, const QuotaLimit& limit, double share, TimeUs now, Random* random)
 {
-    const double part = quota->Config.StartParts * AimOf(quota->Config, customer) / MembersOf(*quota);
+    const double part = quota->Config.StartParts * AimOf(quota->Config, limit) / MembersOf(*quota);
     FillAlone(*quota, use, part, now, random);
     return use->Alone >= 1 && TakeShare(use, share, random) && TakeFilled(use);
 }
 
-static const QuotaDecision* FreshDecision(const Quota& quota, uint64_t customer, TimeUs now)
+static const QuotaDecision* FreshDecision(const Quota& quota, uint64_t id, TimeUs now)
 {
-    const auto found = quota.Shares.find(customer);
+    const auto found = quota.Shares.find(id);
     const bool fresh = found != quota.Shares.end() && now - found->second.AtUs <= quota.Config.MemberUs;
     return fresh ? &found->second : nullptr;
 }
 
-bool QuotaTake(Quota* quota, const Customer& customer, TimeUs now, Random* random)
+static bool Take(Quota* quota, const QuotaLimit& limit, TimeUs now, Random* random)
 {
-    if (customer.RatePerS <= 0)
-    {
-        return true;
-    }
-    QuotaUse& use = quota->Own[customer.Id];
+    QuotaUse& use = quota->Own[limit.Id];
     QuotaStep* step = StepAt(&use, quota->Config, now);
     step->Wanted++;
-    const QuotaDecision* decision = FreshDecision(*quota, customer.Id, now);
+    const QuotaDecision* decision = FreshDecision(*quota, limit.Id, now);
     const bool started = quota->Covered < quota->Config.StartCovered; // Nobody knows what it was admitted before the start of all.
     const double share = decision != nullptr ? decision->Share : 1;
-    const bool taken = IsAlone(*quota, now) || (started && decision == nullptr) ? TakeAlone(quota, &use, customer, now, random)
-                       : started ? TakeShareAfterStart(quota, &use, customer, share, now, random)
-                                 : TakeShare(&use, share, random);
+    const bool may_surge = started || share >= quota->Config.SurgeShare;
+    const bool taken = IsAlone(*quota, now) || (started && decision == nullptr) ? TakeAlone(quota, &use, limit, now, random)
+                       : may_surge                                              ? TakeShareOfPart(quota, &use, limit, share, now, random)
+                                                                                : TakeShare(&use, share, random);
     step->Admitted += taken ? 1 : 0;
     return taken;
 }
 
-void QuotaReturn(Quota* quota, uint64_t customer, TimeUs taken)
+bool QuotaTake(Quota* quota, const Customer& customer, TimeUs now, Random* random)
+{
+    return customer.RatePerS <= 0 || Take(quota, LimitOf(customer), now, random);
+}
+
+bool QuotaTakeNamed(Quota* quota, uint64_t id, TimeUs now, Random* random)
+{
+    const NamedLimit* named = QuotaNamed(*quota, id);
+    return named == nullptr || Take(quota, LimitOf(*quota, id, *named), now, random);
+}
+
+void QuotaReturn(Quota* quota, uint64_t id, TimeUs taken)
 {
-    const auto use = quota->Own.find(customer);
+    const auto use = quota->Own.find(id);
     if (use == quota->Own.end())
     {
         return;
@@ -309,6 +424,7 @@
     const TimeUs until = now - quota->Config.MemberUs;
     ForgetMembers(&quota->Followers, until);
     ForgetMembers(&quota->Contacts, until);
+    ForgetNamed(quota, now);
     for (auto share = quota->Shares.begin(); share != quota->Shares.end();)
     {
         share = share->second.AtUs < until ? quota->Shares.erase(share) : std::next(share);
@@ -330,9 +446,9 @@
 
 // The share of a customer's requests that brings its sum to the aim. `usable`: part of the quota that is ours to use; `covered`: part of
 // the window that is known.
-static double Decide(const QuotaConfig& config, const Customer& customer, const QuotaCount& count, double usable, double covered)
+static double Decide(const QuotaConfig& config, const QuotaLimit& limit, const QuotaCount& count, double usable, double covered)
 {
-    const double aim = AimOf(config, customer) * usable;
+    const double aim = AimOf(config, limit) * usable;
     const double unknown = aim * (1 - covered);
     const double even = aim / (static_cast<double>(config.WindowUs) * Seconds);
     const double leaving = std::min(count.Leaving + even * (1 - covered), even); // What came as a burst is not to come as one again.
@@ -363,11 +479,6 @@
     return Moves(before, share);
 }
 
-static bool IsCount(double value)
-{
-    return std::isfinite(value) && value >= 0 && value <= CountMost;
-}
-
 static void TakeMost(Quota* quota, const QuotaMost& most, TimeUs now)
 {
     const bool sane = IsCount(most.Members) && most.Members >= 1 && most.AgeUs >= 0 && most.AgeUs <= quota->Config.MembersKeptUs;
@@ -409,7 +520,10 @@
     return fleet;
 }
 
-bool QuotaDecide(Quota* quota, const Customers& customers, TimeUs now)
+// What is known of the limit under an id; none: there is no limit.
+using LimitLookup = std::function<std::optional<QuotaLimit>(uint64_t)>;
+
+static bool DecideAll(Quota* quota, const LimitLookup& limit_of, TimeUs now)
 {
     if (quota->DecidedUs > 0 && now - quota->DecidedUs < quota->Config.DecideUs)
     {
@@ -433,14 +547,34 @@
     }
     for (const auto& [id, count] : sums)
     {
-        const Customer* customer = FindCustomerById(customers, id);
-        const bool limited = customer != nullptr && customer->RatePerS > 0;
-        const double share = limited ? Decide(quota->Config, *customer, count, usable, quota->Covered) : 1;
+        const std::optional<QuotaLimit> limit = limit_of(id);
+        const double share = limit ? Decide(quota->Config, *limit, count, usable, quota->Covered) : 1;
         moved = SetShare(quota, id, share, now) || moved;
     }
     return moved;
 }
 
+bool QuotaDecide(Quota* quota, const Customers& customers, TimeUs now)
+{
+    const auto limit_of = [&customers](uint64_t id) -> std::optional<QuotaLimit>
+    {
+        const Customer* customer = FindCustomerById(customers, id);
+        const bool limited = customer != nullptr && customer->RatePerS > 0;
+        return limited ? std::optional<QuotaLimit>(LimitOf(*customer)) : std::nullopt;
+    };
+    return DecideAll(quota, limit_of, now);
+}
+
+bool QuotaDecideNamed(Quota* quota, TimeUs now)
+{
+    const auto limit_of = [quota](uint64_t id) -> std::optional<QuotaLimit>
+    {
+        const NamedLimit* named = QuotaNamed(*quota, id);
+        return named != nullptr ? std::optional<QuotaLimit>(LimitOf(*quota, id, *named)) : std::nullopt;
+    };
+    return DecideAll(quota, limit_of, now);
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Telling
 //-----------------------------------------------------------------------------
@@ -451,6 +585,21 @@
     return forwards ? quota.Config.ForwardUs : quota.Config.ReportUs;
 }
 
+// Adds named limits to messages, each of which holds a packet's worth.
+template <class T> static void AppendNamed(const Quota& quota, std::vector<T>* messages, size_t in_last, TimeUs now)
+{
+    for (const NamedLimitNews& news : NamedNews(quota, now))
+    {
+        if (in_last == EntriesMost)
+        {
+            messages->emplace_back();
+            in_last = 0;
+        }
+        messages->back().Named.push_back(news);
+        in_last++;
+    }
+}
+
 std::vector<QuotaReport> QuotaReports(const Quota& quota, TimeUs now)
 {
     const QuotaFleet fleet = FleetBelow(quota, now);
@@ -467,6 +616,7 @@
         }
         reports.back().Entries.push_back({customer, count});
     }
+    AppendNamed(quota, &reports, reports.back().Entries.size(), now);
     for (QuotaReport& report : reports)
     {
         report.Most = MostOf(quota, now);
@@ -495,6 +645,7 @@
     QuotaMember& member = (contact ? quota->Contacts : quota->Followers)[from];
     const bool unknown = member.HeardUs == 0;
     TakeMost(quota, report.Most, now);
+    HearNamed(quota, report.Named, now);
     (contact ? quota->Followers : quota->Contacts).erase(from); // It has become the other.
     member.HeardUs = now;
     member.Members = report.Members;
@@ -522,6 +673,7 @@
         }
         answers.back().Shares.push_back({customer, decision.Share});
     }
+    AppendNamed(quota, &answers, answers.back().Shares.size(), now);
     for (QuotaAnswer& answer : answers)
     {
         answer.Most = MostOf(quota, now);
@@ -539,6 +691,7 @@
     bool moved = IsAlone(*quota, now);
     quota->ToldUs = now;
     TakeMost(quota, answer.Most, now);
+    moved = HearNamed(quota, answer.Named, now) || moved;
     quota->Covered = answer.Covered;
     for (const QuotaShare& told : answer.Shares)
     {
