--- a/bench/users_target.cpp
+++ b/bench/users_target.cpp
@@ -262,6 +262,7 @@
     if (act == TargetAct_Shed)
     {
         connection->Busy = false;
+        target->Refusals.push_back(NowUs());
         Write(*connection, AnswerBytes(*target, target->Saw[request], act));
         BeginNext(target);
         return;
@@ -302,6 +303,7 @@
     if (IsFull(*target))
     {
         connection->Busy = false;
+        target->Refusals.push_back(NowUs());
         Write(*connection, AnswerBytes(*target, request, TargetAct_Shed));
         return;
     }
--- a/bench/users_target.h
+++ b/bench/users_target.h
@@ -77,6 +77,7 @@
     std::deque<TargetAct_> Script;     // For the next requests that it runs or sheds; good when empty.
     std::vector<TargetSaw> Saw;        // Every request, health questions apart.
     std::vector<TimeUs> Arrivals;      // When these came.
+    std::vector<TimeUs> Refusals;      // When requests were refused with status 503.
     int HealthAsked = 0;
     int Running = 0;
     int Accepted = 0; // Connections.
