A target that refuses and asks for rest gets nothing for that time

Callers' requests were sent to targets that turned them away, again and again, each costing a repeat: three requests in 3 s of rest (two allowed), and 55 of 440 requests sent twice while three targets refused everything. Cause: Retry-After of a target's answer had no reader; after a failure a target was avoided for 0.2 s, and the next good answer ended even that. Class: what a target asks for was guessed from its failures, and forgotten with the next answer.

The pool keeps until when each life of a target wants nothing: neither requests nor questions about its load are sent, whatever it answers meanwhile, whether it leaves the pool and comes back, by all ways (first choice, repeat, second attempt, a request that waits, right before a request leaves). The longest such time counts; another start has asked for nothing. Where no target may be used the caller is refused at once (2017), with a time that follows from the first that may be.

A model over random events (NoTargetIsChosenThatWantsNothing), with a planted fault that it finds.

--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -384,8 +384,9 @@
     // Right before the request leaves: news since the choice may stop it.
     request.MaySend = [call, id = target.Id, entry = target.Entry]()
     {
-        const bool still_there = PoolFindEntry(&call->Service->Pool, id, entry) != nullptr;
-        return !call->Ended && LeftUs(*call, NowUs()) > 0 && still_there && !IsHeld(call.get()) && KeyHolds(*call);
+        const PoolTarget* found = PoolFindEntry(&call->Service->Pool, id, entry);
+        const bool usable = found != nullptr && PoolMayUse(*found, NowUs());
+        return !call->Ended && LeftUs(*call, NowUs()) > 0 && usable && !IsHeld(call.get()) && KeyHolds(*call);
     };
     request.Fits = [call](const std::vector<Header>& headers)
     {
--- a/gateway/choose.cpp
+++ b/gateway/choose.cpp
@@ -119,7 +119,8 @@
 static bool HasRoom(Call* call, const PoolTarget& target, TimeUs now)
 {
     const TargetPool& pool = call->Service->Pool;
-    const bool room = PoolHasRoom(pool, target) && PoolMayTakeCold(pool, target, now) && MayConnect(*call, target);
+    const bool room =
+        PoolMayUse(target, now) && PoolHasRoom(pool, target) && PoolMayTakeCold(pool, target, now) && MayConnect(*call, target);
     return room && TakeLimit(call, target, now);
 }
 
@@ -203,10 +204,11 @@
     AskMore(call);
 }
 
-// Whether all targets that came into question are at their limits: none of them comes free while the request could wait.
-static bool AllOverLimit(const Call& call)
+// Whether all targets that came into question have asked to be spared: none of them comes free while the request could wait.
+static bool AllSpared(const Call& call, TimeUs now)
 {
-    return !call.OverLimit.empty() && call.OverLimit.size() == call.Asked.size();
+    const bool all_over_limit = !call.OverLimit.empty() && call.OverLimit.size() == call.Asked.size();
+    return all_over_limit || (call.Asked.empty() && PoolBackoffEnds(call.Service->Pool, now));
 }
 
 // All targets that may be asked were asked, and none is good.
@@ -218,8 +220,8 @@
     const double cost = best != nullptr ? PoolCost(call->Service->Pool, *best, now) : 0;
     const bool in_time = best != nullptr && InTime(*call, cost, now);
     const bool any = !call->Service->Pool.Targets.empty();
-    const bool over_limit = AllOverLimit(*call);
-    const bool may_wait = any && !over_limit && call->Choosing == Choosing_First && now + config.AskAgainUs < call->ChooseUntilUs;
+    const bool spared = AllSpared(*call, now);
+    const bool may_wait = any && !spared && call->Choosing == Choosing_First && now + config.AskAgainUs < call->ChooseUntilUs;
     const bool settles = in_time && PoolSettles(call->Service->Pool, *best, now);
     if (settles || (in_time && !may_wait))
     {
@@ -232,7 +234,7 @@
         call->Service->Waiting.push_back(call);
         return;
     }
-    const Code_ code = over_limit ? Code_TargetsLimited : call->AsksMade == 0 ? Code_NoTargetLeft : Code_TargetsBusy;
+    const Code_ code = spared ? Code_TargetsLimited : call->AsksMade == 0 ? Code_NoTargetLeft : Code_TargetsBusy;
     Refuse(call, code, best != nullptr ? "too slow" : "");
 }
 
@@ -349,7 +351,8 @@
     const bool cold = target != nullptr && !PoolMayTakeCold(call->Service->Pool, *target, NowUs());
     if (target == nullptr || full || cold || !MayConnect(*call, *target))
     {
-        const Code_ none = call->OverLimit.empty() ? Code_NoTargetLeft : Code_TargetsLimited;
+        const bool spared = !call->OverLimit.empty() || PoolBackoffEnds(call->Service->Pool, NowUs());
+        const Code_ none = spared ? Code_TargetsLimited : Code_NoTargetLeft;
         Refuse(call, target == nullptr ? none : Code_TargetsBusy, "targets tell no load");
         return;
     }
--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -132,14 +132,20 @@
     return per_us > 0 ? static_cast<TimeUs>(1.0 / per_us) : 0;
 }
 
+// When a target takes a request again, as far as targets have asked to be spared; 0 where that is not what the caller waits for.
+static TimeUs SparedFor(const Call& call, Code_ code, TimeUs now)
+{
+    const std::optional<TimeUs> ends = PoolBackoffEnds(call.Service->Pool, now);
+    return ends ? *ends - now : code == Code_TargetsLimited ? LimitTurn(call) : 0;
+}
+
 void EndCallBusy(const CallPtr& call, Code_ code, const std::string& detail)
 {
     const TimeUs now = NowUs();
     const auto left = static_cast<double>(std::max<TimeUs>(call->CallerUntilUs - now, 0));
     const auto most = static_cast<TimeUs>(call->Owner->Config.ReturnShare * left);
     const TimeUs place = ReturnScheduleTake(&call->Service->Returns, now, call->Owner->Rng);
-    const TimeUs wait = code == Code_TargetsLimited ? std::max(place, LimitTurn(*call)) : place;
-    EndCallWith(call, code, detail, std::min(wait, most));
+    EndCallWith(call, code, detail, std::min(place + SparedFor(*call, code, now), most));
 }
 
 // Attempts in progress end without an answer.
--- a/gateway/held.cpp
+++ b/gateway/held.cpp
@@ -92,7 +92,8 @@
 void LookWhetherEnded(Call* call, const Attempt& attempt)
 {
     Forwarder* forwarder = call->Owner;
-    if (PoolFindEntry(&call->Service->Pool, attempt.Target, attempt.Entry) == nullptr)
+    const PoolTarget* target = PoolFindEntry(&call->Service->Pool, attempt.Target, attempt.Entry);
+    if (target == nullptr)
     {
         return; // It leaves, or has left: its end is planned.
     }
@@ -101,7 +102,7 @@
     request.Target = call->Spec->HealthPath;
     request.NewConnection = true;
     request.TimeoutUs = forwarder->Config.ConnectUs;
-    request.MaySend = [asks = !call->Spec->HealthPath.empty()]()
+    request.MaySend = [asks = !call->Spec->HealthPath.empty() && PoolMayUse(*target, NowUs())]()
     {
         return asks;
     };
--- a/gateway/pages.cpp
+++ b/gateway/pages.cpp
@@ -149,6 +149,10 @@
 // Why a target gets work, or why not.
 static std::string WhyOf(const TargetPool& pool, const PoolTarget& target, TimeUs now)
 {
+    if (!PoolMayUse(target, now))
+    {
+        return fmt::format("has asked for no work for {} ms more", (target.BackoffUntilUs - now) / UsPerMs);
+    }
     if (now < target.AvoidUntilUs)
     {
         return fmt::format("avoided after {} failures", target.FailuresInRow);
--- a/gateway/target_signals.cpp
+++ b/gateway/target_signals.cpp
@@ -162,6 +162,17 @@
     }
 }
 
+static void HearBackoff(ServiceState* service, const SignalSource& source, int status, const TargetSignals& signals)
+{
+    const TimeUs now = NowUs();
+    const TimeUs time = signals.BackoffUs.value_or(0);
+    if (time > 0 && PoolBackOff(&service->Pool, source.Target, source.Life, now + time, now))
+    {
+        Log(LogLevel_Info, Code_None, "target wants nothing",
+            {{"target", source.Target}, {"forUs", time}, {"status", status}, {"health", source.Health ? 1 : 0}});
+    }
+}
+
 void HearTarget(Forwarder* forwarder, ServiceState* service, const SignalSource& source, int status, const std::vector<Header>& headers)
 {
     constexpr int wrong_target = 421; // What it says is of another target at that address.
@@ -173,6 +184,7 @@
     CountSignals(signals, &service->Signals);
     LogSignals(source, status, signals);
     HearLimit(forwarder, source, signals);
+    HearBackoff(service, source, status, signals);
 }
 
 } // namespace Winchlink
--- a/tests/target_backoff_test.cpp
+++ b/tests/target_backoff_test.cpp
@@ -52,6 +52,12 @@
 {
     CPPUNIT_TEST_SUITE(TargetBackoffTest);
     CPPUNIT_TEST(ATargetThatAsksForRestGetsNothing);
+    CPPUNIT_TEST(TheOnlyTargetLeftGetsNothingEither);
+    CPPUNIT_TEST(SoDoesOneThatTellsNoLoad);
+    CPPUNIT_TEST(AHealthAnswerAsksForRestToo);
+    CPPUNIT_TEST(AnotherStartHasAskedForNothing);
+    CPPUNIT_TEST(NoTargetIsChosenThatWantsNothing);
+    CPPUNIT_TEST(APoolThatForgetsIsFound);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against targets that turn requests away and get more of them as soon as another answer of theirs is good.
@@ -66,6 +72,175 @@
         const std::string text = fmt::format("{} requests, {} allowed", LateArrivals(refusing), LateMost);
         CPPUNIT_ASSERT_MESSAGE(text, LateArrivals(refusing) <= LateMost);
     }
+
+    static void CheckRefused(Rig* rig, const Gateway& instance, double least_s)
+    {
+        const RigAnswer answer = RigAsk(rig, instance, RigCall());
+        CPPUNIT_ASSERT_EQUAL(503, answer.Answer.Status);
+        CPPUNIT_ASSERT_EQUAL(std::string("2017"), *FindHeader(answer.Answer.Headers, HeaderCode));
+        CPPUNIT_ASSERT_EQUAL(0, RigRuns(*rig, answer.Id));
+        CPPUNIT_ASSERT(std::stod(*FindHeader(answer.Answer.Headers, "Retry-After")) >= least_s);
+    }
+
+    // Nor is it asked for its load. Callers are told a time that follows from its own, as far as they wait.
+    void TheOnlyTargetLeftGetsNothingEither()
+    {
+        Rig rig;
+        UsersTarget& target = RigTarget(&rig, "t");
+        target.Script = {TargetAct_Shed};
+        target.SaysRefusing = {{"Retry-After", "60"}};
+        RigConfigure(&rig, {UsersRoute()});
+        const Gateway& instance = RigInstance(&rig, 1);
+        RigAsk(&rig, instance, RigCall());
+        const int asked = target.HealthAsked;
+        for (int n = 0; n < 20; n++)
+        {
+            CheckRefused(&rig, instance, 0.9); // Half of the two seconds that callers wait, less what has passed.
+        }
+        CPPUNIT_ASSERT_EQUAL(size_t{1}, target.Arrivals.size());
+        CPPUNIT_ASSERT_EQUAL(asked, target.HealthAsked);
+    }
+
+    void SoDoesOneThatTellsNoLoad()
+    {
+        Rig rig;
+        UsersTarget& target = RigTarget(&rig, "t");
+        target.TellsLoad = false;
+        target.Script = {TargetAct_Good, TargetAct_Shed};
+        target.SaysRefusing = {{"Retry-After", "60"}};
+        RigConfigure(&rig, {UsersRoute()});
+        const Gateway& instance = RigInstance(&rig, 1);
+        RigAsk(&rig, instance, RigCall());
+        RigAsk(&rig, instance, RigCall());
+        CheckRefused(&rig, instance, 0.9);
+        CPPUNIT_ASSERT_EQUAL(size_t{2}, target.Arrivals.size());
+    }
+
+    void AHealthAnswerAsksForRestToo()
+    {
+        Rig rig;
+        UsersTarget& target = RigTarget(&rig, "t");
+        target.Ill = true;
+        target.SaysRefusing = {{"Retry-After", "60"}};
+        RigConfigure(&rig, {UsersRoute()});
+        const Gateway& instance = RigInstance(&rig, 1);
+        RigAsk(&rig, instance, RigCall());
+        const int asked = target.HealthAsked;
+        target.Ill = false;
+        CheckRefused(&rig, instance, 0.9);
+        CPPUNIT_ASSERT_EQUAL(asked, target.HealthAsked);
+    }
+
+    void AnotherStartHasAskedForNothing()
+    {
+        Rig rig;
+        UsersTarget& target = RigTarget(&rig, "t");
+        UsersStoreTarget(&rig.Store, "t", "svc", target.Address, "dc-a", false, 0, 1000);
+        target.Script = {TargetAct_Shed};
+        target.SaysRefusing = {{"Retry-After", "60"}};
+        RigConfigure(&rig, {UsersRoute()});
+        const Gateway& instance = RigInstance(&rig, 1);
+        RigAsk(&rig, instance, RigCall());
+        CheckRefused(&rig, instance, 0.9);
+        UsersStoreTarget(&rig.Store, "t", "svc", target.Address, "dc-a", false, 0, 2000);
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return instance.Requests.Directory.Targets.at("t").Life == 2000; }));
+        CPPUNIT_ASSERT_EQUAL(200, RigAsk(&rig, instance, RigCall()).Answer.Status);
+    }
+
+    // A pool of a few targets that come, go, start again, answer and ask for rest in any order, beside a model that only remembers until
+    // when each life of a target wants nothing. False if a target was chosen that wants nothing. `forget`: planted, the pool forgets it
+    // when the target answers well.
+    static bool KeepsBackoffs(Dice* dice, bool forget)
+    {
+        constexpr int64_t ids = 4;
+        TargetPool pool;
+        TimeUs now = UsPerSecond;
+        std::map<std::string, TimeUs> wants_nothing_until; // By life.
+        std::vector<uint64_t> lives(ids, 1);
+        for (int step = 0; step < 200; step++)
+        {
+            now += dice->Between(0, 300) * UsPerMs;
+            const auto n = static_cast<size_t>(dice->Between(0, ids));
+            const std::string id = "t" + std::to_string(n);
+            switch (dice->Between(0, 5))
+            {
+            case 0:
+            {
+                const TimeUs until = now + dice->Between(0, 3000) * UsPerMs;
+                TimeUs& known = wants_nothing_until[TargetLife(id, lives[n])];
+                known = std::max(known, until);
+                PoolBackOff(&pool, id, lives[n], until, now);
+                break;
+            }
+            case 1:
+                lives[n] += dice->OneIn(4) ? 1 : 0;
+                FollowSome(&pool, lives, dice);
+                break;
+            case 2:
+                Answer(&pool, id, forget);
+                break;
+            default:
+                for (PoolTarget* target : {PoolNext(&pool, {}, dice->OneIn(2), now), PoolNextUnasked(&pool, {}, false, now, &dice->Rng)})
+                {
+                    if (target != nullptr && now < wants_nothing_until[TargetLife(target->Id, target->Life)])
+                    {
+                        return false;
+                    }
+                }
+            }
+        }
+        return true;
+    }
+
+    static void FollowSome(TargetPool* pool, const std::vector<uint64_t>& lives, Dice* dice)
+    {
+        std::vector<DirectoryTarget> listed;
+        for (size_t n = 0; n < lives.size(); n++)
+        {
+            DirectoryTarget target;
+            target.Id = "t" + std::to_string(n);
+            target.Life = lives[n];
+            target.Slots = 3;
+            target.Presence = dice->OneIn(5) ? Presence_Leaving : dice->OneIn(5) ? Presence_Vanished : Presence_Ready;
+            listed.push_back(target);
+        }
+        TargetList list;
+        for (const DirectoryTarget& target : listed)
+        {
+            list.push_back(&target);
+        }
+        PoolFollow(pool, list, "dc-a", &dice->Rng);
+    }
+
+    static void Answer(TargetPool* pool, const std::string& id, bool forget)
+    {
+        PoolTarget* target = PoolFind(pool, id);
+        if (target != nullptr)
+        {
+            PoolGood(target);
+            target->BackoffUntilUs = forget ? 0 : target->BackoffUntilUs;
+        }
+    }
+
+    void NoTargetIsChosenThatWantsNothing()
+    {
+        CHECK_PROPERTY("no target is chosen that wants nothing",
+                       []()
+                       {
+                           Dice dice;
+                           RC_ASSERT(KeepsBackoffs(&dice, false));
+                       });
+    }
+
+    void APoolThatForgetsIsFound()
+    {
+        CHECK_FINDS_FAULT("a target is chosen that wants nothing",
+                          []()
+                          {
+                              Dice dice;
+                              RC_ASSERT(KeepsBackoffs(&dice, true));
+                          });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TargetBackoffTest);
--- a/winchlink.h
+++ b/winchlink.h
@@ -522,6 +522,7 @@
     int FailuresInRow = 0;     // Requests and questions without a good answer.
     TimeUs AvoidUntilUs = 0;   // After failures: taken only where nothing else is left.
     TimeUs CarefulUntilUs = 0; // After failures: it gets what may not be repeated only where nothing better is left.
+    TimeUs BackoffUntilUs = 0; // It asked for nothing from us until then, see PoolBackOff().
 
     // Kept by the pool.
     int Group = 0;       // See PoolIndex.
@@ -575,8 +576,9 @@
     int NearlyFullSeen = 0;        // Answers that it was learnt from.
     double ReportedWork = 0;       // Requests at one target, in the mean of those that told theirs of late.
     double OwnWork = 0;            // Our requests in progress, in the mean of the same moments.
-    int Evacuated = 0;             // Targets of the service that are left out because their data centre is evacuated.
-    uint64_t LastEntry = 0;        // See PoolTarget.
+    std::unordered_map<uint64_t, TimeUs> Backoffs; // By life: targets that want nothing until then, also while they are not in the pool.
+    int Evacuated = 0;                             // Targets of the service that are left out because their data centre is evacuated.
+    uint64_t LastEntry = 0;                        // See PoolTarget.
 
     TargetPool() = default;
     TargetPool(TargetPool&&) = default;
@@ -643,6 +645,16 @@
 // (two seeds each); with three and six slots no difference beyond the spread (TwoSlotLoadTest).
 bool PoolSettles(const TargetPool& pool, const PoolTarget& target, TimeUs now);
 
+// That life of a target wants nothing from us until then: no request, no question. It holds whatever else the target answers, and for one
+// that leaves the pool and comes back; another start of it has asked for nothing. True if it could be used until now.
+bool PoolBackOff(TargetPool* pool, const std::string& id, uint64_t life, TimeUs until, TimeUs now);
+
+// Whether the target may get anything now.
+bool PoolMayUse(const PoolTarget& target, TimeUs now);
+
+// When the first target may get something again; none if one may now, or there is none.
+std::optional<TimeUs> PoolBackoffEnds(const TargetPool& pool, TimeUs now);
+
 void PoolReport(PoolTarget* target, const LoadReport& report, TimeUs now);
 void PoolFailed(const PoolConfig& config, PoolTarget* target, TimeUs now);
 void PoolGood(PoolTarget* target);
--- a/winchlink_pick.cpp
+++ b/winchlink_pick.cpp
@@ -80,6 +80,10 @@
     PoolRank best_rank;
     const auto consider = [&](PoolTarget* target)
     {
+        if (!PoolMayUse(*target, now))
+        {
+            return;
+        }
         const PoolRank rank = PoolRankOf(*pool, *target, had_new, careful, now);
         if ((best == nullptr || rank < best_rank) && !HasPassed(passed, *target))
         {
@@ -110,7 +114,7 @@
     PoolRank best_rank;
     for (PoolTarget& target : pool->Targets)
     {
-        if (HasPassed(passed, target))
+        if (HasPassed(passed, target) || !PoolMayUse(target, now))
         {
             continue;
         }
--- a/winchlink_pool.cpp
+++ b/winchlink_pool.cpp
@@ -3,6 +3,7 @@
 // Index of this file:
 // [SECTION] Reports
 // [SECTION] Pool
+// [SECTION] Back-off
 // [SECTION] Cold targets
 // [SECTION] Nearly full targets
 
@@ -125,6 +126,13 @@
     pool->Index.Groups[static_cast<size_t>(target->Group)].insert({target->Order, target});
 }
 
+// Until when the target of that life wants nothing; 0: it has not asked.
+static TimeUs BackoffOf(const TargetPool& pool, uint64_t life_id)
+{
+    const auto found = pool.Backoffs.find(life_id);
+    return found != pool.Backoffs.end() ? found->second : 0;
+}
+
 static PoolTarget* AddTarget(TargetPool* pool, const DirectoryTarget& listed)
 {
     pool->Targets.emplace_back();
@@ -133,6 +141,7 @@
     target->Life = listed.Life;
     target->LifeId = TargetLifeId(listed.Id, listed.Life);
     target->New = pool->InUse;
+    target->BackoffUntilUs = BackoffOf(*pool, target->LifeId);
     target->Entry = ++pool->LastEntry;
     pool->Index.ById[listed.Id] = std::prev(pool->Targets.end());
     return target;
@@ -200,7 +209,7 @@
     {
         PutIntoGroup(pool, target);
     }
-    if (target->Doubtful || target->New || target->WarmUntilUs > 0)
+    if (target->Doubtful || target->New || target->WarmUntilUs > 0 || target->BackoffUntilUs > 0)
     {
         Mark(pool, target);
     }
@@ -236,7 +245,7 @@
 {
     const bool idle = target.InFlight == 0 && !IsFresh(pool.Config, target, now);
     const bool trusted = now >= target.AvoidUntilUs && now >= target.CarefulUntilUs && !target.Doubtful;
-    return idle && trusted && !target.New && now >= target.WarmUntilUs;
+    return idle && trusted && !target.New && now >= target.WarmUntilUs && PoolMayUse(target, now);
 }
 
 // Whether one more request would make a target nearly full that works on `busy` already.
@@ -276,6 +285,51 @@
     return target.Report.Running + target.Report.Waiting + target.Since < (more_is_less ? below : slots);
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Back-off
+//-----------------------------------------------------------------------------
+
+static void ForgetBackoffs(TargetPool* pool, TimeUs now)
+{
+    for (auto backoff = pool->Backoffs.begin(); backoff != pool->Backoffs.end();)
+    {
+        backoff = backoff->second <= now ? pool->Backoffs.erase(backoff) : std::next(backoff);
+    }
+}
+
+bool PoolBackOff(TargetPool* pool, const std::string& id, uint64_t life, TimeUs until, TimeUs now)
+{
+    ForgetBackoffs(pool, now);
+    TimeUs& known = pool->Backoffs[TargetLifeId(id, life)];
+    const bool usable = now >= known;
+    known = std::max(known, until);
+    PoolTarget* target = PoolFind(pool, id);
+    if (target != nullptr && target->Life == life)
+    {
+        target->BackoffUntilUs = known;
+    }
+    return usable;
+}
+
+bool PoolMayUse(const PoolTarget& target, TimeUs now)
+{
+    return now >= target.BackoffUntilUs;
+}
+
+std::optional<TimeUs> PoolBackoffEnds(const TargetPool& pool, TimeUs now)
+{
+    std::optional<TimeUs> ends;
+    for (const PoolTarget& target : pool.Targets)
+    {
+        if (PoolMayUse(target, now))
+        {
+            return std::nullopt;
+        }
+        ends = std::min(ends.value_or(target.BackoffUntilUs), target.BackoffUntilUs);
+    }
+    return ends;
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Cold targets
 //-----------------------------------------------------------------------------
