A target that says in an answer that it leaves gets nothing more from that instance

Callers' requests went to targets that had said in their answers that they leave, until the store's entry came, seconds later where the store was away. Server-Leaving counts as the entry's own word does, from the first answer that carries it: of any status, of the health path, cut off behind its headers. Another start of the target has not said it; a planned end says nothing against requests that were there. TargetSignalsTest: three tests failed with HearLeaving() left out (more than one request after the word; status 200 for 503).

--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -85,6 +85,7 @@
     std::vector<std::shared_ptr<Call>> Unplanned; // Requests that came before the first plan.
     std::function<void()> OnNeeded;               // Called for each NeedyCallers of them; may be empty.
     TargetDirectory Directory;                    //
+    Timer Following;                              // ForwarderFollow() right after what is in progress.
     Quota Quotas;                                 // What customers may ask.
     Quota TargetLimits;                           // What targets that have named a limit take.
     std::function<void()> OnLimit;                // Called after each change of these; may be empty.
--- a/gateway/target_signals.cpp
+++ b/gateway/target_signals.cpp
@@ -173,6 +173,16 @@
     }
 }
 
+static void HearLeaving(Forwarder* forwarder, const SignalSource& source, const TargetSignals& signals)
+{
+    if (signals.Leaving && DirectoryToldLeaving(&forwarder->Directory, source.Target, source.Life))
+    {
+        Log(LogLevel_Info, Code_None, "target says that it leaves", {{"target", source.Target}, {"health", source.Health ? 1 : 0}});
+        forwarder->Following =
+            TimerStart(forwarder->Loop, 0, [forwarder]() { ForwarderFollow(forwarder); }); // May send, as we may not here.
+    }
+}
+
 void HearTarget(Forwarder* forwarder, ServiceState* service, const SignalSource& source, int status, const std::vector<Header>& headers)
 {
     constexpr int wrong_target = 421; // What it says is of another target at that address.
@@ -185,6 +195,7 @@
     LogSignals(source, status, signals);
     HearLimit(forwarder, source, signals);
     HearBackoff(service, source, status, signals);
+    HearLeaving(forwarder, source, signals);
 }
 
 } // namespace Winchlink
--- a/tests/target_signals_test.cpp
+++ b/tests/target_signals_test.cpp
@@ -34,6 +34,10 @@
     CPPUNIT_TEST(CountsInAnswersOfAnyKind);
     CPPUNIT_TEST(WhatAnotherTargetSaysDoesNotCount);
     CPPUNIT_TEST(TrailersAndInterimAnswersSayNothing);
+    CPPUNIT_TEST(ATargetThatSaysThatItLeavesGetsNothingMore);
+    CPPUNIT_TEST(AHealthAnswerSaysItToo);
+    CPPUNIT_TEST(AnotherStartDoesNotLeave);
+    CPPUNIT_TEST(WhoLeavesHasNotEndedUnderARequest);
     CPPUNIT_TEST_SUITE_END();
 
     void ReadsLimits()
@@ -140,6 +144,70 @@
         CPPUNIT_ASSERT_EQUAL(200, RigAsk(&rig, instance, RigCall()).Answer.Status);
         CPPUNIT_ASSERT_EQUAL(uint64_t{0}, Heard(instance));
     }
+
+    // Guards against requests to a target that leaves, from an instance that has its word in an answer and not yet from the store: the
+    // entry says "ready" throughout.
+    void ATargetThatSaysThatItLeavesGetsNothingMore()
+    {
+        Rig rig;
+        UsersTarget& target = RigTarget(&rig, "t");
+        RigTarget(&rig, "other", "svc", "dc-b");
+        RigConfigure(&rig, {UsersRoute()});
+        const Gateway& instance = RigInstance(&rig, 2);
+        target.Says = {{"Server-Leaving", "1"}};
+        target.TellsLoad = false;
+        RigAsk(&rig, instance, RigCall());
+        for (int n = 0; n < 30; n++)
+        {
+            CPPUNIT_ASSERT_EQUAL(200, RigAsk(&rig, instance, RigCall()).Answer.Status);
+            UsersStoreTarget(&rig.Store, "t", "svc", target.Address, "dc-a"); // Its entry changes, and says "ready" still.
+        }
+        CPPUNIT_ASSERT(target.Arrivals.size() <= 1);
+    }
+
+    void AHealthAnswerSaysItToo()
+    {
+        Rig rig;
+        UsersTarget& target = RigTarget(&rig, "t");
+        RigConfigure(&rig, {UsersRoute()});
+        const Gateway& instance = RigInstance(&rig, 1);
+        target.Ill = true;
+        target.Says = {{"Server-Leaving", "1"}};
+        RigAsk(&rig, instance, RigCall());
+        CPPUNIT_ASSERT_EQUAL(static_cast<int>(Presence_Leaving), static_cast<int>(instance.Requests.Directory.Targets.at("t").Presence));
+    }
+
+    void AnotherStartDoesNotLeave()
+    {
+        Rig rig;
+        UsersTarget& target = RigTarget(&rig, "t");
+        UsersStoreTarget(&rig.Store, "t", "svc", target.Address, "dc-a", false, 0, 1000);
+        RigConfigure(&rig, {UsersRoute()});
+        const Gateway& instance = RigInstance(&rig, 1);
+        target.Says = {{"Server-Leaving", "1"}};
+        RigAsk(&rig, instance, RigCall());
+        CPPUNIT_ASSERT_EQUAL(503, RigAsk(&rig, instance, RigCall()).Answer.Status);
+        target.Says.clear();
+        UsersStoreTarget(&rig.Store, "t", "svc", target.Address, "dc-a", false, 0, 2000);
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return instance.Requests.Directory.Targets.at("t").Life == 2000; }));
+        CPPUNIT_ASSERT_EQUAL(200, RigAsk(&rig, instance, RigCall()).Answer.Status);
+    }
+
+    // A planned end says nothing against the requests that were there.
+    void WhoLeavesHasNotEndedUnderARequest()
+    {
+        TargetDirectory directory;
+        DirectoryTarget target;
+        target.Id = "t";
+        target.Revision = 5;
+        DirectoryPut(&directory, target, UsPerSecond);
+        CPPUNIT_ASSERT(!DirectoryToldLeaving(&directory, "t", 7));
+        CPPUNIT_ASSERT(DirectoryToldLeaving(&directory, "t", 0));
+        CPPUNIT_ASSERT(!DirectoryToldLeaving(&directory, "t", 0));
+        DirectoryRemove(&directory, "t", 6, 2 * UsPerSecond);
+        CPPUNIT_ASSERT(DirectoryTakeEnded(&directory).empty());
+        CPPUNIT_ASSERT(directory.Targets.empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TargetSignalsTest);
--- a/winchlink.h
+++ b/winchlink.h
@@ -459,6 +459,9 @@
 // Its address belongs to another target now, as that one says, though the store does not tell yet that it is gone.
 void DirectoryLeaves(TargetDirectory* directory, const std::string& id);
 
+// That life of a target says itself that it leaves, before its entry does. True if that is new.
+bool DirectoryToldLeaving(TargetDirectory* directory, const std::string& id, uint64_t life);
+
 // Forgets vanished entries when their time is over. True if any went.
 bool DirectoryTick(TargetDirectory* directory, TimeUs now);
 
--- a/winchlink_directory.cpp
+++ b/winchlink_directory.cpp
@@ -194,6 +194,18 @@
     }
 }
 
+bool DirectoryToldLeaving(TargetDirectory* directory, const std::string& id, uint64_t life)
+{
+    const auto found = directory->Targets.find(id);
+    const bool news = found != directory->Targets.end() && found->second.Life == life && found->second.Presence != Presence_Leaving;
+    if (news)
+    {
+        found->second.Presence = Presence_Leaving;
+        NoteChange(directory, found->second);
+    }
+    return news;
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Evacuations
 //-----------------------------------------------------------------------------
