Soak, fuzzing and checks for targets in need; cold is heard in health answers of any status

The soak's targets name limits, refuse with rest and say that they leave, drawn by a random source of their own; its instances keep limits together by datagrams. Three checks on what arrives, each with a planted breach. What a health answer says of being cold was read only with status 200: it counts whatever the status, as all that is heard (TargetSignalsTest::ATargetThatIsNotWellSaysThatItIsColdAllTheSame).

--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -57,8 +57,17 @@
     }
 }
 
+// Instances are told apart by their IP numbers where they send datagrams.
+static std::string PeerAddressOf(int instance)
+{
+    const std::string own = FreeLoopback();
+    const std::string ip = own.substr(0, own.rfind('.') + 1) + std::to_string(instance + 2);
+    return fmt::format("{}:{}", ip, FreePort(ip));
+}
+
 static void MakeInstances(Soak* soak)
 {
+    soak->DatagramPort = ParseEndpoint(PeerAddressOf(0)).value().Port;
     for (int n = 0; n < soak->Plan.Instances; n++)
     {
         soak->Instances.push_back(std::make_unique<SoakInstance>());
@@ -67,7 +76,7 @@
         instance.Folder = fmt::format("{}/i{}", soak->Folder, n);
         mkdir(instance.Folder.c_str(), 0755);
         instance.CallerAddress = FreeLoopback();
-        instance.PeerAddress = FreeLoopback();
+        instance.PeerAddress = PeerAddressOf(n);
         ProxyStart(&instance.ToStore, &soak->Loop, FreeLoopback(), soak->Store.Address);
     }
 }
@@ -133,6 +142,7 @@
     CollectArrivals(soak);
     Strike(soak);
     StrikeByEnds(soak);
+    StrikeBySpared(soak);
     RunFor(soak, soak->Plan.Seconds * UsPerSecond);
     soak->Striking = false;
     MeasureRecovery(soak);
@@ -144,6 +154,7 @@
     Soak soak;
     soak.Rng.seed(static_cast<uint64_t>(plan.Seed));
     soak.EndsRng.seed(~static_cast<uint64_t>(plan.Seed));
+    soak.SparedRng.seed(static_cast<uint64_t>(plan.Seed) << 32);
     soak.Plan = plan;
     soak.Folder = MakeFolder("winchlink-soak");
     soak.Log.Instances = plan.Instances;
--- a/bench/soak.h
+++ b/bench/soak.h
@@ -94,14 +94,16 @@
 {
     EventLoop Loop;
     Random Rng;
-    Random EndsRng; // For requests that end targets and for starts under the same id, so that Rng draws for seeds what it always drew.
+    Random SparedRng; // For targets in need, so that the others draw for seeds what they always drew.
+    Random EndsRng;   // For requests that end targets and for starts under the same id, so that Rng draws for seeds what it always drew.
     UsersStore Store;
     std::vector<std::unique_ptr<SoakInstance>> Instances;
     std::vector<std::unique_ptr<SoakTarget>> Targets; // Never shrinks: the audit needs what all have seen.
     Client Callers;
     SoakLog Log;
     SoakPlan Plan;
-    std::string Folder; // Settings and logs.
+    std::string Folder;   // Settings and logs.
+    int DatagramPort = 0; // Of all instances, each at an address of its own.
     uint64_t Version = 0;
     int LastRequest = 0;
     int LastTarget = 0;
@@ -155,6 +157,9 @@
 // Has requests end targets, starts those again under their ids, and spoils entries, until told to end.
 void StrikeByEnds(Soak* soak);
 
+// Targets in need: they name limits, refuse and want nothing, say that they leave.
+void StrikeBySpared(Soak* soak);
+
 // Takes note of processes that have ended, and starts those again that we have ended.
 void Reap(Soak* soak);
 
--- a/bench/soak_audit.cpp
+++ b/bench/soak_audit.cpp
@@ -142,6 +142,101 @@
 }
 
 // The services that a request may be run by: of the newest version that is in force everywhere, and of all later ones.
+// Arrivals at a target from each instance, in order, in a span.
+static std::map<int, std::vector<const SoakArrival*>> ByInstance(const SoakLog& log, const std::string& target, TimeUs from, TimeUs until)
+{
+    std::map<int, std::vector<const SoakArrival*>> arrivals;
+    for (const SoakArrival& arrival : log.Arrivals)
+    {
+        if (arrival.Target == target && arrival.AtUs >= from && arrival.AtUs < until)
+        {
+            arrivals[arrival.Instance].push_back(&arrival);
+        }
+    }
+    return arrivals;
+}
+
+// What counts against a limit: requests of instances that have been in touch since it was named, half a second after their first answer.
+static std::vector<TimeUs> TimesOfLimit(const SoakLog& log, const SoakBounds& bounds, const SoakLimit& limit)
+{
+    std::vector<TimeUs> times;
+    for (const auto& [instance, arrivals] : ByInstance(log, limit.Target, limit.FromUs, limit.UntilUs))
+    {
+        for (const SoakArrival* arrival : arrivals)
+        {
+            const bool told = arrival->AtUs > arrivals.front()->AtUs + bounds.HeardUs;
+            if (told && InTouch(log, bounds, instance, limit.FromUs, arrival->AtUs, true))
+            {
+                times.push_back(arrival->AtUs);
+            }
+        }
+    }
+    return times;
+}
+
+static void CheckLimits(const SoakLog& log, const SoakBounds& bounds, Findings* found)
+{
+    for (const SoakLimit& limit : log.Limits)
+    {
+        const std::vector<TimeUs> times = TimesOfLimit(log, bounds, limit);
+        const double window_s = static_cast<double>(bounds.LimitWindowUs) / UsPerSecond;
+        const double most = limit.PerS * window_s * bounds.LimitOverage + bounds.LimitSlack;
+        for (const TimeUs at : times)
+        {
+            const bool binds = at >= limit.FromUs + bounds.LimitSpreadUs;
+            if (binds && CountIn(times, at - bounds.LimitWindowUs + 1, at + 1) > most)
+            {
+                (*found)["more requests than a target takes"].push_back(limit.Target);
+            }
+        }
+    }
+}
+
+static size_t CountBetween(const std::vector<const SoakArrival*>& arrivals, TimeUs after, TimeUs until)
+{
+    const auto between = [after, until](const SoakArrival* arrival)
+    {
+        return arrival->AtUs > after && arrival->AtUs < until;
+    };
+    return static_cast<size_t>(std::count_if(arrivals.begin(), arrivals.end(), between));
+}
+
+static void CheckRests(const SoakLog& log, const SoakBounds& bounds, Findings* found)
+{
+    for (const SoakRest& rest : log.Rests)
+    {
+        for (const auto& [instance, arrivals] : ByInstance(log, rest.Target, rest.FromUs, rest.UntilUs + rest.RestUs))
+        {
+            for (const SoakArrival* refused : arrivals)
+            {
+                const TimeUs until = std::min(refused->AtUs + rest.RestUs, rest.NextStartUs);
+                const bool was_refused = refused->AtUs < rest.UntilUs && !refused->Run;
+                const bool too_many = CountBetween(arrivals, refused->AtUs + bounds.HeardUs, until) > bounds.RestMost;
+                if (was_refused && too_many && InTouch(log, bounds, instance, refused->AtUs, until, true))
+                {
+                    (*found)["sent to a target that wants nothing"].push_back(refused->Id);
+                }
+            }
+        }
+    }
+}
+
+static void CheckSaidLeaving(const SoakLog& log, const SoakBounds& bounds, Findings* found)
+{
+    for (const SoakLeaving& leaving : log.SaidLeaving)
+    {
+        for (const auto& [instance, arrivals] : ByInstance(log, leaving.Target, leaving.AtUs, leaving.UntilUs))
+        {
+            const TimeUs told = arrivals.front()->AtUs + bounds.HeardUs;
+            const SoakArrival* last = arrivals.back();
+            if (last->AtUs > told + bounds.DrainUs && InTouch(log, bounds, instance, told, last->AtUs, true))
+            {
+                (*found)["sent to a target that has said that it leaves"].push_back(last->Id);
+            }
+        }
+    }
+}
+
 static std::set<std::string> Allowed(const SoakLog& log, const SoakBounds& bounds, const SoakRequest& request)
 {
     std::set<std::string> allowed;
@@ -256,6 +351,9 @@
     CheckLeavings(log, bounds, &found);
     CheckEvacuations(log, bounds, &found);
     CheckColds(log, bounds, &found);
+    CheckLimits(log, bounds, &found);
+    CheckRests(log, bounds, &found);
+    CheckSaidLeaving(log, bounds, &found);
     CheckBudget(log, bounds, &found);
     CheckEnds(log, bounds, arrivals, &found);
     if (log.RecoveryGood < bounds.RecoveryShare * log.RecoveryAsked)
--- a/bench/soak_audit.h
+++ b/bench/soak_audit.h
@@ -82,6 +82,25 @@
     TimeUs UntilUs = 0;
 };
 
+// A target that names a limit in its answers.
+struct SoakLimit
+{
+    std::string Target;
+    double PerS = 0;
+    TimeUs FromUs = 0;
+    TimeUs UntilUs = 0;
+};
+
+// A target that refuses every request, and wants nothing for so long after each from the instance that sent it.
+struct SoakRest
+{
+    std::string Target;
+    TimeUs RestUs = 0;
+    TimeUs FromUs = 0;
+    TimeUs UntilUs = 0;
+    TimeUs NextStartUs = std::numeric_limits<TimeUs>::max(); // Another start of it, which wants requests again.
+};
+
 struct SoakLog
 {
     std::vector<SoakRequest> Requests;
@@ -92,6 +111,9 @@
     std::vector<SoakEvacuation> Evacuations;
     std::vector<SoakCold> Colds;
     std::vector<SoakEnd> Ends; // In order.
+    std::vector<SoakLimit> Limits;
+    std::vector<SoakRest> Rests;
+    std::vector<SoakLeaving> SaidLeaving; // In their answers; acknowledged by nobody.
     int Instances = 0;
     int OwnEnds = 0;       // Instances that ended by themselves.
     int ForeignBytes = 0;  // Connections on which more came than answers to what was asked.
@@ -105,13 +127,19 @@
 {
     TimeUs DrainUs = 2 * UsPerSecond;
     TimeUs ApplyUs = 2 * UsPerSecond;
-    TimeUs EvacuateUs = 2 * UsPerSecond;  // Stricter than the users' 5 s.
-    TimeUs ColdSeenUs = 300 * UsPerMs;    // Requests that were on their way when a target turned cold have arrived.
-    double ColdInASecond = 2.5 * 1.5 + 8; // Requests that a cold target may get in any second, from all instances.
-    TimeUs TouchUs = 3 * UsPerSecond;     // An instance counts after so long without trouble.
-    TimeUs WindowUs = 10 * UsPerSecond;   // Of the repeat budget.
-    double RepeatShare = 0.2;             //
-    int RepeatExtra = 2;                  // Repeats beyond it, an instance and service.
+    TimeUs EvacuateUs = 2 * UsPerSecond;    // Stricter than the users' 5 s.
+    TimeUs ColdSeenUs = 300 * UsPerMs;      // Requests that were on their way when a target turned cold have arrived.
+    double ColdInASecond = 2.5 * 1.5 + 8;   // Requests that a cold target may get in any second, from all instances.
+    TimeUs TouchUs = 3 * UsPerSecond;       // An instance counts after so long without trouble.
+    TimeUs HeardUs = 500 * UsPerMs;         // What an instance sent before an answer came has arrived.
+    TimeUs LimitSpreadUs = 3 * UsPerSecond; // A limit binds so long after it was first named,
+    TimeUs LimitWindowUs = 4 * UsPerSecond; // in any such window,
+    double LimitOverage = 1.5;              // up to so many times itself
+    double LimitSlack = 5;                  // and so many requests more.
+    size_t RestMost = 2;                    // Requests to a target that wants nothing from an instance.
+    TimeUs WindowUs = 10 * UsPerSecond;     // Of the repeat budget.
+    double RepeatShare = 0.2;               //
+    int RepeatExtra = 2;                    // Repeats beyond it, an instance and service.
     size_t EndsMost = 3;         // Targets that may end under a request; so many times is it sent on later than TouchUs after that.
     double RecoveryShare = 0.95; // Of the requests after all faults are served.
 };
--- a/bench/soak_parts.cpp
+++ b/bench/soak_parts.cpp
@@ -64,6 +64,7 @@
     settings.CallerAddress = instance.CallerAddress;
     settings.ReadyAddress = FreeLoopback();
     settings.PeerAddress = instance.PeerAddress;
+    settings.DatagramPort = soak.DatagramPort;
     settings.StoreAddress = instance.ToStore.Address;
     settings.GraceUs = SoakGraceUs;
     settings.RepeatShare = repeat_share;
--- a/bench/users_target.h
+++ b/bench/users_target.h
@@ -65,6 +65,7 @@
     WireNames Names = PlatformNames(); // Header names that it speaks.
     int PacePercent = 100;             // Time that work takes now, for requests that begin now; told to whoever asks.
     int ColdMs = 0;                    // Health answers say that it is cold for so much longer; 0: nothing.
+    bool Refuses = false;              // All requests are shed.
     bool Ill = false;                  // Health answers 503.
     bool Mute = false;                 // Health questions are read and never answered.
     bool TellsLoad = true;             // Answers carry the load.
--- a/gateway/choose.cpp
+++ b/gateway/choose.cpp
@@ -23,13 +23,6 @@
 // [SECTION] Learning from answers
 //-----------------------------------------------------------------------------
 
-// How much longer a target says that it is cold; 0 for what is no number of milliseconds.
-static TimeUs ColdTime(const std::string& text)
-{
-    constexpr int64_t longest_ms = 3600000; // An hour: nothing is cold for longer, and it fits the type.
-    return std::clamp<int64_t>(std::strtoll(text.c_str(), nullptr, 10), 0, longest_ms) * UsPerMs;
-}
-
 // `entry`: of the target when it was asked. One that has come back since, or started again, was not asked.
 static void LearnFromAsk(Forwarder* forwarder, ServiceState* service, const std::string& id, uint64_t entry, const ClientAnswer& answer)
 {
@@ -67,11 +60,6 @@
         PoolReport(target, *report, NowUs());
         PoolLearnShare(&service->Pool, *report, service->InProgress);
     }
-    const std::string* cold = FindHeader(answer.Headers, names.ColdMs);
-    if (cold != nullptr)
-    {
-        PoolToldCold(service->Pool.Config, target, NowUs() + ColdTime(*cold));
-    }
 }
 
 //-----------------------------------------------------------------------------
--- a/gateway/target_signals.cpp
+++ b/gateway/target_signals.cpp
@@ -183,6 +183,15 @@
     }
 }
 
+static void HearCold(ServiceState* service, const SignalSource& source, const TargetSignals& signals)
+{
+    PoolTarget* target = signals.ColdUs ? PoolFind(&service->Pool, source.Target) : nullptr;
+    if (target != nullptr && target->Life == source.Life)
+    {
+        PoolToldCold(service->Pool.Config, target, NowUs() + *signals.ColdUs);
+    }
+}
+
 void HearTarget(Forwarder* forwarder, ServiceState* service, const SignalSource& source, int status, const std::vector<Header>& headers)
 {
     constexpr int wrong_target = 421; // What it says is of another target at that address.
@@ -196,6 +205,7 @@
     HearLimit(forwarder, source, signals);
     HearBackoff(service, source, status, signals);
     HearLeaving(forwarder, source, signals);
+    HearCold(service, source, signals);
 }
 
 } // namespace Winchlink
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -64,7 +64,7 @@
 Variant build-asan "address,undefined" RelWithDebInfo --skip Winchlink::Process "${KnownRed[@]}"
 
 # The fuzz targets, for a fixed number of inputs from a fixed seed.
-for Target in fuzz_documents fuzz_page fuzz_platform fuzz_request
+for Target in fuzz_documents fuzz_page fuzz_platform fuzz_request fuzz_signals
 do
     if scripts/fuzz.sh --runs 20000 "$Target"
     then
--- /dev/null
+++ b/tests/fuzz/fuzz_signals.cpp
@@ -0,0 +1,57 @@
+// fuzz_signals.cpp: libFuzzer target: what targets say of themselves in headers, and what instances tell each other of quotas. Whatever the
+// bytes, what is read lies in its range, and what is heard keeps it there.
+
+#include "quota_link.h"
+#include "target_signals.h"
+
+#include <cmath>
+
+namespace
+{
+
+void Require(bool holds)
+{
+    if (!holds)
+    {
+        __builtin_trap();
+    }
+}
+
+void ReadHeaders(const std::string& text)
+{
+    using Winchlink::UsPerSecond;
+    const std::vector<Winchlink::Header> headers = {
+        {"X-Winchlink-Limit", text}, {"X-Winchlink-Cold-Ms", text}, {"X-Winchlink-Leaving", text}, {"Retry-After", text}, {"Date", text}};
+    const Winchlink::TargetSignals signals = Winchlink::ReadTargetSignals(Winchlink::WireNames(), 503, headers, 0);
+    Require(!signals.LimitPerS || (std::isfinite(*signals.LimitPerS) && *signals.LimitPerS >= 0));
+    Require(!signals.BackoffUs || (*signals.BackoffUs >= 0 && *signals.BackoffUs <= 3600 * UsPerSecond));
+    Require(!signals.ColdUs || (*signals.ColdUs >= 0 && *signals.ColdUs <= 3600 * UsPerSecond));
+}
+
+void HearMessage(const std::string& bytes)
+{
+    constexpr Winchlink::TimeUs now = 1000 * Winchlink::UsPerSecond;
+    const Winchlink::Result<Winchlink::QuotaMessage> message = Winchlink::DecodeQuota(bytes);
+    if (!message)
+    {
+        return;
+    }
+    Winchlink::Quota quota;
+    quota.Config = Winchlink::TargetQuotaConfig();
+    Winchlink::QuotaHeardReport(&quota, "a", message.value().Report, false, now);
+    Winchlink::QuotaHeardAnswer(&quota, message.value().Answer, now);
+    for (const auto& [id, named] : quota.Named)
+    {
+        Require(std::isfinite(named.PerS) && named.PerS >= 0 && named.HeardUs <= now);
+    }
+}
+
+} // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size)
+{
+    const std::string bytes(reinterpret_cast<const char*>(data), size);
+    ReadHeaders(bytes);
+    HearMessage(bytes);
+    return 0;
+}
--- a/tests/soak_audit_test.cpp
+++ b/tests/soak_audit_test.cpp
@@ -59,6 +59,9 @@
     CPPUNIT_TEST(RequestsToLeavingTargets);
     CPPUNIT_TEST(RequestsToEvacuatedDataCentres);
     CPPUNIT_TEST(TooManyRequestsToAColdTarget);
+    CPPUNIT_TEST(MoreRequestsThanATargetTakes);
+    CPPUNIT_TEST(RequestsToATargetThatWantsNothing);
+    CPPUNIT_TEST(RequestsToATargetThatHasSaidThatItLeaves);
     CPPUNIT_TEST(OlderVersions);
     CPPUNIT_TEST(TooManyRepeats);
     CPPUNIT_TEST(EndsAndRecovery);
@@ -189,6 +192,54 @@
         CPPUNIT_ASSERT(AuditSoak(log, SoakBounds()).empty());
     }
 
+    void MoreRequestsThanATargetTakes()
+    {
+        SoakLog log = CleanLog();
+        log.Limits = {{"t1", 2, Start - 4 * UsPerSecond, Start + 9 * UsPerSecond}};
+        for (TimeUs n = 0; n < 17; n++)
+        {
+            AddShed(&log, Start + UsPerSecond + n * 50 * UsPerMs);
+        }
+        CPPUNIT_ASSERT(AuditSoak(log, SoakBounds()).empty()); // 17, beside the one that was told.
+        AddShed(&log, Start + 3 * UsPerSecond);
+        CheckFinds(log, "more requests than a target takes");
+        log.Troubles = {{0, Start, Start + UsPerMs, false}};
+        CPPUNIT_ASSERT(AuditSoak(log, SoakBounds()).empty());
+        log.Troubles.clear();
+        log.Limits[0].FromUs = Start + UsPerSecond; // It binds later.
+        CPPUNIT_ASSERT(AuditSoak(log, SoakBounds()).empty());
+    }
+
+    void RequestsToATargetThatWantsNothing()
+    {
+        SoakLog log = CleanLog();
+        log.Rests = {{"t1", 2 * UsPerSecond, Start + 2 * UsPerMs, Start + UsPerSecond}};
+        AddShed(&log, Start + 10 * UsPerMs);
+        AddShed(&log, Start + 700 * UsPerMs);
+        AddShed(&log, Start + 1200 * UsPerMs);
+        CPPUNIT_ASSERT(AuditSoak(log, SoakBounds()).empty()); // Two.
+        AddShed(&log, Start + 1900 * UsPerMs);
+        CheckFinds(log, "sent to a target that wants nothing");
+        log.Rests[0].NextStartUs = Start + 1300 * UsPerMs; // Another start of it.
+        CPPUNIT_ASSERT(AuditSoak(log, SoakBounds()).empty());
+        log.Rests[0].NextStartUs = Start + 3 * UsPerSecond;
+        CheckFinds(log, "sent to a target that wants nothing");
+        log.Rests[0].RestUs = UsPerSecond;
+        CPPUNIT_ASSERT(AuditSoak(log, SoakBounds()).empty());
+    }
+
+    void RequestsToATargetThatHasSaidThatItLeaves()
+    {
+        SoakLog log = CleanLog();
+        log.SaidLeaving = {{"t1", Start}};
+        AddShed(&log, Start + 2 * UsPerSecond);
+        CPPUNIT_ASSERT(AuditSoak(log, SoakBounds()).empty());
+        AddShed(&log, Start + 3 * UsPerSecond);
+        CheckFinds(log, "sent to a target that has said that it leaves");
+        log.Troubles = {{0, Start, Start + UsPerSecond, false}};
+        CPPUNIT_ASSERT(AuditSoak(log, SoakBounds()).empty());
+    }
+
     void OlderVersions()
     {
         SoakLog log = CleanLog();
--- a/tests/target_signals_test.cpp
+++ b/tests/target_signals_test.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(AHealthAnswerSaysItToo);
     CPPUNIT_TEST(AnotherStartDoesNotLeave);
     CPPUNIT_TEST(WhoLeavesHasNotEndedUnderARequest);
+    CPPUNIT_TEST(ATargetThatIsNotWellSaysThatItIsColdAllTheSame);
     CPPUNIT_TEST_SUITE_END();
 
     void ReadsLimits()
@@ -193,6 +194,18 @@
         CPPUNIT_ASSERT_EQUAL(200, RigAsk(&rig, instance, RigCall()).Answer.Status);
     }
 
+    void ATargetThatIsNotWellSaysThatItIsColdAllTheSame()
+    {
+        Rig rig;
+        UsersTarget& target = RigTarget(&rig, "t");
+        RigConfigure(&rig, {UsersRoute()});
+        const Gateway& instance = RigInstance(&rig, 1);
+        target.Ill = true;
+        target.ColdMs = 5000;
+        RigAsk(&rig, instance, RigCall());
+        CPPUNIT_ASSERT(instance.Requests.Services.at("svc").Pool.Targets.front().WarmUntilUs > 0);
+    }
+
     // A planned end says nothing against the requests that were there.
     void WhoLeavesHasNotEndedUnderARequest()
     {
