Nothing is told of limits once none is known; a limit's end is told for 10 s

Found by reading: once a target had named a limit, instances went on telling each other of limits for ever, as nothing looked again whether there was anything to tell. That a limit is no longer named is kept for 10 s in place of 300: all have heard by then, and each second costs datagrams.

--- a/gateway/quota_link.cpp
+++ b/gateway/quota_link.cpp
@@ -207,6 +207,11 @@
 static void Report(QuotaLink* link, QuotaSubject_ subject)
 {
     QuotaChannel& channel = ChannelOf(link, subject);
+    if (!channel.Wanted())
+    {
+        channel.Reporting = nullptr; // The last limit is forgotten.
+        return;
+    }
     channel.Reporting = TimerStart(link->Loop, QuotaReportIn(*channel.Known), [link, subject]() { Report(link, subject); });
     Decide(link, subject);
     TellOthers(link, subject);
--- a/gateway/target_signals.cpp
+++ b/gateway/target_signals.cpp
@@ -158,7 +158,10 @@
     {
         Log(LogLevel_Info, Code_None, signals.LimitPerS ? "target names a limit" : "target names no limit any more",
             {{"target", source.Target}, {"perS", fmt::format("{:.3f}", signals.LimitPerS.value_or(0))}, {"health", source.Health ? 1 : 0}});
-        forwarder->OnLimit();
+        if (forwarder->OnLimit)
+        {
+            forwarder->OnLimit();
+        }
     }
 }
 
--- a/tests/target_limit_test.cpp
+++ b/tests/target_limit_test.cpp
@@ -77,6 +77,7 @@
     CPPUNIT_TEST(ALimitThatIsNoLongerNamedIsGone);
     CPPUNIT_TEST(AnotherStartOfATargetHasNoLimit);
     CPPUNIT_TEST(InstancesHearOfLimitsFromEachOther);
+    CPPUNIT_TEST(NothingIsToldOnceNoLimitIsKnown);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against instances that send on to a target in need as if it had named no limit, or that keep it each by itself.
@@ -214,6 +215,24 @@
         CPPUNIT_ASSERT(RigRun(&rig, all_know));
         CPPUNIT_ASSERT(RigRun(&rig, [&]() { return fleet[0]->Requests.TargetLimits.MembersMost == 4; }));
     }
+
+    // Guards against instances that go on telling each other of limits after the last one is gone.
+    void NothingIsToldOnceNoLimitIsKnown()
+    {
+        Rig rig;
+        UsersTarget& target = RigTarget(&rig, "t1");
+        target.Says = {{"Server-Limit", "100"}};
+        RigConfigure(&rig, {UsersRoute()});
+        Gateway& instance = RigInstance(&rig, 1);
+        instance.Requests.TargetLimits.Config.LiftedKeptUs = 100 * UsPerMs;
+        const Timer& reporting = instance.Quotas.Channels[QuotaSubject_Targets].Reporting;
+        CPPUNIT_ASSERT(!reporting);
+        RigAsk(&rig, instance, RigCall());
+        CPPUNIT_ASSERT(bool(reporting));
+        target.Says.clear();
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return RigAsk(&rig, instance, RigCall()).Answer.Status == 200; }));
+        CPPUNIT_ASSERT(RigRun(&rig, [&]() { return !reporting; }));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TargetLimitTest);
--- a/winchlink.h
+++ b/winchlink.h
@@ -900,6 +900,7 @@
     double SurgeShare = 2; // At this share and above, an instance admits StartParts at the most, in case many come at once; above 1: never.
     double TrialPerS = 1.0 / 60; // Rate of a target that names a lower limit, or none at all: its answers tell when it takes more.
     TimeUs NamedKeptUs = 300 * UsPerSecond; // A limit is believed for so long after it was last named.
+    TimeUs LiftedKeptUs = 10 * UsPerSecond; // That it is no longer named is told for so long: all have heard by then.
 };
 
 // For limits that targets name: a target may get half as much again as it names, and 5 requests, in 4 s.
--- a/winchlink_quota.cpp
+++ b/winchlink_quota.cpp
@@ -91,7 +91,8 @@
 {
     for (auto named = quota->Named.begin(); named != quota->Named.end();)
     {
-        const bool old = now - named->second.HeardUs > quota->Config.NamedKeptUs;
+        const TimeUs kept = named->second.InForce ? quota->Config.NamedKeptUs : quota->Config.LiftedKeptUs;
+        const bool old = now - named->second.HeardUs > kept;
         named = old ? quota->Named.erase(named) : std::next(named);
     }
 }
