--- a/gateway/target_signals.cpp
+++ b/gateway/target_signals.cpp
@@ -149,7 +149,8 @@
 // A health answer without a limit says nothing of one that only answers to requests have named: some targets tell less there.
 static void HearLimit(Forwarder* forwarder, const SignalSource& source, const TargetSignals& signals)
 {
-    if (source.Health && !signals.LimitPerS)
+    const bool ends_one = !source.Health && !forwarder->TargetLimits.Named.empty();
+    if (!signals.LimitPerS && !ends_one)
     {
         return;
     }
