Logs, metrics and status: which data decided a request, how old it was, and who read the store for it

Request lines name revision, age, source and reader of the data; a change of source is one line with what was known of the old and the new one, and the instance's own contacts; answers between instances carry the path of the data, behind the head, so that earlier versions read the rest. Age of data as a histogram at requests and twice a second. Lines are bounded by the log's rate limits; a change of source is rare.

Tests: RelayTest::PagesOfEarlierVersionsAreRead, TheStatusPageNamesSourceReaderAndContacts.

--- a/gateway/call.h
+++ b/gateway/call.h
@@ -57,6 +57,7 @@
 {
     Forwarder* Owner = nullptr;
     ExchangePtr Inbound;
+    DataState DecidedBy;                 // State of the data when the request was routed.
     RoutePlanPtr Plan;                   // Keeps MatchedRoute and Spec alive.
     const Route* MatchedRoute = nullptr; // Null if no route matches.
     const ServiceInfo* Spec = nullptr;
--- a/gateway/command_status.cpp
+++ b/gateway/command_status.cpp
@@ -28,6 +28,18 @@
     return text != nullptr ? text : "";
 }
 
+static std::string Texts(json_t* object, const char* key)
+{
+    std::string all;
+    size_t n = 0;
+    json_t* text = nullptr;
+    json_array_foreach(json_object_get(object, key), n, text)
+    {
+        all += (n > 0 ? " " : "") + std::string(json_string_value(text));
+    }
+    return all;
+}
+
 static bool Is(json_t* object, const char* key)
 {
     return json_is_true(json_object_get(object, key));
@@ -56,6 +68,8 @@
                Is(store, "lost") ? "LOST" : "heard", Is(store, "isStore") ? "itself at " : "the instance at ", Text(store, "source"),
                Number(store, "revision"), Seconds(store, "ageMs"), Number(store, "calls"), Number(store, "failures"),
                Number(store, "followers"));
+    fmt::print("read by    {}, through {} instances, {} changes of source; own contacts: {}\n", Text(store, "readBy"),
+               json_array_size(json_object_get(store, "path")), Number(store, "changes"), Texts(store, "contacts"));
 }
 
 static void PrintEvacuations(json_t* root)
--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -49,6 +49,10 @@
            {"service", call.ServiceName},
            {"customer", call.KeyOwner != nullptr ? call.KeyOwner->Name : ""},
            {"plan", call.Plan ? call.Plan->Version : 0},
+           {"revision", call.DecidedBy.Revision},
+           {"dataAgeUs", call.DecidedBy.AgeUs},
+           {"source", call.DecidedBy.Source},
+           {"readBy", call.DecidedBy.ReadBy},
            {"target", last.Target},
            {"status", status},
            {"attempts", call.Attempts},
@@ -321,8 +325,20 @@
     return row != nullptr && MayRetry(*row, exchange.Method);
 }
 
+// Notes by which data the request is decided.
+static void NoteData(Call* call)
+{
+    Forwarder* forwarder = call->Owner;
+    if (forwarder->CurrentData)
+    {
+        call->DecidedBy = forwarder->CurrentData();
+        LatencyAdd(&forwarder->DataAge, std::max<TimeUs>(call->DecidedBy.AgeUs, 0));
+    }
+}
+
 static void MatchRoute(const CallPtr& call)
 {
+    NoteData(call.get());
     call->MatchedRoute = FindRoute(*call->Plan, HeaderOr(*call->Inbound, "Host", ""), call->Inbound->Target);
     if (call->MatchedRoute == nullptr)
     {
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -42,6 +42,15 @@
 
 struct Call;
 
+// State of the store's data by which a request is decided; for the log.
+struct DataState
+{
+    uint64_t Revision = 0; // Store revision up to which changes are in force.
+    TimeUs AgeUs = -1;     // Time since the data was known to be current; -1 if there is none.
+    std::string ReadBy;    // Instance that reads the store for this one.
+    std::string Source;    // Where this instance gets the data: the store or another instance.
+};
+
 // Counters of signals in the answers of a service's targets.
 struct SignalCounters
 {
@@ -86,6 +95,8 @@
     TimeUs StartedUs = 0;                         // Time at which this instance began to accept requests.
     std::vector<std::shared_ptr<Call>> Unplanned; // Requests that wait for the first plan.
     std::function<void()> OnPlanNeeded;           // Called each time PlanWaitersPerStoreCall more of them wait; may be empty.
+    std::function<DataState()> CurrentData;       // Returns the state of the data; may be empty.
+    LatencyStats DataAge;                         // Age of the data when requests were decided.
     TargetDirectory Directory;
     Timer FollowTimer;                            // Calls ForwarderFollow() once the current event has been handled.
     Quota Quotas;                                 // Customers' quotas.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -87,6 +87,17 @@
     ApplySoon(gateway, {items, at, false});
 }
 
+static DataState CurrentData(const Gateway& gateway)
+{
+    const Follow& following = gateway.Store.Following;
+    DataState state;
+    state.Revision = gateway.PendingBatches.empty() ? following.Revision : gateway.AppliedRevision;
+    state.AgeUs = StoreDataAgeUs(gateway.Store);
+    state.ReadBy = following.Origin;
+    state.Source = gateway.Store.InUse.Address;
+    return state;
+}
+
 static void StartStore(Gateway* gateway)
 {
     StoreReader& store = gateway->Store;
@@ -115,6 +126,12 @@
     {
         return store.Following.Origin;
     };
+    peers.Path = [&store]()
+    {
+        std::vector<std::string> path = store.Following.Path;
+        path.push_back(store.Following.Own);
+        return path;
+    };
     peers.OnAskStore = [&store]()
     {
         StoreReaderAskStore(&store);
@@ -123,6 +140,10 @@
     {
         FollowAddInstance(&store.Following, address);
     };
+    gateway->Requests.CurrentData = [gateway]()
+    {
+        return CurrentData(*gateway);
+    };
     gateway->Requests.OnPlanNeeded = [&store]()
     {
         StoreReaderCallersWaiting(&store);
@@ -413,6 +434,10 @@
 static void Tick(Gateway* gateway)
 {
     CheckSettingsFile(gateway);
+    if (gateway->Store.Following.FreshUs > 0)
+    {
+        LatencyAdd(&gateway->DataAge, StoreDataAgeUs(gateway->Store));
+    }
     QuarantineExpire(&gateway->Requests.Quarantined, NowUs());
     SilentCrashesExpire(&gateway->Requests.Unanswered, NowUs());
     if (ReadsStore(*gateway))
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -63,6 +63,8 @@
     Timer ForgetTimer;                          // Removes the next missing target whose retention is over.
     Timer StopTimer;                            // Next step of a planned stop.
     TimeUs StartedUs = 0;                       // Time of GatewayStart().
+    uint64_t AppliedRevision = 0;               // Store revision of the last applied batch.
+    LatencyStats DataAge;                       // Age of the data, sampled at each tick.
     TimeUs PlanUs = 0;                          // Time when the current plan was applied; 0 if there is none.
     std::map<std::string, std::string> Invalid; // Reasons why items of the store are invalid, by key.
     uint64_t InvalidSeen = 0;                   // Counter: items found invalid, without repetitions of the same fault.
--- a/gateway/message_codec.h
+++ b/gateway/message_codec.h
@@ -48,12 +48,11 @@
     return stream.str();
 }
 
-// False if the bytes are not a valid message; the content of `value` is then unspecified.
-template <class T> bool DecodeMessage(const std::string& bytes, T* value)
+// Reads one message from a stream. False if the bytes are not a valid message; the content of `value` is then unspecified.
+template <class T> bool ReadMessage(std::istream& stream, T* value)
 {
     try
     {
-        std::istringstream stream(bytes);
         cereal::PortableBinaryInputArchive archive(stream);
         archive(*value);
     }
@@ -64,4 +63,11 @@
     return true;
 }
 
+// The same, from a string.
+template <class T> bool DecodeMessage(const std::string& bytes, T* value)
+{
+    std::istringstream stream(bytes);
+    return ReadMessage(stream, value);
+}
+
 } // namespace Winchlink
--- a/gateway/pages.cpp
+++ b/gateway/pages.cpp
@@ -56,7 +56,10 @@
         const char* name = StoreReasonName(static_cast<StoreReason_>(reason));
         text += fmt::format("winchlink_store_calls_for{{reason=\"{}\"}} {}\n", name, store.StoreCallsFor[reason]);
     }
-    return text + fmt::format("winchlink_store_failures {}\n", store.CallsFailed);
+    text += fmt::format("winchlink_store_failures {}\n", store.CallsFailed);
+    text += fmt::format("winchlink_source_changes {}\n", store.SourceChanges);
+    text += fmt::format("winchlink_reads_store {}\n", store.Following.Next.Kind == SourceKind_Store ? 1 : 0);
+    return text + fmt::format("winchlink_data_revision {}\n", store.Following.Revision);
 }
 
 // One line for each data centre with a known evacuation entry: 1 while it is evacuated.
@@ -125,6 +128,8 @@
     text += fmt::format("winchlink_silent_connections {}\n", gateway.Targets.DeadConnectionsSeen + gateway.Control.DeadConnectionsSeen);
     text += fmt::format("winchlink_replays_stopped {}\n", gateway.Targets.ResendsPrevented);
     text += StoreCallsText(gateway.Store);
+    text += FormatLatency("winchlink_data_age_seconds", "at=\"request\"", requests.DataAge);
+    text += FormatLatency("winchlink_data_age_seconds", "at=\"tick\"", gateway.DataAge);
     text += fmt::format("winchlink_items_invalid {}\n", gateway.Invalid.size());
     text += fmt::format("winchlink_items_invalid_seen {}\n", gateway.InvalidSeen);
     text += EvacuationsText(requests.Directory);
@@ -242,6 +247,16 @@
     return object;
 }
 
+static json_t* JsonOfTexts(const std::vector<std::string>& texts)
+{
+    json_t* list = json_array();
+    for (const std::string& text : texts)
+    {
+        json_array_append_new(list, JsonText(text));
+    }
+    return list;
+}
+
 static json_t* JsonOfStore(const Gateway& gateway, TimeUs now)
 {
     const StoreReader& store = gateway.Store;
@@ -250,6 +265,9 @@
     json_object_set_new(object, "source", JsonText(following.Next.Address));
     json_object_set_new(object, "isStore", json_boolean(following.Next.Kind == SourceKind_Store));
     json_object_set_new(object, "readBy", JsonText(following.Origin));
+    json_object_set_new(object, "path", JsonOfTexts(following.Path));
+    json_object_set_new(object, "contacts", JsonOfTexts(following.Seeds));
+    json_object_set_new(object, "changes", JsonNumber(store.SourceChanges));
     json_object_set_new(object, "revision", JsonNumber(following.Revision));
     json_object_set_new(object, "ageMs", following.FreshUs > 0 ? JsonMs(now - following.FreshUs) : json_null());
     json_object_set_new(object, "lost", json_boolean(gateway.Requests.Directory.StoreUnavailable));
--- a/gateway/relay.cpp
+++ b/gateway/relay.cpp
@@ -86,10 +86,17 @@
     return items;
 }
 
-// Message format: size of the head, size of the packed items, checksum of the head (zlib checks the items), head, packed items.
+// Decodes the head of a message; one from an earlier version ends before Route. False if the bytes are invalid.
+static bool DecodeHead(const std::string& bytes, StorePage* page)
+{
+    std::istringstream stream(bytes);
+    return ReadMessage(stream, page) && (stream.peek() == EOF || ReadMessage(stream, &page->Route));
+}
+
+// Message format: size of the head, size of the packed items, checksum of the head (zlib checks the items), head with Route, packed items.
 static std::string EncodePacked(const StorePage& head, const std::string& packed)
 {
-    const std::string coded = EncodeMessage(head);
+    const std::string coded = EncodeMessage(head) + EncodeMessage(head.Route);
     std::string out;
     AppendNumber(&out, coded.size());
     AppendNumber(&out, packed.size());
@@ -116,7 +123,7 @@
     }
     StorePage page;
     const std::string head = bytes.substr(sizes, head_size);
-    if (Checksum(head) != NumberAt(bytes, 2 * NumberBytes) || !DecodeMessage(head, &page))
+    if (Checksum(head) != NumberAt(bytes, 2 * NumberBytes) || !DecodeHead(head, &page))
     {
         return Malformed("message head has a wrong checksum or can't be decoded");
     }
@@ -168,6 +175,7 @@
     head.TriedUs = relay.StoreLost ? NowUs() - relay.TriedUs : 0;
     head.Origin = relay.Origin ? relay.Origin() : "";
     head.QuarantineDigest = relay.QuarantineDigest ? relay.QuarantineDigest() : 0;
+    head.Route.Path = relay.Path ? relay.Path() : std::vector<std::string>();
     return head;
 }
 
--- a/gateway/relay.h
+++ b/gateway/relay.h
@@ -54,6 +54,7 @@
     std::function<void()> OnAskStore;                       // A follower requests that this instance ask the store; may be empty.
     std::function<void(const std::string&)> OnInstanceSeen; // Gets the address of each requester that can be followed; may be empty.
     std::function<std::string()> Origin;                    // Returns the instance that reads the store for this one; may be empty.
+    std::function<std::vector<std::string>()> Path;         // Returns the instances that the data passed through; may be empty.
     std::function<uint64_t()> QuarantineDigest;             // Returns the digest of the quarantine; may be empty.
     std::function<std::string(const std::string&)>
         OnTargetCrashes;                          // Handles a message with target crashes; returns the answer. May be empty.
--- a/gateway/store_reader.cpp
+++ b/gateway/store_reader.cpp
@@ -15,6 +15,7 @@
 #include <algorithm>
 #include <cassert>
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <numeric>
 
 namespace Winchlink
@@ -81,13 +82,53 @@
 // [SECTION] Outcome of a call
 //-----------------------------------------------------------------------------
 
+TimeUs StoreDataAgeUs(const StoreReader& reader)
+{
+    const TimeUs fresh = reader.Following.FreshUs;
+    return fresh > 0 ? NowUs() - fresh : -1;
+}
+
+static std::string JoinAddresses(const std::vector<std::string>& addresses)
+{
+    return fmt::format("{}", fmt::join(addresses, " "));
+}
+
 static void LogFailure(const StoreReader& reader, const std::string& why)
 {
+    const Follow& following = reader.Following;
     Log(LogLevel_Info, Code_PlatformUnreachable, "source failed",
-        {{"address", reader.Following.Next.Address},
+        {{"address", following.Next.Address},
          {"store", AsksStore(reader) ? 1 : 0},
          {"detail", why},
-         {"revision", reader.Following.Revision}});
+         {"revision", following.Revision},
+         {"dataAgeUs", StoreDataAgeUs(reader)},
+         {"readBy", following.Origin}});
+}
+
+// Logs a change of the source that is in use. `age`: age of the data before the source's answer.
+static void NoteSourceInUse(StoreReader* reader, const FollowStep& step, TimeUs age)
+{
+    const Follow& following = reader->Following;
+    const SourceInUse before = reader->InUse;
+    reader->InUse = {step.Address, following.Origin, NowUs()};
+    if (before.Address == step.Address && before.Origin == following.Origin)
+    {
+        return;
+    }
+    reader->SourceChanges++;
+    Log(LogLevel_Info, Code_None, "source changed",
+        {{"address", step.Address},
+         {"store", step.Kind == SourceKind_Store ? 1 : 0},
+         {"reason", StoreReasonName(step.Reason)},
+         {"readBy", following.Origin},
+         {"path", JoinAddresses(following.Path)},
+         {"revision", following.Revision},
+         {"dataAgeUs", StoreDataAgeUs(*reader)},
+         {"before", before.Address},
+         {"readByBefore", before.Origin},
+         {"answeredBeforeUs", before.AnsweredUs > 0 ? NowUs() - before.AnsweredUs : -1},
+         {"dataAgeBeforeUs", age},
+         {"contacts", JoinAddresses(following.Seeds)}});
 }
 
 static void OnFailure(StoreReader* reader, const std::string& why, bool late)
@@ -121,7 +162,10 @@
          {"detail", result == FollowResult_Loop ? "its data comes from this instance" : "stale or behind"},
          {"revision", page.Revision},
          {"ageUs", page.AgeUs},
-         {"ours", reader->Following.Revision}});
+         {"ours", reader->Following.Revision},
+         {"dataAgeUs", StoreDataAgeUs(*reader)},
+         {"readBy", page.Origin},
+         {"path", JoinAddresses(page.Route.Path)}});
 }
 
 // Applies the answer of a source and selects the next one. The data is applied unless it is behind the known revision, even when it is
@@ -139,7 +183,8 @@
     {
         reader->OnQuarantineDigest(page.QuarantineDigest);
     }
-    const SourceStatus status = {page.Revision, page.AgeUs, page.StoreLost, page.TriedUs, page.Origin};
+    const TimeUs age_before = StoreDataAgeUs(*reader);
+    const SourceStatus status = {page.Revision, page.AgeUs, page.StoreLost, page.TriedUs, page.Origin, page.Route.Path};
     const FollowResult_ result = FollowAnswered(&reader->Following, status, NowUs(), reader->Rng);
     const bool changed = !everything && page.Revision > before && !page.Items.empty();
     if (everything && page.Revision >= before)
@@ -153,6 +198,7 @@
     }
     if (result == FollowResult_Good)
     {
+        NoteSourceInUse(reader, step, age_before);
         reader->OnAnswered(changed || everything);
     }
     else if (result == FollowResult_StoreLost)
--- a/gateway/store_reader.h
+++ b/gateway/store_reader.h
@@ -28,6 +28,17 @@
     }
 };
 
+// How an instance got its data. Earlier versions don't send it.
+struct DataRoute
+{
+    std::vector<std::string> Path; // Instances that the data passed through, see SourceStatus.
+
+    template <class Archive> void serialize(Archive& archive)
+    {
+        archive(Path);
+    }
+};
+
 struct StorePage
 {
     std::vector<StoreItem> Items;
@@ -40,9 +51,10 @@
     std::string Origin;                 // Address of the instance that reads the store for the source; may be empty.
     std::vector<std::string> Elsewhere; // Redirect: ask one of these instances instead.
     uint64_t QuarantineDigest = 0;      // Digest of the source's quarantine; only from an instance.
+    DataRoute Route;                    // How the source got its data; only from an instance.
     std::string Packed;                 // Items as received from another instance, to be passed on without encoding them again.
 
-    // Head of a message between instances; the items follow separately.
+    // Head of a message between instances; Route and the items follow separately.
     template <class Archive> void serialize(Archive& archive)
     {
         archive(More, Revision, AgeUs, StoreLost, TriedUs, Origin, Elsewhere, QuarantineDigest);
@@ -70,6 +82,14 @@
     TimeUs ConnectUs = 0; // Connect timeout.
 };
 
+// A source that answered with current data, for the log.
+struct SourceInUse
+{
+    std::string Address;
+    std::string Origin;    // Instance that reads the store for it.
+    TimeUs AnsweredUs = 0; // Time of its last answer; 0 if there was none.
+};
+
 struct StoreReader
 {
     StoreSource FromStore;
@@ -91,6 +111,8 @@
     Timer Next;                                                 // Starts the next call.
     std::array<uint64_t, StoreReason_COUNT> StoreCallsFor = {}; // Counters: calls to the store, by reason.
     uint64_t CallsFailed = 0;                                   // Counter: failed calls, and sources left.
+    SourceInUse InUse;                                          // The source that last answered with current data.
+    uint64_t SourceChanges = 0;                                 // Counter: changes of InUse.
 };
 
 // Starts the full read. Long polls follow.
@@ -102,6 +124,9 @@
 // Callers wait for the first data; see FollowCallersWaiting().
 void StoreReaderCallersWaiting(StoreReader* reader);
 
+// Age of the data at this instance; -1 if there is none.
+TimeUs StoreDataAgeUs(const StoreReader& reader);
+
 // Number of calls to the store so far.
 uint64_t StoreCalls(const StoreReader& reader);
 
--- a/gateway/store_updates.cpp
+++ b/gateway/store_updates.cpp
@@ -253,6 +253,7 @@
     for (const StoreBatch& batch : batches)
     {
         ApplyItems(gateway, batch.Items, batch.Revision, batch.IsSnapshot);
+        gateway->AppliedRevision = batch.Revision;
     }
 }
 
--- a/tests/follow_load_test.cpp
+++ b/tests/follow_load_test.cpp
@@ -176,7 +176,7 @@
 SourceStatus SourceStateOf(const Model& model, const ModelInstance& self)
 {
     const Follow& following = self.Following;
-    return {following.Revision, model.Now - following.FreshUs, self.Lost, self.Lost ? model.Now - self.TriedUs : 0, following.Origin};
+    return {following.Revision, model.Now - following.FreshUs, self.Lost, self.Lost ? model.Now - self.TriedUs : 0, following.Origin, {}};
 }
 
 void OnSourceAnswer(Model* model, size_t instance, uint64_t call, const SourceStatus& status);
@@ -318,7 +318,7 @@
             CallFailed(model, instance, call, false); // Ends a long poll that is in progress.
             return;
         }
-        const SourceStatus status = {StoreRevision(*model, model->Now), 0, false, 0, ""};
+        const SourceStatus status = {StoreRevision(*model, model->Now), 0, false, 0, "", {}};
         const TimeUs read = QueueWork(model, instance, model->Now + StoreUs, everything ? EverythingUs : MessageUs);
         ScheduleAt(model, read, [=]() { OnSourceAnswer(model, instance, call, status); });
     };
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -2,6 +2,8 @@
 // followers that stay with a source that failed or is behind.
 
 #include "gateway_rig.h"
+#include "message_codec.h"
+#include "pages.h"
 #include "socket.h"
 
 #include <fmt/format.h>
@@ -17,6 +19,10 @@
     page.Revision = static_cast<uint64_t>(dice->Between(0, 1000000));
     page.AgeUs = dice->Between(0, UsPerSecond);
     page.StoreLost = dice->OneIn(2);
+    for (int64_t hops = dice->Between(0, 4); hops > 0; hops--)
+    {
+        page.Route.Path.push_back(fmt::format("10.0.0.{}:1", hops));
+    }
     for (int64_t n = dice->Between(0, 20); n > 0; n--)
     {
         StoreItem item;
@@ -54,6 +60,8 @@
 {
     CPPUNIT_TEST_SUITE(RelayTest);
     CPPUNIT_TEST(PagesSurviveEncodingAndDecoding);
+    CPPUNIT_TEST(PagesOfEarlierVersionsAreRead);
+    CPPUNIT_TEST(TheStatusPageNamesSourceReaderAndContacts);
     CPPUNIT_TEST(MalformedPagesAreRefused);
     CPPUNIT_TEST(FollowersDoNotCallTheStore);
     CPPUNIT_TEST(UpdatesReachFollowersOfFollowers);
@@ -86,6 +94,7 @@
                            RC_ASSERT(bool(read));
                            RC_ASSERT(read.value().Revision == page.Revision && read.value().AgeUs == page.AgeUs &&
                                      read.value().StoreLost == page.StoreLost);
+                           RC_ASSERT(read.value().Route.Path == page.Route.Path);
                            RC_ASSERT(read.value().Items.size() == page.Items.size());
                            for (size_t n = 0; n < page.Items.size(); n++)
                            {
@@ -96,6 +105,24 @@
                        });
     }
 
+    // Guards against a rolling upgrade in which instances can't read each other's messages.
+    void PagesOfEarlierVersionsAreRead()
+    {
+        StorePage page;
+        page.Revision = 7;
+        page.Origin = "10.0.0.1:1";
+        const std::string head = EncodeMessage(page);
+        std::string bytes;
+        AppendNumber(&bytes, head.size());
+        AppendNumber(&bytes, 0);
+        AppendNumber(&bytes, Checksum(head));
+        const Result<StorePage> read = DecodePage(bytes + head);
+        CPPUNIT_ASSERT(bool(read));
+        CPPUNIT_ASSERT_EQUAL(page.Revision, read.value().Revision);
+        CPPUNIT_ASSERT_EQUAL(page.Origin, read.value().Origin);
+        CPPUNIT_ASSERT(read.value().Route.Path.empty());
+    }
+
     void MalformedPagesAreRefused()
     {
         CHECK_PROPERTY("cut or changed bytes give an error or a page, never more",
@@ -117,6 +144,29 @@
         CPPUNIT_ASSERT(!DecodePage(std::string("\xff\xff\xff\xff", 4) + "x")); // A length of 4 GiB in the first bytes.
     }
 
+    // Guards against a status page from which an operator can't tell by whose data an instance decides.
+    void TheStatusPageNamesSourceReaderAndContacts()
+    {
+        Rig rig;
+        RigTarget(&rig, "t1");
+        RigConfigure(&rig, {UsersRoute()});
+        const std::vector<std::string> readers = {FreeAddress()};
+        RigWaitForPlan(&rig, RigStartWith(&rig, ReaderSettings(rig, readers, 0)), 1);
+        const Gateway& follower = RigStartWith(&rig, FollowerSettings(rig, readers));
+        RigWaitForPlan(&rig, follower, 1);
+        const std::string status = StatusText(follower);
+        for (const char* key : {"source", "readBy", "path", "contacts"})
+        {
+            const size_t at = status.find(fmt::format("\"{}\"", key));
+            CPPUNIT_ASSERT_MESSAGE(status, at != std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(status, status.substr(at, 100).find(readers[0]) != std::string::npos);
+        }
+        const std::string metrics = MetricsText(follower);
+        CPPUNIT_ASSERT(metrics.find("winchlink_data_age_seconds_count{at=\"request\"} 0") != std::string::npos);
+        RigSendAndWait(&rig, follower, {});
+        CPPUNIT_ASSERT(MetricsText(follower).find("winchlink_data_age_seconds_count{at=\"request\"} 1") != std::string::npos);
+    }
+
     // Settings of a seed: the other instances name it, and it reads the store.
     static Settings ReaderSettings(const Rig& rig, const std::vector<std::string>& readers, size_t index)
     {
--- a/winchlink.h
+++ b/winchlink.h
@@ -1148,11 +1148,12 @@
 // State of a source's data, as it reports it.
 struct SourceStatus
 {
-    uint64_t Revision = 0;  // Store revision up to which its data is complete.
-    TimeUs AgeUs = 0;       // Time since the data was known to be current.
-    bool StoreLost = false; // It has lost the store.
-    TimeUs TriedUs = 0;     // If so: time since the last failed attempt to reach the store.
-    std::string Origin;     // Address of the instance that reads the store for it, possibly the source itself.
+    uint64_t Revision = 0;         // Store revision up to which its data is complete.
+    TimeUs AgeUs = 0;              // Time since the data was known to be current.
+    bool StoreLost = false;        // It has lost the store.
+    TimeUs TriedUs = 0;            // If so: time since the last failed attempt to reach the store.
+    std::string Origin;            // Address of the instance that reads the store for it, possibly the source itself.
+    std::vector<std::string> Path; // Instances that the data passed through: from Origin to the source itself. Empty if unknown.
 };
 
 enum FollowResult_ : int
@@ -1176,15 +1177,16 @@
     bool Reads = false;                      // This instance is a seed, or there are no seeds.
     std::vector<std::string> KnownInstances; // Other instances, most recently seen last.
 
-    uint64_t Revision = 0;       // Store revision up to which the data is complete; 0: no data.
-    TimeUs FreshUs = 0;          // Time as of which the data was last known to be current.
-    std::string Origin;          // Address of the instance that reads the store for this one, possibly Own.
-    FollowStep Next;             // What to do next.
-    TimeUs StartedUs = 0;        // Time of FollowStart().
-    TimeUs FailbackAtUs = 0;     // When to try the preferred source again; 0: never.
-    bool Redirected = false;     // The source was named in a redirect; it is used until it fails.
-    bool CallersWaiting = false; // No data yet, and callers wait for it.
-    int StoreTimeouts = 0;       // Consecutive timeouts of the store.
+    uint64_t Revision = 0;         // Store revision up to which the data is complete; 0: no data.
+    TimeUs FreshUs = 0;            // Time as of which the data was last known to be current.
+    std::string Origin;            // Address of the instance that reads the store for this one, possibly Own.
+    std::vector<std::string> Path; // Instances that the data passed through: from Origin to the source. Empty if read from the store.
+    FollowStep Next;               // What to do next.
+    TimeUs StartedUs = 0;          // Time of FollowStart().
+    TimeUs FailbackAtUs = 0;       // When to try the preferred source again; 0: never.
+    bool Redirected = false;       // The source was named in a redirect; it is used until it fails.
+    bool CallersWaiting = false;   // No data yet, and callers wait for it.
+    int StoreTimeouts = 0;         // Consecutive timeouts of the store.
 
     // State of the round of sources that follows a failure.
     size_t Place = 0;          // Index of the current source; see StepAt().
--- a/winchlink_follow.cpp
+++ b/winchlink_follow.cpp
@@ -242,6 +242,7 @@
 {
     const bool from_store = follow->Next.Kind == SourceKind_Store;
     follow->Origin = from_store ? follow->Own : status.Origin;
+    follow->Path = from_store ? std::vector<std::string>() : status.Path;
     follow->RoundsInRow = 0;
     follow->UnansweredRounds = 0;
     follow->Tried = 0;
