Tests, failing: age of the data at instances in touch, whatever is lost (FollowBoundTest)

What callers saw: requests handled as only an older configuration allows, 2.6 s and more after the change was confirmed.

FollowBoundTest plays 14 kinds of loss at 3, 17, 99 and 587 instances, four seeds each, against the users' time for an edit at that size (2, 2, 2.5, 4 s).

--- /dev/null
+++ b/tests/follow_bound_test.cpp
@@ -0,0 +1,393 @@
+// follow_bound_test.cpp: how old the data may get at an instance in touch, whatever is lost, in virtual time. Guards against edits that are
+// in force too late: the bound is the users' time for an edit at fleets of that size.
+
+#include "follow_model.h"
+
+#include <fmt/format.h>
+
+namespace Winchlink
+{
+
+static constexpr TimeUs InTouchUs = 3 * UsPerSecond; // An instance counts again this long after its start or the end of a freeze.
+static constexpr int RunsEach = 4;                   // Seeds of each case.
+
+struct BoundCase
+{
+    size_t Size = 0;    // Instances.
+    TimeUs BoundUs = 0; // Users' time for an edit.
+};
+
+static const std::vector<BoundCase> Fleets = {{3, 2 * UsPerSecond}, {17, 2 * UsPerSecond}, {99, 2500 * UsPerMs}, {587, 4 * UsPerSecond}};
+
+// What was seen at instances in touch.
+struct BoundSeen
+{
+    TimeUs OldestUs = 0; // Largest age of data; the time since its start for an instance that has none.
+    size_t LateMax = 0;  // Most instances beyond the bound at one time.
+};
+
+static std::vector<std::string> RandomSeeds(size_t instance, size_t size, size_t count, Random* random)
+{
+    std::vector<std::string> seeds;
+    std::uniform_int_distribution<size_t> any(0, size - 1);
+    while (seeds.size() < std::min(count, size - 1))
+    {
+        const std::string address = AddressOf(any(*random));
+        const bool used = address == AddressOf(instance) || std::find(seeds.begin(), seeds.end(), address) != seeds.end();
+        if (!used)
+        {
+            seeds.push_back(address);
+        }
+    }
+    return seeds;
+}
+
+// A list of its own for each instance, drawn anew at each start, that names three others.
+static ModelSeeds ListsOfOthers(size_t size)
+{
+    return [size](size_t instance, Random* random)
+    {
+        return RandomSeeds(instance, size, 3, random);
+    };
+}
+
+// Of all kinds: shared, of others, with the instance itself, of one, empty, with addresses at which nobody is.
+static ModelSeeds ListsOfAllKinds(size_t size)
+{
+    return [size](size_t instance, Random* random)
+    {
+        std::vector<std::string> seeds = RandomSeeds(instance, size, 3, random);
+        switch (std::uniform_int_distribution<int>(0, 5)(*random))
+        {
+        case 0:
+            return std::vector<std::string>{AddressOf(0), AddressOf(1), AddressOf(2)};
+        case 1:
+            seeds.back() = AddressOf(instance);
+            return seeds;
+        case 2:
+            return std::vector<std::string>{seeds.front()};
+        case 3:
+            return std::vector<std::string>();
+        case 4:
+            seeds.front() = AddressOf(size);
+            return seeds;
+        default:
+            return seeds;
+        }
+    };
+}
+
+static BoundSeen Watch(Model* model, TimeUs end, TimeUs bound)
+{
+    BoundSeen seen;
+    while (model->Now < end)
+    {
+        RunUntil(model, std::min(end, model->Now + 50 * UsPerMs));
+        size_t late = 0;
+        for (const ModelInstance& instance : model->Fleet)
+        {
+            const bool counts = instance.State == ModelState_Up && model->Now >= instance.DisturbedUs + InTouchUs;
+            const TimeUs since = instance.Following.Revision != 0 ? instance.Following.FreshUs : instance.DisturbedUs;
+            const TimeUs age = counts ? model->Now - since : 0;
+            seen.OldestUs = std::max(seen.OldestUs, age);
+            late += age > bound ? 1 : 0;
+        }
+        seen.LateMax = std::max(seen.LateMax, late);
+    }
+    return seen;
+}
+
+static size_t AnyInstance(Model* model)
+{
+    return std::uniform_int_distribution<size_t>(0, model->Fleet.size() - 1)(model->Rng);
+}
+
+// Index of the instance whose data most instances have; the fleet's reader.
+static size_t CommonReader(const Model& model)
+{
+    std::map<std::string, int> counts;
+    for (const ModelInstance& instance : model.Fleet)
+    {
+        counts[instance.Following.Origin]++;
+    }
+    const auto fewer = [](const auto& a, const auto& b)
+    {
+        return a.second < b.second;
+    };
+    return model.ByAddress.at(std::max_element(counts.begin(), counts.end(), fewer)->first);
+}
+
+// Plans the faults of one run from the time `from` on.
+using FaultPlan = std::function<void(Model* model, TimeUs from)>;
+
+static void Calm(Model*, TimeUs)
+{
+}
+
+static void OneCrashesEveryTwoSeconds(Model* model, TimeUs from)
+{
+    for (TimeUs when = from; when < from + 12 * UsPerSecond; when += 2 * UsPerSecond)
+    {
+        const size_t instance = AnyInstance(model);
+        StopAt(model, instance, ModelState_Crashed, when);
+        StartAt(model, instance, when + 1500 * UsPerMs);
+    }
+}
+
+static void OneFallsSilentEveryThreeSeconds(Model* model, TimeUs from)
+{
+    for (TimeUs when = from; when < from + 12 * UsPerSecond; when += 3 * UsPerSecond)
+    {
+        const size_t instance = AnyInstance(model);
+        StopAt(model, instance, ModelState_Unresponsive, when);
+        WakeAt(model, instance, when + 2900 * UsPerMs);
+    }
+}
+
+static void OneRestartsEverySecond(Model* model, TimeUs from)
+{
+    for (TimeUs when = from; when < from + 12 * UsPerSecond; when += UsPerSecond)
+    {
+        const size_t instance = AnyInstance(model);
+        StopAt(model, instance, ModelState_Crashed, when);
+        StartAt(model, instance, when + 300 * UsPerMs);
+    }
+}
+
+static void AllAreKilledAtOnce(Model* model, TimeUs from)
+{
+    for (size_t n = 0; n < model->Fleet.size(); n++)
+    {
+        StopAt(model, n, ModelState_Crashed, from);
+        StartAt(model, n, from + UsPerSecond + std::uniform_int_distribution<TimeUs>(0, 300 * UsPerMs)(model->Rng));
+    }
+}
+
+// The store turns a third of the instances away.
+static void AllAreKilledWhileTheStoreRefusesSome(Model* model, TimeUs from)
+{
+    model->Refuses = [](size_t instance, TimeUs)
+    {
+        return instance % 3 == 1;
+    };
+    AllAreKilledAtOnce(model, from);
+}
+
+static void TheReaderFallsSilent(Model* model, TimeUs from)
+{
+    const auto silence = [=]()
+    {
+        StopAt(model, CommonReader(*model), ModelState_Unresponsive, model->Now);
+    };
+    for (const TimeUs when : {from, from + 4 * UsPerSecond, from + 8 * UsPerSecond})
+    {
+        ScheduleAt(model, when, silence);
+    }
+}
+
+static void ThreeFallSilentTogether(Model* model, TimeUs from)
+{
+    for (size_t n = 0; n < SeedCount; n++)
+    {
+        StopAt(model, n, ModelState_Unresponsive, from);
+        WakeAt(model, n, from + 8 * UsPerSecond);
+    }
+}
+
+static void TwoCrashAndTheThirdFallsSilent(Model* model, TimeUs from)
+{
+    StopAt(model, 0, ModelState_Crashed, from);
+    StopAt(model, 1, ModelState_Crashed, from);
+    StopAt(model, 2, ModelState_Unresponsive, from);
+}
+
+static void ThreeFallSilentInTurn(Model* model, TimeUs from)
+{
+    StopAt(model, 0, ModelState_Unresponsive, from);
+    StopAt(model, 1, ModelState_Unresponsive, from + 1200 * UsPerMs);
+    StopAt(model, 2, ModelState_Unresponsive, from + 1600 * UsPerMs);
+}
+
+static void MostFallSilent(Model* model, TimeUs from)
+{
+    for (size_t n = 0; n < model->Fleet.size(); n++)
+    {
+        if (n % 10 != 9)
+        {
+            StopAt(model, n, ModelState_Unresponsive, from);
+            WakeAt(model, n, from + 6 * UsPerSecond);
+        }
+    }
+}
+
+// The store answers nothing to the first instances and serves the others, for 6 s.
+static void TheStoreIgnoresThree(Model* model, TimeUs from)
+{
+    model->SilentTo = [=](size_t instance)
+    {
+        return instance < SeedCount && model->Now >= from && model->Now < from + 6 * UsPerSecond;
+    };
+}
+
+// The store refuses the first instances for 3 s; others read it for them meanwhile.
+static void TheStoreRefusesThreeForAWhile(Model* model, TimeUs from)
+{
+    model->Refuses = [=](size_t instance, TimeUs now)
+    {
+        return instance < SeedCount && now >= from && now < from + 3 * UsPerSecond;
+    };
+}
+
+// Instances that read the store for the first three still do so when most others fall silent.
+static void MostFallSilentAfterTheStoreRefusedThree(Model* model, TimeUs from)
+{
+    TheStoreRefusesThreeForAWhile(model, from);
+    MostFallSilent(model, from + 3 * UsPerSecond + std::uniform_int_distribution<TimeUs>(0, 2 * UsPerSecond)(model->Rng));
+}
+
+class FollowBoundTest : public CPPUNIT_NS::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FollowBoundTest);
+    CPPUNIT_TEST(DataIsFreshInCalmWithListsThatDiffer);
+    CPPUNIT_TEST(DataIsFreshWhenAnyCrashWithListsThatDiffer);
+    CPPUNIT_TEST(DataIsFreshWhenAnyFallSilentWithListsThatDiffer);
+    CPPUNIT_TEST(DataIsFreshDuringRestartsWithListsThatDiffer);
+    CPPUNIT_TEST(DataIsFreshAfterAKillOfAllWithListsThatDiffer);
+    CPPUNIT_TEST(DataIsFreshWhenTheReaderFallsSilentWithListsThatDiffer);
+    CPPUNIT_TEST(DataIsFreshWithListsOfAllKinds);
+    CPPUNIT_TEST(DataIsFreshWhenAllNamedFallSilentTogether);
+    CPPUNIT_TEST(DataIsFreshWhenAllNamedFallSilentInTurn);
+    CPPUNIT_TEST(DataIsFreshWhenAllNamedAreLostInTwoWays);
+    CPPUNIT_TEST(DataIsFreshWhenMostFallSilent);
+    CPPUNIT_TEST(DataIsFreshWhenTheStoreIgnoresAllNamed);
+    CPPUNIT_TEST(DataIsFreshAfterTheStoreRefusedAllNamed);
+    CPPUNIT_TEST(DataIsFreshWhenMostFallSilentAfterTheStoreRefusedAllNamed);
+    CPPUNIT_TEST_SUITE_END();
+
+    static void CheckBound(const BoundCase& fleet, const FaultPlan& faults, const std::function<ModelSeeds(size_t)>& lists)
+    {
+        for (uint64_t seed = 1; seed <= RunsEach; seed++)
+        {
+            Model model(fleet.Size, seed, lists ? lists(fleet.Size) : nullptr);
+            StartAll(&model, 0, 0);
+            RunUntil(&model, 6 * UsPerSecond);
+            faults(&model, 10 * UsPerSecond);
+            const BoundSeen seen = Watch(&model, 24 * UsPerSecond, fleet.BoundUs);
+            const std::string text = fmt::format("{} instances, seed {}: {} ms old, {} late at once; {}", fleet.Size, seed,
+                                                 seen.OldestUs / UsPerMs, seen.LateMax, DescribeCalls(model));
+            CPPUNIT_ASSERT_MESSAGE(text, seen.OldestUs <= fleet.BoundUs);
+        }
+    }
+
+    static void CheckFleets(const FaultPlan& faults, const std::function<ModelSeeds(size_t)>& lists)
+    {
+        for (const BoundCase& fleet : Fleets)
+        {
+            CheckBound(fleet, faults, lists);
+        }
+    }
+
+    // For faults that leave nobody in a fleet of three who could read the store.
+    static void CheckFleetsBeyondThree(const FaultPlan& faults, const std::function<ModelSeeds(size_t)>& lists)
+    {
+        for (const BoundCase& fleet : Fleets)
+        {
+            if (fleet.Size > SeedCount)
+            {
+                CheckBound(fleet, faults, lists);
+            }
+        }
+    }
+
+    // Guards against a fleet without a lasting reader because each instance's settings name other seeds.
+    void DataIsFreshInCalmWithListsThatDiffer()
+    {
+        CheckFleets(Calm, ListsOfOthers);
+    }
+
+    // Guards against stale data when sources crash and no seed list is shared.
+    void DataIsFreshWhenAnyCrashWithListsThatDiffer()
+    {
+        CheckFleets(OneCrashesEveryTwoSeconds, ListsOfOthers);
+    }
+
+    // Guards against stale data when sources fall silent and no seed list is shared.
+    void DataIsFreshWhenAnyFallSilentWithListsThatDiffer()
+    {
+        CheckFleets(OneFallsSilentEveryThreeSeconds, ListsOfOthers);
+    }
+
+    // Guards against stale data during restarts that each bring another seed list.
+    void DataIsFreshDuringRestartsWithListsThatDiffer()
+    {
+        CheckFleets(OneRestartsEverySecond, ListsOfOthers);
+    }
+
+    // Guards against instances that stay without current data after a kill of all, each with another seed list afterwards.
+    void DataIsFreshAfterAKillOfAllWithListsThatDiffer()
+    {
+        CheckFleets(AllAreKilledAtOnce, ListsOfOthers);
+        CheckFleets(AllAreKilledWhileTheStoreRefusesSome, ListsOfOthers);
+    }
+
+    // Guards against a reader's loss that costs more than the bound.
+    void DataIsFreshWhenTheReaderFallsSilentWithListsThatDiffer()
+    {
+        CheckFleetsBeyondThree(TheReaderFallsSilent, ListsOfOthers);
+    }
+
+    // Guards against rules that hold only for seed lists of one kind.
+    void DataIsFreshWithListsOfAllKinds()
+    {
+        CheckFleets(Calm, ListsOfAllKinds);
+        CheckFleets(OneFallsSilentEveryThreeSeconds, ListsOfAllKinds);
+        CheckFleets(AllAreKilledAtOnce, ListsOfAllKinds);
+    }
+
+    // Guards against waits that add up when all seeds of a shared list fall silent at the same time.
+    void DataIsFreshWhenAllNamedFallSilentTogether()
+    {
+        CheckFleets(ThreeFallSilentTogether, nullptr);
+    }
+
+    // Guards against waits that add up when each seed falls silent as it is tried.
+    void DataIsFreshWhenAllNamedFallSilentInTurn()
+    {
+        CheckFleets(ThreeFallSilentInTurn, nullptr);
+    }
+
+    // Guards against waits that add up when two seeds crash and the third falls silent.
+    void DataIsFreshWhenAllNamedAreLostInTwoWays()
+    {
+        CheckFleets(TwoCrashAndTheThirdFallsSilent, nullptr);
+    }
+
+    // Guards against stale data at the remaining instances when nine of ten are cut off or frozen.
+    void DataIsFreshWhenMostFallSilent()
+    {
+        CheckFleets(MostFallSilent, nullptr);
+        CheckFleets(MostFallSilent, ListsOfOthers);
+    }
+
+    // Guards against a delegation that starts only after all seeds have waited for the store in turn.
+    void DataIsFreshWhenTheStoreIgnoresAllNamed()
+    {
+        CheckFleetsBeyondThree(TheStoreIgnoresThree, nullptr);
+    }
+
+    // Guards against an instance that reads the store for others and leaves it to follow one of them.
+    void DataIsFreshAfterTheStoreRefusedAllNamed()
+    {
+        CheckFleetsBeyondThree(TheStoreRefusesThreeForAWhile, nullptr);
+    }
+
+    // Guards against the same while the instances behind it lose other sources, too.
+    void DataIsFreshWhenMostFallSilentAfterTheStoreRefusedAllNamed()
+    {
+        CheckFleetsBeyondThree(MostFallSilentAfterTheStoreRefusedThree, nullptr);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FollowBoundTest);
+
+} // namespace Winchlink
