Follow: an instance stays with its source while it looks at another one

What callers saw: requests decided by data of 1.9 s and more, in calm, at large parts of a fleet; with a second loss on top, beyond the time for an edit.

Cause: an instance that read the store for others (asked by a seed that the store turned away, or as a fallback) left it after 1 to 4 s to poll an earlier source for a whole long poll. Whoever followed it got nothing meanwhile, and if that source had its data from this very instance, all of them waited until the poll was over.

Change: a look is one call with an immediate answer; the source in use is kept until the other one has answered with current data that didn't pass through this instance (answers carry the path of the data). Of two readers the one with the lower address goes on; the other learns of it by the first one's look. Why it works: whoever reads the store for others no longer stops before its followers have data from elsewhere.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -136,9 +136,13 @@
     {
         StoreReaderAskStore(&store);
     };
-    peers.OnInstanceSeen = [&store](const std::string& address)
+    peers.OnInstanceSeen = [&store](const UpdateRequest& request)
     {
-        FollowAddInstance(&store.Following, address);
+        FollowAddInstance(&store.Following, request.Address);
+        if (request.ReadsStore)
+        {
+            FollowReaderSeen(&store.Following, request.Address, NowUs());
+        }
     };
     gateway->Requests.CurrentData = [gateway]()
     {
--- a/gateway/relay.cpp
+++ b/gateway/relay.cpp
@@ -139,7 +139,7 @@
 
 static std::string QueryFlags(const FollowStep& step)
 {
-    return std::string(step.AskStore ? "&lead=1" : "") + (step.StoreLost ? "&lost=1" : "");
+    return std::string(step.AskStore ? "&lead=1" : "") + (step.StoreLost ? "&lost=1" : "") + (step.ReadsStore ? "&reads=1" : "");
 }
 
 StoreDialect RelayDialect(const RelayFollower& own)
@@ -325,9 +325,10 @@
     wait.Request.After = QueryNumber(call->Target, "after");
     wait.Request.AskStore = relay->OnAskStore && QueryNumber(call->Target, "lead") != 0;
     wait.Request.StoreLost = QueryNumber(call->Target, "lost") != 0;
+    wait.Request.ReadsStore = QueryNumber(call->Target, "reads") != 0;
     if (!wait.Request.Address.empty() && relay->OnInstanceSeen)
     {
-        relay->OnInstanceSeen(wait.Request.Address);
+        relay->OnInstanceSeen(wait.Request);
     }
     wait.Request.DataCentre = QueryValue(call->Target, "dataCentre");
     wait.Request.Seed = QueryNumber(call->Target, "contact") != 0;
--- a/gateway/relay.h
+++ b/gateway/relay.h
@@ -46,16 +46,16 @@
     EventLoop* Loop = nullptr;
     Random* Rng = nullptr;
     Listener Server;
-    std::map<std::string, StoreItem> Items;                 // By key.
-    std::deque<StoreItem> Changes;                          // Latest changes, oldest first.
-    uint64_t ChangesFrom = 0;                               // Changes is complete above this revision.
-    uint64_t Revision = 0;                                  // Store revision of Items; 0: no data.
-    std::function<TimeUs()> Age;                            // Time since Items was known to be current; empty: 0.
-    std::function<void()> OnAskStore;                       // A follower requests that this instance ask the store; may be empty.
-    std::function<void(const std::string&)> OnInstanceSeen; // Gets the address of each requester that can be followed; may be empty.
-    std::function<std::string()> Origin;                    // Returns the instance that reads the store for this one; may be empty.
-    std::function<std::vector<std::string>()> Path;         // Returns the instances that the data passed through; may be empty.
-    std::function<uint64_t()> QuarantineDigest;             // Returns the digest of the quarantine; may be empty.
+    std::map<std::string, StoreItem> Items;                   // By key.
+    std::deque<StoreItem> Changes;                            // Latest changes, oldest first.
+    uint64_t ChangesFrom = 0;                                 // Changes is complete above this revision.
+    uint64_t Revision = 0;                                    // Store revision of Items; 0: no data.
+    std::function<TimeUs()> Age;                              // Time since Items was known to be current; empty: 0.
+    std::function<void()> OnAskStore;                         // A follower requests that this instance ask the store; may be empty.
+    std::function<void(const UpdateRequest&)> OnInstanceSeen; // Gets each request of an instance that can be followed; may be empty.
+    std::function<std::string()> Origin;                      // Returns the instance that reads the store for this one; may be empty.
+    std::function<std::vector<std::string>()> Path;           // Returns the instances that the data passed through; may be empty.
+    std::function<uint64_t()> QuarantineDigest;               // Returns the digest of the quarantine; may be empty.
     std::function<std::string(const std::string&)>
         OnTargetCrashes;                          // Handles a message with target crashes; returns the answer. May be empty.
     bool StoreLost = false;                       // The store is lost.
--- a/gateway/store_reader.cpp
+++ b/gateway/store_reader.cpp
@@ -205,7 +205,7 @@
     {
         reader->OnStoreFailed("reported by " + step.Address, page.TriedUs);
     }
-    else
+    else if (result != FollowResult_Kept)
     {
         LogSourceLeft(reader, step, result, page);
     }
--- a/tests/follow_model.cpp
+++ b/tests/follow_model.cpp
@@ -105,7 +105,9 @@
 static SourceStatus SourceStateOf(const Model& model, const ModelInstance& self)
 {
     const Follow& following = self.Following;
-    return {following.Revision, model.Now - following.FreshUs, self.Lost, self.Lost ? model.Now - self.TriedUs : 0, following.Origin, {}};
+    std::vector<std::string> path = following.Path;
+    path.push_back(following.Own);
+    return {following.Revision, model.Now - following.FreshUs, self.Lost, self.Lost ? model.Now - self.TriedUs : 0, following.Origin, path};
 }
 
 static void OnSourceAnswer(Model* model, size_t instance, uint64_t call, const SourceStatus& status);
@@ -258,6 +260,10 @@
 {
     ModelInstance& self = model->Fleet[server];
     FollowAddInstance(&self.Following, wait.Asker.Address);
+    if (wait.Asker.ReadsStore)
+    {
+        FollowReaderSeen(&self.Following, wait.Asker.Address, model->Now);
+    }
     std::vector<std::string> followers;
     for (const auto& entry : self.Waits)
     {
@@ -305,7 +311,9 @@
 static void CallInstance(Model* model, size_t instance, uint64_t call, const FollowStep& step)
 {
     const Follow& following = model->Fleet[instance].Following;
-    ModelWait wait{instance, call, {following.Own, following.Revision == 0, following.Revision, step.AskStore, step.StoreLost, "", false}};
+    ModelWait wait{instance,
+                   call,
+                   {following.Own, following.Revision == 0, following.Revision, step.AskStore, step.StoreLost, "", false, step.ReadsStore}};
     model->InstanceCalls++;
     const TimeUs usual = wait.Asker.FullRead ? FullReadHoldUs : PeerWaitUs;
     const TimeUs max = step.WaitMaxUs > 0 ? std::min(step.WaitMaxUs, usual) : usual;
--- a/winchlink.h
+++ b/winchlink.h
@@ -1118,8 +1118,10 @@
     TimeUs PeerRetryUs = 80 * UsPerMs;    // Backoff of all other instances; up to twice this, by jitter.
     TimeUs ShortWaitUs = 100 * UsPerMs;   // Long-poll time at a source that is tried after another one failed.
     TimeUs StaleUs = 1600 * UsPerMs;      // Data older than this is stale: the source is left.
-    TimeUs FailbackUs = 4 * UsPerSecond;  // Time until the preferred source is tried again; up to 1.5 times this, by jitter.
+    TimeUs FailbackUs = 4 * UsPerSecond;  // Time between looks at preferred sources; up to 1.5 times this, by jitter.
     TimeUs StoreFailbackUs = UsPerSecond; // The same for an instance that fell back to the store.
+    TimeUs LookWaitUs = UsPerMs;          // Long-poll time of a look: an immediate answer.
+    TimeUs LookMaxAgeUs = UsPerSecond;    // A look changes the source only if its data is at most this old.
     TimeUs FresherMinUs = 100 * UsPerMs;  // An instance that is no seed is followed only if its data is fresher by this.
     TimeUs SeedGraceUs = 200 * UsPerMs;   // Grace period for a seed that has lost the store; up to twice this, by jitter. Longer than the
                                           // seed needs to try two other seeds and to delegate to a follower.
@@ -1142,6 +1144,7 @@
     StoreReason_ Reason = StoreReason_None; // Only if Kind is SourceKind_Store.
     bool AskStore = false;                  // The other instance is to ask the store on behalf of this one.
     bool StoreLost = false;                 // This instance knows that the store is lost: no answer is needed just for that.
+    bool ReadsStore = false;                // This instance reads the store.
     int MarginDoublings = 0;                // How often the timeout is doubled.
 };
 
@@ -1163,6 +1166,7 @@
     FollowResult_StoreLost, // The source has lost the store, and the store is being retried.
     FollowResult_Stale,     // Stale, behind the own data, or the store has not been tried for too long: the source is left.
     FollowResult_Loop,      // Its data comes from this instance: the source is left.
+    FollowResult_Kept,      // A look that changes nothing.
     FollowResult_COUNT,
 };
 
@@ -1183,18 +1187,24 @@
     std::vector<std::string> Path; // Instances that the data passed through: from Origin to the source. Empty if read from the store.
     FollowStep Next;               // What to do next.
     TimeUs StartedUs = 0;          // Time of FollowStart().
-    TimeUs FailbackAtUs = 0;       // When to try the preferred source again; 0: never.
+    TimeUs FailbackAtUs = 0;       // When to look at another source; 0: never.
     bool Redirected = false;       // The source was named in a redirect; it is used until it fails.
     bool CallersWaiting = false;   // No data yet, and callers wait for it.
     int StoreTimeouts = 0;         // Consecutive timeouts of the store.
 
+    // State of a look at another source.
+    bool Looking = false;        // Next is a look.
+    FollowStep Home;             // The source in use; valid if Looking.
+    size_t Looks = 0;            // Counter, to look at the sources in turn.
+    std::string OtherReader;     // Another instance that reads the store; the next look goes there. May be empty.
+    bool ReadForCallers = false; // The store was read once because callers waited; the seeds are looked for next.
+
     // State of the round of sources that follows a failure.
     size_t Place = 0;          // Index of the current source; see StepAt().
     size_t Tried = 0;          // Sources that were unusable.
     TimeUs GraceUntilUs = 0;   // End of the grace period of a source that has lost the store; 0: none.
     int TriedOthers = 0;       // Instances tried that are no seeds.
     bool AnyStoreLost = false; // Some source answered that it has lost the store.
-    bool LeftStore = false;    // The store was the last source and worked, so no other instance can be ahead.
     int RoundsInRow = 0;       // Consecutive rounds without a usable source.
     int UnansweredRounds = 0;  // Of these, rounds without any answer and with old data.
 };
@@ -1222,6 +1232,9 @@
 // Callers wait for the first data. Returns true if the store is to be asked at once because a seed has failed to answer.
 bool FollowCallersWaiting(Follow* follow);
 
+// An instance that reads the store has called. If this one reads it as well, it looks there if that one has precedence.
+void FollowReaderSeen(Follow* follow, const std::string& address, TimeUs now);
+
 // Remembers another instance: a follower, or one named in a redirect.
 void FollowAddInstance(Follow* follow, const std::string& address);
 
@@ -1254,13 +1267,14 @@
 // Request of another instance for updates.
 struct UpdateRequest
 {
-    std::string Address;    // Where it can be followed; empty if it can't.
-    bool FullRead = false;  // Full read; otherwise a long poll for changes after a revision.
-    uint64_t After = 0;     // That revision.
-    bool AskStore = false;  // This instance is to ask the store on its behalf.
-    bool StoreLost = false; // It knows that the store is lost.
-    std::string DataCentre; // Where it runs; empty if unknown.
-    bool Seed = false;      // It is a seed.
+    std::string Address;     // Where it can be followed; empty if it can't.
+    bool FullRead = false;   // Full read; otherwise a long poll for changes after a revision.
+    uint64_t After = 0;      // That revision.
+    bool AskStore = false;   // This instance is to ask the store on its behalf.
+    bool StoreLost = false;  // It knows that the store is lost.
+    std::string DataCentre;  // Where it runs; empty if unknown.
+    bool Seed = false;       // It is a seed.
+    bool ReadsStore = false; // It reads the store itself.
 };
 
 enum UpdateAction_ : int
--- a/winchlink_follow.cpp
+++ b/winchlink_follow.cpp
@@ -6,6 +6,7 @@
 // Index of this file:
 // [SECTION] Steps
 // [SECTION] Rounds
+// [SECTION] Looks
 // [SECTION] Answers of sources
 // [SECTION] Settings and start
 // [SECTION] Fan-out
@@ -14,6 +15,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace Winchlink
 {
@@ -108,20 +110,11 @@
     follow->Tried = 0;
     follow->TriedOthers = 0;
     follow->AnyStoreLost = false;
-    follow->LeftStore = false;
     follow->GraceUntilUs = 0;
     follow->FailbackAtUs = 0;
     follow->Redirected = false;
 }
 
-// Restarts at the preferred source: the first of the round for a seed, the seed used last for other instances.
-static void RestartRound(Follow* follow)
-{
-    BeginRound(follow);
-    follow->Place = follow->Reads ? 0 : follow->Place % RoundLength(*follow);
-    follow->Next = StepAt(*follow, follow->Place);
-}
-
 static TimeUs PauseAfterRound(const Follow& follow, Random* random)
 {
     const FollowConfig& config = follow.Config;
@@ -151,16 +144,12 @@
 
 static void EndRound(Follow* follow, TimeUs now, Random* random)
 {
-    const bool from_store = follow->LeftStore && !follow->Reads;
-    const bool still_fresh = now < follow->FreshUs + follow->Config.StoreFallbackUs;
-    const bool back_to_store = from_store && !still_fresh;
-    const bool fallback = !from_store && FallsBackToStore(follow, now, random);
+    const bool fallback = FallsBackToStore(follow, now, random);
     follow->RoundsInRow++;
     BeginRound(follow);
-    follow->LeftStore = from_store && still_fresh;
-    if (back_to_store || fallback)
+    if (fallback)
     {
-        follow->Next = StoreStep(*follow, back_to_store ? StoreReason_Poll : StoreReason_Fallback);
+        follow->Next = StoreStep(*follow, StoreReason_Fallback);
         return;
     }
     // A seed tries the other seeds before the store: they may have reached it by now, and a store that does not answer costs a timeout.
@@ -206,11 +195,19 @@
 }
 
 //-----------------------------------------------------------------------------
-// [SECTION] Answers of sources
+// [SECTION] Looks
 //-----------------------------------------------------------------------------
 
-// When to try the preferred source again; 0 if the current one is preferred or was named in a redirect.
-static TimeUs FailbackTime(const Follow& follow, TimeUs now, Random* random)
+// An instance that isn't at its preferred source looks at another one from time to time. The current source stays in use until the other
+// one has answered with current data: instances that follow this one must not wait for the outcome.
+
+static bool ReadsStore(const Follow& follow)
+{
+    return (follow.Looking ? follow.Home.Kind : follow.Next.Kind) == SourceKind_Store;
+}
+
+// When to look at another source; 0 if the current one is preferred or was named in a redirect.
+static TimeUs LookTime(const Follow& follow, TimeUs now, Random* random)
 {
     const FollowStep first = StepAt(follow, 0);
     const bool is_first = follow.Next.Kind == first.Kind && follow.Next.Address == first.Address;
@@ -224,6 +221,74 @@
     return preferred || follow.Redirected ? 0 : now + until + RandomUpTo(until / 2, random);
 }
 
+// The source to look at: another reader of the store if one is known, otherwise the sources in turn.
+static FollowStep LookStep(Follow* follow)
+{
+    if (!follow->OtherReader.empty())
+    {
+        return InstanceStep(*follow, SourceKind_Instance, std::exchange(follow->OtherReader, ""));
+    }
+    const size_t better = follow->Reads && follow->Place > 0 ? follow->Place : RoundLength(*follow);
+    return StepAt(*follow, follow->Looks++ % better);
+}
+
+static void BeginLook(Follow* follow)
+{
+    follow->FailbackAtUs = 0;
+    follow->Looking = true;
+    follow->Home = NextCall(follow->Next);
+    follow->Next = LookStep(follow);
+    follow->Next.WaitMaxUs = follow->Config.LookWaitUs;
+    follow->Next.ReadsStore = ReadsStore(*follow);
+}
+
+// Goes back to the source in use. An instance that read the store just for its waiting callers looks again instead while its data is fresh.
+static void EndLook(Follow* follow, TimeUs now, Random* random)
+{
+    follow->Redirected = false;
+    if (follow->ReadForCallers && now < follow->FreshUs + follow->Config.StoreFallbackUs)
+    {
+        follow->Next = LookStep(follow);
+        follow->Next.WaitMaxUs = follow->Config.LookWaitUs;
+        follow->Next.ReadsStore = ReadsStore(*follow);
+        follow->Next.PauseUs = follow->Config.PeerRetryUs + RandomUpTo(follow->Config.PeerRetryUs, random);
+        return;
+    }
+    follow->Looking = false;
+    follow->ReadForCallers = false;
+    follow->Next = follow->Home;
+    const TimeUs until = ReadsStore(*follow) ? follow->Config.StoreFailbackUs : follow->Config.FailbackUs;
+    follow->FailbackAtUs = follow->OtherReader.empty() ? now + until + RandomUpTo(until / 2, random) : now;
+}
+
+static bool PassedThisInstance(const Follow& follow, const SourceStatus& status)
+{
+    const std::vector<std::string>& path = status.Path;
+    return !follow.Own.empty() && (status.Origin == follow.Own || std::find(path.begin(), path.end(), follow.Own) != path.end());
+}
+
+// Whether to change to a source that was looked at. Of two instances that read the store, the one with the lower address goes on, so that
+// they don't both leave it for each other.
+static bool IsPreferable(const Follow& follow, const SourceStatus& status)
+{
+    const bool current = !status.StoreLost && status.Revision >= follow.Revision && status.AgeUs <= follow.Config.LookMaxAgeUs;
+    const bool has_precedence = !ReadsStore(follow) || status.Origin < follow.Own;
+    return current && !PassedThisInstance(follow, status) && has_precedence;
+}
+
+void FollowReaderSeen(Follow* follow, const std::string& address, TimeUs now)
+{
+    if (ReadsStore(*follow) && !follow->Looking && address < follow->Own)
+    {
+        follow->OtherReader = address;
+        follow->FailbackAtUs = now;
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Answers of sources
+//-----------------------------------------------------------------------------
+
 // Index of the current source in the round; unchanged if it is not part of the round.
 static size_t CurrentPlace(const Follow& follow)
 {
@@ -248,16 +313,16 @@
     follow->Tried = 0;
     follow->TriedOthers = 0;
     follow->AnyStoreLost = false;
-    follow->LeftStore = false;
+    follow->Looking = false;
     follow->GraceUntilUs = 0;
     follow->StoreTimeouts = from_store ? 0 : follow->StoreTimeouts;
     follow->Place = CurrentPlace(*follow);
-    follow->FailbackAtUs = follow->FailbackAtUs == 0 ? FailbackTime(*follow, now, random) : follow->FailbackAtUs;
+    follow->FailbackAtUs = follow->FailbackAtUs == 0 ? LookTime(*follow, now, random) : follow->FailbackAtUs;
+    follow->ReadForCallers = from_store && follow->CallersWaiting && !follow->Reads;
     follow->CallersWaiting = false;
     if (follow->FailbackAtUs != 0 && now >= follow->FailbackAtUs)
     {
-        RestartRound(follow);
-        follow->LeftStore = from_store;
+        BeginLook(follow);
         return;
     }
     follow->Next = NextCall(follow->Next);
@@ -306,22 +371,46 @@
     follow->Next.WaitMaxUs = follow->GraceUntilUs - now;
 }
 
-// Whether an instance that is no seed is a better source than the current one. An instance that is not fresher may be a follower of this
-// one. Of the instances that fell back to the store, the one with the lowest address keeps reading it, so that no two follow each other.
-static bool IsBetter(const Follow& follow, const SourceStatus& status, TimeUs now)
+// Whether an instance that is no seed is a better source than the one that failed. An instance that is not fresher may be a follower of
+// this one.
+static bool IsFresher(const Follow& follow, const SourceStatus& status, TimeUs now)
 {
-    if (follow.LeftStore)
+    return now - status.AgeUs >= follow.FreshUs + follow.Config.FresherMinUs;
+}
+
+// The answer of a source that was looked at. An instance that keeps reading the store remembers who else does, to look there next: that
+// one then learns of this instance.
+static FollowResult_ AnsweredLook(Follow* follow, const SourceStatus& status, TimeUs now, Random* random)
+{
+    const bool from_store = follow->Next.Kind == SourceKind_Store;
+    if (from_store || IsPreferable(*follow, status))
     {
-        return status.Origin < follow.Own;
+        follow->Revision = status.Revision;
+        follow->FreshUs = std::max(follow->FreshUs, now - status.AgeUs);
+        OnGoodAnswer(follow, status, now, random);
+        return FollowResult_Good;
     }
-    return now - status.AgeUs >= follow.FreshUs + follow.Config.FresherMinUs;
+    const bool two_readers = ReadsStore(*follow) && !status.StoreLost && !PassedThisInstance(*follow, status) &&
+                             status.Origin > follow->Own && follow->Next.Address != status.Origin;
+    follow->OtherReader = two_readers ? status.Origin : "";
+    if (status.Revision > follow->Revision) // Newer data is applied whatever the result.
+    {
+        follow->Revision = status.Revision;
+        follow->FreshUs = std::max(follow->FreshUs, now - status.AgeUs);
+    }
+    EndLook(follow, now, random);
+    return FollowResult_Kept;
 }
 
 FollowResult_ FollowAnswered(Follow* follow, const SourceStatus& status, TimeUs now, Random* random)
 {
     assert(follow->Next.Kind != SourceKind_None && "call FollowStart() first");
+    if (follow->Looking)
+    {
+        return AnsweredLook(follow, status, now, random);
+    }
     const bool from_store = follow->Next.Kind == SourceKind_Store;
-    const bool from_self = !from_store && !follow->Own.empty() && status.Origin == follow->Own;
+    const bool from_self = !from_store && PassedThisInstance(*follow, status);
     const bool not_retried = status.StoreLost && status.TriedUs > follow->Config.StoreTryMaxAgeUs;
     const bool old = !status.StoreLost && status.AgeUs > follow->Config.StaleUs;
     if (status.Revision < follow->Revision)
@@ -330,8 +419,7 @@
         return FollowResult_Stale;
     }
     const bool any = follow->TriedOthers == 0 || follow->Next.AskStore || follow->Revision == 0;
-    const bool better = any || IsBetter(*follow, status, now);
-    const bool is_behind = !better || (status.StoreLost && follow->LeftStore);
+    const bool is_behind = !any && !IsFresher(*follow, status, now);
     follow->Revision = status.Revision;
     follow->FreshUs = std::max(follow->FreshUs, now - status.AgeUs);
     if (is_behind || not_retried || old)
@@ -363,6 +451,11 @@
         follow->CallersWaiting = false; // Set again when more callers wait. Limits the calls to an unavailable store.
     }
     ForgetInstance(follow, failed.Address);
+    if (follow->Looking)
+    {
+        EndLook(follow, now, random);
+        return;
+    }
     if (follow->Redirected)
     {
         // Back to the current seed of the round, which redirects to another instance.
@@ -388,16 +481,18 @@
     FollowStep step;
     step.Kind = SourceKind_Instance;
     step.Address = RandomAddress(addresses, random);
+    step.WaitMaxUs = follow->Looking ? follow->Config.LookWaitUs : 0;
     follow->Next = step;
 }
 
 bool FollowAskStore(Follow* follow)
 {
-    if (follow->Next.Kind == SourceKind_Store)
+    if (ReadsStore(*follow))
     {
         return false;
     }
     follow->Redirected = false;
+    follow->Looking = false;
     follow->GraceUntilUs = 0;
     follow->FailbackAtUs = 0;
     follow->Next = StoreStep(*follow, StoreReason_Delegated);
@@ -470,6 +565,7 @@
     follow->OtherSeeds = SeedOrder(sorted, own, follow->Reads, random);
     follow->Place = 0;
     follow->Tried = 0;
+    follow->Looking = false;
     const bool recheck = follow->Next.Kind != SourceKind_None && (read || follow->Reads);
     follow->FailbackAtUs = recheck ? 1 : 0; // Reconsider the preferred source at the next good answer.
 }
@@ -478,7 +574,9 @@
 {
     assert(!follow->StoreAddress.empty() && "call FollowSetSources() first");
     follow->StartedUs = now;
-    RestartRound(follow);
+    BeginRound(follow);
+    follow->Place = 0;
+    follow->Next = StepAt(*follow, follow->Place);
 }
 
 //-----------------------------------------------------------------------------
