Follow: an instance with a path to the store reads it when its reader has none

An instance that could reach the store waited for sources that could not, as only the readers and one follower at a time tried it.

Change: a reader that gets no answer opens a connection to the store, which is no call and costs nothing; if that is silent too, its followers learn that it has no path and check their own, 0 to 0.2 s later. Whoever is connected reads the store, and tells the one that it followed by looking at it. If all have a path and the store is silent, nobody calls it for that: FewCallsToAStoreThatDoesNotAnswer and FewCallsToAStoreThatRefusesAll pass with their bounds unchanged.

Evidence: FollowBoundTest::DataIsFreshWhereTheStoreIsReachableThoughMostAreCutOff failed before (17 instances: 7,010 ms).

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -124,6 +124,10 @@
     {
         OnStoreTrouble(gateway, why, tried);
     };
+    store.OnNoPath = [gateway]()
+    {
+        RelayAnswerAll(&gateway->Peers);
+    };
     store.OnAnswered = [gateway](bool changed)
     {
         OnStoreAnswered(gateway, changed);
@@ -143,6 +147,10 @@
         path.push_back(store.Following.Own);
         return path;
     };
+    peers.NoPath = [&store]()
+    {
+        return store.Following.NoPath;
+    };
     peers.Reads = [&store]()
     {
         return store.Following.Reads;
--- a/gateway/relay.cpp
+++ b/gateway/relay.cpp
@@ -178,6 +178,7 @@
     head.Origin = relay.Origin ? relay.Origin() : "";
     head.QuarantineDigest = relay.QuarantineDigest ? relay.QuarantineDigest() : 0;
     head.Route.Path = relay.Path ? relay.Path() : std::vector<std::string>();
+    head.Route.NoPath = relay.NoPath && relay.NoPath();
     head.Route.Readers = relay.Readers ? relay.Readers() : std::vector<std::string>();
     return head;
 }
--- a/gateway/relay.h
+++ b/gateway/relay.h
@@ -54,6 +54,7 @@
     std::function<void()> OnAskStore;                         // A follower requests that this instance ask the store; may be empty.
     std::function<void(const UpdateRequest&)> OnInstanceSeen; // Gets each request of an instance that can be followed; may be empty.
     std::function<std::string()> Origin;                      // Returns the instance that reads the store for this one; may be empty.
+    std::function<bool()> NoPath;                             // See SourceStatus; may be empty.
     std::function<bool()> Reads;                              // Whether this instance is an active reader; may be empty.
     std::function<std::vector<std::string>()> Readers;        // Returns the readers, see SourceStatus; may be empty.
     std::function<void(const UpdateRequest&)> OnFollowerSeen; // Gets each long poll that is served here; may be empty.
--- a/gateway/store_reader.cpp
+++ b/gateway/store_reader.cpp
@@ -23,6 +23,7 @@
 
 static void ReadAll(StoreReader* reader);
 static void PollChanges(StoreReader* reader);
+static void CancelAndContinue(StoreReader* reader);
 
 //-----------------------------------------------------------------------------
 // [SECTION] Calls
@@ -131,6 +132,42 @@
          {"contacts", JoinAddresses(following.Seeds)}});
 }
 
+// Finds out whether the store didn't answer because there is no path to it, so that followers check theirs.
+static void CheckPathAfterFailure(StoreReader* reader)
+{
+    const auto checked = [reader](PathState_ state)
+    {
+        if (FollowStorePath(&reader->Following, state != PathState_Silent))
+        {
+            Log(LogLevel_Info, Code_PlatformUnreachable, "no path to the store", {{"address", reader->Following.StoreAddress}});
+            reader->OnNoPath();
+        }
+    };
+    PathCheckStart(&reader->StorePath, reader->Loop, reader->Following.StoreAddress, reader->FromStore.ConnectUs, checked);
+}
+
+// The reader of the store has no path to it: reads the store if this instance has one.
+static void CheckOwnPath(StoreReader* reader)
+{
+    if (!FollowWantsPathCheck(&reader->Following, NowUs()))
+    {
+        return;
+    }
+    const auto checked = [reader](PathState_ state)
+    {
+        if (FollowPathChecked(&reader->Following, state == PathState_Connected))
+        {
+            CancelAndContinue(reader);
+        }
+    };
+    const auto start = [reader, checked]()
+    {
+        PathCheckStart(&reader->StorePath, reader->Loop, reader->Following.StoreAddress, reader->FromStore.ConnectUs, checked);
+    };
+    const TimeUs jitter = std::uniform_int_distribution<TimeUs>(0, reader->Following.Config.PathCheckJitterUs)(*reader->Rng);
+    reader->PathDelay = TimerStart(reader->Loop, jitter, start);
+}
+
 static void OnFailure(StoreReader* reader, const std::string& why, bool late)
 {
     LogFailure(*reader, why);
@@ -138,6 +175,10 @@
     if (AsksStore(*reader))
     {
         reader->OnStoreFailed(why, 0);
+        if (late)
+        {
+            CheckPathAfterFailure(reader);
+        }
     }
     FollowFailed(&reader->Following, late, NowUs(), reader->Rng);
     StartNextStep(reader);
@@ -183,8 +224,10 @@
     {
         reader->OnQuarantineDigest(page.QuarantineDigest);
     }
+    const bool no_path_before = reader->Following.NoPath;
     const TimeUs age_before = StoreDataAgeUs(*reader);
-    const SourceStatus status = {page.Revision, page.AgeUs, page.StoreLost, page.TriedUs, page.Origin, page.Route.Path, page.Route.Readers};
+    const SourceStatus status = {page.Revision, page.AgeUs,        page.StoreLost,  page.TriedUs,
+                                 page.Origin,   page.Route.NoPath, page.Route.Path, page.Route.Readers};
     const FollowResult_ result = FollowAnswered(&reader->Following, status, NowUs(), reader->Rng);
     const bool changed = !everything && page.Revision > before && !page.Items.empty();
     if (everything && page.Revision >= before)
@@ -204,6 +247,11 @@
     else if (result == FollowResult_StoreLost)
     {
         reader->OnStoreFailed("reported by " + step.Address, page.TriedUs);
+        if (reader->Following.NoPath && !no_path_before)
+        {
+            reader->OnNoPath();
+        }
+        CheckOwnPath(reader);
     }
     else if (result != FollowResult_Kept)
     {
--- a/gateway/store_reader.h
+++ b/gateway/store_reader.h
@@ -11,6 +11,7 @@
 #pragma once
 
 #include "client.h"
+#include "path_check.h"
 
 namespace Winchlink
 {
@@ -33,10 +34,11 @@
 {
     std::vector<std::string> Path;    // Instances that the data passed through, see SourceStatus.
     std::vector<std::string> Readers; // The readers, see SourceStatus.
+    bool NoPath = false;              // See SourceStatus.
 
     template <class Archive> void serialize(Archive& archive)
     {
-        archive(Path, Readers);
+        archive(Path, Readers, NoPath);
     }
 };
 
@@ -101,6 +103,7 @@
     std::function<void(const StorePage& all, uint64_t at)> OnAll;              // A full read, at a revision.
     std::function<void(const std::vector<StoreItem>&, uint64_t at)> OnChanges; // Changes up to a revision.
     std::function<void(const std::string& why, TimeUs tried)> OnStoreFailed;   // The store failed, `tried` microseconds ago.
+    std::function<void()> OnNoPath;                                            // There is no path to the store.
     std::function<void(bool changed)> OnAnswered;                              // A source answered with current data.
     std::function<void(uint64_t digest)> OnQuarantineDigest;                   // An instance answered, see StorePage. May be empty.
 
@@ -112,6 +115,8 @@
     bool HistoryGone = false;                                   // A full read is needed.
     uint64_t Current = 0;                                       // Id of the call in progress; 0 if none.
     Timer Next;                                                 // Starts the next call.
+    PathCheck StorePath;                                        // Checks whether there is a path to the store.
+    Timer PathDelay;                                            // Starts the check.
     std::array<uint64_t, StoreReason_COUNT> StoreCallsFor = {}; // Counters: calls to the store, by reason.
     uint64_t CallsFailed = 0;                                   // Counter: failed calls, and sources left.
     SourceInUse InUse;                                          // The source that last answered with current data.
--- a/tests/follow_model.cpp
+++ b/tests/follow_model.cpp
@@ -14,6 +14,7 @@
 constexpr TimeUs TransferUs = 20 * UsPerMs;   // Transfer of a full copy: 50 KB at 20 Mbit/s.
 constexpr TimeUs StoreWaitUs = 800 * UsPerMs; // This and the next four are equal to the values in GatewayTiming.
 constexpr TimeUs StoreMarginUs = 350 * UsPerMs;
+constexpr TimeUs StoreConnectUs = 250 * UsPerMs;
 constexpr TimeUs StoreBatchUs = 300 * UsPerMs;
 constexpr TimeUs PeerWaitUs = 950 * UsPerMs;
 constexpr TimeUs PeerMarginUs = 250 * UsPerMs;
@@ -45,6 +46,7 @@
 }
 
 static void OnStoreLost(Model* model, size_t instance, TimeUs tried);
+static void AnswerFollowers(Model* model, size_t server);
 
 // The list that all settings name.
 static std::vector<std::string> SharedSeeds()
@@ -86,6 +88,54 @@
 // Answers
 //-----------------------------------------------------------------------------
 
+static bool HasPath(const Model& model, size_t instance)
+{
+    return !(model.CutOff && model.CutOff(instance));
+}
+
+// Runs `done` once a connection to the store has been accepted, or has timed out.
+static void CheckPath(Model* model, size_t instance, TimeUs delay, const std::function<void(bool)>& done)
+{
+    const auto check = [=]()
+    {
+        const bool path = HasPath(*model, instance);
+        ScheduleAt(model, model->Now + (path ? StoreUs : StoreConnectUs), [=]() { done(path); });
+    };
+    ScheduleAt(model, model->Now + delay, check);
+}
+
+static void CheckPathAfterFailure(Model* model, size_t instance)
+{
+    const auto checked = [=](bool path)
+    {
+        if (FollowStorePath(&model->Fleet[instance].Following, path))
+        {
+            AnswerFollowers(model, instance);
+        }
+    };
+    CheckPath(model, instance, 0, checked);
+}
+
+static void CheckOwnPath(Model* model, size_t instance)
+{
+    Follow* following = &model->Fleet[instance].Following;
+    if (!FollowWantsPathCheck(following, model->Now))
+    {
+        return;
+    }
+    const auto checked = [=](bool path)
+    {
+        ModelInstance& self = model->Fleet[instance];
+        if (self.State == ModelState_Up && FollowPathChecked(&self.Following, path))
+        {
+            self.Call = 0;
+            StartCall(model, instance);
+        }
+    };
+    const TimeUs jitter = std::uniform_int_distribution<TimeUs>(0, following->Config.PathCheckJitterUs)(model->Rng);
+    CheckPath(model, instance, jitter, checked);
+}
+
 static void CallFailed(Model* model, size_t instance, uint64_t call, bool late)
 {
     ModelInstance& self = model->Fleet[instance];
@@ -100,6 +150,10 @@
     {
         OnStoreLost(model, instance, model->Now);
     }
+    if (store && late)
+    {
+        CheckPathAfterFailure(model, instance);
+    }
     StartCall(model, instance);
 }
 
@@ -108,7 +162,13 @@
     const Follow& following = self.Following;
     std::vector<std::string> path = following.Path;
     path.push_back(following.Own);
-    return {following.Revision, model.Now - following.FreshUs, self.Lost, self.Lost ? model.Now - self.TriedUs : 0, following.Origin, path,
+    return {following.Revision,
+            model.Now - following.FreshUs,
+            self.Lost,
+            self.Lost ? model.Now - self.TriedUs : 0,
+            following.Origin,
+            following.NoPath,
+            path,
             following.Readers};
 }
 
@@ -190,6 +250,7 @@
     }
     self.Call = 0;
     const uint64_t before = self.Following.Revision;
+    const bool no_path_before = self.Following.NoPath;
     const bool from_store = self.Following.Next.Kind == SourceKind_Store;
     const FollowResult_ result = FollowAnswered(&self.Following, status, model->Now, &model->Rng);
     model->SourcesLeft += result == FollowResult_Stale || result == FollowResult_Loop ? 1 : 0;
@@ -201,6 +262,11 @@
     if (result == FollowResult_StoreLost)
     {
         OnStoreLost(model, instance, model->Now - status.TriedUs);
+        if (self.Following.NoPath && !no_path_before)
+        {
+            AnswerFollowers(model, instance);
+        }
+        CheckOwnPath(model, instance);
     }
     if (result == FollowResult_Good)
     {
@@ -251,7 +317,7 @@
             CallFailed(model, instance, call, false); // Ends a long poll that is in progress.
             return;
         }
-        const SourceStatus status = {StoreRevision(*model, model->Now), 0, false, 0, "", {}, {}};
+        const SourceStatus status = {StoreRevision(*model, model->Now), 0, false, 0, "", false, {}, {}};
         const TimeUs read = QueueWork(model, instance, model->Now + StoreUs, everything ? EverythingUs : MessageUs);
         ScheduleAt(model, read, [=]() { OnSourceAnswer(model, instance, call, status); });
     };
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -81,6 +81,8 @@
     CPPUNIT_TEST(FollowersNeedNoFullReadWhenTheStoreDropsHistory);
     CPPUNIT_TEST(UpdatesReachFollowersOfASourceThatLostTheStore);
     CPPUNIT_TEST(InstancesStartWhenAllSeedsAreUnreachable);
+    CPPUNIT_TEST(APathCheckTellsSilenceFromRefusal);
+    CPPUNIT_TEST(UpdatesArriveWithSeedListsThatDiffer);
     CPPUNIT_TEST_SUITE_END();
 
     void PagesSurviveEncodingAndDecoding()
@@ -139,7 +141,9 @@
                            }
                            bytes[at] = static_cast<char>(dice.Between(0, 256));
                            const Result<StorePage> read = DecodePage(bytes);
-                           RC_ASSERT((read || read.error().Code == Code_MessageMalformed)); // In parentheses: RC_ASSERT evaluates both operands of an operator.
+                           RC_ASSERT(
+                               (read || read.error().Code ==
+                                            Code_MessageMalformed)); // In parentheses: RC_ASSERT evaluates both operands of an operator.
                        });
         CPPUNIT_ASSERT(!DecodePage(std::string("\xff\xff\xff\xff", 4) + "x")); // A length of 4 GiB in the first bytes.
     }
@@ -622,6 +626,75 @@
         RigWaitForPlan(&rig, follower, 0);
         CPPUNIT_ASSERT(!follower.Requests.Directory.StoreUnavailable);
     }
+
+    static PathState_ CheckPath(Rig* rig, const std::string& address)
+    {
+        PathCheck check;
+        PathState_ seen = PathState_None;
+        PathCheckStart(&check, &rig->Loop, address, 300 * UsPerMs, [&seen](PathState_ state) { seen = state; });
+        CPPUNIT_ASSERT(RigRunUntil(rig, [&seen]() { return seen != PathState_None; }));
+        return seen;
+    }
+
+    // Guards against an instance that takes a store that refuses it for one that can't be reached.
+    void APathCheckTellsSilenceFromRefusal()
+    {
+        Rig rig;
+        const FrozenPeer listening;
+        CPPUNIT_ASSERT_EQUAL(PathState_Connected, CheckPath(&rig, listening.Address));
+        CPPUNIT_ASSERT_EQUAL(PathState_Refused, CheckPath(&rig, FreeAddress()));
+        std::vector<int> waiting; // Fill the queue of connections, so that further ones get no answer.
+        const sockaddr_in to = ToSocketAddress(ParseEndpoint(listening.Address).value());
+        for (int n = 0; n < 40; n++)
+        {
+            waiting.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+            connect(waiting.back(), reinterpret_cast<const sockaddr*>(&to), sizeof to);
+        }
+        RigRunFor(&rig, 20 * UsPerMs);
+        CPPUNIT_ASSERT_EQUAL(PathState_Silent, CheckPath(&rig, listening.Address));
+        for (const int one : waiting)
+        {
+            close(one);
+        }
+    }
+
+    // Guards against instances without current data, and against many readers of the store, when each instance's settings name other seeds.
+    void UpdatesArriveWithSeedListsThatDiffer()
+    {
+        constexpr size_t count = 8;
+        Rig rig;
+        RigTarget(&rig, "t1");
+        RigConfigure(&rig, {UsersRoute()});
+        std::vector<std::string> addresses;
+        for (size_t n = 0; n < count; n++)
+        {
+            addresses.push_back(FreeAddress());
+        }
+        std::vector<const Gateway*> all;
+        for (size_t n = 0; n < count; n++)
+        {
+            Settings settings = RigSettings(rig);
+            settings.PeerAddress = addresses[n];
+            settings.Peers = {addresses[(n + 1) % count], addresses[(n + 3) % count], addresses[(n + 4) % count]};
+            all.push_back(&RigStartWith(&rig, settings));
+        }
+        for (const Gateway* instance : all)
+        {
+            RigWaitForPlan(&rig, *instance, 1);
+        }
+        const auto one_reads = [&]()
+        {
+            return std::all_of(all.begin(), all.end(),
+                               [&](const Gateway* instance) { return instance->Store.Following.Origin == all[0]->Store.Following.Origin; });
+        };
+        CPPUNIT_ASSERT(RigRunUntil(&rig, one_reads));
+        RigTarget(&rig, "t2");
+        RigConfigure(&rig, {UsersRoute()});
+        for (const Gateway* instance : all)
+        {
+            RigWaitForPlan(&rig, *instance, 2);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
--- a/winchlink.h
+++ b/winchlink.h
@@ -1079,6 +1079,8 @@
 //    before them are lost, and the followers of a lost reader if all readers are.
 //  - An instance whose source has lost the store stays with it for a grace period and then tries the readers. It does not ask the store
 //    itself.
+//  - If the reader has no path to the store, each instance checks its own by a connection, which is no call, and reads the store if it has
+//  one.
 //  - An active reader that has lost the store, as have the others, delegates the request to one follower at a time: the store may refuse
 //    only the readers.
 //  - Before the first data, the seeds count as the readers. Instances that name themselves read the store at once. If no seed has data, the
@@ -1135,6 +1137,8 @@
     TimeUs LostGraceUs = 2 * UsPerSecond; // The same when all seeds have lost it, or when the source is no seed.
     TimeUs StoreTryMaxAgeUs = 3500 * UsPerMs; // A source that has lost the store is left if the store was last tried longer ago.
     TimeUs StoreFallbackUs = 800 * UsPerMs;   // An instance falls back to the store only if its data is older than this.
+    TimeUs PathCheckUs = 2 * UsPerSecond;     // Time between checks of the own path to the store while the reader has none.
+    TimeUs PathCheckJitterUs = 200 * UsPerMs; // Delay of such a check, by jitter.
     int FirstDelegatesMax = 2;                // Followers that a seed delegates to in the first round; one in each later round.
     size_t ActiveReaders = 3;                 // Readers that try the store when it is lost.
     size_t ReadersMax = 5;                    // Readers, including those that are not active.
@@ -1169,6 +1173,7 @@
     bool StoreLost = false;        // It has lost the store.
     TimeUs TriedUs = 0;            // If so: time since the last failed attempt to reach the store.
     std::string Origin;            // Address of the instance that reads the store for it, possibly the source itself.
+    bool NoPath = false;           // It has lost the store because its reader has no path to it.
     std::vector<std::string> Path; // Instances that the data passed through: from Origin to the source itself. Empty if unknown.
     std::vector<std::string>
         Readers; // The instance that reads the store for it, and those that take its place, in order. Empty if unknown.
@@ -1215,6 +1220,8 @@
     TimeUs FailbackAtUs = 0;       // When to look at another source; 0: never.
     bool Redirected = false;       // The source was named in a redirect; it is used until it fails.
     bool CallersWaiting = false;   // No data yet, and callers wait for it.
+    bool NoPath = false;           // The reader has lost the store because it has no path to it.
+    TimeUs PathCheckedUs = 0;      // When the own path to the store was last checked for that reason; 0: never.
     int StoreTimeouts = 0;         // Consecutive timeouts of the store.
 
     // State of a look at another source.
@@ -1259,6 +1266,15 @@
 // The step of the source in use, also during a look at another one.
 const FollowStep& FollowSource(const Follow& follow);
 
+// The own path was checked after a call to the store got no answer. Returns true if followers are to be told that there is none.
+bool FollowStorePath(Follow* follow, bool has_path);
+
+// Whether to check the own path to the store now: the reader has none, and this instance may have one. Counts as a check.
+bool FollowWantsPathCheck(Follow* follow, TimeUs now);
+
+// The own path was checked; `connected`: the store can be reached. Returns true if the store is to be asked at once.
+bool FollowPathChecked(Follow* follow, bool connected);
+
 // The other active readers.
 std::vector<std::string> FollowActiveReaders(const Follow& follow);
 
--- a/winchlink_follow.cpp
+++ b/winchlink_follow.cpp
@@ -318,6 +318,11 @@
     follow->GraceUntilUs = 0;
     follow->Redirected = false;
     follow->Tried++;
+    if (!follow->OtherReader.empty())
+    {
+        follow->Next = InstanceStep(*follow, SourceKind_Instance, std::exchange(follow->OtherReader, ""));
+        return;
+    }
     if (AsksStoreForCallers(*follow) || ReadsForLostReaders(*follow, now))
     {
         follow->TriedStore = true;
@@ -461,9 +466,18 @@
     return current && !PassedThisInstance(follow, status) && has_precedence;
 }
 
+static bool HasLostStore(const Follow& follow)
+{
+    return follow.AnyStoreLost || follow.RoundsInRow > 0;
+}
+
 void FollowReaderSeen(Follow* follow, const std::string& address, TimeUs now)
 {
-    if (ReadsStore(*follow) && !follow->Looking && address < follow->Own)
+    if (HasLostStore(*follow))
+    {
+        follow->OtherReader = address; // The next source to try.
+    }
+    else if (ReadsStore(*follow) && !follow->Looking && address < follow->Own)
     {
         follow->OtherReader = address;
         follow->FailbackAtUs = now;
@@ -513,6 +527,8 @@
     follow->Looking = false;
     follow->GraceUntilUs = 0;
     follow->NamedToRead = false;
+    follow->NoPath = false;
+    follow->PathCheckedUs = 0;
     follow->StoreTimeouts = from_store ? 0 : follow->StoreTimeouts;
     follow->Place = CurrentPlace(*follow);
     follow->FailbackAtUs = follow->FailbackAtUs == 0 ? LookTime(*follow, now, random) : follow->FailbackAtUs;
@@ -533,10 +549,11 @@
 }
 
 // The source has lost the store, and the store is being retried: keeps the source for a grace period, then tries the others.
-static void OnStoreLost(Follow* follow, TimeUs now, Random* random)
+static void OnStoreLost(Follow* follow, const SourceStatus& status, TimeUs now, Random* random)
 {
     follow->AnyStoreLost = true;
     follow->StoreLostUs = now;
+    follow->NoPath = status.NoPath;
     if (follow->Reads)
     {
         ForgetInstance(follow, follow->Next.Address); // Don't delegate to the same instance again.
@@ -640,7 +657,7 @@
     }
     if (status.StoreLost)
     {
-        OnStoreLost(follow, now, random);
+        OnStoreLost(follow, status, now, random);
         return FollowResult_StoreLost;
     }
     OnGoodAnswer(follow, status, now, random);
@@ -712,6 +729,29 @@
     return true;
 }
 
+bool FollowWantsPathCheck(Follow* follow, TimeUs now)
+{
+    const bool due = follow->PathCheckedUs == 0 || now >= follow->PathCheckedUs + follow->Config.PathCheckUs;
+    if (!HasLostStore(*follow) || !follow->NoPath || !due || ReadsStore(*follow))
+    {
+        return false;
+    }
+    follow->PathCheckedUs = now;
+    return true;
+}
+
+bool FollowStorePath(Follow* follow, bool has_path)
+{
+    const bool before = follow->NoPath;
+    follow->NoPath = HasLostStore(*follow) && !has_path;
+    return follow->NoPath && !before;
+}
+
+bool FollowPathChecked(Follow* follow, bool connected)
+{
+    return connected && HasLostStore(*follow) && FollowAskStore(follow);
+}
+
 bool FollowCallersWaiting(Follow* follow)
 {
     follow->CallersWaiting = true;
