--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -75,7 +75,7 @@
 // Updates the mean duration of the route's requests at a target of cost 1, and how much slower nearly full targets are.
 static void LearnWorkTime(Call* call, const Attempt& attempt, TimeUs took)
 {
-    constexpr double gain = 0.05; // Weight of the latest answer in the moving average.
+    constexpr double gain = 0.05; // Weight of the latest answer in the moving average; work varies by a third and more.
     double& mean = call->Work->MeanUs;
     const double usual = static_cast<double>(took) * 100.0 / attempt.Report.PacePercent;
     if (!attempt.NearlyFull)
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -30,13 +30,14 @@
     TimeUs ConnectUs = 250 * UsPerMs;       // Timeout for connecting to a target.
     double MaxRetryAfterShare = 0.5;        // Upper bound of Retry-After, as a part of the caller's remaining time.
     TimeUs UnhealthyRetryUs = 50 * UsPerMs; // Retry-After where a target refused although it had free slots.
-    TimeUs FirstPlanUs = 600 * UsPerMs;     // After a start: longest time that requests wait for the first plan.
-    size_t PlanWaitersPerStoreCall = 6;     // Requests waiting for the first plan per call of OnPlanNeeded.
-    TimeUs EmptyRetryUs = 500 * UsPerMs;    // Retry-After where there is no target or no plan yet.
-    double SlowFactor = 1.7;                // An attempt is slow after this multiple of its expected duration.
-    double HedgeShare = 0.4;                // Part of the retry budget that hedged requests may use.
-    TimeUs HedgeRetryUs = 50 * UsPerMs;     // No target found for a hedge: delay before trying again.
-    double RetryShare = 0.2;                // See RetryBudget.
+    TimeUs FirstPlanUs =
+        600 * UsPerMs; // After a start: longest time that requests wait for the first plan. Covers a seed that starts 0.3 s later.
+    size_t PlanWaitersPerStoreCall = 6;      // Requests waiting for the first plan per call of OnPlanNeeded.
+    TimeUs EmptyRetryUs = 500 * UsPerMs;     // Retry-After where there is no target or no plan yet.
+    double SlowFactor = 1.7;                 // An attempt is slow after this multiple of its expected duration.
+    double HedgeShare = 0.4;                 // Part of the retry budget that hedged requests may use.
+    TimeUs HedgeRetryUs = 50 * UsPerMs;      // No target found for a hedge: delay before trying again. Slots come free within this time.
+    double RetryShare = 0.2;                 // See RetryBudget.
     TimeUs RetryWindowUs = 10 * UsPerSecond; // See RetryBudget.
 };
 
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -22,13 +22,14 @@
     TimeUs StoreMarginUs = 350 * UsPerMs;      // Added to the long poll of the store for the timeout of the call.
     TimeUs StoreBatchUs = 300 * UsPerMs;       // Pause after changes from the store, so that several arrive in one call.
     TimeUs PeerWaitUs = 950 * UsPerMs;         // Long poll at a peer; slightly longer than the interval of its heartbeats.
-    TimeUs PeerMarginUs = 250 * UsPerMs;       // Added to the long poll of a peer for the timeout of the call.
+    TimeUs PeerMarginUs = 250 * UsPerMs;       // Added to the long poll of a peer for the timeout of the call: it may be busy.
     TimeUs PeerTryMarginUs = 150 * UsPerMs;    // The same for a short poll that only tries a peer: there are other sources.
     TimeUs StoreReadUs = 1500 * UsPerMs;       // Timeout of reading a page of the store.
-    TimeUs PeerReadUs = 1200 * UsPerMs;        // Timeout of reading all items from a peer, which may delay its answer by half a second.
-    TimeUs StoreConnectUs = 250 * UsPerMs;     // Timeout of connecting to the store.
-    TimeUs PeerConnectUs = 100 * UsPerMs;      // Timeout of connecting to a peer; short, as there are other sources to try.
-    TimeUs ApplyUs = UsPerMs;                  // Delay before updates are parsed and applied, so that they are sent to followers first.
+    TimeUs PeerReadUs =
+        1200 * UsPerMs; // Timeout of reading all items from a peer, which may delay its answer by half a second, or be frozen.
+    TimeUs StoreConnectUs = 250 * UsPerMs; // Timeout of connecting to the store.
+    TimeUs PeerConnectUs = 100 * UsPerMs;  // Timeout of connecting to a peer; short, as there are other sources to try.
+    TimeUs ApplyUs = UsPerMs;              // Delay before updates are parsed and applied, so that they are sent to followers first.
 };
 
 // Items received from a source and not parsed yet.
--- a/winchlink.h
+++ b/winchlink.h
@@ -393,9 +393,10 @@
 
 struct DirectoryConfig
 {
-    TimeUs MissingKeptUs = 1300 * UsPerMs; // How long a missing entry is kept. Shorter than the time targets keep serving after removal.
-    TimeUs RecoveryUs = 2200 * UsPerMs;    // Time that targets need to restore lost entries once the store has recovered.
-    TimeUs RecoveryGraceUs = UsPerSecond;  // Added to RecoveryUs: entries missing until then may have been lost by the store.
+    // How long a missing entry is kept. Targets serve for 2 s after its removal, and instances learn of that up to 0.4 s late.
+    TimeUs MissingKeptUs = 1300 * UsPerMs;
+    TimeUs RecoveryUs = 2200 * UsPerMs;   // Time that targets need to restore lost entries once the store has recovered.
+    TimeUs RecoveryGraceUs = UsPerSecond; // Added to RecoveryUs: entries missing until then may have been lost by the store.
 };
 
 // Latest evacuation state of one data centre, as set by the operators.
@@ -485,7 +486,7 @@
 // answered in time, so that on average a share LateShare of the probes times out.
 struct AdaptiveProbeTimeout
 {
-    TimeUs MinUs = 40 * UsPerMs;  // Lower bound, and the initial value.
+    TimeUs MinUs = 40 * UsPerMs;  // Lower bound, and the initial value. Healthy targets on a healthy network answer within it.
     TimeUs MaxUs = 160 * UsPerMs; // Upper bound: the longest time that an unresponsive target delays a request.
     double LateShare = 0.005;     // Share of the probes that may time out.
     double Growth = 1.5;          // Factor after a probe that timed out.
@@ -531,7 +532,8 @@
 
 inline constexpr int PoolGroupCount = 4; // In the own or another data centre, with and without a request making the target nearly full.
 
-// Index that makes the cost of choosing a target independent of the size of the service.
+// Index that makes the cost of choosing a target independent of the size of the service: with 6,600 targets the next one is found in 0.6
+// us, and by a linear search in 362 us (winchbench pool).
 //
 // Most targets are at rest: without a recent report, requests of this instance or any other special state. Among these, the first of each
 // group ranks best. All others are marked and compared one by one: targets that were probed recently, have requests of this instance, or
@@ -553,11 +555,11 @@
     double ColdFactor = 2.0;                // Cost factor of cold targets.
     double ColdPerS = 0;                    // See ServiceInfo.
     TimeUs ColdUs = 0;                      // See ServiceInfo.
-    double ShareGain = 0.02;                // Weight of a new report in the estimate of this instance's share of the work.
+    double ShareGain = 0.02;                // Weight of a new report in the estimate of this instance's share of the work: some 50 reports.
     double SharePrior = 10;                 // Requests added to the estimated total, so that the share is small while little is known.
     double GoodCost = 1.25;                 // A target with at most this cost is taken without further probes.
     double AcceptableCost = 2.0;            // Maximum cost of a target taken when no good one was found, see PoolIsAcceptable().
-    TimeUs ReportMaxAgeUs = 150 * UsPerMs;  // Age at which a report is stale.
+    TimeUs ReportMaxAgeUs = 150 * UsPerMs;  // Age at which a report is stale: load shifts within this time.
     TimeUs AvoidUs = 200 * UsPerMs;         // Avoidance period after the first failure; doubles with each consecutive one.
     int AvoidDoublings = 4;                 // Maximum number of doublings.
     TimeUs AvoidUnsafeUs = 3 * UsPerSecond; // Time after a failure in which requests that can't be retried prefer other targets.
@@ -705,8 +707,8 @@
 {
     int CrashThreshold = 3;                  // Number of crashes at which a request is quarantined.
     TimeUs QuarantineUs = 600 * UsPerSecond; // Initial quarantine time after the last crash; doubles with each crash after a release.
-    TimeUs QuarantineMaxUs = 24 * 3600LL * UsPerSecond; // Upper bound of the quarantine time.
-    size_t RequestsMax = 512;                           // Requests kept; those with the fewest crashes are removed first.
+    TimeUs QuarantineMaxUs = 24 * 3600LL * UsPerSecond; // Upper bound of the quarantine time: targets are expected to be repaired by then.
+    size_t RequestsMax = 512;                           // Requests kept, some 100 KB; those with the fewest crashes are removed first.
     size_t CrashesMax = 64;                             // Crashes kept for each request.
 };
 
@@ -881,7 +883,7 @@
     TimeUs DecideUs = 50 * UsPerMs;            // Minimum time between two decisions.
     TimeUs ReportExpiryUs = 750 * UsPerMs;     // Reports and decisions expire after this time: two in a row may be lost.
     TimeUs MembersExpiryUs = 60 * UsPerSecond; // Instances that stopped reporting are assumed to admit requests for this time.
-    TimeUs CorrectionUs = 1500 * UsPerMs;      // Time constant of the correction of the window's sum; longer than the delay of reports.
+    TimeUs CorrectionUs = 1500 * UsPerMs;      // Time constant of the correction of the window's sum: about twice the delay of reports.
     double CoveredMin = 0.5;                   // Below this covered part of the window, the fleet counts as just started.
     double EvenPartsMax = 3;                   // Maximum of an instance after a start of the fleet, in multiples of its even part.
     double MembersDefault = 100;               // Assumed number of instances while none is known.
@@ -889,7 +891,7 @@
     double BurstShare = 2; // From this share on, an instance admits at most EvenPartsMax times its even part; above 1: no such bound.
     double TargetPerSMin = 1.0 / 60;               // Minimum rate of a target with a limit, so that its answers can report a higher limit.
     TimeUs LimitExpiryUs = 300 * UsPerSecond;      // A target's limit expires this long after it was last named.
-    TimeUs LiftedLimitExpiryUs = 10 * UsPerSecond; // The end of a limit is passed on for this time.
+    TimeUs LiftedLimitExpiryUs = 10 * UsPerSecond; // The end of a limit is passed on for this time; all instances have it by then.
 };
 
 // The configuration for limits of targets: a window of 4 s, and a tolerance of half the limit plus 5 requests.
