Follow: a pause after a failed call to the store also where all readers are lost

Found by reading: followers of lost readers whose own call to the store fails tried it again in each round, without the backoff that readers have. They wait a second now. An instance off its readers looked at the first of them only; it takes them in turn. Comments: readers where they spoke of seeds.

--- a/winchlink.h
+++ b/winchlink.h
@@ -1123,8 +1123,9 @@
 
 struct FollowConfig
 {
-    TimeUs RetryUs = 250 * UsPerMs;     // Initial backoff of a seed after all its sources failed; doubles with each round.
-    TimeUs RetryMaxUs = UsPerSecond;    // Longest backoff of a seed.
+    TimeUs RetryUs = 250 * UsPerMs; // Initial backoff of an active reader after all its sources failed; doubles with each round.
+    TimeUs RetryMaxUs =
+        UsPerSecond; // Longest backoff of an active reader. Any other instance waits this long after a failed call to the store.
     TimeUs PeerRetryUs = 80 * UsPerMs;  // Backoff of all other instances; up to twice this, by jitter.
     TimeUs ShortWaitUs = 100 * UsPerMs; // Long-poll time at a source that is tried after another one failed.
     TimeUs StaleUs = 1900 * UsPerMs; // Data older than this is stale: the source is left. Longer than it takes a source to replace its own.
@@ -1133,21 +1134,21 @@
     TimeUs FirstLookUs = 300 * UsPerMs;   // The first such time for an instance that has begun to read the store; doubles up to FailbackUs.
     TimeUs LookWaitUs = UsPerMs;          // Long-poll time of a look: an immediate answer.
     TimeUs LookMaxAgeUs = UsPerSecond;    // A look changes the source only if its data is at most this old.
-    TimeUs FresherMinUs = 100 * UsPerMs;  // An instance that is no seed is followed only if its data is fresher by this.
-    TimeUs SeedGraceUs = 200 * UsPerMs;   // Grace period for a seed that has lost the store; up to twice this, by jitter. Longer than the
-                                          // seed needs to try two other seeds and to delegate to a follower.
-    TimeUs LostGraceUs = 2 * UsPerSecond; // The same when all seeds have lost it, or when the source is no seed.
+    TimeUs FresherMinUs = 100 * UsPerMs;  // Data that came through a lost source is used only if it is fresher by this.
+    TimeUs SeedGraceUs = 200 * UsPerMs;   // Grace period for a reader that has lost the store; up to twice this, by jitter. Longer than
+                                          // it needs to try two other readers and to delegate to a follower.
+    TimeUs LostGraceUs = 2 * UsPerSecond; // The same when all active readers have lost it, or when the source is no reader.
     TimeUs StoreTryMaxAgeUs = 3500 * UsPerMs; // A source that has lost the store is left if the store was last tried longer ago.
     TimeUs StoreFallbackUs = 800 * UsPerMs;   // An instance falls back to the store only if its data is older than this.
     TimeUs PathCheckUs = 2 * UsPerSecond;     // Time between checks of the own path to the store while the reader has none.
     TimeUs PathCheckJitterUs = 200 * UsPerMs; // Delay of such a check, by jitter.
-    int FirstDelegatesMax = 2;                // Followers that a seed delegates to in the first round; one in each later round.
+    int FirstDelegatesMax = 2;                // Followers that a reader delegates to in the first round; one in each later round.
     size_t ActiveReaders = 3;                 // Readers that try the store when it is lost.
     size_t ReadersMax = 5;                    // Readers, including those that are not active.
     TimeUs ReaderExpiryUs = 2 * UsPerSecond;  // An instance that has not asked for this long counts as a lost follower.
     int StoreFallbackOdds = 64; // Initial probability of the fallback to the store is 1/StoreFallbackOdds; doubles with each round.
     int MarginDoublings = 2;    // The timeout doubles with each late answer of the store, up to this many times.
-    size_t KnownMax = 8;        // Other instances remembered for when no seed answers.
+    size_t KnownMax = 8;        // Other instances remembered for when no reader answers.
 };
 
 // The next thing to do.
@@ -1245,6 +1246,7 @@
     bool NamedToRead = false;  // No data, and another instance without data has named this one to read the store.
     bool AnyStoreLost = false; // Some source answered that it has lost the store.
     TimeUs StoreLostUs = 0;    // When a source last answered that it has lost the store; 0: never.
+    TimeUs StoreFailedUs = 0;  // When a call of this instance to the store last failed; 0: never.
     int RoundsInRow = 0;       // Consecutive rounds without a usable source.
     int UnansweredRounds = 0;  // Of these, rounds without any answer and with old data.
 };
--- a/winchlink_follow.cpp
+++ b/winchlink_follow.cpp
@@ -204,8 +204,8 @@
 // [SECTION] Rounds
 //-----------------------------------------------------------------------------
 
-// Index of the store in the round of a seed: after the seeds that take precedence. Before the first data it is the first, so that no time
-// is lost when one of these seeds is down.
+// Index of the store in the round of an active reader: after the readers that take precedence. Before the first data it is the first, so
+// that no time is lost when one of these is down.
 static size_t StoreIndex(const Follow& follow)
 {
     return follow.Revision == 0 ? 0 : follow.Rank;
@@ -269,7 +269,8 @@
     const bool lost = follow.StoreLostUs != 0 && now < follow.StoreLostUs + follow.Config.StoreTryMaxAgeUs;
     const bool urgent = !lost && now >= follow.FreshUs + follow.Config.StoreDirectUs;
     const bool tried = follow.Tried >= before || urgent;
-    return follow.Revision != 0 && !follow.Reads && !follow.AnyStoreLost && !follow.TriedStore && tried;
+    const bool failed = follow.StoreFailedUs != 0 && now < follow.StoreFailedUs + follow.Config.RetryMaxUs;
+    return follow.Revision != 0 && !follow.Reads && !follow.AnyStoreLost && !follow.TriedStore && tried && !failed;
 }
 
 // Whether an instance without data, and without any answering source, falls back to the store now.
@@ -508,7 +509,7 @@
     follow->ReadForCallers = from_store && follow->CallersWaiting && !follow->Reads;
     follow->Origin = from_store ? follow->Own : status.Origin;
     follow->Path = from_store ? std::vector<std::string>() : status.Path;
-    follow->Looks = from_store && follow->Reading ? follow->Looks : 0;
+    follow->Looks = from_store && !follow->Reading ? 0 : follow->Looks;
     follow->Reading = from_store;
     if (from_store && !follow->Own.empty())
     {
@@ -670,6 +671,7 @@
     if (failed.Kind == SourceKind_Store)
     {
         follow->StoreTimeouts = late ? follow->StoreTimeouts + 1 : 0;
+        follow->StoreFailedUs = now;
         follow->UnansweredRounds = 0;
         follow->CallersWaiting = false; // Set again when more callers wait. Limits the calls to an unavailable store.
     }
