--- a/gateway/store_reader.h
+++ b/gateway/store_reader.h
@@ -104,7 +104,7 @@
     std::function<void(const StorePage& all, uint64_t at)> OnAll;              // A full read, at a revision.
     std::function<void(const std::vector<StoreItem>&, uint64_t at)> OnChanges; // Changes up to a revision.
     std::function<void(const std::string& why, TimeUs tried)> OnStoreFailed;   // The store failed, `tried` microseconds ago.
-    std::function<void()> OnNoPath;                                            // There is no path to the store.
+    std::function<void()> OnNoPath;                                            // Followers are to learn that there is no path to the store.
     std::function<void(bool changed)> OnAnswered;                              // A source answered with current data.
     std::function<void(uint64_t digest)> OnQuarantineDigest;                   // An instance answered, see StorePage. May be empty.
 
--- a/winchlink.h
+++ b/winchlink.h
@@ -1123,9 +1123,8 @@
 
 struct FollowConfig
 {
-    TimeUs RetryUs = 250 * UsPerMs; // Initial backoff of an active reader after all its sources failed; doubles with each round.
-    TimeUs RetryMaxUs =
-        UsPerSecond; // Longest backoff of an active reader. Any other instance waits this long after a failed call to the store.
+    TimeUs RetryUs = 250 * UsPerMs;     // Initial backoff of an active reader after all its sources failed; doubles with each round.
+    TimeUs RetryMaxUs = UsPerSecond;    // Longest backoff of an active reader; pause of other instances after a failed call to the store.
     TimeUs PeerRetryUs = 80 * UsPerMs;  // Backoff of all other instances; up to twice this, by jitter.
     TimeUs ShortWaitUs = 100 * UsPerMs; // Long-poll time at a source that is tried after another one failed.
     TimeUs StaleUs = 1900 * UsPerMs; // Data older than this is stale: the source is left. Longer than it takes a source to replace its own.
@@ -1165,22 +1164,21 @@
     bool ReadsStore = false;                // This instance reads the store.
     bool Reader = false;                    // This instance is an active reader.
     bool Starting = false;                  // This instance has no data and asks one of its seeds.
-    uint32_t RouteDigest = 0; // Digest of what the source last said of its data\'s route; 0: nothing. An equal one is left out.
-    int MarginDoublings = 0;  // How often the timeout is doubled.
+    uint32_t RouteDigest = 0;               // Digest of the route that the source sent last, which needs no repetition; 0: none.
+    int MarginDoublings = 0;                // How often the timeout is doubled.
 };
 
 // State of a source's data, as it reports it.
 struct SourceStatus
 {
-    uint64_t Revision = 0;         // Store revision up to which its data is complete.
-    TimeUs AgeUs = 0;              // Time since the data was known to be current.
-    bool StoreLost = false;        // It has lost the store.
-    TimeUs TriedUs = 0;            // If so: time since the last failed attempt to reach the store.
-    std::string Origin;            // Address of the instance that reads the store for it, possibly the source itself.
-    bool NoPath = false;           // It has lost the store because its reader has no path to it.
-    std::vector<std::string> Path; // Instances that the data passed through: from Origin to the source itself. Empty if unknown.
-    std::vector<std::string>
-        Readers; // The instance that reads the store for it, and those that take its place, in order. Empty if unknown.
+    uint64_t Revision = 0;            // Store revision up to which its data is complete.
+    TimeUs AgeUs = 0;                 // Time since the data was known to be current.
+    bool StoreLost = false;           // It has lost the store.
+    TimeUs TriedUs = 0;               // If so: time since the last failed attempt to reach the store.
+    std::string Origin;               // Address of the instance that reads the store for it, possibly the source itself.
+    bool NoPath = false;              // It has lost the store because its reader has no path to it.
+    std::vector<std::string> Path;    // Instances that the data passed through: from Origin to the source itself. Empty if unknown.
+    std::vector<std::string> Readers; // Who reads the store for it, and who takes its place, in order. Empty if unknown.
 };
 
 enum FollowResult_ : int
@@ -1241,7 +1239,7 @@
     size_t Tried = 0;          // Sources that were unusable.
     std::string FailedSource;  // The instance that was the source before the round.
     TimeUs GraceUntilUs = 0;   // End of the grace period of a source that has lost the store; 0: none.
-    int TriedOthers = 0;       // Instances tried that are no seeds.
+    int TriedOthers = 0;       // Instances tried that are no readers.
     bool TriedStore = false;   // The store was tried because all readers were lost.
     bool NamedToRead = false;  // No data, and another instance without data has named this one to read the store.
     bool AnyStoreLost = false; // Some source answered that it has lost the store.
