--- a/tests/follow_bound_test.cpp
+++ b/tests/follow_bound_test.cpp
@@ -415,7 +415,7 @@
         CheckFleetsBeyondThree(TheStoreRefusesThreeForAWhile, nullptr);
     }
 
-    // Guards against the same while the instances behind it lose other sources, too.
+    // Guards against stale data when an instance that reads the store for others stops doing so while most other sources are silent.
     void DataIsFreshWhenMostFallSilentAfterTheStoreRefusedAllNamed()
     {
         CheckFleetsBeyondThree(MostFallSilentAfterTheStoreRefusedThree, nullptr);
