Logs, metrics and status: how contacts with targets end, and what an instance believes of its path to them

The timeline could not tell targets that are busy from targets that are not reached: 'asked' counted both, and the code said busy.

Added: for each service, the state of the path to its targets (TargetPath in winchlink.h): lost once four contacts in a row have failed at as many different targets, on trial once one has answered, open 0.2 s later. Lines 'path to targets lost' and 'path to targets back' with the failed contacts by kind; 'refused', 'reset', 'silent' and 'path' in the lines of requests; winchlink_target_contacts, winchlink_target_path_open, winchlink_target_path_losses; the state on the status page. Nothing is decided by it.

--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -311,6 +311,9 @@
 {
     call->LastAttempt = TakeAttempt(call.get(), target);
     const Verdict_ verdict = ClassifyAnswer(*call->Owner, answer);
+    const ContactEnd_ end = ContactEndOf(answer);
+    NoteContact(call->Service, target, end);
+    call->Contacts[end]++;
     if (verdict == Verdict_Lost)
     {
         LogLost(call.get(), answer);
--- a/gateway/call.h
+++ b/gateway/call.h
@@ -9,6 +9,7 @@
 // [SECTION] Ending a call (forward.cpp)
 // [SECTION] Choosing a target (choose.cpp)
 // [SECTION] Sending (attempt.cpp)
+// [SECTION] Path to the targets (target_path.cpp)
 // [SECTION] Requests that crash targets (quarantined_calls.cpp)
 
 #pragma once
@@ -81,6 +82,7 @@
     int ProbesInFlight = 0;             // Probes that await an answer.
     int ProbeCount = 0;                 // Probes so far, for all attempts.
     int ProbeCountBefore = 0;           // Value of ProbeCount when this round began.
+    ContactCounts Contacts = {};        // Outcomes of its probes and attempts.
     int MaxConcurrentProbes = 1;        // Grows by one for each slow probe.
     std::vector<Attempt> Active;        // Attempts in flight: at most the first one and its hedge.
     Attempt LastAttempt;                // The attempt that ended last; for the log.
@@ -164,6 +166,16 @@
 // Cancels all attempts in flight. Their connections are closed, so that the targets can stop the work.
 void CancelAttempts(const CallPtr& call);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Path to the targets (target_path.cpp)
+//-----------------------------------------------------------------------------
+
+// What the end of a probe or of an attempt says about the path to its target.
+ContactEnd_ ContactEndOf(const ClientAnswer& answer);
+
+// Records a contact with a target of the service, and logs a change of the path's state.
+void NoteContact(ServiceState* service, const std::string& target, ContactEnd_ end);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Requests that crash targets (quarantined_calls.cpp)
 //-----------------------------------------------------------------------------
--- a/gateway/choose.cpp
+++ b/gateway/choose.cpp
@@ -255,9 +255,12 @@
 {
     const std::vector<CallPtr> waiters = std::move(service->Probes[id]);
     service->Probes.erase(id);
+    const ContactEnd_ end = ContactEndOf(answer);
     LearnFromProbe(forwarder, service, id, generation, answer);
+    NoteContact(service, id, end);
     for (const CallPtr& waiter : waiters)
     {
+        waiter->Contacts[end]++;
         OnProbed(waiter, id, answer.End == ClientEnd_Answered);
     }
 }
--- a/gateway/client.cpp
+++ b/gateway/client.cpp
@@ -210,6 +210,7 @@
 {
     ClientAnswer& answer = call->Answer;
     answer.End = EndOf(*call, result);
+    answer.TimedOut = result == CURLE_OPERATION_TIMEDOUT;
     answer.TookUs = NowUs() - call->StartedUs;
     if (answer.End == ClientEnd_Answered)
     {
--- a/gateway/client.h
+++ b/gateway/client.h
@@ -57,6 +57,7 @@
     std::string Detail;         // Cause of a failure, for the log.
     TimeUs TookUs = 0;          // Time from ClientSend() to the end.
     bool NewConnection = false; // The request opened a new connection.
+    bool TimedOut = false;      // The time-out of the request or of its connection passed.
 };
 
 using ClientDone = std::function<void(ClientAnswer)>;
--- a/gateway/command_status.cpp
+++ b/gateway/command_status.cpp
@@ -115,6 +115,11 @@
     {
         fmt::print("           {} x {}\n", json_integer_value(count), std::string(code) == "None" ? "answered" : code);
     }
+    if (Text(service, "path") != "open")
+    {
+        fmt::print("           path to its targets {} for {}, {} failed contacts since the last answer\n", Text(service, "path"),
+                   Seconds(service, "pathForMs"), Number(service, "pathFailures"));
+    }
     if (Number(service, "evacuatedTargets") > 0)
     {
         fmt::print("           {} targets in evacuated data centres\n", Number(service, "evacuatedTargets"));
--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -57,6 +57,10 @@
            {"status", status},
            {"attempts", call.Attempts},
            {"asked", call.ProbeCount},
+           {"refused", call.Contacts[ContactEnd_Refused]},
+           {"reset", call.Contacts[ContactEnd_Reset]},
+           {"silent", call.Contacts[ContactEnd_Silent]},
+           {"path", call.Service != nullptr ? TargetPathStateName(call.Service->Path.State) : ""},
            {"overLimit", static_cast<int>(call.OverLimit.size())},
            {"targets", call.Service != nullptr ? static_cast<int>(call.Service->Pool.Targets.size()) : 0},
            {"running", last.Report.Running},
@@ -166,6 +170,11 @@
 {
     const bool sent = call->MayHaveRun > 0 || !call->Active.empty();
     PenalizeTargets(*call);
+    for (const Attempt& attempt : call->Active)
+    {
+        NoteContact(call->Service, attempt.Target, ContactEnd_Silent);
+        call->Contacts[ContactEnd_Silent]++;
+    }
     if (call->FailedAnswer)
     {
         RelayAnswer(call, std::move(*call->FailedAnswer));
@@ -422,6 +431,7 @@
     for (const ServiceInfo& service : forwarder->Plan->Services)
     {
         ServiceState& state = forwarder->Services[service.Name];
+        state.Name = service.Name;
         state.Retries.Share = forwarder->Config.RetryShare;
         state.Retries.WindowUs = forwarder->Config.RetryWindowUs;
         state.Pool.Config.ColdPerS = service.ColdPerS;
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -65,7 +65,9 @@
 // State of one service in this instance.
 struct ServiceState
 {
+    std::string Name;
     TargetPool Pool;
+    TargetPath Path;
     RetryBudget Retries;
     AdaptiveProbeTimeout ProbeTimeout;        // Timeout of probes, adapted to the targets' response times.
     RetrySchedule RetryTimes;                 // Computes Retry-After for callers refused because targets were busy.
--- a/gateway/pages.cpp
+++ b/gateway/pages.cpp
@@ -44,6 +44,13 @@
     text += fmt::format("winchlink_target_signals{{service=\"{}\",signal=\"unreadable\"}} {}\n", name, signals.Invalid);
     text += fmt::format("winchlink_passed_over_for_limit{{service=\"{}\"}} {}\n", name, signals.OverLimit);
     text += fmt::format("winchlink_question_limit_us{{service=\"{}\"}} {}\n", name, ProbeTimeoutNow(service.ProbeTimeout));
+    for (int end = ContactEnd_Answered; end < ContactEnd_COUNT; end++)
+    {
+        text += fmt::format("winchlink_target_contacts{{service=\"{}\",end=\"{}\"}} {}\n", name,
+                            ContactEndName(static_cast<ContactEnd_>(end)), service.Path.Contacts[end]);
+    }
+    text += fmt::format("winchlink_target_path_open{{service=\"{}\"}} {}\n", name, service.Path.State == TargetPathState_Open ? 1 : 0);
+    text += fmt::format("winchlink_target_path_losses{{service=\"{}\"}} {}\n", name, service.Path.Losses);
     text += fmt::format("winchlink_nearly_full_factor{{service=\"{}\"}} {:.3f}\n", name, service.Pool.NearlyFullFactor);
     return text;
 }
@@ -214,6 +221,9 @@
     json_object_set_new(object, "p99Ms", json_real(LatencyQuantile(service.Metrics.Latency.Histogram, 0.99) * 1000));
     json_object_set_new(object, "repeats", JsonNumber(service.Metrics.Retries));
     json_object_set_new(object, "ended", ended);
+    json_object_set_new(object, "path", json_string(TargetPathStateName(service.Path.State)));
+    json_object_set_new(object, "pathForMs", service.Path.ChangedUs > 0 ? JsonMs(now - service.Path.ChangedUs) : json_null());
+    json_object_set_new(object, "pathFailures", json_integer(FailedContacts(service.Path.Counts)));
     json_object_set_new(object, "evacuatedTargets", json_integer(service.Pool.Evacuated));
     json_object_set_new(object, "targets", targets);
     return object;
--- a/winchlink.h
+++ b/winchlink.h
@@ -16,6 +16,7 @@
 // [SECTION] Route plan (routes and services that an instance serves)
 // [SECTION] Target directory (target entries as read from the store)
 // [SECTION] Target pool (load probes and target selection)
+// [SECTION] Path to targets (whether this instance reaches a service's targets)
 // [SECTION] Retry budget (limit on retries and hedged requests)
 // [SECTION] Quarantine (requests that crash the targets that run them)
 // [SECTION] Silent crashes (targets that crash without closing their connections)
@@ -97,6 +98,7 @@
     Code_QuotaUsedUp = 2015,
     Code_KeyNotLearnt = 2016,
     Code_TargetsLimited = 2017,
+    Code_TargetsUnreachable = 2018,
 
     Code_OutcomeUnknown = 2101,
     Code_DeadlinePassed = 2102,
@@ -655,6 +657,84 @@
 void PoolFailed(const PoolConfig& config, PoolTarget* target, TimeUs now);
 void PoolSucceeded(PoolTarget* target);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Path to targets (whether this instance reaches a service's targets)
+//-----------------------------------------------------------------------------
+
+// An instance can lose its path to targets that are well and that other instances still reach. Its contacts with them (probes, connections
+// and requests) then fail whichever target it tries. An answer of any kind shows a path, also that of a target that is full, leaving or
+// unhealthy. Contacts that failed at several different targets, with no answer from any target of the service between them, show that there
+// is none, or that all these targets are dead: only instances with a path can tell which.
+//
+// The path is per service: a partition may cover the targets of one service only. A path that is back is not used for a trial period,
+// which doubles when the path is lost again soon, so that one that comes and goes does not cost a request each time.
+//
+// How to use it: TargetPathContact() for the outcome of each contact, TargetPathNow() before one is needed. While the path is not open,
+// check it by contacts every TargetPathCheckDelay().
+
+// Outcome of a contact with a target.
+enum ContactEnd_ : int
+{
+    ContactEnd_None,     // Nothing was sent, for a reason other than the path.
+    ContactEnd_Answered, // The target has sent something.
+    ContactEnd_Refused,  // The connection was refused.
+    ContactEnd_Reset,    // The connection ended without an answer.
+    ContactEnd_Silent,   // No answer, or no connection, in time.
+    ContactEnd_COUNT,
+};
+
+const char* ContactEndName(ContactEnd_ end);
+
+using ContactCounts = std::array<int, ContactEnd_COUNT>;
+
+// Contacts that failed, of whatever kind.
+int FailedContacts(const ContactCounts& counts);
+
+enum TargetPathState_ : int
+{
+    TargetPathState_Open,  // Targets are reached, or nothing is known.
+    TargetPathState_Lost,  // No target is reached.
+    TargetPathState_Trial, // Targets are reached again; the path is not trusted yet.
+    TargetPathState_COUNT,
+};
+
+const char* TargetPathStateName(TargetPathState_ state);
+
+struct TargetPathConfig
+{
+    int FailedMin = 4;                   // Failed contacts in a row, at as many different targets if the service has them, for a loss.
+    TimeUs CheckUs = 100 * UsPerMs;      // Time between two checks while the path is not open.
+    TimeUs CheckIdleUs = UsPerSecond;    // The same while no request needs the path.
+    TimeUs TrialUs = 200 * UsPerMs;      // Trial period of a path that is back.
+    TimeUs TrialMaxUs = 3 * UsPerSecond; // Longest trial period.
+    TimeUs CalmUs = 30 * UsPerSecond;    // After this time without a loss the trial period is TrialUs again.
+    TimeUs NeededUs = 5 * UsPerSecond;   // A path counts as needed for this long after a request.
+};
+
+struct TargetPath
+{
+    TargetPathConfig Config;
+    TargetPathState_ State = TargetPathState_Open;
+    ContactCounts Counts = {};                            // Failed contacts since the last answer, by kind.
+    std::set<std::string> Failed;                         // Targets of these contacts; at most Config.FailedMin.
+    TimeUs AnsweredUs = 0;                                // Time of the last answer; 0: never.
+    TimeUs ChangedUs = 0;                                 // Time of the last change of State; 0: never.
+    TimeUs LostUs = 0;                                    // Time of the last loss; 0: never.
+    TimeUs TrialUs = 0;                                   // Length of the last trial period.
+    TimeUs NeededUs = 0;                                  // Time of the last request; 0: never.
+    uint64_t Losses = 0;                                  // Counter.
+    std::array<uint64_t, ContactEnd_COUNT> Contacts = {}; // Counters: contacts by outcome.
+};
+
+// Records the outcome of a contact with a target. `targets`: number of targets of the service. Returns true if State has changed.
+bool TargetPathContact(TargetPath* path, const std::string& target, ContactEnd_ end, size_t targets, TimeUs now);
+
+// The state now; ends a trial period that is over.
+TargetPathState_ TargetPathNow(TargetPath* path, TimeUs now);
+
+// Time until the next check of a path that is not open.
+TimeUs TargetPathCheckDelay(const TargetPath& path, TimeUs now);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Retry budget (limit on retries and hedged requests)
 //-----------------------------------------------------------------------------
--- /dev/null
+++ b/winchlink_path.cpp
@@ -0,0 +1,119 @@
+// winchlink_path.cpp: whether this instance reaches a service's targets.
+//
+// Index of this file:
+// [SECTION] Names
+// [SECTION] State
+
+#include "winchlink.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace Winchlink
+{
+
+//-----------------------------------------------------------------------------
+// [SECTION] Names
+//-----------------------------------------------------------------------------
+
+const char* ContactEndName(ContactEnd_ end)
+{
+    static const std::array<const char*, ContactEnd_COUNT> names = {"none", "answered", "refused", "reset", "silent"};
+    assert(end >= 0 && end < ContactEnd_COUNT && "not an outcome of a contact");
+    return names[end];
+}
+
+const char* TargetPathStateName(TargetPathState_ state)
+{
+    static const std::array<const char*, TargetPathState_COUNT> names = {"open", "lost", "trial"};
+    assert(state >= 0 && state < TargetPathState_COUNT && "not a state of a path");
+    return names[state];
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] State
+//-----------------------------------------------------------------------------
+
+int FailedContacts(const ContactCounts& counts)
+{
+    return counts[ContactEnd_Refused] + counts[ContactEnd_Reset] + counts[ContactEnd_Silent];
+}
+
+static void ChangeState(TargetPath* path, TargetPathState_ state, TimeUs now)
+{
+    path->State = state;
+    path->ChangedUs = now;
+}
+
+static void StartTrial(TargetPath* path, TimeUs now)
+{
+    ChangeState(path, TargetPathState_Trial, now);
+    path->TrialUs = path->TrialUs == 0 ? path->Config.TrialUs : std::min(2 * path->TrialUs, path->Config.TrialMaxUs);
+}
+
+static void Lose(TargetPath* path, TimeUs now)
+{
+    const bool calm = path->LostUs == 0 || now >= path->LostUs + path->Config.CalmUs;
+    path->TrialUs = calm ? 0 : path->TrialUs;
+    path->LostUs = now;
+    path->Losses++;
+    ChangeState(path, TargetPathState_Lost, now);
+}
+
+static bool OnAnswer(TargetPath* path, TimeUs now)
+{
+    path->Counts = {};
+    path->Failed.clear();
+    path->AnsweredUs = now;
+    if (path->State != TargetPathState_Lost)
+    {
+        return false;
+    }
+    StartTrial(path, now);
+    return true;
+}
+
+static bool OnFailure(TargetPath* path, const std::string& target, ContactEnd_ end, size_t targets, TimeUs now)
+{
+    const auto failed_min = static_cast<size_t>(path->Config.FailedMin);
+    path->Counts[end]++;
+    if (path->Failed.size() < failed_min)
+    {
+        path->Failed.insert(target);
+    }
+    const bool enough = FailedContacts(path->Counts) >= path->Config.FailedMin && path->Failed.size() >= std::min(failed_min, targets);
+    if (!enough || path->State == TargetPathState_Lost)
+    {
+        return false;
+    }
+    Lose(path, now);
+    return true;
+}
+
+bool TargetPathContact(TargetPath* path, const std::string& target, ContactEnd_ end, size_t targets, TimeUs now)
+{
+    TargetPathNow(path, now);
+    path->Contacts[end]++;
+    if (end == ContactEnd_None)
+    {
+        return false;
+    }
+    return end == ContactEnd_Answered ? OnAnswer(path, now) : OnFailure(path, target, end, targets, now);
+}
+
+TargetPathState_ TargetPathNow(TargetPath* path, TimeUs now)
+{
+    if (path->State == TargetPathState_Trial && now >= path->ChangedUs + path->TrialUs)
+    {
+        ChangeState(path, TargetPathState_Open, now);
+    }
+    return path->State;
+}
+
+TimeUs TargetPathCheckDelay(const TargetPath& path, TimeUs now)
+{
+    const bool needed = path.NeededUs > 0 && now < path.NeededUs + path.Config.NeededUs;
+    return needed ? path.Config.CheckUs : path.Config.CheckIdleUs;
+}
+
+} // namespace Winchlink
