Settings: sourceIp, the address from which connections to targets are opened; proxy: faults by source IP

For machines with several addresses, and so that a fault between one instance and its targets can be played: the proxy tells instances apart by it, and opens its own connections from the same address.

--- a/bench/process.cpp
+++ b/bench/process.cpp
@@ -108,6 +108,7 @@
     json_object_set_new(object, "peerAddress", JsonText(settings.PeerAddress));
     json_object_set_new(object, "storeAddress", JsonText(settings.StoreAddress));
     json_object_set_new(object, "peers", peers);
+    json_object_set_new(object, "sourceIp", JsonText(settings.SourceIp));
     json_object_set_new(object, "datagramPort", json_integer(settings.DatagramPort));
     json_object_set_new(object, "graceS", JsonSeconds(settings.GraceUs));
     json_object_set_new(object, "repeatShare", json_real(settings.RetryShare));
--- a/bench/proxy.cpp
+++ b/bench/proxy.cpp
@@ -4,6 +4,7 @@
 
 #include "socket.h"
 
+#include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -28,8 +29,9 @@
 {
     int Caller = -1;
     int Server = -1;
-    ProxyFlow Up;   // Caller to server.
-    ProxyFlow Down; // Server to caller.
+    uint32_t Source = 0; // IP of the caller, in host byte order.
+    ProxyFlow Up;        // Caller to server.
+    ProxyFlow Down;      // Server to caller.
 
     ~ProxyPair()
     {
@@ -58,10 +60,17 @@
     return found != proxy->Pairs.end() ? found->second.get() : nullptr;
 }
 
+static ProxyMode_ ModeOf(const Proxy& proxy, uint32_t source)
+{
+    const auto found = proxy.ModeBySource.find(source);
+    return found != proxy.ModeBySource.end() ? found->second : proxy.Mode;
+}
+
 static bool MayForward(const Proxy& proxy, const ProxyPair& pair, const ProxyFlow& flow)
 {
     const bool down = &flow == &pair.Down;
-    return proxy.Mode == ProxyMode_Good || proxy.Mode == ProxyMode_Delay || (proxy.Mode == ProxyMode_OneWay && !down);
+    const ProxyMode_ mode = ModeOf(proxy, pair.Source);
+    return mode == ProxyMode_Good || mode == ProxyMode_Delay || mode == ProxyMode_KeepOpen || (mode == ProxyMode_OneWay && !down);
 }
 
 // Forwards the buffered bytes. Returns false once the sender has closed and all bytes are forwarded.
@@ -119,7 +128,7 @@
     {
         flow->Readable = nullptr;
     }
-    const TimeUs pause = proxy->Mode == ProxyMode_Delay ? proxy->DelayUs : 0;
+    const TimeUs pause = ModeOf(*proxy, pair->Source) == ProxyMode_Delay ? proxy->DelayUs : 0;
     flow->ForwardTimer = TimerStart(proxy->Loop, pause, [proxy, id, up]() { ForwardPending(proxy, id, up); });
 }
 
@@ -134,14 +143,18 @@
 
 static void OnAccept(Proxy* proxy)
 {
-    const int caller = accept4(proxy->Listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    sockaddr_in from = {};
+    socklen_t size = sizeof from;
+    const int caller = accept4(proxy->Listening, reinterpret_cast<sockaddr*>(&from), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (caller < 0)
     {
         return;
     }
     const sockaddr_in to = ToSocketAddress(ParseEndpoint(proxy->Server).value());
     const int server = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    if (connect(server, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0)
+    from.sin_port = 0;
+    if (bind(server, reinterpret_cast<const sockaddr*>(&from), sizeof from) != 0 ||
+        connect(server, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0)
     {
         close(server);
         close(caller); // The server does not accept connections.
@@ -151,6 +164,8 @@
     auto pair = std::make_unique<ProxyPair>();
     pair->Caller = caller;
     pair->Server = server;
+    pair->Source = ntohl(from.sin_addr.s_addr);
+    const ProxyMode_ mode = ModeOf(*proxy, pair->Source);
     pair->Up.From = caller;
     pair->Up.To = server;
     pair->Down.From = server;
@@ -158,7 +173,7 @@
     pair->Up.Readable = WatchStart(proxy->Loop, caller, UV_READABLE, [proxy, id](int) { OnReadable(proxy, id, true); });
     pair->Down.Readable = WatchStart(proxy->Loop, server, UV_READABLE, [proxy, id](int) { OnReadable(proxy, id, false); });
     proxy->Pairs[id] = std::move(pair);
-    if (proxy->Mode == ProxyMode_Reset)
+    if (mode == ProxyMode_Reset || mode == ProxyMode_KeepOpen)
     {
         ResetBoth(proxy, id);
     }
@@ -178,9 +193,9 @@
     return true;
 }
 
-void ProxySetMode(Proxy* proxy, ProxyMode_ mode)
+// Applies the modes to the open connections.
+static void ApplyModes(Proxy* proxy)
 {
-    proxy->Mode = mode;
     std::vector<uint64_t> ids;
     for (const auto& entry : proxy->Pairs)
     {
@@ -188,7 +203,7 @@
     }
     for (const uint64_t id : ids)
     {
-        if (mode == ProxyMode_Reset)
+        if (ModeOf(*proxy, proxy->Pairs.at(id)->Source) == ProxyMode_Reset)
         {
             ResetBoth(proxy, id);
             continue;
@@ -198,4 +213,33 @@
     }
 }
 
+void ProxySetMode(Proxy* proxy, ProxyMode_ mode)
+{
+    proxy->Mode = mode;
+    ApplyModes(proxy);
+}
+
+void ProxySetModeFor(Proxy* proxy, uint32_t source, ProxyMode_ mode)
+{
+    proxy->ModeBySource.erase(source);
+    if (mode != ProxyMode_Good)
+    {
+        proxy->ModeBySource[source] = mode;
+    }
+    ApplyModes(proxy);
+}
+
+bool ProxyResetOne(Proxy* proxy, uint32_t source)
+{
+    for (const auto& [id, pair] : proxy->Pairs)
+    {
+        if (pair->Source == source)
+        {
+            ResetBoth(proxy, id);
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace Winchlink
--- a/gateway/client.cpp
+++ b/gateway/client.cpp
@@ -428,6 +428,10 @@
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, OnConnectionOpened);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, call);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
+    if (!call->Owner->SourceIp.empty())
+    {
+        curl_easy_setopt(easy, CURLOPT_INTERFACE, ("host!" + call->Owner->SourceIp).c_str());
+    }
     SetBody(easy, request);
     AvoidSilent(call->Owner, request, easy);
 }
--- a/gateway/client.h
+++ b/gateway/client.h
@@ -69,6 +69,7 @@
     EventLoop* Loop = nullptr;
     CURLM* Multi = nullptr;
     Timer Timeout;                                         // Next timeout requested by libcurl.
+    std::string SourceIp;                                  // IP from which connections are opened; empty: chosen by the system.
     std::map<curl_socket_t, Watch> Sockets;                // Sockets watched for libcurl.
     std::map<uint64_t, std::unique_ptr<ClientCall>> Calls; // In flight, by id.
     std::vector<CURL*> IdleHandles;                        // Easy handles for reuse.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -514,6 +514,7 @@
     gateway->Rng.seed(std::random_device()());
     gateway->SettingsTime = ChangeTime(gateway->SettingsFile);
     ClientStart(&gateway->Targets, gateway->Loop);
+    gateway->Targets.SourceIp = settings.SourceIp;
     ClientStart(&gateway->Control, gateway->Loop);
     Forwarder& requests = gateway->Requests;
     requests.Names = adapter.Names;
--- a/gateway/settings.cpp
+++ b/gateway/settings.cpp
@@ -39,6 +39,15 @@
     }
 }
 
+static void ReadIp(ObjectReader* r, const char* key, std::string* out)
+{
+    ReadText(r, key, false, out);
+    if (!out->empty() && !IsAddress(*out + ":1"))
+    {
+        AddFault(*r, r->Codes.OutOfRange, key, "expected an IPv4 address, found \"" + *out + "\"");
+    }
+}
+
 static void ReadAddresses(ObjectReader* r, const char* key, std::vector<std::string>* out)
 {
     ReadTexts(r, key, false, out);
@@ -72,6 +81,7 @@
     ReadAddress(r, "readyAddress", true, &out->ReadyAddress);
     ReadAddress(r, "metricsAddress", false, &out->MetricsAddress);
     ReadAddress(r, "peerAddress", false, &out->PeerAddress);
+    ReadIp(r, "sourceIp", &out->SourceIp);
     ReadAddress(r, "storeAddress", true, &out->StoreAddress);
     ReadAddresses(r, "peers", &out->Peers);
     int descriptors = out->ConnectionsMax + DescriptorsReserved;
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -18,6 +18,7 @@
     std::string ReadyAddress;                // IP:port for readiness checks of the balancer in front.
     std::string MetricsAddress;              // IP:port of the metrics and status pages; empty: none.
     std::string PeerAddress;                 // IP:port for other instances; empty: none.
+    std::string SourceIp;                    // IP from which connections to targets are opened; empty: chosen by the system.
     std::string StoreAddress;                // IP:port of the platform's store or of the table service.
     std::vector<std::string> Peers;          // Peer addresses of the seeds; some may be out of date.
     int ConnectionsMax = 1024;               // Maximum open connections of callers.
