--- a/daemon/headers.cpp
+++ b/daemon/headers.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <charconv>
 #include <fmt/format.h>
 #include <strings.h>
 
@@ -64,6 +65,47 @@
     return "";
 }
 
+std::string HexEncoded(const std::string& bytes)
+{
+    std::string text;
+    for (const char byte : bytes)
+    {
+        text += fmt::format("{:02x}", static_cast<uint8_t>(byte));
+    }
+    return text;
+}
+
+std::string HexDecoded(const std::string& text)
+{
+    constexpr int hex = 16;
+    std::string bytes;
+    for (size_t at = 0; at + 1 < text.size(); at += 2)
+    {
+        const char* end = text.data() + at + 2;
+        unsigned value = 0;
+        if (std::from_chars(text.data() + at, end, value, hex).ptr != end)
+        {
+            break;
+        }
+        bytes += static_cast<char>(value);
+    }
+    return bytes;
+}
+
+std::string PercentDecoded(const std::string& text)
+{
+    constexpr int hex = 16;
+    std::string out;
+    for (size_t n = 0; n < text.size(); n++)
+    {
+        const bool encoded = text[n] == '%' && n + 2 < text.size() && std::isxdigit(static_cast<unsigned char>(text[n + 1])) != 0 &&
+                             std::isxdigit(static_cast<unsigned char>(text[n + 2])) != 0;
+        out += encoded ? static_cast<char>(std::stoi(text.substr(n + 1, 2), nullptr, hex)) : text[n];
+        n += encoded ? 2 : 0;
+    }
+    return out;
+}
+
 std::string PercentEncoded(const std::string& text)
 {
     std::string out;
--- a/daemon/headers.h
+++ b/daemon/headers.h
@@ -29,6 +29,13 @@
 // The value of a key in the query of a request target, not decoded; empty if there is none.
 std::string QueryValue(const std::string& target, const std::string& key);
 
+// Decodes "%XX"; other characters stay as they are.
+std::string PercentDecoded(const std::string& text);
+
+// Two hexadecimal digits for each byte. Decoding ends at the first two characters that are none.
+std::string HexEncoded(const std::string& bytes);
+std::string HexDecoded(const std::string& text);
+
 // Encodes a text as a query value: everything except letters and digits becomes "%XX".
 std::string PercentEncoded(const std::string& text);
 
--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -27,14 +27,6 @@
 // [SECTION] Classifying answers
 //-----------------------------------------------------------------------------
 
-enum Verdict_ : int
-{
-    Verdict_Relay,  // The answer may be relayed to the caller.
-    Verdict_NotRun, // The target did not receive the request, or did not run it.
-    Verdict_Lost,   // The target may have run the request, and there is no usable answer.
-    Verdict_COUNT,
-};
-
 static bool IsNotExecuted(const Forwarder& forwarder, const ClientAnswer& answer)
 {
     constexpr int wrong_target = 421; // Misdirected Request: the address now belongs to another target.
@@ -163,7 +155,8 @@
     reply.Body = std::move(answer.Body);
     for (Header& header : answer.Headers)
     {
-        if (!IsHopHeader(header.Name) && !SameHeader(header.Name, call->Owner->Names.Load))
+        const bool internal = SameHeader(header.Name, call->Owner->Names.Load) || SameHeader(header.Name, HeaderHandoff);
+        if (!IsHopHeader(header.Name) && !internal)
         {
             reply.Headers.push_back(std::move(header));
         }
@@ -211,7 +204,7 @@
         return call->SentTo.size() < max_targets;
     }
     const bool allowed = call->Retryable || call->MayHaveRun == 0;
-    return allowed && call->Attempts < call->MatchedRoute->AttemptsMax && TakeRetry(call, 1.0);
+    return allowed && call->Attempts < call->AttemptsMax && TakeRetry(call, 1.0);
 }
 
 // A target that refuses a request although it reports free slots is unhealthy, not busy.
@@ -246,7 +239,7 @@
     EndCallWith(call, answer.End == ClientEnd_TimedOut ? Code_DeadlinePassed : Code_OutcomeUnknown, answer.Detail);
 }
 
-static void ContinueCall(const CallPtr& call, Verdict_ verdict, ClientAnswer answer)
+void ContinueCall(const CallPtr& call, Verdict_ verdict, ClientAnswer answer)
 {
     const bool failed = verdict == Verdict_Relay && answer.Status >= 500;
     const bool done = verdict == Verdict_Relay && !(failed && call->Retryable);
@@ -281,8 +274,7 @@
     EndUnanswered(call, answer);
 }
 
-// Removes the attempt at the target from those in flight.
-static Attempt TakeAttempt(Call* call, const std::string& target)
+Attempt TakeAttempt(Call* call, const std::string& target)
 {
     const auto found =
         std::find_if(call->Active.begin(), call->Active.end(), [&](const Attempt& attempt) { return attempt.Target == target; });
@@ -312,7 +304,7 @@
     call->LastAttempt = TakeAttempt(call.get(), target);
     const Verdict_ verdict = ClassifyAnswer(*call->Owner, answer);
     const ContactEnd_ end = ContactEndOf(answer);
-    NoteContact(call->Service, target, end);
+    NoteContact(call->Owner, call->Service, target, end);
     call->Contacts[end]++;
     if (verdict == Verdict_Lost)
     {
@@ -416,7 +408,7 @@
     const TimeUs now = NowUs();
     PenalizeTargets(*call);
     const bool time_left = static_cast<double>(LeftUs(*call, now)) > call->Work->MeanUs;
-    if (!call->Retryable || call->Attempts >= call->MatchedRoute->AttemptsMax || !time_left || !IsKeyValid(*call))
+    if (!call->Retryable || call->Attempts >= call->AttemptsMax || !time_left || !IsKeyValid(*call))
     {
         return;
     }
@@ -437,6 +429,16 @@
     }
 }
 
+void StartAttempt(const CallPtr& call, const Attempt& attempt)
+{
+    call->Choosing = Choosing_None;
+    call->Active.push_back(attempt);
+    if (call->Active.size() == 1)
+    {
+        StartHedgeTimer(call, attempt);
+    }
+}
+
 void ReturnRetry(Call* call)
 {
     if (call->RetryTakenUs > 0)
@@ -502,7 +504,6 @@
            "a request that must not run twice may have been run already");
     const TimeUs now = NowUs();
     Attempt attempt = MakeAttempt(*call, *target, now);
-    call->Choosing = Choosing_None;
     call->SentTo.push_back(target->Id);
     call->Attempts++;
     call->RetryTakenUs = 0;
@@ -511,11 +512,7 @@
     const std::string id = target->Id;
     attempt.Id = ClientSend(call->Owner->Targets, MakeRequest(call, *target, now),
                             [call, id](ClientAnswer answer) { OnAnswer(call, id, std::move(answer)); });
-    call->Active.push_back(attempt);
-    if (call->Active.size() == 1)
-    {
-        StartHedgeTimer(call, attempt);
-    }
+    StartAttempt(call, attempt);
 }
 
 void CancelAttempts(const CallPtr& call)
@@ -525,8 +522,14 @@
     call->MayHaveRun += static_cast<int>(active.size());
     for (const Attempt& attempt : active)
     {
-        ClientCancel(call->Owner->Targets, attempt.Id);
         call->LastAttempt = attempt;
+        if (attempt.ToPeer)
+        {
+            ClientCancel(call->Owner->PeerCalls, attempt.Id);
+            PeersEnded(&call->Owner->Others, attempt.Address, call->ServiceName, PeerEnd_None, NowUs());
+            continue;
+        }
+        ClientCancel(call->Owner->Targets, attempt.Id);
         PoolTarget* target = FindTargetOf(*call, attempt);
         if (target != nullptr)
         {
--- a/gateway/call.h
+++ b/gateway/call.h
@@ -1,5 +1,5 @@
-// call.h: state of one caller's request, shared by the parts of the forwarder (forward.cpp, choose.cpp, attempt.cpp,
-// quarantined_calls.cpp).
+// call.h: state of one caller's request, shared by the parts of the forwarder (forward.cpp, choose.cpp, attempt.cpp, handoff.cpp,
+// target_path.cpp, quarantined_calls.cpp).
 //
 // A Call is kept alive by the callbacks that refer to it. It ends exactly once, in EndCall(); events that arrive afterwards only update
 // statistics and the state of targets.
@@ -9,12 +9,13 @@
 // [SECTION] Ending a call (forward.cpp)
 // [SECTION] Choosing a target (choose.cpp)
 // [SECTION] Sending (attempt.cpp)
+// [SECTION] Handing on to other instances (handoff.cpp)
 // [SECTION] Path to the targets (target_path.cpp)
 // [SECTION] Requests that crash targets (quarantined_calls.cpp)
 
 #pragma once
 
-#include "forward.h"
+#include "handoff.h"
 
 namespace Winchlink
 {
@@ -30,12 +31,13 @@
     TimeUs TakenUs = 0;         // Time at which it was counted.
 };
 
-// One attempt: the request sent to one target.
+// One attempt: the request sent to one target, or handed to another instance.
 struct Attempt
 {
     uint64_t Id = 0;          // Id returned by ClientSend().
-    std::string Target;       // Id of the target.
-    std::string Address;      // IP:port of the target.
+    bool ToPeer = false;      // It was handed to another instance.
+    std::string Target;       // Id of the target; the address of the other instance.
+    std::string Address;      // IP:port of either.
     uint64_t Incarnation = 0; // Incarnation of the target.
     uint64_t Generation = 0;  // See PoolTarget::Generation.
     TimeUs SentUs = 0;        // Start of the attempt.
@@ -44,6 +46,7 @@
     bool NearlyFull = false;  // The target was nearly full with this request.
     double ExpectedUs = 0;    // Expected duration; 0 if unknown.
     LimitGrant Grant;         // Its share of the target's rate limit.
+    TimeUs RetryTakenUs = 0;  // If handed to another instance: see Call::RetryTakenUs.
 };
 
 enum Choosing_ : int
@@ -65,15 +68,22 @@
     ServiceState* Service = nullptr; // Null until a service is chosen.
     RouteWork* Work = nullptr;
     std::string ServiceName;
-    std::string Id;                     // Request id, from the caller or generated.
-    std::string Key;                    // Identifies the request across the caller's tries, see CallKey(); empty until first used.
-    bool Retryable = false;             // The request may be run more than once.
-    const Customer* KeyOwner = nullptr; // Customer whose key came with the request; null if there is none.
-    KeyHash CallerKeyHash = {};         // Hash of that key.
-    TimeUs QuotaTakenUs = 0;            // Time at which it was counted against its customer's quota; 0 if it was not.
-    TimeUs CallerDeadlineUs = 0;        // Deadline named by the caller; retry advice stays within it.
-    TimeUs DeadlineUs = 0;              // Deadline of this call: the earlier of the caller's deadline and the route's timeout.
-    TimeUs ChooseDeadlineUs = 0;        // End of the time for choosing a target.
+    std::string Id;                        // Request id, from the caller or generated.
+    std::string Key;                       // Identifies the request across the caller's tries, see CallKey(); empty until first used.
+    bool Retryable = false;                // The request may be run more than once.
+    const Customer* KeyOwner = nullptr;    // Customer whose key came with the request; null if there is none.
+    KeyHash CallerKeyHash = {};            // Hash of that key.
+    std::vector<Header> KeyHeaders;        // The headers with that key, as the caller sent them.
+    std::optional<HandoffOffer> TakenFrom; // Another instance that has handed the request on; none for a caller's.
+    std::vector<std::string> PeersTried;   // Instances that it was offered to.
+    TimeUs PeerRetryUs = 0;                // Retry-After of the instance that refused it for all.
+    int AttemptsMax = 1;                   // Targets that it may be sent to, including those of other instances.
+    bool AdmissionDue = true;              // It is not counted here yet, see AdmitHere().
+    TimeUs CountedUs = 0;                  // Time at which it was counted for the retry budget; 0 if it was not.
+    TimeUs QuotaTakenUs = 0;               // Time at which it was counted against its customer's quota; 0 if it was not.
+    TimeUs CallerDeadlineUs = 0;           // Deadline named by the caller; retry advice stays within it.
+    TimeUs DeadlineUs = 0;                 // Deadline of this call: the earlier of the caller's deadline and the route's timeout.
+    TimeUs ChooseDeadlineUs = 0;           // End of the time for choosing a target.
     Choosing_ Choosing = Choosing_None;
     std::vector<std::string> Probed;    // Targets considered in this round of choosing.
     std::vector<std::string> SentTo;    // Targets to which the request was sent.
@@ -109,6 +119,13 @@
 // [SECTION] Ending a call (forward.cpp)
 //-----------------------------------------------------------------------------
 
+// Handles a request that was taken from another instance.
+void ForwardTaken(Forwarder* forwarder, const ExchangePtr& exchange, const HandoffOffer& offer);
+
+// Counts a request that is to be served here for the retry budget and against its customer's quota, once. Returns false if the quota is
+// used up and the request was refused.
+bool AdmitHere(const CallPtr& call);
+
 // Answers the caller. Must be called exactly once for each call.
 void EndCall(const CallPtr& call, Code_ code, const std::string& detail, CallerReply reply);
 
@@ -135,6 +152,12 @@
 // tried again later.
 void ChooseTarget(const CallPtr& call, Choosing_ choosing);
 
+// Ends the choosing without a target: refuses the request, unless an attempt is in flight or has given an answer.
+void RejectOrFallBack(const CallPtr& call, Code_ code, const std::string& detail);
+
+// Lets the requests that are choosing a target of the service go on at once, as the state of the path has changed.
+void ContinueChoosing(ServiceState* service);
+
 // Call when a slot of the target has come free. The most urgent waiting request gets it; among equals, the one that has waited longest.
 void ServeWaiting(ServiceState* service, const std::string& target_id);
 
@@ -142,6 +165,23 @@
 // [SECTION] Sending (attempt.cpp)
 //-----------------------------------------------------------------------------
 
+enum Verdict_ : int
+{
+    Verdict_Relay,  // The answer may be relayed to the caller.
+    Verdict_NotRun, // The target did not receive the request, or did not run it.
+    Verdict_Lost,   // The target may have run the request, and there is no usable answer.
+    Verdict_COUNT,
+};
+
+// Adds an attempt that was sent to those in flight.
+void StartAttempt(const CallPtr& call, const Attempt& attempt);
+
+// Removes the attempt at the target, or at another instance, from those in flight.
+Attempt TakeAttempt(Call* call, const std::string& target);
+
+// Relays the answer of an attempt that has ended, tries again, or ends the call.
+void ContinueCall(const CallPtr& call, Verdict_ verdict, ClientAnswer answer);
+
 // Sends the request to the target.
 void SendTo(const CallPtr& call, PoolTarget* target);
 
@@ -166,6 +206,13 @@
 // Cancels all attempts in flight. Their connections are closed, so that the targets can stop the work.
 void CancelAttempts(const CallPtr& call);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Handing on to other instances (handoff.cpp)
+//-----------------------------------------------------------------------------
+
+// Hands the request to another instance. Returns false if it may not be handed on, or if nobody is left to take it.
+bool HandOff(const CallPtr& call);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Path to the targets (target_path.cpp)
 //-----------------------------------------------------------------------------
@@ -173,8 +220,15 @@
 // What the end of a probe or of an attempt says about the path to its target.
 ContactEnd_ ContactEndOf(const ClientAnswer& answer);
 
-// Records a contact with a target of the service, and logs a change of the path's state.
-void NoteContact(ServiceState* service, const std::string& target, ContactEnd_ end);
+// Records a contact with a target of the service. When the path is lost, starts to check it.
+void NoteContact(Forwarder* forwarder, ServiceState* service, const std::string& target, ContactEnd_ end);
+
+// Contacts a random target of the service, other than `except`, on a new connection, and records the outcome. Where the service has no
+// health path nothing is sent: an accepted connection counts as an answer. Returns false if there is no such target.
+bool ContactAnyTarget(Forwarder* forwarder, ServiceState* service, const std::string& except, std::function<void(ContactEnd_)> done);
+
+// Whether most contacts of the request with targets failed: it was not served for lack of a path, not of free slots.
+bool IsMostlyUnreached(const Call& call);
 
 //-----------------------------------------------------------------------------
 // [SECTION] Requests that crash targets (quarantined_calls.cpp)
--- a/gateway/caller_key.cpp
+++ b/gateway/caller_key.cpp
@@ -42,6 +42,23 @@
     return found;
 }
 
+std::vector<Header> CallerKeyHeaders(const std::vector<Header>& headers)
+{
+    std::vector<Header> found;
+    std::copy_if(headers.begin(), headers.end(), std::back_inserter(found),
+                 [](const Header& header) { return SameHeader(header.Name, KeyHeader); });
+    return found;
+}
+
+void WipeHeaders(std::vector<Header>* headers)
+{
+    for (Header& header : *headers)
+    {
+        sodium_memzero(header.Value.data(), header.Value.size());
+    }
+    headers->clear();
+}
+
 void ReplaceCallerKey(std::vector<Header>* headers, const std::string& customer_header, const std::string& customer)
 {
     const auto replaced = [&](Header& header)
--- a/gateway/choose.cpp
+++ b/gateway/choose.cpp
@@ -139,7 +139,7 @@
     return all;
 }
 
-static void RejectOrFallBack(const CallPtr& call, Code_ code, const std::string& detail)
+void RejectOrFallBack(const CallPtr& call, Code_ code, const std::string& detail)
 {
     call->Choosing = Choosing_None;
     if (!call->Active.empty())
@@ -214,6 +214,11 @@
     const bool limited = AllLimited(*call, now);
     const bool may_wait = any && !limited && call->Choosing == Choosing_First && now + config.ProbeRetryUs < call->ChooseDeadlineUs;
     const bool acceptable = in_time && PoolIsAcceptable(call->Service->Pool, *best, now);
+    const bool unreached = !limited && IsMostlyUnreached(*call);
+    if (!acceptable && unreached && HandOff(call))
+    {
+        return;
+    }
     if (acceptable || (in_time && !may_wait))
     {
         SendTo(call, best);
@@ -225,7 +230,10 @@
         call->Service->Waiting.push_back(call);
         return;
     }
-    const Code_ code = limited ? Code_TargetsLimited : call->ProbeCount == 0 ? Code_NoTargetLeft : Code_TargetsBusy;
+    const Code_ code = limited                 ? Code_TargetsLimited
+                       : unreached             ? Code_TargetsUnreachable
+                       : call->ProbeCount == 0 ? Code_NoTargetLeft
+                                               : Code_TargetsBusy;
     RejectOrFallBack(call, code, best != nullptr ? "too slow" : "");
 }
 
@@ -257,7 +265,7 @@
     service->Probes.erase(id);
     const ContactEnd_ end = ContactEndOf(answer);
     LearnFromProbe(forwarder, service, id, generation, answer);
-    NoteContact(service, id, end);
+    NoteContact(forwarder, service, id, end);
     for (const CallPtr& waiter : waiters)
     {
         waiter->Contacts[end]++;
@@ -355,9 +363,33 @@
     SendTo(call, target);
 }
 
+// Handles a request whose targets can't be reached from here: hands it on, or refuses it at once. Returns false if targets are to be
+// tried here.
+static bool HandleWithoutPath(const CallPtr& call)
+{
+    TargetPath* path = &call->Service->Path;
+    const TargetPathState_ state = TargetPathNow(path, NowUs());
+    if (state == TargetPathState_Open)
+    {
+        return false;
+    }
+    call->ProbeRetryTimer = nullptr;
+    if (HandOff(call))
+    {
+        return true;
+    }
+    const bool others_may_serve = call->TakenFrom && state == TargetPathState_Lost;
+    if (!TargetPathIsCertain(*path) && !others_may_serve)
+    {
+        return false;
+    }
+    RejectOrFallBack(call, Code_TargetsUnreachable, "");
+    return true;
+}
+
 static void ProbeMore(const CallPtr& call)
 {
-    if (call->Choosing == Choosing_None)
+    if (call->Choosing == Choosing_None || HandleWithoutPath(call) || !AdmitHere(call))
     {
         return;
     }
@@ -414,6 +446,27 @@
 // [SECTION] Waiting requests
 //-----------------------------------------------------------------------------
 
+void ContinueChoosing(ServiceState* service)
+{
+    std::set<CallPtr> choosing;
+    for (const auto& entry : service->Probes)
+    {
+        choosing.insert(entry.second.begin(), entry.second.end());
+    }
+    for (const std::weak_ptr<Call>& entry : service->Waiting)
+    {
+        const CallPtr waiting = entry.lock();
+        if (waiting && waiting->ProbeRetryTimer)
+        {
+            choosing.insert(waiting);
+        }
+    }
+    for (const CallPtr& call : choosing)
+    {
+        ProbeMore(call);
+    }
+}
+
 void ServeWaiting(ServiceState* service, const std::string& target_id)
 {
     CallPtr first;
--- a/gateway/command_status.cpp
+++ b/gateway/command_status.cpp
@@ -83,6 +83,17 @@
     }
 }
 
+static void PrintPeers(json_t* root)
+{
+    json_t* peers = json_object_get(root, "peers");
+    if (Number(peers, "handedOn") > 0 || Number(peers, "taken") > 0)
+    {
+        fmt::print("handoffs   {} requests handed to other instances, {} taken from them, {} of these in progress; {} instances known\n",
+                   Number(peers, "handedOn"), Number(peers, "taken"), Number(peers, "takenInProgress"),
+                   json_array_size(json_object_get(peers, "known")));
+    }
+}
+
 static void PrintInvalid(json_t* root)
 {
     size_t n = 0;
@@ -146,6 +157,7 @@
     }
     PrintInstance(root.get());
     PrintEvacuations(root.get());
+    PrintPeers(root.get());
     PrintInvalid(root.get());
     PrintQuarantined(root.get());
     size_t n = 0;
--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -53,7 +53,10 @@
            {"dataAgeUs", call.DecidedBy.AgeUs},
            {"source", call.DecidedBy.Source},
            {"readBy", call.DecidedBy.ReadBy},
-           {"target", last.Target},
+           {"target", last.ToPeer ? "" : last.Target},
+           {"handedTo", last.ToPeer ? last.Address : ""},
+           {"offers", static_cast<int>(call.PeersTried.size())},
+           {"takenFrom", call.TakenFrom ? call.TakenFrom->From : ""},
            {"status", status},
            {"attempts", call.Attempts},
            {"asked", call.ProbeCount},
@@ -84,6 +87,8 @@
     call->SlowProbeTimer = nullptr;
     call->HedgeTimer = nullptr;
     call->Owner->InProgress--;
+    call->Owner->Taken -= call->TakenFrom ? 1 : 0;
+    WipeHeaders(&call->KeyHeaders);
     if (call->Service != nullptr)
     {
         call->Service->InProgress--;
@@ -96,6 +101,15 @@
     }
     CountCall(*call, code);
     LogEnd(*call, code, reply.Status, detail);
+    if (call->TakenFrom)
+    {
+        HandoffResult result = {code, call->Attempts, call->Owner->Taken, {}};
+        if (code == Code_TargetsUnreachable)
+        {
+            result.TryInstead = PeersRecommend(call->Owner->Others, NowUs(), call->Owner->Rng);
+        }
+        reply.Headers.push_back({HeaderHandoff, FormatHandoffResult(result)});
+    }
     reply.CloseConnection = reply.CloseConnection || call->Owner->Draining;
     Reply(call->Inbound, std::move(reply));
 }
@@ -147,13 +161,28 @@
     return backoff_end ? *backoff_end - now : code == Code_TargetsLimited ? LimitWaitUs(call) : 0;
 }
 
+// Time after which the refused caller should return. Without a path nothing is known of the targets' load: it may return soon, and reaches
+// another instance then.
+static TimeUs ReturnWaitUs(const CallPtr& call, Code_ code, TimeUs now)
+{
+    if (call->PeerRetryUs > 0)
+    {
+        return call->PeerRetryUs;
+    }
+    if (code == Code_TargetsUnreachable || code == Code_HandoffRefused)
+    {
+        const TimeUs least = call->Owner->Config.EmptyRetryUs;
+        return std::uniform_int_distribution<TimeUs>(least, 2 * least)(*call->Owner->Rng);
+    }
+    return RetryScheduleTake(&call->Service->RetryTimes, now, call->Owner->Rng) + TargetWaitUs(*call, code, now);
+}
+
 void EndCallBusy(const CallPtr& call, Code_ code, const std::string& detail)
 {
     const TimeUs now = NowUs();
     const auto left = static_cast<double>(std::max<TimeUs>(call->CallerDeadlineUs - now, 0));
     const auto max_wait = static_cast<TimeUs>(call->Owner->Config.MaxRetryAfterShare * left);
-    const TimeUs return_wait = RetryScheduleTake(&call->Service->RetryTimes, now, call->Owner->Rng);
-    EndCallWith(call, code, detail, std::min(return_wait + TargetWaitUs(*call, code, now), max_wait));
+    EndCallWith(call, code, detail, std::min(ReturnWaitUs(call, code, now), max_wait));
 }
 
 // Cancels the attempts in flight and records them as unanswered.
@@ -172,8 +201,11 @@
     PenalizeTargets(*call);
     for (const Attempt& attempt : call->Active)
     {
-        NoteContact(call->Service, attempt.Target, ContactEnd_Silent);
-        call->Contacts[ContactEnd_Silent]++;
+        if (!attempt.ToPeer)
+        {
+            NoteContact(call->Owner, call->Service, attempt.Target, ContactEnd_Silent);
+            call->Contacts[ContactEnd_Silent]++;
+        }
     }
     if (call->FailedAnswer)
     {
@@ -218,6 +250,7 @@
     const std::optional<KeyHash> key = ReadCallerKey(headers);
     call->KeyOwner = key ? FindCustomer(call->Plan->Callers, *key) : nullptr;
     call->CallerKeyHash = key.value_or(KeyHash());
+    call->KeyHeaders = CallerKeyHeaders(headers);
     ReplaceCallerKey(&headers, forwarder->Names.Customer, call->KeyOwner != nullptr ? call->KeyOwner->Name : "");
     if (call->KeyOwner != nullptr || call->MatchedRoute->Public)
     {
@@ -290,6 +323,43 @@
     call->DeadlineTimer = TimerStart(call->Owner->Loop, LeftUs(*call, NowUs()), [call]() { OnDeadline(call); });
 }
 
+bool AdmitHere(const CallPtr& call)
+{
+    if (!call->AdmissionDue)
+    {
+        return true;
+    }
+    call->AdmissionDue = false;
+    call->CountedUs = NowUs();
+    RetryBudgetCount(&call->Service->Retries, call->CountedUs);
+    return TakeQuota(call);
+}
+
+// The part of the route that serves the request: the one that the instance has chosen that handed it on, if there is any.
+static const std::string& ServiceOf(const CallPtr& call)
+{
+    const std::vector<RoutePart>& parts = call->MatchedRoute->Parts;
+    for (const RoutePart& part : parts)
+    {
+        if (call->TakenFrom && part.Service == call->TakenFrom->Service)
+        {
+            return part.Service;
+        }
+    }
+    return parts[RouteSplitNext(&call->Owner->Splits[call->MatchedRoute->Name], parts, call->Owner->Rng)].Service;
+}
+
+// Whether a request of another instance can be taken: only with a plan and targets that are as current as there, and beside the requests of
+// the own callers.
+static bool MayTake(const Call& call)
+{
+    const Forwarder& forwarder = *call.Owner;
+    const int others = forwarder.Taken - 1; // Without this one.
+    const TimeUs age_max = call.TakenFrom->DataAgeUs + forwarder.Config.TakenAgeUs;
+    const bool current = call.Plan->Version >= call.TakenFrom->PlanVersion && call.DecidedBy.AgeUs <= age_max;
+    return current && !forwarder.Draining && PeersMayTake(forwarder.Others, others, forwarder.InProgress - forwarder.Taken);
+}
+
 static void AdmitCall(const CallPtr& call)
 {
     Forwarder* forwarder = call->Owner;
@@ -299,14 +369,18 @@
         EndCallWith(call, Code_BadDeadline, "");
         return;
     }
-    const size_t part = RouteSplitNext(&forwarder->Splits[call->MatchedRoute->Name], call->MatchedRoute->Parts, forwarder->Rng);
-    call->ServiceName = call->MatchedRoute->Parts[part].Service;
+    call->ServiceName = ServiceOf(call);
     call->Spec = FindService(*call->Plan, call->ServiceName);
     call->Service = &forwarder->Services[call->ServiceName];
     call->Service->InProgress++;
+    call->Service->Path.NeededUs = NowUs();
     call->Work = &forwarder->Work[call->MatchedRoute->Name];
+    call->AttemptsMax = call->MatchedRoute->AttemptsMax;
+    if (call->TakenFrom)
+    {
+        call->AttemptsMax = std::min(call->AttemptsMax, call->TakenFrom->AttemptsMax);
+    }
     SetDeadline(call, *timeout);
-    RetryBudgetCount(&call->Service->Retries, NowUs());
     if (call->Spec == nullptr)
     {
         EndCallWith(call, Code_NoTargetLeft, "service not in plan", forwarder->Config.EmptyRetryUs);
@@ -322,10 +396,12 @@
         EndCallBusy(call, Code_RowLimit, "");
         return;
     }
-    if (TakeQuota(call))
+    if (call->TakenFrom && !MayTake(*call))
     {
-        ChooseTarget(call, Choosing_First);
+        EndCallBusy(call, Code_HandoffRefused, "");
+        return;
     }
+    ChooseTarget(call, Choosing_First);
 }
 
 bool ForwardMayOverlap(const Forwarder& forwarder, const Exchange& exchange)
@@ -370,7 +446,7 @@
         EndCallWith(call, Code_NoTable, "", call->Owner->Config.EmptyRetryUs);
     };
     const TimeUs left = forwarder->StartedUs + forwarder->Config.FirstPlanUs - NowUs();
-    if (left <= 0)
+    if (left <= 0 || call->TakenFrom)
     {
         refuse();
         return;
@@ -398,9 +474,12 @@
     }
 }
 
-void ForwardRequest(Forwarder* forwarder, const ExchangePtr& exchange)
+static void StartCall(Forwarder* forwarder, const ExchangePtr& exchange, const std::optional<HandoffOffer>& taken_from)
 {
     const auto call = std::make_shared<Call>();
+    call->TakenFrom = taken_from;
+    forwarder->Taken += taken_from ? 1 : 0;
+    forwarder->TakenCount += taken_from ? 1 : 0;
     call->Owner = forwarder;
     call->Inbound = exchange;
     call->Plan = forwarder->Plan;
@@ -422,6 +501,16 @@
     AwaitPlan(call);
 }
 
+void ForwardRequest(Forwarder* forwarder, const ExchangePtr& exchange)
+{
+    StartCall(forwarder, exchange, std::nullopt);
+}
+
+void ForwardTaken(Forwarder* forwarder, const ExchangePtr& exchange, const HandoffOffer& offer)
+{
+    StartCall(forwarder, exchange, offer);
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Updates of plan and directory
 //-----------------------------------------------------------------------------
@@ -465,7 +554,12 @@
         const auto state = forwarder->Services.find(service);
         if (state != forwarder->Services.end())
         {
+            const uint64_t last_added = state->second.Pool.LastGeneration;
             PoolSync(&state->second.Pool, listed, forwarder->DataCentre, forwarder->Rng);
+            if (state->second.Pool.LastGeneration != last_added)
+            {
+                TargetPathNewTarget(&state->second.Path);
+            }
             state->second.FollowedFrom = forwarder->DataCentre;
         }
     }
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -37,6 +37,7 @@
     double SlowFactor = 1.7;                 // An attempt is slow after this multiple of its expected duration.
     double HedgeShare = 0.4;                 // Part of the retry budget that hedged requests may use.
     TimeUs HedgeRetryUs = 50 * UsPerMs;      // No target found for a hedge: delay before trying again. Slots come free within this time.
+    TimeUs TakenAgeUs = 1500 * UsPerMs;      // A request is not taken from an instance whose data is more current by this.
     double RetryShare = 0.2;                 // See RetryBudget.
     TimeUs RetryWindowUs = 10 * UsPerSecond; // See RetryBudget.
 };
@@ -68,6 +69,8 @@
     std::string Name;
     TargetPool Pool;
     TargetPath Path;
+    Timer PathCheck;   // Next check of the path while it is not open.
+    Timer PathChanged; // Lets requests that are choosing a target go on.
     RetryBudget Retries;
     AdaptiveProbeTimeout ProbeTimeout;        // Timeout of probes, adapted to the targets' response times.
     RetrySchedule RetryTimes;                 // Computes Retry-After for callers refused because targets were busy.
@@ -114,6 +117,11 @@
     CustomersMetrics ByCustomer;                  // Metrics of customers with a quota.
     std::map<std::string, RouteSplit> Splits;     // By route name.
     std::map<std::string, RouteWork> Work;        // By route name.
+    Peers Others;                                 // Other instances that take over requests.
+    Client* PeerCalls = nullptr;                  // For requests that are handed to them; null: none are.
+    int Taken = 0;                                // Requests of other instances in progress; counted in InProgress too.
+    uint64_t TakenCount = 0;                      // Counter: requests of other instances that were taken.
+    LatencyStats HandoffLatency;                  // From the offer of a request to its answer.
     bool Draining = false;                        // This instance is draining: callers' connections are closed after the answer.
     int InProgress = 0;                           // Requests not answered yet.
     std::string IdPrefix;                         // Prefix of ids for requests that come without one.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 // Index of this file:
 // [SECTION] Following the store
 // [SECTION] Requests that crash targets
+// [SECTION] Requests of other instances
 // [SECTION] Quotas
 // [SECTION] Readiness and pages
 // [SECTION] Planned stop
@@ -11,6 +12,8 @@
 
 #include "gateway.h"
 
+#include "handoff.h"
+
 #include "clock.h"
 #include "page_client.h"
 #include "pages.h"
@@ -34,6 +37,8 @@
 //-----------------------------------------------------------------------------
 
 // Configures the sources of updates.
+static std::vector<PeerUpdate> NewsForSource(Gateway* gateway, const std::string& source);
+
 static void SetSources(Gateway* gateway)
 {
     const Settings& settings = gateway->Config;
@@ -43,11 +48,17 @@
                         timing.StoreBatchUs,       timing.StoreReadUs, timing.StoreConnectUs};
     reader.UnfollowedWaitUs = timing.UnfollowedWaitUs;
     FollowSetSources(&reader.Following, settings.PeerAddress, settings.StoreAddress, settings.Peers, &gateway->Rng);
-    const RelayFollower own = {settings.PeerAddress, settings.DataCentre};
+    const auto news = [gateway](const std::string& source)
+    {
+        return NewsForSource(gateway, source);
+    };
+    const RelayFollower own = {settings.PeerAddress, PercentEncoded(settings.DataCentre), news};
     reader.FromInstance = {RelayDialect(own), timing.PeerWaitUs,   timing.PeerMarginUs, timing.PeerTryMarginUs, 0,
                            timing.PeerReadUs, timing.PeerConnectUs};
     gateway->Peers.DataCentre = PercentEncoded(settings.DataCentre); // Encoded as in the query of followers.
     reader.Following.DataCentre = gateway->Peers.DataCentre;
+    gateway->Requests.Others.Own = settings.PeerAddress;
+    gateway->Requests.Others.DataCentre = PeerDataCentre(settings.DataCentre);
 }
 
 // The active readers decide on quotas.
@@ -243,6 +254,55 @@
     };
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Requests of other instances
+//-----------------------------------------------------------------------------
+
+// Whether targets of all services are reached, as far as is known.
+static bool HasPathToAll(const Forwarder& requests)
+{
+    return std::none_of(requests.Services.begin(), requests.Services.end(),
+                        [](const auto& entry) { return entry.second.Path.State == TargetPathState_Lost; });
+}
+
+static std::vector<PeerUpdate> NewsFor(const Gateway& gateway, const std::string& instance)
+{
+    const Forwarder& requests = gateway.Requests;
+    return PeersNews(requests.Others, instance, HasPathToAll(requests), NowUs(), requests.Rng);
+}
+
+static std::vector<PeerUpdate> NewsForSource(Gateway* gateway, const std::string& source)
+{
+    const bool due = PeersNewsDue(&gateway->Requests.Others, source, HasPathToAll(gateway->Requests), NowUs());
+    return due ? NewsFor(*gateway, source) : std::vector<PeerUpdate>();
+}
+
+static void StartHandoffs(Gateway* gateway)
+{
+    Forwarder* requests = &gateway->Requests;
+    ClientStart(&gateway->PeerCalls, gateway->Loop);
+    requests->PeerCalls = &gateway->PeerCalls;
+    gateway->Peers.OnHandoff = [requests](const ExchangePtr& exchange)
+    {
+        return HandoffReceive(requests, exchange);
+    };
+    gateway->Peers.OnPeer = [requests](const PeerUpdate& peer)
+    {
+        PeersHeard(&requests->Others, peer, NowUs());
+    };
+    gateway->Peers.PeerNews = [gateway](const std::string& follower)
+    {
+        return NewsFor(*gateway, follower);
+    };
+    gateway->Store.OnPeers = [requests](const std::vector<PeerUpdate>& peers)
+    {
+        for (const PeerUpdate& peer : peers)
+        {
+            PeersHeard(&requests->Others, peer, NowUs());
+        }
+    };
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Quotas
 //-----------------------------------------------------------------------------
@@ -395,7 +455,7 @@
     {
         ListenerCloseSocket(&gateway->Callers);
     }
-    const bool done = quiet && gateway->Callers.Open.empty();
+    const bool done = quiet && gateway->Callers.Open.empty() && gateway->Requests.Taken == 0;
     if (done || since > gateway->Config.GraceUs - StopMarginUs)
     {
         EndLoop(gateway);
@@ -544,6 +604,7 @@
     }
     if (!settings.PeerAddress.empty())
     {
+        StartHandoffs(gateway);
         const Result<void> peers = RelayStart(&gateway->Peers, loop, &gateway->Rng, settings.PeerAddress);
         if (!peers)
         {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -51,6 +51,7 @@
     Client Targets;
     Client Control; // Calls to the store and to other instances, on connections apart from those to targets.
     StoreReader Store;
+    Client PeerCalls; // Requests that are handed to other instances.
     Relay Peers;
     Forwarder Requests;
     CrashReports Crashes; // Exchange with other instances about requests that crash targets.
--- a/gateway/pages.cpp
+++ b/gateway/pages.cpp
@@ -112,6 +112,19 @@
     return std::count_if(quarantine.Requests.begin(), quarantine.Requests.end(), quarantined);
 }
 
+static std::string HandoffsText(const Forwarder& requests)
+{
+    std::string text;
+    for (int end = PeerEnd_Answered; end < PeerEnd_COUNT; end++)
+    {
+        text += fmt::format("winchlink_handoffs{{end=\"{}\"}} {}\n", PeerEndName(static_cast<PeerEnd_>(end)), requests.Others.Ended[end]);
+    }
+    text += fmt::format("winchlink_handoffs_taken {}\n", requests.TakenCount);
+    text += fmt::format("winchlink_handoffs_taken_in_progress {}\n", requests.Taken);
+    text += fmt::format("winchlink_peers_known {}\n", requests.Others.Known.size());
+    return text + FormatLatency("winchlink_handoff_seconds", "end=\"answered\"", requests.HandoffLatency);
+}
+
 std::string MetricsText(const Gateway& gateway)
 {
     const Forwarder& requests = gateway.Requests;
@@ -144,6 +157,7 @@
     text += fmt::format("winchlink_requests_suspected {}\n", requests.Quarantined.Requests.size());
     text += fmt::format("winchlink_target_ends_calls {}\n", gateway.Crashes.CallsMade);
     text += QuotasText(gateway);
+    text += HandoffsText(requests);
     text += fmt::format("winchlink_followers_answered {}\n", gateway.Peers.Answers);
     text += fmt::format("winchlink_plan_version {}\n", requests.Plan ? requests.Plan->Version : 0);
     return text;
@@ -326,6 +340,27 @@
     return object;
 }
 
+static json_t* JsonOfPeers(const Forwarder& requests, TimeUs now)
+{
+    json_t* known = json_array();
+    for (const auto& [address, peer] : requests.Others.Known)
+    {
+        json_t* object = json_object();
+        json_object_set_new(object, "address", JsonText(address));
+        json_object_set_new(object, "near", json_boolean(peer.DataCentre == requests.Others.DataCentre));
+        json_object_set_new(object, "heardMs", JsonMs(now - peer.HeardUs));
+        json_object_set_new(object, "hasPath", json_boolean(peer.HasPath));
+        json_object_set_new(object, "inFlight", json_integer(peer.InFlight));
+        json_array_append_new(known, object);
+    }
+    json_t* object = json_object();
+    json_object_set_new(object, "handedOn", JsonNumber(requests.Others.Ended[PeerEnd_Answered]));
+    json_object_set_new(object, "taken", JsonNumber(requests.TakenCount));
+    json_object_set_new(object, "takenInProgress", json_integer(requests.Taken));
+    json_object_set_new(object, "known", known);
+    return object;
+}
+
 static json_t* JsonOfInvalid(const Gateway& gateway)
 {
     json_t* list = json_array();
@@ -375,6 +410,7 @@
     json_object_set_new(object, "plan", JsonOfPlan(gateway, now));
     json_object_set_new(object, "store", JsonOfStore(gateway, now));
     json_object_set_new(object, "customers", JsonOfCustomers(gateway));
+    json_object_set_new(object, "peers", JsonOfPeers(gateway.Requests, now));
     json_object_set_new(object, "evacuated", JsonOfEvacuations(gateway.Requests.Directory));
     json_object_set_new(object, "invalid", JsonOfInvalid(gateway));
     json_object_set_new(object, "held", JsonOfQuarantined(gateway.Requests.Quarantined, now));
--- a/gateway/relay.cpp
+++ b/gateway/relay.cpp
@@ -99,7 +99,8 @@
     return !page->HasRoute || ReadMessage(stream, &page->Route);
 }
 
-// Message format: size of the head, size of the packed items, checksum of the head (zlib checks the items), head with Route, packed items.
+// Message format: size of the head, size of the packed items, checksum of the head (zlib checks the items), head with Route, packed items;
+// then PackPeers().
 static std::string EncodePacked(const StorePage& head, const std::string& packed)
 {
     const std::string coded = EncodeMessage(head) + (head.HasRoute ? EncodeMessage(head.Route) : "");
@@ -110,9 +111,37 @@
     return out + coded + packed;
 }
 
+// The part of an answer that tells of instances, behind the items: a checksum and the list.
+static std::string PackPeers(const std::vector<PeerUpdate>& peers)
+{
+    if (peers.empty())
+    {
+        return "";
+    }
+    const std::string coded = EncodePeers(peers);
+    std::string out;
+    AppendNumber(&out, Checksum(coded));
+    return out + coded;
+}
+
+static bool UnpackPeers(const std::string& bytes, std::vector<PeerUpdate>* peers)
+{
+    if (bytes.empty())
+    {
+        return true;
+    }
+    const std::string coded = bytes.substr(std::min(bytes.size(), NumberBytes));
+    if (coded.empty() || Checksum(coded) != NumberAt(bytes, 0))
+    {
+        return false;
+    }
+    *peers = DecodePeers(coded);
+    return true;
+}
+
 std::string EncodePage(const StorePage& page)
 {
-    return EncodePacked(page, PackItems(page.Items));
+    return EncodePacked(page, PackItems(page.Items)) + PackPeers(page.Peers);
 }
 
 Result<StorePage> DecodePage(const std::string& bytes)
@@ -123,7 +152,8 @@
         return Malformed("message too short");
     }
     const size_t head_size = NumberAt(bytes, 0);
-    if (bytes.size() != sizes + head_size + NumberAt(bytes, NumberBytes))
+    const size_t packed_size = NumberAt(bytes, NumberBytes);
+    if (bytes.size() < sizes + head_size + packed_size)
     {
         return Malformed("length differs from the stated sizes");
     }
@@ -133,7 +163,11 @@
     {
         return Malformed("message head has a wrong checksum or can't be decoded");
     }
-    page.Packed = bytes.substr(sizes + head_size);
+    page.Packed = bytes.substr(sizes + head_size, packed_size);
+    if (!UnpackPeers(bytes.substr(sizes + head_size + packed_size), &page.Peers))
+    {
+        return Malformed("list of instances has a wrong checksum or can't be decoded");
+    }
     Result<std::vector<StoreItem>> items = UnpackItems(page.Packed);
     if (!items)
     {
@@ -153,7 +187,7 @@
 
 StoreDialect RelayDialect(const RelayFollower& own)
 {
-    const std::string who = fmt::format("from={}&dataCentre={}", own.Address, PercentEncoded(own.DataCentre));
+    const std::string who = fmt::format("from={}&dataCentre={}", own.Address, own.DataCentre);
     StoreDialect dialect;
     dialect.PageTarget = [who](const std::string&)
     {
@@ -163,7 +197,11 @@
     {
         return fmt::format("/changes?after={}&waitMs={}&{}", after, wait / UsPerMs, who);
     };
-    dialect.QueryFlags = QueryFlags;
+    dialect.QueryFlags = [news = own.PeerNews](const FollowStep& step)
+    {
+        const std::vector<PeerUpdate> peers = news ? news(step.Address) : std::vector<PeerUpdate>();
+        return QueryFlags(step) + (peers.empty() ? "" : "&peers=" + HexEncoded(EncodePeers(peers)));
+    };
     dialect.HistoryGoneStatus = HistoryGoneStatus;
     dialect.ReadPage = DecodePage;
     dialect.ReadChanges = DecodePage;
@@ -196,9 +234,17 @@
     return head;
 }
 
-static void ReplyPage(const ExchangePtr& call, const StorePage& head, const std::string& packed)
+// What the sender of a request is told of instances; nothing if it doesn't tell of itself.
+static std::vector<PeerUpdate> PeersFor(const Relay& relay, const ExchangePtr& call)
 {
-    Reply(call, CallerReply{200, {{"Content-Type", "application/octet-stream"}}, EncodePacked(head, packed), false});
+    const bool tells = relay.PeerNews && !QueryValue(call->Target, "peers").empty();
+    return tells ? relay.PeerNews(QueryValue(call->Target, "from")) : std::vector<PeerUpdate>();
+}
+
+static void ReplyPage(const Relay& relay, const ExchangePtr& call, const StorePage& head, const std::string& packed)
+{
+    std::string body = EncodePacked(head, packed) + PackPeers(PeersFor(relay, call));
+    Reply(call, CallerReply{200, {{"Content-Type", "application/octet-stream"}}, std::move(body), false});
 }
 
 static void ReplyStatus(const ExchangePtr& call, int status)
@@ -231,7 +277,7 @@
         relay->All = PackItems(items);
         relay->AllAt = relay->Revision;
     }
-    ReplyPage(call, MakeHead(*relay, 0), relay->All);
+    ReplyPage(*relay, call, MakeHead(*relay, 0), relay->All);
 }
 
 static void AnswerChanges(Relay* relay, const ExchangePtr& call, uint64_t after)
@@ -240,7 +286,7 @@
     relay->Answers++;
     if (after >= relay->Revision)
     {
-        ReplyPage(call, head, "");
+        ReplyPage(*relay, call, head, "");
         return;
     }
     if (relay->PackedAfter != after || relay->PackedAt != relay->Revision)
@@ -249,7 +295,7 @@
         relay->PackedAfter = after;
         relay->PackedAt = relay->Revision;
     }
-    ReplyPage(call, head, relay->Packed);
+    ReplyPage(*relay, call, head, relay->Packed);
 }
 
 // Answers a request with the current data.
@@ -324,11 +370,29 @@
 {
     StorePage head = MakeHead(relay, 0);
     head.Elsewhere = std::move(elsewhere);
-    ReplyPage(call, head, "");
+    ReplyPage(relay, call, head, "");
+}
+
+// Passes on what the request tells of its sender and of other instances.
+static void NotePeers(const Relay& relay, const ExchangePtr& call)
+{
+    if (!relay.OnPeer)
+    {
+        return;
+    }
+    for (const PeerUpdate& peer : DecodePeers(HexDecoded(QueryValue(call->Target, "peers"))))
+    {
+        relay.OnPeer(peer);
+    }
 }
 
 static void OnRequest(Relay* relay, const ExchangePtr& call)
 {
+    if (relay->OnHandoff && relay->OnHandoff(call))
+    {
+        return;
+    }
+    NotePeers(*relay, call);
     if (relay->OnTargetCrashes && call->Target == TargetCrashesPath)
     {
         Reply(call, CallerReply{200, {{"Content-Type", "application/octet-stream"}}, relay->OnTargetCrashes(call->Body), false});
--- a/gateway/relay.h
+++ b/gateway/relay.h
@@ -8,6 +8,9 @@
 // An instance without data holds full reads until it has data. It then passes on the bytes that it received before decoding them, which
 // keeps the latency low when a whole fleet starts at once.
 //
+// Followers and sources also tell each other of instances that take over requests (Peers in winchlink.h): a follower in its query, a source
+// behind the items of an answer, for followers that have told of themselves. Earlier versions ignore the query and get no such part.
+//
 // Messages are encoded by cereal, and their items compressed by zlib. They are not authenticated: the network must admit only the
 // platform's own machines to these addresses.
 
@@ -59,7 +62,11 @@
     std::function<std::vector<std::string>()> Readers;        // Returns the readers, see SourceStatus; may be empty.
     std::function<void(const UpdateRequest&)> OnFollowerSeen; // Gets each long poll that is served here; may be empty.
     std::function<std::vector<std::string>()> Path;           // Returns the instances that the data passed through; may be empty.
-    std::function<uint64_t()> QuarantineDigest;               // Returns the digest of the quarantine; may be empty.
+    std::function<void(const PeerUpdate&)> OnPeer;            // Gets what followers tell of instances; may be empty.
+    // Returns what a follower is told of instances, beside itself; may be empty.
+    std::function<std::vector<PeerUpdate>(const std::string& follower)> PeerNews;
+    std::function<bool(const ExchangePtr&)> OnHandoff; // Takes a request that was handed on; false if it is none. May be empty.
+    std::function<uint64_t()> QuarantineDigest;        // Returns the digest of the quarantine; may be empty.
     std::function<std::string(const std::string&)>
         OnTargetCrashes;                          // Handles a message with target crashes; returns the answer. May be empty.
     bool StoreLost = false;                       // The store is lost.
@@ -105,11 +112,13 @@
 // The store has answered or failed: answers the followers on whose behalf it was asked.
 void RelayAnswerDelegated(Relay* relay);
 
-// What a follower sends about itself.
+// What a follower sends about itself and others.
 struct RelayFollower
 {
     std::string Address;    // Where it can be followed; empty if it can't.
-    std::string DataCentre; // Where it runs.
+    std::string DataCentre; // Where it runs, percent-encoded.
+    // Returns what a source is told of instances, the follower itself first; nothing if it was told recently. May be empty.
+    std::function<std::vector<PeerUpdate>(const std::string& source)> PeerNews;
 };
 
 // Paths and encodings of the calls of a follower.
--- a/gateway/store_reader.cpp
+++ b/gateway/store_reader.cpp
@@ -286,9 +286,13 @@
 
 static void ReadPage(StoreReader* reader);
 
-// Follows the redirect of another instance, if there is one.
+// Passes on what the answer tells of instances. Follows the redirect of another instance, if there is one.
 static bool FollowRedirect(StoreReader* reader, const StorePage& page)
 {
+    if (reader->OnPeers && !page.Peers.empty())
+    {
+        reader->OnPeers(page.Peers);
+    }
     if (page.Elsewhere.empty())
     {
         return false;
--- a/gateway/store_reader.h
+++ b/gateway/store_reader.h
@@ -56,6 +56,7 @@
     uint64_t QuarantineDigest = 0;      // Digest of the source's quarantine; only from an instance.
     DataRoute Route;                    // How the source got its data; only from an instance.
     bool HasRoute = false;              // The answer contained Route.
+    std::vector<PeerUpdate> Peers;      // The source and other instances that it knows; only from an instance.
     std::string Packed;                 // Items as received from another instance, to be passed on without encoding them again.
 
     // Head of a message between instances; Route and the items follow separately.
@@ -106,6 +107,7 @@
     std::function<void(const std::string& why, TimeUs tried)> OnStoreFailed;   // The store failed, `tried` microseconds ago.
     std::function<void()> OnNoPath;                                            // Followers are to learn that there is no path to the store.
     std::function<void(bool changed)> OnAnswered;                              // A source answered with current data.
+    std::function<void(const std::vector<PeerUpdate>&)> OnPeers;               // An instance answered, see StorePage. May be empty.
     std::function<void(uint64_t digest)> OnQuarantineDigest;                   // An instance answered, see StorePage. May be empty.
 
     EventLoop* Loop = nullptr;
--- a/gateway/store_updates.cpp
+++ b/gateway/store_updates.cpp
@@ -20,6 +20,8 @@
 // [SECTION] Plan
 //-----------------------------------------------------------------------------
 
+static constexpr size_t HandoffHeaderBytes = 2 * KiB; // Added to a request that another instance hands on.
+
 static void ApplyPlan(Gateway* gateway, const RoutePlan& plan)
 {
     Forwarder& requests = gateway->Requests;
@@ -31,6 +33,10 @@
     requests.Plan = std::make_shared<const RoutePlan>(plan);
     gateway->PlanUs = NowUs();
     ListenerSetLimits(&gateway->Callers, plan.Limits);
+    CallerLimits of_peers = gateway->Peers.Server.Config.Limits;
+    of_peers.HeaderBytesMax = plan.Limits.HeaderBytesMax + HandoffHeaderBytes;
+    of_peers.BodyBytesMax = std::max(of_peers.BodyBytesMax, plan.Limits.BodyBytesMax);
+    ListenerSetLimits(&gateway->Peers.Server, of_peers);
     QuotaLinkUpdate(&gateway->Quotas);
     Log(LogLevel_Info, Code_None, "plan in force",
         {{"version", plan.Version},
--- a/gateway/target_path.cpp
+++ b/gateway/target_path.cpp
@@ -1,4 +1,9 @@
-// target_path.cpp: what an instance believes of its path to the targets of each service.
+// target_path.cpp: what an instance believes of its path to the targets of each service, and the checks while there is none.
+//
+// Index of this file:
+// [SECTION] Contacts
+// [SECTION] Checks
+// [SECTION] Changes
 
 #include "call.h"
 
@@ -8,6 +13,10 @@
 namespace Winchlink
 {
 
+//-----------------------------------------------------------------------------
+// [SECTION] Contacts
+//-----------------------------------------------------------------------------
+
 ContactEnd_ ContactEndOf(const ClientAnswer& answer)
 {
     switch (answer.End)
@@ -26,6 +35,89 @@
     }
 }
 
+bool IsMostlyUnreached(const Call& call)
+{
+    const ContactCounts& contacts = call.Contacts;
+    const int answered = contacts[ContactEnd_Answered];
+    const bool resets_count = TargetPathResetsCount(call.Service->Path, NowUs());
+    return resets_count ? FailedContacts(contacts) > answered : UnreachedContacts(contacts) > answered + contacts[ContactEnd_Reset];
+}
+
+// A random target that may be contacted, other than `except`; null if there is none.
+static const PoolTarget* DrawTarget(const TargetPool& pool, const std::string& except, Random* random)
+{
+    const PoolTarget* drawn = nullptr;
+    size_t seen = 0;
+    for (const PoolTarget& target : pool.Targets)
+    {
+        const bool usable = PoolMayUse(target, NowUs()) && target.Id != except;
+        seen += usable ? 1 : 0;
+        drawn = usable && std::uniform_int_distribution<size_t>(1, seen)(*random) == 1 ? &target : drawn;
+    }
+    return drawn;
+}
+
+bool ContactAnyTarget(Forwarder* forwarder, ServiceState* service, const std::string& except, std::function<void(ContactEnd_)> done)
+{
+    const PoolTarget* target = DrawTarget(service->Pool, except, forwarder->Rng);
+    const ServiceInfo* spec = forwarder->Plan ? FindService(*forwarder->Plan, service->Name) : nullptr;
+    if (target == nullptr || spec == nullptr)
+    {
+        return false;
+    }
+    ClientRequest request;
+    request.Address = target->Address;
+    request.Target = spec->HealthPath;
+    request.NewConnection = true;
+    request.TimeoutUs = forwarder->Config.ConnectUs;
+    request.MaySend = [probed = !spec->HealthPath.empty()]()
+    {
+        return probed;
+    };
+    const auto contacted = [forwarder, service, id = target->Id, done = std::move(done)](const ClientAnswer& answer)
+    {
+        const ContactEnd_ end = answer.End == ClientEnd_Withheld ? ContactEnd_Answered : ContactEndOf(answer);
+        NoteContact(forwarder, service, id, end);
+        done(end);
+    };
+    ClientSend(forwarder->Targets, std::move(request), contacted);
+    return true;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Checks
+//-----------------------------------------------------------------------------
+
+static void CheckPath(Forwarder* forwarder, ServiceState* service);
+
+static void CheckPathLater(Forwarder* forwarder, ServiceState* service)
+{
+    const TimeUs now = NowUs();
+    if (TargetPathNow(&service->Path, now) == TargetPathState_Open)
+    {
+        service->PathCheck = nullptr;
+        return;
+    }
+    service->PathCheck =
+        TimerStart(forwarder->Loop, TargetPathCheckDelay(service->Path, now), [forwarder, service]() { CheckPath(forwarder, service); });
+}
+
+static void CheckPath(Forwarder* forwarder, ServiceState* service)
+{
+    const auto done = [forwarder, service](ContactEnd_)
+    {
+        CheckPathLater(forwarder, service);
+    };
+    if (!ContactAnyTarget(forwarder, service, "", done))
+    {
+        CheckPathLater(forwarder, service);
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Changes
+//-----------------------------------------------------------------------------
+
 // `failed`: contacts that failed before the change; `before`: time of the change before.
 static void LogPath(const ServiceState& service, const ContactCounts& failed, TimeUs before, TimeUs now)
 {
@@ -44,15 +136,30 @@
          {"losses", path.Losses}});
 }
 
-void NoteContact(ServiceState* service, const std::string& target, ContactEnd_ end)
+static void OnPathLost(Forwarder* forwarder, ServiceState* service)
+{
+    ProbeTimeoutRevert(&service->ProbeTimeout, service->Path.Counts[ContactEnd_Silent]);
+    if (!service->PathCheck)
+    {
+        CheckPathLater(forwarder, service);
+    }
+    service->PathChanged = TimerStart(forwarder->Loop, 0, [service]() { ContinueChoosing(service); });
+}
+
+void NoteContact(Forwarder* forwarder, ServiceState* service, const std::string& target, ContactEnd_ end)
 {
     const TimeUs now = NowUs();
     const ContactCounts failed = service->Path.Counts;
     const TimeUs before = service->Path.ChangedUs;
-    if (TargetPathContact(&service->Path, target, end, service->Pool.Targets.size(), now))
+    if (!TargetPathContact(&service->Path, target, end, service->Pool.Targets.size(), now))
+    {
+        return;
+    }
+    const bool lost = service->Path.State == TargetPathState_Lost;
+    LogPath(*service, lost ? service->Path.Counts : failed, before, now);
+    if (lost)
     {
-        const bool lost = service->Path.State == TargetPathState_Lost;
-        LogPath(*service, lost ? service->Path.Counts : failed, before, now);
+        OnPathLost(forwarder, service);
     }
 }
 
--- /dev/null
+++ b/tests/handoff_test.cpp
@@ -0,0 +1,486 @@
+// handoff_test.cpp: requests that an instance without a path to the targets hands to another one. Guards against requests that run twice,
+// change on the way, go in a circle, pass a limit twice or not at all, and against callers that wait although nobody can serve them.
+
+#include "handoff.h"
+#include "pages.h"
+#include "path_fleet.h"
+#include "relay.h"
+
+namespace Winchlink
+{
+
+static const std::string AnnesKey = "annes-secret-key-0123456789";
+
+// Two instances and more, of which the second has no path to any target.
+struct HandoffFleet : PathFleet
+{
+    explicit HandoffFleet(size_t instances = 2, const std::vector<UsersCustomer>& customers = {}) : PathFleet(instances, customers)
+    {
+        Cut(1, ProxyMode_Silent);
+    }
+
+    Gateway& First()
+    {
+        return *Parts.Instances[0];
+    }
+
+    Gateway& Second()
+    {
+        return *Parts.Instances[1];
+    }
+
+    // Sends requests to the second instance until it knows that it has no path.
+    void AwaitLoss()
+    {
+        const auto lost = [this]()
+        {
+            return Second().Requests.Services.at("svc").Path.State == TargetPathState_Lost;
+        };
+        const RigAnswerPtr answer = RigSend(&Parts, Second(), RigCall());
+        CPPUNIT_ASSERT(RigRunUntil(&Parts, lost));
+        CPPUNIT_ASSERT(RigRunUntil(&Parts, [&]() { return answer->Done; }));
+    }
+
+    // The request as its target received it.
+    const ReceivedRequest& Received(const std::string& id) const
+    {
+        const ReceivedRequest* found = nullptr;
+        for (const auto& target : Parts.Targets)
+        {
+            for (const ReceivedRequest& saw : target->Saw)
+            {
+                found = saw.Id == id ? &saw : found;
+            }
+        }
+        CPPUNIT_ASSERT_MESSAGE(id, found != nullptr);
+        return *found;
+    }
+};
+
+static int TextsWith(const std::vector<Header>& headers, const std::string& part)
+{
+    return static_cast<int>(std::count_if(
+        headers.begin(), headers.end(),
+        [&](const Header& header) { return header.Name.find(part) != std::string::npos || header.Value.find(part) != std::string::npos; }));
+}
+
+class HandoffTest : public CPPUNIT_NS::TestFixture
+{
+    CPPUNIT_TEST_SUITE(HandoffTest);
+    CPPUNIT_TEST(HeadersSurviveEncodingAndDecoding);
+    CPPUNIT_TEST(MalformedHeadersAreRefused);
+    CPPUNIT_TEST(RequestsArriveUnchanged);
+    CPPUNIT_TEST(TheDeadlineShrinks);
+    CPPUNIT_TEST(TheAnswerIsTheTargets);
+    CPPUNIT_TEST(ARequestGoesOverOneHopAtMost);
+    CPPUNIT_TEST(WhereNobodyHasAPathRequestsAreRefusedAtOnce);
+    CPPUNIT_TEST(ARequestIsNotOfferedAgainOnceItMayHaveRun);
+    CPPUNIT_TEST(AFullInstanceRefusesAndTheNextOneTakes);
+    CPPUNIT_TEST(AnInstanceWithAnOlderPlanTakesNothing);
+    CPPUNIT_TEST(AStoppingInstanceTakesNothingAndFinishesWhatItTook);
+    CPPUNIT_TEST(ACallerThatLeavesCancelsTheTargetsWork);
+    CPPUNIT_TEST(TheInstanceThatTakesARequestChecksItsKey);
+    CPPUNIT_TEST(RequestsCountOnceForQuotasAndRetries);
+    CPPUNIT_TEST(CallersCanNotPassRequestsOffAsHandedOn);
+    CPPUNIT_TEST(ACutIsNoCrash);
+    CPPUNIT_TEST(TargetsAreUsedAgainOnceThePathIsBack);
+    CPPUNIT_TEST(EarlierVersionsAreNotAskedAndReadTheAnswers);
+    CPPUNIT_TEST(TheStatusPageShowsThePath);
+    CPPUNIT_TEST_SUITE_END();
+
+    void HeadersSurviveEncodingAndDecoding()
+    {
+        CHECK_PROPERTY(
+            "an offer and a result are read as they were written",
+            []()
+            {
+                TestRandom dice;
+                HandoffOffer offer;
+                offer.AttemptsMax = static_cast<int>(dice.Between(1, 100));
+                offer.From = "10.0.0.1:80";
+                offer.PlanVersion = static_cast<uint64_t>(dice.Between(0, 1000000));
+                offer.DataAgeUs = dice.Between(0, 10000) * UsPerMs;
+                for (int64_t n = dice.Between(1, 20); n > 0; n--)
+                {
+                    offer.Service += static_cast<char>(dice.Between(1, 256));
+                }
+                const std::optional<HandoffOffer> read = ParseHandoffOffer(FormatHandoffOffer(offer));
+                RC_ASSERT(read.has_value());
+                RC_ASSERT(read->AttemptsMax == offer.AttemptsMax && read->From == offer.From && read->Service == offer.Service);
+                RC_ASSERT(read->PlanVersion == offer.PlanVersion && read->DataAgeUs == offer.DataAgeUs);
+                const std::vector<PeerUpdate> peers = {{offer.From, 7, 5 * UsPerSecond, false}, {"1.2.3.4:65535", 65535, 0, true}};
+                const std::vector<PeerUpdate> heard = DecodePeers(EncodePeers(peers) + "part");
+                RC_ASSERT(heard.size() == peers.size() && heard[0].Address == offer.From && heard[1].Address == peers[1].Address);
+                RC_ASSERT(heard[0].AgeUs == peers[0].AgeUs && heard[0].DataCentre == 7 && !heard[0].HasPath && heard[1].HasPath);
+                const HandoffResult result = {Code_TargetsBusy, static_cast<int>(dice.Between(0, 100)),
+                                              static_cast<int>(dice.Between(0, 100)), peers};
+                const std::optional<HandoffResult> told = ParseHandoffResult(FormatHandoffResult(result));
+                RC_ASSERT(told.has_value());
+                RC_ASSERT(told->Code == result.Code && told->Attempts == result.Attempts && told->Taken == result.Taken);
+                RC_ASSERT(told->TryInstead.size() == 2);
+            });
+    }
+
+    void MalformedHeadersAreRefused()
+    {
+        for (const char* text :
+             {"", "1", "1 1 1 10.0.0.1:80", "0 1 1 10.0.0.1:80 svc", "x 1 1 10.0.0.1:80 svc", "1 1 1 nowhere svc",
+              "1 1 1 10.0.0.1:80 svc x", "-1 1 1 10.0.0.1:80 svc", "1 1 -1 10.0.0.1:80 svc", "99999999999 1 1 10.0.0.1:80 svc"})
+        {
+            CPPUNIT_ASSERT_MESSAGE(text, !ParseHandoffOffer(text));
+        }
+        for (const char* text : {"", "2012 1", "x 1 1", "2012 -1 1", "2012 1 -1", "2012 1 1 00 1"})
+        {
+            CPPUNIT_ASSERT_MESSAGE(text, !ParseHandoffResult(text));
+        }
+        HandoffFleet fleet(1);
+        ClientRequest request;
+        request.Address = fleet.First().Config.PeerAddress;
+        request.Target = "/a/x";
+        request.Headers = {{"Host", "a.example"}, {HeaderHandoff, "nonsense"}};
+        CPPUNIT_ASSERT_EQUAL(400, ClientSendAndWait(&fleet.Parts.Callers, std::move(request)).Status);
+    }
+
+    void RequestsArriveUnchanged()
+    {
+        HandoffFleet fleet;
+        fleet.AwaitLoss();
+        RigCall call;
+        call.Method = "POST";
+        call.Target = "/w/x%20y?page=2&sort=new";
+        call.Body = std::string("body\0with\r\n zero", 17);
+        call.Headers = {{"X-Own", "kept as it is"}, {"Content-Type", "text/odd"}};
+        const RigAnswer answer = RigSendAndWait(&fleet.Parts, fleet.Second(), call);
+        CPPUNIT_ASSERT_EQUAL(200, answer.Answer.Status);
+        const ReceivedRequest& received = fleet.Received(answer.Id);
+        CPPUNIT_ASSERT_EQUAL(call.Method, received.Method);
+        CPPUNIT_ASSERT_EQUAL(call.Target, received.Path);
+        CPPUNIT_ASSERT_EQUAL(call.Body, received.Body);
+        CPPUNIT_ASSERT_EQUAL(std::string("kept as it is"), *FindHeader(received.Headers, "X-Own"));
+        CPPUNIT_ASSERT_EQUAL(std::string("text/odd"), *FindHeader(received.Headers, "Content-Type"));
+        CPPUNIT_ASSERT_EQUAL(0, TextsWith(received.Headers, "Handoff"));
+        CPPUNIT_ASSERT_EQUAL(1, RigRunCount(fleet.Parts, answer.Id));
+    }
+
+    void TheDeadlineShrinks()
+    {
+        HandoffFleet fleet;
+        fleet.AwaitLoss();
+        RigCall call;
+        call.DeadlineMs = 700;
+        const RigAnswer answer = RigSendAndWait(&fleet.Parts, fleet.Second(), call);
+        CPPUNIT_ASSERT(std::stoi(*FindHeader(fleet.Received(answer.Id).Headers, "Winchlink-Deadline-Ms")) <= call.DeadlineMs);
+    }
+
+    // A failure that a target has signed is passed on as it is, and nothing of the hop is shown.
+    void TheAnswerIsTheTargets()
+    {
+        HandoffFleet fleet;
+        fleet.AwaitLoss();
+        for (const auto& target : fleet.Parts.Targets)
+        {
+            target->Script = {TargetAct_Failed};
+        }
+        RigCall call;
+        call.Method = "POST";
+        call.Target = "/w/x";
+        const RigAnswer answer = RigSendAndWait(&fleet.Parts, fleet.Second(), call);
+        CPPUNIT_ASSERT_EQUAL(500, answer.Answer.Status);
+        CPPUNIT_ASSERT(FindHeader(answer.Answer.Headers, "Winchlink-Response-Signature") != nullptr);
+        CPPUNIT_ASSERT_EQUAL(answer.Id, *FindHeader(answer.Answer.Headers, "Winchlink-Request-Id"));
+        CPPUNIT_ASSERT_EQUAL(0, TextsWith(answer.Answer.Headers, "Handoff"));
+    }
+
+    void ARequestGoesOverOneHopAtMost()
+    {
+        HandoffFleet fleet(3);
+        for (size_t n = 0; n < 3; n++)
+        {
+            fleet.Cut(n, ProxyMode_Reset);
+        }
+        fleet.SendRounds(20);
+        fleet.Count(0);
+        const size_t sent = fleet.Sent.size();
+        uint64_t taken = 0;
+        for (const auto& instance : fleet.Parts.Instances)
+        {
+            taken += instance->Requests.TakenCount;
+            CPPUNIT_ASSERT_EQUAL(0, instance->Requests.Taken);
+        }
+        const size_t tries_max = fleet.First().Requests.Others.Config.TriesMax;
+        CPPUNIT_ASSERT(taken > 0 && taken <= sent * tries_max);
+        CPPUNIT_ASSERT_EQUAL(uint64_t(sent), AllAnswered(fleet));
+    }
+
+    static uint64_t AllAnswered(const PathFleet& fleet)
+    {
+        return static_cast<uint64_t>(std::count_if(fleet.Sent.begin(), fleet.Sent.end(), [](const auto& one) { return one.second->Done; }));
+    }
+
+    void WhereNobodyHasAPathRequestsAreRefusedAtOnce()
+    {
+        HandoffFleet fleet(3);
+        for (size_t n = 0; n < 3; n++)
+        {
+            fleet.Cut(n, ProxyMode_Silent);
+        }
+        fleet.SendRounds(30);
+        fleet.AwaitAll();
+        const uint64_t probes = fleet.Second().Requests.ProbesSent;
+        const RigAnswer answer = RigSendAndWait(&fleet.Parts, fleet.Second(), RigCall());
+        CPPUNIT_ASSERT_EQUAL(503, answer.Answer.Status);
+        CPPUNIT_ASSERT_EQUAL(std::to_string(Code_TargetsUnreachable), *FindHeader(answer.Answer.Headers, HeaderCode));
+        CPPUNIT_ASSERT(std::stod(*FindHeader(answer.Answer.Headers, "Retry-After")) > 0);
+        CPPUNIT_ASSERT_EQUAL(probes, fleet.Second().Requests.ProbesSent);
+    }
+
+    // The instance that took the request loses its connection to the target that runs it.
+    void ARequestIsNotOfferedAgainOnceItMayHaveRun()
+    {
+        HandoffFleet fleet(3);
+        fleet.AwaitLoss();
+        for (const auto& target : fleet.Parts.Targets)
+        {
+            target->Script = {TargetAct_Close};
+        }
+        RigCall call;
+        call.Method = "POST";
+        call.Target = "/w/x";
+        call.Body = "once";
+        const RigAnswer answer = RigSendAndWait(&fleet.Parts, fleet.Second(), call);
+        CPPUNIT_ASSERT_EQUAL(502, answer.Answer.Status);
+        CPPUNIT_ASSERT_EQUAL(1, RigRunCount(fleet.Parts, answer.Id));
+    }
+
+    void AFullInstanceRefusesAndTheNextOneTakes()
+    {
+        HandoffFleet fleet(3);
+        fleet.AwaitLoss();
+        fleet.First().Requests.Others.Config.TakenMin = 0;
+        fleet.First().Requests.Others.Config.TakenFactor = 0;
+        const uint64_t by_third = fleet.Parts.Instances[2]->Requests.TakenCount;
+        for (int n = 0; n < 10; n++)
+        {
+            CPPUNIT_ASSERT_EQUAL(200, RigSendAndWait(&fleet.Parts, fleet.Second(), RigCall()).Answer.Status);
+        }
+        CPPUNIT_ASSERT_EQUAL(by_third + 10, fleet.Parts.Instances[2]->Requests.TakenCount);
+    }
+
+    // Guards against requests that an instance in touch hands to one that still has an older configuration.
+    void AnInstanceWithAnOlderPlanTakesNothing()
+    {
+        HandoffFleet fleet;
+        fleet.AwaitLoss();
+        RoutePlan newer = *fleet.Second().Requests.Plan;
+        newer.Version++;
+        fleet.Second().Requests.Plan = std::make_shared<const RoutePlan>(newer);
+        CPPUNIT_ASSERT_EQUAL(503, RigSendAndWait(&fleet.Parts, fleet.Second(), RigCall()).Answer.Status);
+    }
+
+    void AStoppingInstanceTakesNothingAndFinishesWhatItTook()
+    {
+        HandoffFleet fleet;
+        fleet.AwaitLoss();
+        for (const auto& target : fleet.Parts.Targets)
+        {
+            target->WorkUs = 400 * UsPerMs;
+        }
+        const RigAnswerPtr before = RigSend(&fleet.Parts, fleet.Second(), RigCall());
+        CPPUNIT_ASSERT(RigRunUntil(&fleet.Parts, [&]() { return fleet.First().Requests.Taken == 1; }));
+        GatewayStop(&fleet.First());
+        const RigAnswer after = RigSendAndWait(&fleet.Parts, fleet.Second(), RigCall());
+        CPPUNIT_ASSERT_EQUAL(503, after.Answer.Status);
+        CPPUNIT_ASSERT(RigRunUntil(&fleet.Parts, [&]() { return before->Done; }));
+        CPPUNIT_ASSERT_EQUAL(200, before->Answer.Status);
+    }
+
+    void ACallerThatLeavesCancelsTheTargetsWork()
+    {
+        HandoffFleet fleet;
+        fleet.AwaitLoss();
+        for (const auto& target : fleet.Parts.Targets)
+        {
+            target->WorkUs = 10 * UsPerSecond;
+        }
+        RawCaller caller(&fleet.Parts.Loop, fleet.Second().Config.CallerAddress);
+        RawSend(caller, "GET /a/x HTTP/1.1\r\nHost: a.example\r\nWinchlink-Request-Id: left\r\n\r\n");
+        CPPUNIT_ASSERT(RigRunUntil(&fleet.Parts, [&]() { return RigRunCount(fleet.Parts, "left") == 1; }));
+        RawClose(&caller);
+        CPPUNIT_ASSERT(RigRunUntil(&fleet.Parts, [&]() { return fleet.Received("left").Cancelled; }));
+        CPPUNIT_ASSERT_EQUAL(0, fleet.First().Requests.Taken);
+    }
+
+    // The key goes with the request, to be checked where it is taken; targets get the customer's name only. Nobody is let in by the address
+    // for other instances who could not call as a caller.
+    void TheInstanceThatTakesARequestChecksItsKey()
+    {
+        HandoffFleet fleet(2, {{"anne", {AnnesKey}}});
+        RigCall call;
+        call.Headers = {{"Authorization", "Bearer " + AnnesKey}};
+        for (int n = 0; n < 3; n++)
+        {
+            const RigAnswer answer = RigSendAndWait(&fleet.Parts, fleet.Second(), call);
+            CPPUNIT_ASSERT_EQUAL(200, answer.Answer.Status);
+            const std::vector<Header>& headers = fleet.Received(answer.Id).Headers;
+            CPPUNIT_ASSERT_EQUAL(std::string("anne"), *FindHeader(headers, fleet.First().Requests.Names.Customer));
+            CPPUNIT_ASSERT_EQUAL(0, TextsWith(headers, AnnesKey));
+        }
+        for (const std::string& key : {std::string("unknown-key"), FormatKeyHash(HashKey(AnnesKey)), std::string("anne")})
+        {
+            ClientRequest request;
+            request.Address = fleet.First().Config.PeerAddress;
+            request.Target = "/a/x";
+            request.Headers = {{"Host", "a.example"},
+                               {"Winchlink-Request-Id", "forged"},
+                               {"Authorization", "Bearer " + key},
+                               {fleet.First().Requests.Names.Customer, "anne"},
+                               {HeaderHandoff, "2 1 0 127.0.0.1:9 svc"}};
+            CPPUNIT_ASSERT_EQUAL(401, ClientSendAndWait(&fleet.Parts.Callers, std::move(request)).Status);
+        }
+        CPPUNIT_ASSERT_EQUAL(0, RigRunCount(fleet.Parts, "forged"));
+    }
+
+    static int Admitted(const Gateway& instance)
+    {
+        int admitted = 0;
+        for (const auto& [id, use] : instance.Requests.Quotas.Own)
+        {
+            for (const QuotaStep& step : use.Counts)
+            {
+                admitted += step.Admitted;
+            }
+        }
+        return admitted;
+    }
+
+    static int CountedRequests(const Gateway& instance)
+    {
+        int counted = 0;
+        for (const RetryBudget::Step& step : instance.Requests.Services.at("svc").Retries.Counts)
+        {
+            counted += step.Requests;
+        }
+        return counted;
+    }
+
+    void RequestsCountOnceForQuotasAndRetries()
+    {
+        constexpr int sent = 12;
+        HandoffFleet fleet(2, {{"anne", {AnnesKey}, 100000, 100000}});
+        RigCall call;
+        call.Headers = {{"Authorization", "Bearer " + AnnesKey}};
+        for (int n = 0; n < sent; n++)
+        {
+            CPPUNIT_ASSERT_EQUAL(200, RigSendAndWait(&fleet.Parts, fleet.Second(), call).Answer.Status);
+        }
+        CPPUNIT_ASSERT_EQUAL(sent, Admitted(fleet.First()) + Admitted(fleet.Second()));
+        CPPUNIT_ASSERT_EQUAL(sent, CountedRequests(fleet.First()) + CountedRequests(fleet.Second()));
+    }
+
+    // A caller's header of that name changes nothing at the address for callers.
+    void CallersCanNotPassRequestsOffAsHandedOn()
+    {
+        HandoffFleet fleet;
+        RigCall call;
+        call.Headers = {{HeaderHandoff, "2 1 0 127.0.0.1:9 other"}};
+        const RigAnswer direct = RigSendAndWait(&fleet.Parts, fleet.First(), call);
+        CPPUNIT_ASSERT_EQUAL(200, direct.Answer.Status);
+        CPPUNIT_ASSERT_EQUAL(uint64_t{0}, fleet.First().Requests.TakenCount);
+        CPPUNIT_ASSERT_EQUAL(0, TextsWith(direct.Answer.Headers, "Handoff"));
+        const RigAnswer handed_on = RigSendAndWait(&fleet.Parts, fleet.Second(), call);
+        CPPUNIT_ASSERT_EQUAL(200, handed_on.Answer.Status);
+        CPPUNIT_ASSERT_EQUAL(0, TextsWith(fleet.Received(handed_on.Id).Headers, "Handoff"));
+    }
+
+    // Guards against requests that are blamed for crashes because the instance lost its path while they ran.
+    void ACutIsNoCrash()
+    {
+        PathFleet fleet(3);
+        for (const auto& target : fleet.Parts.Targets)
+        {
+            target->WorkUs = 300 * UsPerMs;
+        }
+        std::vector<RigAnswerPtr> answers;
+        for (int n = 0; n < 8; n++)
+        {
+            answers.push_back(RigSend(&fleet.Parts, *fleet.Parts.Instances[1], RigCall()));
+        }
+        const auto running = [&]()
+        {
+            return fleet.Parts.Instances[1]->Requests.Services.at("svc").Pool.InUse && fleet.Parts.Targets[0]->Running > 0;
+        };
+        CPPUNIT_ASSERT(RigRunUntil(&fleet.Parts, running));
+        fleet.Cut(1, ProxyMode_Reset);
+        const auto all_done = [&]()
+        {
+            return std::all_of(answers.begin(), answers.end(), [](const RigAnswerPtr& answer) { return answer->Done; });
+        };
+        CPPUNIT_ASSERT(RigRunUntil(&fleet.Parts, all_done));
+        RigRunFor(&fleet.Parts, UsPerSecond); // The checks of the targets end.
+        for (const auto& instance : fleet.Parts.Instances)
+        {
+            CPPUNIT_ASSERT(instance->Requests.Quarantined.Requests.empty());
+        }
+    }
+
+    void TargetsAreUsedAgainOnceThePathIsBack()
+    {
+        HandoffFleet fleet;
+        fleet.AwaitLoss();
+        fleet.Cut(1, ProxyMode_Good);
+        const auto open = [&]()
+        {
+            return TargetPathNow(&fleet.Second().Requests.Services.at("svc").Path, NowUs()) == TargetPathState_Open;
+        };
+        CPPUNIT_ASSERT(RigRunUntil(&fleet.Parts, open));
+        const uint64_t taken = fleet.First().Requests.TakenCount;
+        for (int n = 0; n < 5; n++)
+        {
+            CPPUNIT_ASSERT_EQUAL(200, RigSendAndWait(&fleet.Parts, fleet.Second(), RigCall()).Answer.Status);
+        }
+        CPPUNIT_ASSERT_EQUAL(taken, fleet.First().Requests.TakenCount);
+        CPPUNIT_ASSERT_EQUAL(ProbeTimeoutNow(AdaptiveProbeTimeout()),
+                             ProbeTimeoutNow(fleet.Second().Requests.Services.at("svc").ProbeTimeout));
+    }
+
+    // A follower of an earlier version tells nothing of itself: it is not known as a peer, and its answer has no part that it can't read.
+    void EarlierVersionsAreNotAskedAndReadTheAnswers()
+    {
+        HandoffFleet fleet(1);
+        const uint64_t at = fleet.Parts.Store.Revision;
+        const std::string query = fmt::format("/changes?after={}&waitMs=0&from=127.0.0.1:9&dataCentre=dc", at);
+        for (const bool tells : {false, true})
+        {
+            ClientRequest request;
+            request.Address = fleet.First().Config.PeerAddress;
+            request.Target = query + (tells ? "&peers=7f0000010009123400"
+                                              "7f000001000a123485"
+                                              "77x"
+                                            : "");
+            const ClientAnswer answer = ClientSendAndWait(&fleet.Parts.Callers, std::move(request));
+            CPPUNIT_ASSERT_EQUAL(200, answer.Status);
+            const Result<StorePage> page = DecodePage(answer.Body);
+            CPPUNIT_ASSERT(bool(page));
+            CPPUNIT_ASSERT_EQUAL(size_t(tells ? 2 : 0), page.value().Peers.size());
+            CPPUNIT_ASSERT_EQUAL(size_t(tells ? 2 : 0), fleet.First().Requests.Others.Known.size());
+        }
+        CPPUNIT_ASSERT(fleet.First().Requests.Others.Known.at("127.0.0.1:9").HasPath);
+        CPPUNIT_ASSERT(!fleet.First().Requests.Others.Known.at("127.0.0.1:10").HasPath);
+    }
+
+    void TheStatusPageShowsThePath()
+    {
+        HandoffFleet fleet;
+        fleet.AwaitLoss();
+        const std::string status = StatusText(fleet.Second());
+        CPPUNIT_ASSERT(status.find("\"path\": \"lost\"") != std::string::npos);
+        CPPUNIT_ASSERT(status.find("\"handedOn\"") != std::string::npos);
+        CPPUNIT_ASSERT(MetricsText(fleet.Second()).find("winchlink_target_path_open{service=\"svc\"} 0") != std::string::npos);
+        CPPUNIT_ASSERT(MetricsText(fleet.Second()).find("winchlink_handoffs{end=\"answered\"} 1\n") != std::string::npos);
+        CPPUNIT_ASSERT(MetricsText(fleet.First()).find("winchlink_handoffs_taken 1\n") != std::string::npos);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HandoffTest);
+
+} // namespace Winchlink
--- /dev/null
+++ b/tests/target_path_test.cpp
@@ -0,0 +1,154 @@
+// target_path_test.cpp: what an instance believes of its path to a service's targets. Guards against a loss that is not noticed, one that
+// is believed without evidence, and a path that is trusted again too soon.
+
+#include "check.h"
+
+namespace Winchlink
+{
+
+class TargetPathTest : public CPPUNIT_NS::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TargetPathTest);
+    CPPUNIT_TEST(FailuresAtSeveralTargetsAreALoss);
+    CPPUNIT_TEST(ResetsOfFullTargetsAreNoLoss);
+    CPPUNIT_TEST(AnAnswerOfAnyTargetClearsFailures);
+    CPPUNIT_TEST(OneTargetThatFailsIsNoLoss);
+    CPPUNIT_TEST(AServiceOfOneTargetNeedsAsManyFailures);
+    CPPUNIT_TEST(APathThatIsBackIsOnTrial);
+    CPPUNIT_TEST(TrialsGrowWhileLossesRepeat);
+    CPPUNIT_TEST(TheStateFollowsTheContacts);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr size_t Targets = 10;
+
+    static bool Fail(TargetPath* path, int target, TimeUs now, ContactEnd_ end = ContactEnd_Silent)
+    {
+        return TargetPathContact(path, std::to_string(target), end, Targets, now);
+    }
+
+    static void Lose(TargetPath* path, TimeUs now)
+    {
+        for (int n = 0; n < path->Config.FailedMin; n++)
+        {
+            Fail(path, n, now);
+        }
+        CPPUNIT_ASSERT_EQUAL(TargetPathState_Lost, path->State);
+    }
+
+    void FailuresAtSeveralTargetsAreALoss()
+    {
+        for (const ContactEnd_ end : {ContactEnd_Refused, ContactEnd_Reset, ContactEnd_Silent})
+        {
+            TargetPath path;
+            const TimeUs now = path.Config.ResetUs;
+            for (int n = 1; n < path.Config.FailedMin; n++)
+            {
+                CPPUNIT_ASSERT(!Fail(&path, n, now, end));
+            }
+            CPPUNIT_ASSERT(Fail(&path, 0, now, end));
+            CPPUNIT_ASSERT_EQUAL(TargetPathState_Lost, TargetPathNow(&path, now));
+        }
+    }
+
+    // Guards against a service in overload that counts as unreachable, so that its requests are handed around.
+    void ResetsOfFullTargetsAreNoLoss()
+    {
+        TargetPath path;
+        const TimeUs answered = 10 * UsPerSecond;
+        Fail(&path, 0, answered, ContactEnd_Answered);
+        for (int n = 0; n < 100; n++)
+        {
+            CPPUNIT_ASSERT(!Fail(&path, n, answered + path.Config.ResetUs - 1, ContactEnd_Reset));
+        }
+        CPPUNIT_ASSERT(Fail(&path, 0, answered + path.Config.ResetUs, ContactEnd_Reset));
+    }
+
+    void AnAnswerOfAnyTargetClearsFailures()
+    {
+        TargetPath path;
+        for (int n = 0; n < 100; n++)
+        {
+            const ContactEnd_ end = n % path.Config.FailedMin == 0 ? ContactEnd_Answered : ContactEnd_Refused;
+            CPPUNIT_ASSERT(!Fail(&path, n, n + 1, end));
+        }
+    }
+
+    void OneTargetThatFailsIsNoLoss()
+    {
+        TargetPath path;
+        for (int n = 0; n < 100; n++)
+        {
+            CPPUNIT_ASSERT(!Fail(&path, 0, n + 1, ContactEnd_Reset));
+        }
+    }
+
+    void AServiceOfOneTargetNeedsAsManyFailures()
+    {
+        TargetPath path;
+        for (int n = 1; n < path.Config.FailedMin; n++)
+        {
+            CPPUNIT_ASSERT(!TargetPathContact(&path, "only", ContactEnd_Silent, 1, 1));
+        }
+        CPPUNIT_ASSERT(TargetPathContact(&path, "only", ContactEnd_Silent, 1, 1));
+    }
+
+    void APathThatIsBackIsOnTrial()
+    {
+        TargetPath path;
+        Lose(&path, 1);
+        CPPUNIT_ASSERT(Fail(&path, 3, 10, ContactEnd_Answered));
+        CPPUNIT_ASSERT_EQUAL(TargetPathState_Trial, TargetPathNow(&path, 10 + path.Config.TrialUs - 1));
+        CPPUNIT_ASSERT_EQUAL(TargetPathState_Open, TargetPathNow(&path, 10 + path.Config.TrialUs));
+    }
+
+    void TrialsGrowWhileLossesRepeat()
+    {
+        TargetPath path;
+        TimeUs now = 1;
+        for (int n = 0; n < 10; n++)
+        {
+            Lose(&path, now);
+            Fail(&path, 0, now, ContactEnd_Answered);
+            CPPUNIT_ASSERT_EQUAL(std::min(path.Config.TrialUs << n, path.Config.TrialMaxUs), path.TrialUs);
+            now += path.TrialUs;
+        }
+        now += path.Config.CalmUs;
+        Lose(&path, now);
+        Fail(&path, 0, now, ContactEnd_Answered);
+        CPPUNIT_ASSERT_EQUAL(path.Config.TrialUs, path.TrialUs);
+    }
+
+    // Random contacts, against a plain count of the failures in a row and of their targets.
+    void TheStateFollowsTheContacts()
+    {
+        CHECK_PROPERTY("lost after enough failures at enough targets without an answer, and only then",
+                       []()
+                       {
+                           TestRandom dice;
+                           TargetPath path;
+                           std::set<int64_t> failed;
+                           int failures = 0;
+                           TimeUs now = 1;
+                           bool lost = false;
+                           const int64_t targets = dice.Between(1, 8);
+                           for (int n = 0; n < 60; n++)
+                           {
+                               now += dice.Between(0, 100 * UsPerMs);
+                               const int64_t target = dice.Between(0, targets);
+                               const bool answered = dice.OneIn(6);
+                               TargetPathContact(&path, std::to_string(target), answered ? ContactEnd_Answered : ContactEnd_Refused,
+                                                 static_cast<size_t>(targets), now);
+                               failures = answered ? 0 : failures + 1;
+                               answered ? failed.clear() : static_cast<void>(failed.insert(target));
+                               const auto enough =
+                                   std::min<size_t>(static_cast<size_t>(path.Config.FailedMin), static_cast<size_t>(targets));
+                               lost = !answered && (lost || (failures >= path.Config.FailedMin && failed.size() >= enough));
+                               RC_ASSERT((TargetPathNow(&path, now) == TargetPathState_Lost) == lost);
+                           }
+                       });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TargetPathTest);
+
+} // namespace Winchlink
--- a/winchlink.h
+++ b/winchlink.h
@@ -17,6 +17,7 @@
 // [SECTION] Target directory (target entries as read from the store)
 // [SECTION] Target pool (load probes and target selection)
 // [SECTION] Path to targets (whether this instance reaches a service's targets)
+// [SECTION] Peers (other instances that take over requests)
 // [SECTION] Retry budget (limit on retries and hedged requests)
 // [SECTION] Quarantine (requests that crash the targets that run them)
 // [SECTION] Silent crashes (targets that crash without closing their connections)
@@ -99,6 +100,7 @@
     Code_KeyNotLearnt = 2016,
     Code_TargetsLimited = 2017,
     Code_TargetsUnreachable = 2018,
+    Code_HandoffRefused = 2019,
 
     Code_OutcomeUnknown = 2101,
     Code_DeadlinePassed = 2102,
@@ -499,6 +501,9 @@
 void ProbeTimeoutAnswered(AdaptiveProbeTimeout* time);
 void ProbeTimeoutExpired(AdaptiveProbeTimeout* time);
 
+// Takes back the growth after probes that timed out because there was no path.
+void ProbeTimeoutRevert(AdaptiveProbeTimeout* time, int probes);
+
 // Parses "running,waiting,slots,pace"; the pace is optional. Returns none if the text is malformed.
 std::optional<LoadReport> ParseLoadReport(const std::string& text);
 
@@ -664,7 +669,8 @@
 // An instance can lose its path to targets that are well and that other instances still reach. Its contacts with them (probes, connections
 // and requests) then fail whichever target it tries. An answer of any kind shows a path, also that of a target that is full, leaving or
 // unhealthy. Contacts that failed at several different targets, with no answer from any target of the service between them, show that there
-// is none, or that all these targets are dead: only instances with a path can tell which.
+// is none, or that all these targets are dead: only instances with a path can tell which. Targets that are full may reset connections, so
+// resets count only once no target has answered for a while.
 //
 // The path is per service: a partition may cover the targets of one service only. A path that is back is not used for a trial period,
 // which doubles when the path is lost again soon, so that one that comes and goes does not cost a request each time.
@@ -687,8 +693,9 @@
 
 using ContactCounts = std::array<int, ContactEnd_COUNT>;
 
-// Contacts that failed, of whatever kind.
+// Contacts that failed, of whatever kind; of those that were refused or silent.
 int FailedContacts(const ContactCounts& counts);
+int UnreachedContacts(const ContactCounts& counts);
 
 enum TargetPathState_ : int
 {
@@ -702,7 +709,9 @@
 
 struct TargetPathConfig
 {
+    int CertainMin = 8;                  // Failed contacts in a row from which requests are refused without another try.
     int FailedMin = 4;                   // Failed contacts in a row, at as many different targets if the service has them, for a loss.
+    TimeUs ResetUs = 300 * UsPerMs;      // Resets count as failures once no target has answered for this long.
     TimeUs CheckUs = 100 * UsPerMs;      // Time between two checks while the path is not open.
     TimeUs CheckIdleUs = UsPerSecond;    // The same while no request needs the path.
     TimeUs TrialUs = 200 * UsPerMs;      // Trial period of a path that is back.
@@ -729,12 +738,161 @@
 // Records the outcome of a contact with a target. `targets`: number of targets of the service. Returns true if State has changed.
 bool TargetPathContact(TargetPath* path, const std::string& target, ContactEnd_ end, size_t targets, TimeUs now);
 
+// Whether resets count as failures now.
+bool TargetPathResetsCount(const TargetPath& path, TimeUs now);
+
 // The state now; ends a trial period that is over.
 TargetPathState_ TargetPathNow(TargetPath* path, TimeUs now);
 
+// The service has got a new target: failures at the others don't tell whether it is reached.
+void TargetPathNewTarget(TargetPath* path);
+
+// Whether enough contacts have failed to refuse requests without trying a target.
+bool TargetPathIsCertain(const TargetPath& path);
+
 // Time until the next check of a path that is not open.
 TimeUs TargetPathCheckDelay(const TargetPath& path, TimeUs now);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Peers (other instances that take over requests)
+//-----------------------------------------------------------------------------
+
+// An instance that reaches no target of a service hands requests for it to another instance, a peer, which serves them like those of its
+// own callers. Each instance therefore knows a bounded number of others. A follower and its source tell each other of themselves and of a
+// random sample of those they know, with the time since each was last heard, so that what an instance knows is a sample of the whole fleet.
+// They do so often at first and rarely later, as the addresses change rarely. Instances of versions that take no requests don't tell.
+//
+// Whether a peer reaches the targets of a service is known for certain only when it is asked, so its answers are remembered: one that has
+// taken a request is preferred, one that has refused is not asked again for a time, which doubles each time. Once no peer is left to ask,
+// requests can be refused at once.
+//
+// How to use it: PeersNewsDue() and PeersNews() for what to tell, PeersHeard() for all that others tell. PeersPick() for a request, then
+// PeersSent() and PeersEnded().
+
+// What an instance tells of itself or of another one.
+struct PeerUpdate
+{
+    std::string Address;     // IP:port for other instances.
+    uint16_t DataCentre = 0; // Where it runs, see PeerDataCentre().
+    TimeUs AgeUs = 0;        // Time since it was heard from itself; rounded up to seconds when encoded.
+    bool HasPath = true;     // It reaches targets of all its services, as far as it knows.
+};
+
+// A short hash of a data centre's name.
+uint16_t PeerDataCentre(const std::string& name);
+
+// Encodes updates in 9 bytes each. Decoding ignores a part at the end that is no whole update.
+std::string EncodePeers(const std::vector<PeerUpdate>& updates);
+std::vector<PeerUpdate> DecodePeers(const std::string& bytes);
+
+// How a request that was handed to a peer has ended.
+enum PeerEnd_ : int
+{
+    PeerEnd_None,
+    PeerEnd_Answered, // It has taken the request.
+    PeerEnd_NoPath,   // It doesn't reach the service's targets either.
+    PeerEnd_Full,     // It takes no more requests of others now.
+    PeerEnd_Failed,   // No answer, or none that can be used.
+    PeerEnd_COUNT,
+};
+
+const char* PeerEndName(PeerEnd_ end);
+
+struct PeerConfig
+{
+    size_t PeersMax = 64;                  // Peers that are remembered; those heard longest ago are removed first.
+    size_t SampleSize = 6;                 // Other instances named in one message.
+    TimeUs NewsMinUs = 800 * UsPerMs;      // Time until a source is told for the second time; doubles each time,
+    TimeUs NewsMaxUs = 30 * UsPerSecond;   // up to this.
+    TimeUs ExpiryUs = 120 * UsPerSecond;   // A peer that has not been heard of for this long is removed.
+    TimeUs KnownGoodUs = 30 * UsPerSecond; // A peer that has taken a request is preferred for this long,
+    int KnownGoodInFlightMax = 4;          // while it has fewer requests of this instance in progress,
+    int KnownGoodMin = 8;                  // and once so many are known: until then others are tried too, so that the load is shared.
+    size_t RecommendedMax = 2;             // Such peers that an instance names when it refuses for lack of a path.
+    TimeUs NoPathUs = 250 * UsPerMs;       // A peer without a path to a service is not asked for it again for this long; doubles each time,
+    TimeUs NoPathMaxUs = 2 * UsPerSecond;  // up to this.
+    TimeUs FullUs = 100 * UsPerMs;         // A peer that takes no more requests is not asked for this long.
+    TimeUs FailedUs = 3 * UsPerSecond;     // The same after no answer.
+    size_t TriesMax = 12;                  // Peers that one request is offered to.
+    int TakenMin = 64;                     // Requests of other instances in progress that an instance takes at least,
+    double TakenFactor = 2;                // plus this many for each request of its own callers in progress.
+};
+
+// Time for which a peer is not asked for a service.
+struct PeerRefusal
+{
+    TimeUs UntilUs = 0;
+    TimeUs DelayUs = 0; // Its length.
+};
+
+struct Peer
+{
+    uint16_t DataCentre = 0;
+    TimeUs HeardUs = 0;                        // When it was last heard from itself.
+    bool HasPath = true;                       // See PeerUpdate.
+    int InFlight = 0;                          // Requests of this instance in progress there.
+    int Load = 0;                              // Requests of other instances in progress there, as it last said.
+    TimeUs AnsweredUs = 0;                     // When it last answered an offer in any way; 0: never.
+    TimeUs TookUs = 0;                         // When it last took a request; 0: never, or it has refused one for lack of a path since.
+    TimeUs UnusableUntilUs = 0;                // It is full, or failed to answer.
+    std::map<std::string, PeerRefusal> NoPath; // By service.
+};
+
+// When a source is to be told again.
+struct PeerNews
+{
+    TimeUs DueUs = 0;
+    TimeUs DelayUs = 0;  // The delay before.
+    bool HasPath = true; // What it was told of this instance.
+};
+
+struct Peers
+{
+    PeerConfig Config;
+    std::string Own;                                // Address of this instance for others; empty if it has none.
+    uint16_t DataCentre = 0;                        // Of this instance.
+    std::map<std::string, PeerNews> News;           // By source.
+    std::map<std::string, Peer> Known;              // By address.
+    std::array<uint64_t, PeerEnd_COUNT> Ended = {}; // Counters: requests handed to peers, by outcome.
+};
+
+// An instance was heard of. Ignores this instance itself, invalid addresses, and what is older than what is known.
+void PeersHeard(Peers* peers, const PeerUpdate& update, TimeUs now);
+
+// Whether the source is to be told now; counts as told. `has_path`: see PeerUpdate; a change is told at once.
+bool PeersNewsDue(Peers* peers, const std::string& source, bool has_path, TimeUs now);
+
+// What to tell another instance: this one first, then a random sample of the others, without `except` and the own sources.
+std::vector<PeerUpdate> PeersNews(const Peers& peers, const std::string& except, bool has_path, TimeUs now, Random* random);
+
+// Peers that have taken requests of this instance lately, to be named to one that it refuses; at most RecommendedMax.
+std::vector<PeerUpdate> PeersRecommend(const Peers& peers, TimeUs now, Random* random);
+
+// Another instance has recommended these. They are preferred only while this one knows no good peer itself, so that the load is shared.
+void PeersRecommended(Peers* peers, const std::vector<PeerUpdate>& updates, TimeUs now);
+
+// The peer to hand a request for the service to, or an empty text. `passed`: peers that it was offered to. Prefers peers that have taken
+// requests, and those that report a path; for the first offer those of the own data centre, later those of data centres that were not
+// tried. Among equals, of two drawn at random the one with fewer requests.
+std::string PeersPick(const Peers& peers, const std::string& service, const std::vector<std::string>& passed, TimeUs now, Random* random);
+
+// Whether PeersPick() would find a peer.
+bool PeersAny(const Peers& peers, const std::string& service, TimeUs now);
+
+// The peer has said how many requests of other instances it has in progress.
+void PeersLoad(Peers* peers, const std::string& address, int load);
+
+// A request was handed to the peer; it has ended.
+void PeersSent(Peers* peers, const std::string& address);
+void PeersEnded(Peers* peers, const std::string& address, const std::string& service, PeerEnd_ end, TimeUs now);
+
+// A peer has no path to the service: it refused a request for that reason, or handed one to this instance.
+void PeersWithoutPath(Peers* peers, const std::string& address, const std::string& service, TimeUs now);
+
+// Whether this instance takes a request of another one. `taken`: those that it has in progress, `own`: requests of its own callers in
+// progress.
+bool PeersMayTake(const Peers& peers, int taken, int own);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Retry budget (limit on retries and hedged requests)
 //-----------------------------------------------------------------------------
@@ -761,6 +919,9 @@
 // Counts a request.
 void RetryBudgetCount(RetryBudget* budget, TimeUs now);
 
+// Takes back a request that was counted at `counted` and that another instance counts.
+void RetryBudgetUncount(RetryBudget* budget, TimeUs counted);
+
 // Takes one retry if the budget allows it. `part`: part of the budget that may be used, 0 to 1.
 bool RetryBudgetTake(RetryBudget* budget, double part, TimeUs now);
 
--- a/winchlink_path.cpp
+++ b/winchlink_path.cpp
@@ -34,9 +34,19 @@
 // [SECTION] State
 //-----------------------------------------------------------------------------
 
+int UnreachedContacts(const ContactCounts& counts)
+{
+    return counts[ContactEnd_Refused] + counts[ContactEnd_Silent];
+}
+
 int FailedContacts(const ContactCounts& counts)
 {
-    return counts[ContactEnd_Refused] + counts[ContactEnd_Reset] + counts[ContactEnd_Silent];
+    return UnreachedContacts(counts) + counts[ContactEnd_Reset];
+}
+
+bool TargetPathResetsCount(const TargetPath& path, TimeUs now)
+{
+    return now >= path.AnsweredUs + path.Config.ResetUs;
 }
 
 static void ChangeState(TargetPath* path, TargetPathState_ state, TimeUs now)
@@ -81,7 +91,8 @@
     {
         path->Failed.insert(target);
     }
-    const bool enough = FailedContacts(path->Counts) >= path->Config.FailedMin && path->Failed.size() >= std::min(failed_min, targets);
+    const int failed = TargetPathResetsCount(*path, now) ? FailedContacts(path->Counts) : UnreachedContacts(path->Counts);
+    const bool enough = failed >= path->Config.FailedMin && path->Failed.size() >= std::min(failed_min, targets);
     if (!enough || path->State == TargetPathState_Lost)
     {
         return false;
@@ -110,6 +121,17 @@
     return path->State;
 }
 
+void TargetPathNewTarget(TargetPath* path)
+{
+    path->Counts = {};
+    path->Failed.clear();
+}
+
+bool TargetPathIsCertain(const TargetPath& path)
+{
+    return path.State == TargetPathState_Lost && FailedContacts(path.Counts) >= path.Config.CertainMin;
+}
+
 TimeUs TargetPathCheckDelay(const TargetPath& path, TimeUs now)
 {
     const bool needed = path.NeededUs > 0 && now < path.NeededUs + path.Config.NeededUs;
--- a/winchlink_pool.cpp
+++ b/winchlink_pool.cpp
@@ -38,6 +38,14 @@
     time->CurrentUs = std::min(grown, static_cast<double>(time->MaxUs));
 }
 
+void ProbeTimeoutRevert(AdaptiveProbeTimeout* time, int probes)
+{
+    for (int n = 0; n < probes; n++)
+    {
+        time->CurrentUs = std::max(time->CurrentUs / time->Growth, static_cast<double>(time->MinUs));
+    }
+}
+
 std::optional<LoadReport> ParseLoadReport(const std::string& text)
 {
     LoadReport report;
--- a/winchlink_retry_budget.cpp
+++ b/winchlink_retry_budget.cpp
@@ -32,6 +32,14 @@
     StepAt(budget, now)->Requests++;
 }
 
+void RetryBudgetUncount(RetryBudget* budget, TimeUs counted)
+{
+    const int64_t number = StepNumber(*budget, counted);
+    RetryBudget::Step* step = RingEntry(budget, number);
+    const bool still_counted = step->Number == number && step->Requests > 0; // Else the entry has been reused.
+    step->Requests -= still_counted ? 1 : 0;
+}
+
 bool RetryBudgetTake(RetryBudget* budget, double part, TimeUs now)
 {
     RetryBudget::Step* current = StepAt(budget, now);
