Quarantine: a target counts as crashed only if another one of its service is reached

Cause, same class: after a lost connection a refused check was taken for a crash of the target, though it may be the instance's own path.

Change: if no target of the service has answered since the loss, up to three others are contacted; where none answers the attempt is kept as a silent one, which counts once the store shows the crash. A service of one target is as before.

--- a/gateway/quarantined_calls.cpp
+++ b/gateway/quarantined_calls.cpp
@@ -88,6 +88,50 @@
     }
 }
 
+// A target that no longer accepts connections after it lost a request.
+struct SuspectedCrash
+{
+    std::string Request; // Key of the request.
+    Attempt At;
+    TimeUs LostUs = 0; // End of the attempt.
+};
+
+static void RecordSilent(Forwarder* forwarder, const std::string& request, const Attempt& attempt);
+
+// Records the crash if another target of the service is reached. Otherwise the instance may have lost its path to all of them: the crash
+// then counts only once the store shows it.
+static void RecordIfOthersAnswer(Forwarder* forwarder, ServiceState* service, const SuspectedCrash& crash, int tries)
+{
+    const auto record = [forwarder, crash]()
+    {
+        RecordCrash(forwarder, crash.Request, TargetIncarnation(crash.At.Target, crash.At.Incarnation));
+    };
+    if (service->Path.AnsweredUs > crash.LostUs)
+    {
+        record();
+        return;
+    }
+    const auto contacted = [forwarder, service, crash, tries, record](ContactEnd_ end)
+    {
+        if (end == ContactEnd_Answered)
+        {
+            record();
+        }
+        else if (tries > 1)
+        {
+            RecordIfOthersAnswer(forwarder, service, crash, tries - 1);
+        }
+        else
+        {
+            RecordSilent(forwarder, crash.Request, crash.At);
+        }
+    };
+    if (!ContactAnyTarget(forwarder, service, crash.At.Target, contacted))
+    {
+        record(); // The only target: there is nothing to compare with.
+    }
+}
+
 // A target that has only closed the connection answers a health request on a new one. Where the service has no health path, nothing is
 // sent: a connection that is accepted shows that the target is alive.
 void CheckForCrash(Call* call, const Attempt& attempt)
@@ -107,11 +151,13 @@
     {
         return may_probe;
     };
-    const auto on_checked = [forwarder, key = CallKey(call), attempt](const ClientAnswer& answer)
+    constexpr int tries = 3;
+    const SuspectedCrash crash = {CallKey(call), attempt, NowUs()};
+    const auto on_checked = [forwarder, service = call->Service, crash](const ClientAnswer& answer)
     {
-        if (HasCrashed(*forwarder, attempt.Target, answer))
+        if (HasCrashed(*forwarder, crash.At.Target, answer))
         {
-            RecordCrash(forwarder, key, TargetIncarnation(attempt.Target, attempt.Incarnation));
+            RecordIfOthersAnswer(forwarder, service, crash, tries);
         }
     };
     ClientSend(forwarder->Targets, std::move(request), on_checked);
@@ -123,20 +169,27 @@
     return attempt.ReportUs > 0 && attempt.SentUs - attempt.ReportUs <= forwarder.Config.ReportReuseUs;
 }
 
-void RecordUnanswered(Call* call, const Attempt& attempt)
+static void RecordSilent(Forwarder* forwarder, const std::string& request, const Attempt& attempt)
 {
-    Forwarder* forwarder = call->Owner;
     if (!WasAliveWhenSent(*forwarder, attempt))
     {
         return;
     }
-    const UnansweredAttempt silent = {CallKey(call), TargetIncarnation(attempt.Target, attempt.Incarnation), attempt.SentUs};
+    const UnansweredAttempt silent = {request, TargetIncarnation(attempt.Target, attempt.Incarnation), attempt.SentUs};
     if (SilentCrashesAddAttempt(&forwarder->Unanswered, silent, NowUs()))
     {
         RecordCrash(forwarder, silent.Request, silent.Target);
     }
 }
 
+void RecordUnanswered(Call* call, const Attempt& attempt)
+{
+    if (!attempt.ToPeer)
+    {
+        RecordSilent(call->Owner, CallKey(call), attempt);
+    }
+}
+
 void NoteCrashedTargets(Forwarder* forwarder)
 {
     for (const std::string& target : DirectoryTakeCrashed(&forwarder->Directory))
