--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -21,6 +21,19 @@
 // [SECTION] The run
 //-----------------------------------------------------------------------------
 
+// The index of the instance that connects to targets from this IP; -1 if there is none.
+static int InstanceAt(const Soak& soak, uint32_t source_ip)
+{
+    for (const auto& instance : soak.Instances)
+    {
+        if (SourceIpOf(*instance) == source_ip)
+        {
+            return instance->Index;
+        }
+    }
+    return -1;
+}
+
 // Copies new requests of the targets to the log every 10 ms, with the current time as time of arrival.
 static void CollectArrivals(Soak* soak)
 {
@@ -30,9 +43,8 @@
         for (; target->Counted < saw.size(); target->Counted++)
         {
             const ReceivedRequest& one = saw[target->Counted];
-            const std::string* from = FindHeader(one.Headers, SoakInstanceHeader);
-            const int instance = from != nullptr ? std::atoi(from->c_str()) : -1;
-            soak->Log.Arrivals.push_back({one.Id, target->Part.Id, target->Service, instance, NowUs(), false, target->Zone});
+            soak->Log.Arrivals.push_back(
+                {one.Id, target->Part.Id, target->Service, InstanceAt(*soak, one.From), NowUs(), false, target->Zone});
         }
     }
     Later(soak, 10 * UsPerMs, [soak]() { CollectArrivals(soak); });
@@ -143,6 +155,7 @@
     Strike(soak);
     InjectCrashes(soak);
     InjectSignals(soak);
+    InjectCuts(soak);
     RunFor(soak, soak->Plan.Seconds * UsPerSecond);
     soak->Striking = false;
     MeasureRecovery(soak);
@@ -153,6 +166,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     Soak soak;
     soak.Rng.seed(static_cast<uint64_t>(plan.Seed));
+    soak.CutsRng.seed(static_cast<uint64_t>(plan.Seed) * 7919 + 1);
     soak.CrashesRng.seed(~static_cast<uint64_t>(plan.Seed));
     soak.SignalsRng.seed(static_cast<uint64_t>(plan.Seed) << 32);
     soak.Plan = plan;
--- a/bench/soak.h
+++ b/bench/soak.h
@@ -3,6 +3,7 @@
 // The simulated store, the simulated targets, the proxies before them and the callers run in the event loop of this process; the instances
 // are child processes. The faults are drawn from a seed:
 // - instances are killed, paused, stopped, reloaded and restarted by signals, and cut off from the store;
+// - one, most or all instances are cut off from all targets;
 // - connections are delayed, stalled, cut in one direction and reset;
 // - the store refuses calls, leaves them unanswered and drops its history;
 // - targets send wrong answers or none, drain, lose their entries, turn cold, limit or refuse requests, and restart under the same id;
@@ -65,9 +66,8 @@
 // [SECTION] Parts
 //-----------------------------------------------------------------------------
 
-inline constexpr TimeUs SoakGraceUs = 4 * UsPerSecond;               // Grace time of stopped instances.
-inline constexpr const char* SoakCrashPrefix = "/a/ends-";           // Prefix of the paths whose requests crash the target that runs them.
-inline constexpr const char* SoakInstanceHeader = "X-Soak-Instance"; // Request header: index of the instance that the request was sent to.
+inline constexpr TimeUs SoakGraceUs = 4 * UsPerSecond;     // Grace time of stopped instances.
+inline constexpr const char* SoakCrashPrefix = "/a/ends-"; // Prefix of the paths whose requests crash the target that runs them.
 
 struct SoakInstance
 {
@@ -76,11 +76,12 @@
     std::string CallerAddress;
     std::string PeerAddress;
     Proxy ToStore;
-    pid_t Pid = -1;       // -1: not running.
-    bool Ending = false;  // The soak has killed or stopped it.
-    bool Leaving = false; // Gets no new requests from callers.
-    size_t Trouble = 0;   // Index in Log.Disruptions of its open disruption plus one; 0: none.
-    Timer Next;           // Pending restart, resume, reconnection, or kill after the grace time.
+    pid_t Pid = -1;                        // -1: not running.
+    bool Ending = false;                   // The soak has killed or stopped it.
+    bool Leaving = false;                  // Gets no new requests from callers.
+    size_t Trouble = 0;                    // Index in Log.Disruptions of its open disruption plus one; 0: none.
+    ProxyMode_ ToTargets = ProxyMode_Good; // State of its links to all targets.
+    Timer Next;                            // Pending restart, resume, reconnection, or kill after the grace time.
 };
 
 struct SoakTarget
@@ -100,6 +101,7 @@
     EventLoop Loop;
     Random Rng;
     Random SignalsRng; // For soak_spared.cpp, so that its draws don't shift those of Rng.
+    Random CutsRng;    // For soak_cuts.cpp, so that its draws don't shift those of Rng.
     Random CrashesRng; // For soak_ends.cpp, so that its draws don't shift those of Rng.
     UsersStore Store;
     std::vector<std::unique_ptr<SoakInstance>> Instances;
@@ -166,6 +168,15 @@
 // Injects target signals: rate limits, refusals with Retry-After and announced drains, while Striking is set.
 void InjectSignals(Soak* soak);
 
+// Cuts instances off from all targets, while Striking is set.
+void InjectCuts(Soak* soak);
+
+// Applies the cuts that are in force to a new target.
+void ApplyCuts(Soak* soak, SoakTarget* target);
+
+// IP from which the instance connects to targets, in host byte order.
+uint32_t SourceIpOf(const SoakInstance& instance);
+
 // Polls for instances that have exited, logs unexpected exits, and restarts all of them after a delay.
 void Reap(Soak* soak);
 
--- a/bench/soak_audit.cpp
+++ b/bench/soak_audit.cpp
@@ -339,6 +339,50 @@
     }
 }
 
+struct CutTally
+{
+    int Sent = 0;
+    int Served = 0;
+};
+
+// Requests sent to undisrupted instances while a cut was in force for UndisruptedUs: at those that are cut off, and at the others.
+static std::pair<CutTally, CutTally> CountDuringCut(const SoakLog& log, const SoakBounds& bounds, const SoakCut& cut)
+{
+    CutTally there;
+    CutTally elsewhere;
+    for (const SoakRequest& request : log.Requests)
+    {
+        const bool during = request.SentUs >= cut.FromUs + bounds.UndisruptedUs && request.EndedUs > 0 && request.EndedUs < cut.UntilUs;
+        if (during && !request.NotRead && IsUndisrupted(log, bounds, request.Instance, request.SentUs, request.EndedUs, true))
+        {
+            CutTally& tally = cut.Instances.count(request.Instance) > 0 ? there : elsewhere;
+            tally.Sent++;
+            tally.Served += request.Status == 200 ? 1 : 0;
+        }
+    }
+    return {there, elsewhere};
+}
+
+static void CheckCuts(const SoakLog& log, const SoakBounds& bounds, Findings* found)
+{
+    for (const SoakCut& cut : log.Cuts)
+    {
+        const auto [there, elsewhere] = CountDuringCut(log, bounds, cut);
+        if (there.Sent == 0 || elsewhere.Sent == 0)
+        {
+            continue;
+        }
+        const double share = static_cast<double>(there.Served) / there.Sent;
+        const double share_elsewhere = static_cast<double>(elsewhere.Served) / elsewhere.Sent;
+        const bool too_many = there.Sent - there.Served > bounds.CutFailedMax + bounds.CutFailedShare * (there.Sent + elsewhere.Sent);
+        if (share < bounds.CutServedShare * share_elsewhere && too_many)
+        {
+            (*found)["not served where targets are not reached"].push_back(
+                fmt::format("{} of {}, elsewhere {} of {}", there.Served, there.Sent, elsewhere.Served, elsewhere.Sent));
+        }
+    }
+}
+
 std::vector<std::string> AuditSoak(const SoakLog& log, const SoakBounds& bounds)
 {
     Findings found;
@@ -359,6 +403,7 @@
     CheckAnnouncedDrains(log, bounds, &found);
     CheckBudget(log, bounds, &found);
     CheckQuarantines(log, bounds, arrivals, &found);
+    CheckCuts(log, bounds, &found);
     if (log.RecoveryGood < bounds.RecoveryShare * log.RecoverySent)
     {
         found["not recovered"].push_back(fmt::format("{} of {}", log.RecoveryGood, log.RecoverySent));
--- a/bench/soak_audit.h
+++ b/bench/soak_audit.h
@@ -46,6 +46,14 @@
     bool Planned = false; // A planned stop without any other fault.
 };
 
+// A time span in which instances reach no target.
+struct SoakCut
+{
+    std::set<int> Instances;
+    TimeUs FromUs = 0;
+    TimeUs UntilUs = 0;
+};
+
 // A published configuration.
 struct SoakVersion
 {
@@ -107,6 +115,7 @@
     std::vector<SoakRequest> Requests;
     std::vector<SoakArrival> Arrivals;
     std::vector<SoakDisruption> Disruptions;
+    std::vector<SoakCut> Cuts;
     std::vector<SoakVersion> Versions; // In order of publication.
     std::vector<SoakDrain> Drains;     // Published in the store.
     std::vector<SoakEvacuation> Evacuations;
@@ -142,6 +151,9 @@
     double RetryShareMax = 0.2;             // Maximum share of retries in the first attempts of a window.
     int RetryExtra = 2;                     // Further retries per instance and service.
     size_t QuarantineThreshold = 3;         // Crashes until a path is quarantined; maximum arrivals later than UndisruptedUs after that.
+    double CutServedShare = 2.0 / 3;        // During a cut: minimum share of served requests where it is, in that at the other instances;
+    int CutFailedMax = 10;                  // or maximum of requests that fail where it is,
+    double CutFailedShare = 0.02;           // plus this share of all.
     double RecoveryShare = 0.95;            // Minimum share of successes among the requests sent after all faults.
 };
 
--- a/bench/soak_ends.cpp
+++ b/bench/soak_ends.cpp
@@ -106,10 +106,7 @@
     ClientRequest call;
     call.Address = instance->CallerAddress;
     call.Target = path;
-    call.Headers = {{"Host", "a.example"},
-                    {"Winchlink-Request-Id", request.Id},
-                    {"Winchlink-Deadline-Ms", "1500"},
-                    {SoakInstanceHeader, std::to_string(instance->Index)}};
+    call.Headers = {{"Host", "a.example"}, {"Winchlink-Request-Id", request.Id}, {"Winchlink-Deadline-Ms", "1500"}};
     call.TimeoutUs = 5 * UsPerSecond;
     const size_t index = soak->Log.Requests.size();
     soak->Log.Requests.push_back(request);
--- a/bench/soak_parts.cpp
+++ b/bench/soak_parts.cpp
@@ -64,6 +64,7 @@
     settings.CallerAddress = instance.CallerAddress;
     settings.ReadyAddress = FreeLoopback();
     settings.PeerAddress = instance.PeerAddress;
+    settings.SourceIp = instance.PeerAddress.substr(0, instance.PeerAddress.rfind(':'));
     settings.DatagramPort = soak.DatagramPort;
     settings.StoreAddress = instance.ToStore.Address;
     settings.GraceUs = SoakGraceUs;
@@ -93,6 +94,7 @@
     target->Part.CrashPrefix = SoakCrashPrefix;
     UsersTargetStart(&target->Part, &soak->Loop, id, FreeLoopback());
     ProxyStart(&target->Before, &soak->Loop, FreeLoopback(), target->Part.Address);
+    ApplyCuts(soak, target);
     UsersStoreTarget(&soak->Store, id, service, target->Before.Address, target->Zone, false, 0, born);
     return target;
 }
@@ -199,10 +201,7 @@
     call.Address = instance->CallerAddress;
     call.Method = method;
     call.Target = request.Path;
-    call.Headers = {{"Host", "a.example"},
-                    {"Winchlink-Request-Id", request.Id},
-                    {"Winchlink-Deadline-Ms", "1500"},
-                    {SoakInstanceHeader, std::to_string(instance->Index)}};
+    call.Headers = {{"Host", "a.example"}, {"Winchlink-Request-Id", request.Id}, {"Winchlink-Deadline-Ms", "1500"}};
     call.Body = request.Repeatable ? "" : "once";
     call.HasBody = !request.Repeatable;
     call.TimeoutUs = 5 * UsPerSecond;
--- a/bench/soak_pipeline.cpp
+++ b/bench/soak_pipeline.cpp
@@ -143,9 +143,8 @@
 static std::string DrawRequest(Soak* soak, Batch* batch, const SoakInstance& instance)
 {
     const SoakRequest request = DrawSoakRequest(soak, instance);
-    std::string bytes =
-        fmt::format("{} {} HTTP/1.1\r\nHost: a.example\r\nWinchlink-Request-Id: {}\r\nWinchlink-Deadline-Ms: 1500\r\n{}: {}\r\n",
-                    request.Repeatable ? "GET" : "POST", request.Path, request.Id, SoakInstanceHeader, instance.Index);
+    std::string bytes = fmt::format("{} {} HTTP/1.1\r\nHost: a.example\r\nWinchlink-Request-Id: {}\r\nWinchlink-Deadline-Ms: 1500\r\n",
+                                    request.Repeatable ? "GET" : "POST", request.Path, request.Id);
     bytes += request.Repeatable ? "\r\n" : "Content-Length: 4\r\n\r\nonce";
     batch->Waiting.push_back(soak->Log.Requests.size());
     soak->Log.Requests.push_back(request);
--- a/bench/users_target.cpp
+++ b/bench/users_target.cpp
@@ -13,6 +13,7 @@
 #include "socket.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <fmt/format.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -31,6 +32,7 @@
 {
     uint64_t Id = 0;
     int Socket = -1;
+    uint32_t From = 0;    // IP of the other side.
     std::string Read;     // Bytes not parsed yet.
     bool Busy = false;    // Its request is being processed or queued.
     size_t Request = 0;   // Index of its latest request in Saw.
@@ -374,6 +376,7 @@
         return false;
     }
     ReceivedRequest request = ParseHead(*target, read.substr(0, end + 2));
+    request.From = connection->From;
     if (request.Path == "/health")
     {
         read.erase(0, end + 4);
@@ -452,7 +455,9 @@
 
 static void OnAccept(UsersTarget* target)
 {
-    const int socket = accept4(target->Listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    sockaddr_in from = {};
+    socklen_t size = sizeof from;
+    const int socket = accept4(target->Listening, reinterpret_cast<sockaddr*>(&from), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (socket < 0)
     {
         return;
@@ -462,6 +467,7 @@
     const uint64_t id = ++target->LastConnection;
     connection->Id = id;
     connection->Socket = socket;
+    connection->From = ntohl(from.sin_addr.s_addr);
     connection->Readable = WatchStart(target->Loop, socket, UV_READABLE, [target, id](int) { OnReadable(target, id); });
     target->Connections[id] = std::move(connection);
 }
--- a/bench/users_target.h
+++ b/bench/users_target.h
@@ -48,6 +48,7 @@
     std::string Path; // With the query.
     std::string Body;
     std::vector<Header> Headers;
+    uint32_t From = 0;      // IP that it came from, in host byte order.
     bool Run = false;       // Processing started.
     bool Cancelled = false; // Its connection closed while it was queued or processed.
 };
