Handoff: a request that another instance has admitted is not refused for its quota here; a path without targets is forgotten; lint

Found in review: a request handed on, lost there and tried again here once the path was back, could be refused as 'quota used up' though it may have run (an assertion ends the process). A service that left the plan while its path was lost kept this instance advertised as one without a path.

--- a/gateway/call.h
+++ b/gateway/call.h
@@ -70,21 +70,22 @@
     std::string ServiceName;
     std::string Id;                        // Request id, from the caller or generated.
     std::string Key;                       // Identifies the request across the caller's tries, see CallKey(); empty until first used.
-    bool Retryable = false;                // The request may be run more than once.
     const Customer* KeyOwner = nullptr;    // Customer whose key came with the request; null if there is none.
     KeyHash CallerKeyHash = {};            // Hash of that key.
     std::vector<Header> KeyHeaders;        // The headers with that key, as the caller sent them.
     std::optional<HandoffOffer> TakenFrom; // Another instance that has handed the request on; none for a caller's.
     std::vector<std::string> PeersTried;   // Instances that it was offered to.
     TimeUs PeerRetryUs = 0;                // Retry-After of the instance that refused it for all.
-    int AttemptsMax = 1;                   // Targets that it may be sent to, including those of other instances.
-    bool AdmissionDue = true;              // It is not counted here yet, see AdmitHere().
     TimeUs CountedUs = 0;                  // Time at which it was counted for the retry budget; 0 if it was not.
     TimeUs QuotaTakenUs = 0;               // Time at which it was counted against its customer's quota; 0 if it was not.
     TimeUs CallerDeadlineUs = 0;           // Deadline named by the caller; retry advice stays within it.
     TimeUs DeadlineUs = 0;                 // Deadline of this call: the earlier of the caller's deadline and the route's timeout.
     TimeUs ChooseDeadlineUs = 0;           // End of the time for choosing a target.
+    bool Retryable = false;                // The request may be run more than once.
+    bool AdmissionDue = true;              // It is not counted here yet, see AdmitHere().
+    bool Ended = false;                    // The caller was answered, or has gone.
     Choosing_ Choosing = Choosing_None;
+    int AttemptsMax = 1;                // Targets that it may be sent to, including those of other instances.
     std::vector<std::string> Probed;    // Targets considered in this round of choosing.
     std::vector<std::string> SentTo;    // Targets to which the request was sent.
     std::vector<std::string> OverLimit; // Targets skipped in this round because they are at their rate limits.
@@ -101,7 +102,6 @@
     int MayHaveRun = 0;                 // Ended attempts that a target may have run.
     std::optional<ClientAnswer> FailedAnswer; // Error response of a target; relayed if no other attempt succeeds.
     TimeUs RetryAfterUs = 0;                  // Retry-After sent with a refusal; for the log.
-    bool Ended = false;                       // The caller was answered, or has gone.
     Timer DeadlineTimer;                      // Fires at DeadlineUs; before there is a plan, when FirstPlanUs ends.
     Timer SlowProbeTimer;                     // Fires when a probe is slow.
     Timer ProbeRetryTimer;                    // Probes again after all targets were busy.
--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -332,7 +332,8 @@
     call->AdmissionDue = false;
     call->CountedUs = NowUs();
     RetryBudgetCount(&call->Service->Retries, call->CountedUs);
-    return TakeQuota(call);
+    const bool sent = call->MayHaveRun > 0 || !call->Active.empty(); // Another instance has admitted it.
+    return sent || TakeQuota(call);
 }
 
 // The part of the route that serves the request: the one that the instance has chosen that handed it on, if there is any.
--- a/gateway/target_path.cpp
+++ b/gateway/target_path.cpp
@@ -110,7 +110,9 @@
     };
     if (!ContactAnyTarget(forwarder, service, "", done))
     {
-        CheckPathLater(forwarder, service);
+        TargetPathNewTarget(&service->Path); // There is no target, so nothing is known of a path.
+        service->Path.State = TargetPathState_Open;
+        service->PathCheck = nullptr;
     }
 }
 
--- a/tests/handoff_test.cpp
+++ b/tests/handoff_test.cpp
@@ -148,7 +148,7 @@
         RigCall call;
         call.Method = "POST";
         call.Target = "/w/x%20y?page=2&sort=new";
-        call.Body = std::string("body\0with\r\n zero", 17);
+        call.Body = std::string("body\0with\r\n zero", 16);
         call.Headers = {{"X-Own", "kept as it is"}, {"Content-Type", "text/odd"}};
         const RigAnswer answer = RigSendAndWait(&fleet.Parts, fleet.Second(), call);
         CPPUNIT_ASSERT_EQUAL(200, answer.Answer.Status);
@@ -400,8 +400,10 @@
         {
             target->WorkUs = 300 * UsPerMs;
         }
+        constexpr int requests = 8;
         std::vector<RigAnswerPtr> answers;
-        for (int n = 0; n < 8; n++)
+        answers.reserve(requests);
+        for (int n = 0; n < requests; n++)
         {
             answers.push_back(RigSend(&fleet.Parts, *fleet.Parts.Instances[1], RigCall()));
         }
--- a/tests/path_loss_load_test.cpp
+++ b/tests/path_loss_load_test.cpp
@@ -93,9 +93,9 @@
         return std::uniform_int_distribution<TimeUs>(0, max)(Rng);
     }
 
-    void At(TimeUs delay, std::function<void()> what)
+    void At(TimeUs delay, const std::function<void()>& what)
     {
-        Events.push({{Now + delay, ++LastEvent}, std::move(what)});
+        Events.push({{Now + delay, ++LastEvent}, what});
     }
 
     bool HasPath(size_t n) const
