Path: checks go to targets that have not failed

What was seen: QuarantineTest::ARequestThatMayNotBeRetriedIsQuarantined failed under ASan beside load, 502 in place of 503. A crash counts at once only if another target answers, and the three drawn for that could be ones that had crashed before (6 in 100 at the third crash of six targets).

Change: targets without a failure are drawn first. QuarantineTest and SilentCrashesTest pass, also under ASan.

--- a/gateway/target_path.cpp
+++ b/gateway/target_path.cpp
@@ -43,18 +43,20 @@
     return resets_count ? FailedContacts(contacts) > answered : UnreachedContacts(contacts) > answered + contacts[ContactEnd_Reset];
 }
 
-// A random target that may be contacted, other than `except`; null if there is none.
+// A random target that may be contacted, other than `except`, if possible one that has not failed; null if there is none.
 static const PoolTarget* DrawTarget(const TargetPool& pool, const std::string& except, Random* random)
 {
-    const PoolTarget* drawn = nullptr;
-    size_t seen = 0;
+    std::vector<const PoolTarget*> sound;
+    std::vector<const PoolTarget*> failed;
     for (const PoolTarget& target : pool.Targets)
     {
-        const bool usable = PoolMayUse(target, NowUs()) && target.Id != except;
-        seen += usable ? 1 : 0;
-        drawn = usable && std::uniform_int_distribution<size_t>(1, seen)(*random) == 1 ? &target : drawn;
+        if (PoolMayUse(target, NowUs()) && target.Id != except)
+        {
+            (target.FailuresInRow == 0 ? sound : failed).push_back(&target);
+        }
     }
-    return drawn;
+    const std::vector<const PoolTarget*>& drawn = sound.empty() ? failed : sound;
+    return drawn.empty() ? nullptr : drawn[std::uniform_int_distribution<size_t>(0, drawn.size() - 1)(*random)];
 }
 
 bool ContactAnyTarget(Forwarder* forwarder, ServiceState* service, const std::string& except, std::function<void(ContactEnd_)> done)
