Quarantine: a crash is told from a lost path by up to eight other targets, none of them twice

Cause: before a crash counts, another target of the service has to answer. Of the others three were drawn, and the same one could be drawn three times. Where some of them had crashed as well, and this instance had not met them yet, all draws could hit those; the crash then counted only once the store showed it, which it does not while it is silent.

Change: each other target is contacted once, up to eight.

Evidence: the new test ACrashCountsWhereMostOtherTargetsAreDown (three of four others down) failed before (0 crashes counted, 1 expected) and passes. HandoffTest::ACutIsNoCrash passes as before. Ruled out: the exchange of reports taking longer than the test's 2 s, as the change above leaves it as it was.

--- a/gateway/call.h
+++ b/gateway/call.h
@@ -223,9 +223,11 @@
 // Records a contact with a target of the service. When the path is lost, starts to check it.
 void NoteContact(Forwarder* forwarder, ServiceState* service, const std::string& target, ContactEnd_ end);
 
-// Contacts a random target of the service, other than `except`, on a new connection, and records the outcome. Where the service has no
-// health path nothing is sent: an accepted connection counts as an answer. Returns false if there is no such target.
-bool ContactAnyTarget(Forwarder* forwarder, ServiceState* service, const std::string& except, std::function<void(ContactEnd_)> done);
+using OnContacted = std::function<void(const std::string& target, ContactEnd_)>;
+
+// Contacts a random target of the service, other than those of `except`, on a new connection, and records the outcome. Where the service
+// has no health path nothing is sent: an accepted connection counts as an answer. Returns false if there is no such target.
+bool ContactAnyTarget(Forwarder* forwarder, ServiceState* service, const std::vector<std::string>& except, OnContacted done);
 
 // Whether most contacts of the request with targets failed: it was not served for lack of a path, not of free slots.
 bool IsMostlyUnreached(const Call& call);
--- a/gateway/quarantined_calls.cpp
+++ b/gateway/quarantined_calls.cpp
@@ -93,43 +93,35 @@
 {
     std::string Request; // Key of the request.
     Attempt At;
-    TimeUs LostUs = 0; // End of the attempt.
+    TimeUs LostUs = 0;                  // End of the attempt.
+    std::vector<std::string> Contacted; // This target and those that were contacted since.
 };
 
 static void RecordSilent(Forwarder* forwarder, const std::string& request, const Attempt& attempt);
 
 // Records the crash if another target of the service is reached. Otherwise the instance may have lost its path to all of them: the crash
 // then counts only once the store shows it.
-static void RecordIfOthersAnswer(Forwarder* forwarder, ServiceState* service, const SuspectedCrash& crash, int tries)
+static void RecordIfOthersAnswer(Forwarder* forwarder, ServiceState* service, const SuspectedCrash& crash)
 {
-    const auto record = [forwarder, crash]()
+    constexpr size_t contacted_max = 9; // Eight others: some may have crashed as well.
+    const auto contacted = [forwarder, service, crash](const std::string& target, ContactEnd_)
     {
-        RecordCrash(forwarder, crash.Request, TargetIncarnation(crash.At.Target, crash.At.Incarnation));
+        SuspectedCrash next = crash;
+        next.Contacted.push_back(target);
+        RecordIfOthersAnswer(forwarder, service, next);
     };
-    if (service->Path.AnsweredUs > crash.LostUs)
+    const bool others_answer = service->Path.AnsweredUs > crash.LostUs;
+    if (!others_answer && crash.Contacted.size() < contacted_max && ContactAnyTarget(forwarder, service, crash.Contacted, contacted))
     {
-        record();
         return;
     }
-    const auto contacted = [forwarder, service, crash, tries, record](ContactEnd_ end)
+    const bool only_target = crash.Contacted.size() == 1; // There is nothing to compare with.
+    if (others_answer || only_target)
     {
-        if (end == ContactEnd_Answered)
-        {
-            record();
-        }
-        else if (tries > 1)
-        {
-            RecordIfOthersAnswer(forwarder, service, crash, tries - 1);
-        }
-        else
-        {
-            RecordSilent(forwarder, crash.Request, crash.At);
-        }
-    };
-    if (!ContactAnyTarget(forwarder, service, crash.At.Target, contacted))
-    {
-        record(); // The only target: there is nothing to compare with.
+        RecordCrash(forwarder, crash.Request, TargetIncarnation(crash.At.Target, crash.At.Incarnation));
+        return;
     }
+    RecordSilent(forwarder, crash.Request, crash.At);
 }
 
 // A target that has only closed the connection answers a health request on a new one. Where the service has no health path, nothing is
@@ -151,13 +143,12 @@
     {
         return may_probe;
     };
-    constexpr int tries = 3;
-    const SuspectedCrash crash = {CallKey(call), attempt, NowUs()};
+    const SuspectedCrash crash = {CallKey(call), attempt, NowUs(), {attempt.Target}};
     const auto on_checked = [forwarder, service = call->Service, crash](const ClientAnswer& answer)
     {
         if (HasCrashed(*forwarder, crash.At.Target, answer))
         {
-            RecordIfOthersAnswer(forwarder, service, crash, tries);
+            RecordIfOthersAnswer(forwarder, service, crash);
         }
     };
     ClientSend(forwarder->Targets, std::move(request), on_checked);
--- a/gateway/target_path.cpp
+++ b/gateway/target_path.cpp
@@ -10,6 +10,8 @@
 #include "clock.h"
 #include "log.h"
 
+#include <algorithm>
+
 namespace Winchlink
 {
 
@@ -43,14 +45,15 @@
     return resets_count ? FailedContacts(contacts) > answered : UnreachedContacts(contacts) > answered + contacts[ContactEnd_Reset];
 }
 
-// A random target that may be contacted, other than `except`, if possible one that has not failed; null if there is none.
-static const PoolTarget* DrawTarget(const TargetPool& pool, const std::string& except, Random* random)
+// A random target that may be contacted, other than those of `except`, if possible one that has not failed; null if there is none.
+static const PoolTarget* DrawTarget(const TargetPool& pool, const std::vector<std::string>& except, Random* random)
 {
     std::vector<const PoolTarget*> sound;
     std::vector<const PoolTarget*> failed;
     for (const PoolTarget& target : pool.Targets)
     {
-        if (PoolMayUse(target, NowUs()) && target.Id != except)
+        const bool excluded = std::find(except.begin(), except.end(), target.Id) != except.end();
+        if (!excluded && PoolMayUse(target, NowUs()))
         {
             (target.FailuresInRow == 0 ? sound : failed).push_back(&target);
         }
@@ -59,7 +62,7 @@
     return drawn.empty() ? nullptr : drawn[std::uniform_int_distribution<size_t>(0, drawn.size() - 1)(*random)];
 }
 
-bool ContactAnyTarget(Forwarder* forwarder, ServiceState* service, const std::string& except, std::function<void(ContactEnd_)> done)
+bool ContactAnyTarget(Forwarder* forwarder, ServiceState* service, const std::vector<std::string>& except, OnContacted done)
 {
     const PoolTarget* target = DrawTarget(service->Pool, except, forwarder->Rng);
     const ServiceInfo* spec = forwarder->Plan ? FindService(*forwarder->Plan, service->Name) : nullptr;
@@ -80,7 +83,7 @@
     {
         const ContactEnd_ end = answer.End == ClientEnd_Withheld ? ContactEnd_Answered : ContactEndOf(answer);
         NoteContact(forwarder, service, id, end);
-        done(end);
+        done(id, end);
     };
     ClientSend(forwarder->Targets, std::move(request), contacted);
     return true;
@@ -106,11 +109,11 @@
 
 static void CheckPath(Forwarder* forwarder, ServiceState* service)
 {
-    const auto done = [forwarder, service](ContactEnd_)
+    const auto done = [forwarder, service](const std::string&, ContactEnd_)
     {
         CheckPathLater(forwarder, service);
     };
-    if (!ContactAnyTarget(forwarder, service, "", done))
+    if (!ContactAnyTarget(forwarder, service, {}, done))
     {
         TargetPathNewTarget(&service->Path); // There is no target, so nothing is known of a path.
         service->Path.State = TargetPathState_Open;
--- a/tests/quarantine_test.cpp
+++ b/tests/quarantine_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(RequestKeysDependOnCredentials);
     CPPUNIT_TEST(ALostAnswerIsNoCrash);
     CPPUNIT_TEST(ADrainingTargetIsNoCrash);
+    CPPUNIT_TEST(ACrashCountsWhereMostOtherTargetsAreDown);
     CPPUNIT_TEST(AnAnswerResetsTheCrashCount);
     CPPUNIT_TEST(EachIncarnationCounts);
     CPPUNIT_TEST(SeedsExchangeCrashesAfterAPartition);
@@ -121,6 +122,27 @@
         CPPUNIT_ASSERT(fleet.Instances[0]->Requests.Quarantined.Requests.empty());
     }
 
+    // Guards against a crash that is taken for a lost path, because the targets that were contacted to tell had crashed as well.
+    void ACrashCountsWhereMostOtherTargetsAreDown()
+    {
+        for (int n = 0; n < 10; n++)
+        {
+            QuarantineFleet fleet(1, 5);
+            for (const size_t down : {0, 1, 2})
+            {
+                UsersTargetStop(fleet.Parts.Targets[down].get());
+            }
+            while (fleet.CrashedCount() == 3)
+            {
+                fleet.SendCrashingCall(*fleet.Instances[0]);
+            }
+            RigRunFor(&fleet.Parts, SpreadUs);
+            const Quarantine& known = fleet.Instances[0]->Requests.Quarantined;
+            CPPUNIT_ASSERT_EQUAL(size_t{1}, known.Requests.size());
+            CPPUNIT_ASSERT_EQUAL(1, QuarantineCrashCount(known, known.Requests.begin()->first));
+        }
+    }
+
     // An answer after two crashes resets the crash count at all instances.
     void AnAnswerResetsTheCrashCount()
     {
