--- a/gateway/target_path.cpp
+++ b/gateway/target_path.cpp
@@ -115,8 +115,7 @@
     };
     if (!ContactAnyTarget(forwarder, service, {}, done))
     {
-        TargetPathNewTarget(&service->Path); // There is no target, so nothing is known of a path.
-        service->Path.State = TargetPathState_Open;
+        TargetPathForget(&service->Path, NowUs());
         service->PathCheck = nullptr;
     }
 }
--- a/tests/target_path_test.cpp
+++ b/tests/target_path_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(AServiceOfOneTargetNeedsAsManyFailures);
     CPPUNIT_TEST(APathThatIsBackIsOnTrial);
     CPPUNIT_TEST(TrialsGrowWhileLossesRepeat);
+    CPPUNIT_TEST(NothingIsKnownWithoutTargets);
     CPPUNIT_TEST(TheStateFollowsTheContacts);
     CPPUNIT_TEST_SUITE_END();
 
@@ -119,6 +120,17 @@
     }
 
     // Random contacts, against a plain count of the failures in a row and of their targets.
+    // Guards against an instance that tells others that it has no path to a service that has left.
+    void NothingIsKnownWithoutTargets()
+    {
+        TargetPath path;
+        Lose(&path, UsPerSecond);
+        TargetPathForget(&path, 2 * UsPerSecond);
+        CPPUNIT_ASSERT_EQUAL(TargetPathState_Open, path.State);
+        CPPUNIT_ASSERT_EQUAL(0, FailedContacts(path.Counts));
+        CPPUNIT_ASSERT(!Fail(&path, 0, 2 * UsPerSecond));
+    }
+
     void TheStateFollowsTheContacts()
     {
         CHECK_PROPERTY("lost after enough failures at enough targets without an answer, and only then",
--- a/winchlink.h
+++ b/winchlink.h
@@ -747,6 +747,9 @@
 // The service has got a new target: failures at the others don't tell whether it is reached.
 void TargetPathNewTarget(TargetPath* path);
 
+// The service has no targets left that may be contacted: nothing is known of a path.
+void TargetPathForget(TargetPath* path, TimeUs now);
+
 // Whether enough contacts have failed to refuse requests without trying a target.
 bool TargetPathIsCertain(const TargetPath& path);
 
--- a/winchlink_path.cpp
+++ b/winchlink_path.cpp
@@ -127,6 +127,12 @@
     path->Failed.clear();
 }
 
+void TargetPathForget(TargetPath* path, TimeUs now)
+{
+    TargetPathNewTarget(path);
+    ChangeState(path, TargetPathState_Open, now);
+}
+
 bool TargetPathIsCertain(const TargetPath& path)
 {
     return path.State == TargetPathState_Lost && FailedContacts(path.Counts) >= path.Config.CertainMin;
