Handoff: an instance that runs again is asked again soon

Cause: a peer that failed to answer was not asked for 3 s, whatever the failure was, and although it was heard from itself since.

Change: a failed connection costs no request, so that peer is asked again after 0.1 s, doubled with each failure up to 3 s: never longer than it was away. One that hangs or loses a request still rests 3 s, unless it is heard from itself after the failure. A peer that failed is no longer preferred as one that has taken requests. New outcome `not_connected` in `winchlink_handoffs`.

Left as it is: a stopping instance takes no requests of others from the signal on (HandoffTest::AStoppingInstanceTakesNothingAndFinishesWhatItTook).

--- a/gateway/handoff.cpp
+++ b/gateway/handoff.cpp
@@ -257,6 +257,10 @@
     {
         return PeerEnd_None;
     }
+    if (answer.End == ClientEnd_NotConnected)
+    {
+        return PeerEnd_NotConnected;
+    }
     if (!result)
     {
         return PeerEnd_Failed;
--- a/winchlink.h
+++ b/winchlink.h
@@ -792,10 +792,11 @@
 enum PeerEnd_ : int
 {
     PeerEnd_None,
-    PeerEnd_Answered, // It has taken the request.
-    PeerEnd_NoPath,   // It doesn't reach the service's targets either.
-    PeerEnd_Full,     // It takes no more requests of others now.
-    PeerEnd_Failed,   // No answer, or none that can be used.
+    PeerEnd_Answered,     // It has taken the request.
+    PeerEnd_NoPath,       // It doesn't reach the service's targets either.
+    PeerEnd_Full,         // It takes no more requests of others now.
+    PeerEnd_NotConnected, // It can't be connected to; nothing was sent.
+    PeerEnd_Failed,       // No answer, or none that can be used.
     PeerEnd_COUNT,
 };
 
@@ -815,7 +816,8 @@
     TimeUs NoPathUs = 250 * UsPerMs;       // A peer without a path to a service is not asked for it again for this long; doubles each time,
     TimeUs NoPathMaxUs = 2 * UsPerSecond;  // up to this.
     TimeUs FullUs = 100 * UsPerMs;         // A peer that takes no more requests is not asked for this long.
-    TimeUs FailedUs = 3 * UsPerSecond;     // The same after no answer.
+    TimeUs NotConnectedUs = 100 * UsPerMs; // The same after a failed connection; doubles each time, up to FailedUs.
+    TimeUs FailedUs = 3 * UsPerSecond;     // The same after no answer, unless it is heard from itself before.
     size_t TriesMax = 12;                  // Peers that one request is offered to.
     int TakenMin = 64;                     // Requests of other instances in progress that an instance takes at least,
     double TakenFactor = 2;                // plus this many for each request of its own callers in progress.
@@ -831,13 +833,15 @@
 struct Peer
 {
     uint16_t DataCentre = 0;
-    TimeUs HeardUs = 0;                        // When it was last heard from itself.
-    bool HasPath = true;                       // See PeerUpdate.
-    int InFlight = 0;                          // Requests of this instance in progress there.
-    int Load = 0;                              // Requests of other instances in progress there, as it last said.
-    TimeUs AnsweredUs = 0;                     // When it last answered an offer in any way; 0: never.
-    TimeUs TookUs = 0;                         // When it last took a request; 0: never, or it has refused one for lack of a path since.
-    TimeUs UnusableUntilUs = 0;                // It is full, or failed to answer.
+    TimeUs HeardUs = 0;         // When it was last heard from itself.
+    bool HasPath = true;        // See PeerUpdate.
+    int InFlight = 0;           // Requests of this instance in progress there.
+    int Load = 0;               // Requests of other instances in progress there, as it last said.
+    TimeUs AnsweredUs = 0;      // When it last answered an offer in any way; 0: never.
+    TimeUs TookUs = 0;          // When it last took a request; 0: never, or it has refused one for lack of a path since.
+    TimeUs UnusableUntilUs = 0; // It is full, or failed to answer.
+    TimeUs FailedUs = 0;        // When it last failed to answer; 0: it has answered or was heard since.
+    TimeUs FailedDelayUs = 0;   // Time for which it was not asked after its last failed connection; 0: it has answered since.
     std::map<std::string, PeerRefusal> NoPath; // By service.
 };
 
--- a/winchlink_peers.cpp
+++ b/winchlink_peers.cpp
@@ -20,7 +20,7 @@
 
 const char* PeerEndName(PeerEnd_ end)
 {
-    static const std::array<const char*, PeerEnd_COUNT> names = {"none", "answered", "no_path", "full", "failed"};
+    static const std::array<const char*, PeerEnd_COUNT> names = {"none", "answered", "no_path", "full", "not_connected", "failed"};
     assert(end >= 0 && end < PeerEnd_COUNT && "not an outcome of a handoff");
     return names[end];
 }
@@ -68,6 +68,11 @@
     {
         peer.NoPath.clear(); // It has regained its path since it refused.
     }
+    if (peer.FailedUs > 0 && heard > peer.FailedUs)
+    {
+        peer.FailedUs = 0; // It runs again.
+        peer.UnusableUntilUs = 0;
+    }
     peer.DataCentre = update.DataCentre;
     peer.HeardUs = heard;
     peer.HasPath = update.HasPath;
@@ -355,6 +360,31 @@
     peer->TookUs = 0;
 }
 
+static void OnPeerResponded(Peer* peer, TimeUs now)
+{
+    peer->AnsweredUs = now;
+    peer->FailedUs = 0;
+    peer->FailedDelayUs = 0;
+}
+
+static void OnPeerFailed(Peer* peer, TimeUs delay, TimeUs now)
+{
+    peer->FailedUs = now;
+    peer->TookUs = 0;
+    peer->UnusableUntilUs = std::max(peer->UnusableUntilUs, now + delay);
+}
+
+static void OnPeerNotConnected(const PeerConfig& config, Peer* peer, TimeUs now)
+{
+    if (now < peer->UnusableUntilUs)
+    {
+        return; // Failures of requests that were sent together count once.
+    }
+    const bool recent = peer->FailedDelayUs > 0 && now < peer->UnusableUntilUs + config.FailedUs;
+    peer->FailedDelayUs = recent ? std::min(2 * peer->FailedDelayUs, config.FailedUs) : config.NotConnectedUs;
+    OnPeerFailed(peer, peer->FailedDelayUs, now);
+}
+
 void PeersEnded(Peers* peers, const std::string& address, const std::string& service, PeerEnd_ end, TimeUs now)
 {
     peers->Ended[end]++;
@@ -367,20 +397,23 @@
     switch (end)
     {
     case PeerEnd_Answered:
-        peer->AnsweredUs = now;
+        OnPeerResponded(peer, now);
         peer->TookUs = now;
         peer->NoPath.erase(service);
         return;
     case PeerEnd_NoPath:
-        peer->AnsweredUs = now;
+        OnPeerResponded(peer, now);
         PeersWithoutPath(peers, address, service, now);
         return;
     case PeerEnd_Full:
-        peer->AnsweredUs = now;
+        OnPeerResponded(peer, now);
         peer->UnusableUntilUs = std::max(peer->UnusableUntilUs, now + peers->Config.FullUs);
         return;
+    case PeerEnd_NotConnected:
+        OnPeerNotConnected(peers->Config, peer, now);
+        return;
     case PeerEnd_Failed:
-        peer->UnusableUntilUs = std::max(peer->UnusableUntilUs, now + peers->Config.FailedUs);
+        OnPeerFailed(peer, peers->Config.FailedUs, now);
         return;
     default:
         return;
