Handoff: refusals for lack of a path are remembered for less time where few instances are known

Cause: a refusal is remembered for 0.25 s, doubled up to 2 s. Who refuses now and then is so asked once in two seconds. The 2 s are right for 64 known instances, one of which is then asked each 31 ms; of five, two seconds ask one each 0.4 s.

Change: the longest wait is 31 ms for each known instance, at least 0.1 s and at most 2 s as before: a small fleet asks as often as a large one.

--- a/winchlink.h
+++ b/winchlink.h
@@ -814,7 +814,9 @@
     int KnownGoodMin = 8;                  // and once so many are known: until then others are tried too, so that the load is shared.
     size_t RecommendedMax = 2;             // Such peers that an instance names when it refuses for lack of a path.
     TimeUs NoPathUs = 250 * UsPerMs;       // A peer without a path to a service is not asked for it again for this long; doubles each time,
-    TimeUs NoPathMaxUs = 2 * UsPerSecond;  // up to this.
+    TimeUs NoPathMaxUs = 2 * UsPerSecond;  // up to this, and up to
+    TimeUs NoPathShareUs = 31 * UsPerMs;   // this for each known peer, so that few peers are asked as often as many together,
+    TimeUs NoPathMinUs = 100 * UsPerMs;    // but no less than this.
     TimeUs FullUs = 100 * UsPerMs;         // A peer that takes no more requests is not asked for this long.
     TimeUs NotConnectedUs = 100 * UsPerMs; // The same after a failed connection; doubles each time, up to FailedUs.
     TimeUs FailedUs = 3 * UsPerSecond;     // The same after no answer, unless it is heard from itself before.
--- a/winchlink_peers.cpp
+++ b/winchlink_peers.cpp
@@ -354,8 +354,11 @@
     {
         return; // Refusals of requests that were sent together count once.
     }
-    const bool recent = refusal.DelayUs > 0 && now < refusal.UntilUs + peers->Config.NoPathMaxUs;
-    refusal.DelayUs = recent ? std::min(2 * refusal.DelayUs, peers->Config.NoPathMaxUs) : peers->Config.NoPathUs;
+    const PeerConfig& config = peers->Config;
+    const TimeUs share = static_cast<TimeUs>(peers->Known.size()) * config.NoPathShareUs;
+    const TimeUs longest = std::clamp(share, config.NoPathMinUs, config.NoPathMaxUs);
+    const bool recent = refusal.DelayUs > 0 && now < refusal.UntilUs + config.NoPathMaxUs;
+    refusal.DelayUs = std::min(recent ? 2 * refusal.DelayUs : config.NoPathUs, longest);
     refusal.UntilUs = now + refusal.DelayUs;
     peer->TookUs = 0;
 }
