Tests: ports of processes that run side by side start far apart

Cause: each process looks for free ports from its id times 37 on, and takes them only later.

One test program alone is as before.

--- a/bench/process.cpp
+++ b/bench/process.cpp
@@ -145,7 +145,8 @@
 
 int FreePort(const std::string& ip)
 {
-    static std::atomic<int> next{getpid() * 37};
+    constexpr int stride = 7919; // Processes with neighbouring ids start far apart, as each needs many ports.
+    static std::atomic<int> next{getpid() % PortCount * stride};
     for (int tries = 0; tries < PortCount; tries++)
     {
         const int port = FirstPort + next++ % PortCount;
