--- a/tests/quarantine_test.cpp
+++ b/tests/quarantine_test.cpp
@@ -132,11 +132,13 @@
             {
                 UsersTargetStop(fleet.Parts.Targets[down].get());
             }
-            while (fleet.CrashedCount() == 3)
+            for (int calls = 0; calls < 100 && fleet.CrashedCount() == 3; calls++)
             {
                 fleet.SendCrashingCall(*fleet.Instances[0]);
+                RigRunFor(&fleet.Parts, 10 * UsPerMs);
             }
             RigRunFor(&fleet.Parts, SpreadUs);
+            CPPUNIT_ASSERT_EQUAL(4, fleet.CrashedCount());
             const Quarantine& known = fleet.Instances[0]->Requests.Quarantined;
             CPPUNIT_ASSERT_EQUAL(size_t{1}, known.Requests.size());
             CPPUNIT_ASSERT_EQUAL(1, QuarantineCrashCount(known, known.Requests.begin()->first));
