Handoff: what another instance may still try counts as used until it answers

Cause: an offer lets the other instance send the request to all targets that are left, but was counted as one attempt here. When it took longer than expected and the path was back, this instance sent a hedged request of its own.

Change: all that is granted counts as used; the answer says how many targets got the request, and the rest is given back.

Evidence: HandoffTest::TheTargetsOfBothInstancesCount failed before in 4 of 4 runs (3 of 2 targets) and passes. HandoffTest 21 passed. Cost: while an offer is out, this instance doesn't hedge; one that freezes with a request keeps it until its deadline, repeatable or not. Weighed: granting one target at a time, so that the hedge stays here; the counts that the retry budget needs have gone with the request.

--- a/gateway/call.h
+++ b/gateway/call.h
@@ -47,6 +47,7 @@
     double ExpectedUs = 0;    // Expected duration; 0 if unknown.
     LimitGrant Grant;         // Its share of the target's rate limit.
     TimeUs RetryTakenUs = 0;  // If handed to another instance: see Call::RetryTakenUs.
+    int Granted = 0;          // If handed to another instance: targets that it may send the request to.
 };
 
 enum Choosing_ : int
--- a/gateway/handoff.cpp
+++ b/gateway/handoff.cpp
@@ -166,12 +166,13 @@
     attempt.ToPeer = true;
     attempt.SentUs = now;
     attempt.RetryTakenUs = call->RetryTakenUs;
+    attempt.Granted = call->AttemptsMax - call->Attempts;
     attempt.ExpectedUs = 2 * call->Work->MeanUs; // The peer hedges by itself first.
     attempt.Id = ClientSend(call->Owner->PeerCalls, MakeOffer(call, address, now),
                             [call, address](ClientAnswer answer) { OnPeerAnswer(call, address, std::move(answer)); });
     PeersSent(&call->Owner->Others, address);
     call->PeersTried.push_back(address);
-    call->Attempts++;
+    call->Attempts += attempt.Granted; // All count as used until the peer answers.
     call->RetryTakenUs = 0;
     StartAttempt(call, attempt);
 }
@@ -272,7 +273,6 @@
 // Offers the request to the next peer, or chooses a target here if the path allows it.
 static void OfferAgain(const CallPtr& call, const Attempt& attempt)
 {
-    call->Attempts--;
     call->RetryTakenUs = attempt.RetryTakenUs;
     if (call->Choosing != Choosing_None)
     {
@@ -316,6 +316,7 @@
     Forwarder* forwarder = call->Owner;
     const Attempt attempt = TakeAttempt(call.get(), address);
     call->LastAttempt = attempt;
+    call->Attempts -= attempt.Granted;
     const std::string* header = FindHeader(answer.Headers, HeaderHandoff);
     const std::optional<HandoffResult> result = header != nullptr ? ParseHandoffResult(*header) : std::nullopt;
     const HandoffResult told = result.value_or(HandoffResult());
@@ -327,7 +328,8 @@
     {
         LogNotAnswered(*call, address, answer, result);
     }
-    call->Attempts += std::max(told.Attempts - 1, 0);
+    const bool may_have_run = end == OfferEnd_Answered || end == OfferEnd_Unknown;
+    call->Attempts += may_have_run ? std::max(told.Attempts, 1) : told.Attempts;
     switch (end)
     {
     case OfferEnd_Answered:
@@ -343,7 +345,6 @@
         OfferAgain(call, attempt);
         return;
     case OfferEnd_Refused:
-        call->Attempts--;
         call->PeerRetryUs = RetryAfterOf(*call, answer);
         RejectOrFallBack(call, told.Code, "refused by " + address);
         return;
--- a/tests/handoff_test.cpp
+++ b/tests/handoff_test.cpp
@@ -81,6 +81,7 @@
     CPPUNIT_TEST(ACallerThatLeavesCancelsTheTargetsWork);
     CPPUNIT_TEST(TheInstanceThatTakesARequestChecksItsKey);
     CPPUNIT_TEST(RequestsCountOnceForQuotasAndRetries);
+    CPPUNIT_TEST(TheTargetsOfBothInstancesCount);
     CPPUNIT_TEST(ARequestThatRanElsewhereIsNotRefusedForItsQuota);
     CPPUNIT_TEST(CallersCanNotPassRequestsOffAsHandedOn);
     CPPUNIT_TEST(ACutIsNoCrash);
@@ -407,6 +408,30 @@
         }
     }
 
+    // Guards against a request that runs at more targets than its route allows: at two of another instance, and at one of this instance,
+    // whose path is back meanwhile.
+    void TheTargetsOfBothInstancesCount()
+    {
+        HandoffFleet fleet;
+        fleet.AwaitLoss();
+        for (const auto& target : fleet.Parts.Targets)
+        {
+            target->WorkUs = 600 * UsPerMs; // Slow enough for hedged requests.
+        }
+        for (const auto& instance : fleet.Parts.Instances)
+        {
+            instance->Requests.Services.at("svc").Retries.Extra = 100;
+            instance->Requests.Work.at("r").MeanUs = 30 * UsPerMs;
+        }
+        const RigAnswerPtr answer = RigSend(&fleet.Parts, fleet.Second(), RigCall());
+        CPPUNIT_ASSERT(RigRunUntil(&fleet.Parts, [&]() { return RigRunCount(fleet.Parts, answer->Id) == 1; }));
+        fleet.Cut(1, ProxyMode_Good);
+        TargetPathForget(&fleet.Second().Requests.Services.at("svc").Path, NowUs());
+        CPPUNIT_ASSERT(RigRunUntil(&fleet.Parts, [&]() { return answer->Done; }));
+        CPPUNIT_ASSERT_EQUAL(200, answer->Answer.Status);
+        CPPUNIT_ASSERT_EQUAL(2, RigRunCount(fleet.Parts, answer->Id));
+    }
+
     // Guards against a request that another instance admitted and ran, and that is refused for its quota when it is tried again here.
     void ARequestThatRanElsewhereIsNotRefusedForItsQuota()
     {
