--- a/winchlink.h
+++ b/winchlink.h
@@ -18,6 +18,8 @@
 // [SECTION] Target pool (load probes and target selection)
 // [SECTION] Path to targets (whether this instance reaches a service's targets)
 // [SECTION] Peers (other instances that take over requests)
+// [SECTION] Shared load (load reports that instances exchange)
+// [SECTION] Division (requests that other data centres serve)
 // [SECTION] Retry budget (limit on retries and hedged requests)
 // [SECTION] Quarantine (requests that crash the targets that run them)
 // [SECTION] Silent crashes (targets that crash without closing their connections)
@@ -514,6 +516,7 @@
     uint64_t IncarnationId = 0; // Hash, see TargetIncarnationId().
     std::string Address;
     bool Near = false;             // In the instance's data centre.
+    uint16_t DataCentre = 0;       // Where it runs, see PeerDataCentre().
     bool EntryMissing = false;     // Its directory entry is missing.
     int Slots = 1;                 // Requests that it can process concurrently, from the directory.
     int Weight = 1;                // From the directory.
@@ -902,6 +905,177 @@
 // progress.
 bool PeersMayTake(const Peers& peers, int taken, int own);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Shared load (load reports that instances exchange)
+//-----------------------------------------------------------------------------
+
+// A load report is worth as much to the other instances of a data centre as to the one that got it, and each of them alone gets few while
+// the load shifts. An instance whose request finds targets busy therefore asks a few others what they know of the service's targets:
+//
+//  - An ask holds the fresh reports of the instance that asks; the answer holds those of the other one, free targets first, and the room
+//    that it sees in its data centre.
+//  - An instance that was asked offers the next slots that its own requests free, each to one of those that asked and to nobody else, so
+//    that they don't compete for it.
+//
+// Reports of others only rank targets: whether a target may be used at all (draining, evacuated, cold, limited, in backoff) is decided by
+// what this instance knows itself, and a target is probed before a request is sent there, unless the report is as young as an own one that
+// needs no probe. A wrong, late or lost message costs a probe. Nothing is sent twice, and nothing is kept for longer than a report lives.
+//
+// How to use it: when a probe finds a target busy, LoadAskPeers() and send LoadAsk() to these; LoadHeard() for each message, and send what
+// it returns to the sender; LoadOffer() when a slot has come free.
+
+// What is known of one target.
+struct SharedReport
+{
+    uint32_t Target = 0; // SharedTargetId().
+    LoadReport Load;     // Includes requests that were sent to it since the report.
+    TimeUs AgeUs = 0;    // Of the report, when the message is sent.
+};
+
+// The room that an instance sees in its data centre.
+struct SharedRoom
+{
+    int Targets = 0; // Targets of the service that may be used.
+    int Known = 0;   // Of these, the ones with a fresh report.
+    int Free = 0;    // Of these, the ones with a free slot at a good cost.
+};
+
+enum LoadMessage_ : uint8_t
+{
+    LoadMessage_None,
+    LoadMessage_Ask,    // Expects an Answer.
+    LoadMessage_Answer, // To an Ask.
+    LoadMessage_Offer,  // Of a slot that has come free.
+    LoadMessage_COUNT,
+};
+
+struct LoadMessage
+{
+    LoadMessage_ Kind = LoadMessage_None;
+    uint32_t Service = 0;    // SharedServiceId().
+    uint16_t DataCentre = 0; // Of the sender, see PeerDataCentre().
+    SharedRoom Room;         // In that data centre.
+    std::vector<SharedReport> Reports;
+};
+
+// Hashes by which messages name a target's incarnation (see TargetIncarnationId()) and a service.
+uint32_t SharedTargetId(uint64_t incarnation_id);
+uint32_t SharedServiceId(const std::string& service);
+
+struct LoadSharingConfig
+{
+    size_t AskedPeers = 3;                 // Instances of the own data centre that are asked at once.
+    TimeUs AskIntervalUs = 10 * UsPerMs;   // Time between two asks for a service; what was heard is younger than a probe takes.
+    size_t ReportsMax = 32;                // Reports in one message: it fits into one datagram.
+    TimeUs ReportMaxAgeUs = 100 * UsPerMs; // Older reports are neither sent nor taken.
+    TimeUs AskerKeptUs = 60 * UsPerMs;     // An instance that asked is offered slots for this long: about as long as its request may wait.
+    size_t AskersMax = 16;                 // Instances that asked and are remembered; the oldest are removed first.
+};
+
+// An instance that has asked and may be offered a slot.
+struct LoadAsker
+{
+    std::string Address; // For datagrams.
+    TimeUs AskedUs = 0;
+};
+
+// State of the exchange for one service.
+struct LoadSharing
+{
+    LoadSharingConfig Config;
+    TimeUs AskedUs = 0;           // Time of the last ask; 0: never.
+    std::deque<LoadAsker> Askers; // In the order of asking.
+    uint64_t Asks = 0;            // Counters: messages sent, by kind.
+    uint64_t Answers = 0;
+    uint64_t Offers = 0;
+    uint64_t ReportsTaken = 0;   // Counter: reports of others that were newer than what was known.
+    uint64_t ReportsIgnored = 0; // Counter: others.
+};
+
+// Addresses of the instances to ask now; none if the last ask is too recent or none are known. `data_centre`: where they run.
+std::vector<std::string> LoadAskPeers(LoadSharing* sharing, const Peers& peers, uint16_t data_centre, TimeUs now, Random* random);
+
+// The message to ask them with. `data_centre`: of this instance.
+LoadMessage LoadAsk(const LoadSharing& sharing, const TargetPool& pool, const std::string& service, uint16_t data_centre, TimeUs now,
+                    Random* random);
+
+// A message of another instance: takes its reports into the pool, and returns the answer if it asks. Messages about other services than
+// `service` must not be passed.
+std::optional<LoadMessage> LoadHeard(LoadSharing* sharing, TargetPool* pool, const LoadMessage& message, const std::string& from,
+                                     uint16_t data_centre, TimeUs now, Random* random);
+
+// A slot of the target has come free, as its answer to an own request has reported: the instance to offer it to and the message, if any
+// has asked. An instance that is offered a slot is removed from those that asked.
+struct LoadOfferTo
+{
+    std::string Address;
+    LoadMessage Message;
+};
+std::optional<LoadOfferTo> LoadOffer(LoadSharing* sharing, const TargetPool& pool, const PoolTarget& target, const std::string& service,
+                                     uint16_t data_centre, TimeUs now);
+
+// The room that this instance sees in its own data centre.
+SharedRoom LoadRoom(const TargetPool& pool, TimeUs now);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Division (requests that other data centres serve)
+//-----------------------------------------------------------------------------
+
+// Targets of the own data centre come first, as a request to another one costs time and bytes between them. When they have no room for all
+// requests, the excess goes to data centres that have: by what instances there tell in their answers (SharedRoom), not by a search. So no
+// data centre refuses while another has room, each gets no more than it has room for, and nothing crosses that could be served at home.
+// Small answers that are needed soon cross first; large ones with time to spare wait for a target at home.
+//
+// Without recent news of another data centre, the order is that of the pool: near first.
+//
+// How to use it: DivisionHeard() for each LoadMessage of another data centre; DivisionAsks() when the own data centre is short of room;
+// DivisionPick() for a request that finds no target at home.
+
+struct DivisionConfig
+{
+    TimeUs RoomMaxAgeUs = 150 * UsPerMs; // News of a data centre's room are stale after this: load shifts within this time.
+    double ShortOfRoom = 0.1;            // A data centre with a smaller share of free targets is short of room.
+    double RoomMargin = 0.1;             // Another one must have a share of free targets that is greater by this, so that requests don't
+                                         // cross between data centres that are equally full.
+    double LargeAnswerBytes = 32 * KiB;  // Answers from this size on wait at home while they have slack.
+    double SlackFactor = 4;              // A request has slack while this many times its usual work fits into the time left.
+};
+
+// What is known of another data centre.
+struct DataCentreRoom
+{
+    SharedRoom Room;
+    TimeUs HeardUs = 0;
+    TimeUs AskedUs = 0;
+};
+
+// What a request needs.
+struct DivisionRequest
+{
+    double WorkUs = 0;      // Usual duration at a target; 0 if unknown.
+    double AnswerBytes = 0; // Usual size of the answer; 0 if unknown.
+    TimeUs LeftUs = 0;      // Until its latency objective.
+};
+
+// State for one service.
+struct Division
+{
+    DivisionConfig Config;
+    std::map<uint16_t, DataCentreRoom> Rooms; // Other data centres, by PeerDataCentre().
+    bool Active = false;                      // The own data centre is short of room, and another one has some.
+    TimeUs ChangedUs = 0;                     // Time of the last change of Active; 0: never.
+    uint64_t Crossed = 0;                     // Counter: requests for which DivisionPick() has named a data centre.
+    uint64_t KeptForSlack = 0;                // Counter: requests that stayed at home although another data centre had room.
+};
+
+void DivisionHeard(Division* division, uint16_t data_centre, const SharedRoom& room, TimeUs now);
+
+// The data centres to ask for their room now: those of which nothing recent is known, when the own one is short of room.
+std::vector<uint16_t> DivisionAsks(Division* division, const SharedRoom& own, const Peers& peers, TimeUs now);
+
+// The data centre that is to serve the request; none: the own one. Draws among those with room, in proportion to it.
+std::optional<uint16_t> DivisionPick(Division* division, const SharedRoom& own, const DivisionRequest& request, TimeUs now, Random* random);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Retry budget (limit on retries and hedged requests)
 //-----------------------------------------------------------------------------
