Choosing: the interface of the state machine

The round of choosing (whom to probe next, take, wait, hand on, refuse) is to become library code. This is its interface; requests/choose.cpp does not use it yet. Choosing_ and LimitGrant move from requests/call.h to winchlink.h unchanged.

--- a/requests/call.h
+++ b/requests/call.h
@@ -24,13 +24,6 @@
 // [SECTION] Call
 //-----------------------------------------------------------------------------
 
-// A request counted against a target's rate limit, see QuotaTakeTarget().
-struct LimitGrant
-{
-    uint64_t IncarnationId = 0; // Id of the target's incarnation, see TargetIncarnationId(); 0 if the request is not counted.
-    TimeUs TakenUs = 0;         // Time at which it was counted.
-};
-
 // One attempt: the request sent to one target, or handed to another instance.
 struct Attempt
 {
@@ -50,14 +43,6 @@
     int Granted = 0;          // If handed to another instance: targets that it may send the request to.
 };
 
-enum Choosing_ : int
-{
-    Choosing_None,  // No target is being chosen.
-    Choosing_First, // For the first attempt, or for a retry after a failed one.
-    Choosing_Hedge, // For a hedged request: no waiting for busy targets.
-    Choosing_COUNT,
-};
-
 struct Call
 {
     Forwarder* Owner = nullptr;
--- a/winchlink.h
+++ b/winchlink.h
@@ -25,6 +25,7 @@
 // [SECTION] Silent crashes (targets that crash without closing their connections)
 // [SECTION] Retry-After schedule (when refused callers may retry)
 // [SECTION] Quotas (fleet-wide rate limits for customers and targets)
+// [SECTION] Choosing (which target a request is sent to, and when it is refused)
 // [SECTION] Update sources (where an instance gets changes of the store)
 // [SECTION] Fan-out (how many followers an instance serves)
 
@@ -34,6 +35,7 @@
 #include <boost/outcome/result.hpp>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -1490,6 +1492,144 @@
 // changed much.
 bool QuotaOnAnswer(Quota* quota, const QuotaAnswer& answer, TimeUs now);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Choosing (which target a request is sent to, and when it is refused)
+//-----------------------------------------------------------------------------
+
+// A request is sent to the first target that has a free slot at its usual pace. Targets are probed one after the other, as a probe is cheap
+// and an instance that probes many at once competes with others for the same slots; a slow probe allows one more beside it. When no target
+// is left to probe, the best acceptable one is taken. Otherwise the request waits for a slot of an own request to come free and probes
+// again, until the time for choosing is over; then it is refused. Without a path to the targets it is handed to another instance.
+//
+// A round chooses a target for one attempt: the first one, a retry or a hedge. It ends when the request is sent, handed on or refused.
+//
+// How to use it: ChooserStart() begins a round; each later event of the request is passed to one of the functions below. Carry out the
+// actions that they return, in that order, before the next event. Call ChooserStop() when the request ends otherwise.
+
+struct ChooserConfig
+{
+    TimeUs SlowProbeUs = 5 * UsPerMs;   // A probe that takes longer is slow: another target is probed as well.
+    int MaxProbes = 8;                  // Probes in one round.
+    size_t MaxOverLimit = 64;           // Targets at their rate limits that are skipped in one round: bounds the time spent on them.
+    TimeUs ReportReuseUs = 8 * UsPerMs; // A target with a younger report is not probed again.
+    TimeUs ProbeRetryUs = 20 * UsPerMs; // All targets busy: delay before probing again.
+    double MaxChooseShare = 0.2;        // Part of a route's latency objective that a round may take.
+    int MaxUnprobedFactor = 2;          // Where targets report no load: bounds own requests at one target, as a multiple of its slots.
+};
+
+enum Choosing_ : int
+{
+    Choosing_None,  // No target is being chosen.
+    Choosing_First, // For the first attempt, or for a retry after a failed one.
+    Choosing_Hedge, // For a hedged request: no waiting for busy targets.
+    Choosing_COUNT,
+};
+
+// A request counted against a target's rate limit, see QuotaTakeTarget().
+struct LimitGrant
+{
+    uint64_t IncarnationId = 0; // Id of the target's incarnation, see TargetIncarnationId(); 0 if the request is not counted.
+    TimeUs TakenUs = 0;         // Time at which it was counted.
+};
+
+// State of choosing for one request. Probes may outlast the round that sent them; their answers then count in the next one.
+struct Chooser
+{
+    Choosing_ Kind = Choosing_None;
+    bool Waiting = false;               // All targets were busy; it probes again after ChooserConfig::ProbeRetryUs.
+    TimeUs DeadlineUs = 0;              // End of the time for choosing.
+    std::vector<std::string> Probed;    // Targets considered since the round began or probed again.
+    std::vector<std::string> OverLimit; // Of these, targets skipped because they are at their rate limits.
+    std::vector<LimitGrant> Grants;     // Taken for candidate targets; the caller returns those not used.
+    int ProbesInFlight = 0;             // Probes that await an answer.
+    int ProbeCount = 0;                 // Probes in all rounds.
+    int ProbeCountBefore = 0;           // Value of ProbeCount when this round began.
+    int MaxConcurrentProbes = 1;        // Grows by one for each slow probe.
+};
+
+// What is known of a request.
+struct ChooserRequest
+{
+    TimeUs ArrivedUs = 0;
+    TimeUs LatencyObjectiveUs = 0;                    // Time after its arrival within which an answer is good.
+    TimeUs DeadlineUs = 0;                            // When the caller stops waiting.
+    double WorkUs = 0;                                // Usual duration at a target of cost 1; 0 if unknown.
+    int Priority = 0;                                 // 0 is the most urgent.
+    bool Retryable = false;                           // It may be run more than once.
+    bool Sent = false;                                // An attempt is in flight, or a target may have run it.
+    bool TakenFromPeer = false;                       // Another instance has handed it on.
+    bool MayProbe = true;                             // Targets of its service have a health path.
+    int ConnectionsMax = 0;                           // Maximum connections to one target; 0: no limit.
+    ContactCounts Contacts = {};                      // Outcomes of its probes and attempts.
+    const std::vector<std::string>* SentTo = nullptr; // Targets to which it was sent.
+};
+
+// A round's view of the request and of the instance, made for each event.
+struct ChooserView
+{
+    const ChooserConfig* Config = nullptr;
+    ChooserRequest Request;
+    TargetPool* Pool = nullptr;            // Targets of its service.
+    TargetPath* Path = nullptr;            // To these targets.
+    Quota* TargetLimits = nullptr;         // Rate limits set by targets.
+    uint64_t* OverLimitCount = nullptr;    // Counter: targets skipped because they were at their rate limits.
+    Random* Rng = nullptr;                 // Random numbers.
+    std::function<bool()> Admit;           // Called before targets are considered. False: the request was refused and has ended.
+    std::function<std::string()> PickPeer; // Address of the instance to hand the request to; empty if it can't be handed on.
+};
+
+enum ChooseAction_ : int
+{
+    ChooseAction_None,
+    ChooseAction_Probe,   // Probe Target, and call ChooserSlowProbe() after DelayUs in place of any earlier such call.
+    ChooseAction_Send,    // Send the request to Target.
+    ChooseAction_Wait,    // Call ChooserRetry() after DelayUs, unless the round stops waiting before.
+    ChooseAction_HandOff, // Hand the request to the instance Peer.
+    ChooseAction_Refuse,  // No target was found. The request is refused with Code, unless there is an attempt or its answer to wait for.
+    ChooseAction_COUNT,
+};
+
+struct ChooseAction
+{
+    ChooseAction_ Kind = ChooseAction_None;
+    PoolTarget* Target = nullptr; // Valid until the pool is synchronised.
+    std::string Peer;
+    TimeUs DelayUs = 0;
+    Code_ Code = Code_None;
+    const char* Detail = ""; // Reason for the refusal, for the log.
+};
+
+// Probe actions, then at most one of another kind.
+using ChooseActions = std::vector<ChooseAction>;
+
+// Begins a round.
+ChooseActions ChooserStart(Chooser* chooser, Choosing_ kind, const ChooserView& view, TimeUs now);
+
+// A probe of this request has ended; its report is in the pool. To be called for each probe, also after the round.
+ChooseActions ChooserProbed(Chooser* chooser, const ChooserView& view, const std::string& target, bool answered, TimeUs now);
+
+// The last probe is slow.
+ChooseActions ChooserSlowProbe(Chooser* chooser, const ChooserView& view, TimeUs now);
+
+// The delay of a ChooseAction_Wait is over.
+ChooseActions ChooserRetry(Chooser* chooser, const ChooserView& view, TimeUs now);
+
+// A slot of the target has come free, and ChooserMostUrgent() has picked this request.
+ChooseActions ChooserSlotFree(Chooser* chooser, const ChooserView& view, const std::string& target, TimeUs now);
+
+// The state of the path to the targets has changed.
+ChooseActions ChooserPathChanged(Chooser* chooser, const ChooserView& view, TimeUs now);
+
+// The round ends without an action: the request has ended, or something else decides what becomes of it.
+void ChooserStop(Chooser* chooser);
+
+// Index of the waiting request that a free slot of the target goes to; none if it was sent there already. `waiting` is in the order in
+// which the requests began to wait. The most urgent gets the slot; among equals, the one that has waited longest.
+std::optional<size_t> ChooserMostUrgent(const std::vector<ChooserRequest>& waiting, const std::string& target);
+
+// Whether most contacts of a request with targets failed: it was not served for lack of a path, not of free slots.
+bool ChooserUnreached(const TargetPath& path, const ContactCounts& contacts, TimeUs now);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Update sources (where an instance gets changes of the store)
 //-----------------------------------------------------------------------------
