Choosing: a state machine of the library

The round of choosing (whom to probe next, take, wait, hand on, refuse and with which code, hedge) stood in requests/choose.cpp among sockets and timers, so that no test could reach it without a network. It is now winchlink_choose.cpp: Chooser, events in, actions out, no clock. choose.cpp sends the probes, starts the timers and carries the actions out. ForwardConfig's constants of choosing are ChooserConfig; HandOff() is PickPeer() and HandOffTo(), so that the machine asks for a peer where it did before, and draws the same random numbers.

Weighed: one action at a time, with a call for the next one (needs a phase between the path's check and the admission); callbacks only for what has an effect at that point, the admission and the pick of a peer.

--- a/requests/attempt.cpp
+++ b/requests/attempt.cpp
@@ -252,9 +252,9 @@
     {
         return; // The other attempt is still in flight.
     }
-    if (call->Choosing != Choosing_None)
+    if (call->Round.Kind != Choosing_None)
     {
-        call->Choosing = Choosing_First; // No attempt is left beside the hedge being prepared: it becomes a retry.
+        call->Round.Kind = Choosing_First; // No attempt is left beside the hedge being prepared: it becomes a retry.
         return;
     }
     if (CanRetry(call, answer))
@@ -401,7 +401,7 @@
 static void OnSlowAttempt(const CallPtr& call)
 {
     call->HedgeTimer = nullptr;
-    if (call->Active.size() != 1 || call->Choosing != Choosing_None)
+    if (call->Active.size() != 1 || call->Round.Kind != Choosing_None)
     {
         return;
     }
@@ -431,7 +431,7 @@
 
 void StartAttempt(const CallPtr& call, const Attempt& attempt)
 {
-    call->Choosing = Choosing_None;
+    ChooserStop(&call->Round);
     call->Active.push_back(attempt);
     if (call->Active.size() == 1)
     {
@@ -457,11 +457,11 @@
 
 void ReturnGrants(Call* call)
 {
-    for (const LimitGrant& grant : call->Grants)
+    for (const LimitGrant& grant : call->Round.Grants)
     {
         QuotaRefund(&call->Owner->TargetLimits, grant.IncarnationId, grant.TakenUs);
     }
-    call->Grants.clear();
+    call->Round.Grants.clear();
 }
 
 // Takes the grant for the target and returns the others.
@@ -472,11 +472,11 @@
     {
         return grant.IncarnationId == target.IncarnationId;
     };
-    const auto found = std::find_if(call->Grants.begin(), call->Grants.end(), is_for);
-    if (found != call->Grants.end())
+    const auto found = std::find_if(call->Round.Grants.begin(), call->Round.Grants.end(), is_for);
+    if (found != call->Round.Grants.end())
     {
         taken = *found;
-        call->Grants.erase(found);
+        call->Round.Grants.erase(found);
     }
     ReturnGrants(call);
     return taken;
--- a/requests/call.h
+++ b/requests/call.h
@@ -66,26 +66,18 @@
     TimeUs QuotaTakenUs = 0;               // Time at which it was counted against its customer's quota; 0 if it was not.
     TimeUs CallerDeadlineUs = 0;           // Deadline named by the caller; retry advice stays within it.
     TimeUs DeadlineUs = 0;                 // Deadline of this call: the earlier of the caller's deadline and the route's timeout.
-    TimeUs ChooseDeadlineUs = 0;           // End of the time for choosing a target.
     bool Retryable = false;                // The request may be run more than once.
     bool AdmissionDue = true;              // It is not counted here yet, see AdmitHere().
     bool Ended = false;                    // The caller was answered, or has gone.
-    Choosing_ Choosing = Choosing_None;
-    int AttemptsMax = 1;                // Targets that it may be sent to, including those of other instances.
-    std::vector<std::string> Probed;    // Targets considered in this round of choosing.
-    std::vector<std::string> SentTo;    // Targets to which the request was sent.
-    std::vector<std::string> OverLimit; // Targets skipped in this round because they are at their rate limits.
-    std::vector<LimitGrant> Grants;     // Taken for candidate targets; those not used are returned.
-    int ProbesInFlight = 0;             // Probes that await an answer.
-    int ProbeCount = 0;                 // Probes so far, for all attempts.
-    int ProbeCountBefore = 0;           // Value of ProbeCount when this round began.
-    ContactCounts Contacts = {};        // Outcomes of its probes and attempts.
-    int MaxConcurrentProbes = 1;        // Grows by one for each slow probe.
-    std::vector<Attempt> Active;        // Attempts in flight: at most the first one and its hedge.
-    Attempt LastAttempt;                // The attempt that ended last; for the log.
-    int Attempts = 0;                   // Attempts that reached, or may have reached, a target.
-    TimeUs RetryTakenUs = 0;            // Time at which a retry was taken from the budget for an attempt that has not begun; 0 if none.
-    int MayHaveRun = 0;                 // Ended attempts that a target may have run.
+    Chooser Round;                         // Choosing a target for the next attempt.
+    int AttemptsMax = 1;                   // Targets that it may be sent to, including those of other instances.
+    std::vector<std::string> SentTo;       // Targets to which the request was sent.
+    ContactCounts Contacts = {};           // Outcomes of its probes and attempts.
+    std::vector<Attempt> Active;           // Attempts in flight: at most the first one and its hedge.
+    Attempt LastAttempt;                   // The attempt that ended last; for the log.
+    int Attempts = 0;                      // Attempts that reached, or may have reached, a target.
+    TimeUs RetryTakenUs = 0;               // Time at which a retry was taken from the budget for an attempt that has not begun; 0 if none.
+    int MayHaveRun = 0;                    // Ended attempts that a target may have run.
     std::optional<ClientAnswer> FailedAnswer; // Error response of a target; relayed if no other attempt succeeds.
     TimeUs RetryAfterUs = 0;                  // Retry-After sent with a refusal; for the log.
     Timer DeadlineTimer;                      // Fires at DeadlineUs; before there is a plan, when FirstPlanUs ends.
@@ -199,6 +191,10 @@
 // Hands the request to another instance. Returns false if it may not be handed on, or if nobody is left to take it.
 bool HandOff(const CallPtr& call);
 
+// The same in two parts: the address of the instance, empty if there is none, and the offer to it.
+std::string PickPeer(const CallPtr& call);
+void HandOffTo(const CallPtr& call, const std::string& address);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Path to the targets (target_path.cpp)
 //-----------------------------------------------------------------------------
--- a/requests/forward.cpp
+++ b/requests/forward.cpp
@@ -59,12 +59,12 @@
            {"takenFrom", call.TakenFrom ? call.TakenFrom->From : ""},
            {"status", status},
            {"attempts", call.Attempts},
-           {"asked", call.ProbeCount},
+           {"asked", call.Round.ProbeCount},
            {"refused", call.Contacts[ContactEnd_Refused]},
            {"reset", call.Contacts[ContactEnd_Reset]},
            {"silent", call.Contacts[ContactEnd_Silent]},
            {"path", call.Service != nullptr ? TargetPathStateName(call.Service->Path.State) : ""},
-           {"overLimit", static_cast<int>(call.OverLimit.size())},
+           {"overLimit", static_cast<int>(call.Round.OverLimit.size())},
            {"targets", call.Service != nullptr ? static_cast<int>(call.Service->Pool.Targets.size()) : 0},
            {"running", last.Report.Running},
            {"waiting", last.Report.Waiting},
@@ -81,7 +81,7 @@
 {
     assert(!call->Ended && "the call has ended already");
     call->Ended = true;
-    call->Choosing = Choosing_None;
+    ChooserStop(&call->Round);
     call->DeadlineTimer = nullptr;
     call->ProbeRetryTimer = nullptr;
     call->SlowProbeTimer = nullptr;
@@ -145,7 +145,7 @@
 static TimeUs LimitWaitUs(const Call& call)
 {
     double per_us = 0;
-    for (const std::string& id : call.OverLimit)
+    for (const std::string& id : call.Round.OverLimit)
     {
         const PoolTarget* target = PoolFind(&call.Service->Pool, id);
         const TimeUs turn = target != nullptr ? QuotaTargetInterval(call.Owner->TargetLimits, target->IncarnationId) : 0;
--- a/requests/forward.h
+++ b/requests/forward.h
@@ -20,13 +20,7 @@
 
 struct ForwardConfig
 {
-    TimeUs SlowProbeUs = 5 * UsPerMs;       // A probe that takes longer is slow: another target is probed as well.
-    int MaxProbes = 8;                      // Probes for one attempt.
-    size_t MaxOverLimit = 64;               // Targets at their rate limits that are skipped for one attempt: bounds the time spent on them.
-    TimeUs ReportReuseUs = 8 * UsPerMs;     // A target with a younger report is not probed again.
-    TimeUs ProbeRetryUs = 20 * UsPerMs;     // All targets busy: delay before probing again.
-    double MaxChooseShare = 0.2;            // Part of a route's latency objective that choosing a target may take.
-    int MaxUnprobedFactor = 2;              // Where targets report no load: bounds own requests at one target, as a multiple of its slots.
+    ChooserConfig Choosing;                 // See Chooser.
     TimeUs ConnectUs = 250 * UsPerMs;       // Timeout for connecting to a target.
     double MaxRetryAfterShare = 0.5;        // Upper bound of Retry-After, as a part of the caller's remaining time.
     TimeUs UnhealthyRetryUs = 50 * UsPerMs; // Retry-After where a target refused although it had free slots.
--- a/requests/handoff.cpp
+++ b/requests/handoff.cpp
@@ -156,7 +156,7 @@
     ReturnGrants(call);
 }
 
-static void Offer(const CallPtr& call, const std::string& address)
+void HandOffTo(const CallPtr& call, const std::string& address)
 {
     const TimeUs now = NowUs();
     ReleaseCounts(call.get());
@@ -177,7 +177,7 @@
     StartAttempt(call, attempt);
 }
 
-bool HandOff(const CallPtr& call)
+std::string PickPeer(const CallPtr& call)
 {
     Forwarder* forwarder = call->Owner;
     const TimeUs now = NowUs();
@@ -185,14 +185,19 @@
                          call->Attempts < call->AttemptsMax && LeftUs(*call, now) > 0;
     if (!allowed || forwarder->PeerCalls == nullptr || IsQuarantined(call.get()) || !IsKeyValid(*call))
     {
-        return false;
+        return "";
     }
-    const std::string address = PeersPick(forwarder->Others, call->ServiceName, call->PeersTried, now, forwarder->Rng);
+    return PeersPick(forwarder->Others, call->ServiceName, call->PeersTried, now, forwarder->Rng);
+}
+
+bool HandOff(const CallPtr& call)
+{
+    const std::string address = PickPeer(call);
     if (address.empty())
     {
         return false;
     }
-    Offer(call, address);
+    HandOffTo(call, address);
     return true;
 }
 
@@ -274,7 +279,7 @@
 static void OfferAgain(const CallPtr& call, const Attempt& attempt)
 {
     call->RetryTakenUs = attempt.RetryTakenUs;
-    if (call->Choosing != Choosing_None)
+    if (call->Round.Kind != Choosing_None)
     {
         return; // A hedge is being prepared already.
     }
--- a/requests/quarantined_calls.cpp
+++ b/requests/quarantined_calls.cpp
@@ -157,7 +157,7 @@
 // Whether a recent load report shows that the target was alive when the request was sent. Otherwise it may have crashed before.
 static bool WasAliveWhenSent(const Forwarder& forwarder, const Attempt& attempt)
 {
-    return attempt.ReportUs > 0 && attempt.SentUs - attempt.ReportUs <= forwarder.Config.ReportReuseUs;
+    return attempt.ReportUs > 0 && attempt.SentUs - attempt.ReportUs <= forwarder.Config.Choosing.ReportReuseUs;
 }
 
 static void RecordSilent(Forwarder* forwarder, const std::string& request, const Attempt& attempt)
--- a/requests/target_path.cpp
+++ b/requests/target_path.cpp
@@ -39,10 +39,7 @@
 
 bool IsMostlyUnreached(const Call& call)
 {
-    const ContactCounts& contacts = call.Contacts;
-    const int answered = contacts[ContactEnd_Answered];
-    const bool resets_count = TargetPathResetsCount(call.Service->Path, NowUs());
-    return resets_count ? FailedContacts(contacts) > answered : UnreachedContacts(contacts) > answered + contacts[ContactEnd_Reset];
+    return ChooserUnreached(call.Service->Path, call.Contacts, NowUs());
 }
 
 // A random target that may be contacted, other than those of `except`, if possible one that has not failed; null if there is none.
--- a/tests/customers_test.cpp
+++ b/tests/customers_test.cpp
@@ -400,7 +400,7 @@
         ServeWaiting(&service, "t");
         for (const CallPtr& call : waiting)
         {
-            if (call && call->Choosing == Choosing_None)
+            if (call && call->Round.Kind == Choosing_None)
             {
                 CPPUNIT_ASSERT_EQUAL(std::string("ben"), call->KeyOwner->Name);
                 return;
--- a/tests/pool_model.h
+++ b/tests/pool_model.h
@@ -9,7 +9,7 @@
 namespace Winchlink
 {
 
-inline constexpr size_t ModelProbesMax = 8; // Equal to the limit in ForwardConfig.
+inline constexpr size_t ModelProbesMax = 8; // Equal to ChooserConfig::MaxProbes.
 
 struct PoolProbes
 {
--- /dev/null
+++ b/winchlink_choose.cpp
@@ -0,0 +1,455 @@
+// winchlink_choose.cpp: chooses the target of a request: a state machine of probes, their answers and timers.
+//
+// Index of this file:
+// [SECTION] Actions
+// [SECTION] Checks on a target
+// [SECTION] End of the search
+// [SECTION] Search
+// [SECTION] Events
+// [SECTION] Waiting requests
+
+#include "winchlink.h"
+
+#include <algorithm>
+
+namespace Winchlink
+{
+
+//-----------------------------------------------------------------------------
+// [SECTION] Actions
+//-----------------------------------------------------------------------------
+
+// One event: its time, and the actions that result from it.
+struct Step
+{
+    Chooser* Round;
+    const ChooserView& View;
+    TimeUs Now;
+    ChooseActions Actions;
+};
+
+static ChooseAction* AddAction(Step* step, ChooseAction_ kind)
+{
+    step->Actions.emplace_back();
+    step->Actions.back().Kind = kind;
+    return &step->Actions.back();
+}
+
+static void Probe(Step* step, PoolTarget* target)
+{
+    step->Round->ProbesInFlight++;
+    step->Round->ProbeCount++;
+    ChooseAction* action = AddAction(step, ChooseAction_Probe);
+    action->Target = target;
+    action->DelayUs = step->View.Config->SlowProbeUs;
+}
+
+static void Send(Step* step, PoolTarget* target)
+{
+    ChooserStop(step->Round);
+    AddAction(step, ChooseAction_Send)->Target = target;
+}
+
+static void Wait(Step* step)
+{
+    step->Round->Waiting = true;
+    AddAction(step, ChooseAction_Wait)->DelayUs = step->View.Config->ProbeRetryUs;
+}
+
+// Returns false if there is no instance to hand the request to.
+static bool HandOff(Step* step)
+{
+    std::string peer = step->View.PickPeer();
+    if (peer.empty())
+    {
+        return false;
+    }
+    ChooserStop(step->Round);
+    AddAction(step, ChooseAction_HandOff)->Peer = std::move(peer);
+    return true;
+}
+
+static void Refuse(Step* step, Code_ code, const char* detail)
+{
+    ChooserStop(step->Round);
+    ChooseAction* action = AddAction(step, ChooseAction_Refuse);
+    action->Code = code;
+    action->Detail = detail;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Checks on a target
+//-----------------------------------------------------------------------------
+
+static bool Contains(const std::vector<std::string>& ids, const std::string& id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+// Whether this instance may open one more connection to the target.
+static bool MayConnect(const Step& step, const PoolTarget& target)
+{
+    const int max = step.View.Request.ConnectionsMax;
+    return max == 0 || target.InFlight < max;
+}
+
+// Counts the request against the target's rate limit, if it has set one; once in a round. Returns false if the limit is reached.
+static bool TakeLimit(Step* step, const PoolTarget& target)
+{
+    Chooser* round = step->Round;
+    const ChooserView& view = step->View;
+    const auto holds = [&target](const LimitGrant& grant)
+    {
+        return grant.IncarnationId == target.IncarnationId;
+    };
+    if (QuotaTargetLimit(*view.TargetLimits, target.IncarnationId) == nullptr ||
+        std::any_of(round->Grants.begin(), round->Grants.end(), holds))
+    {
+        return true;
+    }
+    if (Contains(round->OverLimit, target.Id))
+    {
+        return false;
+    }
+    if (QuotaTakeTarget(view.TargetLimits, target.IncarnationId, step->Now, view.Rng))
+    {
+        round->Grants.push_back({target.IncarnationId, step->Now});
+        return true;
+    }
+    (*view.OverLimitCount)++;
+    round->OverLimit.push_back(target.Id);
+    return false;
+}
+
+static bool HasCapacity(Step* step, const PoolTarget& target)
+{
+    const TargetPool& pool = *step->View.Pool;
+    const bool usable = PoolMayUse(target, step->Now) && PoolHasFreeSlot(pool, target) && PoolMaySendCold(pool, target, step->Now) &&
+                        MayConnect(*step, target);
+    return usable && TakeLimit(step, target);
+}
+
+// Whether a target is good enough to be chosen without probing others.
+static bool IsGood(Step* step, const PoolTarget& target)
+{
+    const TargetPool& pool = *step->View.Pool;
+    return PoolCost(pool, target, step->Now) <= pool.Config.GoodCost && HasCapacity(step, target);
+}
+
+// Whether a target of that cost is expected to answer in time. Before the first attempt that is the route's latency objective, as a refused
+// request may still be served elsewhere in time; after it, the deadline.
+static bool MeetsDeadline(const Step& step, double cost)
+{
+    const ChooserRequest& request = step.View.Request;
+    const TimeUs end = request.Sent ? request.DeadlineUs : request.ArrivedUs + request.LatencyObjectiveUs;
+    return cost * request.WorkUs < static_cast<double>(end - step.Now);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] End of the search
+//-----------------------------------------------------------------------------
+
+// The target of lowest cost among those considered in this round that have capacity and a recent report; null if there is none.
+static PoolTarget* BestProbed(Step* step)
+{
+    TargetPool* pool = step->View.Pool;
+    PoolTarget* best = nullptr;
+    for (const std::string& id : step->Round->Probed)
+    {
+        PoolTarget* target = PoolFind(pool, id);
+        const bool has_report = target != nullptr && target->ReportUs > 0 && step->Now < target->ReportUs + pool->Config.ReportMaxAgeUs;
+        const bool usable = has_report && HasCapacity(step, *target);
+        if (usable && (best == nullptr || PoolCost(*pool, *target, step->Now) < PoolCost(*pool, *best, step->Now)))
+        {
+            best = target;
+        }
+    }
+    return best;
+}
+
+// Whether all candidates are at their rate limits, or all targets have asked for backoff: waiting for a free slot would be useless.
+static bool AllLimited(const Step& step)
+{
+    const Chooser& round = *step.Round;
+    const bool all_over_limit = !round.OverLimit.empty() && round.OverLimit.size() == round.Probed.size();
+    return all_over_limit || (round.Probed.empty() && PoolBackoffEnds(*step.View.Pool, step.Now));
+}
+
+// No more targets may be probed and none is good: takes the best acceptable one, waits and probes again, or gives up.
+static void Decide(Step* step)
+{
+    const ChooserView& view = step->View;
+    const Chooser& round = *step->Round;
+    PoolTarget* best = BestProbed(step);
+    const bool in_time = best != nullptr && MeetsDeadline(*step, PoolCost(*view.Pool, *best, step->Now));
+    const bool acceptable = in_time && PoolIsAcceptable(*view.Pool, *best, step->Now);
+    const bool limited = AllLimited(*step);
+    const bool time_left = step->Now + view.Config->ProbeRetryUs < round.DeadlineUs;
+    const bool may_wait = !view.Pool->Targets.empty() && !limited && round.Kind == Choosing_First && time_left;
+    const bool unreached = !limited && ChooserUnreached(*view.Path, view.Request.Contacts, step->Now);
+    if (!acceptable && unreached && HandOff(step))
+    {
+        return;
+    }
+    if (acceptable || (in_time && !may_wait))
+    {
+        Send(step, best);
+        return;
+    }
+    if (may_wait)
+    {
+        Wait(step);
+        return;
+    }
+    const Code_ code = limited                 ? Code_TargetsLimited
+                       : unreached             ? Code_TargetsUnreachable
+                       : round.ProbeCount == 0 ? Code_NoTargetLeft
+                                               : Code_TargetsBusy;
+    Refuse(step, code, best != nullptr ? "too slow" : "");
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Search
+//-----------------------------------------------------------------------------
+
+// The best target that is not at its rate limit; null if there is none.
+static PoolTarget* NextUnprobed(Step* step)
+{
+    const ChooserView& view = step->View;
+    for (;;)
+    {
+        std::vector<std::string> passed = *view.Request.SentTo;
+        passed.insert(passed.end(), step->Round->OverLimit.begin(), step->Round->OverLimit.end());
+        PoolTarget* target = PoolNextUnprobed(view.Pool, passed, !view.Request.Retryable, step->Now, view.Rng);
+        if (target == nullptr || TakeLimit(step, *target))
+        {
+            return target;
+        }
+    }
+}
+
+// Targets that report no load are not probed: a request to their health path might have to wait for a slot. Chooses by the load that this
+// instance itself has put on them.
+static void SendUnprobed(Step* step)
+{
+    const ChooserView& view = step->View;
+    PoolTarget* target = NextUnprobed(step);
+    const bool full = target != nullptr && target->InFlight >= view.Config->MaxUnprobedFactor * target->Slots;
+    const bool cold = target != nullptr && !PoolMaySendCold(*view.Pool, *target, step->Now);
+    if (target == nullptr || full || cold || !MayConnect(*step, *target))
+    {
+        const bool limited = !step->Round->OverLimit.empty() || PoolBackoffEnds(*view.Pool, step->Now);
+        const Code_ none = limited ? Code_TargetsLimited : Code_NoTargetLeft;
+        Refuse(step, target == nullptr ? none : Code_TargetsBusy, "targets report no load");
+        return;
+    }
+    Send(step, target);
+}
+
+// Handles a request whose targets can't be reached from here: hands it on, or refuses it at once. Returns false if targets are to be tried
+// here.
+static bool HandleWithoutPath(Step* step)
+{
+    const ChooserView& view = step->View;
+    const TargetPathState_ state = TargetPathNow(view.Path, step->Now);
+    if (state == TargetPathState_Open)
+    {
+        return false;
+    }
+    step->Round->Waiting = false;
+    if (HandOff(step))
+    {
+        return true;
+    }
+    const bool others_may_serve = view.Request.TakenFromPeer && state == TargetPathState_Lost;
+    if (!TargetPathIsCertain(*view.Path) && !others_may_serve)
+    {
+        return false;
+    }
+    Refuse(step, Code_TargetsUnreachable, "");
+    return true;
+}
+
+// The next target to consider: neither considered in this round nor sent the request already. Null if none is left.
+static PoolTarget* NextCandidate(const Step& step)
+{
+    const ChooserRequest& request = step.View.Request;
+    std::vector<std::string> passed = step.Round->Probed;
+    passed.insert(passed.end(), request.SentTo->begin(), request.SentTo->end());
+    return PoolNext(step.View.Pool, passed, !request.Retryable, step.Now);
+}
+
+static bool MayProbeMore(const Step& step)
+{
+    const Chooser& round = *step.Round;
+    return round.ProbesInFlight < round.MaxConcurrentProbes && round.ProbeCount - round.ProbeCountBefore < step.View.Config->MaxProbes;
+}
+
+// Considers candidates until one is good or no more may be probed now.
+static void ProbeMore(Step* step)
+{
+    Chooser* round = step->Round;
+    const ChooserConfig& config = *step->View.Config;
+    while (step->Now < round->DeadlineUs && round->OverLimit.size() < config.MaxOverLimit)
+    {
+        PoolTarget* next = NextCandidate(*step);
+        const bool known = next != nullptr && next->ReportUs > 0 && step->Now < next->ReportUs + config.ReportReuseUs;
+        if (next == nullptr || (!known && !MayProbeMore(*step)))
+        {
+            break;
+        }
+        round->Probed.push_back(next->Id);
+        if (!TakeLimit(step, *next))
+        {
+            continue; // A target at its rate limit is not probed either.
+        }
+        if (!known && MayConnect(*step, *next))
+        {
+            Probe(step, next);
+        }
+        else if (known && IsGood(step, *next))
+        {
+            Send(step, next);
+            return;
+        }
+    }
+    if (round->ProbesInFlight == 0)
+    {
+        Decide(step);
+    }
+}
+
+// Goes on with the round, if there is one.
+static void Continue(Step* step)
+{
+    if (step->Round->Kind == Choosing_None || HandleWithoutPath(step))
+    {
+        return;
+    }
+    if (!step->View.Admit())
+    {
+        ChooserStop(step->Round);
+        return;
+    }
+    if (!step->View.Pool->ReportsLoad || !step->View.Request.MayProbe)
+    {
+        SendUnprobed(step);
+        return;
+    }
+    ProbeMore(step);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Events
+//-----------------------------------------------------------------------------
+
+ChooseActions ChooserStart(Chooser* chooser, Choosing_ kind, const ChooserView& view, TimeUs now)
+{
+    const double share = view.Config->MaxChooseShare;
+    chooser->Kind = kind;
+    chooser->Probed.clear();
+    chooser->OverLimit.clear();
+    chooser->ProbeCountBefore = chooser->ProbeCount;
+    chooser->MaxConcurrentProbes = 1;
+    chooser->DeadlineUs = now + static_cast<TimeUs>(share * static_cast<double>(view.Request.LatencyObjectiveUs));
+    Step step = {chooser, view, now, {}};
+    Continue(&step);
+    return step.Actions;
+}
+
+ChooseActions ChooserProbed(Chooser* chooser, const ChooserView& view, const std::string& target, bool answered, TimeUs now)
+{
+    Step step = {chooser, view, now, {}};
+    chooser->ProbesInFlight--;
+    if (chooser->Kind == Choosing_None || chooser->Waiting)
+    {
+        return {};
+    }
+    PoolTarget* found = PoolFind(view.Pool, target);
+    const bool has_report = found != nullptr && answered && found->ReportUs > 0;
+    if (has_report && IsGood(&step, *found))
+    {
+        Send(&step, found);
+    }
+    else
+    {
+        Continue(&step);
+    }
+    return step.Actions;
+}
+
+ChooseActions ChooserSlowProbe(Chooser* chooser, const ChooserView& view, TimeUs now)
+{
+    if (chooser->Kind == Choosing_None || chooser->Waiting)
+    {
+        return {};
+    }
+    chooser->MaxConcurrentProbes++; // The probed target may hang.
+    Step step = {chooser, view, now, {}};
+    Continue(&step);
+    return step.Actions;
+}
+
+ChooseActions ChooserRetry(Chooser* chooser, const ChooserView& view, TimeUs now)
+{
+    chooser->Waiting = false;
+    if (now < chooser->DeadlineUs)
+    {
+        chooser->Probed.clear();
+        chooser->OverLimit.clear();
+    }
+    Step step = {chooser, view, now, {}};
+    Continue(&step);
+    return step.Actions;
+}
+
+ChooseActions ChooserSlotFree(Chooser* chooser, const ChooserView& view, const std::string& target, TimeUs now)
+{
+    Step step = {chooser, view, now, {}};
+    PoolTarget* found = PoolFind(view.Pool, target);
+    if (chooser->Waiting && found != nullptr && found->ReportUs > 0 && IsGood(&step, *found))
+    {
+        Send(&step, found);
+    }
+    return step.Actions;
+}
+
+ChooseActions ChooserPathChanged(Chooser* chooser, const ChooserView& view, TimeUs now)
+{
+    Step step = {chooser, view, now, {}};
+    Continue(&step);
+    return step.Actions;
+}
+
+void ChooserStop(Chooser* chooser)
+{
+    chooser->Kind = Choosing_None;
+    chooser->Waiting = false;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Waiting requests
+//-----------------------------------------------------------------------------
+
+std::optional<size_t> ChooserMostUrgent(const std::vector<ChooserRequest>& waiting, const std::string& target)
+{
+    std::optional<size_t> first;
+    for (size_t n = 0; n < waiting.size(); n++)
+    {
+        const bool already_tried = Contains(*waiting[n].SentTo, target);
+        if (!already_tried && (!first || waiting[n].Priority < waiting[*first].Priority))
+        {
+            first = n;
+        }
+    }
+    return first;
+}
+
+bool ChooserUnreached(const TargetPath& path, const ContactCounts& contacts, TimeUs now)
+{
+    const int answered = contacts[ContactEnd_Answered];
+    const bool resets_count = TargetPathResetsCount(path, now);
+    return resets_count ? FailedContacts(contacts) > answered : UnreachedContacts(contacts) > answered + contacts[ContactEnd_Reset];
+}
+
+} // namespace Winchlink
