Peers: draw peers of a data centre for messages, list the other data centres

Load knowledge is asked of peers of the own data centre, the room of others of one peer there. PeersDraw() names a bounded random number: those heard within two news intervals and not failed first, those that can't be reached now never.

--- a/winchlink.h
+++ b/winchlink.h
@@ -812,6 +812,7 @@
     TimeUs NewsMinUs = 800 * UsPerMs;      // Time until a source is told for the second time; doubles each time,
     TimeUs NewsMaxUs = 30 * UsPerSecond;   // up to this.
     TimeUs ExpiryUs = 120 * UsPerSecond;   // A peer that has not been heard of for this long is removed.
+    TimeUs RecentUs = 60 * UsPerSecond;    // One that was heard within this time is drawn first: twice the longest time between news.
     TimeUs KnownGoodUs = 30 * UsPerSecond; // A peer that has taken a request is preferred for this long,
     int KnownGoodInFlightMax = 4;          // while it has fewer requests of this instance in progress,
     int KnownGoodMin = 8;                  // and once so many are known: until then others are tried too, so that the load is shared.
@@ -888,6 +889,13 @@
 // tried. Among equals, of two drawn at random the one with fewer requests.
 std::string PeersPick(const Peers& peers, const std::string& service, const std::vector<std::string>& passed, TimeUs now, Random* random);
 
+// Up to `count` peers of a data centre, drawn at random, for messages that need no certain answer. Those that were heard recently and have
+// not failed since come first; those that can't be reached now are left out.
+std::vector<std::string> PeersDraw(const Peers& peers, uint16_t data_centre, size_t count, TimeUs now, Random* random);
+
+// The other data centres in which peers are known, in ascending order.
+std::vector<uint16_t> PeersDataCentres(const Peers& peers);
+
 // Whether PeersPick() would find a peer.
 bool PeersAny(const Peers& peers, const std::string& service, TimeUs now);
 
--- a/winchlink_peers.cpp
+++ b/winchlink_peers.cpp
@@ -272,6 +272,35 @@
     return load(first->second) <= load(second->second) ? first->first : second->first;
 }
 
+std::vector<std::string> PeersDraw(const Peers& peers, uint16_t data_centre, size_t count, TimeUs now, Random* random)
+{
+    std::vector<std::string> recent;
+    std::vector<std::string> others;
+    for (const auto& [address, peer] : peers.Known)
+    {
+        if (peer.DataCentre == data_centre && now >= peer.UnusableUntilUs && !IsExpired(peers, peer, now))
+        {
+            const bool is_recent = peer.FailedUs == 0 && now < peer.HeardUs + peers.Config.RecentUs;
+            (is_recent ? recent : others).push_back(address);
+        }
+    }
+    std::vector<std::string> drawn;
+    std::sample(recent.begin(), recent.end(), std::back_inserter(drawn), count, *random);
+    std::sample(others.begin(), others.end(), std::back_inserter(drawn), count - drawn.size(), *random);
+    return drawn;
+}
+
+std::vector<uint16_t> PeersDataCentres(const Peers& peers)
+{
+    std::set<uint16_t> others;
+    for (const auto& entry : peers.Known)
+    {
+        others.insert(entry.second.DataCentre);
+    }
+    others.erase(peers.DataCentre);
+    return {others.begin(), others.end()};
+}
+
 std::vector<PeerUpdate> PeersRecommend(const Peers& peers, TimeUs now, Random* random)
 {
     std::vector<PeerUpdate> good;
