Pool: reports of other instances rank targets; library part of shared load

The knowledge of neighbours is kept beside the target's own report (Told) and used by the ranking only, so that whatever is told, a target is used by its own word. An unknown target ranks at UnknownCost, the cost at which one more probe is worth what it costs, learnt by PoolProbed(); PoolGoodCost() ends the search there. All of it only with TargetPool::Shared; without it nothing changes.

Changed declarations: PoolSent() takes the time; PoolProbed(), PoolGoodCost(), PoolTold(), PoolKnownLoad() are new; LoadOffer() takes the target mutable, as the offered slot counts as taken; SharedRoom::Free counts free slots at an acceptable cost, as a target with one of two slots in use is never a good one.

--- a/requests/attempt.cpp
+++ b/requests/attempt.cpp
@@ -508,7 +508,7 @@
     call->Attempts++;
     call->RetryTakenUs = 0;
     attempt.Grant = TakeGrant(call.get(), *target);
-    PoolSent(&call->Service->Pool, target);
+    PoolSent(&call->Service->Pool, target, now);
     const std::string id = target->Id;
     attempt.Id = ClientSend(call->Owner->Targets, MakeRequest(call, *target, now),
                             [call, id](ClientAnswer answer) { OnAnswer(call, id, std::move(answer)); });
--- a/winchlink.h
+++ b/winchlink.h
@@ -529,6 +529,9 @@
     int SentSinceReport = 0;       // Requests that this instance sent to it since Report.
     LoadReport Report;             // The last one.
     TimeUs ReportUs = 0;           // Time of the last report; 0 if none.
+    TimeUs SentUs = 0;             // Time of the last request that this instance sent to it; 0 if none.
+    LoadReport Told;               // The last report that another instance has passed on; only ranks the target. See PoolTold().
+    TimeUs ToldUs = 0;             // Time of that report; 0 if none.
     int FailuresInRow = 0;         // Consecutive failed requests and probes.
     TimeUs AvoidUntilUs = 0;       // After failures: used only as a last resort until then.
     TimeUs AvoidUnsafeUntilUs = 0; // After failures: ranked lower until then for requests that can't be retried.
@@ -552,6 +555,7 @@
 struct PoolIndex
 {
     std::unordered_map<std::string, std::list<PoolTarget>::iterator> ById;
+    std::unordered_map<uint32_t, PoolTarget*> BySharedId;                         // See SharedTargetId().
     std::array<std::set<std::pair<int64_t, PoolTarget*>>, PoolGroupCount> Groups; // Sorted by Order.
     std::vector<PoolTarget*> Marked;
 };
@@ -570,6 +574,12 @@
     double GoodCost = 1.25;                 // A target with at most this cost is taken without further probes.
     double AcceptableCost = 2.0;            // Maximum cost of a target taken when no good one was found, see PoolIsAcceptable().
     TimeUs ReportMaxAgeUs = 150 * UsPerMs;  // Age at which a report is stale: load shifts within this time.
+    TimeUs ReportLagUs = 5 * UsPerMs;       // A request sent this long before another instance's report may not be included in it.
+    double ProbeCost = 0.06;                // Cost of one more probe, as a share of the usual time of a request.
+    double UnknownGain = 0.5;               // Speed at which TargetPool::UnknownCost follows what probes show.
+    int ToldSlotsFactor = 4;                // A report with more slots than this many times those of the directory is wrong,
+    int ToldWorkMax = 10000;                // as is one with more requests
+    int ToldPaceMax = 100000;               // or a higher pace.
     TimeUs AvoidUs = 200 * UsPerMs;         // Avoidance period after the first failure; doubles with each consecutive one.
     int AvoidDoublings = 4;                 // Maximum number of doublings.
     TimeUs AvoidUnsafeUs = 3 * UsPerSecond; // Time after a failure in which requests that can't be retried prefer other targets.
@@ -587,6 +597,8 @@
     int NearlyFullSamples = 0;     // Samples in NearlyFullFactor.
     double ReportedWork = 0;       // Moving average of the requests at one target, from load reports.
     double OwnWork = 0;            // Moving average of this instance's requests in progress, sampled at the same times.
+    bool Shared = false;           // Instances share load reports of this service: what others tell ranks targets.
+    double UnknownCost = 1.0;      // Cost at which a known target is worth as much as one more probe, see PoolProbed().
     std::unordered_map<uint64_t, TimeUs> Backoffs; // End of the backoff by IncarnationId, also of targets that are not in the pool.
     int Evacuated = 0;                             // Targets left out because their data centre is evacuated.
     uint64_t LastGeneration = 0;                   // Last PoolTarget::Generation.
@@ -602,8 +614,8 @@
 // data centres are not in the pool. For each request one new target is probed first, until every new target has had a request.
 void PoolSync(TargetPool* pool, const TargetList& listed, const std::string& data_centre, Random* random);
 
-// Records that a request was sent to the target.
-void PoolSent(TargetPool* pool, PoolTarget* target);
+// Records that a request was sent to the target. `now` is needed where load reports are shared.
+void PoolSent(TargetPool* pool, PoolTarget* target, TimeUs now = 0);
 
 // The target with that id, or null. The pointer is valid until the pool is used again.
 PoolTarget* PoolFind(TargetPool* pool, const std::string& id);
@@ -662,6 +674,29 @@
 std::optional<TimeUs> PoolBackoffEnds(const TargetPool& pool, TimeUs now);
 
 void PoolReport(PoolTarget* target, const LoadReport& report, TimeUs now);
+
+// The same for the answer to a probe. Where reports are shared, updates UnknownCost if nothing recent was known of the target.
+//
+// A search that stops at the first good target takes long when few are good. So a target of which nothing is known ranks at the cost at
+// which looking further brings as much as it costs: the mean amount by which probes of unknown targets turn out cheaper equals ProbeCost.
+// Known targets below it come first, those above it last, and a target that costs no more is good, see PoolGoodCost().
+void PoolProbed(TargetPool* pool, PoolTarget* target, const LoadReport& report, TimeUs now);
+
+// The cost up to which a target is taken without further probes: GoodCost, or more where reports are shared and few targets are cheaper.
+double PoolGoodCost(const TargetPool& pool);
+
+// Another instance passes on a report that it got `age` ago. Returns false, and ignores it, unless reports are shared, its figures are
+// plausible, it is fresh and newer than what is known. It ranks the target and nothing else: whether the target may be used, and whether it
+// has a free slot, is decided by its own answers to this instance.
+bool PoolTold(TargetPool* pool, PoolTarget* target, const LoadReport& report, TimeUs age, TimeUs now);
+
+// The latest that is known of the target's load, with the requests sent to it since, and its time; none if it is stale.
+struct KnownLoad
+{
+    LoadReport Load;
+    TimeUs AtUs = 0;
+};
+std::optional<KnownLoad> PoolKnownLoad(const TargetPool& pool, const PoolTarget& target, TimeUs now);
 void PoolFailed(const PoolConfig& config, PoolTarget* target, TimeUs now);
 void PoolSucceeded(PoolTarget* target);
 
@@ -926,8 +961,8 @@
 //    that they don't compete for it.
 //
 // Reports of others only rank targets: whether a target may be used at all (draining, evacuated, cold, limited, in backoff) is decided by
-// what this instance knows itself, and a target is probed before a request is sent there, unless the report is as young as an own one that
-// needs no probe. A wrong, late or lost message costs a probe. Nothing is sent twice, and nothing is kept for longer than a report lives.
+// what this instance knows itself, and it is probed before a request is sent there. A wrong, late or lost message costs a probe. Nothing is
+// sent twice, and nothing is kept for longer than a report lives.
 //
 // How to use it: when a probe finds a target busy, LoadAskPeers() and send LoadAsk() to these; LoadHeard() for each message, and send what
 // it returns to the sender; LoadOffer() when a slot has come free.
@@ -945,7 +980,7 @@
 {
     int Targets = 0; // Targets of the service that may be used.
     int Known = 0;   // Of these, the ones with a fresh report.
-    int Free = 0;    // Of these, the ones with a free slot at a good cost.
+    int Free = 0;    // Of these, the ones with a free slot at an acceptable cost.
 };
 
 enum LoadMessage_ : uint8_t
@@ -1013,13 +1048,13 @@
                                      uint16_t data_centre, TimeUs now, Random* random);
 
 // A slot of the target has come free, as its answer to an own request has reported: the instance to offer it to and the message, if any
-// has asked. An instance that is offered a slot is removed from those that asked.
+// has asked. An instance that is offered a slot is removed from those that asked, and the slot counts as taken here.
 struct LoadOfferTo
 {
     std::string Address;
     LoadMessage Message;
 };
-std::optional<LoadOfferTo> LoadOffer(LoadSharing* sharing, const TargetPool& pool, const PoolTarget& target, const std::string& service,
+std::optional<LoadOfferTo> LoadOffer(LoadSharing* sharing, const TargetPool& pool, PoolTarget* target, const std::string& service,
                                      uint16_t data_centre, TimeUs now);
 
 // The room that this instance sees in its own data centre.
--- a/winchlink_internal.h
+++ b/winchlink_internal.h
@@ -133,6 +133,9 @@
 // A random order value. A target's chance to have the lowest value among several targets is in proportion to its weight.
 int64_t PoolDrawOrder(const PoolTarget& target, Random* random);
 
+// The cost by which a target ranks: PoolCost(), or where reports are shared also by those of other instances and by UnknownCost.
+double PoolRankCost(const TargetPool& pool, const PoolTarget& target, TimeUs now);
+
 // Whether the target has no state that distinguishes it from others of its group, and no request of this instance in flight.
 bool PoolAtRest(const TargetPool& pool, const PoolTarget& target, TimeUs now);
 
--- a/winchlink_pick.cpp
+++ b/winchlink_pick.cpp
@@ -42,10 +42,12 @@
 
 PoolRank PoolRankOf(const TargetPool& pool, const PoolTarget& target, bool had_new, bool unsafe, TimeUs now)
 {
-    const double cost = PoolCost(pool, target, now);
+    const double cost = PoolRankCost(pool, target, now);
+    // Requests cross to another data centre only for a target that is known to be good, or when all near ones are full or slow.
+    const double limit = pool.Shared && target.Near ? pool.Config.AcceptableCost : pool.Config.GoodCost;
     const int far = target.Near ? 0 : 1;
     const int not_preferred = target.New && !had_new ? 0 : 1;
-    return {TrustRank(pool, target, unsafe, now), cost > pool.Config.GoodCost ? 2 + far : far, cost, not_preferred, target.Order};
+    return {TrustRank(pool, target, unsafe, now), cost > limit ? 2 + far : far, cost, not_preferred, target.Order};
 }
 
 // Unmarks targets that are at rest again.
--- a/winchlink_pool.cpp
+++ b/winchlink_pool.cpp
@@ -61,6 +61,30 @@
     target->SentSinceReport = 0;
 }
 
+// Follows the cost at which the mean gain of a probe equals its cost (the reservation value of an unknown target).
+static void UpdateUnknownCost(TargetPool* pool, double found)
+{
+    const PoolConfig& config = pool->Config;
+    const double gain = std::max(pool->UnknownCost - found, 0.0);
+    pool->UnknownCost += config.UnknownGain * (config.ProbeCost - gain);
+    pool->UnknownCost = std::clamp(pool->UnknownCost, 1.0, config.AcceptableCost);
+}
+
+void PoolProbed(TargetPool* pool, PoolTarget* target, const LoadReport& report, TimeUs now)
+{
+    const bool was_unknown = pool->Shared && !PoolKnownLoad(*pool, *target, now);
+    PoolReport(target, report, now);
+    if (was_unknown)
+    {
+        UpdateUnknownCost(pool, PoolHasFreeSlot(*pool, *target) ? PoolCost(*pool, *target, now) : pool->Config.AcceptableCost);
+    }
+}
+
+double PoolGoodCost(const TargetPool& pool)
+{
+    return pool.Shared ? std::max(pool.Config.GoodCost, pool.UnknownCost) : pool.Config.GoodCost;
+}
+
 void PoolFailed(const PoolConfig& config, PoolTarget* target, TimeUs now)
 {
     const int doublings = std::min(target->FailuresInRow, config.AvoidDoublings);
@@ -113,11 +137,12 @@
     return static_cast<int64_t>(std::min(drawn * scale, max_order));
 }
 
-void PoolSent(TargetPool* pool, PoolTarget* target)
+void PoolSent(TargetPool* pool, PoolTarget* target, TimeUs now)
 {
     pool->InUse = true;
     target->InFlight++;
     target->SentSinceReport++;
+    target->SentUs = now;
     target->ColdSent++;
     target->New = false;
 }
@@ -152,6 +177,7 @@
     target->BackoffUntilUs = BackoffOf(*pool, target->IncarnationId);
     target->Generation = ++pool->LastGeneration;
     pool->Index.ById[listed.Id] = std::prev(pool->Targets.end());
+    pool->Index.BySharedId[SharedTargetId(target->IncarnationId)] = target;
     return target;
 }
 
@@ -160,6 +186,11 @@
 {
     RemoveFromGroup(pool, &*target);
     pool->Index.ById.erase(target->Id);
+    const auto shared = pool->Index.BySharedId.find(SharedTargetId(target->IncarnationId));
+    if (shared != pool->Index.BySharedId.end() && shared->second == &*target) // Another target may have the same hash.
+    {
+        pool->Index.BySharedId.erase(shared);
+    }
     return pool->Targets.erase(target);
 }
 
@@ -205,6 +236,7 @@
     target->LastSync = pool->SyncCount;
     target->Address = listed.Address;
     target->Near = near;
+    target->DataCentre = PeerDataCentre(listed.DataCentre);
     target->EntryMissing = listed.Presence == Presence_Missing;
     target->Slots = listed.Slots;
     target->Weight = listed.Weight;
@@ -249,9 +281,15 @@
     return target.ReportUs > 0 && now < target.ReportUs + config.ReportMaxAgeUs;
 }
 
+// Whether a report of another instance is the latest that is known of the target.
+static bool IsToldFresh(const TargetPool& pool, const PoolTarget& target, TimeUs now)
+{
+    return pool.Shared && target.ToldUs > target.ReportUs && now < target.ToldUs + pool.Config.ReportMaxAgeUs;
+}
+
 bool PoolAtRest(const TargetPool& pool, const PoolTarget& target, TimeUs now)
 {
-    const bool idle = target.InFlight == 0 && !IsFresh(pool.Config, target, now);
+    const bool idle = target.InFlight == 0 && !IsFresh(pool.Config, target, now) && !IsToldFresh(pool, target, now);
     const bool trusted = now >= target.AvoidUntilUs && now >= target.AvoidUnsafeUntilUs && !target.EntryMissing;
     return idle && trusted && !target.New && now >= target.ColdUntilUs && PoolMayUse(target, now);
 }
@@ -267,17 +305,74 @@
     return MakesNearlyFull(config, report.Running + report.Waiting + more, report.Slots);
 }
 
-double PoolCost(const TargetPool& pool, const PoolTarget& target, TimeUs now)
+// Expected time of one more request at a target with this load.
+static double CostOf(const TargetPool& pool, const PoolTarget& target, const LoadReport& load, TimeUs now)
 {
     const PoolConfig& config = pool.Config;
-    const bool fresh = IsFresh(config, target, now);
-    const int slots = fresh ? target.Report.Slots : target.Slots;
-    const int busy = fresh ? target.Report.Running + target.Report.Waiting + target.SentSinceReport : target.InFlight;
-    const double pace = fresh ? target.Report.PacePercent / 100.0 : 1.0;
-    const bool nearly_full = MakesNearlyFull(config, busy, slots);
-    const double queue = busy >= slots ? 1.0 + static_cast<double>(busy + 1 - slots) / slots : 1.0;
+    const int busy = load.Running + load.Waiting;
+    const bool nearly_full = MakesNearlyFull(config, busy, load.Slots);
+    const double queue = busy >= load.Slots ? 1.0 + static_cast<double>(busy + 1 - load.Slots) / load.Slots : 1.0;
     const double warm = now < target.ColdUntilUs ? config.ColdFactor : 1.0;
-    return pace * queue * warm * (nearly_full ? pool.NearlyFullFactor : 1.0);
+    return load.PacePercent / 100.0 * queue * warm * (nearly_full ? pool.NearlyFullFactor : 1.0);
+}
+
+static LoadReport WithSent(LoadReport report, int sent)
+{
+    report.Running += sent;
+    return report;
+}
+
+double PoolCost(const TargetPool& pool, const PoolTarget& target, TimeUs now)
+{
+    const bool fresh = IsFresh(pool.Config, target, now);
+    return CostOf(pool, target, fresh ? WithSent(target.Report, target.SentSinceReport) : LoadReport{target.InFlight, 0, target.Slots, 100},
+                  now);
+}
+
+std::optional<KnownLoad> PoolKnownLoad(const TargetPool& pool, const PoolTarget& target, TimeUs now)
+{
+    if (IsToldFresh(pool, target, now))
+    {
+        // A request without a time of sending counts: one slot too few costs less than one too many.
+        const bool may_miss_sent = target.SentUs == 0 || target.SentUs + pool.Config.ReportLagUs > target.ToldUs;
+        return KnownLoad{WithSent(target.Told, may_miss_sent ? target.SentSinceReport : 0), target.ToldUs};
+    }
+    if (IsFresh(pool.Config, target, now))
+    {
+        return KnownLoad{WithSent(target.Report, target.SentSinceReport), target.ReportUs};
+    }
+    return std::nullopt;
+}
+
+double PoolRankCost(const TargetPool& pool, const PoolTarget& target, TimeUs now)
+{
+    if (!pool.Shared)
+    {
+        return PoolCost(pool, target, now);
+    }
+    const std::optional<KnownLoad> known = PoolKnownLoad(pool, target, now);
+    return known ? CostOf(pool, target, known->Load, now) : std::max(PoolCost(pool, target, now), pool.UnknownCost);
+}
+
+static bool IsPlausible(const PoolConfig& config, const PoolTarget& target, const LoadReport& report)
+{
+    const bool work =
+        report.Running >= 0 && report.Waiting >= 0 && report.Running <= config.ToldWorkMax && report.Waiting <= config.ToldWorkMax;
+    const bool slots = report.Slots > 0 && report.Slots <= config.ToldSlotsFactor * static_cast<int64_t>(target.Slots);
+    return work && slots && report.PacePercent > 0 && report.PacePercent <= config.ToldPaceMax;
+}
+
+bool PoolTold(TargetPool* pool, PoolTarget* target, const LoadReport& report, TimeUs age, TimeUs now)
+{
+    const bool fresh = age >= 0 && age < pool->Config.ReportMaxAgeUs && now - age > std::max(target->ReportUs, target->ToldUs);
+    if (!pool->Shared || !fresh || !IsPlausible(pool->Config, *target, report))
+    {
+        return false;
+    }
+    target->Told = report;
+    target->ToldUs = now - age;
+    Mark(pool, target);
+    return true;
 }
 
 bool PoolIsAcceptable(const TargetPool& pool, const PoolTarget& target, TimeUs now)
