--- a/requests/attempt.cpp
+++ b/requests/attempt.cpp
@@ -80,6 +80,13 @@
     }
 }
 
+static void LearnAnswerSize(RouteWork* work, size_t bytes)
+{
+    constexpr double gain = 0.05; // Weight of the latest answer in the moving average.
+    const auto size = static_cast<double>(bytes);
+    work->AnswerBytes = work->AnswerBytes == 0 ? size : work->AnswerBytes + gain * (size - work->AnswerBytes);
+}
+
 std::optional<LoadReport> ReadLoad(const Forwarder& forwarder, const std::vector<Header>& headers)
 {
     const std::string* load = FindHeader(headers, forwarder.Names.Load);
@@ -135,6 +142,7 @@
     if (verdict == Verdict_Relay && answer.Status < 500)
     {
         LearnWorkTime(call.get(), attempt, answer.TookUs);
+        LearnAnswerSize(call->Work, answer.Body.size());
         PoolSucceeded(target);
     }
     else if (answer.End != ClientEnd_Withheld)
@@ -299,6 +307,16 @@
          {"detail", answer.Detail}});
 }
 
+// No own request has taken the slot that came free at the target: other instances may need it.
+static void OfferFreeSlot(const Call& call, const std::string& target)
+{
+    PoolTarget* found = PoolFind(&call.Service->Pool, target);
+    if (call.Owner->OnSlotFree && found != nullptr)
+    {
+        call.Owner->OnSlotFree(call.Service, found);
+    }
+}
+
 static void OnAnswer(const CallPtr& call, const std::string& target, ClientAnswer answer)
 {
     call->LastAttempt = TakeAttempt(call.get(), target);
@@ -334,6 +352,7 @@
         ContinueCall(call, verdict, std::move(answer));
     }
     ServeWaiting(call->Service, target);
+    OfferFreeSlot(*call, target);
 }
 
 //-----------------------------------------------------------------------------
--- a/requests/call.h
+++ b/requests/call.h
@@ -136,6 +136,9 @@
 // Lets the requests that are choosing a target of the service go on at once, as the state of the path has changed.
 void ContinueChoosing(ServiceState* service);
 
+// Lets the requests that wait for a free target go on if one is known now, as other instances have told of the service's targets.
+void ContinueWaiting(ServiceState* service);
+
 // Call when a slot of the target has come free. The most urgent waiting request gets it; among equals, the one that has waited longest.
 void ServeWaiting(ServiceState* service, const std::string& target_id);
 
--- a/requests/choose.cpp
+++ b/requests/choose.cpp
@@ -28,6 +28,7 @@
     request.LatencyObjectiveUs = call.MatchedRoute->LatencyObjectiveUs;
     request.DeadlineUs = call.DeadlineUs;
     request.WorkUs = call.Work->MeanUs;
+    request.AnswerBytes = call.Work->AnswerBytes;
     request.Priority = PriorityOf(call);
     request.Retryable = call.Retryable;
     request.Sent = call.MayHaveRun > 0 || !call.Active.empty();
@@ -49,6 +50,8 @@
     view.TargetLimits = &call->Owner->TargetLimits;
     view.OverLimitCount = &call->Service->Signals.OverLimit;
     view.Rng = call->Owner->Rng;
+    view.Shares = call->Owner->OnTargetBusy != nullptr;
+    view.Divided = call->Owner->Divides ? &call->Service->Divided : nullptr;
     view.Admit = [&call]()
     {
         return AdmitHere(call);
@@ -83,6 +86,9 @@
     {
         switch (action.Kind)
         {
+        case ChooseAction_Ask:
+            call->Owner->OnTargetBusy(call->Service);
+            break;
         case ChooseAction_Probe:
             Probe(call, *action.Target, action.DelayUs);
             break;
@@ -144,7 +150,7 @@
     service->Pool.ReportsLoad = report.has_value();
     if (report)
     {
-        PoolReport(target, *report, NowUs());
+        PoolProbed(&service->Pool, target, *report, NowUs());
         PoolUpdateShare(&service->Pool, *report, service->InProgress);
     }
 }
@@ -274,6 +280,19 @@
     }
 }
 
+void ContinueWaiting(ServiceState* service)
+{
+    const std::vector<std::weak_ptr<Call>> waiting = service->Waiting;
+    for (const std::weak_ptr<Call>& entry : waiting)
+    {
+        const CallPtr call = entry.lock();
+        if (call && call->Round.Waiting)
+        {
+            CarryOut(call, ChooserTold(&call->Round, ViewOf(call), NowUs()));
+        }
+    }
+}
+
 void ServeWaiting(ServiceState* service, const std::string& target_id)
 {
     std::vector<CallPtr> waiting;
--- a/requests/forward.h
+++ b/requests/forward.h
@@ -80,7 +80,8 @@
 // Estimated work of a route's requests.
 struct RouteWork
 {
-    double MeanUs = 0; // Mean duration at a target of cost 1; 0 before the first answer.
+    double MeanUs = 0;      // Mean duration at a target of cost 1; 0 before the first answer.
+    double AnswerBytes = 0; // Mean size of the answers; 0 before the first one.
 };
 
 struct Forwarder
--- a/winchlink.h
+++ b/winchlink.h
@@ -1553,10 +1553,13 @@
 {
     TimeUs SlowProbeUs = 5 * UsPerMs;   // A probe that takes longer is slow: another target is probed as well.
     int MaxProbes = 8;                  // Probes in one round.
+    int MaxToldProbes = 4;              // Beyond these: probes of targets that other instances have told to be free.
     size_t MaxOverLimit = 64;           // Targets at their rate limits that are skipped in one round: bounds the time spent on them.
     TimeUs ReportReuseUs = 8 * UsPerMs; // A target with a younger report is not probed again.
     TimeUs ProbeRetryUs = 20 * UsPerMs; // All targets busy: delay before probing again.
     double MaxChooseShare = 0.2;        // Part of a route's latency objective that a round may take.
+    double SlackCostShare = 0.25;       // A large answer with time to spare waits for a target at home that takes this part of that time,
+    double SlackCostMax = 4;            // but no more than this multiple of the usual time, so that it doesn't hold slow targets for long.
     int MaxUnprobedFactor = 2;          // Where targets report no load: bounds own requests at one target, as a multiple of its slots.
 };
 
@@ -1588,6 +1591,8 @@
     int ProbeCount = 0;                 // Probes in all rounds.
     int ProbeCountBefore = 0;           // Value of ProbeCount when this round began.
     int MaxConcurrentProbes = 1;        // Grows by one for each slow probe.
+    bool Divided = false;               // DivisionPick() was asked in this search.
+    std::optional<uint16_t> CrossTo;    // The data centre that it named.
 };
 
 // What is known of a request.
@@ -1597,6 +1602,7 @@
     TimeUs LatencyObjectiveUs = 0;                    // Time after its arrival within which an answer is good.
     TimeUs DeadlineUs = 0;                            // When the caller stops waiting.
     double WorkUs = 0;                                // Usual duration at a target of cost 1; 0 if unknown.
+    double AnswerBytes = 0;                           // Usual size of the answer; 0 if unknown.
     int Priority = 0;                                 // 0 is the most urgent.
     bool Retryable = false;                           // It may be run more than once.
     bool Sent = false;                                // An attempt is in flight, or a target may have run it.
@@ -1617,6 +1623,8 @@
     Quota* TargetLimits = nullptr;         // Rate limits set by targets.
     uint64_t* OverLimitCount = nullptr;    // Counter: targets skipped because they were at their rate limits.
     Random* Rng = nullptr;                 // Random numbers.
+    bool Shares = false;                   // Load reports are shared with other instances.
+    Division* Divided = nullptr;           // Division between data centres; null: off.
     std::function<bool()> Admit;           // Called before targets are considered. False: the request was refused and has ended.
     std::function<std::string()> PickPeer; // Address of the instance to hand the request to; empty if it can't be handed on.
 };
@@ -1624,6 +1632,7 @@
 enum ChooseAction_ : int
 {
     ChooseAction_None,
+    ChooseAction_Ask,     // Ask other instances what they know of the service's targets; the round goes on meanwhile.
     ChooseAction_Probe,   // Probe Target, and call ChooserSlowProbe() after DelayUs in place of any earlier such call.
     ChooseAction_Send,    // Send the request to Target.
     ChooseAction_Wait,    // Call ChooserRetry() after DelayUs, unless the round stops waiting before.
@@ -1642,7 +1651,7 @@
     const char* Detail = ""; // Reason for the refusal, for the log.
 };
 
-// Probe actions, then at most one of another kind.
+// At most one Ask, then Probe actions, then at most one of another kind.
 using ChooseActions = std::vector<ChooseAction>;
 
 // Begins a round.
@@ -1660,6 +1669,9 @@
 // A slot of the target has come free, and ChooserMostUrgent() has picked this request.
 ChooseActions ChooserSlotFree(Chooser* chooser, const ChooserView& view, const std::string& target, TimeUs now);
 
+// Other instances have told something of the service's targets.
+ChooseActions ChooserTold(Chooser* chooser, const ChooserView& view, TimeUs now);
+
 // The state of the path to the targets has changed.
 ChooseActions ChooserPathChanged(Chooser* chooser, const ChooserView& view, TimeUs now);
 
--- a/winchlink_choose.cpp
+++ b/winchlink_choose.cpp
@@ -8,7 +8,7 @@
 // [SECTION] Events
 // [SECTION] Waiting requests
 
-#include "winchlink.h"
+#include "winchlink_internal.h"
 
 #include <algorithm>
 
@@ -35,6 +35,14 @@
     return &step->Actions.back();
 }
 
+static void Ask(Step* step)
+{
+    if (step->View.Shares)
+    {
+        AddAction(step, ChooseAction_Ask);
+    }
+}
+
 static void Probe(Step* step, PoolTarget* target)
 {
     step->Round->ProbesInFlight++;
@@ -129,11 +137,36 @@
     return usable && TakeLimit(step, target);
 }
 
+static DivisionRequest DivisionRequestOf(const Step& step)
+{
+    const ChooserRequest& request = step.View.Request;
+    return {request.WorkUs, request.AnswerBytes, request.ArrivedUs + request.LatencyObjectiveUs - step.Now};
+}
+
+// Whether the request rather waits at home than crosses to another data centre, see DivisionHasSlack().
+static bool StaysAtHome(const Step& step)
+{
+    const ChooserView& view = step.View;
+    return view.Divided != nullptr && DivisionHasSlack(view.Divided->Config, DivisionRequestOf(step));
+}
+
+// The cost up to which a target is taken without probing others.
+static double GoodCostOf(const Step& step, const PoolTarget& target)
+{
+    const double good = PoolGoodCost(*step.View.Pool);
+    if (!target.Near || !StaysAtHome(step))
+    {
+        return good;
+    }
+    const DivisionRequest request = DivisionRequestOf(step);
+    const double affordable = step.View.Config->SlackCostShare * static_cast<double>(request.LeftUs) / request.WorkUs;
+    return std::max(good, std::min(affordable, step.View.Config->SlackCostMax));
+}
+
 // Whether a target is good enough to be chosen without probing others.
 static bool IsGood(Step* step, const PoolTarget& target)
 {
-    const TargetPool& pool = *step->View.Pool;
-    return PoolCost(pool, target, step->Now) <= pool.Config.GoodCost && HasCapacity(step, target);
+    return PoolCost(*step->View.Pool, target, step->Now) <= GoodCostOf(*step, target) && HasCapacity(step, target);
 }
 
 // Whether a target of that cost is expected to answer in time. Before the first attempt that is the route's latency objective, as a refused
@@ -182,7 +215,8 @@
     const Chooser& round = *step->Round;
     PoolTarget* best = BestProbed(step);
     const bool in_time = best != nullptr && MeetsDeadline(*step, PoolCost(*view.Pool, *best, step->Now));
-    const bool acceptable = in_time && PoolIsAcceptable(*view.Pool, *best, step->Now);
+    const bool affordable = in_time && PoolCost(*view.Pool, *best, step->Now) <= GoodCostOf(*step, *best);
+    const bool acceptable = affordable || (in_time && PoolIsAcceptable(*view.Pool, *best, step->Now));
     const bool limited = AllLimited(*step);
     const bool time_left = step->Now + view.Config->ProbeRetryUs < round.DeadlineUs;
     const bool may_wait = !view.Pool->Targets.empty() && !limited && round.Kind == Choosing_First && time_left;
@@ -270,19 +304,64 @@
     return true;
 }
 
-// The next target to consider: neither considered in this round nor sent the request already. Null if none is left.
-static PoolTarget* NextCandidate(const Step& step)
+// Targets that are not considered again in this search.
+static std::vector<std::string> PassedTargets(const Step& step)
 {
-    const ChooserRequest& request = step.View.Request;
     std::vector<std::string> passed = step.Round->Probed;
-    passed.insert(passed.end(), request.SentTo->begin(), request.SentTo->end());
-    return PoolNext(step.View.Pool, passed, !request.Retryable, step.Now);
+    passed.insert(passed.end(), step.View.Request.SentTo->begin(), step.View.Request.SentTo->end());
+    return passed;
 }
 
-static bool MayProbeMore(const Step& step)
+// Whether a free slot at the target is known from a recent report, the own or that of another instance.
+static bool IsKnownFree(const Step& step, const PoolTarget& target)
+{
+    const TargetPool& pool = *step.View.Pool;
+    const std::optional<KnownLoad> known = PoolKnownLoad(pool, target, step.Now);
+    return known && known->Load.Running + known->Load.Waiting < known->Load.Slots &&
+           PoolRankCost(pool, target, step.Now) <= PoolGoodCost(pool);
+}
+
+// A target in the data centre that is to serve the request, if that is another one: decided once in a search, when no free target at home
+// is known. Null if there is none.
+static PoolTarget* CrossCandidate(Step* step, const std::vector<std::string>& passed)
+{
+    const ChooserView& view = step->View;
+    Chooser* round = step->Round;
+    if (view.Divided == nullptr)
+    {
+        return nullptr;
+    }
+    if (!round->Divided)
+    {
+        const SharedRoom own = LoadRoom(*view.Pool, step->Now);
+        DivisionSeen(view.Divided, own, step->Now);
+        round->Divided = true;
+        round->CrossTo = DivisionPick(view.Divided, own, DivisionRequestOf(*step), step->Now, view.Rng);
+    }
+    return round->CrossTo ? PoolNextIn(view.Pool, *round->CrossTo, passed, !view.Request.Retryable, step->Now) : nullptr;
+}
+
+// The next target to consider: neither considered in this search nor sent the request already. Null if none is left.
+static PoolTarget* NextCandidate(Step* step)
+{
+    const std::vector<std::string> passed = PassedTargets(*step);
+    PoolTarget* next = PoolNext(step->View.Pool, passed, !step->View.Request.Retryable, step->Now);
+    if (next != nullptr && next->Near && IsKnownFree(*step, *next))
+    {
+        return next;
+    }
+    PoolTarget* crossing = CrossCandidate(step, passed);
+    return crossing != nullptr ? crossing : next;
+}
+
+// Whether the target may be probed now. Those that others have told to be free may be when all else was in vain.
+static bool MayProbe(const Step& step, const PoolTarget& target)
 {
     const Chooser& round = *step.Round;
-    return round.ProbesInFlight < round.MaxConcurrentProbes && round.ProbeCount - round.ProbeCountBefore < step.View.Config->MaxProbes;
+    const ChooserConfig& config = *step.View.Config;
+    const bool told = step.View.Pool->Shared && IsKnownFree(step, target);
+    const int max = config.MaxProbes + (told ? config.MaxToldProbes : 0);
+    return round.ProbesInFlight < round.MaxConcurrentProbes && round.ProbeCount - round.ProbeCountBefore < max;
 }
 
 // Considers candidates until one is good or no more may be probed now.
@@ -292,9 +371,9 @@
     const ChooserConfig& config = *step->View.Config;
     while (step->Now < round->DeadlineUs && round->OverLimit.size() < config.MaxOverLimit)
     {
-        PoolTarget* next = NextCandidate(*step);
+        PoolTarget* next = NextCandidate(step);
         const bool known = next != nullptr && next->ReportUs > 0 && step->Now < next->ReportUs + config.ReportReuseUs;
-        if (next == nullptr || (!known && !MayProbeMore(*step)))
+        if (next == nullptr || (!known && !MayProbe(*step, *next)))
         {
             break;
         }
@@ -351,8 +430,14 @@
     chooser->OverLimit.clear();
     chooser->ProbeCountBefore = chooser->ProbeCount;
     chooser->MaxConcurrentProbes = 1;
+    chooser->Divided = false;
+    chooser->CrossTo.reset();
     chooser->DeadlineUs = now + static_cast<TimeUs>(share * static_cast<double>(view.Request.LatencyObjectiveUs));
     Step step = {chooser, view, now, {}};
+    if (view.Pool->Shared) // Targets were found busy lately.
+    {
+        Ask(&step);
+    }
     Continue(&step);
     return step.Actions;
 }
@@ -370,11 +455,14 @@
     if (has_report && IsGood(&step, *found))
     {
         Send(&step, found);
+        return step.Actions;
     }
-    else
+    constexpr size_t busy_min = 2; // Targets found busy before others are asked: one alone says little of a service.
+    if (view.Pool->Shared || chooser->Probed.size() >= busy_min)
     {
-        Continue(&step);
+        Ask(&step);
     }
+    Continue(&step);
     return step.Actions;
 }
 
@@ -397,6 +485,8 @@
     {
         chooser->Probed.clear();
         chooser->OverLimit.clear();
+        chooser->Divided = false;
+        chooser->CrossTo.reset();
     }
     Step step = {chooser, view, now, {}};
     Continue(&step);
@@ -414,6 +504,22 @@
     return step.Actions;
 }
 
+ChooseActions ChooserTold(Chooser* chooser, const ChooserView& view, TimeUs now)
+{
+    Step step = {chooser, view, now, {}};
+    if (!chooser->Waiting || now >= chooser->DeadlineUs)
+    {
+        return {};
+    }
+    const PoolTarget* next = PoolNext(view.Pool, PassedTargets(step), !view.Request.Retryable, now);
+    if (next != nullptr && IsKnownFree(step, *next))
+    {
+        chooser->Waiting = false;
+        Continue(&step);
+    }
+    return step.Actions;
+}
+
 ChooseActions ChooserPathChanged(Chooser* chooser, const ChooserView& view, TimeUs now)
 {
     Step step = {chooser, view, now, {}};
