--- a/exchange/quota_link.cpp
+++ b/exchange/quota_link.cpp
@@ -9,22 +9,11 @@
 #include "quota_link.h"
 
 #include "clock.h"
-#include "log.h"
 #include "message_codec.h"
-#include "socket.h"
-
-#include <arpa/inet.h>
-#include <cerrno>
-#include <cstring>
-#include <sys/socket.h>
-#include <unistd.h>
 
 namespace Winchlink
 {
 
-static constexpr size_t DatagramMax = 4 * KiB; // Larger than any datagram that is sent.
-static constexpr int ReadsMax = 64;            // Datagrams read in one pass of the event loop.
-
 //-----------------------------------------------------------------------------
 // [SECTION] Messages
 //-----------------------------------------------------------------------------
@@ -80,27 +69,22 @@
     archive(answer.Shares, answer.Limits);
 }
 
-std::string EncodeQuota(const QuotaMessage& message)
+// The subject and the content.
+static std::string BodyOf(const QuotaMessage& message)
 {
-    const std::string body = message.Kind == QuotaMessage_Answer ? EncodeMessage(message.Answer) : EncodeMessage(message.Report);
-    const std::string coded = static_cast<char>(message.Subject) + body;
-    std::string out(1, static_cast<char>(message.Kind));
-    AppendNumber(&out, Checksum(coded));
-    return out + coded;
+    const std::string content = message.Kind == QuotaMessage_Answer ? EncodeMessage(message.Answer) : EncodeMessage(message.Report);
+    return static_cast<char>(message.Subject) + content;
 }
 
-Result<QuotaMessage> DecodeQuota(const std::string& bytes)
+static Result<QuotaMessage> DecodeBody(uint8_t kind, const std::string& body)
 {
-    constexpr size_t head = 1 + NumberBytes;
     QuotaMessage message;
-    const std::string coded = bytes.substr(std::min(bytes.size(), head));
-    const uint8_t subject = coded.empty() ? uint8_t{QuotaSubject_COUNT} : static_cast<uint8_t>(coded[0]);
-    const bool whole = subject < QuotaSubject_COUNT && Checksum(coded) == NumberAt(bytes, 1);
-    const std::string body = whole ? coded.substr(1) : "";
-    const auto kind = whole ? static_cast<uint8_t>(bytes[0]) : uint8_t{QuotaMessage_None};
-    const bool answer = kind == QuotaMessage_Answer;
-    const bool report = kind == QuotaMessage_Report || kind == QuotaMessage_SeedReport;
-    const bool read = answer ? DecodeMessage(body, &message.Answer) : report && DecodeMessage(body, &message.Report);
+    const uint8_t subject = body.empty() ? uint8_t{QuotaSubject_COUNT} : static_cast<uint8_t>(body[0]);
+    const bool known = subject < QuotaSubject_COUNT;
+    const std::string content = known ? body.substr(1) : "";
+    const bool answer = known && kind == QuotaMessage_Answer;
+    const bool report = known && (kind == QuotaMessage_Report || kind == QuotaMessage_SeedReport);
+    const bool read = answer ? DecodeMessage(content, &message.Answer) : report && DecodeMessage(content, &message.Report);
     if (!read)
     {
         return Error{Code_MessageMalformed, "malformed quota datagram"};
@@ -110,6 +94,17 @@
     return message;
 }
 
+std::string EncodeQuota(const QuotaMessage& message)
+{
+    return DatagramFrame(message.Kind, BodyOf(message));
+}
+
+Result<QuotaMessage> DecodeQuota(const std::string& bytes)
+{
+    const std::optional<std::string> body = DatagramBody(bytes);
+    return DecodeBody(body ? static_cast<uint8_t>(bytes[0]) : uint8_t{QuotaMessage_None}, body.value_or(""));
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Sending
 //-----------------------------------------------------------------------------
@@ -117,23 +112,7 @@
 // Doesn't retry: the next datagram replaces a lost one.
 static void Send(QuotaLink* link, const std::string& address, const QuotaMessage& message)
 {
-    Result<Endpoint> to = ParseEndpoint(address);
-    if (!to || link->Socket < 0)
-    {
-        return;
-    }
-    to.value().Port = static_cast<uint16_t>(link->Port);
-    const sockaddr_in where = ToSocketAddress(to.value());
-    const std::string bytes = EncodeQuota(message);
-    const ssize_t sent =
-        sendto(link->Socket, bytes.data(), bytes.size(), MSG_NOSIGNAL, reinterpret_cast<const sockaddr*>(&where), sizeof where);
-    if (sent != static_cast<ssize_t>(bytes.size()))
-    {
-        LogSample(LogLevel_Info, Code_PlatformUnreachable, "quota datagram not sent",
-                  {{"address", address}, {"detail", std::strerror(errno)}});
-        return;
-    }
-    link->Sent++;
+    DatagramSend(link->Datagrams, DatagramChannel_Quotas, message.Kind, address, BodyOf(message));
 }
 
 static QuotaChannel& ChannelOf(QuotaLink* link, QuotaSubject_ subject)
@@ -165,25 +144,13 @@
     }
 }
 
-// The address of an instance for datagrams, or empty if `instance` is no address.
-static std::string DatagramAddress(const QuotaLink& link, const std::string& instance)
-{
-    Result<Endpoint> endpoint = ParseEndpoint(instance);
-    if (!endpoint)
-    {
-        return "";
-    }
-    endpoint.value().Port = static_cast<uint16_t>(link.Port);
-    return FormatEndpoint(endpoint.value());
-}
-
 // Sends the decision to followers that don't report: they may not know of a limit yet.
 static void AnswerOtherFollowers(QuotaLink* link, QuotaSubject_ subject)
 {
     const auto& reporters = ChannelOf(link, subject).State->Followers;
     for (const std::string& follower : link->Followers())
     {
-        if (reporters.count(DatagramAddress(*link, follower)) == 0)
+        if (reporters.count(DatagramAddress(*link->Datagrams, follower)) == 0)
         {
             SendAnswers(link, subject, follower);
         }
@@ -257,62 +224,29 @@
     }
 }
 
-// False if no datagram is waiting.
-static bool ReadOne(QuotaLink* link)
+// False if the datagram is malformed.
+static bool OnReceived(QuotaLink* link, const Datagram& datagram)
 {
-    std::string bytes(DatagramMax, '\0');
-    sockaddr_in from = {};
-    socklen_t size = sizeof from;
-    const ssize_t got = recvfrom(link->Socket, bytes.data(), bytes.size(), MSG_DONTWAIT, reinterpret_cast<sockaddr*>(&from), &size);
-    if (got < 0)
-    {
-        return errno == ECONNREFUSED || errno == EINTR; // An earlier datagram could not be delivered.
-    }
-    bytes.resize(static_cast<size_t>(got));
-    link->Received++;
-    const std::string sender = FormatEndpoint({ntohl(from.sin_addr.s_addr), ntohs(from.sin_port)});
-    const Result<QuotaMessage> message = DecodeQuota(bytes);
+    const Result<QuotaMessage> message = DecodeBody(datagram.Kind, datagram.Body);
     if (!message)
     {
-        link->Unreadable++;
-        LogSample(LogLevel_Warn, message.error().Code, "quota datagram malformed",
-                  {{"address", sender}, {"bytes", static_cast<uint64_t>(got)}});
-        return true;
+        return false;
     }
-    Take(link, sender, message.value());
+    Take(link, datagram.From, message.value());
     QuotaLinkUpdate(link); // The message may contain the first limit.
     return true;
 }
 
-static void OnReadable(QuotaLink* link)
-{
-    int reads = 0;
-    while (reads < ReadsMax && ReadOne(link))
-    {
-        reads++;
-    }
-}
-
 //-----------------------------------------------------------------------------
 // [SECTION] Start
 //-----------------------------------------------------------------------------
 
-Result<void> QuotaLinkStart(QuotaLink* link)
+void QuotaLinkStart(QuotaLink* link)
 {
-    if (link->Port == 0 || link->Own.empty())
-    {
-        return BOOST_OUTCOME_V2_NAMESPACE::success();
-    }
-    Endpoint own = ParseEndpoint(link->Own).value();
-    own.Port = static_cast<uint16_t>(link->Port);
-    const sockaddr_in address = ToSocketAddress(own);
-    link->Socket = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (link->Socket < 0 || bind(link->Socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
+    link->Datagrams->Channels[DatagramChannel_Quotas].OnReceived = [link](const Datagram& datagram)
     {
-        return Error{Code_ListenFailed, FormatEndpoint(own) + " (datagrams): " + std::strerror(errno)};
-    }
-    link->Readable = WatchStart(link->Loop, link->Socket, UV_READABLE, [link](int) { OnReadable(link); });
-    return BOOST_OUTCOME_V2_NAMESPACE::success();
+        return OnReceived(link, datagram);
+    };
 }
 
 void QuotaLinkUpdate(QuotaLink* link)
@@ -332,13 +266,4 @@
     }
 }
 
-QuotaLink::~QuotaLink()
-{
-    Readable = nullptr;
-    if (Socket >= 0)
-    {
-        close(Socket);
-    }
-}
-
 } // namespace Winchlink
--- a/exchange/quota_link.h
+++ b/exchange/quota_link.h
@@ -2,17 +2,17 @@
 // targets' limits are exchanged separately.
 //
 // Each instance sends the sums of itself and its followers to its source, which answers with the decision; seeds send their sums to each
-// other and decide. Each datagram holds totals and no changes, so lost ones are not sent again. The address of an instance for datagrams is
-// its peer address with the datagram port, which is the same for the whole fleet.
+// other and decide. Each datagram holds totals and no changes, so lost ones are not sent again.
 //
 // Nothing is sent about customers while none has a quota, nor about targets while no limit is known. Instances that know of a limit send it
 // to their followers, which then start to report too; so a limit spreads through the whole fleet.
 //
-// How to use it: fill the struct, call QuotaLinkStart() once, and QuotaLinkUpdate() after each change of the plan or of the known limits.
+// How to use it: fill the struct, call QuotaLinkStart() once before DatagramLinkStart(), and QuotaLinkUpdate() after each change of the
+// plan or of the known limits.
 
 #pragma once
 
-#include "loop.h"
+#include "datagram_link.h"
 
 namespace Winchlink
 {
@@ -37,26 +37,19 @@
 {
     EventLoop* Loop = nullptr;
     std::array<QuotaChannel, QuotaSubject_COUNT> Channels;
-    std::string Own;                                     // IP:port at which other instances reach this one; empty: there are no others.
-    int Port = 0;                                        // For datagrams; 0: the exchange is off.
+    DatagramLink* Datagrams = nullptr;                   // Carries the exchange; it is off while the link is closed.
     std::function<std::string()> Source;                 // Address of the instance's source; empty if unknown.
     std::function<std::vector<std::string>()> Seeds;     // Addresses of the other seeds.
     std::function<std::vector<std::string>()> Followers; // Addresses of all followers, including those that don't report.
-    int Socket = -1;
-    Watch Readable;
-    std::string LastSource;  // Last known source; used while the instance reads the store itself.
-    uint64_t Sent = 0;       // Datagrams sent.
-    uint64_t Received = 0;   // Datagrams received.
-    uint64_t Unreadable = 0; // Received datagrams that could not be decoded.
+    std::string LastSource;                              // Last known source; used while the instance reads the store itself.
 
     QuotaLink() = default;
-    ~QuotaLink();
     QuotaLink(const QuotaLink&) = delete;
     QuotaLink& operator=(const QuotaLink&) = delete;
 };
 
-// Opens the socket, if a port is set; Code_ListenFailed if that fails.
-Result<void> QuotaLinkStart(QuotaLink* link);
+// Takes the messages of its channel.
+void QuotaLinkStart(QuotaLink* link);
 
 // Starts or stops the reports of each subject, as needed. To be called when the plan or a target's limit has changed.
 void QuotaLinkUpdate(QuotaLink* link);
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 // [SECTION] Requests that crash targets
 // [SECTION] Requests of other instances
 // [SECTION] Quotas
+// [SECTION] Datagrams
 // [SECTION] Readiness and pages
 // [SECTION] Planned stop
 // [SECTION] Settings
@@ -350,7 +351,7 @@
     return {limits, wanted, decide, nullptr};
 }
 
-static Result<void> StartQuotas(Gateway* gateway)
+static void StartQuotas(Gateway* gateway)
 {
     QuotaLink& link = gateway->Quotas;
     link.Loop = gateway->Loop;
@@ -360,8 +361,7 @@
     {
         channel.State->StartedUs = gateway->StartedUs;
     }
-    link.Own = gateway->Config.PeerAddress;
-    link.Port = gateway->Config.DatagramPort;
+    link.Datagrams = &gateway->Datagrams;
     link.Source = [gateway]()
     {
         return SourceInstance(*gateway);
@@ -378,7 +378,21 @@
     {
         QuotaLinkUpdate(&link);
     };
-    return QuotaLinkStart(&link);
+    QuotaLinkStart(&link);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Datagrams
+//-----------------------------------------------------------------------------
+
+static Result<void> StartDatagrams(Gateway* gateway)
+{
+    DatagramLink& link = gateway->Datagrams;
+    link.Loop = gateway->Loop;
+    link.Own = gateway->Config.PeerAddress;
+    link.Port = gateway->Config.DatagramPort;
+    StartQuotas(gateway);
+    return DatagramLinkStart(&link);
 }
 
 //-----------------------------------------------------------------------------
@@ -611,10 +625,10 @@
             return peers.error();
         }
     }
-    const Result<void> quotas = StartQuotas(gateway);
-    if (!quotas)
+    const Result<void> datagrams = StartDatagrams(gateway);
+    if (!datagrams)
     {
-        return quotas.error();
+        return datagrams.error();
     }
     loop->OnSuspended = [gateway](TimeUs suspended)
     {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -55,7 +55,8 @@
     Relay Peers;
     Forwarder Requests;
     CrashReports Crashes; // Exchange with other instances about requests that crash targets.
-    QuotaLink Quotas;     // Exchange with other instances about quotas of customers and limits of targets.
+    DatagramLink Datagrams;
+    QuotaLink Quotas; // Exchange with other instances about quotas of customers and limits of targets.
     Listener Callers;
     Listener Readiness;
     Listener Metrics;
--- a/gateway/pages.cpp
+++ b/gateway/pages.cpp
@@ -97,9 +97,10 @@
     text += fmt::format("winchlink_quota_instances {}\n", quotas.MembersMax);
     text += fmt::format("winchlink_quota_customers_limited {}\n", quotas.Shares.size());
     text += fmt::format("winchlink_targets_limited {}\n", CountLimited(gateway.Requests.TargetLimits));
-    text += fmt::format("winchlink_quota_datagrams_sent {}\n", gateway.Quotas.Sent);
-    text += fmt::format("winchlink_quota_datagrams_received {}\n", gateway.Quotas.Received);
-    text += fmt::format("winchlink_quota_datagrams_unreadable {}\n", gateway.Quotas.Unreadable);
+    const DatagramChannel& channel = gateway.Datagrams.Channels[DatagramChannel_Quotas];
+    text += fmt::format("winchlink_quota_datagrams_sent {}\n", channel.Sent);
+    text += fmt::format("winchlink_quota_datagrams_received {}\n", channel.Received);
+    text += fmt::format("winchlink_quota_datagrams_unreadable {}\n", channel.Dropped[DatagramDrop_Malformed]);
     return text;
 }
 
