Load link: instances share load reports and the room of data centres

An instance's callers find targets busy that its neighbours know to be free, and nobody tells what room another data centre has. The load channel carries LoadMessage in 15 bytes and 9 for each report: asks, answers, offers of a freed slot. The library decides whom to ask and what to tell; the link adds the time on the way to the reports' age, finds the service, and answers nothing while the instance drains or has no plan. Forwarder::OnTargetBusy and OnSlotFree call it, LoadLink::OnHeard tells of news; all are empty where sharing is off.

Settings shareLoad and divideLoad, on by default where there are a datagram port and a peer address; one line at the start says why it is off. Counters by channel and service, a row in status, lines when sharing and division begin and end.

--- /dev/null
+++ b/exchange/load_link.h
@@ -0,0 +1,93 @@
+// load_link.h: exchange of load reports between instances (Shared load in winchlink.h) and of the room in data centres (Division), in
+// datagrams.
+//
+// An instance asks when its requests find targets busy, answers while it has a plan and doesn't drain, and offers slots that its answers
+// show to be free. A message of another instance is used only for a service that this one knows; its reports count as older by the time
+// that it was on the way.
+//
+// How to use it: fill the struct and call LoadLinkSet(). While sharing is on, Forwarder::OnTargetBusy and OnSlotFree call LoadLinkAsk() and
+// LoadLinkFreed().
+//
+// Index of this file:
+// [SECTION] Link
+// [SECTION] Messages
+
+#pragma once
+
+#include "datagram_link.h"
+#include "forward.h"
+
+namespace Winchlink
+{
+
+//-----------------------------------------------------------------------------
+// [SECTION] Link
+//-----------------------------------------------------------------------------
+
+struct LoadLinkConfig
+{
+    TimeUs CalmUs = 5 * UsPerSecond;       // Sharing has ended for a service once this instance has not asked for this long.
+    TimeUs DivisionCheckUs = 10 * UsPerMs; // Time between two checks whether other data centres are to be asked.
+    TimeUs WatchUs = 500 * UsPerMs;        // Time between two checks whether sharing and division have ended.
+};
+
+// Whether sharing and division have begun for a service, as logged.
+struct LoadWatch
+{
+    TimeUs AskedUs = 0;           // When other instances of the data centre were last asked; 0: never.
+    TimeUs DivisionCheckedUs = 0; // When other data centres were last considered; 0: never.
+    TimeUs SharingUs = 0;         // When sharing began; 0: it has not.
+    TimeUs DividingUs = 0;        // When division began; 0: it has not.
+    uint64_t Asks = 0;            // Counters of the service before sharing began.
+    uint64_t ReportsTaken = 0;
+    uint64_t Crossed = 0; // The same when division began.
+    uint64_t KeptForSlack = 0;
+};
+
+struct LoadLink
+{
+    LoadLinkConfig Config;
+    EventLoop* Loop = nullptr;
+    DatagramLink* Datagrams = nullptr;
+    Forwarder* Requests = nullptr;
+    std::function<void(ServiceState*)> OnHeard; // Something new is known of the service's targets or of other data centres. May be empty.
+    bool Shares = false;                        // Load reports are shared.
+    bool Divides = false;                       // Rooms of data centres are exchanged too.
+    std::unordered_map<uint32_t, ServiceState*> Services; // By SharedServiceId().
+    size_t ServicesIndexed = 0;                           // Number of the Forwarder's services when Services was made.
+    std::map<ServiceState*, LoadWatch> Watched;           // Services for which other instances were asked lately.
+    Timer WatchTimer;                                     // Next check of Watched.
+    uint64_t UnknownServices = 0;                         // Counter: messages of services that are not known here.
+    uint64_t NotAnswered = 0;                             // Counter: asks that came while this instance drained or had no plan.
+    uint64_t DivisionAsks = 0;                            // Counter: asks that were sent to other data centres.
+
+    LoadLink() = default;
+    LoadLink(const LoadLink&) = delete;
+    LoadLink& operator=(const LoadLink&) = delete;
+};
+
+// Switches sharing and division on or off. Division needs sharing.
+void LoadLinkSet(LoadLink* link, bool shares, bool divides);
+
+// A request found a target of the service busy: asks other instances, if it is time to.
+void LoadLinkAsk(LoadLink* link, ServiceState* service, TimeUs now);
+
+// An answer has shown a free slot of the target: offers it to an instance that has asked.
+void LoadLinkFreed(LoadLink* link, ServiceState* service, PoolTarget* target, TimeUs now);
+
+// A message of the instance with that address for datagrams has come, `delay` after it was sent.
+void LoadLinkHeard(LoadLink* link, const std::string& from, LoadMessage message, TimeUs delay, TimeUs now);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Messages
+//-----------------------------------------------------------------------------
+
+// Encodes the body of a datagram: 15 bytes, and 9 for each report. Reports beyond LoadReportsMax are left out, numbers that are too large
+// are cut.
+inline constexpr size_t LoadReportsMax = 128;
+std::string EncodeLoad(const LoadMessage& message);
+
+// Code_MessageMalformed if the bytes are not exactly one message with plausible values.
+Result<LoadMessage> DecodeLoad(const std::string& bytes);
+
+} // namespace Winchlink
--- a/gateway/command_status.cpp
+++ b/gateway/command_status.cpp
@@ -94,6 +94,25 @@
     }
 }
 
+static void PrintDatagrams(json_t* root)
+{
+    json_t* datagrams = json_object_get(root, "datagrams");
+    if (Number(datagrams, "port") == 0)
+    {
+        return;
+    }
+    fmt::print("datagrams  shared load {}, division {}", Is(datagrams, "sharesLoad") ? "on" : "off",
+               Is(datagrams, "dividesLoad") ? "on" : "off");
+    size_t n = 0;
+    json_t* channel = nullptr;
+    json_array_foreach(json_object_get(datagrams, "channels"), n, channel)
+    {
+        fmt::print("; {}: {} sent, {} received, {} bytes, {} dropped", Text(channel, "name"), Number(channel, "sent"),
+                   Number(channel, "received"), Number(channel, "bytes"), Number(channel, "dropped"));
+    }
+    fmt::print("\n");
+}
+
 static void PrintInvalid(json_t* root)
 {
     size_t n = 0;
@@ -135,6 +154,16 @@
     {
         fmt::print("           {} targets in evacuated data centres\n", Number(service, "evacuatedTargets"));
     }
+    json_t* load = json_object_get(service, "load");
+    if (Number(load, "asks") + Number(load, "answers") + Number(load, "crossed") > 0)
+    {
+        fmt::print(
+            "           load shared: asked {} times, answered {}, {} offers, {} reports taken; {} of {} near targets known, {} free\n",
+            Number(load, "asks"), Number(load, "answers"), Number(load, "offers"), Number(load, "reportsTaken"), Number(load, "known"),
+            Number(load, "near"), Number(load, "free"));
+        fmt::print("           division {}: {} requests served elsewhere, {} kept to wait here\n",
+                   Is(load, "divided") ? "in force" : "not needed", Number(load, "crossed"), Number(load, "kept"));
+    }
     size_t n = 0;
     json_t* target = nullptr;
     json_array_foreach(json_object_get(service, "targets"), n, target)
@@ -158,6 +187,7 @@
     PrintInstance(root.get());
     PrintEvacuations(root.get());
     PrintPeers(root.get());
+    PrintDatagrams(root.get());
     PrintInvalid(root.get());
     PrintQuarantined(root.get());
     size_t n = 0;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -385,6 +385,20 @@
 // [SECTION] Datagrams
 //-----------------------------------------------------------------------------
 
+// What instances need to share load and is not set; null if nothing is missing.
+static const char* MissingForSharing(const Settings& settings)
+{
+    return !settings.ShareLoad            ? "shareLoad is false"
+           : settings.DatagramPort == 0   ? "no datagramPort"
+           : settings.PeerAddress.empty() ? "no peerAddress"
+                                          : nullptr;
+}
+
+static void SetLoadSharing(Gateway* gateway)
+{
+    LoadLinkSet(&gateway->Load, MissingForSharing(gateway->Config) == nullptr, gateway->Config.DivideLoad);
+}
+
 static Result<void> StartDatagrams(Gateway* gateway)
 {
     DatagramLink& link = gateway->Datagrams;
@@ -392,6 +406,15 @@
     link.Own = gateway->Config.PeerAddress;
     link.Port = gateway->Config.DatagramPort;
     StartQuotas(gateway);
+    gateway->Load.Loop = gateway->Loop;
+    gateway->Load.Datagrams = &link;
+    gateway->Load.Requests = &gateway->Requests;
+    SetLoadSharing(gateway);
+    const char* missing = MissingForSharing(gateway->Config);
+    if (missing != nullptr)
+    {
+        Log(LogLevel_Info, Code_None, "shared load off", {{"reason", missing}});
+    }
     return DatagramLinkStart(&link);
 }
 
@@ -517,6 +540,12 @@
     gateway->Requests.Quotas.Config.Slack = settings.QuotaSlack;
     UpdateQuotaRole(gateway);
     gateway->Requests.DataCentre = settings.DataCentre;
+    gateway->Config.ShareLoad = settings.ShareLoad;
+    gateway->Config.DivideLoad = settings.DivideLoad;
+    if (gateway->Load.Datagrams != nullptr) // Not at the start.
+    {
+        SetLoadSharing(gateway);
+    }
     SetLogLevel(settings.Level);
     ForwarderFollow(&gateway->Requests);
 }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "adapter.h"
 #include "crash_reports.h"
 #include "forward.h"
+#include "load_link.h"
 #include "quota_link.h"
 #include "relay.h"
 #include "settings.h"
@@ -56,6 +57,7 @@
     Forwarder Requests;
     CrashReports Crashes; // Exchange with other instances about requests that crash targets.
     DatagramLink Datagrams;
+    LoadLink Load;    // Exchange with other instances about the load of targets and the room in data centres.
     QuotaLink Quotas; // Exchange with other instances about quotas of customers and limits of targets.
     Listener Callers;
     Listener Readiness;
--- a/gateway/pages.cpp
+++ b/gateway/pages.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <numeric>
 #include <sys/resource.h>
 
 namespace Winchlink
@@ -126,13 +127,62 @@
     return text + FormatLatency("winchlink_handoff_seconds", "end=\"answered\"", requests.HandoffLatency);
 }
 
+// What instances tell each other of a service's load.
+static std::string LoadText(const std::string& name, const ServiceState& service, TimeUs now)
+{
+    const LoadSharing& sharing = service.Sharing;
+    const SharedRoom room = LoadRoom(service.Pool, now);
+    const Division& divided = service.Divided;
+    std::string text = fmt::format("winchlink_load_messages{{service=\"{}\",kind=\"ask\"}} {}\n", name, sharing.Asks);
+    text += fmt::format("winchlink_load_messages{{service=\"{}\",kind=\"answer\"}} {}\n", name, sharing.Answers);
+    text += fmt::format("winchlink_load_messages{{service=\"{}\",kind=\"offer\"}} {}\n", name, sharing.Offers);
+    text += fmt::format("winchlink_load_reports{{service=\"{}\",end=\"taken\"}} {}\n", name, sharing.ReportsTaken);
+    text += fmt::format("winchlink_load_reports{{service=\"{}\",end=\"ignored\"}} {}\n", name, sharing.ReportsIgnored);
+    text += fmt::format("winchlink_load_room{{service=\"{}\",of=\"targets\"}} {}\n", name, room.Targets);
+    text += fmt::format("winchlink_load_room{{service=\"{}\",of=\"known\"}} {}\n", name, room.Known);
+    text += fmt::format("winchlink_load_room{{service=\"{}\",of=\"free\"}} {}\n", name, room.Free);
+    text += fmt::format("winchlink_division_active{{service=\"{}\"}} {}\n", name, divided.Active ? 1 : 0);
+    text += fmt::format("winchlink_division_requests{{service=\"{}\",end=\"crossed\"}} {}\n", name, divided.Crossed);
+    text += fmt::format("winchlink_division_requests{{service=\"{}\",end=\"kept\"}} {}\n", name, divided.KeptForSlack);
+    return text;
+}
+
+static std::string ChannelText(const DatagramChannel& channel)
+{
+    std::string text = fmt::format("winchlink_datagrams_sent{{channel=\"{}\"}} {}\n", channel.Name, channel.Sent);
+    text += fmt::format("winchlink_datagrams_received{{channel=\"{}\"}} {}\n", channel.Name, channel.Received);
+    text += fmt::format("winchlink_datagram_bytes_sent{{channel=\"{}\"}} {}\n", channel.Name, channel.SentBytes);
+    text += fmt::format("winchlink_datagram_bytes_received{{channel=\"{}\"}} {}\n", channel.Name, channel.ReceivedBytes);
+    for (int drop = DatagramDrop_None + 1; drop < DatagramDrop_COUNT; drop++)
+    {
+        text += fmt::format("winchlink_datagrams_dropped{{channel=\"{}\",reason=\"{}\"}} {}\n", channel.Name,
+                            DatagramDropName(static_cast<DatagramDrop_>(drop)), channel.Dropped[drop]);
+    }
+    return text;
+}
+
+static std::string DatagramsText(const Gateway& gateway)
+{
+    std::string text;
+    for (const DatagramChannel& channel : gateway.Datagrams.Channels)
+    {
+        text += ChannelText(channel);
+    }
+    text += fmt::format("winchlink_datagrams_unknown {}\n", gateway.Datagrams.Unknown);
+    text += fmt::format("winchlink_load_unknown_services {}\n", gateway.Load.UnknownServices);
+    text += fmt::format("winchlink_load_not_answered {}\n", gateway.Load.NotAnswered);
+    return text + fmt::format("winchlink_division_asks {}\n", gateway.Load.DivisionAsks);
+}
+
 std::string MetricsText(const Gateway& gateway)
 {
     const Forwarder& requests = gateway.Requests;
+    const TimeUs now = NowUs();
     std::string text;
     for (const auto& entry : requests.Services)
     {
         text += ServiceText(entry.first, entry.second);
+        text += LoadText(entry.first, entry.second, now);
     }
     text += EndedText("", requests.Unrouted);
     for (const auto& entry : requests.ByPriority)
@@ -158,6 +208,7 @@
     text += fmt::format("winchlink_requests_suspected {}\n", requests.Quarantined.Requests.size());
     text += fmt::format("winchlink_target_ends_calls {}\n", gateway.Crashes.CallsMade);
     text += QuotasText(gateway);
+    text += DatagramsText(gateway);
     text += HandoffsText(requests);
     text += fmt::format("winchlink_followers_answered {}\n", gateway.Peers.Answers);
     text += fmt::format("winchlink_plan_version {}\n", requests.Plan ? requests.Plan->Version : 0);
@@ -217,6 +268,23 @@
     return object;
 }
 
+static json_t* JsonOfLoad(const ServiceState& service, TimeUs now)
+{
+    const SharedRoom room = LoadRoom(service.Pool, now);
+    json_t* object = json_object();
+    json_object_set_new(object, "asks", JsonNumber(service.Sharing.Asks));
+    json_object_set_new(object, "answers", JsonNumber(service.Sharing.Answers));
+    json_object_set_new(object, "offers", JsonNumber(service.Sharing.Offers));
+    json_object_set_new(object, "reportsTaken", JsonNumber(service.Sharing.ReportsTaken));
+    json_object_set_new(object, "near", json_integer(room.Targets));
+    json_object_set_new(object, "known", json_integer(room.Known));
+    json_object_set_new(object, "free", json_integer(room.Free));
+    json_object_set_new(object, "divided", json_boolean(service.Divided.Active));
+    json_object_set_new(object, "crossed", JsonNumber(service.Divided.Crossed));
+    json_object_set_new(object, "kept", JsonNumber(service.Divided.KeptForSlack));
+    return object;
+}
+
 static json_t* JsonOfService(const Quota& limits, const std::string& name, const ServiceState& service, TimeUs now)
 {
     json_t* targets = json_array();
@@ -240,6 +308,7 @@
     json_object_set_new(object, "pathForMs", service.Path.ChangedUs > 0 ? JsonMs(now - service.Path.ChangedUs) : json_null());
     json_object_set_new(object, "pathFailures", json_integer(FailedContacts(service.Path.Counts)));
     json_object_set_new(object, "evacuatedTargets", json_integer(service.Pool.Evacuated));
+    json_object_set_new(object, "load", JsonOfLoad(service, now));
     json_object_set_new(object, "targets", targets);
     return object;
 }
@@ -362,6 +431,27 @@
     return object;
 }
 
+static json_t* JsonOfDatagrams(const Gateway& gateway)
+{
+    json_t* channels = json_array();
+    for (const DatagramChannel& channel : gateway.Datagrams.Channels)
+    {
+        json_t* object = json_object();
+        json_object_set_new(object, "name", json_string(channel.Name));
+        json_object_set_new(object, "sent", JsonNumber(channel.Sent));
+        json_object_set_new(object, "received", JsonNumber(channel.Received));
+        json_object_set_new(object, "bytes", JsonNumber(channel.SentBytes + channel.ReceivedBytes));
+        json_object_set_new(object, "dropped", JsonNumber(std::accumulate(channel.Dropped.begin(), channel.Dropped.end(), uint64_t{0})));
+        json_array_append_new(channels, object);
+    }
+    json_t* object = json_object();
+    json_object_set_new(object, "port", json_integer(gateway.Config.DatagramPort));
+    json_object_set_new(object, "sharesLoad", json_boolean(gateway.Load.Shares));
+    json_object_set_new(object, "dividesLoad", json_boolean(gateway.Load.Divides));
+    json_object_set_new(object, "channels", channels);
+    return object;
+}
+
 static json_t* JsonOfInvalid(const Gateway& gateway)
 {
     json_t* list = json_array();
@@ -412,6 +502,7 @@
     json_object_set_new(object, "store", JsonOfStore(gateway, now));
     json_object_set_new(object, "customers", JsonOfCustomers(gateway));
     json_object_set_new(object, "peers", JsonOfPeers(gateway.Requests, now));
+    json_object_set_new(object, "datagrams", JsonOfDatagrams(gateway));
     json_object_set_new(object, "evacuated", JsonOfEvacuations(gateway.Requests.Directory));
     json_object_set_new(object, "invalid", JsonOfInvalid(gateway));
     json_object_set_new(object, "held", JsonOfQuarantined(gateway.Requests.Quarantined, now));
--- a/gateway/settings.cpp
+++ b/gateway/settings.cpp
@@ -100,6 +100,13 @@
     }
     ReadRealBetween(r, "quotaOverage", false, 0, 1, &out->QuotaOverage);
     ReadRealBetween(r, "quotaSlack", false, 0, QuotaSlackMax, &out->QuotaSlack);
+    ReadBool(r, "shareLoad", false, &out->ShareLoad);
+    out->DivideLoad = out->ShareLoad;
+    ReadBool(r, "divideLoad", false, &out->DivideLoad);
+    if (out->DivideLoad && !out->ShareLoad)
+    {
+        AddFault(*r, r->Codes.OutOfRange, "divideLoad", "needs shareLoad");
+    }
     ReadLevel(r, &out->Level);
 }
 
--- a/requests/forward.h
+++ b/requests/forward.h
@@ -81,6 +81,8 @@
     std::optional<std::string> FollowedFrom; // Value of Forwarder::DataCentre at the last update of Pool.
     RowMetrics Metrics;
     SignalCounters Signals;
+    LoadSharing Sharing; // Exchange of load reports with other instances.
+    Division Divided;    // Requests that other data centres serve.
 };
 
 // Estimated work of a route's requests.
@@ -128,6 +130,10 @@
     uint64_t LastId = 0;                          // Number of the last generated id.
     uint64_t ProbesSent = 0;                      // Counter: probes sent.
     uint64_t ProbesShared = 0;                    // Counter: requests that shared a probe in flight.
+
+    // Both are empty while instances share no load reports.
+    std::function<void(ServiceState*)> OnTargetBusy;            // A request found a target without a free slot.
+    std::function<void(ServiceState*, PoolTarget*)> OnSlotFree; // An answer has shown a free slot of its target.
 };
 
 // Updates the services' pools from the plan and the directory. Only pools whose targets have changed are updated.
--- a/winchlink_internal.h
+++ b/winchlink_internal.h
@@ -74,6 +74,7 @@
 
 void AddFault(const ObjectReader& r, Code_ code, const std::string& key, const std::string& detail);
 void ReadText(ObjectReader* r, const char* key, bool required, std::string* out);
+void ReadBool(ObjectReader* r, const char* key, bool required, bool* out);
 void ReadInt(ObjectReader* r, const char* key, bool required, int* out);
 
 // The same, with a fault if the number is out of range.
--- a/winchlink_json.cpp
+++ b/winchlink_json.cpp
@@ -86,6 +86,21 @@
     out->assign(json_string_value(value), json_string_length(value));
 }
 
+void ReadBool(ObjectReader* r, const char* key, bool required, bool* out)
+{
+    json_t* value = ReadKey(r, key, required);
+    if (value == nullptr)
+    {
+        return;
+    }
+    if (!json_is_boolean(value))
+    {
+        AddFault(*r, r->Codes.WrongType, key, "expected true or false");
+        return;
+    }
+    *out = json_is_true(value);
+}
+
 void ReadInt(ObjectReader* r, const char* key, bool required, int* out)
 {
     json_t* value = ReadKey(r, key, required);
