--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 // [SECTION] Requests that crash targets
 // [SECTION] Requests of other instances
 // [SECTION] Quotas
+// [SECTION] Datagrams
 // [SECTION] Readiness and pages
 // [SECTION] Planned stop
 // [SECTION] Settings
@@ -350,7 +351,7 @@
     return {limits, wanted, decide, nullptr};
 }
 
-static Result<void> StartQuotas(Gateway* gateway)
+static void StartQuotas(Gateway* gateway)
 {
     QuotaLink& link = gateway->Quotas;
     link.Loop = gateway->Loop;
@@ -360,8 +361,7 @@
     {
         channel.State->StartedUs = gateway->StartedUs;
     }
-    link.Own = gateway->Config.PeerAddress;
-    link.Port = gateway->Config.DatagramPort;
+    link.Datagrams = &gateway->Datagrams;
     link.Source = [gateway]()
     {
         return SourceInstance(*gateway);
@@ -378,7 +378,44 @@
     {
         QuotaLinkUpdate(&link);
     };
-    return QuotaLinkStart(&link);
+    QuotaLinkStart(&link);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Datagrams
+//-----------------------------------------------------------------------------
+
+// What instances need to share load and is not set; null if nothing is missing.
+static const char* MissingForSharing(const Settings& settings)
+{
+    return !settings.ShareLoad            ? "shareLoad is false"
+           : settings.DatagramPort == 0   ? "no datagramPort"
+           : settings.PeerAddress.empty() ? "no peerAddress"
+                                          : nullptr;
+}
+
+static void SetLoadSharing(Gateway* gateway)
+{
+    LoadLinkSet(&gateway->Load, MissingForSharing(gateway->Config) == nullptr, gateway->Config.DivideLoad);
+}
+
+static Result<void> StartDatagrams(Gateway* gateway)
+{
+    DatagramLink& link = gateway->Datagrams;
+    link.Loop = gateway->Loop;
+    link.Own = gateway->Config.PeerAddress;
+    link.Port = gateway->Config.DatagramPort;
+    StartQuotas(gateway);
+    gateway->Load.Loop = gateway->Loop;
+    gateway->Load.Datagrams = &link;
+    gateway->Load.Requests = &gateway->Requests;
+    SetLoadSharing(gateway);
+    const char* missing = MissingForSharing(gateway->Config);
+    if (missing != nullptr)
+    {
+        Log(LogLevel_Info, Code_None, "shared load off", {{"reason", missing}});
+    }
+    return DatagramLinkStart(&link);
 }
 
 //-----------------------------------------------------------------------------
@@ -503,6 +540,12 @@
     gateway->Requests.Quotas.Config.Slack = settings.QuotaSlack;
     UpdateQuotaRole(gateway);
     gateway->Requests.DataCentre = settings.DataCentre;
+    gateway->Config.ShareLoad = settings.ShareLoad;
+    gateway->Config.DivideLoad = settings.DivideLoad;
+    if (gateway->Load.Datagrams != nullptr) // Not at the start.
+    {
+        SetLoadSharing(gateway);
+    }
     SetLogLevel(settings.Level);
     ForwarderFollow(&gateway->Requests);
 }
@@ -611,10 +654,10 @@
             return peers.error();
         }
     }
-    const Result<void> quotas = StartQuotas(gateway);
-    if (!quotas)
+    const Result<void> datagrams = StartDatagrams(gateway);
+    if (!datagrams)
     {
-        return quotas.error();
+        return datagrams.error();
     }
     loop->OnSuspended = [gateway](TimeUs suspended)
     {
