Division: interface with averaged room, first rule

A single instance sees one to three targets of its data centre in 150 ms, so what it tells of the room is averaged (DivisionSeen(), DivisionTell()); a request crosses with a probability that grows with the difference of the free shares, not beyond a threshold. PoolNextIn() is the pool's choice within one data centre.

--- a/winchlink.h
+++ b/winchlink.h
@@ -631,6 +631,9 @@
 // notice it.
 PoolTarget* PoolNextUnprobed(TargetPool* pool, const std::vector<std::string>& passed, bool unsafe, TimeUs now, Random* random);
 
+// The best target of that data centre, near or not, that isn't known to be full or slow; null if there is none. Never a cold one.
+PoolTarget* PoolNextIn(TargetPool* pool, uint16_t data_centre, const std::vector<std::string>& passed, bool unsafe, TimeUs now);
+
 // Whether one more request would make the target nearly full.
 bool PoolNearlyFull(const PoolConfig& config, const LoadReport& report, int more);
 
@@ -1069,19 +1072,39 @@
 // data centre refuses while another has room, each gets no more than it has room for, and nothing crosses that could be served at home.
 // Small answers that are needed soon cross first; large ones with time to spare wait for a target at home.
 //
+// A request crosses with a probability that grows with the difference between the free shares of both data centres. As all instances of a
+// data centre hear about the same, they must not all do the same; and the nearer the two are, the less crosses.
+//
 // Without recent news of another data centre, the order is that of the pool: near first.
 //
-// How to use it: DivisionHeard() for each LoadMessage of another data centre; DivisionAsks() when the own data centre is short of room;
-// DivisionPick() for a request that finds no target at home.
+// How to use it: DivisionSeen() whenever a request has looked for a target at home, and DivisionTell() for the room that answers to other
+// instances tell. DivisionAsks() when the own data centre seems to be short of room; DivisionHeard() for each LoadMessage of another data
+// centre; DivisionPick() for a request that finds no target at home.
 
 struct DivisionConfig
 {
     TimeUs RoomMaxAgeUs = 150 * UsPerMs; // News of a data centre's room are stale after this: load shifts within this time.
-    double ShortOfRoom = 0.1;            // A data centre with a smaller share of free targets is short of room.
-    double RoomMargin = 0.1;             // Another one must have a share of free targets that is greater by this, so that requests don't
+    TimeUs AskIntervalUs = 10 * UsPerMs; // Time between two asks of a data centre.
+    TimeUs AverageUs = 300 * UsPerMs;    // The own room is averaged over about this time.
+    int KnownMin = 4;                    // A data centre is short of room only if at least so many of its targets are known.
+    double RoomPrior = 2;                // Targets without room that are added to those known of another data centre.
+    double ShortOfRoom = 0.6;            // A data centre with a smaller share of free targets is short of room,
+    double EnoughRoom = 0.7;             // until it has at least this share.
+    double RoomMargin = 0.02;            // Another one must have a share of free targets that is greater by this, so that requests don't
                                          // cross between data centres that are equally full.
-    double LargeAnswerBytes = 32 * KiB;  // Answers from this size on wait at home while they have slack.
-    double SlackFactor = 4;              // A request has slack while this many times its usual work fits into the time left.
+    double RoomRange = 0.05;             // From RoomMargin on, the probability to cross grows to 1 within this difference.
+    double LargeAnswerBytes = 32 * KiB;  // Answers from this size on wait at home while they have slack; smaller ones
+    double SlackFactor = 4;              // only with more. Slack: this many times the usual work fits into the time left.
+    size_t DataCentresMax = 16;          // Data centres that are remembered.
+};
+
+// Sums of what was told of one data centre's room, weighted by age.
+struct RoomAverage
+{
+    int Targets = 0; // As last told.
+    double Known = 0;
+    double Free = 0;
+    TimeUs AtUs = 0; // Of the last one; 0: none.
 };
 
 // What is known of another data centre.
@@ -1090,6 +1113,7 @@
     SharedRoom Room;
     TimeUs HeardUs = 0;
     TimeUs AskedUs = 0;
+    int Sent = 0; // Requests of this instance that went there since HeardUs.
 };
 
 // What a request needs.
@@ -1097,20 +1121,28 @@
 {
     double WorkUs = 0;      // Usual duration at a target; 0 if unknown.
     double AnswerBytes = 0; // Usual size of the answer; 0 if unknown.
-    TimeUs LeftUs = 0;      // Until its latency objective.
+    TimeUs LeftUs = 0;      // Until its latency objective. 0 for a request that is refused otherwise.
 };
 
 // State for one service.
 struct Division
 {
     DivisionConfig Config;
+    RoomAverage Own;
     std::map<uint16_t, DataCentreRoom> Rooms; // Other data centres, by PeerDataCentre().
-    bool Active = false;                      // The own data centre is short of room, and another one has some.
+    bool Active = false;                      // The own data centre is short of room.
     TimeUs ChangedUs = 0;                     // Time of the last change of Active; 0: never.
     uint64_t Crossed = 0;                     // Counter: requests for which DivisionPick() has named a data centre.
     uint64_t KeptForSlack = 0;                // Counter: requests that stayed at home although another data centre had room.
+    uint64_t KeptForRoom = 0;                 // Counter: requests that stayed because none was known to have more room.
 };
 
+// A request has looked for a target at home; `own`: the room that this instance sees there.
+void DivisionSeen(Division* division, const SharedRoom& own, TimeUs now);
+
+// The room of the own data centre to tell others: an average, as this instance alone sees few targets at a time.
+SharedRoom DivisionTell(const Division& division, const SharedRoom& own, TimeUs now);
+
 void DivisionHeard(Division* division, uint16_t data_centre, const SharedRoom& room, TimeUs now);
 
 // The data centres to ask for their room now: those of which nothing recent is known, when the own one is short of room.
--- a/winchlink_pick.cpp
+++ b/winchlink_pick.cpp
@@ -107,6 +107,55 @@
     return best != nullptr ? PoolFind(pool, best->Id) : nullptr; // Marks the target, as the caller may change it.
 }
 
+// Whether a request may go to the target, and nothing is known that shows it to be full or slow.
+static bool MayHaveRoom(const TargetPool& pool, const PoolTarget& target, TimeUs now)
+{
+    if (!PoolMayUse(target, now) || PoolColdState(pool, target, now) != PoolCold_None)
+    {
+        return false;
+    }
+    const std::optional<KnownLoad> known = PoolKnownLoad(pool, target, now);
+    const bool full = known && known->Load.Running + known->Load.Waiting >= known->Load.Slots;
+    return !full && (!known || PoolRankCost(pool, target, now) <= pool.Config.AcceptableCost);
+}
+
+PoolTarget* PoolNextIn(TargetPool* pool, uint16_t data_centre, const std::vector<std::string>& passed, bool unsafe, TimeUs now)
+{
+    DropMarks(pool, now);
+    PoolTarget* best = nullptr;
+    PoolRank best_rank;
+    const auto consider = [&](PoolTarget* target)
+    {
+        if (target->DataCentre != data_centre || !MayHaveRoom(*pool, *target, now) || HasPassed(passed, *target))
+        {
+            return;
+        }
+        const PoolRank rank = PoolRankOf(*pool, *target, true, unsafe, now);
+        if (best == nullptr || rank < best_rank)
+        {
+            best = target;
+            best_rank = rank;
+        }
+    };
+    for (PoolTarget* target : pool->Index.Marked)
+    {
+        consider(target);
+    }
+    for (const auto& group : pool->Index.Groups)
+    {
+        const auto is_candidate = [&](const std::pair<int64_t, PoolTarget*>& entry)
+        {
+            return !entry.second->Marked && entry.second->DataCentre == data_centre && !HasPassed(passed, *entry.second);
+        };
+        const auto first = std::find_if(group.begin(), group.end(), is_candidate);
+        if (first != group.end())
+        {
+            consider(first->second);
+        }
+    }
+    return best != nullptr ? PoolFind(pool, best->Id) : nullptr;
+}
+
 // Compares all targets, as each needs a random order of its own; a table row has at most RowTargetsMax of them.
 PoolTarget* PoolNextUnprobed(TargetPool* pool, const std::vector<std::string>& passed, bool unsafe, TimeUs now, Random* random)
 {
