--- a/exchange/load_link.cpp
+++ b/exchange/load_link.cpp
@@ -222,7 +222,8 @@
     {
         LoadWatch& watch = entry->second;
         WatchService(*link, *entry->first, &watch, now);
-        const bool recent = now < std::max(watch.AskedUs, watch.DivisionCheckedUs) + link->Config.CalmUs;
+        const bool recent = now < std::max({watch.AskedUs, watch.HeardUs, watch.DivisionCheckedUs}) + link->Config.CalmUs;
+        entry->first->Pool.Shared = recent;
         entry = recent ? std::next(entry) : link->Watched.erase(entry);
     }
     link->WatchTimer = link->Watched.empty() ? nullptr : TimerStart(link->Loop, link->Config.WatchUs, [link]() { WatchAll(link); });
@@ -355,6 +356,7 @@
         link->UnknownServices++;
         return;
     }
+    WatchOf(link, service)->HeardUs = now;
     service->Pool.Shared = true;
     for (SharedReport& report : message.Reports)
     {
@@ -400,6 +402,7 @@
     channel.OnReceived = nullptr;
     requests->OnTargetBusy = nullptr;
     requests->OnSlotFree = nullptr;
+    requests->Divides = link->Divides;
     for (auto& [name, service] : requests->Services)
     {
         service.Pool.Shared = service.Pool.Shared && shares;
--- a/exchange/load_link.h
+++ b/exchange/load_link.h
@@ -26,7 +26,7 @@
 
 struct LoadLinkConfig
 {
-    TimeUs CalmUs = 5 * UsPerSecond;       // Sharing has ended for a service once this instance has not asked for this long.
+    TimeUs CalmUs = 5 * UsPerSecond;       // Sharing has ended for a service once nobody has asked for this long.
     TimeUs DivisionCheckUs = 10 * UsPerMs; // Time between two checks whether other data centres are to be asked.
     TimeUs WatchUs = 500 * UsPerMs;        // Time between two checks whether sharing and division have ended.
 };
@@ -35,6 +35,7 @@
 struct LoadWatch
 {
     TimeUs AskedUs = 0;           // When other instances of the data centre were last asked; 0: never.
+    TimeUs HeardUs = 0;           // When another instance was last heard; 0: never.
     TimeUs DivisionCheckedUs = 0; // When other data centres were last considered; 0: never.
     TimeUs SharingUs = 0;         // When sharing began; 0: it has not.
     TimeUs DividingUs = 0;        // When division began; 0: it has not.
@@ -55,7 +56,7 @@
     bool Divides = false;                       // Rooms of data centres are exchanged too.
     std::unordered_map<uint32_t, ServiceState*> Services; // By SharedServiceId().
     size_t ServicesIndexed = 0;                           // Number of the Forwarder's services when Services was made.
-    std::map<ServiceState*, LoadWatch> Watched;           // Services for which other instances were asked lately.
+    std::map<ServiceState*, LoadWatch> Watched;           // Services for which instances have asked lately.
     Timer WatchTimer;                                     // Next check of Watched.
     uint64_t UnknownServices = 0;                         // Counter: messages of services that are not known here.
     uint64_t NotAnswered = 0;                             // Counter: asks that came while this instance drained or had no plan.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -409,6 +409,7 @@
     gateway->Load.Loop = gateway->Loop;
     gateway->Load.Datagrams = &link;
     gateway->Load.Requests = &gateway->Requests;
+    gateway->Load.OnHeard = ContinueWaiting;
     SetLoadSharing(gateway);
     const char* missing = MissingForSharing(gateway->Config);
     if (missing != nullptr)
--- a/requests/forward.h
+++ b/requests/forward.h
@@ -126,7 +126,8 @@
     uint64_t ProbesSent = 0;                      // Counter: probes sent.
     uint64_t ProbesShared = 0;                    // Counter: requests that shared a probe in flight.
 
-    // Both are empty while instances share no load reports.
+    // Off while instances share no load reports.
+    bool Divides = false;                                       // Requests are divided between data centres.
     std::function<void(ServiceState*)> OnTargetBusy;            // A request found a target without a free slot.
     std::function<void(ServiceState*, PoolTarget*)> OnSlotFree; // An answer has shown a free slot of its target.
 };
@@ -136,6 +137,9 @@
 
 void ForwardRequest(Forwarder* forwarder, const ExchangePtr& exchange);
 
+// Lets the requests that wait for a free target go on if one is known now, as other instances have told of the service's targets.
+void ContinueWaiting(ServiceState* service);
+
 // Whether a pipelined request may be handled concurrently with others of its connection: only if its route allows it to run more than once.
 bool ForwardMayOverlap(const Forwarder& forwarder, const Exchange& exchange);
 
