--- /dev/null
+++ b/tests/choose_test.cpp
@@ -0,0 +1,570 @@
+// choose_test.cpp: the state machine that chooses a request's target: each action, each code of a refusal, and the order of side effects.
+
+#include "check.h"
+
+#include <fmt/format.h>
+
+namespace Winchlink
+{
+
+namespace
+{
+
+constexpr TimeUs ObjectiveUs = 300 * UsPerMs;
+
+// One request, its instance, and the targets "t0", "t1", ... of two slots.
+struct Situation
+{
+    Random Rng{7};
+    TimeUs Now = UsPerSecond;
+    std::vector<DirectoryTarget> Listed;
+    ChooserConfig Config;
+    TargetPool Pool;
+    TargetPath Path;
+    Quota Limits;
+    Chooser Round;
+    ChooserRequest Request;
+    std::vector<std::string> SentTo;
+    uint64_t OverLimitCount = 0;
+    bool Admits = true;
+    std::string Peer;   // Takes a request; empty: none does.
+    std::string Effect; // Calls of Admit and PickPeer, in order.
+
+    explicit Situation(size_t targets)
+    {
+        Limits.Config = TargetQuotaConfig();
+        Request.ArrivedUs = Now;
+        Request.LatencyObjectiveUs = ObjectiveUs;
+        Request.DeadlineUs = Now + UsPerSecond;
+        Request.WorkUs = 50 * UsPerMs;
+        Request.SentTo = &SentTo;
+        Listed.resize(targets);
+        TargetList all;
+        for (size_t n = 0; n < targets; n++)
+        {
+            Listed[n].Id = fmt::format("t{}", n);
+            Listed[n].DataCentre = "dc";
+            Listed[n].Slots = 2;
+            all.push_back(&Listed[n]);
+        }
+        PoolSync(&Pool, all, "dc", &Rng);
+        for (size_t n = 0; n < targets; n++)
+        {
+            Target(n).Order = static_cast<int64_t>(n); // Probed in the order of their numbers.
+        }
+        Reindex();
+    }
+
+    // The groups are sorted by Order.
+    void Reindex()
+    {
+        for (auto& group : Pool.Index.Groups)
+        {
+            const auto entries = std::move(group);
+            group.clear();
+            for (const auto& entry : entries)
+            {
+                group.insert({entry.second->Order, entry.second});
+            }
+        }
+    }
+
+    PoolTarget& Target(size_t number)
+    {
+        return *PoolFind(&Pool, fmt::format("t{}", number));
+    }
+
+    ChooserView View()
+    {
+        ChooserView view;
+        view.Config = &Config;
+        view.Request = Request;
+        view.Pool = &Pool;
+        view.Path = &Path;
+        view.TargetLimits = &Limits;
+        view.OverLimitCount = &OverLimitCount;
+        view.Rng = &Rng;
+        view.Admit = [this]()
+        {
+            Effect += "admit ";
+            return Admits;
+        };
+        view.PickPeer = [this]()
+        {
+            Effect += "pick ";
+            return Peer;
+        };
+        return view;
+    }
+
+    static std::string Text(const ChooseActions& actions)
+    {
+        std::string text;
+        for (const ChooseAction& action : actions)
+        {
+            text += text.empty() ? "" : ", ";
+            switch (action.Kind)
+            {
+            case ChooseAction_Probe:
+                text += fmt::format("probe {} slow after {}", action.Target->Id, action.DelayUs / UsPerMs);
+                break;
+            case ChooseAction_Send:
+                text += "send " + action.Target->Id;
+                break;
+            case ChooseAction_Wait:
+                text += fmt::format("wait {}", action.DelayUs / UsPerMs);
+                break;
+            case ChooseAction_HandOff:
+                text += "hand to " + action.Peer;
+                break;
+            default:
+                text += fmt::format("refuse {} '{}'", static_cast<int>(action.Code), action.Detail);
+            }
+        }
+        return text;
+    }
+
+    std::string Start(Choosing_ kind = Choosing_First)
+    {
+        return Text(ChooserStart(&Round, kind, View(), Now));
+    }
+
+    // The probe of a target is answered with this load.
+    std::string Answer(size_t target, const LoadReport& load)
+    {
+        PoolReport(&Target(target), load, Now);
+        Request.Contacts[ContactEnd_Answered]++;
+        return Text(ChooserProbed(&Round, View(), fmt::format("t{}", target), true, Now));
+    }
+
+    // The probe of a target gets no answer.
+    std::string Silence(size_t target)
+    {
+        PoolFailed(Pool.Config, &Target(target), Now);
+        Request.Contacts[ContactEnd_Silent]++;
+        return Text(ChooserProbed(&Round, View(), fmt::format("t{}", target), false, Now));
+    }
+
+    std::string SlowProbe()
+    {
+        return Text(ChooserSlowProbe(&Round, View(), Now));
+    }
+
+    std::string Retry()
+    {
+        return Text(ChooserRetry(&Round, View(), Now));
+    }
+
+    std::string SlotFree(size_t target)
+    {
+        return Text(ChooserSlotFree(&Round, View(), fmt::format("t{}", target), Now));
+    }
+
+    std::string PathChanged()
+    {
+        return Text(ChooserPathChanged(&Round, View(), Now));
+    }
+
+    // The path is lost, and `failed` contacts have failed.
+    void LosePath(int failed)
+    {
+        for (int n = 0; n < failed; n++)
+        {
+            TargetPathContact(&Path, fmt::format("t{}", n), ContactEnd_Silent, 8, Now);
+        }
+    }
+
+    // The target has set a rate limit that is used up.
+    void LimitUsedUp(size_t target)
+    {
+        const uint64_t id = Target(target).IncarnationId;
+        QuotaSetTargetLimit(&Limits, id, 0.001, Now);
+        for (int n = 0; n < 50 && QuotaTakeTarget(&Limits, id, Now, &Rng); n++)
+        {
+        }
+    }
+};
+
+constexpr LoadReport Idle = {0, 0, 2, 100};
+constexpr LoadReport Half = {1, 0, 2, 100}; // Nearly full with one more: not good, but acceptable.
+constexpr LoadReport Full = {2, 0, 2, 100};
+constexpr LoadReport Slow = {0, 0, 2, 500};
+
+std::string Refusal(Code_ code, const std::string& detail = "")
+{
+    return fmt::format("refuse {} '{}'", static_cast<int>(code), detail);
+}
+
+} // namespace
+
+class ChooseTest : public CPPUNIT_NS::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ChooseTest);
+    CPPUNIT_TEST(SendsToTheFirstGoodTarget);
+    CPPUNIT_TEST(NeedsNoProbeForAYoungReport);
+    CPPUNIT_TEST(ASlowProbeAllowsAnother);
+    CPPUNIT_TEST(ProbesAreLimited);
+    CPPUNIT_TEST(AnswersCountInALaterRound);
+    CPPUNIT_TEST(TakesTheBestAcceptableTarget);
+    CPPUNIT_TEST(WaitsWhileTargetsAreBusy);
+    CPPUNIT_TEST(TakesASlowTargetRatherThanNone);
+    CPPUNIT_TEST(RefusesWhatWouldBeLate);
+    CPPUNIT_TEST(AFreeSlotGoesToAWaitingRequest);
+    CPPUNIT_TEST(TheMostUrgentGetsTheSlot);
+    CPPUNIT_TEST(AHedgeDoesNotWait);
+    CPPUNIT_TEST(KeepsToTheConnectionLimit);
+    CPPUNIT_TEST(RefusesWithoutTargets);
+    CPPUNIT_TEST(SkipsTargetsAtTheirLimits);
+    CPPUNIT_TEST(TakesALimitOnceInARound);
+    CPPUNIT_TEST(RefusesWhenAllTargetsAreLimited);
+    CPPUNIT_TEST(RefusesWhenAllTargetsAreInBackoff);
+    CPPUNIT_TEST(HandsOnWhatReachesNoTarget);
+    CPPUNIT_TEST(AdmitsBeforeTheFirstProbe);
+    CPPUNIT_TEST(HandsOnWithoutAPath);
+    CPPUNIT_TEST(RefusesWithoutAPath);
+    CPPUNIT_TEST(ALostPathEndsTheWaiting);
+    CPPUNIT_TEST(SendsUnprobedWhereLoadIsNotReported);
+    CPPUNIT_TEST(RefusesUnprobed);
+    CPPUNIT_TEST_SUITE_END();
+
+    void SendsToTheFirstGoodTarget()
+    {
+        Situation s(3);
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t0 slow after 5"), s.Start());
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t1 slow after 5"), s.Answer(0, Full));
+        CPPUNIT_ASSERT_EQUAL(std::string("send t1"), s.Answer(1, Idle));
+        CPPUNIT_ASSERT_EQUAL(Choosing_None, s.Round.Kind);
+        CPPUNIT_ASSERT_EQUAL(0, s.Round.ProbesInFlight);
+        CPPUNIT_ASSERT_EQUAL(2, s.Round.ProbeCount);
+        CPPUNIT_ASSERT_EQUAL(std::string(), s.SlowProbe()); // The round is over.
+    }
+
+    void NeedsNoProbeForAYoungReport()
+    {
+        Situation s(2);
+        PoolReport(&s.Target(0), Idle, s.Now);
+        s.Now += s.Config.ReportReuseUs - 1;
+        CPPUNIT_ASSERT_EQUAL(std::string("send t0"), s.Start());
+        s.Now += 1;
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t0 slow after 5"), s.Start());
+    }
+
+    void ASlowProbeAllowsAnother()
+    {
+        Situation s(4);
+        s.Start();
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t1 slow after 5"), s.SlowProbe());
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t2 slow after 5"), s.Answer(1, Full));
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t3 slow after 5"), s.SlowProbe());
+        CPPUNIT_ASSERT_EQUAL(std::string("send t0"), s.Answer(0, Idle));
+        CPPUNIT_ASSERT_EQUAL(std::string(), s.Answer(2, Idle)); // Sent already.
+        CPPUNIT_ASSERT_EQUAL(std::string(), s.Silence(3));
+        CPPUNIT_ASSERT_EQUAL(0, s.Round.ProbesInFlight);
+    }
+
+    void ProbesAreLimited()
+    {
+        Situation s(20);
+        std::string last = s.Start();
+        size_t probed = 0;
+        while (last.find("probe") == 0)
+        {
+            last = s.Answer(probed++, Full);
+        }
+        CPPUNIT_ASSERT_EQUAL(static_cast<size_t>(s.Config.MaxProbes), probed);
+        CPPUNIT_ASSERT_EQUAL(std::string("wait 20"), last);
+    }
+
+    // A probe that is still in flight when a round ends belongs to the next one.
+    void AnswersCountInALaterRound()
+    {
+        Situation s(3);
+        s.Start();
+        s.SlowProbe();
+        CPPUNIT_ASSERT_EQUAL(std::string("send t1"), s.Answer(1, Idle));
+        s.SentTo.emplace_back("t1");
+        CPPUNIT_ASSERT_EQUAL(std::string(), s.Start()); // The probe of t0 is in flight: one at a time.
+        CPPUNIT_ASSERT_EQUAL(1, s.Round.ProbesInFlight);
+        CPPUNIT_ASSERT_EQUAL(std::string("send t0"), s.Answer(0, Idle));
+    }
+
+    void TakesTheBestAcceptableTarget()
+    {
+        Situation s(3);
+        s.Pool.NearlyFullFactor = 1.7;
+        s.Start();
+        s.Answer(0, Half);
+        s.Answer(1, {1, 0, 2, 105});
+        CPPUNIT_ASSERT_EQUAL(std::string("send t0"), s.Answer(2, {1, 0, 2, 110}));
+    }
+
+    void WaitsWhileTargetsAreBusy()
+    {
+        Situation s(2);
+        s.Start();
+        s.Answer(0, Full);
+        CPPUNIT_ASSERT_EQUAL(std::string("wait 20"), s.Answer(1, Full));
+        CPPUNIT_ASSERT(s.Round.Waiting);
+        CPPUNIT_ASSERT_EQUAL(std::string(), s.SlowProbe());
+        s.Now += s.Config.ProbeRetryUs;
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t0 slow after 5"), s.Retry());
+        CPPUNIT_ASSERT(!s.Round.Waiting);
+        s.Answer(0, Full);
+        s.Now += 2 * s.Config.ProbeRetryUs; // The time for choosing is over.
+        CPPUNIT_ASSERT_EQUAL(Refusal(Code_TargetsBusy), s.Answer(1, Full));
+        CPPUNIT_ASSERT_EQUAL(Choosing_None, s.Round.Kind);
+    }
+
+    // When no time is left to wait, a target that is slow but in time is better than a refusal.
+    void TakesASlowTargetRatherThanNone()
+    {
+        Situation s(1);
+        s.Start();
+        CPPUNIT_ASSERT_EQUAL(std::string("wait 20"), s.Answer(0, Slow));
+        s.Now += s.Config.ProbeRetryUs;
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t0 slow after 5"), s.Retry());
+        s.Now += s.Config.ProbeRetryUs;
+        CPPUNIT_ASSERT_EQUAL(std::string("send t0"), s.Answer(0, {0, 0, 2, 400}));
+    }
+
+    void RefusesWhatWouldBeLate()
+    {
+        Situation s(1);
+        s.Request.WorkUs = 100 * UsPerMs; // Slow: 500 ms, more than the objective.
+        s.Start();
+        s.Now += 2 * s.Config.ProbeRetryUs;
+        CPPUNIT_ASSERT_EQUAL(Refusal(Code_TargetsBusy, "too slow"), s.Answer(0, Slow));
+        s.Request.Sent = true; // After an attempt the deadline counts.
+        s.Now += s.Config.ReportReuseUs;
+        s.Start();
+        s.Now += 2 * s.Config.ProbeRetryUs;
+        CPPUNIT_ASSERT_EQUAL(std::string("send t0"), s.Answer(0, Slow));
+    }
+
+    void AFreeSlotGoesToAWaitingRequest()
+    {
+        Situation s(1);
+        s.Start();
+        s.Answer(0, Full);
+        CPPUNIT_ASSERT_EQUAL(std::string(), s.SlotFree(0)); // Still busy.
+        CPPUNIT_ASSERT(s.Round.Waiting);
+        PoolReport(&s.Target(0), Idle, s.Now);
+        CPPUNIT_ASSERT_EQUAL(std::string(), s.SlotFree(1)); // No such target.
+        CPPUNIT_ASSERT_EQUAL(std::string("send t0"), s.SlotFree(0));
+        CPPUNIT_ASSERT(!s.Round.Waiting);
+        CPPUNIT_ASSERT_EQUAL(std::string(), s.SlotFree(0)); // It no longer waits.
+        CPPUNIT_ASSERT_EQUAL(std::string(), s.Retry());
+    }
+
+    void TheMostUrgentGetsTheSlot()
+    {
+        const std::vector<std::string> nowhere;
+        const std::vector<std::string> sent = {"t0"};
+        std::vector<ChooserRequest> waiting(4);
+        for (ChooserRequest& request : waiting)
+        {
+            request.SentTo = &nowhere;
+            request.Priority = 2;
+        }
+        CPPUNIT_ASSERT(!ChooserMostUrgent({}, "t0"));
+        CPPUNIT_ASSERT_EQUAL(size_t{0}, *ChooserMostUrgent(waiting, "t0")); // Among equals, the one that waits longest.
+        waiting[1].Priority = 0;
+        waiting[2].Priority = 1;
+        waiting[3].Priority = 0;
+        CPPUNIT_ASSERT_EQUAL(size_t{1}, *ChooserMostUrgent(waiting, "t0"));
+        waiting[1].SentTo = &sent; // It was sent there before.
+        CPPUNIT_ASSERT_EQUAL(size_t{3}, *ChooserMostUrgent(waiting, "t0"));
+        CPPUNIT_ASSERT_EQUAL(size_t{1}, *ChooserMostUrgent(waiting, "t1"));
+    }
+
+    void AHedgeDoesNotWait()
+    {
+        Situation s(2);
+        s.Request.Sent = true;
+        s.SentTo = {"t0"};
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t1 slow after 5"), s.Start(Choosing_Hedge));
+        CPPUNIT_ASSERT_EQUAL(Refusal(Code_TargetsBusy), s.Answer(1, Full));
+        s.Now += s.Config.ReportReuseUs;
+        s.Start(Choosing_Hedge);
+        s.Round.Kind = Choosing_First; // The first attempt has failed meanwhile: the hedge becomes a retry.
+        CPPUNIT_ASSERT_EQUAL(std::string("wait 20"), s.Answer(1, Full));
+    }
+
+    void KeepsToTheConnectionLimit()
+    {
+        Situation s(2);
+        s.Request.ConnectionsMax = 1;
+        s.Target(0).InFlight = 1;
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t1 slow after 5"), s.Start());
+        s.Target(1).InFlight = 1; // Another request was sent there meanwhile.
+        CPPUNIT_ASSERT_EQUAL(std::string("wait 20"), s.Answer(1, Idle));
+    }
+
+    void RefusesWithoutTargets()
+    {
+        Situation s(0);
+        CPPUNIT_ASSERT_EQUAL(Refusal(Code_NoTargetLeft), s.Start());
+        Situation tried(1);
+        tried.SentTo = {"t0"};
+        tried.Round.DeadlineUs = tried.Now;
+        CPPUNIT_ASSERT_EQUAL(std::string("wait 20"), tried.Start());
+        tried.Now += ObjectiveUs;
+        CPPUNIT_ASSERT_EQUAL(Refusal(Code_NoTargetLeft), tried.Retry());
+    }
+
+    void SkipsTargetsAtTheirLimits()
+    {
+        Situation s(3);
+        s.LimitUsedUp(0);
+        s.LimitUsedUp(1);
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t2 slow after 5"), s.Start());
+        CPPUNIT_ASSERT_EQUAL(uint64_t{2}, s.OverLimitCount);
+        CPPUNIT_ASSERT_EQUAL(size_t{2}, s.Round.OverLimit.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("send t2"), s.Answer(2, Idle));
+        CPPUNIT_ASSERT(s.Round.Grants.empty());
+        Situation many(6);
+        many.Config.MaxOverLimit = 4;
+        for (size_t n = 0; n < 6; n++)
+        {
+            many.LimitUsedUp(n);
+        }
+        many.Start();
+        CPPUNIT_ASSERT_EQUAL(uint64_t{4}, many.OverLimitCount);
+    }
+
+    // The limit is taken before the probe, and not again when the answer arrives.
+    void TakesALimitOnceInARound()
+    {
+        Situation s(1);
+        s.Limits.Config.MembersDefault = 1;
+        QuotaSetTargetLimit(&s.Limits, s.Target(0).IncarnationId, 1000.0, s.Now);
+        s.Start();
+        CPPUNIT_ASSERT_EQUAL(size_t{1}, s.Round.Grants.size());
+        CPPUNIT_ASSERT_EQUAL(s.Target(0).IncarnationId, s.Round.Grants[0].IncarnationId);
+        CPPUNIT_ASSERT_EQUAL(s.Now, s.Round.Grants[0].TakenUs);
+        CPPUNIT_ASSERT_EQUAL(std::string("send t0"), s.Answer(0, Idle));
+        CPPUNIT_ASSERT_EQUAL(size_t{1}, s.Round.Grants.size()); // For the caller to use.
+    }
+
+    void RefusesWhenAllTargetsAreLimited()
+    {
+        Situation s(2);
+        s.LimitUsedUp(0);
+        s.LimitUsedUp(1);
+        CPPUNIT_ASSERT_EQUAL(Refusal(Code_TargetsLimited), s.Start()); // At once: a free slot would not help.
+    }
+
+    void RefusesWhenAllTargetsAreInBackoff()
+    {
+        Situation s(2);
+        PoolBackOff(&s.Pool, "t0", 0, s.Now + UsPerSecond, s.Now);
+        PoolBackOff(&s.Pool, "t1", 0, s.Now + UsPerSecond, s.Now);
+        CPPUNIT_ASSERT_EQUAL(Refusal(Code_TargetsLimited), s.Start());
+    }
+
+    // The path counts as open, but most of this request's contacts have failed.
+    void HandsOnWhatReachesNoTarget()
+    {
+        Situation s(2);
+        s.Start();
+        s.Silence(0);
+        s.Now += 3 * s.Config.ProbeRetryUs;
+        CPPUNIT_ASSERT_EQUAL(Refusal(Code_TargetsUnreachable), s.Silence(1));
+        CPPUNIT_ASSERT_EQUAL(std::string("admit admit admit pick "), s.Effect);
+        Situation other(2);
+        other.Peer = "10.0.0.9:80";
+        other.Start();
+        other.Silence(0);
+        CPPUNIT_ASSERT_EQUAL(std::string("hand to 10.0.0.9:80"), other.Silence(1));
+        CPPUNIT_ASSERT_EQUAL(Choosing_None, other.Round.Kind);
+    }
+
+    void AdmitsBeforeTheFirstProbe()
+    {
+        Situation s(1);
+        s.Admits = false;
+        CPPUNIT_ASSERT_EQUAL(std::string(), s.Start());
+        CPPUNIT_ASSERT_EQUAL(std::string("admit "), s.Effect);
+        CPPUNIT_ASSERT_EQUAL(Choosing_None, s.Round.Kind);
+        CPPUNIT_ASSERT_EQUAL(0, s.Round.ProbeCount);
+    }
+
+    // What another instance serves is not counted here.
+    void HandsOnWithoutAPath()
+    {
+        Situation s(8);
+        s.LosePath(s.Path.Config.FailedMin);
+        s.Peer = "10.0.0.9:80";
+        CPPUNIT_ASSERT_EQUAL(std::string("hand to 10.0.0.9:80"), s.Start());
+        CPPUNIT_ASSERT_EQUAL(std::string("pick "), s.Effect);
+    }
+
+    void RefusesWithoutAPath()
+    {
+        Situation s(8);
+        s.LosePath(s.Path.Config.FailedMin);
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t0 slow after 5"), s.Start()); // Nobody takes it, and the loss is not certain.
+        CPPUNIT_ASSERT_EQUAL(std::string("pick admit "), s.Effect);
+        Situation taken(8);
+        taken.LosePath(taken.Path.Config.FailedMin);
+        taken.Request.TakenFromPeer = true; // Another instance may serve it.
+        CPPUNIT_ASSERT_EQUAL(Refusal(Code_TargetsUnreachable), taken.Start());
+        Situation certain(8);
+        certain.LosePath(certain.Path.Config.CertainMin);
+        CPPUNIT_ASSERT_EQUAL(Refusal(Code_TargetsUnreachable), certain.Start());
+        CPPUNIT_ASSERT_EQUAL(std::string("pick "), certain.Effect);
+    }
+
+    void ALostPathEndsTheWaiting()
+    {
+        Situation s(1);
+        s.Start();
+        s.Answer(0, Full);
+        s.LosePath(s.Path.Config.FailedMin);
+        s.Now += ObjectiveUs;
+        CPPUNIT_ASSERT_EQUAL(Refusal(Code_TargetsBusy), s.PathChanged());
+        CPPUNIT_ASSERT(!s.Round.Waiting);
+        CPPUNIT_ASSERT_EQUAL(std::string(), s.PathChanged());
+    }
+
+    void SendsUnprobedWhereLoadIsNotReported()
+    {
+        Situation s(1);
+        s.Request.MayProbe = false;
+        CPPUNIT_ASSERT_EQUAL(std::string("send t0"), s.Start());
+        Situation silent(1);
+        silent.Start();
+        silent.Pool.ReportsLoad = false;
+        CPPUNIT_ASSERT_EQUAL(std::string("send t0"), silent.Silence(0));
+        CPPUNIT_ASSERT_EQUAL(std::string("admit admit "), silent.Effect);
+    }
+
+    void RefusesUnprobed()
+    {
+        const std::string detail = "targets report no load";
+        Situation s(1);
+        s.Request.MayProbe = false;
+        s.Target(0).InFlight = s.Config.MaxUnprobedFactor * s.Target(0).Slots;
+        CPPUNIT_ASSERT_EQUAL(Refusal(Code_TargetsBusy, detail), s.Start());
+        s.SentTo = {"t0"};
+        CPPUNIT_ASSERT_EQUAL(Refusal(Code_NoTargetLeft, detail), s.Start());
+        s.SentTo.clear();
+        s.Target(0).InFlight = 0;
+        s.LimitUsedUp(0);
+        CPPUNIT_ASSERT_EQUAL(Refusal(Code_TargetsLimited, detail), s.Start());
+        Situation backoff(1);
+        backoff.Request.MayProbe = false;
+        PoolBackOff(&backoff.Pool, "t0", 0, backoff.Now + UsPerSecond, backoff.Now);
+        CPPUNIT_ASSERT_EQUAL(Refusal(Code_TargetsLimited, detail), backoff.Start());
+        Situation cold(1);
+        cold.Request.MayProbe = false;
+        cold.Pool.Config.ColdPerS = 0.001;
+        cold.Pool.Config.ColdUs = 2 * UsPerSecond;
+        PoolSetCold(cold.Pool.Config, &cold.Target(0), cold.Now + UsPerSecond);
+        CPPUNIT_ASSERT_EQUAL(Refusal(Code_TargetsBusy, detail), cold.Start());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ChooseTest);
+
+} // namespace Winchlink
