--- a/winchlink.h
+++ b/winchlink.h
@@ -575,8 +575,9 @@
     double AcceptableCost = 2.0;            // Maximum cost of a target taken when no good one was found, see PoolIsAcceptable().
     TimeUs ReportMaxAgeUs = 150 * UsPerMs;  // Age at which a report is stale: load shifts within this time.
     TimeUs ReportLagUs = 5 * UsPerMs;       // A request sent this long before another instance's report may not be included in it.
-    double ProbeCost = 0.06;                // Cost of one more probe, as a share of the usual time of a request.
+    double ProbeCost = 0.12;                // Cost of one more probe, as a share of the usual time of a request.
     double UnknownGain = 0.5;               // Speed at which TargetPool::UnknownCost follows what probes show.
+    TimeUs ToldRoomUs = 40 * UsPerMs;       // A slot that another instance saw free longer ago is as likely in use as any.
     int ToldSlotsFactor = 4;                // A report with more slots than this many times those of the directory is wrong,
     int ToldWorkMax = 10000;                // as is one with more requests
     int ToldPaceMax = 100000;               // or a higher pace.
@@ -620,7 +621,10 @@
 // The target with that id, or null. The pointer is valid until the pool is used again.
 PoolTarget* PoolFind(TargetPool* pool, const std::string& id);
 
-// The same, but null if the target was removed and added again or restarted since, so that its pool entry is another one.
+// The target with that SharedTargetId(), or null.
+PoolTarget* PoolFindShared(const TargetPool& pool, uint32_t shared_id);
+
+// The same as PoolFind(), but null if the target was removed and added again or restarted since, so that its pool entry is another one.
 PoolTarget* PoolFindEntry(TargetPool* pool, const std::string& id, uint64_t generation);
 
 // The next target to probe, or to try where targets report no load; null if none is left that is not in `passed`. `unsafe`: the request
@@ -952,20 +956,21 @@
 // [SECTION] Shared load (load reports that instances exchange)
 //-----------------------------------------------------------------------------
 
-// A load report is worth as much to the other instances of a data centre as to the one that got it, and each of them alone gets few while
-// the load shifts. An instance whose request finds targets busy therefore asks a few others what they know of the service's targets:
+// In a crest few slots are free, and each instance alone searches for them. When all of those that search are told of the same slot, they
+// compete for it: a slot that is known to many is worth less than one that nobody looks for. So a free slot is told to one instance only:
 //
-//  - An ask holds the fresh reports of the instance that asks; the answer holds those of the other one, free targets first, and the room
-//    that it sees in its data centre.
-//  - An instance that was asked offers the next slots that its own requests free, each to one of those that asked and to nobody else, so
-//    that they don't compete for it.
+//  - An instance whose request has probed a target in vain asks others of its data centre.
+//  - One that was asked offers a free slot that it knows from a target's own answer, and counts it as taken. If it knows none, it remembers
+//    the instance that asked for as long as its request may still search, and offers it the next slot that an own request frees.
+//  - Instances of another data centre are told of several targets with room, and of the room that is seen here, see [SECTION] Division.
 //
 // Reports of others only rank targets: whether a target may be used at all (draining, evacuated, cold, limited, in backoff) is decided by
 // what this instance knows itself, and it is probed before a request is sent there. A wrong, late or lost message costs a probe. Nothing is
 // sent twice, and nothing is kept for longer than a report lives.
 //
-// How to use it: when a probe finds a target busy, LoadAskPeers() and send LoadAsk() to these; LoadHeard() for each message, and send what
-// it returns to the sender; LoadOffer() when a slot has come free.
+// How to use it: when a probe has found no good target, LoadAskPeers() and send LoadAsk() to these; LoadHeard() for each message, and send
+// what it returns to the sender; LoadOffer() when a slot has come free that no request of this instance waits for. A request that searches
+// when a slot is offered probes that target next, also if it has probed it before.
 
 // What is known of one target.
 struct SharedReport
@@ -986,8 +991,8 @@
 enum LoadMessage_ : uint8_t
 {
     LoadMessage_None,
-    LoadMessage_Ask,    // Expects an Answer.
-    LoadMessage_Answer, // To an Ask.
+    LoadMessage_Ask,    // Without reports. May get an Answer now or an Offer soon.
+    LoadMessage_Answer, // To an Ask: of one free slot, or to another data centre of several.
     LoadMessage_Offer,  // Of a slot that has come free.
     LoadMessage_COUNT,
 };
@@ -1007,12 +1012,13 @@
 
 struct LoadSharingConfig
 {
-    size_t AskedPeers = 3;                 // Instances of the own data centre that are asked at once.
-    TimeUs AskIntervalUs = 10 * UsPerMs;   // Time between two asks for a service; what was heard is younger than a probe takes.
-    size_t ReportsMax = 32;                // Reports in one message: it fits into one datagram.
-    TimeUs ReportMaxAgeUs = 100 * UsPerMs; // Older reports are neither sent nor taken.
-    TimeUs AskerKeptUs = 60 * UsPerMs;     // An instance that asked is offered slots for this long: about as long as its request may wait.
-    size_t AskersMax = 16;                 // Instances that asked and are remembered; the oldest are removed first.
+    size_t AskedPeers = 16;               // Instances of the own data centre that are asked at once.
+    TimeUs AskIntervalUs = 10 * UsPerMs;  // Time between two asks for a service: two probes.
+    size_t ReportsMax = 8;                // Reports in one message.
+    TimeUs ReportMaxAgeUs = 40 * UsPerMs; // Older reports are neither sent nor taken: the slots are probably in use.
+    TimeUs OfferMaxAgeUs = 10 * UsPerMs;  // The same for a slot that is offered to one instance.
+    TimeUs AskerKeptUs = 20 * UsPerMs;    // An instance that asked is offered slots for this long: most searches have ended by then.
+    size_t AskersMax = 16;                // Instances that asked and are remembered; the oldest are removed first.
 };
 
 // An instance that has asked and may be offered a slot.
@@ -1039,8 +1045,7 @@
 std::vector<std::string> LoadAskPeers(LoadSharing* sharing, const Peers& peers, uint16_t data_centre, TimeUs now, Random* random);
 
 // The message to ask them with. `data_centre`: of this instance.
-LoadMessage LoadAsk(const LoadSharing& sharing, const TargetPool& pool, const std::string& service, uint16_t data_centre, TimeUs now,
-                    Random* random);
+LoadMessage LoadAsk(const TargetPool& pool, const std::string& service, uint16_t data_centre, TimeUs now);
 
 // A message of another instance: takes its reports into the pool, and returns the answer if it asks. Messages about other services than
 // `service` must not be passed.
@@ -1048,7 +1053,7 @@
                                      uint16_t data_centre, TimeUs now, Random* random);
 
 // A slot of the target has come free, as its answer to an own request has reported: the instance to offer it to and the message, if any
-// has asked. An instance that is offered a slot is removed from those that asked, and the slot counts as taken here.
+// has asked. It is removed from those that asked, and the slot counts as taken here.
 struct LoadOfferTo
 {
     std::string Address;
--- a/winchlink_pool.cpp
+++ b/winchlink_pool.cpp
@@ -129,6 +129,12 @@
     return target != nullptr && target->Generation == generation ? target : nullptr;
 }
 
+PoolTarget* PoolFindShared(const TargetPool& pool, uint32_t shared_id)
+{
+    const auto found = pool.Index.BySharedId.find(shared_id);
+    return found != pool.Index.BySharedId.end() ? found->second : nullptr;
+}
+
 int64_t PoolDrawOrder(const PoolTarget& target, Random* random)
 {
     constexpr double scale = 1e15;     // Keeps orders distinct for weights up to 1000.
@@ -351,7 +357,18 @@
         return PoolCost(pool, target, now);
     }
     const std::optional<KnownLoad> known = PoolKnownLoad(pool, target, now);
-    return known ? CostOf(pool, target, known->Load, now) : std::max(PoolCost(pool, target, now), pool.UnknownCost);
+    if (!known)
+    {
+        return std::max(PoolCost(pool, target, now), pool.UnknownCost);
+    }
+    const double cost = CostOf(pool, target, known->Load, now);
+    if (cost >= pool.UnknownCost || known->AtUs == target.ReportUs)
+    {
+        return cost;
+    }
+    // Others look for free slots too, so one that was told of is soon in use. That a target was full stays true for longer.
+    const double age = static_cast<double>(now - known->AtUs) / static_cast<double>(pool.Config.ToldRoomUs);
+    return cost + std::min(age, 1.0) * (pool.UnknownCost - cost);
 }
 
 static bool IsPlausible(const PoolConfig& config, const PoolTarget& target, const LoadReport& report)
--- a/winchlink_share.cpp
+++ b/winchlink_share.cpp
@@ -41,28 +41,33 @@
     return known.Load.Running + known.Load.Waiting < known.Load.Slots && PoolRankCost(pool, target, now) <= pool.Config.AcceptableCost;
 }
 
-// Reports of this instance and of others that are young enough to be passed on: in random order, those of targets with room first. An
-// instance that asks from another data centre is told of targets near to this one.
-static std::vector<SharedReport> ReportsToTell(const LoadSharing& sharing, const TargetPool& pool, bool near_only, TimeUs now,
-                                               Random* random)
+// Whether requests of others may be told that the target has room. `max_age`: of what is known.
+static std::optional<SharedReport> ReportOfRoom(const TargetPool& pool, const PoolTarget& target, TimeUs max_age, TimeUs now)
 {
-    std::vector<SharedReport> with_room;
-    std::vector<SharedReport> others;
+    const std::optional<KnownLoad> known = PoolKnownLoad(pool, target, now);
+    const bool fresh = known && now < known->AtUs + max_age;
+    if (!fresh || !target.Near || !IsUsable(pool, target, now) || !HasRoom(pool, target, *known, now))
+    {
+        return std::nullopt;
+    }
+    return SharedReport{SharedTargetId(target.IncarnationId), known->Load, now - known->AtUs};
+}
+
+// Targets of this data centre that have room, in random order.
+static std::vector<SharedReport> ReportsOfRoom(const LoadSharing& sharing, const TargetPool& pool, TimeUs now, Random* random)
+{
+    std::vector<SharedReport> reports;
     for (const PoolTarget* target : pool.Index.Marked)
     {
-        const std::optional<KnownLoad> known = PoolKnownLoad(pool, *target, now);
-        if (!known || now >= known->AtUs + sharing.Config.ReportMaxAgeUs || (near_only && !target->Near))
+        const std::optional<SharedReport> report = ReportOfRoom(pool, *target, sharing.Config.ReportMaxAgeUs, now);
+        if (report)
         {
-            continue;
+            reports.push_back(*report);
         }
-        const bool room = IsUsable(pool, *target, now) && HasRoom(pool, *target, *known, now);
-        (room ? with_room : others).push_back({SharedTargetId(target->IncarnationId), known->Load, now - known->AtUs});
     }
-    std::shuffle(with_room.begin(), with_room.end(), *random);
-    std::shuffle(others.begin(), others.end(), *random);
-    with_room.insert(with_room.end(), others.begin(), others.end());
-    with_room.resize(std::min(with_room.size(), sharing.Config.ReportsMax));
-    return with_room;
+    std::shuffle(reports.begin(), reports.end(), *random);
+    reports.resize(std::min(reports.size(), sharing.Config.ReportsMax));
+    return reports;
 }
 
 SharedRoom LoadRoom(const TargetPool& pool, TimeUs now)
@@ -120,12 +125,9 @@
     return message;
 }
 
-LoadMessage LoadAsk(const LoadSharing& sharing, const TargetPool& pool, const std::string& service, uint16_t data_centre, TimeUs now,
-                    Random* random)
+LoadMessage LoadAsk(const TargetPool& pool, const std::string& service, uint16_t data_centre, TimeUs now)
 {
-    LoadMessage message = MakeMessage(LoadMessage_Ask, pool, SharedServiceId(service), data_centre, now);
-    message.Reports = ReportsToTell(sharing, pool, false, now, random);
-    return message;
+    return MakeMessage(LoadMessage_Ask, pool, SharedServiceId(service), data_centre, now);
 }
 
 static void TakeReports(LoadSharing* sharing, TargetPool* pool, const std::vector<SharedReport>& reports, TimeUs now)
@@ -134,29 +136,50 @@
     for (size_t n = 0; n < count; n++)
     {
         const SharedReport& report = reports[n];
-        const auto found = pool->Index.BySharedId.find(report.Target);
-        const bool taken = found != pool->Index.BySharedId.end() && report.AgeUs < sharing->Config.ReportMaxAgeUs &&
-                           PoolTold(pool, found->second, report.Load, report.AgeUs, now);
+        PoolTarget* target = PoolFindShared(*pool, report.Target);
+        const bool taken =
+            target != nullptr && report.AgeUs < sharing->Config.ReportMaxAgeUs && PoolTold(pool, target, report.Load, report.AgeUs, now);
         (taken ? sharing->ReportsTaken : sharing->ReportsIgnored)++;
     }
     sharing->ReportsIgnored += reports.size() - count;
 }
 
-static void RemoveAsker(LoadSharing* sharing, const std::string& address)
+static void Remember(LoadSharing* sharing, const std::string& address, TimeUs now)
 {
     std::deque<LoadAsker>& askers = sharing->Askers;
     askers.erase(std::remove_if(askers.begin(), askers.end(), [&](const LoadAsker& asker) { return asker.Address == address; }),
                  askers.end());
+    askers.push_back({address, now});
+    if (askers.size() > sharing->Config.AskersMax)
+    {
+        askers.pop_front();
+    }
 }
 
-static void Remember(LoadSharing* sharing, const std::string& address, TimeUs now)
+//-----------------------------------------------------------------------------
+// [SECTION] Offers
+//-----------------------------------------------------------------------------
+
+// Whether another instance may be told of the target's free slot, so that it is the only one to know.
+static std::optional<SharedReport> Offerable(const LoadSharing& sharing, const TargetPool& pool, const PoolTarget& target, TimeUs now)
+{
+    const bool own = target.ReportUs > 0 && target.ReportUs >= target.ToldUs; // Slots that others have offered are theirs to give.
+    return own ? ReportOfRoom(pool, target, sharing.Config.OfferMaxAgeUs, now) : std::nullopt;
+}
+
+// The first free slot that may be offered; counts as taken.
+static std::vector<SharedReport> TakeSlot(const LoadSharing& sharing, const TargetPool& pool, TimeUs now)
 {
-    RemoveAsker(sharing, address);
-    if (sharing->Askers.size() >= sharing->Config.AskersMax && !sharing->Askers.empty())
+    for (PoolTarget* target : pool.Index.Marked)
     {
-        sharing->Askers.pop_front();
+        const std::optional<SharedReport> report = Offerable(sharing, pool, *target, now);
+        if (report)
+        {
+            target->SentSinceReport++;
+            return {*report};
+        }
     }
-    sharing->Askers.push_back({address, now});
+    return {};
 }
 
 std::optional<LoadMessage> LoadHeard(LoadSharing* sharing, TargetPool* pool, const LoadMessage& message, const std::string& from,
@@ -167,21 +190,18 @@
     {
         return std::nullopt;
     }
+    LoadMessage answer = MakeMessage(LoadMessage_Answer, *pool, message.Service, data_centre, now);
     const bool near = message.DataCentre == data_centre;
-    if (near) // Requests cross by division, not because a slot is free.
+    answer.Reports = near ? TakeSlot(*sharing, *pool, now) : ReportsOfRoom(*sharing, *pool, now, random);
+    if (near && answer.Reports.empty())
     {
         Remember(sharing, from, now);
+        return std::nullopt;
     }
-    LoadMessage answer = MakeMessage(LoadMessage_Answer, *pool, message.Service, data_centre, now);
-    answer.Reports = ReportsToTell(*sharing, *pool, !near, now, random);
     sharing->Answers++;
     return answer;
 }
 
-//-----------------------------------------------------------------------------
-// [SECTION] Offers
-//-----------------------------------------------------------------------------
-
 std::optional<LoadOfferTo> LoadOffer(LoadSharing* sharing, const TargetPool& pool, PoolTarget* target, const std::string& service,
                                      uint16_t data_centre, TimeUs now)
 {
@@ -190,16 +210,16 @@
     {
         askers.pop_front();
     }
-    const std::optional<KnownLoad> known = PoolKnownLoad(pool, *target, now);
-    if (askers.empty() || !target->Near || !known || !IsUsable(pool, *target, now) || !HasRoom(pool, *target, *known, now))
+    const std::optional<SharedReport> report = Offerable(*sharing, pool, *target, now);
+    if (askers.empty() || !report)
     {
         return std::nullopt;
     }
     LoadOfferTo offer;
-    offer.Address = askers.front().Address;
+    offer.Address = askers.back().Address; // The requests of those that asked long ago have probably found a target.
     offer.Message = MakeMessage(LoadMessage_Offer, pool, SharedServiceId(service), data_centre, now);
-    offer.Message.Reports.push_back({SharedTargetId(target->IncarnationId), known->Load, now - known->AtUs});
-    askers.pop_front();
+    offer.Message.Reports.push_back(*report);
+    askers.pop_back();
     target->SentSinceReport++;
     sharing->Offers++;
     return offer;
