Load link: rooms as division averages them; counters of requests kept at home

Rooms that are told are the averages of Division (one instance alone sees few targets at a time), and count as older by the time on the way.

--- a/exchange/load_link.cpp
+++ b/exchange/load_link.cpp
@@ -191,6 +191,7 @@
             {{"service", service.Name},
              {"forUs", now - watch->DividingUs},
              {"crossed", divided.Crossed - watch->Crossed},
+             {"keptForRoom", divided.KeptForRoom - watch->KeptForRoom},
              {"keptForSlack", divided.KeptForSlack - watch->KeptForSlack}});
         watch->DividingUs = 0;
         return;
@@ -206,6 +207,7 @@
          {"otherFree", other != nullptr ? other->second.Room.Free : -1}});
     watch->DividingUs = now;
     watch->Crossed = divided.Crossed;
+    watch->KeptForRoom = divided.KeptForRoom;
     watch->KeptForSlack = divided.KeptForSlack;
 }
 
@@ -249,7 +251,9 @@
 static LoadMessage MakeAsk(const LoadLink& link, const ServiceState& service, TimeUs now)
 {
     const Forwarder& requests = *link.Requests;
-    return LoadAsk(service.Sharing, service.Pool, service.Name, requests.Others.DataCentre, now, requests.Rng);
+    LoadMessage ask = LoadAsk(service.Sharing, service.Pool, service.Name, requests.Others.DataCentre, now, requests.Rng);
+    ask.Room = DivisionTell(service.Divided, ask.Room, now);
+    return ask;
 }
 
 static void AskNearby(LoadLink* link, ServiceState* service, LoadWatch* watch, TimeUs now)
@@ -361,13 +365,14 @@
         report.AgeUs += delay;
     }
     const uint16_t own = requests.Others.DataCentre;
-    const std::optional<LoadMessage> answer = LoadHeard(&service->Sharing, &service->Pool, message, from, own, now, requests.Rng);
+    std::optional<LoadMessage> answer = LoadHeard(&service->Sharing, &service->Pool, message, from, own, now, requests.Rng);
     if (link->Divides && message.DataCentre != own)
     {
-        DivisionHeard(&service->Divided, message.DataCentre, message.Room, now);
+        DivisionHeard(&service->Divided, message.DataCentre, message.Room, now - delay);
     }
     if (answer)
     {
+        answer->Room = DivisionTell(service->Divided, answer->Room, now);
         Send(link, from, *answer);
     }
     if (link->OnHeard)
--- a/exchange/load_link.h
+++ b/exchange/load_link.h
@@ -41,6 +41,7 @@
     uint64_t Asks = 0;            // Counters of the service before sharing began.
     uint64_t ReportsTaken = 0;
     uint64_t Crossed = 0; // The same when division began.
+    uint64_t KeptForRoom = 0;
     uint64_t KeptForSlack = 0;
 };
 
@@ -69,7 +70,7 @@
 // Switches sharing and division on or off. Division needs sharing.
 void LoadLinkSet(LoadLink* link, bool shares, bool divides);
 
-// A request found a target of the service busy: asks other instances, if it is time to.
+// A request found a target of the service busy, or none in the own data centre: asks other instances, if it is time to.
 void LoadLinkAsk(LoadLink* link, ServiceState* service, TimeUs now);
 
 // An answer has shown a free slot of the target: offers it to an instance that has asked.
--- a/gateway/command_status.cpp
+++ b/gateway/command_status.cpp
@@ -161,8 +161,10 @@
             "           load shared: asked {} times, answered {}, {} offers, {} reports taken; {} of {} near targets known, {} free\n",
             Number(load, "asks"), Number(load, "answers"), Number(load, "offers"), Number(load, "reportsTaken"), Number(load, "known"),
             Number(load, "near"), Number(load, "free"));
-        fmt::print("           division {}: {} requests served elsewhere, {} kept to wait here\n",
-                   Is(load, "divided") ? "in force" : "not needed", Number(load, "crossed"), Number(load, "kept"));
+        fmt::print(
+            "           division {}: {} requests served elsewhere, {} kept to wait here, {} kept as there is no more room elsewhere\n",
+            Is(load, "divided") ? "in force" : "not needed", Number(load, "crossed"), Number(load, "keptForSlack"),
+            Number(load, "keptForRoom"));
     }
     size_t n = 0;
     json_t* target = nullptr;
--- a/gateway/pages.cpp
+++ b/gateway/pages.cpp
@@ -143,7 +143,8 @@
     text += fmt::format("winchlink_load_room{{service=\"{}\",of=\"free\"}} {}\n", name, room.Free);
     text += fmt::format("winchlink_division_active{{service=\"{}\"}} {}\n", name, divided.Active ? 1 : 0);
     text += fmt::format("winchlink_division_requests{{service=\"{}\",end=\"crossed\"}} {}\n", name, divided.Crossed);
-    text += fmt::format("winchlink_division_requests{{service=\"{}\",end=\"kept\"}} {}\n", name, divided.KeptForSlack);
+    text += fmt::format("winchlink_division_requests{{service=\"{}\",end=\"kept_for_slack\"}} {}\n", name, divided.KeptForSlack);
+    text += fmt::format("winchlink_division_requests{{service=\"{}\",end=\"kept_for_room\"}} {}\n", name, divided.KeptForRoom);
     return text;
 }
 
@@ -281,7 +282,8 @@
     json_object_set_new(object, "free", json_integer(room.Free));
     json_object_set_new(object, "divided", json_boolean(service.Divided.Active));
     json_object_set_new(object, "crossed", JsonNumber(service.Divided.Crossed));
-    json_object_set_new(object, "kept", JsonNumber(service.Divided.KeptForSlack));
+    json_object_set_new(object, "keptForSlack", JsonNumber(service.Divided.KeptForSlack));
+    json_object_set_new(object, "keptForRoom", JsonNumber(service.Divided.KeptForRoom));
     return object;
 }
 
--- a/requests/forward.h
+++ b/requests/forward.h
@@ -132,7 +132,7 @@
     uint64_t ProbesShared = 0;                    // Counter: requests that shared a probe in flight.
 
     // Both are empty while instances share no load reports.
-    std::function<void(ServiceState*)> OnTargetBusy;            // A request found a target without a free slot.
+    std::function<void(ServiceState*)> OnTargetBusy;            // A request found a target without a free slot, or none.
     std::function<void(ServiceState*, PoolTarget*)> OnSlotFree; // An answer has shown a free slot of its target.
 };
 
--- a/tests/load_link_test.cpp
+++ b/tests/load_link_test.cpp
@@ -239,7 +239,7 @@
         TestRandom random(1);
         const size_t none = EncodeLoad(RandomMessage(&random, 0)).size();
         CPPUNIT_ASSERT(none <= 15);
-        CPPUNIT_ASSERT_EQUAL(none + 9 * 32, EncodeLoad(RandomMessage(&random, 32)).size());
+        CPPUNIT_ASSERT_EQUAL(none + size_t{9} * 32, EncodeLoad(RandomMessage(&random, 32)).size());
         DatagramLink link; // However much is known, a message fits.
         const std::string most = EncodeLoad(RandomMessage(&random, 5000));
         CPPUNIT_ASSERT_EQUAL(LoadReportsMax, DecodeLoad(most).value().Reports.size());
