--- a/requests/forward.h
+++ b/requests/forward.h
@@ -128,7 +128,7 @@
 
     // Off while instances share no load reports.
     bool Divides = false;                                       // Requests are divided between data centres.
-    std::function<void(ServiceState*)> OnTargetBusy;            // A request found a target without a free slot.
+    std::function<void(ServiceState*)> OnTargetBusy;            // A request found a target without a free slot, or none.
     std::function<void(ServiceState*, PoolTarget*)> OnSlotFree; // An answer has shown a free slot of its target.
 };
 
--- a/winchlink_choose.cpp
+++ b/winchlink_choose.cpp
@@ -304,14 +304,6 @@
     return true;
 }
 
-// Targets that are not considered again in this search.
-static std::vector<std::string> PassedTargets(const Step& step)
-{
-    std::vector<std::string> passed = step.Round->Probed;
-    passed.insert(passed.end(), step.View.Request.SentTo->begin(), step.View.Request.SentTo->end());
-    return passed;
-}
-
 // Whether a free slot at the target is known from a recent report, the own or that of another instance.
 static bool IsKnownFree(const Step& step, const PoolTarget& target)
 {
@@ -321,6 +313,24 @@
            PoolRankCost(pool, target, step.Now) <= PoolGoodCost(pool);
 }
 
+// Targets that are not considered again in this search: those considered before, unless another instance has told of a free slot there since,
+// and those that were sent the request.
+static std::vector<std::string> PassedTargets(const Step& step)
+{
+    std::vector<std::string> passed;
+    for (const std::string& id : step.Round->Probed)
+    {
+        const PoolTarget* target = PoolFind(step.View.Pool, id);
+        const bool offered = target != nullptr && target->ToldUs > target->ReportUs && IsKnownFree(step, *target);
+        if (!offered)
+        {
+            passed.push_back(id);
+        }
+    }
+    passed.insert(passed.end(), step.View.Request.SentTo->begin(), step.View.Request.SentTo->end());
+    return passed;
+}
+
 // A target in the data centre that is to serve the request, if that is another one: decided once in a search, when no free target at home
 // is known. Null if there is none.
 static PoolTarget* CrossCandidate(Step* step, const std::vector<std::string>& passed)
