--- a/winchlink.h
+++ b/winchlink.h
@@ -1085,14 +1085,16 @@
 {
     TimeUs RoomMaxAgeUs = 150 * UsPerMs; // News of a data centre's room are stale after this: load shifts within this time.
     TimeUs AskIntervalUs = 10 * UsPerMs; // Time between two asks of a data centre.
-    TimeUs AverageUs = 300 * UsPerMs;    // The own room is averaged over about this time.
+    TimeUs AverageUs = 600 * UsPerMs;    // The own room is averaged over about this time.
     int KnownMin = 4;                    // A data centre is short of room only if at least so many of its targets are known.
     double RoomPrior = 2;                // Targets without room that are added to those known of another data centre.
-    double ShortOfRoom = 0.6;            // A data centre with a smaller share of free targets is short of room,
-    double EnoughRoom = 0.7;             // until it has at least this share.
+    double ShortOfRoom = 0.8;            // A data centre with a smaller share of free targets is short of room,
+    double EnoughRoom = 0.9;             // until it has at least this share.
     double RoomMargin = 0.02;            // Another one must have a share of free targets that is greater by this, so that requests don't
                                          // cross between data centres that are equally full.
     double RoomRange = 0.05;             // From RoomMargin on, the probability to cross grows to 1 within this difference.
+    size_t HomeProbes = 5;               // Targets of the own data centre that a request probes before it may cross,
+    size_t AwayProbes = 6;               // and those of others that it probes then.
     double LargeAnswerBytes = 32 * KiB;  // Answers from this size on wait at home while they have slack; smaller ones
     double SlackFactor = 4;              // only with more. Slack: this many times the usual work fits into the time left.
     size_t DataCentresMax = 16;          // Data centres that are remembered.
@@ -1148,6 +1150,9 @@
 // The data centres to ask for their room now: those of which nothing recent is known, when the own one is short of room.
 std::vector<uint16_t> DivisionAsks(Division* division, const SharedRoom& own, const Peers& peers, TimeUs now);
 
+// Whether requests may cross now: the own data centre is short of room, and another one is known to have some.
+bool DivisionMayCross(const Division& division, const SharedRoom& own, TimeUs now);
+
 // The data centre that is to serve the request; none: the own one. Draws among those with room, in proportion to it.
 std::optional<uint16_t> DivisionPick(Division* division, const SharedRoom& own, const DivisionRequest& request, TimeUs now, Random* random);
 
--- a/winchlink_division.cpp
+++ b/winchlink_division.cpp
@@ -20,14 +20,15 @@
 static std::optional<SharedRoom> CheckRoom(const SharedRoom& room)
 {
     constexpr int targets_max = 100000;
-    const bool valid = room.Targets >= 0 && room.Targets <= targets_max && room.Known >= 0 && room.Known <= room.Targets && room.Free >= 0 &&
-                       room.Free <= room.Known;
+    const bool valid = room.Targets >= 0 && room.Targets <= targets_max && room.Known >= 0 && room.Known <= room.Targets &&
+                       room.Free >= 0 && room.Free <= room.Known;
     return valid ? std::optional<SharedRoom>(room) : std::nullopt;
 }
 
 static double WeightAt(const RoomAverage& average, TimeUs average_us, TimeUs now)
 {
-    return average.AtUs == 0 ? 0 : std::exp(-static_cast<double>(std::max<TimeUs>(now - average.AtUs, 0)) / static_cast<double>(average_us));
+    return average.AtUs == 0 ? 0
+                             : std::exp(-static_cast<double>(std::max<TimeUs>(now - average.AtUs, 0)) / static_cast<double>(average_us));
 }
 
 static void SetActive(Division* division, bool active, TimeUs now)
@@ -131,65 +132,82 @@
     return request.AnswerBytes * slack >= config.LargeAnswerBytes * config.SlackFactor;
 }
 
-// Probability that a request crosses to a data centre with that free share.
-static double CrossingProbability(const DivisionConfig& config, double own_share, double share)
+// Share of free targets of another data centre; 0 if nothing recent is known.
+static double FreeShare(const DivisionConfig& config, const DataCentreRoom& other, TimeUs now)
 {
-    return std::clamp((share - own_share - config.RoomMargin) / config.RoomRange, 0.0, 1.0);
+    const bool recent = other.HeardUs > 0 && now < other.HeardUs + config.RoomMaxAgeUs;
+    return recent ? other.Room.Free / (other.Room.Known + config.RoomPrior) : 0;
 }
 
-std::optional<uint16_t> DivisionPick(Division* division, const SharedRoom& own, const DivisionRequest& request, TimeUs now, Random* random)
+static double OwnFreeShare(const Division& division, const SharedRoom& own)
 {
-    RemoveOld(division, now);
-    const DivisionConfig& config = division->Config;
-    const bool no_targets = own.Targets == 0;
-    if (!division->Active && !no_targets)
-    {
-        return std::nullopt;
-    }
-    const double own_share = division->Own.Known > 0 && !no_targets ? division->Own.Free / division->Own.Known : 0;
-    double room = 0;
-    double crossing = 0;
-    std::vector<std::pair<uint16_t, double>> candidates;
-    for (const auto& entry : division->Rooms)
+    return division.Own.Known > 0 && own.Targets > 0 ? division.Own.Free / division.Own.Known : 0;
+}
+
+// Where a request may go.
+struct Candidate
+{
+    uint16_t DataCentre = 0;
+    double Room = 0;        // Free targets that it is likely to have.
+    double Probability = 0; // That a request crosses, were it the only candidate.
+};
+
+static std::vector<Candidate> Candidates(const Division& division, const SharedRoom& own, TimeUs now)
+{
+    const DivisionConfig& config = division.Config;
+    std::vector<Candidate> candidates;
+    for (const auto& entry : division.Rooms)
     {
-        const DataCentreRoom& other = entry.second;
-        const double share = other.Room.Free / (other.Room.Known + config.RoomPrior);
-        const double free = share * other.Room.Targets - other.Sent;
-        const double probability = no_targets ? 1 : CrossingProbability(config, own_share, share);
-        if (other.HeardUs > 0 && now < other.HeardUs + config.RoomMaxAgeUs && free > 0 && probability > 0)
+        const double share = FreeShare(config, entry.second, now);
+        const double room = share * entry.second.Room.Targets - entry.second.Sent;
+        const double excess = (share - OwnFreeShare(division, own) - config.RoomMargin) / config.RoomRange;
+        const double probability = own.Targets == 0 ? 1 : std::clamp(excess, 0.0, 1.0);
+        if (room > 0 && probability > 0)
         {
-            candidates.emplace_back(entry.first, free * probability);
-            room += free * probability;
-            crossing = std::max(crossing, probability);
+            candidates.push_back({entry.first, room, probability});
         }
     }
-    if (candidates.empty())
+    return candidates;
+}
+
+bool DivisionMayCross(const Division& division, const SharedRoom& own, TimeUs now)
+{
+    return (division.Active || own.Targets == 0) && !Candidates(division, own, now).empty();
+}
+
+// Draws a candidate in proportion to its room and probability.
+static uint16_t DrawCandidate(const std::vector<Candidate>& candidates, Random* random)
+{
+    std::vector<double> weights;
+    weights.reserve(candidates.size());
+    for (const Candidate& candidate : candidates)
     {
-        division->KeptForRoom++;
-        return std::nullopt;
+        weights.push_back(candidate.Room * candidate.Probability);
     }
-    if (!no_targets && HasSlack(config, request))
+    return candidates[std::discrete_distribution<size_t>(weights.begin(), weights.end())(*random)].DataCentre;
+}
+
+std::optional<uint16_t> DivisionPick(Division* division, const SharedRoom& own, const DivisionRequest& request, TimeUs now, Random* random)
+{
+    RemoveOld(division, now);
+    const bool may_cross = DivisionMayCross(*division, own, now);
+    const std::vector<Candidate> candidates = may_cross ? Candidates(*division, own, now) : std::vector<Candidate>();
+    double probability = 0;
+    for (const Candidate& candidate : candidates)
     {
-        division->KeptForSlack++;
-        return std::nullopt;
+        probability = std::max(probability, candidate.Probability);
     }
-    std::uniform_real_distribution<double> draw(0, 1);
-    if (draw(*random) >= crossing)
+    if (std::uniform_real_distribution<double>(0, 1)(*random) >= probability)
     {
         division->KeptForRoom++;
         return std::nullopt;
     }
-    double left = draw(*random) * room;
-    uint16_t picked = candidates.back().first;
-    for (const auto& candidate : candidates)
+    if (own.Targets > 0 && HasSlack(division->Config, request))
     {
-        if (left < candidate.second)
-        {
-            picked = candidate.first;
-            break;
-        }
-        left -= candidate.second;
+        division->KeptForSlack++;
+        return std::nullopt;
     }
+    const uint16_t picked = DrawCandidate(candidates, random);
     division->Rooms[picked].Sent++;
     division->Crossed++;
     return picked;
--- a/winchlink_pick.cpp
+++ b/winchlink_pick.cpp
@@ -130,7 +130,8 @@
         {
             return;
         }
-        const PoolRank rank = PoolRankOf(*pool, *target, true, unsafe, now);
+        const bool costly = PoolKnownLoad(*pool, *target, now) && PoolRankCost(*pool, *target, now) > pool->Config.GoodCost;
+        const PoolRank rank = {TrustRank(*pool, *target, unsafe, now), costly ? 1 : 0, 0, 0, target->Order};
         if (best == nullptr || rank < best_rank)
         {
             best = target;
