--- a/winchlink_choose.cpp
+++ b/winchlink_choose.cpp
@@ -313,8 +313,8 @@
            PoolRankCost(pool, target, step.Now) <= PoolGoodCost(pool);
 }
 
-// Targets that are not considered again in this search: those considered before, unless another instance has told of a free slot there since,
-// and those that were sent the request.
+// Targets that are not considered again in this search: those considered before, unless another instance has told of a free slot there
+// since, and those that were sent the request.
 static std::vector<std::string> PassedTargets(const Step& step)
 {
     std::vector<std::string> passed;
@@ -331,8 +331,17 @@
     return passed;
 }
 
-// A target in the data centre that is to serve the request, if that is another one: decided once in a search, when no free target at home
-// is known. Null if there is none.
+// Records what is known of the room at home after a probe in vain.
+static void NoteRoom(Step* step)
+{
+    if (step->View.Divided != nullptr)
+    {
+        DivisionSeen(step->View.Divided, LoadRoom(*step->View.Pool, step->Now), step->Now);
+    }
+}
+
+// A target in the data centre that is to serve the request, if that is another one. Decided once in a search, when enough targets at home
+// were probed in vain or there are none. Null if there is none.
 static PoolTarget* CrossCandidate(Step* step, const std::vector<std::string>& passed)
 {
     const ChooserView& view = step->View;
@@ -341,10 +350,14 @@
     {
         return nullptr;
     }
+    const SharedRoom own = LoadRoom(*view.Pool, step->Now);
+    const auto probes = static_cast<size_t>(round->ProbeCount - round->ProbeCountBefore);
+    if (own.Targets > 0 && probes < view.Divided->Config.HomeProbes)
+    {
+        return nullptr;
+    }
     if (!round->Divided)
     {
-        const SharedRoom own = LoadRoom(*view.Pool, step->Now);
-        DivisionSeen(view.Divided, own, step->Now);
         round->Divided = true;
         round->CrossTo = DivisionPick(view.Divided, own, DivisionRequestOf(*step), step->Now, view.Rng);
     }
@@ -364,14 +377,16 @@
     return crossing != nullptr ? crossing : next;
 }
 
-// Whether the target may be probed now. Those that others have told to be free may be when all else was in vain.
+// Whether the target may be probed now. Those that others have told to be free, and those of the data centre that the request crosses to,
+// may be when all else was in vain.
 static bool MayProbe(const Step& step, const PoolTarget& target)
 {
     const Chooser& round = *step.Round;
     const ChooserConfig& config = *step.View.Config;
     const bool told = step.View.Pool->Shared && IsKnownFree(step, target);
-    const int max = config.MaxProbes + (told ? config.MaxToldProbes : 0);
-    return round.ProbesInFlight < round.MaxConcurrentProbes && round.ProbeCount - round.ProbeCountBefore < max;
+    const bool crosses = round.CrossTo && target.DataCentre == *round.CrossTo;
+    const int extra = crosses ? static_cast<int>(step.View.Divided->Config.AwayProbes) : told ? config.MaxToldProbes : 0;
+    return round.ProbesInFlight < round.MaxConcurrentProbes && round.ProbeCount - round.ProbeCountBefore < config.MaxProbes + extra;
 }
 
 // Considers candidates until one is good or no more may be probed now.
@@ -472,6 +487,7 @@
     {
         Ask(&step);
     }
+    NoteRoom(&step);
     Continue(&step);
     return step.Actions;
 }
