Path to targets: targets that are slow at once are no lost path

In a crest of the demand instances believed that their path to a service's targets was lost (126 times at 85 of 197 instances in 4.5 s), and handed requests on or refused them with 2018: four probes in a row had timed out after 40 ms, where slow targets answer after 42 ms. The loss also took back the growth of the time-out, so that it came again.

A probe that has timed out is a late contact now. Choosing goes on without it as before, but its connection is listened to for 15 ms more, from when the loop has handled the time-out, so that an answer which arrived while the loop was busy is read first. Any answer ends the row, late ones too, and brings the load report. Late contacts are a loss only once two have stayed silent; refused, reset and silent ones count as before. Of probes in flight together only the first makes the time-out grow. An attempt that reaches its deadline at a probed target is a late contact. A kept connection counts as silent from the time-out on, as before, but no longer once its late answer has come.

Weighed: whether the connection was accepted (proxies and half-open cuts accept too, PathLossTest's silent ones among them), a longer time-out (a cut is seen later), a confirming contact on a new connection (the same wait, one more connection).

--- a/gateway/client.cpp
+++ b/gateway/client.cpp
@@ -41,6 +41,8 @@
     CURL* Easy = nullptr;
     HeaderList Headers{nullptr, curl_slist_free_all};
     TimeUs StartedUs = 0;
+    Timer ListenTimer;             // End of TimeoutUs, then of ListenUs, if the latter is set.
+    TimeUs SilentSinceUs = 0;      // Time of the mark in Client::DeadSince that this call has set; 0: none.
     bool Sent = false;             // The pre-request callback has let the request be sent.
     bool ClosedUnanswered = false; // The connection was closed without an answer, and libcurl's resend was prevented.
     bool Withheld = false;         // MaySend returned false.
@@ -143,18 +145,41 @@
 // [SECTION] Dead connections
 //-----------------------------------------------------------------------------
 
-// Records a request that timed out on a reused connection without any response. The server may just be slow; but if the connection is dead,
-// others to the same address may be dead too, and each request sent on one of them would be lost.
+// Marks a reused connection on which a request has timed out without any response. The server may just be slow; but if the connection is
+// dead, others to the same address may be dead too, and each request sent on one of them would be lost.
+static void MarkSilentConnection(ClientCall* call)
+{
+    if (call->Sent && !call->Answer.NewConnection && !call->HeadRead)
+    {
+        call->SilentSinceUs = NowUs();
+        call->Owner->DeadSince[call->Request.Address] = call->SilentSinceUs;
+    }
+}
+
+// Removes the mark: the answer was just late.
+static void UnmarkSilentConnection(ClientCall* call)
+{
+    std::map<std::string, TimeUs>& dead = call->Owner->DeadSince;
+    const auto found = dead.find(call->Request.Address);
+    if (call->SilentSinceUs > 0 && found != dead.end() && found->second == call->SilentSinceUs)
+    {
+        dead.erase(found);
+    }
+}
+
 static void NoteSilentConnection(ClientCall* call)
 {
-    const bool silent = call->Answer.End == ClientEnd_TimedOut && !call->Answer.NewConnection && !call->HeadRead;
-    if (!silent)
+    if (call->HeadRead)
     {
+        UnmarkSilentConnection(call);
         return;
     }
-    Client* client = call->Owner;
-    client->DeadConnectionsSeen++;
-    client->DeadSince[call->Request.Address] = NowUs();
+    if (call->Answer.End != ClientEnd_TimedOut || call->Answer.NewConnection)
+    {
+        return;
+    }
+    MarkSilentConnection(call);
+    call->Owner->DeadConnectionsSeen++;
     Log(LogLevel_Info, Code_None, "kept connection silent", {{"address", call->Request.Address}, {"tookUs", call->Answer.TookUs}});
 }
 
@@ -258,6 +283,23 @@
     call->Done(std::move(call->Answer));
 }
 
+// Ends the call unless an answer comes within ListenUs. The time begins only now, so that an answer that has arrived while the loop was
+// busy is read first.
+static void ListenOn(ClientCall* call)
+{
+    Client* client = call->Owner;
+    const auto give_up = [client, easy = call->Easy]()
+    {
+        Finish(client, easy, CURLE_OPERATION_TIMEDOUT);
+    };
+    call->ListenTimer = TimerStart(client->Loop, call->Request.ListenUs, give_up);
+    MarkSilentConnection(call);
+    if (const std::function<void()> on_late = call->Request.OnLate)
+    {
+        on_late(); // May cancel the call.
+    }
+}
+
 static void FinishAll(Client* client)
 {
     int left = 0;
@@ -416,8 +458,9 @@
     curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 0L);
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, MaxIdleReuseSeconds);
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request.NewConnection ? 1L : 0L);
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, MsOf(request.TimeoutUs));
-    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, MsOf(request.ConnectUs > 0 ? request.ConnectUs : request.TimeoutUs));
+    const long timeout_ms = request.ListenUs > 0 ? 0 : MsOf(request.TimeoutUs); // 0: ListenTimer ends the call.
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout_ms);
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, request.ConnectUs > 0 ? MsOf(request.ConnectUs) : timeout_ms);
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->Headers.get());
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, OnBeforeSend);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
@@ -460,6 +503,10 @@
     call->Headers = MakeHeaders(call->Request.Headers);
     ConfigureHandle(call.get());
     CURL* easy = call->Easy;
+    if (call->Request.ListenUs > 0)
+    {
+        call->ListenTimer = TimerStart(client->Loop, call->Request.TimeoutUs, [late = call.get()]() { ListenOn(late); });
+    }
     client->Calls[id] = std::move(call);
     curl_multi_add_handle(client->Multi, easy); // Only requests a timeout of 0: all callbacks run from the event loop.
     return id;
@@ -467,7 +514,7 @@
 
 ClientAnswer ClientSendAndWait(Client* client, ClientRequest request)
 {
-    const TimeUs limit = request.TimeoutUs + UsPerSecond; // The request's own timeout fires first.
+    const TimeUs limit = request.TimeoutUs + request.ListenUs + UsPerSecond; // The request's own timeout fires first.
     std::optional<ClientAnswer> got;
     const uint64_t id = ClientSend(client, std::move(request), [&got](ClientAnswer answer) { got = std::move(answer); });
     if (!LoopRunUntil(client->Loop, limit, [&got]() { return got.has_value(); }))
--- a/gateway/client.h
+++ b/gateway/client.h
@@ -24,6 +24,7 @@
     bool HasBody = false;             // Send Body even if it is empty.
     TimeUs TimeoutUs = UsPerSecond;   // From ClientSend() to the last byte of the answer.
     TimeUs ConnectUs = 0;             // For the connection to be established; 0: TimeoutUs applies.
+    TimeUs ListenUs = 0;              // After TimeoutUs, which is then reported by OnLate, an answer is awaited for this long.
     size_t MaxAnswerBytes = 16 * MiB; // Largest answer body in bytes.
     bool NewConnection = false;       // Don't reuse a connection.
     std::function<bool()> MaySend;    // Called right before the request is sent; false withholds it. May be empty.
@@ -34,6 +35,9 @@
     // Called with status and headers once all headers have arrived and AcceptsHeaders() accepted them, even if the answer fails later. It
     // must not send or cancel requests. May be empty.
     std::function<void(int, const std::vector<Header>&)> OnHeaders;
+
+    // Called if there is no complete answer after TimeoutUs and ListenUs is set. May be empty.
+    std::function<void()> OnLate;
 };
 
 enum ClientEnd_ : int
--- a/requests/attempt.cpp
+++ b/requests/attempt.cpp
@@ -303,9 +303,16 @@
 {
     call->LastAttempt = TakeAttempt(call.get(), target);
     const Verdict_ verdict = ClassifyAnswer(*call->Owner, answer);
-    const ContactEnd_ end = ContactEndOf(answer);
-    NoteContact(call->Owner, call->Service, target, end);
-    call->Contacts[end]++;
+    if (answer.End == ClientEnd_TimedOut)
+    {
+        NoteUnanswered(call.get(), call->LastAttempt);
+    }
+    else
+    {
+        const ContactEnd_ end = ContactEndOf(answer);
+        NoteContact(call->Owner, call->Service, target, end);
+        call->Contacts[end]++;
+    }
     if (verdict == Verdict_Lost)
     {
         LogLost(call.get(), answer);
--- a/requests/call.h
+++ b/requests/call.h
@@ -224,6 +224,13 @@
 // Records a contact with a target of the service. When the path is lost, starts to check it.
 void NoteContact(Forwarder* forwarder, ServiceState* service, const std::string& target, ContactEnd_ end);
 
+// The same for a contact begun at `begun` that has got no answer in time, and for the outcome of one that was late.
+void NoteLate(Forwarder* forwarder, ServiceState* service, const std::string& target, TimeUs begun);
+void NoteLateEnded(Forwarder* forwarder, ServiceState* service, const std::string& target, ContactEnd_ end, TimeUs begun);
+
+// Records an attempt that was not answered in time, for the path and for the request.
+void NoteUnanswered(Call* call, const Attempt& attempt);
+
 using OnContacted = std::function<void(const std::string& target, ContactEnd_)>;
 
 // Contacts a random target of the service, other than those of `except`, on a new connection, and records the outcome. Where the service
--- a/requests/choose.cpp
+++ b/requests/choose.cpp
@@ -23,6 +23,17 @@
 // [SECTION] Handling probe answers
 //-----------------------------------------------------------------------------
 
+// State of a probe in flight.
+struct ProbeCall
+{
+    std::string Target;
+    uint64_t Generation = 0; // Of the target's pool entry when it was probed.
+    TimeUs SentUs = 0;
+    TimeUs TimeoutUs = 0;
+    bool Late = false;          // It has timed out; its answer is still awaited.
+    std::vector<CallPtr> Calls; // Requests for which it timed out.
+};
+
 // Updates the pool from a probe's answer. `generation` is that of the target's pool entry when it was probed; the answer
 // of a target that has left the pool or restarted since is ignored.
 static void LearnFromProbe(Forwarder* forwarder, ServiceState* service, const std::string& id, uint64_t generation,
@@ -42,14 +53,6 @@
         ForwarderFollow(forwarder);
         return;
     }
-    if (answer.End == ClientEnd_Answered)
-    {
-        ProbeTimeoutAnswered(&service->ProbeTimeout);
-    }
-    else if (answer.End == ClientEnd_TimedOut)
-    {
-        ProbeTimeoutExpired(&service->ProbeTimeout);
-    }
     if (answer.End != ClientEnd_Answered || answer.Status != 200 || (answering_id == nullptr && !names.TargetId.empty()))
     {
         PoolFailed(service->Pool.Config, target, NowUs());
@@ -258,18 +261,69 @@
     ProbeMore(call);
 }
 
-static void OnProbeAnswer(Forwarder* forwarder, ServiceState* service, const std::string& id, uint64_t generation,
-                          const ClientAnswer& answer)
+// The requests that await the probe; they no longer do.
+static std::vector<CallPtr> TakeWaiters(ServiceState* service, const std::string& id)
 {
-    const std::vector<CallPtr> waiters = std::move(service->Probes[id]);
+    std::vector<CallPtr> waiters = std::move(service->Probes[id]);
     service->Probes.erase(id);
+    return waiters;
+}
+
+// No answer has come in time. The requests go on without it.
+static void OnProbeLate(Forwarder* forwarder, ServiceState* service, ProbeCall* probe)
+{
+    probe->Late = true;
+    probe->Calls = TakeWaiters(service, probe->Target);
+    if (service->Path.State != TargetPathState_Lost)
+    {
+        ProbeTimeoutExpired(&service->ProbeTimeout, probe->TimeoutUs);
+    }
+    if (PoolTarget* target = PoolFindEntry(&service->Pool, probe->Target, probe->Generation))
+    {
+        PoolFailed(service->Pool.Config, target, NowUs());
+    }
+    NoteLate(forwarder, service, probe->Target, probe->SentUs);
+    for (const CallPtr& call : probe->Calls)
+    {
+        call->Contacts[ContactEnd_Late]++;
+        OnProbed(call, probe->Target, false);
+    }
+}
+
+static void OnLateProbeEnded(Forwarder* forwarder, ServiceState* service, const ProbeCall& probe, const ClientAnswer& answer)
+{
     const ContactEnd_ end = ContactEndOf(answer);
-    LearnFromProbe(forwarder, service, id, generation, answer);
-    NoteContact(forwarder, service, id, end);
+    if (answer.End == ClientEnd_Answered)
+    {
+        LearnFromProbe(forwarder, service, probe.Target, probe.Generation, answer);
+    }
+    NoteLateEnded(forwarder, service, probe.Target, end, probe.SentUs);
+    for (const CallPtr& call : probe.Calls)
+    {
+        call->Contacts[ContactEnd_Late]--;
+        call->Contacts[end]++;
+    }
+}
+
+static void OnProbeAnswer(Forwarder* forwarder, ServiceState* service, const ProbeCall& probe, const ClientAnswer& answer)
+{
+    if (probe.Late)
+    {
+        OnLateProbeEnded(forwarder, service, probe, answer);
+        return;
+    }
+    const std::vector<CallPtr> waiters = TakeWaiters(service, probe.Target);
+    const ContactEnd_ end = ContactEndOf(answer);
+    if (answer.End == ClientEnd_Answered)
+    {
+        ProbeTimeoutAnswered(&service->ProbeTimeout);
+    }
+    LearnFromProbe(forwarder, service, probe.Target, probe.Generation, answer);
+    NoteContact(forwarder, service, probe.Target, end);
     for (const CallPtr& waiter : waiters)
     {
         waiter->Contacts[end]++;
-        OnProbed(waiter, id, answer.End == ClientEnd_Answered);
+        OnProbed(waiter, probe.Target, answer.End == ClientEnd_Answered);
     }
 }
 
@@ -282,7 +336,16 @@
     request.Address = target.Address;
     request.Target = call.Spec->HealthPath;
     request.TimeoutUs = ProbeTimeoutNow(service->ProbeTimeout);
-    const std::string id = target.Id;
+    request.ListenUs = service->ProbeTimeout.ListenUs;
+    const auto probe = std::make_shared<ProbeCall>();
+    probe->Target = target.Id;
+    probe->Generation = target.Generation;
+    probe->SentUs = NowUs();
+    probe->TimeoutUs = request.TimeoutUs;
+    request.OnLate = [forwarder, service, probe]()
+    {
+        OnProbeLate(forwarder, service, probe.get());
+    };
     const std::string id_header = forwarder->Names.TargetId;
     // The late answer to a cancelled request may arrive on this connection instead; it lacks this header.
     request.AcceptsHeaders = [id_header](const std::vector<Header>& headers)
@@ -290,7 +353,7 @@
         return id_header.empty() || FindHeader(headers, id_header) != nullptr;
     };
     request.OnHeaders =
-        [forwarder, service, source = SignalSource{id, target.Incarnation, true}](int status, const std::vector<Header>& headers)
+        [forwarder, service, source = SignalSource{target.Id, target.Incarnation, true}](int status, const std::vector<Header>& headers)
     {
         const std::string* answering_id = FindHeader(headers, forwarder->Names.TargetId);
         if (answering_id == nullptr || *answering_id == source.Target) // Another target may have taken over the address.
@@ -299,8 +362,7 @@
         }
     };
     ClientSend(forwarder->Targets, std::move(request),
-               [forwarder, service, id, generation = target.Generation](const ClientAnswer& answer)
-               { OnProbeAnswer(forwarder, service, id, generation, answer); });
+               [forwarder, service, probe](const ClientAnswer& answer) { OnProbeAnswer(forwarder, service, *probe, answer); });
 }
 
 // The probed target may hang: allows one more probe.
--- a/requests/forward.cpp
+++ b/requests/forward.cpp
@@ -63,6 +63,7 @@
            {"refused", call.Contacts[ContactEnd_Refused]},
            {"reset", call.Contacts[ContactEnd_Reset]},
            {"silent", call.Contacts[ContactEnd_Silent]},
+           {"late", call.Contacts[ContactEnd_Late]},
            {"path", call.Service != nullptr ? TargetPathStateName(call.Service->Path.State) : ""},
            {"overLimit", static_cast<int>(call.OverLimit.size())},
            {"targets", call.Service != nullptr ? static_cast<int>(call.Service->Pool.Targets.size()) : 0},
@@ -203,8 +204,7 @@
     {
         if (!attempt.ToPeer)
         {
-            NoteContact(call->Owner, call->Service, attempt.Target, ContactEnd_Silent);
-            call->Contacts[ContactEnd_Silent]++;
+            NoteUnanswered(call.get(), attempt);
         }
     }
     if (call->FailedAnswer)
--- a/requests/target_path.cpp
+++ b/requests/target_path.cpp
@@ -135,6 +135,7 @@
          {"refused", failed[ContactEnd_Refused]},
          {"reset", failed[ContactEnd_Reset]},
          {"silent", failed[ContactEnd_Silent]},
+         {"late", failed[ContactEnd_Late]},
          {"failedAtLeast", static_cast<int>(path.Failed.size())},
          {"targets", static_cast<int>(service.Pool.Targets.size())},
          {"answeredBeforeUs", path.AnsweredUs > 0 ? now - path.AnsweredUs : -1},
@@ -144,7 +145,8 @@
 
 static void OnPathLost(Forwarder* forwarder, ServiceState* service)
 {
-    ProbeTimeoutRevert(&service->ProbeTimeout, service->Path.Counts[ContactEnd_Silent]);
+    const ContactCounts& failed = service->Path.Counts;
+    ProbeTimeoutRevert(&service->ProbeTimeout, failed[ContactEnd_Silent] + failed[ContactEnd_Late]);
     if (!service->PathCheck)
     {
         CheckPathLater(forwarder, service);
@@ -152,12 +154,13 @@
     service->PathChanged = TimerStart(forwarder->Loop, 0, [service]() { ContinueChoosing(service); });
 }
 
-void NoteContact(Forwarder* forwarder, ServiceState* service, const std::string& target, ContactEnd_ end)
+// Records a contact by `record`, which returns whether the state has changed.
+static void RecordContact(Forwarder* forwarder, ServiceState* service, const std::function<bool(TargetPath*, TimeUs)>& record)
 {
     const TimeUs now = NowUs();
     const ContactCounts failed = service->Path.Counts;
     const TimeUs before = service->Path.ChangedUs;
-    if (!TargetPathContact(&service->Path, target, end, service->Pool.Targets.size(), now))
+    if (!record(&service->Path, now))
     {
         return;
     }
@@ -169,4 +172,36 @@
     }
 }
 
+void NoteContact(Forwarder* forwarder, ServiceState* service, const std::string& target, ContactEnd_ end)
+{
+    RecordContact(forwarder, service,
+                  [&](TargetPath* path, TimeUs now) { return TargetPathContact(path, target, end, service->Pool.Targets.size(), now); });
+}
+
+void NoteLate(Forwarder* forwarder, ServiceState* service, const std::string& target, TimeUs begun)
+{
+    RecordContact(forwarder, service,
+                  [&](TargetPath* path, TimeUs now) { return TargetPathLate(path, target, begun, service->Pool.Targets.size(), now); });
+}
+
+void NoteLateEnded(Forwarder* forwarder, ServiceState* service, const std::string& target, ContactEnd_ end, TimeUs begun)
+{
+    RecordContact(forwarder, service,
+                  [&](TargetPath* path, TimeUs now)
+                  { return TargetPathLateEnded(path, target, end, begun, service->Pool.Targets.size(), now); });
+}
+
+void NoteUnanswered(Call* call, const Attempt& attempt)
+{
+    const bool probed = call->Service->Pool.ReportsLoad && !call->Spec->HealthPath.empty();
+    if (probed) // Its work may just take long; probes tell whether there is a path.
+    {
+        NoteLate(call->Owner, call->Service, attempt.Target, attempt.SentUs);
+        call->Contacts[ContactEnd_Late]++;
+        return;
+    }
+    NoteContact(call->Owner, call->Service, attempt.Target, ContactEnd_Silent);
+    call->Contacts[ContactEnd_Silent]++;
+}
+
 } // namespace Winchlink
--- a/tests/handoff_test.cpp
+++ b/tests/handoff_test.cpp
@@ -85,6 +85,7 @@
     CPPUNIT_TEST(ARequestThatRanElsewhereIsNotRefusedForItsQuota);
     CPPUNIT_TEST(CallersCanNotPassRequestsOffAsHandedOn);
     CPPUNIT_TEST(ACutIsNoCrash);
+    CPPUNIT_TEST(TargetsThatAreSlowAreNoLoss);
     CPPUNIT_TEST(TargetsAreUsedAgainOnceThePathIsBack);
     CPPUNIT_TEST(EarlierVersionsAreNotAskedAndReadTheAnswers);
     CPPUNIT_TEST(TheStatusPageShowsThePath);
@@ -512,6 +513,29 @@
         }
     }
 
+    // Guards against requests that are handed on because several targets answer probes a little late.
+    void TargetsThatAreSlowAreNoLoss()
+    {
+        PathFleet fleet(2);
+        for (const auto& link : fleet.Links)
+        {
+            link->DelayUs = 23 * UsPerMs; // Twice: beyond the initial timeout of probes, within the time for which they are listened to.
+        }
+        fleet.Cut(1, ProxyMode_Delay);
+        const Forwarder& requests = fleet.Parts.Instances[1]->Requests;
+        for (int n = 0; n < 5; n++)
+        {
+            const RigAnswer answer = RigSendAndWait(&fleet.Parts, *fleet.Parts.Instances[1], RigCall());
+            CPPUNIT_ASSERT_EQUAL(200, answer.Answer.Status);
+            RigRunFor(&fleet.Parts, 200 * UsPerMs);
+        }
+        const TargetPath& path = requests.Services.at("svc").Path;
+        CPPUNIT_ASSERT_EQUAL(uint64_t{0}, path.Losses);
+        CPPUNIT_ASSERT(path.Contacts[ContactEnd_Late] >= 3);
+        CPPUNIT_ASSERT_EQUAL(uint64_t{0}, path.Contacts[ContactEnd_Silent]);
+        CPPUNIT_ASSERT_EQUAL(uint64_t{0}, fleet.Parts.Instances[0]->Requests.TakenCount);
+    }
+
     void TargetsAreUsedAgainOnceThePathIsBack()
     {
         HandoffFleet fleet;
--- a/winchlink.h
+++ b/winchlink.h
@@ -492,16 +492,19 @@
 // answered in time, so that on average a share LateShare of the probes times out.
 struct AdaptiveProbeTimeout
 {
-    TimeUs MinUs = 40 * UsPerMs;  // Lower bound, and the initial value. Healthy targets on a healthy network answer within it.
-    TimeUs MaxUs = 160 * UsPerMs; // Upper bound: the longest time that an unresponsive target delays a request.
-    double LateShare = 0.005;     // Share of the probes that may time out.
-    double Growth = 1.5;          // Factor after a probe that timed out.
-    double CurrentUs = 0;         // Current timeout; 0 before the first probe.
+    TimeUs MinUs = 40 * UsPerMs;    // Lower bound, and the initial value. Healthy targets on a healthy network answer within it.
+    TimeUs MaxUs = 160 * UsPerMs;   // Upper bound: the longest time that an unresponsive target delays a request.
+    double LateShare = 0.005;       // Share of the probes that may time out.
+    TimeUs ListenUs = 15 * UsPerMs; // The answer of a probe that timed out is awaited for this long: targets may just be slow.
+    double Growth = 1.5;            // Factor after a probe that timed out.
+    double CurrentUs = 0;           // Current timeout; 0 before the first probe.
 };
 
 TimeUs ProbeTimeoutNow(const AdaptiveProbeTimeout& time);
 void ProbeTimeoutAnswered(AdaptiveProbeTimeout* time);
-void ProbeTimeoutExpired(AdaptiveProbeTimeout* time);
+
+// A probe has timed out. `used`: its timeout, 0 for the current one. Probes in flight together tell only once that it was too short.
+void ProbeTimeoutExpired(AdaptiveProbeTimeout* time, TimeUs used = 0);
 
 // Takes back the growth after probes that timed out because there was no path.
 void ProbeTimeoutRevert(AdaptiveProbeTimeout* time, int probes);
@@ -673,7 +676,8 @@
 // and requests) then fail whichever target it tries. An answer of any kind shows a path, also that of a target that is full, leaving or
 // unhealthy. Contacts that failed at several different targets, with no answer from any target of the service between them, show that there
 // is none, or that all these targets are dead: only instances with a path can tell which. Targets that are full may reset connections, so
-// resets count only once no target has answered for a while.
+// resets count only once no target has answered for a while. Several targets may be slow at once, so late answers are no loss until some
+// have not come at all.
 //
 // The path is per service: a partition may cover the targets of one service only. A path that is back is not used for a trial period,
 // which doubles when the path is lost again soon, so that one that comes and goes does not cost a request each time.
@@ -689,6 +693,7 @@
     ContactEnd_Refused,  // The connection was refused.
     ContactEnd_Reset,    // The connection ended without an answer.
     ContactEnd_Silent,   // No answer, or no connection, in time.
+    ContactEnd_Late,     // No answer in time, which may be the target's fault.
     ContactEnd_COUNT,
 };
 
@@ -696,7 +701,7 @@
 
 using ContactCounts = std::array<int, ContactEnd_COUNT>;
 
-// Contacts that failed, of whatever kind; of those that were refused or silent.
+// Contacts that failed, of whatever kind; of those that were refused, silent or late.
 int FailedContacts(const ContactCounts& counts);
 int UnreachedContacts(const ContactCounts& counts);
 
@@ -714,6 +719,7 @@
 {
     int CertainMin = 8;                  // Failed contacts in a row from which requests are refused without another try.
     int FailedMin = 4;                   // Failed contacts in a row, at as many different targets if the service has them, for a loss.
+    int SilentMin = 2;                   // Of these, contacts that must have got no answer at all if others are late.
     TimeUs ResetUs = 300 * UsPerMs;      // Resets count as failures once no target has answered for this long.
     TimeUs CheckUs = 100 * UsPerMs;      // Time between two checks while the path is not open.
     TimeUs CheckIdleUs = UsPerSecond;    // The same while no request needs the path.
@@ -741,6 +747,13 @@
 // Records the outcome of a contact with a target. `targets`: number of targets of the service. Returns true if State has changed.
 bool TargetPathContact(TargetPath* path, const std::string& target, ContactEnd_ end, size_t targets, TimeUs now);
 
+// Records that a contact begun at `begun` has got no answer in time, but may still get one. Ignored if a target has answered since then.
+// Returns true if State has changed.
+bool TargetPathLate(TargetPath* path, const std::string& target, TimeUs begun, size_t targets, TimeUs now);
+
+// Records the outcome of such a contact: ContactEnd_Silent if no answer has come at all. Returns true if State has changed.
+bool TargetPathLateEnded(TargetPath* path, const std::string& target, ContactEnd_ end, TimeUs begun, size_t targets, TimeUs now);
+
 // Whether resets count as failures now.
 bool TargetPathResetsCount(const TargetPath& path, TimeUs now);
 
--- a/winchlink_path.cpp
+++ b/winchlink_path.cpp
@@ -18,7 +18,7 @@
 
 const char* ContactEndName(ContactEnd_ end)
 {
-    static const std::array<const char*, ContactEnd_COUNT> names = {"none", "answered", "refused", "reset", "silent"};
+    static const std::array<const char*, ContactEnd_COUNT> names = {"none", "answered", "refused", "reset", "silent", "late"};
     assert(end >= 0 && end < ContactEnd_COUNT && "not an outcome of a contact");
     return names[end];
 }
@@ -36,7 +36,7 @@
 
 int UnreachedContacts(const ContactCounts& counts)
 {
-    return counts[ContactEnd_Refused] + counts[ContactEnd_Silent];
+    return counts[ContactEnd_Refused] + counts[ContactEnd_Silent] + counts[ContactEnd_Late];
 }
 
 int FailedContacts(const ContactCounts& counts)
@@ -83,6 +83,13 @@
     return true;
 }
 
+// Whether the late contacts among those that failed may count: targets that are just slow answer before SilentMin contacts are silent.
+static bool IsConfirmed(const TargetPath& path, int failed)
+{
+    const int late = path.Counts[ContactEnd_Late];
+    return late == 0 || failed - late >= path.Config.FailedMin || path.Counts[ContactEnd_Silent] >= path.Config.SilentMin;
+}
+
 static bool OnFailure(TargetPath* path, const std::string& target, ContactEnd_ end, size_t targets, TimeUs now)
 {
     const auto failed_min = static_cast<size_t>(path->Config.FailedMin);
@@ -93,7 +100,7 @@
     }
     const int failed = TargetPathResetsCount(*path, now) ? FailedContacts(path->Counts) : UnreachedContacts(path->Counts);
     const bool enough = failed >= path->Config.FailedMin && path->Failed.size() >= std::min(failed_min, targets);
-    if (!enough || path->State == TargetPathState_Lost)
+    if (!enough || !IsConfirmed(*path, failed) || path->State == TargetPathState_Lost)
     {
         return false;
     }
@@ -112,6 +119,29 @@
     return end == ContactEnd_Answered ? OnAnswer(path, now) : OnFailure(path, target, end, targets, now);
 }
 
+bool TargetPathLate(TargetPath* path, const std::string& target, TimeUs begun, size_t targets, TimeUs now)
+{
+    if (begun < path->AnsweredUs)
+    {
+        path->Contacts[ContactEnd_Late]++;
+        return false;
+    }
+    return TargetPathContact(path, target, ContactEnd_Late, targets, now);
+}
+
+bool TargetPathLateEnded(TargetPath* path, const std::string& target, ContactEnd_ end, TimeUs begun, size_t targets, TimeUs now)
+{
+    const bool counted = begun >= path->AnsweredUs;
+    if (!counted && end != ContactEnd_Answered)
+    {
+        path->Contacts[end]++;
+        return false;
+    }
+    int* late = &path->Counts[ContactEnd_Late];
+    *late = std::max(*late - 1, 0); // TargetPathNewTarget() may have cleared it.
+    return TargetPathContact(path, target, end, targets, now);
+}
+
 TargetPathState_ TargetPathNow(TargetPath* path, TimeUs now)
 {
     if (path->State == TargetPathState_Trial && now >= path->ChangedUs + path->TrialUs)
--- a/winchlink_pool.cpp
+++ b/winchlink_pool.cpp
@@ -32,10 +32,10 @@
     time->CurrentUs = std::max(time->CurrentUs * shrink_factor, static_cast<double>(time->MinUs));
 }
 
-void ProbeTimeoutExpired(AdaptiveProbeTimeout* time)
+void ProbeTimeoutExpired(AdaptiveProbeTimeout* time, TimeUs used)
 {
-    const double grown = static_cast<double>(ProbeTimeoutNow(*time)) * time->Growth;
-    time->CurrentUs = std::min(grown, static_cast<double>(time->MaxUs));
+    const double grown = static_cast<double>(used > 0 ? used : ProbeTimeoutNow(*time)) * time->Growth;
+    time->CurrentUs = std::max(time->CurrentUs, std::min(grown, static_cast<double>(time->MaxUs)));
 }
 
 void ProbeTimeoutRevert(AdaptiveProbeTimeout* time, int probes)
