--- a/winchlink_choose.cpp
+++ b/winchlink_choose.cpp
@@ -459,10 +459,6 @@
     chooser->CrossTo.reset();
     chooser->DeadlineUs = now + static_cast<TimeUs>(share * static_cast<double>(view.Request.LatencyObjectiveUs));
     Step step = {chooser, view, now, {}};
-    if (view.Pool->Shared) // Targets were found busy lately.
-    {
-        Ask(&step);
-    }
     Continue(&step);
     return step.Actions;
 }
@@ -471,7 +467,7 @@
 {
     Step step = {chooser, view, now, {}};
     chooser->ProbesInFlight--;
-    if (chooser->Kind == Choosing_None || chooser->Waiting)
+    if (chooser->Kind == Choosing_None || (chooser->Waiting && !view.Pool->Shared))
     {
         return {};
     }
@@ -482,6 +478,10 @@
         Send(&step, found);
         return step.Actions;
     }
+    if (chooser->Waiting)
+    {
+        return {};
+    }
     constexpr size_t busy_min = 2; // Targets found busy before others are asked: one alone says little of a service.
     if (view.Pool->Shared || chooser->Probed.size() >= busy_min)
     {
@@ -501,6 +501,11 @@
     chooser->MaxConcurrentProbes++; // The probed target may hang.
     Step step = {chooser, view, now, {}};
     Continue(&step);
+    const bool searches = chooser->Kind != Choosing_None && !chooser->Waiting && step.Actions.empty();
+    if (searches && view.Pool->Shared) // Nothing is left to probe, and slots that are free now won't be once a slow target has answered.
+    {
+        Decide(&step);
+    }
     return step.Actions;
 }
 
