--- a/tests/choose_fleet.h
+++ b/tests/choose_fleet.h
@@ -43,6 +43,7 @@
     std::function<double(TimeUs)> Demand; // Factor of RequestsPerSecond at a time; empty: 1.
     int Slots = 2;                        // Of each target.
     TimeUs WorkUs = 100 * UsPerMs;        // Mean duration at a target of cost 1.
+    bool WorkKnown = true;                // False: instances don't know WorkUs (injected fault).
     double WorkSpread = 0.3;              // Standard deviation of its logarithm.
     double SlowShare = 0.2;               // Part of the targets that are slow at a moment,
     double SlowFactor = 5;                // for work that begins then,
@@ -56,6 +57,7 @@
     int AttemptsMax = 3;                  // Targets that a request is sent to, if the earlier ones have refused it.
     double UrgentShare = 0.3;             // Part of the requests with priority 0; the others have priority 1.
     ChooserConfig Config;
+    double AcceptableCost = PoolConfig().AcceptableCost;
     uint64_t Seed = 20261204;
 };
 
@@ -224,7 +226,7 @@
     out.ArrivedUs = request.ArrivedUs;
     out.LatencyObjectiveUs = fleet.Plan.ObjectiveUs;
     out.DeadlineUs = request.ArrivedUs + fleet.Plan.DeadlineUs;
-    out.WorkUs = static_cast<double>(fleet.Plan.WorkUs);
+    out.WorkUs = fleet.Plan.WorkKnown ? static_cast<double>(fleet.Plan.WorkUs) : 0;
     out.Priority = request.Priority;
     out.Contacts = request.Contacts;
     out.SentTo = &request.SentTo;
@@ -534,6 +536,7 @@
     for (ChooseFleetInstance& instance : fleet->Instances)
     {
         instance.TargetLimits.Config = TargetQuotaConfig();
+        instance.Pool.Config.AcceptableCost = plan.AcceptableCost;
         instance.Pool.NearlyFullFactor = plan.FullFactor; // What an instance learns from answers.
         PoolSync(&instance.Pool, listed, fmt::format("dc{}", instance.DataCentre), &fleet->Rng);
     }
--- a/tests/choose_load_test.cpp
+++ b/tests/choose_load_test.cpp
@@ -114,11 +114,19 @@
                                                             ChooseFleetShare(ChooseFleetRefused(without), without));
     }
 
-    // In an overload the slots are not spent on requests whose callers get the answer too late.
+    // In an overload slots are not spent on answers that come too late: a slow target is refused rather than taken.
     void WhatWouldBeLateIsRefused()
     {
-        const ChooseFleetResult result = Simulate(PlanWith(2));
-        CPPUNIT_ASSERT_MESSAGE(ChooseFleetText(result), result.Late * 20 <= result.InTime);
+        const ChooseFleetPlan plan = PlanWith(2);
+        ChooseFleetPlan takes_all = plan;
+        takes_all.AcceptableCost = 10;
+        takes_all.WorkKnown = false;
+        const ChooseFleetResult result = Simulate(plan);
+        const ChooseFleetResult without = Simulate(takes_all);
+        CPPUNIT_ASSERT_MESSAGE(TextOf(result, without), result.Late * 20 <= result.InTime);
+        CPPUNIT_ASSERT_MESSAGE(TextOf(result, without), result.Late < without.Late);
+        CPPUNIT_ASSERT_MESSAGE(TextOf(result, without),
+                               ChooseFleetShare(result.InTime, result) > ChooseFleetShare(without.InTime, without));
     }
 };
 
--- a/tests/choose_test.cpp
+++ b/tests/choose_test.cpp
@@ -204,6 +204,7 @@
     CPPUNIT_TEST(NeedsNoProbeForAYoungReport);
     CPPUNIT_TEST(ASlowProbeAllowsAnother);
     CPPUNIT_TEST(ProbesAreLimited);
+    CPPUNIT_TEST(NothingIsProbedAfterTheDeadline);
     CPPUNIT_TEST(AnswersCountInALaterRound);
     CPPUNIT_TEST(TakesTheBestAcceptableTarget);
     CPPUNIT_TEST(WaitsWhileTargetsAreBusy);
@@ -275,6 +276,19 @@
         CPPUNIT_ASSERT_EQUAL(std::string("wait 20"), last);
     }
 
+    void NothingIsProbedAfterTheDeadline()
+    {
+        Situation s(4);
+        s.Start();
+        s.Now += static_cast<TimeUs>(s.Config.MaxChooseShare * static_cast<double>(ObjectiveUs));
+        CPPUNIT_ASSERT_EQUAL(std::string(), s.SlowProbe());
+        CPPUNIT_ASSERT_EQUAL(Refusal(Code_TargetsBusy), s.Answer(0, Full));
+        Situation late(4);
+        late.Start();
+        late.Now += ObjectiveUs;
+        CPPUNIT_ASSERT_EQUAL(std::string("send t0"), late.Answer(0, Idle)); // What it has found is still taken.
+    }
+
     // A probe that is still in flight when a round ends belongs to the next one.
     void AnswersCountInALaterRound()
     {
