Updates: a reader tells that it has no path to the store together with the failure, and keeps it in mind

While most instances are cut off from the store, one in touch could have data beyond its bound (callers: a route that is new is refused with 404): it reached the store, and waited for readers that did not. Three causes, one class: what one instance knew of its path was lost on the way to those who wait for it. - The reader checked its path only after its call had timed out, and knew 0.25 s later; its followers had gone on to other readers by then. - It forgot it as soon as another reader that had not checked its own path answered (FollowAnswered() took that one's word). - A reader without a kept connection could not connect, which counted as a failure of another kind: it never said that it had no path.

The path is checked when a call to the store is about to time out (a connection, no call), so that failure and lost path are told in one message; a connection that times out shows the same; and what is known of a lost path stays until a source has current data.

Weighed: a check by every instance whose data is old (a herd at a store that is down or busy, where all have a path); telling only once the check has ended (0.25 s later for all failures).

The model now knows kept connections to the store and the check before the time-out, as the program.

--- a/exchange/store_reader.cpp
+++ b/exchange/store_reader.cpp
@@ -62,6 +62,23 @@
     }
 }
 
+// Checks the path to the store if the call in progress has got no answer shortly before its timeout, so that followers learn of a lost path
+// together with the failure: until then they look for other sources, which may have lost the same path.
+static void CheckPathBeforeTimeout(StoreReader* reader, TimeUs timeout)
+{
+    const TimeUs connect = reader->FromStore.ConnectUs;
+    const auto checked = [reader, call = reader->Current](PathState_ state)
+    {
+        reader->PathSeen = reader->Current == call ? state : reader->PathSeen;
+    };
+    const auto check = [reader, connect, checked]()
+    {
+        PathCheckStart(&reader->StorePath, reader->Loop, reader->Following.StoreAddress, connect, checked);
+    };
+    const TimeUs lead = connect + connect / 5; // Some more than the check takes.
+    reader->PathDelay = TimerStart(reader->Loop, std::max<TimeUs>(timeout - lead, 0), check);
+}
+
 static void Call(StoreReader* reader, const std::string& target, TimeUs timeout, void (*done)(StoreReader*, const ClientAnswer&))
 {
     FollowStep step = reader->Following.Next;
@@ -73,12 +90,21 @@
     request.TimeoutUs = timeout;
     request.ConnectUs = source.ConnectUs;
     CountStoreCall(reader);
-    const auto answered = [reader, done](const ClientAnswer& answer)
+    const auto answered = [reader, done, step](const ClientAnswer& answer)
     {
         reader->Current = 0;
+        if (step.Kind == SourceKind_Store)
+        {
+            reader->PathDelay = nullptr;
+        }
         done(reader, answer);
     };
     reader->Current = ClientSend(reader->Calls, std::move(request), answered);
+    reader->PathSeen = PathState_None;
+    if (step.Kind == SourceKind_Store)
+    {
+        CheckPathBeforeTimeout(reader, timeout);
+    }
 }
 
 //-----------------------------------------------------------------------------
@@ -139,20 +165,6 @@
          {"contacts", JoinAddresses(following.Seeds)}});
 }
 
-// Finds out whether the store didn't answer because there is no path to it, so that followers check theirs.
-static void CheckPathAfterFailure(StoreReader* reader)
-{
-    const auto checked = [reader](PathState_ state)
-    {
-        if (FollowStorePath(&reader->Following, state != PathState_Silent))
-        {
-            Log(LogLevel_Info, Code_PlatformUnreachable, "no path to the store", {{"address", reader->Following.StoreAddress}});
-            reader->OnNoPath();
-        }
-    };
-    PathCheckStart(&reader->StorePath, reader->Loop, reader->Following.StoreAddress, reader->FromStore.ConnectUs, checked);
-}
-
 // The reader of the store has no path to it: reads the store if this instance has one.
 static void CheckOwnPath(StoreReader* reader)
 {
@@ -175,26 +187,56 @@
     reader->PathDelay = TimerStart(reader->Loop, jitter, start);
 }
 
-static void OnFailure(StoreReader* reader, const std::string& why, bool late)
+// Tells followers whether this instance has a path to the store, after a call to it has failed.
+static void NotePath(StoreReader* reader, PathState_ state)
+{
+    if (FollowStorePath(&reader->Following, state != PathState_Silent))
+    {
+        Log(LogLevel_Info, Code_PlatformUnreachable, "no path to the store", {{"address", reader->Following.StoreAddress}});
+        reader->OnNoPath();
+    }
+}
+
+static void OnStoreFailure(StoreReader* reader, const std::string& why, bool late, PathState_ path)
+{
+    FollowFailed(&reader->Following, late, NowUs(), reader->Rng);
+    if (path != PathState_None)
+    {
+        NotePath(reader, path); // First, so that the failure is told together with it.
+    }
+    reader->OnStoreFailed(why, 0);
+    if (late && path == PathState_None)
+    {
+        const auto checked = [reader](PathState_ state)
+        {
+            NotePath(reader, state);
+        };
+        PathCheckStart(&reader->StorePath, reader->Loop, reader->Following.StoreAddress, reader->FromStore.ConnectUs, checked);
+    }
+}
+
+// `path`: what the call, or a check meanwhile, has shown of the path to the store.
+static void OnFailure(StoreReader* reader, const std::string& why, bool late, PathState_ path = PathState_None)
 {
     LogFailure(*reader, why);
     reader->CallsFailed++;
     if (AsksStore(*reader))
     {
-        reader->OnStoreFailed(why, 0);
-        if (late)
-        {
-            CheckPathAfterFailure(reader);
-        }
+        OnStoreFailure(reader, why, late, path);
+    }
+    else
+    {
+        FollowFailed(&reader->Following, late, NowUs(), reader->Rng);
     }
-    FollowFailed(&reader->Following, late, NowUs(), reader->Rng);
     StartNextStep(reader);
 }
 
 static void OnCallFailure(StoreReader* reader, const ClientAnswer& answer)
 {
     const bool answered = answer.End == ClientEnd_Answered;
-    OnFailure(reader, answered ? fmt::format("status {}", answer.Status) : answer.Detail, answer.End == ClientEnd_TimedOut);
+    const bool not_connected = answer.End == ClientEnd_NotConnected && answer.TimedOut;
+    OnFailure(reader, answered ? fmt::format("status {}", answer.Status) : answer.Detail, answer.End == ClientEnd_TimedOut,
+              not_connected ? PathState_Silent : reader->PathSeen);
 }
 
 static bool IsGood(const ClientAnswer& answer)
--- a/exchange/store_reader.h
+++ b/exchange/store_reader.h
@@ -120,6 +120,7 @@
     Timer Next;                                                 // Starts the next call.
     PathCheck StorePath;                                        // Checks whether there is a path to the store.
     Timer PathDelay;                                            // Starts the check.
+    PathState_ PathSeen = PathState_None;                       // Result of a check during the call in progress.
     std::array<uint64_t, StoreReason_COUNT> StoreCallsFor = {}; // Counters: calls to the store, by reason.
     uint64_t CallsFailed = 0;                                   // Counter: failed calls, and sources left.
     SourceInUse InUse;                                          // The source that last answered with current data.
--- a/tests/follow_bound_test.cpp
+++ b/tests/follow_bound_test.cpp
@@ -4,6 +4,7 @@
 #include "follow_model.h"
 
 #include <fmt/format.h>
+#include <numeric>
 
 namespace Winchlink
 {
@@ -272,6 +273,62 @@
     };
 }
 
+// Draws this share of the instances.
+static std::vector<bool> DrawShare(Model* model, double share)
+{
+    std::vector<size_t> order(model->Fleet.size());
+    std::iota(order.begin(), order.end(), 0);
+    std::shuffle(order.begin(), order.end(), model->Rng);
+    std::vector<bool> drawn(order.size());
+    for (size_t n = 0; n < static_cast<size_t>(share * static_cast<double>(order.size())); n++)
+    {
+        drawn[order[n]] = true;
+    }
+    return drawn;
+}
+
+// 0.93 of the instances, drawn anew each time, have no path to the store for a while; in between 0.9 are frozen for 4 s.
+static void MostAreCutOffThenFrozenThenCutOff(Model* model, TimeUs from)
+{
+    struct Cut
+    {
+        std::vector<bool> Instances;
+        TimeUs FromUs = 0;
+        TimeUs UntilUs = 0;
+    };
+    constexpr double cut_share = 0.93;
+    constexpr double frozen_share = 0.9;
+    const TimeUs late = std::uniform_int_distribution<TimeUs>(0, UsPerSecond)(model->Rng);
+    const std::vector<Cut> cuts = {{DrawShare(model, cut_share), from, from + 6 * UsPerSecond},
+                                   {DrawShare(model, cut_share), from + 18 * UsPerSecond + late, from + 22 * UsPerSecond + late}};
+    const auto is_cut = [=](size_t instance, TimeUs after)
+    {
+        const auto strikes = [&](const Cut& cut)
+        {
+            return cut.Instances[instance] && model->Now >= cut.FromUs && model->Now < cut.UntilUs + after;
+        };
+        return std::any_of(cuts.begin(), cuts.end(), strikes);
+    };
+    model->SilentTo = [=](size_t instance)
+    {
+        return is_cut(instance, 0);
+    };
+    model->CutOff = model->SilentTo;
+    model->OutOfTouch = [=](size_t instance)
+    {
+        return is_cut(instance, InTouchUs);
+    };
+    const std::vector<bool> frozen = DrawShare(model, frozen_share);
+    for (size_t n = 0; n < frozen.size(); n++)
+    {
+        if (frozen[n])
+        {
+            StopAt(model, n, ModelState_Unresponsive, from + 10 * UsPerSecond);
+            WakeAt(model, n, from + 14 * UsPerSecond);
+        }
+    }
+}
+
 class FollowBoundTest : public CPPUNIT_NS::TestFixture
 {
     CPPUNIT_TEST_SUITE(FollowBoundTest);
@@ -288,19 +345,21 @@
     CPPUNIT_TEST(DataIsFreshWhenMostFallSilent);
     CPPUNIT_TEST(DataIsFreshWhenTheStoreIgnoresAllNamed);
     CPPUNIT_TEST(DataIsFreshWhereTheStoreIsReachableThoughMostAreCutOff);
+    CPPUNIT_TEST(DataIsFreshWhileMostAreCutOffAndFrozenInTurn);
     CPPUNIT_TEST(DataIsFreshAfterTheStoreRefusedAllNamed);
     CPPUNIT_TEST(DataIsFreshWhenMostFallSilentAfterTheStoreRefusedAllNamed);
     CPPUNIT_TEST_SUITE_END();
 
-    static void CheckBound(const BoundCase& fleet, const FaultPlan& faults, const std::function<ModelSeeds(size_t)>& lists)
+    static void CheckBound(const BoundCase& fleet, const FaultPlan& faults, const std::function<ModelSeeds(size_t)>& lists,
+                           uint64_t runs = RunsEach, TimeUs end = 24 * UsPerSecond)
     {
-        for (uint64_t seed = 1; seed <= RunsEach; seed++)
+        for (uint64_t seed = 1; seed <= runs; seed++)
         {
             Model model(fleet.Size, seed, lists ? lists(fleet.Size) : nullptr);
             StartAll(&model, 0, 0);
             RunUntil(&model, 6 * UsPerSecond);
             faults(&model, 10 * UsPerSecond);
-            const BoundSeen seen = Watch(&model, 24 * UsPerSecond, fleet.BoundUs);
+            const BoundSeen seen = Watch(&model, end, fleet.BoundUs);
             const std::string text = fmt::format("{} instances, seed {}: {} ms old, {} late at once; {}", fleet.Size, seed,
                                                  seen.OldestUs / UsPerMs, seen.LateMax, DescribeCalls(model));
             CPPUNIT_ASSERT_MESSAGE(text, seen.OldestUs <= fleet.BoundUs);
@@ -409,6 +468,22 @@
         CheckFleetsBeyondThree(MostAreCutOffFromTheStore, nullptr);
     }
 
+    // Guards against instances that could reach the store and don't learn that their reader can't: it forgets when it asks others, or finds
+    // out only after its followers have gone on to readers that don't know yet. Rare: it needs many runs.
+    void DataIsFreshWhileMostAreCutOffAndFrozenInTurn()
+    {
+        constexpr uint64_t runs = 60;
+        constexpr uint64_t runs_large = 5;
+        constexpr TimeUs end = 36 * UsPerSecond;
+        for (const BoundCase& fleet : Fleets)
+        {
+            if (fleet.Size > SeedCount)
+            {
+                CheckBound(fleet, MostAreCutOffThenFrozenThenCutOff, nullptr, fleet.Size < 100 ? runs : runs_large, end);
+            }
+        }
+    }
+
     // Guards against an instance that reads the store for others and leaves it to follow one of them.
     void DataIsFreshAfterTheStoreRefusedAllNamed()
     {
--- a/tests/follow_model.cpp
+++ b/tests/follow_model.cpp
@@ -15,6 +15,7 @@
 constexpr TimeUs StoreWaitUs = 800 * UsPerMs; // This and the next four are equal to the values in GatewayTiming.
 constexpr TimeUs StoreMarginUs = 350 * UsPerMs;
 constexpr TimeUs StoreConnectUs = 250 * UsPerMs;
+constexpr TimeUs StoreKeptUs = 8 * UsPerSecond; // Equal to MaxIdleReuseSeconds in client.cpp.
 constexpr TimeUs StoreBatchUs = 300 * UsPerMs;
 constexpr TimeUs PeerWaitUs = 950 * UsPerMs;
 constexpr TimeUs PeerMarginUs = 250 * UsPerMs;
@@ -104,18 +105,6 @@
     ScheduleAt(model, model->Now + delay, check);
 }
 
-static void CheckPathAfterFailure(Model* model, size_t instance)
-{
-    const auto checked = [=](bool path)
-    {
-        if (FollowStorePath(&model->Fleet[instance].Following, path))
-        {
-            AnswerFollowers(model, instance);
-        }
-    };
-    CheckPath(model, instance, 0, checked);
-}
-
 static void CheckOwnPath(Model* model, size_t instance)
 {
     Follow* following = &model->Fleet[instance].Following;
@@ -146,13 +135,13 @@
     self.Call = 0;
     const bool store = self.Following.Next.Kind == SourceKind_Store;
     FollowFailed(&self.Following, late, model->Now, &model->Rng);
-    if (store)
+    if (store && self.PathSeen && FollowStorePath(&self.Following, *self.PathSeen))
     {
-        OnStoreLost(model, instance, model->Now);
+        AnswerFollowers(model, instance);
     }
-    if (store && late)
+    if (store)
     {
-        CheckPathAfterFailure(model, instance);
+        OnStoreLost(model, instance, model->Now);
     }
     StartCall(model, instance);
 }
@@ -285,6 +274,17 @@
 // Calls
 //-----------------------------------------------------------------------------
 
+// As CheckPathBeforeTimeout() in store_reader.cpp.
+static void CheckPathBeforeTimeout(Model* model, size_t instance, uint64_t call, TimeUs timeout)
+{
+    const auto checked = [=](bool path)
+    {
+        ModelInstance& self = model->Fleet[instance];
+        self.PathSeen = self.Call == call ? std::optional<bool>(path) : self.PathSeen;
+    };
+    CheckPath(model, instance, timeout - StoreConnectUs - StoreConnectUs / 5, checked);
+}
+
 static void CallStore(Model* model, size_t instance, uint64_t call, const FollowStep& step)
 {
     model->StoreCalls++;
@@ -293,9 +293,24 @@
     const bool everything = following.Revision == 0;
     const uint64_t after = following.Revision;
     const TimeUs wait = step.WaitMaxUs > 0 ? std::min(step.WaitMaxUs, StoreWaitUs) : StoreWaitUs;
+    ModelInstance& self = model->Fleet[instance];
+    self.PathSeen = std::nullopt;
+    const TimeUs timeout = wait + (StoreMarginUs << step.MarginDoublings);
+    const bool kept = self.StoreAnsweredUs > 0 && model->Now < self.StoreAnsweredUs + StoreKeptUs;
+    if (!kept && !HasPath(*model, instance))
+    {
+        const auto not_connected = [=]()
+        {
+            model->Fleet[instance].PathSeen = false;
+            CallFailed(model, instance, call, false);
+        };
+        ScheduleAt(model, model->Now + StoreConnectUs, not_connected);
+        return;
+    }
+    CheckPathBeforeTimeout(model, instance, call, timeout);
     if (model->Silent || model->SilentTo(instance))
     {
-        ScheduleAt(model, model->Now + wait + (StoreMarginUs << step.MarginDoublings), [=]() { CallFailed(model, instance, call, true); });
+        ScheduleAt(model, model->Now + timeout, [=]() { CallFailed(model, instance, call, true); });
         return;
     }
     if (model->Refuses(instance, model->Now))
@@ -305,11 +320,11 @@
     }
     const TimeUs change = (static_cast<TimeUs>(after) - 1000 + 1) * model->EditUs;
     const TimeUs answer = everything ? model->Now : std::max(model->Now, std::min(model->Now + wait, change));
-    const auto answered = [=]()
+    const auto answered = [=, begun = model->Now]()
     {
         if (model->Silent || model->SilentTo(instance))
         {
-            ScheduleAt(model, model->Now + StoreMarginUs, [=]() { CallFailed(model, instance, call, true); });
+            ScheduleAt(model, begun + timeout, [=]() { CallFailed(model, instance, call, true); });
             return;
         }
         if (model->Refuses(instance, model->Now))
@@ -317,6 +332,7 @@
             CallFailed(model, instance, call, false); // Ends a long poll that is in progress.
             return;
         }
+        model->Fleet[instance].StoreAnsweredUs = model->Now;
         const SourceStatus status = {StoreRevision(*model, model->Now), 0, false, 0, "", false, {}, {}};
         const TimeUs read = QueueWork(model, instance, model->Now + StoreUs, everything ? EverythingUs : MessageUs);
         ScheduleAt(model, read, [=]() { OnSourceAnswer(model, instance, call, status); });
--- a/tests/follow_model.h
+++ b/tests/follow_model.h
@@ -41,6 +41,8 @@
     std::map<uint64_t, ModelWait> Waits; // Held calls of followers, by call id.
     bool Lost = false;                   // The store can't be reached.
     TimeUs TriedUs = 0;
+    TimeUs StoreAnsweredUs = 0;   // Its connection to the store is kept for a while; 0: none.
+    std::optional<bool> PathSeen; // What the call to the store in progress has shown of the path to it.
     TimeUs NotifiedUs = 0;
     TimeUs NotifiedFreshUs = 0;
     TimeUs LinkUs = 0;      // The link is busy until then.
--- a/winchlink_follow.cpp
+++ b/winchlink_follow.cpp
@@ -553,7 +553,7 @@
 {
     follow->AnyStoreLost = true;
     follow->StoreLostUs = now;
-    follow->NoPath = status.NoPath;
+    follow->NoPath = follow->NoPath || status.NoPath; // A reader that has not checked its path yet knows less.
     if (follow->Reads)
     {
         ForgetInstance(follow, follow->Next.Address); // Don't delegate to the same instance again.
@@ -744,7 +744,7 @@
 bool FollowStorePath(Follow* follow, bool has_path)
 {
     const bool before = follow->NoPath;
-    follow->NoPath = HasLostStore(*follow) && !has_path;
+    follow->NoPath = (HasLostStore(*follow) || follow->Tried > 0) && !has_path;
     return follow->NoPath && !before;
 }
 
