--- a/tests/division_model.cpp
+++ b/tests/division_model.cpp
@@ -62,6 +62,7 @@
     size_t Probes = 0;
     size_t FarTries = 0;
     size_t Tries = 0;
+    bool Stays = false; // It doesn't cross in this round.
 };
 
 using RequestPtr = std::shared_ptr<ModelRequest>;
@@ -279,15 +280,12 @@
              [this, ask, instance, other, centre, way]()
              {
                  std::optional<LoadMessage> answer = LoadHeard(&other->Sharing, &other->Pool, ask, "", Centres[centre], Now, &Rng);
-                 answer->Room = DivisionTell(other->Shares, LoadRoom(other->Pool, Now), Now);
+                 answer->Room = DivisionTell(other->Shares, LoadRoom(other->Pool, Now), centre == instance->Centre, Now);
                  Pass(way,
                       [this, answer, instance, centre]()
                       {
                           LoadHeard(&instance->Sharing, &instance->Pool, *answer, "", Centres[instance->Centre], Now, &Rng);
-                          if (centre != instance->Centre)
-                          {
-                              DivisionHeard(&instance->Shares, answer->DataCentre, answer->Room, Now);
-                          }
+                          DivisionHeard(&instance->Shares, answer->DataCentre, Centres[instance->Centre], answer->Room, Now);
                       });
              });
     }
@@ -322,10 +320,10 @@
         const bool home_only = Plan.Divide && LoadRoom(*pool, Now).Targets > 0;
         for (;;)
         {
-            PoolTarget* next = PoolNext(pool, request->Passed, false, Now);
+            PoolTarget* next = home_only ? PoolNextNear(pool, request->Passed, false, Now) : PoolNext(pool, request->Passed, false, Now);
             next = Plan.Divide && !home_only ? NextByDivision(request, next) : next;
             const bool known = next != nullptr && next->ReportUs > 0 && Now < next->ReportUs + ReuseUs;
-            if (next == nullptr || (home_only && !next->Near) || (!known && request->Probes >= HomeProbesMax(*request->At)))
+            if (next == nullptr || (!known && request->Probes >= HomeProbesMax(*request)))
             {
                 HomeEnds(request);
                 return;
@@ -345,9 +343,11 @@
         }
     }
 
-    size_t HomeProbesMax(const ModelInstance& instance) const
+    // A request that doesn't cross goes on at home.
+    size_t HomeProbesMax(const ModelRequest& request) const
     {
-        const bool may_cross = Plan.Divide && DivisionMayCross(instance.Shares, LoadRoom(instance.Pool, Now), Now);
+        const ModelInstance& instance = *request.At;
+        const bool may_cross = Plan.Divide && !request.Stays && DivisionMayCross(instance.Shares, LoadRoom(instance.Pool, Now), Now);
         return may_cross ? std::min(instance.Shares.Config.HomeProbes, ModelProbesMax) : ModelProbesMax;
     }
 
@@ -405,12 +405,16 @@
 
     void Probed(const RequestPtr& request, PoolTarget* target)
     {
+        if (target != nullptr && target->Near)
+        {
+            const TargetPool& pool = request->At->Pool;
+            DivisionProbed(&request->At->Shares, PoolHasFreeSlot(pool, *target) && PoolIsAcceptable(pool, *target, Now), Now);
+        }
         if (target != nullptr && IsGood(*request, *target))
         {
             Send(request, target);
             return;
         }
-        DivisionSeen(&request->At->Shares, LoadRoom(request->At->Pool, Now), Now);
         AskNeighbours(request->At);
         if (Plan.Divide)
         {
@@ -443,8 +447,14 @@
             Send(request, best);
             return;
         }
-        if (Plan.Divide && TryFar(request))
+        if (Plan.Divide && !request->Stays && TryFar(request))
+        {
+            return;
+        }
+        if (Plan.Divide && !request->Stays && request->Probes < ModelProbesMax)
         {
+            request->Stays = true;
+            Search(request);
             return;
         }
         if (Now + RepeatUs < ChooseDeadline(*request))
@@ -455,6 +465,7 @@
                    request->Passed.clear();
                    request->Probes = 0;
                    request->FarTries = 0;
+                   request->Stays = false;
                    Search(request);
                });
             return;
@@ -466,7 +477,6 @@
     {
         ModelInstance* instance = request->At;
         const SharedRoom own = LoadRoom(instance->Pool, Now);
-        DivisionSeen(&instance->Shares, own, Now);
         AskOthers(instance);
         if (request->FarTries++ >= instance->Shares.Config.AwayProbes)
         {
@@ -498,7 +508,6 @@
 
     void Send(const RequestPtr& request, PoolTarget* pool_target)
     {
-        DivisionSeen(&request->At->Shares, LoadRoom(request->At->Pool, Now), Now);
         const std::string id = pool_target->Id;
         const bool far = Targets[id].Centre != request->At->Centre;
         PoolSent(&request->At->Pool, pool_target, Now);
@@ -536,6 +545,7 @@
                 request->Passed = {id};
                 request->Probes = 0;
                 request->FarTries = 0;
+                request->Stays = false;
                 Search(request);
                 return;
             }
--- a/winchlink.h
+++ b/winchlink.h
@@ -627,6 +627,9 @@
 // can't be retried, so targets that failed recently rank lower.
 PoolTarget* PoolNext(TargetPool* pool, const std::vector<std::string>& passed, bool unsafe, TimeUs now);
 
+// The same among the targets of the own data centre, for requests that cross only as DivisionPick() says.
+PoolTarget* PoolNextNear(TargetPool* pool, const std::vector<std::string>& passed, bool unsafe, TimeUs now);
+
 // The same where targets are not probed: chooses among equals at random. Without probes, instances that prefer the same targets would not
 // notice it.
 PoolTarget* PoolNextUnprobed(TargetPool* pool, const std::vector<std::string>& passed, bool unsafe, TimeUs now, Random* random);
@@ -1077,16 +1080,15 @@
 //
 // Without recent news of another data centre, the order is that of the pool: near first.
 //
-// How to use it: DivisionSeen() whenever a request has looked for a target at home, and DivisionTell() for the room that answers to other
-// instances tell. DivisionAsks() when the own data centre seems to be short of room; DivisionHeard() for each LoadMessage of another data
-// centre; DivisionPick() for a request that finds no target at home.
+// How to use it: DivisionProbed() for each probe at home, DivisionTell() for the room that each LoadMessage tells, DivisionHeard() for each
+// that arrives, DivisionAsks() after a probe at home that found no room, and DivisionPick() for a request that finds no target at home.
 
 struct DivisionConfig
 {
     TimeUs RoomMaxAgeUs = 150 * UsPerMs; // News of a data centre's room are stale after this: load shifts within this time.
     TimeUs AskIntervalUs = 10 * UsPerMs; // Time between two asks of a data centre.
-    TimeUs AverageUs = 600 * UsPerMs;    // The own room is averaged over about this time.
-    int KnownMin = 4;                    // A data centre is short of room only if at least so many of its targets are known.
+    TimeUs AverageUs = 600 * UsPerMs;    // Probes at home are averaged over about this time.
+    int KnownMin = 4;                    // A data centre is short of room only after so many probes.
     double RoomPrior = 2;                // Targets without room that are added to those known of another data centre.
     double ShortOfRoom = 0.8;            // A data centre with a smaller share of free targets is short of room,
     double EnoughRoom = 0.9;             // until it has at least this share.
@@ -1098,15 +1100,16 @@
     double LargeAnswerBytes = 32 * KiB;  // Answers from this size on wait at home while they have slack; smaller ones
     double SlackFactor = 4;              // only with more. Slack: this many times the usual work fits into the time left.
     size_t DataCentresMax = 16;          // Data centres that are remembered.
+    double ToldMax = 100;                // Probes that one message may tell of,
+    int TargetsMax = 100000;             // and targets.
 };
 
-// Sums of what was told of one data centre's room, weighted by age.
+// Probes of targets of the own data centre, weighted by age.
 struct RoomAverage
 {
-    int Targets = 0; // As last told.
-    double Known = 0;
-    double Free = 0;
-    TimeUs AtUs = 0; // Of the last one; 0: none.
+    double Known = 0; // Probes.
+    double Free = 0;  // Of these, the ones that found room.
+    TimeUs AtUs = 0;  // Of the last one; 0: none.
 };
 
 // What is known of another data centre.
@@ -1130,7 +1133,8 @@
 struct Division
 {
     DivisionConfig Config;
-    RoomAverage Own;
+    RoomAverage Own;                          // Probes of this instance.
+    RoomAverage Home;                         // The same, and those that others of the own data centre have told.
     std::map<uint16_t, DataCentreRoom> Rooms; // Other data centres, by PeerDataCentre().
     bool Active = false;                      // The own data centre is short of room.
     TimeUs ChangedUs = 0;                     // Time of the last change of Active; 0: never.
@@ -1139,13 +1143,15 @@
     uint64_t KeptForRoom = 0;                 // Counter: requests that stayed because none was known to have more room.
 };
 
-// A request has looked for a target at home; `own`: the room that this instance sees there.
-void DivisionSeen(Division* division, const SharedRoom& own, TimeUs now);
+// A target of the own data centre was probed; `room`: it had a free slot at an acceptable cost.
+void DivisionProbed(Division* division, bool room, TimeUs now);
 
-// The room of the own data centre to tell others: an average, as this instance alone sees few targets at a time.
-SharedRoom DivisionTell(const Division& division, const SharedRoom& own, TimeUs now);
+// The room of the own data centre to tell another instance. `own`: the room that this instance sees there; `near`: to one of the own data
+// centre, which is told only what this instance has found itself, as it sums up what several tell.
+SharedRoom DivisionTell(const Division& division, const SharedRoom& own, bool near, TimeUs now);
 
-void DivisionHeard(Division* division, uint16_t data_centre, const SharedRoom& room, TimeUs now);
+// An instance has told the room of its data centre. `own`: the data centre of this instance.
+void DivisionHeard(Division* division, uint16_t data_centre, uint16_t own, const SharedRoom& room, TimeUs now);
 
 // The data centres to ask for their room now: those of which nothing recent is known, when the own one is short of room.
 std::vector<uint16_t> DivisionAsks(Division* division, const SharedRoom& own, const Peers& peers, TimeUs now);
--- a/winchlink_division.cpp
+++ b/winchlink_division.cpp
@@ -16,57 +16,54 @@
 // [SECTION] Room
 //-----------------------------------------------------------------------------
 
-// Limits numbers that came from another instance to what they may be.
-static std::optional<SharedRoom> CheckRoom(const SharedRoom& room)
+// Whether figures that another instance told are possible.
+static bool IsPlausible(const DivisionConfig& config, const SharedRoom& room)
 {
-    constexpr int targets_max = 100000;
-    const bool valid = room.Targets >= 0 && room.Targets <= targets_max && room.Known >= 0 && room.Known <= room.Targets &&
-                       room.Free >= 0 && room.Free <= room.Known;
-    return valid ? std::optional<SharedRoom>(room) : std::nullopt;
+    return room.Targets >= 0 && room.Targets <= config.TargetsMax && room.Free >= 0 && room.Free <= room.Known &&
+           room.Known <= config.ToldMax;
 }
 
 static double WeightAt(const RoomAverage& average, TimeUs average_us, TimeUs now)
 {
-    return average.AtUs == 0 ? 0
-                             : std::exp(-static_cast<double>(std::max<TimeUs>(now - average.AtUs, 0)) / static_cast<double>(average_us));
+    const auto age = static_cast<double>(std::max<TimeUs>(now - average.AtUs, 0));
+    return average.AtUs == 0 ? 0 : std::exp(-age / static_cast<double>(average_us));
 }
 
-static void SetActive(Division* division, bool active, TimeUs now)
+static void Add(RoomAverage* average, TimeUs average_us, double known, double free, TimeUs now)
 {
-    if (division->Active != active)
-    {
-        division->Active = active;
-        division->ChangedUs = now;
-    }
+    const double weight = WeightAt(*average, average_us, now);
+    average->Known = average->Known * weight + known;
+    average->Free = average->Free * weight + free;
+    average->AtUs = now;
 }
 
-void DivisionSeen(Division* division, const SharedRoom& own, TimeUs now)
+// Share of the probes at home that found room; 1 if little is known.
+static double HomeShare(const Division& division)
 {
-    if (!CheckRoom(own))
-    {
-        return;
-    }
-    const DivisionConfig& config = division->Config;
-    RoomAverage* average = &division->Own;
-    const double weight = WeightAt(*average, config.AverageUs, now);
-    average->Known = average->Known * weight + own.Known;
-    average->Free = average->Free * weight + own.Free;
-    average->Targets = own.Targets;
-    average->AtUs = now;
-    const double share = average->Known > 0 ? average->Free / average->Known : 1;
-    const bool enough_known = average->Known >= std::min(config.KnownMin, own.Targets);
-    const double limit = division->Active ? config.EnoughRoom : config.ShortOfRoom;
-    SetActive(division, own.Targets == 0 || (enough_known && share < limit), now);
+    return division.Home.Known >= division.Config.KnownMin ? division.Home.Free / division.Home.Known : 1;
+}
+
+static void AddHome(Division* division, double known, double free, TimeUs now)
+{
+    Add(&division->Home, division->Config.AverageUs, known, free, now);
+    const bool active = HomeShare(*division) < (division->Active ? division->Config.EnoughRoom : division->Config.ShortOfRoom);
+    division->ChangedUs = active != division->Active ? now : division->ChangedUs;
+    division->Active = active;
+}
+
+void DivisionProbed(Division* division, bool room, TimeUs now)
+{
+    Add(&division->Own, division->Config.AverageUs, 1, room ? 1 : 0, now);
+    AddHome(division, 1, room ? 1 : 0, now);
 }
 
-SharedRoom DivisionTell(const Division& division, const SharedRoom& own, TimeUs now)
+SharedRoom DivisionTell(const Division& division, const SharedRoom& own, bool near, TimeUs now)
 {
-    const double weight = WeightAt(division.Own, division.Config.AverageUs, now);
-    const double known = division.Own.Known * weight + own.Known;
-    const double free = division.Own.Free * weight + own.Free;
+    const RoomAverage& average = near ? division.Own : division.Home;
+    const double weight = WeightAt(average, division.Config.AverageUs, now);
     SharedRoom told = own;
-    told.Known = std::min(static_cast<int>(std::lround(known)), own.Targets);
-    told.Free = known > 0 ? std::min(static_cast<int>(std::lround(told.Known * free / known)), told.Known) : 0;
+    told.Known = static_cast<int>(std::lround(std::min(average.Known * weight, division.Config.ToldMax)));
+    told.Free = average.Known > 0 ? static_cast<int>(std::lround(told.Known * average.Free / average.Known)) : 0;
     return told;
 }
 
@@ -88,10 +85,19 @@
     return found != division->Rooms.end() ? &found->second : may_add ? &division->Rooms[data_centre] : nullptr;
 }
 
-void DivisionHeard(Division* division, uint16_t data_centre, const SharedRoom& room, TimeUs now)
+void DivisionHeard(Division* division, uint16_t data_centre, uint16_t own, const SharedRoom& room, TimeUs now)
 {
     RemoveOld(division, now);
-    DataCentreRoom* entry = CheckRoom(room) ? FindOrAddRoom(division, data_centre) : nullptr;
+    if (!IsPlausible(division->Config, room))
+    {
+        return;
+    }
+    if (data_centre == own)
+    {
+        AddHome(division, room.Known, room.Free, now);
+        return;
+    }
+    DataCentreRoom* entry = FindOrAddRoom(division, data_centre);
     if (entry != nullptr)
     {
         entry->Room = room;
@@ -139,11 +145,6 @@
     return recent ? other.Room.Free / (other.Room.Known + config.RoomPrior) : 0;
 }
 
-static double OwnFreeShare(const Division& division, const SharedRoom& own)
-{
-    return division.Own.Known > 0 && own.Targets > 0 ? division.Own.Free / division.Own.Known : 0;
-}
-
 // Where a request may go.
 struct Candidate
 {
@@ -160,7 +161,7 @@
     {
         const double share = FreeShare(config, entry.second, now);
         const double room = share * entry.second.Room.Targets - entry.second.Sent;
-        const double excess = (share - OwnFreeShare(division, own) - config.RoomMargin) / config.RoomRange;
+        const double excess = (share - HomeShare(division) - config.RoomMargin) / config.RoomRange;
         const double probability = own.Targets == 0 ? 1 : std::clamp(excess, 0.0, 1.0);
         if (room > 0 && probability > 0)
         {
