--- a/exchange/load_link.cpp
+++ b/exchange/load_link.cpp
@@ -249,11 +249,12 @@
     DatagramSend(link->Datagrams, DatagramChannel_Load, DatagramKind_Load, instance, EncodeLoad(message));
 }
 
-static LoadMessage MakeAsk(const LoadLink& link, const ServiceState& service, TimeUs now)
+// `near`: to an instance of the own data centre.
+static LoadMessage MakeAsk(const LoadLink& link, const ServiceState& service, bool near, TimeUs now)
 {
     const Forwarder& requests = *link.Requests;
     LoadMessage ask = LoadAsk(service.Pool, service.Name, requests.Others.DataCentre, now);
-    ask.Room = DivisionTell(service.Divided, ask.Room, now);
+    ask.Room = DivisionTell(service.Divided, ask.Room, near, now);
     return ask;
 }
 
@@ -269,7 +270,7 @@
     watch->Asks = watch->SharingUs == 0 ? asks : watch->Asks;
     watch->AskedUs = now;
     service->Pool.Shared = true;
-    const LoadMessage ask = MakeAsk(*link, *service, now);
+    const LoadMessage ask = MakeAsk(*link, *service, true, now);
     for (const std::string& peer : asked)
     {
         Send(link, peer, ask);
@@ -289,7 +290,7 @@
     {
         for (const std::string& peer : PeersDraw(others, data_centre, 1, now, link->Requests->Rng))
         {
-            Send(link, peer, MakeAsk(*link, *service, now));
+            Send(link, peer, MakeAsk(*link, *service, false, now));
             link->DivisionAsks++;
         }
     }
@@ -366,13 +367,13 @@
     }
     const uint16_t own = requests.Others.DataCentre;
     std::optional<LoadMessage> answer = LoadHeard(&service->Sharing, &service->Pool, message, from, own, now, requests.Rng);
-    if (link->Divides && message.DataCentre != own)
+    if (link->Divides)
     {
-        DivisionHeard(&service->Divided, message.DataCentre, message.Room, now - delay);
+        DivisionHeard(&service->Divided, message.DataCentre, own, message.Room, now - delay);
     }
     if (answer)
     {
-        answer->Room = DivisionTell(service->Divided, answer->Room, now);
+        answer->Room = DivisionTell(service->Divided, answer->Room, message.DataCentre == own, now);
         Send(link, from, *answer);
     }
     if (link->OnHeard)
--- a/requests/choose.cpp
+++ b/requests/choose.cpp
@@ -153,7 +153,13 @@
     service->Pool.ReportsLoad = report.has_value();
     if (report)
     {
-        PoolProbed(&service->Pool, target, *report, NowUs());
+        const TimeUs now = NowUs();
+        PoolProbed(&service->Pool, target, *report, now);
+        if (forwarder->Divides && target->Near)
+        {
+            DivisionProbed(&service->Divided, PoolHasFreeSlot(service->Pool, *target) && PoolIsAcceptable(service->Pool, *target, now),
+                           now);
+        }
         PoolUpdateShare(&service->Pool, *report, service->InProgress);
     }
 }
--- a/winchlink_choose.cpp
+++ b/winchlink_choose.cpp
@@ -331,15 +331,6 @@
     return passed;
 }
 
-// Records what is known of the room at home after a probe in vain.
-static void NoteRoom(Step* step)
-{
-    if (step->View.Divided != nullptr)
-    {
-        DivisionSeen(step->View.Divided, LoadRoom(*step->View.Pool, step->Now), step->Now);
-    }
-}
-
 // A target in the data centre that is to serve the request, if that is another one. Decided once in a search, when enough targets at home
 // were probed in vain or there are none. Null if there is none.
 static PoolTarget* CrossCandidate(Step* step, const std::vector<std::string>& passed)
@@ -487,7 +478,6 @@
     {
         Ask(&step);
     }
-    NoteRoom(&step);
     Continue(&step);
     return step.Actions;
 }
