--- a/tests/choose_fleet.h
+++ b/tests/choose_fleet.h
@@ -279,6 +279,7 @@
     };
     waiting.erase(std::remove_if(waiting.begin(), waiting.end(), ended), waiting.end());
     std::vector<ChooserRequest> requests;
+    requests.reserve(waiting.size());
     for (const ChooseFleetRequestPtr& request : waiting)
     {
         requests.push_back(ChooseFleetRequestOf(*fleet, *request));
