--- a/requests/choose.cpp
+++ b/requests/choose.cpp
@@ -149,6 +149,11 @@
     }
 }
 
+static void OnProbed(const CallPtr& call, const std::string& id, bool answered)
+{
+    CarryOut(call, ChooserProbed(&call->Round, ViewOf(call), id, answered, NowUs()));
+}
+
 static void OnProbeAnswer(Forwarder* forwarder, ServiceState* service, const std::string& id, uint64_t generation,
                           const ClientAnswer& answer)
 {
@@ -160,7 +165,7 @@
     for (const CallPtr& waiter : waiters)
     {
         waiter->Contacts[end]++;
-        CarryOut(waiter, ChooserProbed(&waiter->Round, ViewOf(waiter), id, answer.End == ClientEnd_Answered, NowUs()));
+        OnProbed(waiter, id, answer.End == ClientEnd_Answered);
     }
 }
 
