--- a/tests/load_fleet.h
+++ b/tests/load_fleet.h
@@ -97,7 +97,7 @@
     int InFlight = 0;
     int MaxInFlight = 1;
     TimeUs LastProbeUs = 0;
-    int Offered = 0;      // Probes of offered targets, beyond the usual number.
+    int Offered = 0;       // Probes of offered targets, beyond the usual number.
     double WorkFactor = 1; // Its work, as a multiple of the usual.
     bool Waiting = false;  // Until RetryUs.
     bool Done = false;
