--- /dev/null
+++ b/tests/division_test.cpp
@@ -0,0 +1,308 @@
+// division_test.cpp: which requests cross to another data centre, and properties that hold whatever is told.
+
+#include "check.h"
+
+namespace Winchlink
+{
+
+namespace
+{
+
+constexpr uint16_t Home = 1;
+constexpr uint16_t Other = 2;
+constexpr uint16_t Third = 3;
+constexpr TimeUs Start = UsPerSecond;
+constexpr SharedRoom HomeRoom = {36, 10, 0};
+constexpr DivisionRequest Tight = {94.0 * UsPerMs, 2.0 * KiB, 300 * UsPerMs};
+constexpr DivisionRequest Slack = {73.0 * UsPerMs, 90.0 * KiB, 800 * UsPerMs};
+
+// A division whose own data centre has no room.
+Division Short()
+{
+    Division division;
+    for (int n = 0; n < 10; n++)
+    {
+        DivisionProbed(&division, false, Start);
+    }
+    return division;
+}
+
+int CountCrossing(Division* division, const SharedRoom& own, const DivisionRequest& request, TimeUs now)
+{
+    constexpr int tries = 1000;
+    Random random(7);
+    int crossed = 0;
+    for (int n = 0; n < tries; n++)
+    {
+        for (auto& entry : division->Rooms)
+        {
+            entry.second.Sent = 0;
+        }
+        crossed += DivisionPick(division, own, request, now, &random) ? 1 : 0;
+    }
+    return crossed;
+}
+
+Peers PeersOf(const std::vector<uint16_t>& data_centres)
+{
+    Peers peers;
+    peers.DataCentre = Home;
+    for (const uint16_t data_centre : data_centres)
+    {
+        peers.Known["10.0.0." + std::to_string(data_centre) + ":80"].DataCentre = data_centre;
+    }
+    return peers;
+}
+
+SharedRoom RandomRoom(TestRandom* random)
+{
+    const auto figure = [random]()
+    {
+        return static_cast<int>(random->OneIn(3) ? random->Between(INT32_MIN, INT32_MAX) : random->Between(-2, 120));
+    };
+    return {figure(), figure(), figure()};
+}
+
+} // namespace
+
+class DivisionTest : public CPPUNIT_NS::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DivisionTest);
+    CPPUNIT_TEST(CrossesToRoomOnlyWhenShort);
+    CPPUNIT_TEST(LittleKnowledgeIsNotShort);
+    CPPUNIT_TEST(StaleNewsAreNotUsed);
+    CPPUNIT_TEST(EquallyFullDataCentresDontExchange);
+    CPPUNIT_TEST(DrawsInProportionToRoom);
+    CPPUNIT_TEST(SendsNoMoreThanTheRoom);
+    CPPUNIT_TEST(LargeAnswersWithSlackStay);
+    CPPUNIT_TEST(AllCrossWithoutTargetsAtHome);
+    CPPUNIT_TEST(ShortnessHasHysteresis);
+    CPPUNIT_TEST(AsksEachDataCentreOncePerInterval);
+    CPPUNIT_TEST(SumsUpWhatOthersOfTheDataCentreTell);
+    CPPUNIT_TEST(HoldsWhateverIsTold);
+    CPPUNIT_TEST(ChoosesWithinADataCentre);
+    CPPUNIT_TEST_SUITE_END();
+
+    void CrossesToRoomOnlyWhenShort()
+    {
+        Division division = Short();
+        CPPUNIT_ASSERT_EQUAL(0, CountCrossing(&division, HomeRoom, Tight, Start));
+        DivisionHeard(&division, Other, Home, {59, 20, 10}, Start);
+        CPPUNIT_ASSERT(DivisionMayCross(division, HomeRoom, Start));
+        CPPUNIT_ASSERT_EQUAL(1000, CountCrossing(&division, HomeRoom, Tight, Start));
+        Division enough;
+        for (int n = 0; n < 10; n++)
+        {
+            DivisionProbed(&enough, true, Start);
+        }
+        DivisionHeard(&enough, Other, Home, {59, 20, 10}, Start);
+        CPPUNIT_ASSERT_EQUAL(0, CountCrossing(&enough, HomeRoom, Tight, Start));
+    }
+
+    void LittleKnowledgeIsNotShort()
+    {
+        Division division;
+        for (int n = 0; n + 1 < division.Config.KnownMin; n++)
+        {
+            DivisionProbed(&division, false, Start);
+        }
+        CPPUNIT_ASSERT(!division.Active);
+        DivisionProbed(&division, false, Start);
+        CPPUNIT_ASSERT(division.Active);
+    }
+
+    void StaleNewsAreNotUsed()
+    {
+        Division division = Short();
+        DivisionHeard(&division, Other, Home, {59, 20, 10}, Start);
+        const TimeUs stale = Start + division.Config.RoomMaxAgeUs;
+        CPPUNIT_ASSERT_EQUAL(1000, CountCrossing(&division, HomeRoom, Tight, stale - 1));
+        CPPUNIT_ASSERT_EQUAL(0, CountCrossing(&division, HomeRoom, Tight, stale));
+        CPPUNIT_ASSERT(division.Rooms.empty());
+    }
+
+    void EquallyFullDataCentresDontExchange()
+    {
+        Division division = Short();
+        for (int n = 0; n < 10; n++)
+        {
+            DivisionProbed(&division, n % 2 == 0, Start);
+        }
+        DivisionHeard(&division, Other, Home, {59, 100, 25}, Start); // A quarter, as at home.
+        CPPUNIT_ASSERT_EQUAL(0, CountCrossing(&division, HomeRoom, Tight, Start));
+        DivisionHeard(&division, Other, Home, {59, 100, 31}, Start);
+        const int some = CountCrossing(&division, HomeRoom, Tight, Start);
+        CPPUNIT_ASSERT(some > 0 && some < 1000);
+    }
+
+    void DrawsInProportionToRoom()
+    {
+        Division division = Short();
+        DivisionHeard(&division, Other, Home, {30, 98, 50}, Start);
+        DivisionHeard(&division, Third, Home, {90, 98, 50}, Start);
+        Random random(7);
+        int third = 0;
+        for (int n = 0; n < 1000; n++)
+        {
+            division.Rooms[Other].Sent = 0;
+            division.Rooms[Third].Sent = 0;
+            third += DivisionPick(&division, HomeRoom, Tight, Start, &random) == Third ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(third > 700 && third < 800);
+    }
+
+    void SendsNoMoreThanTheRoom()
+    {
+        Division division = Short();
+        DivisionHeard(&division, Other, Home, {10, 8, 3}, Start); // Three of ten, the prior included.
+        Random random(7);
+        int crossed = 0;
+        for (int n = 0; n < 100; n++)
+        {
+            crossed += DivisionPick(&division, HomeRoom, Tight, Start, &random) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(3, crossed);
+    }
+
+    void LargeAnswersWithSlackStay()
+    {
+        Division division = Short();
+        DivisionHeard(&division, Other, Home, {59, 20, 10}, Start);
+        CPPUNIT_ASSERT_EQUAL(0, CountCrossing(&division, HomeRoom, Slack, Start));
+        CPPUNIT_ASSERT_EQUAL(uint64_t(1000), division.KeptForSlack);
+        DivisionRequest late = Slack;
+        late.LeftUs = 100 * UsPerMs;
+        CPPUNIT_ASSERT_EQUAL(1000, CountCrossing(&division, HomeRoom, late, Start));
+        CPPUNIT_ASSERT_EQUAL(1000, CountCrossing(&division, HomeRoom, DivisionRequest(), Start)); // Nothing is known of its kind.
+    }
+
+    void AllCrossWithoutTargetsAtHome()
+    {
+        Division division;
+        const SharedRoom none;
+        DivisionHeard(&division, Other, Home, {59, 20, 1}, Start);
+        CPPUNIT_ASSERT_EQUAL(1000, CountCrossing(&division, none, Slack, Start));
+        CPPUNIT_ASSERT_EQUAL(0, CountCrossing(&division, HomeRoom, Slack, Start));
+    }
+
+    void ShortnessHasHysteresis()
+    {
+        Division division;
+        DivisionHeard(&division, Home, Home, {36, 100, 79}, Start);
+        CPPUNIT_ASSERT(division.Active);
+        CPPUNIT_ASSERT_EQUAL(Start, division.ChangedUs);
+        const TimeUs later = Start + 10 * UsPerSecond; // The average is that of what is told then.
+        DivisionHeard(&division, Home, Home, {36, 100, 85}, later);
+        CPPUNIT_ASSERT(division.Active);
+        DivisionHeard(&division, Home, Home, {36, 100, 95}, later + 10 * UsPerSecond);
+        CPPUNIT_ASSERT(!division.Active);
+        DivisionHeard(&division, Home, Home, {36, 100, 85}, later + 20 * UsPerSecond);
+        CPPUNIT_ASSERT(!division.Active);
+    }
+
+    void AsksEachDataCentreOncePerInterval()
+    {
+        Division division;
+        const Peers peers = PeersOf({Home, Other, Third});
+        CPPUNIT_ASSERT(DivisionAsks(&division, HomeRoom, peers, Start).empty());
+        division = Short();
+        CPPUNIT_ASSERT((DivisionAsks(&division, HomeRoom, peers, Start) == std::vector<uint16_t>{Other, Third}));
+        CPPUNIT_ASSERT(DivisionAsks(&division, HomeRoom, peers, Start + 1).empty());
+        CPPUNIT_ASSERT_EQUAL(size_t(2), DivisionAsks(&division, HomeRoom, peers, Start + division.Config.AskIntervalUs).size());
+        Division evacuated;
+        CPPUNIT_ASSERT_EQUAL(size_t(2), DivisionAsks(&evacuated, SharedRoom(), peers, Start).size());
+    }
+
+    // An instance tells its neighbours only its own probes: what goes round would count again and again.
+    void SumsUpWhatOthersOfTheDataCentreTell()
+    {
+        Division division = Short();
+        DivisionHeard(&division, Home, Home, {36, 30, 20}, Start);
+        const SharedRoom near = DivisionTell(division, HomeRoom, true, Start);
+        const SharedRoom far = DivisionTell(division, HomeRoom, false, Start);
+        CPPUNIT_ASSERT(near.Known == 10 && near.Free == 0 && near.Targets == 36);
+        CPPUNIT_ASSERT(far.Known == 40 && far.Free == 20 && far.Targets == 36);
+        const SharedRoom old = DivisionTell(division, HomeRoom, false, Start + 10 * UsPerSecond);
+        CPPUNIT_ASSERT(old.Known == 0 && old.Free == 0);
+    }
+
+    void HoldsWhateverIsTold()
+    {
+        CHECK_PROPERTY("Division holds whatever is told",
+                       []()
+                       {
+                           TestRandom random;
+                           Division division;
+                           TimeUs now = Start;
+                           uint64_t picks = 0;
+                           for (int n = 0; n < 300; n++)
+                           {
+                               now += random.Between(0, 20 * UsPerMs);
+                               const auto data_centre = static_cast<uint16_t>(random.Between(0, 40));
+                               DivisionHeard(&division, data_centre, Home, RandomRoom(&random), now);
+                               DivisionProbed(&division, random.OneIn(2), now);
+                               const SharedRoom own = RandomRoom(&random);
+                               const Peers peers = PeersOf({static_cast<uint16_t>(random.Between(0, 60))});
+                               DivisionAsks(&division, own, peers, now);
+                               const DivisionRequest request = {static_cast<double>(random.Between(-1, 100000)),
+                                                                static_cast<double>(random.Between(-1, 100000)),
+                                                                random.Between(-UsPerSecond, UsPerSecond)};
+                               const auto picked = DivisionPick(&division, own, request, now, &random.Rng);
+                               picks++;
+                               RC_ASSERT(!picked || (*picked != Home && division.Rooms.count(*picked) > 0));
+                               RC_ASSERT(division.Crossed + division.KeptForRoom + division.KeptForSlack == picks);
+                               RC_ASSERT(division.Rooms.size() <= division.Config.DataCentresMax);
+                               for (const auto& room : division.Rooms)
+                               {
+                                   RC_ASSERT(room.second.Room.Free >= 0 && room.second.Room.Free <= room.second.Room.Known);
+                                   RC_ASSERT(room.second.Sent <= room.second.Room.Targets);
+                               }
+                               for (const bool near : {false, true})
+                               {
+                                   const SharedRoom told = DivisionTell(division, HomeRoom, near, now);
+                                   RC_ASSERT(told.Free >= 0 && told.Free <= told.Known && told.Known <= division.Config.ToldMax);
+                               }
+                           }
+                       });
+    }
+
+    void ChoosesWithinADataCentre()
+    {
+        std::vector<DirectoryTarget> listed(3);
+        TargetList all;
+        for (size_t n = 0; n < listed.size(); n++)
+        {
+            listed[n].Id = "t" + std::to_string(n);
+            listed[n].DataCentre = n == 0 ? "home" : "other";
+            listed[n].Slots = 2;
+            all.push_back(&listed[n]);
+        }
+        Random random(7);
+        TargetPool pool;
+        pool.Config.ColdPerS = 1;
+        PoolSync(&pool, all, "home", &random);
+        const uint16_t other = PeerDataCentre("other");
+        PoolTarget* first = PoolNextIn(&pool, other, {}, false, Start);
+        CPPUNIT_ASSERT(first != nullptr && !first->Near);
+        const std::string first_id = first->Id;
+        PoolReport(first, {2, 0, 2, 100}, Start);
+        PoolTarget* second = PoolNextIn(&pool, other, {}, false, Start);
+        CPPUNIT_ASSERT(second != nullptr && second->Id != first_id);
+        CPPUNIT_ASSERT(PoolNextIn(&pool, other, {second->Id}, false, Start) == nullptr);
+        PoolReport(second, {0, 0, 2, 300}, Start);
+        CPPUNIT_ASSERT(PoolNextIn(&pool, other, {}, false, Start) == nullptr);
+        const TimeUs later = Start + UsPerSecond;
+        CPPUNIT_ASSERT(PoolNextIn(&pool, other, {}, false, later) != nullptr);
+        PoolTarget* cold = PoolFind(&pool, first_id);
+        CPPUNIT_ASSERT(cold != nullptr);
+        PoolSetCold(pool.Config, cold, later + UsPerSecond);
+        CPPUNIT_ASSERT(PoolNextIn(&pool, other, {second->Id}, false, later) == nullptr);
+        const PoolTarget* near = PoolNextNear(&pool, {}, false, later);
+        CPPUNIT_ASSERT(near != nullptr && near->Id == "t0");
+        CPPUNIT_ASSERT(PoolNextNear(&pool, {"t0"}, false, later) == nullptr);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DivisionTest);
+
+} // namespace Winchlink
--- a/winchlink.h
+++ b/winchlink.h
@@ -1100,8 +1100,8 @@
     double RoomMargin = 0.02;            // Another one must have a share of free targets that is greater by this, so that requests don't
                                          // cross between data centres that are equally full.
     double RoomRange = 0.05;             // From RoomMargin on, the probability to cross grows to 1 within this difference.
-    size_t HomeProbes = 5;               // Targets of the own data centre that a request probes before it may cross,
-    size_t AwayProbes = 6;               // and those of others that it probes then.
+    size_t HomeProbes = 4;               // Targets of the own data centre that a request probes before it may cross,
+    size_t AwayProbes = 8;               // and those of others that it probes then.
     double LargeAnswerBytes = 32 * KiB;  // Answers from this size on wait at home while they have slack; smaller ones
     double SlackFactor = 4;              // only with more. Slack: this many times the usual work fits into the time left.
     size_t DataCentresMax = 16;          // Data centres that are remembered.
