--- a/exchange/load_link.cpp
+++ b/exchange/load_link.cpp
@@ -251,7 +251,7 @@
 static LoadMessage MakeAsk(const LoadLink& link, const ServiceState& service, TimeUs now)
 {
     const Forwarder& requests = *link.Requests;
-    LoadMessage ask = LoadAsk(service.Sharing, service.Pool, service.Name, requests.Others.DataCentre, now, requests.Rng);
+    LoadMessage ask = LoadAsk(service.Pool, service.Name, requests.Others.DataCentre, now);
     ask.Room = DivisionTell(service.Divided, ask.Room, now);
     return ask;
 }
@@ -275,7 +275,7 @@
     }
 }
 
-// Asks for the room in other data centres. The reports are left out: requests there go to targets near to them.
+// Asks for the room in other data centres.
 static void AskElsewhere(LoadLink* link, ServiceState* service, LoadWatch* watch, TimeUs now)
 {
     if (watch->DivisionCheckedUs > 0 && now < watch->DivisionCheckedUs + link->Config.DivisionCheckUs)
@@ -288,9 +288,7 @@
     {
         for (const std::string& peer : PeersDraw(others, data_centre, 1, now, link->Requests->Rng))
         {
-            LoadMessage ask = MakeAsk(*link, *service, now);
-            ask.Reports.clear();
-            Send(link, peer, ask);
+            Send(link, peer, MakeAsk(*link, *service, now));
             link->DivisionAsks++;
         }
     }
@@ -345,10 +343,18 @@
     return found != link->Services.end() ? found->second : nullptr;
 }
 
+// The target of a free slot that was told to this instance, if the message holds one. `taken`: reports of it were taken.
+static PoolTarget* OfferedBy(const ServiceState& service, const LoadMessage& message, uint16_t own, bool taken)
+{
+    const bool offers = taken && message.Kind != LoadMessage_Ask && message.DataCentre == own;
+    return offers ? PoolFindShared(service.Pool, message.Reports.front().Target) : nullptr;
+}
+
 void LoadLinkHeard(LoadLink* link, const std::string& from, LoadMessage message, TimeUs delay, TimeUs now)
 {
     const Forwarder& requests = *link->Requests;
-    if (!requests.Plan || (requests.Draining && message.Kind == LoadMessage_Ask))
+    const bool asks = message.Kind == LoadMessage_Ask;
+    if (!requests.Plan || (requests.Draining && asks))
     {
         link->NotAnswered++;
         return;
@@ -359,13 +365,20 @@
         link->UnknownServices++;
         return;
     }
+    const uint16_t own = requests.Others.DataCentre;
+    LoadSharing* sharing = &service->Sharing;
+    if (asks && message.DataCentre == own && delay >= sharing->Config.AskerKeptUs)
+    {
+        link->NotAnswered++;
+        return;
+    }
     service->Pool.Shared = true;
     for (SharedReport& report : message.Reports)
     {
         report.AgeUs += delay;
     }
-    const uint16_t own = requests.Others.DataCentre;
-    std::optional<LoadMessage> answer = LoadHeard(&service->Sharing, &service->Pool, message, from, own, now, requests.Rng);
+    const uint64_t taken = sharing->ReportsTaken;
+    std::optional<LoadMessage> answer = LoadHeard(sharing, &service->Pool, message, from, own, now, requests.Rng);
     if (link->Divides && message.DataCentre != own)
     {
         DivisionHeard(&service->Divided, message.DataCentre, message.Room, now - delay);
@@ -377,7 +390,7 @@
     }
     if (link->OnHeard)
     {
-        link->OnHeard(service);
+        link->OnHeard(service, OfferedBy(*service, message, own, sharing->ReportsTaken > taken));
     }
 }
 
