--- a/exchange/load_link.cpp
+++ b/exchange/load_link.cpp
@@ -345,10 +345,18 @@
     return found != link->Services.end() ? found->second : nullptr;
 }
 
+// The target of a free slot that was told to this instance, if the message holds one. `taken`: reports of it were taken.
+static PoolTarget* OfferedBy(const ServiceState& service, const LoadMessage& message, uint16_t own, bool taken)
+{
+    const bool offers = taken && message.Kind != LoadMessage_Ask && message.DataCentre == own;
+    return offers ? PoolFindShared(service.Pool, message.Reports.front().Target) : nullptr;
+}
+
 void LoadLinkHeard(LoadLink* link, const std::string& from, LoadMessage message, TimeUs delay, TimeUs now)
 {
     const Forwarder& requests = *link->Requests;
-    if (!requests.Plan || (requests.Draining && message.Kind == LoadMessage_Ask))
+    const bool asks = message.Kind == LoadMessage_Ask;
+    if (!requests.Plan || (requests.Draining && asks))
     {
         link->NotAnswered++;
         return;
@@ -359,14 +367,21 @@
         link->UnknownServices++;
         return;
     }
+    const uint16_t own = requests.Others.DataCentre;
+    LoadSharing* sharing = &service->Sharing;
+    if (asks && message.DataCentre == own && delay >= sharing->Config.AskerKeptUs)
+    {
+        link->NotAnswered++;
+        return;
+    }
     WatchOf(link, service)->HeardUs = now;
     service->Pool.Shared = true;
     for (SharedReport& report : message.Reports)
     {
         report.AgeUs += delay;
     }
-    const uint16_t own = requests.Others.DataCentre;
-    std::optional<LoadMessage> answer = LoadHeard(&service->Sharing, &service->Pool, message, from, own, now, requests.Rng);
+    const uint64_t taken = sharing->ReportsTaken;
+    std::optional<LoadMessage> answer = LoadHeard(sharing, &service->Pool, message, from, own, now, requests.Rng);
     if (link->Divides)
     {
         DivisionHeard(&service->Divided, message.DataCentre, own, message.Room, now - delay);
@@ -378,7 +393,7 @@
     }
     if (link->OnHeard)
     {
-        link->OnHeard(service);
+        link->OnHeard(service, OfferedBy(*service, message, own, sharing->ReportsTaken > taken));
     }
 }
 
--- a/exchange/load_link.h
+++ b/exchange/load_link.h
@@ -2,8 +2,9 @@
 // datagrams.
 //
 // An instance asks when its requests find targets busy, answers while it has a plan and doesn't drain, and offers slots that its answers
-// show to be free. A message of another instance is used only for a service that this one knows; its reports count as older by the time
-// that it was on the way.
+// show to be free. An ask that was on the way for longer than an asker is remembered comes too late: its request has ended its search. A
+// message of another instance is used only for a service that this one knows; its reports count as older by the time that it was on the
+// way.
 //
 // How to use it: fill the struct and call LoadLinkSet(). While sharing is on, Forwarder::OnTargetBusy and OnSlotFree call LoadLinkAsk() and
 // LoadLinkFreed().
@@ -52,16 +53,18 @@
     EventLoop* Loop = nullptr;
     DatagramLink* Datagrams = nullptr;
     Forwarder* Requests = nullptr;
-    std::function<void(ServiceState*)> OnHeard; // Something new is known of the service's targets or of other data centres. May be empty.
-    bool Shares = false;                        // Load reports are shared.
-    bool Divides = false;                       // Rooms of data centres are exchanged too.
+    // Something new is known of the service. `offered`: the target of a free slot that was told to this instance alone; null if none was.
+    // May be empty.
+    std::function<void(ServiceState*, PoolTarget* offered)> OnHeard;
+    bool Shares = false;                                  // Load reports are shared.
+    bool Divides = false;                                 // Rooms of data centres are exchanged too.
     std::unordered_map<uint32_t, ServiceState*> Services; // By SharedServiceId().
     size_t ServicesIndexed = 0;                           // Number of the Forwarder's services when Services was made.
     std::map<ServiceState*, LoadWatch> Watched;           // Services for which instances have asked lately.
     Timer WatchTimer;                                     // Next check of Watched.
     uint64_t UnknownServices = 0;                         // Counter: messages of services that are not known here.
-    uint64_t NotAnswered = 0;                             // Counter: asks that came while this instance drained or had no plan.
-    uint64_t DivisionAsks = 0;                            // Counter: asks that were sent to other data centres.
+    uint64_t NotAnswered = 0;  // Counter: asks that came too late, or while this instance drained or had no plan.
+    uint64_t DivisionAsks = 0; // Counter: asks that were sent to other data centres.
 
     LoadLink() = default;
     LoadLink(const LoadLink&) = delete;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -409,7 +409,7 @@
     gateway->Load.Loop = gateway->Loop;
     gateway->Load.Datagrams = &link;
     gateway->Load.Requests = &gateway->Requests;
-    gateway->Load.OnHeard = ContinueWaiting;
+    gateway->Load.OnHeard = TakeOffer;
     SetLoadSharing(gateway);
     const char* missing = MissingForSharing(gateway->Config);
     if (missing != nullptr)
--- a/requests/choose.cpp
+++ b/requests/choose.cpp
@@ -350,20 +350,8 @@
     }
 }
 
-void ContinueWaiting(ServiceState* service)
-{
-    const std::vector<std::weak_ptr<Call>> waiting = service->Waiting;
-    for (const std::weak_ptr<Call>& entry : waiting)
-    {
-        const CallPtr call = entry.lock();
-        if (call && call->Round.Waiting)
-        {
-            CarryOut(call, ChooserTold(&call->Round, ViewOf(call), NowUs()));
-        }
-    }
-}
-
-void ServeWaiting(ServiceState* service, const std::string& target_id)
+// The most urgent request that waits for a free target and was not sent to this one; null if there is none.
+static CallPtr MostUrgentWaiting(ServiceState* service, const std::string& target_id)
 {
     std::vector<CallPtr> waiting;
     std::vector<ChooserRequest> requests;
@@ -378,11 +366,25 @@
     }
     service->Waiting.assign(waiting.begin(), waiting.end());
     const std::optional<size_t> first = ChooserMostUrgent(requests, target_id);
-    if (first)
+    return first ? waiting[*first] : nullptr;
+}
+
+void ServeWaiting(ServiceState* service, const std::string& target_id)
+{
+    const CallPtr call = MostUrgentWaiting(service, target_id);
+    if (call)
     {
-        const CallPtr& call = waiting[*first];
         CarryOut(call, ChooserSlotFree(&call->Round, ViewOf(call), target_id, NowUs()));
     }
 }
 
+void TakeOffer(ServiceState* service, PoolTarget* offered)
+{
+    const CallPtr call = offered != nullptr ? MostUrgentWaiting(service, offered->Id) : nullptr;
+    if (call)
+    {
+        CarryOut(call, ChooserTold(&call->Round, ViewOf(call), NowUs()));
+    }
+}
+
 } // namespace Winchlink
--- a/requests/forward.h
+++ b/requests/forward.h
@@ -137,8 +137,9 @@
 
 void ForwardRequest(Forwarder* forwarder, const ExchangePtr& exchange);
 
-// Lets the requests that wait for a free target go on if one is known now, as other instances have told of the service's targets.
-void ContinueWaiting(ServiceState* service);
+// Another instance has offered a free slot of the target: lets the most urgent request that waits for one go on. Does nothing if `offered`
+// is null.
+void TakeOffer(ServiceState* service, PoolTarget* offered);
 
 // Whether a pipelined request may be handled concurrently with others of its connection: only if its route allows it to run more than once.
 bool ForwardMayOverlap(const Forwarder& forwarder, const Exchange& exchange);
