--- a/tests/division_model.cpp
+++ b/tests/division_model.cpp
@@ -48,6 +48,7 @@
     LoadSharing Sharing;
     Division Shares;
     Peers Others;
+    std::map<std::string, std::vector<std::function<void(PoolTarget*)>>> Probes; // Requests that wait for the answer, by target.
 };
 
 struct ModelRequest
@@ -370,43 +371,49 @@
         return {request.What->WorkUs, request.What->Bytes, request.ArrivedUs + request.What->ObjectiveUs - Now};
     }
 
-    void Probe(const RequestPtr& request, const std::string& id, const std::function<void(PoolTarget*)>& then)
+    using AfterProbe = std::function<void(PoolTarget*)>;
+
+    // Requests of an instance that want to know the same target's load share a probe.
+    void Probe(const RequestPtr& request, const std::string& id, const AfterProbe& then)
     {
-        const size_t centre = Targets[id].Centre;
-        const bool far = centre != request->At->Centre;
-        if (IsCut(request->At->Centre, centre))
+        ModelInstance* instance = request->At;
+        std::vector<AfterProbe>& waiting = instance->Probes[id];
+        waiting.push_back(then);
+        if (waiting.size() > 1)
         {
-            constexpr TimeUs time_out = 40 * UsPerMs;
-            At(Now + time_out,
-               [this, request, id, then]()
-               {
-                   PoolTarget* target = PoolFind(&request->At->Pool, id);
-                   if (target != nullptr)
-                   {
-                       PoolFailed(request->At->Pool.Config, target, Now);
-                   }
-                   then(nullptr);
-               });
             return;
         }
-        const TimeUs way = ProbeUs / 2 + (far ? Plan.OneWayUs : 0);
-        At(Now + way,
-           [this, request, id, then, way]()
+        const size_t centre = Targets[id].Centre;
+        const bool reached = !IsCut(instance->Centre, centre);
+        constexpr TimeUs time_out = 40 * UsPerMs;
+        const TimeUs way = ProbeUs / 2 + (centre != instance->Centre ? Plan.OneWayUs : 0);
+        At(Now + (reached ? way : time_out),
+           [this, instance, id, reached, way]()
            {
                const LoadReport load = LoadOf(id);
-               At(Now + way,
-                  [this, request, id, then, load]()
-                  {
-                      PoolTarget* target = PoolFind(&request->At->Pool, id);
-                      if (target != nullptr)
-                      {
-                          PoolProbed(&request->At->Pool, target, load, Now);
-                      }
-                      then(target);
-                  });
+               At(Now + (reached ? way : 0), [this, instance, id, reached, load]() { ProbeEnds(instance, id, reached, load); });
            });
     }
 
+    void ProbeEnds(ModelInstance* instance, const std::string& id, bool reached, const LoadReport& load)
+    {
+        PoolTarget* target = PoolFind(&instance->Pool, id);
+        if (target != nullptr && reached)
+        {
+            PoolProbed(&instance->Pool, target, load, Now);
+        }
+        else if (target != nullptr)
+        {
+            PoolFailed(instance->Pool.Config, target, Now);
+        }
+        const std::vector<AfterProbe> waiting = std::move(instance->Probes[id]);
+        instance->Probes.erase(id);
+        for (const AfterProbe& then : waiting)
+        {
+            then(reached ? PoolFind(&instance->Pool, id) : nullptr);
+        }
+    }
+
     void Probed(const RequestPtr& request, PoolTarget* target)
     {
         if (target != nullptr && target->Near)
