--- a/winchlink.h
+++ b/winchlink.h
@@ -1733,7 +1733,7 @@
 // A slot of the target has come free, and ChooserMostUrgent() has picked this request.
 ChooseActions ChooserSlotFree(Chooser* chooser, const ChooserView& view, const std::string& target, TimeUs now);
 
-// Other instances have told something of the service's targets.
+// Another instance has offered a free slot, and ChooserMostUrgent() has picked this request.
 ChooseActions ChooserTold(Chooser* chooser, const ChooserView& view, TimeUs now);
 
 // The state of the path to the targets has changed.
--- a/winchlink_choose.cpp
+++ b/winchlink_choose.cpp
@@ -11,6 +11,7 @@
 #include "winchlink_internal.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace Winchlink
 {
@@ -313,20 +314,21 @@
            PoolRankCost(pool, target, step.Now) <= PoolGoodCost(pool);
 }
 
-// Targets that are not considered again in this search: those considered before, unless another instance has told of a free slot there
-// since, and those that were sent the request.
+// Whether another instance has offered a free slot of a target that was considered before. It is then considered once more.
+static bool IsOfferedAgain(const Step& step, const std::string& id)
+{
+    const Chooser& round = *step.Round;
+    const PoolTarget* target = PoolFind(step.View.Pool, id);
+    const bool first = std::count(round.Probed.begin(), round.Probed.end(), id) == 1 && !Contains(round.OverLimit, id);
+    return first && target != nullptr && target->ToldUs > target->ReportUs && IsKnownFree(step, *target);
+}
+
+// Targets that are not considered again in this search: those considered before, and those that were sent the request.
 static std::vector<std::string> PassedTargets(const Step& step)
 {
     std::vector<std::string> passed;
-    for (const std::string& id : step.Round->Probed)
-    {
-        const PoolTarget* target = PoolFind(step.View.Pool, id);
-        const bool offered = target != nullptr && target->ToldUs > target->ReportUs && IsKnownFree(step, *target);
-        if (!offered)
-        {
-            passed.push_back(id);
-        }
-    }
+    std::copy_if(step.Round->Probed.begin(), step.Round->Probed.end(), std::back_inserter(passed),
+                 [&](const std::string& id) { return !IsOfferedAgain(step, id); });
     passed.insert(passed.end(), step.View.Request.SentTo->begin(), step.View.Request.SentTo->end());
     return passed;
 }
