--- a/tests/choose_test.cpp
+++ b/tests/choose_test.cpp
@@ -29,8 +29,12 @@
     bool Admits = true;
     std::string Peer;   // Takes a request; empty: none does.
     std::string Effect; // Calls of Admit and PickPeer, in order.
+    bool Shares = false;
+    bool Divides = false;
+    Division Divided;
 
-    explicit Situation(size_t targets)
+    // The last `far` of the targets are in another data centre.
+    explicit Situation(size_t targets, size_t far = 0)
     {
         Limits.Config = TargetQuotaConfig();
         Request.ArrivedUs = Now;
@@ -43,7 +47,7 @@
         for (size_t n = 0; n < targets; n++)
         {
             Listed[n].Id = fmt::format("t{}", n);
-            Listed[n].DataCentre = "dc";
+            Listed[n].DataCentre = n + far < targets ? "dc" : "far";
             Listed[n].Slots = 2;
             all.push_back(&Listed[n]);
         }
@@ -84,6 +88,8 @@
         view.TargetLimits = &Limits;
         view.OverLimitCount = &OverLimitCount;
         view.Rng = &Rng;
+        view.Shares = Shares;
+        view.Divided = Divides ? &Divided : nullptr;
         view.Admit = [this]()
         {
             Effect += "admit ";
@@ -105,6 +111,9 @@
             text += text.empty() ? "" : ", ";
             switch (action.Kind)
             {
+            case ChooseAction_Ask:
+                text += "ask";
+                break;
             case ChooseAction_Probe:
                 text += fmt::format("probe {} slow after {}", action.Target->Id, action.DelayUs / UsPerMs);
                 break;
@@ -160,6 +169,26 @@
         return Text(ChooserSlotFree(&Round, View(), fmt::format("t{}", target), Now));
     }
 
+    // Another instance offers a free slot.
+    std::string Offer(size_t target)
+    {
+        Now += UsPerMs;
+        CPPUNIT_ASSERT(PoolTold(&Pool, &Target(target), {0, 0, 2, 100}, 0, Now));
+        return Text(ChooserTold(&Round, View(), Now));
+    }
+
+    // Probes at home found no room, and the other data centre has told of some.
+    void FarHasRoom()
+    {
+        Divides = true;
+        Divided.Config.HomeProbes = 1;
+        for (int n = 0; n < 2 * Divided.Config.KnownMin; n++)
+        {
+            DivisionProbed(&Divided, false, Now);
+        }
+        DivisionHeard(&Divided, PeerDataCentre("far"), PeerDataCentre("dc"), {20, 20, 20}, Now);
+    }
+
     std::string PathChanged()
     {
         return Text(ChooserPathChanged(&Round, View(), Now));
@@ -226,6 +255,13 @@
     CPPUNIT_TEST(ALostPathEndsTheWaiting);
     CPPUNIT_TEST(SendsUnprobedWhereLoadIsNotReported);
     CPPUNIT_TEST(RefusesUnprobed);
+    CPPUNIT_TEST(AsksOthersWhenTargetsAreBusy);
+    CPPUNIT_TEST(AnOfferedTargetIsProbedOnceMore);
+    CPPUNIT_TEST(AnOfferedTargetAtItsConnectionLimitEndsTheSearch);
+    CPPUNIT_TEST(WhereLoadIsSharedSlowProbesAreNotAwaited);
+    CPPUNIT_TEST(CrossesAfterProbesAtHome);
+    CPPUNIT_TEST(LargeAnswersWithTimeToSpareStayAtHome);
+    CPPUNIT_TEST(WithoutDivisionNothingCrossesBeforeHome);
     CPPUNIT_TEST_SUITE_END();
 
     void SendsToTheFirstGoodTarget()
@@ -577,6 +613,90 @@
         PoolSetCold(cold.Pool.Config, &cold.Target(0), cold.Now + UsPerSecond);
         CPPUNIT_ASSERT_EQUAL(Refusal(Code_TargetsBusy, detail), cold.Start());
     }
+
+    void AsksOthersWhenTargetsAreBusy()
+    {
+        Situation s(4);
+        s.Shares = true;
+        s.Start();
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t1 slow after 5"), s.Answer(0, Full)); // One busy target says little.
+        CPPUNIT_ASSERT_EQUAL(std::string("ask, probe t2 slow after 5"), s.Answer(1, Full));
+        Situation again(4);
+        again.Shares = true;
+        again.Pool.Shared = true; // Targets were busy lately.
+        again.Start();
+        CPPUNIT_ASSERT_EQUAL(std::string("ask, probe t1 slow after 5"), again.Answer(0, Full));
+        Situation off(4);
+        off.Start();
+        off.Answer(0, Full);
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t2 slow after 5"), off.Answer(1, Full));
+    }
+
+    void AnOfferedTargetIsProbedOnceMore()
+    {
+        Situation s(1);
+        s.Pool.Shared = true;
+        s.Start();
+        CPPUNIT_ASSERT_EQUAL(std::string("wait 20"), s.Answer(0, Full));
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t0 slow after 5"), s.Offer(0));
+        CPPUNIT_ASSERT_EQUAL(std::string("wait 20"), s.Answer(0, Full));
+        CPPUNIT_ASSERT_EQUAL(std::string(), s.Offer(0)); // Twice in a search is enough.
+    }
+
+    void AnOfferedTargetAtItsConnectionLimitEndsTheSearch()
+    {
+        Situation s(1);
+        s.Pool.Shared = true;
+        s.Start();
+        s.Answer(0, Full);
+        s.Request.ConnectionsMax = 1;
+        s.Target(0).InFlight = 1;
+        CPPUNIT_ASSERT_EQUAL(std::string("wait 20"), s.Offer(0));
+    }
+
+    void WhereLoadIsSharedSlowProbesAreNotAwaited()
+    {
+        Situation alone(1);
+        alone.Start();
+        CPPUNIT_ASSERT_EQUAL(std::string(), alone.SlowProbe());
+        Situation s(1);
+        s.Pool.Shared = true;
+        s.Start();
+        CPPUNIT_ASSERT_EQUAL(std::string("wait 20"), s.SlowProbe());
+        CPPUNIT_ASSERT_EQUAL(std::string("send t0"), s.Answer(0, Idle)); // It was worth the wait.
+    }
+
+    void CrossesAfterProbesAtHome()
+    {
+        Situation s(4, 1);
+        s.FarHasRoom();
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t0 slow after 5"), s.Start());
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t3 slow after 5"), s.Answer(0, Full));
+        CPPUNIT_ASSERT_EQUAL(std::string("send t3"), s.Answer(3, Idle));
+        CPPUNIT_ASSERT_EQUAL(uint64_t{1}, s.Divided.Crossed);
+    }
+
+    void LargeAnswersWithTimeToSpareStayAtHome()
+    {
+        Situation s(4, 1);
+        s.FarHasRoom();
+        s.Request.AnswerBytes = 90 * KiB;
+        s.Request.LatencyObjectiveUs = 20 * s.Request.WorkUs;
+        s.Start();
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t1 slow after 5"), s.Answer(0, Full));
+        constexpr LoadReport slow = {0, 0, 2, 300};
+        CPPUNIT_ASSERT_EQUAL(std::string("send t1"), s.Answer(1, slow));
+        CPPUNIT_ASSERT_EQUAL(uint64_t{0}, s.Divided.Crossed);
+    }
+
+    void WithoutDivisionNothingCrossesBeforeHome()
+    {
+        Situation s(4, 1);
+        s.FarHasRoom();
+        s.Divides = false;
+        s.Start();
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t1 slow after 5"), s.Answer(0, Full));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ChooseTest);
--- a/winchlink_choose.cpp
+++ b/winchlink_choose.cpp
@@ -382,6 +382,13 @@
     return round.ProbesInFlight < round.MaxConcurrentProbes && round.ProbeCount - round.ProbeCountBefore < config.MaxProbes + extra;
 }
 
+// Whether the target needs no probe: its own report is young, and no other instance has told of it since.
+static bool IsReportYoung(const Step& step, const PoolTarget& target)
+{
+    const bool young = target.ReportUs > 0 && step.Now < target.ReportUs + step.View.Config->ReportReuseUs;
+    return young && target.ToldUs <= target.ReportUs;
+}
+
 // Considers candidates until one is good or no more may be probed now.
 static void ProbeMore(Step* step)
 {
@@ -390,7 +397,7 @@
     while (step->Now < round->DeadlineUs && round->OverLimit.size() < config.MaxOverLimit)
     {
         PoolTarget* next = NextCandidate(step);
-        const bool known = next != nullptr && next->ReportUs > 0 && step->Now < next->ReportUs + config.ReportReuseUs;
+        const bool known = next != nullptr && IsReportYoung(*step, *next);
         if (next == nullptr || (!known && !MayProbe(*step, *next)))
         {
             break;
