--- a/tests/load_fleet.h
+++ b/tests/load_fleet.h
@@ -490,7 +490,8 @@
         while (Now < request->DeadlineUs)
         {
             PoolTarget* next = PoolNext(&instance.Pool, request->Probed, false, Now);
-            const bool own = next != nullptr && next->ReportUs > 0 && Now < next->ReportUs + ReuseUs;
+            const bool latest = next != nullptr && next->ReportUs > 0 && next->ReportUs >= next->ToldUs;
+            const bool own = latest && Now < next->ReportUs + ReuseUs;
             if (next == nullptr || (!own && (request->InFlight >= request->MaxInFlight || request->Probes >= ProbesMax + request->Offered)))
             {
                 break;
