--- a/tests/division_load_test.cpp
+++ b/tests/division_load_test.cpp
@@ -213,7 +213,7 @@
     void DataCentresCutFromEachOtherAgreeAgain()
     {
         constexpr TimeUs cut = 5 * UsPerSecond;
-        constexpr TimeUs back = 9 * UsPerSecond;
+        constexpr TimeUs back = 15 * UsPerSecond;
         DivisionPlan plan;
         plan.LengthUs = 30 * UsPerSecond;
         plan.PerS = [](TimeUs)
