--- a/tests/division_test.cpp
+++ b/tests/division_test.cpp
@@ -76,6 +76,7 @@
     CPPUNIT_TEST(SendsNoMoreThanTheRoom);
     CPPUNIT_TEST(LargeAnswersWithSlackStay);
     CPPUNIT_TEST(AllCrossWithoutTargetsAtHome);
+    CPPUNIT_TEST(DoesntCrossWhereTheAnswerWouldBeLate);
     CPPUNIT_TEST(ShortnessHasHysteresis);
     CPPUNIT_TEST(AsksEachDataCentreOncePerInterval);
     CPPUNIT_TEST(SumsUpWhatOthersOfTheDataCentreTell);
@@ -185,6 +186,21 @@
         CPPUNIT_ASSERT_EQUAL(0, CountCrossing(&division, HomeRoom, Slack, Start));
     }
 
+    void DoesntCrossWhereTheAnswerWouldBeLate()
+    {
+        for (const TimeUs round_trip : {100 * UsPerMs, 105 * UsPerMs})
+        {
+            Division division = Short();
+            DivisionAsks(&division, HomeRoom, PeersOf({Other}), Start);
+            DivisionAsks(&division, HomeRoom, PeersOf({Other}), Start + round_trip / 2);
+            const TimeUs now = Start + round_trip;
+            DivisionHeard(&division, Other, Home, {59, 20, 10}, now);
+            const bool in_time = Tight.WorkUs + 2.0 * static_cast<double>(round_trip) <= static_cast<double>(Tight.LeftUs);
+            CPPUNIT_ASSERT_EQUAL(in_time ? 1000 : 0, CountCrossing(&division, HomeRoom, Tight, now));
+            CPPUNIT_ASSERT_EQUAL(1000, CountCrossing(&division, SharedRoom(), Tight, now));
+        }
+    }
+
     void ShortnessHasHysteresis()
     {
         Division division;
--- a/winchlink.h
+++ b/winchlink.h
@@ -1123,7 +1123,9 @@
     SharedRoom Room;
     TimeUs HeardUs = 0;
     TimeUs AskedUs = 0;
-    int Sent = 0; // Requests of this instance that went there since HeardUs.
+    TimeUs WaitingUs = 0;   // Time of the first ask since HeardUs; 0: none.
+    TimeUs RoundTripUs = 0; // From an ask to its answer.
+    int Sent = 0;           // Requests of this instance that went there since HeardUs.
 };
 
 // What a request needs.
@@ -1131,7 +1133,7 @@
 {
     double WorkUs = 0;      // Usual duration at a target; 0 if unknown.
     double AnswerBytes = 0; // Usual size of the answer; 0 if unknown.
-    TimeUs LeftUs = 0;      // Until its latency objective. 0 for a request that is refused otherwise.
+    TimeUs LeftUs = 0;      // Until its latency objective; 0 if it doesn't matter where it is served.
 };
 
 // State for one service.
--- a/winchlink_division.cpp
+++ b/winchlink_division.cpp
@@ -102,6 +102,8 @@
     {
         entry->Room = room;
         entry->HeardUs = now;
+        entry->RoundTripUs = entry->WaitingUs > 0 ? now - entry->WaitingUs : entry->RoundTripUs;
+        entry->WaitingUs = 0;
         entry->Sent = 0;
     }
 }
@@ -121,6 +123,7 @@
         if (entry != nullptr && (entry->AskedUs == 0 || now >= entry->AskedUs + interval))
         {
             entry->AskedUs = now;
+            entry->WaitingUs = entry->WaitingUs > 0 ? entry->WaitingUs : now;
             asked.push_back(data_centre);
         }
     }
@@ -188,11 +191,26 @@
     return candidates[std::discrete_distribution<size_t>(weights.begin(), weights.end())(*random)].DataCentre;
 }
 
+// Removes the candidates from which the answer would come too late, with one probe before it.
+static void RemoveTooFar(const Division& division, const DivisionRequest& request, std::vector<Candidate>* candidates)
+{
+    const auto too_far = [&](const Candidate& candidate)
+    {
+        const auto round_trip = static_cast<double>(division.Rooms.at(candidate.DataCentre).RoundTripUs);
+        return request.LeftUs > 0 && request.WorkUs + 2 * round_trip > static_cast<double>(request.LeftUs);
+    };
+    candidates->erase(std::remove_if(candidates->begin(), candidates->end(), too_far), candidates->end());
+}
+
 std::optional<uint16_t> DivisionPick(Division* division, const SharedRoom& own, const DivisionRequest& request, TimeUs now, Random* random)
 {
     RemoveOld(division, now);
     const bool may_cross = DivisionMayCross(*division, own, now);
-    const std::vector<Candidate> candidates = may_cross ? Candidates(*division, own, now) : std::vector<Candidate>();
+    std::vector<Candidate> candidates = may_cross ? Candidates(*division, own, now) : std::vector<Candidate>();
+    if (own.Targets > 0)
+    {
+        RemoveTooFar(*division, request, &candidates);
+    }
     double probability = 0;
     for (const Candidate& candidate : candidates)
     {
