Path to targets: a late answer from before a loss ends it without a trial

The path then stayed on trial for 0.2 s and more, in which requests are handed on. An answer to a contact that was begun before the loss shows that the path was there all the time: it is open at once.

TargetPathTest::ALateAnswerFromBeforeALossEndsItWithoutATrial fails without it (2, trial, in place of 0, open). TargetPathTest (11 tests), LateProbeLoadTest (7), HandoffTest (22), PathLossTest (8) passed.

--- a/tests/target_path_test.cpp
+++ b/tests/target_path_test.cpp
@@ -15,6 +15,8 @@
     CPPUNIT_TEST(OneTargetThatFailsIsNoLoss);
     CPPUNIT_TEST(AServiceOfOneTargetNeedsAsManyFailures);
     CPPUNIT_TEST(APathThatIsBackIsOnTrial);
+    CPPUNIT_TEST(LateContactsAreALossOnceSomeAreSilent);
+    CPPUNIT_TEST(ALateAnswerFromBeforeALossEndsItWithoutATrial);
     CPPUNIT_TEST(TrialsGrowWhileLossesRepeat);
     CPPUNIT_TEST(NothingIsKnownWithoutTargets);
     CPPUNIT_TEST(TheStateFollowsTheContacts);
@@ -102,6 +104,38 @@
         CPPUNIT_ASSERT_EQUAL(TargetPathState_Open, TargetPathNow(&path, 10 + path.Config.TrialUs));
     }
 
+    // Guards against targets that are slow at once and are taken for a lost path.
+    void LateContactsAreALossOnceSomeAreSilent()
+    {
+        TargetPath path;
+        for (int n = 0; n < 100; n++)
+        {
+            CPPUNIT_ASSERT(!TargetPathLate(&path, std::to_string(n), 1, Targets, 2));
+        }
+        for (int n = 1; n < path.Config.SilentMin; n++)
+        {
+            CPPUNIT_ASSERT(!TargetPathLateEnded(&path, std::to_string(n), ContactEnd_Silent, 1, Targets, 3));
+        }
+        CPPUNIT_ASSERT(TargetPathLateEnded(&path, "0", ContactEnd_Silent, 1, Targets, 3));
+        CPPUNIT_ASSERT_EQUAL(TargetPathState_Lost, path.State);
+    }
+
+    // Guards against requests that are handed on for a trial period although the path was there all the time.
+    void ALateAnswerFromBeforeALossEndsItWithoutATrial()
+    {
+        TargetPath path;
+        TargetPathLate(&path, "late", 1, Targets, 2);
+        Lose(&path, 3);
+        CPPUNIT_ASSERT(TargetPathLateEnded(&path, "late", ContactEnd_Answered, 1, Targets, 4));
+        CPPUNIT_ASSERT_EQUAL(TargetPathState_Open, path.State);
+        CPPUNIT_ASSERT_EQUAL(TimeUs{4}, path.AnsweredUs);
+        CPPUNIT_ASSERT_EQUAL(0, FailedContacts(path.Counts));
+        Lose(&path, 5);
+        TargetPathLate(&path, "late", 6, Targets, 7);
+        CPPUNIT_ASSERT(TargetPathLateEnded(&path, "late", ContactEnd_Answered, 6, Targets, 8));
+        CPPUNIT_ASSERT_EQUAL(TargetPathState_Trial, path.State);
+    }
+
     void TrialsGrowWhileLossesRepeat()
     {
         TargetPath path;
--- a/winchlink_path.cpp
+++ b/winchlink_path.cpp
@@ -137,6 +137,13 @@
         path->Contacts[end]++;
         return false;
     }
+    if (end == ContactEnd_Answered && path->State == TargetPathState_Lost && begun < path->LostUs)
+    {
+        path->Contacts[end]++;
+        path->AnsweredUs = now;
+        TargetPathForget(path, now); // The path was there all the time: no trial.
+        return true;
+    }
     int* late = &path->Counts[ContactEnd_Late];
     *late = std::max(*late - 1, 0); // TargetPathNewTarget() may have cleared it.
     return TargetPathContact(path, target, end, targets, now);
