--- a/tests/division_model.cpp
+++ b/tests/division_model.cpp
@@ -295,7 +295,10 @@
     {
         const uint16_t own = Centres[at->Centre];
         const std::string address = fmt::format("{}", from_number);
-        DivisionHeard(&at->Shares, message.DataCentre, own, message.Room, Now);
+        if (from_centre == at->Centre || message.Kind == LoadMessage_Answer)
+        {
+            DivisionHeard(&at->Shares, message.DataCentre, own, message.Room, Now);
+        }
         std::optional<LoadMessage> answer = LoadHeard(&at->Sharing, &at->Pool, message, address, own, Now, &Rng);
         if (answer)
         {
--- a/winchlink.h
+++ b/winchlink.h
@@ -1086,7 +1086,8 @@
 // Without recent news of another data centre, the order is that of the pool: near first.
 //
 // How to use it: DivisionProbed() for each probe at home, DivisionTell() for the room that each LoadMessage tells, DivisionHeard() for each
-// that arrives, DivisionAsks() after a probe at home that found no room, and DivisionPick() for a request that finds no target at home.
+// that arrives from the own data centre and each Answer of another one, DivisionAsks() after a probe at home that found no room, and
+// DivisionPick() for a request that finds no target at home.
 
 struct DivisionConfig
 {
--- a/winchlink_division.cpp
+++ b/winchlink_division.cpp
@@ -102,7 +102,11 @@
     {
         entry->Room = room;
         entry->HeardUs = now;
-        entry->RoundTripUs = entry->WaitingUs > 0 ? now - entry->WaitingUs : entry->RoundTripUs;
+        // An answer to an earlier ask may come right after the next one: the time falls slowly.
+        if (entry->WaitingUs > 0)
+        {
+            entry->RoundTripUs = std::max(now - entry->WaitingUs, entry->RoundTripUs * 9 / 10);
+        }
         entry->WaitingUs = 0;
         entry->Sent = 0;
     }
@@ -119,7 +123,7 @@
     for (const uint16_t data_centre : PeersDataCentres(peers))
     {
         DataCentreRoom* entry = FindOrAddRoom(division, data_centre);
-        const TimeUs interval = division->Config.AskIntervalUs;
+        const TimeUs interval = entry != nullptr ? std::max(division->Config.AskIntervalUs, entry->RoundTripUs) : 0;
         if (entry != nullptr && (entry->AskedUs == 0 || now >= entry->AskedUs + interval))
         {
             entry->AskedUs = now;
