--- a/exchange/load_link.cpp
+++ b/exchange/load_link.cpp
@@ -97,7 +97,7 @@
 
 static bool IsPlausible(const CodedLoad& load, size_t bytes)
 {
-    const bool room = load.Room[2] <= load.Room[1] && load.Room[1] <= load.Room[0];
+    const bool room = load.Room[2] <= load.Room[1];
     const bool kind = load.Kind > LoadMessage_None && load.Kind < LoadMessage_COUNT;
     const bool size = load.Reports.size() <= LoadReportsMax && bytes == LoadHeadBytes + LoadReportBytes * load.Reports.size();
     const auto plausible = [](const CodedReport& report)
@@ -248,11 +248,12 @@
     DatagramSend(link->Datagrams, DatagramChannel_Load, DatagramKind_Load, instance, EncodeLoad(message));
 }
 
-static LoadMessage MakeAsk(const LoadLink& link, const ServiceState& service, TimeUs now)
+// `near`: for instances of the own data centre.
+static LoadMessage MakeAsk(const LoadLink& link, const ServiceState& service, bool near, TimeUs now)
 {
     const Forwarder& requests = *link.Requests;
     LoadMessage ask = LoadAsk(service.Pool, service.Name, requests.Others.DataCentre, now);
-    ask.Room = DivisionTell(service.Divided, ask.Room, now);
+    ask.Room = DivisionTell(service.Divided, ask.Room, near, now);
     return ask;
 }
 
@@ -268,7 +269,7 @@
     watch->Asks = watch->SharingUs == 0 ? asks : watch->Asks;
     watch->AskedUs = now;
     service->Pool.Shared = true;
-    const LoadMessage ask = MakeAsk(*link, *service, now);
+    const LoadMessage ask = MakeAsk(*link, *service, true, now);
     for (const std::string& peer : asked)
     {
         Send(link, peer, ask);
@@ -288,7 +289,7 @@
     {
         for (const std::string& peer : PeersDraw(others, data_centre, 1, now, link->Requests->Rng))
         {
-            Send(link, peer, MakeAsk(*link, *service, now));
+            Send(link, peer, MakeAsk(*link, *service, false, now));
             link->DivisionAsks++;
         }
     }
@@ -315,10 +316,11 @@
     {
         return;
     }
-    const std::optional<LoadOfferTo> offer =
+    std::optional<LoadOfferTo> offer =
         LoadOffer(&service->Sharing, service->Pool, target, service->Name, link->Requests->Others.DataCentre, now);
     if (offer)
     {
+        offer->Message.Room = DivisionTell(service->Divided, offer->Message.Room, true, now);
         Send(link, offer->Address, offer->Message);
     }
 }
@@ -366,8 +368,9 @@
         return;
     }
     const uint16_t own = requests.Others.DataCentre;
+    const bool near = message.DataCentre == own;
     LoadSharing* sharing = &service->Sharing;
-    if (asks && message.DataCentre == own && delay >= sharing->Config.AskerKeptUs)
+    if (asks && near && delay >= sharing->Config.AskerKeptUs)
     {
         link->NotAnswered++;
         return;
@@ -379,13 +382,13 @@
     }
     const uint64_t taken = sharing->ReportsTaken;
     std::optional<LoadMessage> answer = LoadHeard(sharing, &service->Pool, message, from, own, now, requests.Rng);
-    if (link->Divides && message.DataCentre != own)
+    if (link->Divides)
     {
-        DivisionHeard(&service->Divided, message.DataCentre, message.Room, now - delay);
+        DivisionHeard(&service->Divided, message.DataCentre, own, message.Room, now - delay);
     }
     if (answer)
     {
-        answer->Room = DivisionTell(service->Divided, answer->Room, now);
+        answer->Room = DivisionTell(service->Divided, answer->Room, near, now);
         Send(link, from, *answer);
     }
     if (link->OnHeard)
