--- a/tests/division_load_test.cpp
+++ b/tests/division_load_test.cpp
@@ -141,11 +141,9 @@
             TimeUs OneWayUs;
             double LostShare;
         };
-        const std::vector<Case> cases = {{{1, 1, 1}, 3 * UsPerMs, 0},
-                                         {{6, 6, 6}, 3 * UsPerMs, 0.2},
-                                         {{65, 66, 66}, 3 * UsPerMs, 0.2},
-                                         {{65, 66, 66}, 50 * UsPerMs, 0.2},
-                                         {{195, 196, 196}, 3 * UsPerMs, 0.2}};
+        const std::vector<Case> cases = {{{1, 1, 1}, 3 * UsPerMs, 0},       {{6, 6, 6}, 3 * UsPerMs, 0.2},
+                                         {{65, 66, 66}, 3 * UsPerMs, 0.2},  {{65, 66, 66}, 20 * UsPerMs, 0.2},
+                                         {{65, 66, 66}, 50 * UsPerMs, 0.2}, {{195, 196, 196}, 3 * UsPerMs, 0.2}};
         for (const Case& played : cases)
         {
             DivisionPlan plan = ShiftPlan();
@@ -163,6 +161,9 @@
                 const int crossed = Between(all, from, from + UsPerSecond).Small[2].Crossed;
                 above += crossed > 1.5 * mean ? 1 : 0;
             }
+            // At 50 ms one way an answer from elsewhere would be late: then nothing crosses.
+            constexpr TimeUs too_far = 50 * UsPerMs;
+            CPPUNIT_ASSERT_MESSAGE(text, (after.Small[2].Crossed > 0) == (played.OneWayUs < too_far));
             CPPUNIT_ASSERT_MESSAGE(text, above <= 1);
             CPPUNIT_ASSERT_MESSAGE(text, after.Small[0].Crossed + after.Small[1].Crossed <= 0.1 * after.Small[2].Crossed);
         }
