Load link: the way's length is measured up to the arrival

Division takes the time from an ask to its answer, which must include the delay. LoadLink, DatagramLink, QuotaLink, Docs: 53 passed, 0 failed.

--- a/exchange/load_link.cpp
+++ b/exchange/load_link.cpp
@@ -384,7 +384,7 @@
     std::optional<LoadMessage> answer = LoadHeard(sharing, &service->Pool, message, from, own, now, requests.Rng);
     if (link->Divides && (near || message.Kind == LoadMessage_Answer)) // Who asks from elsewhere is short of room.
     {
-        DivisionHeard(&service->Divided, message.DataCentre, own, message.Room, now - delay);
+        DivisionHeard(&service->Divided, message.DataCentre, own, message.Room, now);
     }
     if (answer)
     {
