--- a/exchange/load_link.cpp
+++ b/exchange/load_link.cpp
@@ -97,7 +97,7 @@
 
 static bool IsPlausible(const CodedLoad& load, size_t bytes)
 {
-    const bool room = load.Room[2] <= load.Room[1] && load.Room[1] <= load.Room[0];
+    const bool room = load.Room[2] <= load.Room[1];
     const bool kind = load.Kind > LoadMessage_None && load.Kind < LoadMessage_COUNT;
     const bool size = load.Reports.size() <= LoadReportsMax && bytes == LoadHeadBytes + LoadReportBytes * load.Reports.size();
     const auto plausible = [](const CodedReport& report)
@@ -249,7 +249,7 @@
     DatagramSend(link->Datagrams, DatagramChannel_Load, DatagramKind_Load, instance, EncodeLoad(message));
 }
 
-// `near`: to an instance of the own data centre.
+// `near`: for instances of the own data centre.
 static LoadMessage MakeAsk(const LoadLink& link, const ServiceState& service, bool near, TimeUs now)
 {
     const Forwarder& requests = *link.Requests;
@@ -317,10 +317,11 @@
     {
         return;
     }
-    const std::optional<LoadOfferTo> offer =
+    std::optional<LoadOfferTo> offer =
         LoadOffer(&service->Sharing, service->Pool, target, service->Name, link->Requests->Others.DataCentre, now);
     if (offer)
     {
+        offer->Message.Room = DivisionTell(service->Divided, offer->Message.Room, true, now);
         Send(link, offer->Address, offer->Message);
     }
 }
@@ -368,8 +369,9 @@
         return;
     }
     const uint16_t own = requests.Others.DataCentre;
+    const bool near = message.DataCentre == own;
     LoadSharing* sharing = &service->Sharing;
-    if (asks && message.DataCentre == own && delay >= sharing->Config.AskerKeptUs)
+    if (asks && near && delay >= sharing->Config.AskerKeptUs)
     {
         link->NotAnswered++;
         return;
@@ -382,13 +384,13 @@
     }
     const uint64_t taken = sharing->ReportsTaken;
     std::optional<LoadMessage> answer = LoadHeard(sharing, &service->Pool, message, from, own, now, requests.Rng);
-    if (link->Divides)
+    if (link->Divides && (near || message.Kind == LoadMessage_Answer)) // Who asks from elsewhere is short of room.
     {
-        DivisionHeard(&service->Divided, message.DataCentre, own, message.Room, now - delay);
+        DivisionHeard(&service->Divided, message.DataCentre, own, message.Room, now);
     }
     if (answer)
     {
-        answer->Room = DivisionTell(service->Divided, answer->Room, message.DataCentre == own, now);
+        answer->Room = DivisionTell(service->Divided, answer->Room, near, now);
         Send(link, from, *answer);
     }
     if (link->OnHeard)
