--- a/winchlink_pool.cpp
+++ b/winchlink_pool.cpp
@@ -227,7 +227,7 @@
     }
 }
 
-static void SyncEntry(TargetPool* pool, const DirectoryTarget& listed, bool near, Random* random)
+static void SyncEntry(TargetPool* pool, const DirectoryTarget& listed, bool near, uint16_t data_centre, Random* random)
 {
     RemovePreviousIncarnation(pool, listed);
     const auto found = pool->Index.ById.find(listed.Id);
@@ -242,7 +242,7 @@
     target->LastSync = pool->SyncCount;
     target->Address = listed.Address;
     target->Near = near;
-    target->DataCentre = PeerDataCentre(listed.DataCentre);
+    target->DataCentre = data_centre;
     target->EntryMissing = listed.Presence == Presence_Missing;
     target->Slots = listed.Slots;
     target->Weight = listed.Weight;
@@ -266,13 +266,19 @@
     pool->SyncCount++;
     pool->Evacuated = 0;
     size_t followed = 0;
+    std::unordered_map<std::string, uint16_t> hashes; // Of data centres: each is hashed once, not for each target.
+    const auto hash_of = [&hashes](const std::string& name)
+    {
+        const auto found = hashes.find(name);
+        return found != hashes.end() ? found->second : hashes[name] = PeerDataCentre(name);
+    };
     for (const DirectoryTarget* listed : listed_targets)
     {
         const bool draining = listed->Presence == Presence_Draining;
         pool->Evacuated += !draining && listed->Evacuated ? 1 : 0;
         if (!draining && !listed->Evacuated)
         {
-            SyncEntry(pool, *listed, listed->DataCentre == data_centre, random);
+            SyncEntry(pool, *listed, listed->DataCentre == data_centre, hash_of(listed->DataCentre), random);
             followed++;
         }
     }
