Choosing: a slow probe is awaited when there is no time for another search

Where load is shared, a search that has nothing left to probe decides once a probe is slow, so that it doesn't wait for a slow target. In the last 20 ms of the time for choosing that refused requests whose probe, which usually takes 6 ms, would have been answered a moment later.

--- a/tests/choose_test.cpp
+++ b/tests/choose_test.cpp
@@ -664,6 +664,11 @@
         s.Start();
         CPPUNIT_ASSERT_EQUAL(std::string("wait 20"), s.SlowProbe());
         CPPUNIT_ASSERT_EQUAL(std::string("send t0"), s.Answer(0, Idle)); // It was worth the wait.
+        Situation last(1);
+        last.Pool.Shared = true;
+        last.Start();
+        last.Now = last.Round.DeadlineUs - last.Config.ProbeRetryUs;
+        CPPUNIT_ASSERT_EQUAL(std::string(), last.SlowProbe()); // There is no time for another search: the answer may still come.
     }
 
     void CrossesAfterProbesAtHome()
--- a/winchlink_choose.cpp
+++ b/winchlink_choose.cpp
@@ -209,6 +209,12 @@
     return all_over_limit || (round.Probed.empty() && PoolBackoffEnds(*step.View.Pool, step.Now));
 }
 
+// Whether the request can wait and probe again.
+static bool HasTimeToWait(const Step& step)
+{
+    return step.Now + step.View.Config->ProbeRetryUs < step.Round->DeadlineUs;
+}
+
 // No more targets may be probed and none is good: takes the best acceptable one, waits and probes again, or gives up.
 static void Decide(Step* step)
 {
@@ -219,8 +225,7 @@
     const bool affordable = in_time && PoolCost(*view.Pool, *best, step->Now) <= GoodCostOf(*step, *best);
     const bool acceptable = affordable || (in_time && PoolIsAcceptable(*view.Pool, *best, step->Now));
     const bool limited = AllLimited(*step);
-    const bool time_left = step->Now + view.Config->ProbeRetryUs < round.DeadlineUs;
-    const bool may_wait = !view.Pool->Targets.empty() && !limited && round.Kind == Choosing_First && time_left;
+    const bool may_wait = !view.Pool->Targets.empty() && !limited && round.Kind == Choosing_First && HasTimeToWait(*step);
     const bool unreached = !limited && ChooserUnreached(*view.Path, view.Request.Contacts, step->Now);
     if (!acceptable && unreached && HandOff(step))
     {
@@ -501,7 +506,7 @@
     Step step = {chooser, view, now, {}};
     Continue(&step);
     const bool searches = chooser->Kind != Choosing_None && !chooser->Waiting && step.Actions.empty();
-    if (searches && view.Pool->Shared) // Nothing is left to probe, and slots that are free now won't be once a slow target has answered.
+    if (searches && view.Pool->Shared && HasTimeToWait(step)) // Slots that are free now won't be once a slow target has answered.
     {
         Decide(&step);
     }
