--- a/tests/choose_test.cpp
+++ b/tests/choose_test.cpp
@@ -686,7 +686,7 @@
         Situation s(4, 1);
         s.FarHasRoom();
         s.Request.AnswerBytes = 90 * KiB;
-        s.Request.LatencyObjectiveUs = 20 * s.Request.WorkUs;
+        s.Request.LatencyObjectiveUs = UsPerSecond; // 20 times its work.
         s.Start();
         CPPUNIT_ASSERT_EQUAL(std::string("probe t1 slow after 5"), s.Answer(0, Full));
         constexpr LoadReport slow = {0, 0, 2, 300};
