Choosing: a probe that was under way doesn't send a request twice to a target

A request that waits while a slow probe is under way can get a slot that comes free at the probed target. ChooseTest::AProbeDoesNotSendTwiceToATarget failed before.

--- a/tests/choose_test.cpp
+++ b/tests/choose_test.cpp
@@ -259,6 +259,7 @@
     CPPUNIT_TEST(AnOfferedTargetIsProbedOnceMore);
     CPPUNIT_TEST(AnOfferedTargetAtItsConnectionLimitEndsTheSearch);
     CPPUNIT_TEST(WhereLoadIsSharedSlowProbesAreNotAwaited);
+    CPPUNIT_TEST(AProbeDoesNotSendTwiceToATarget);
     CPPUNIT_TEST(CrossesAfterProbesAtHome);
     CPPUNIT_TEST(LargeAnswersWithTimeToSpareStayAtHome);
     CPPUNIT_TEST(WithoutDivisionNothingCrossesBeforeHome);
@@ -671,6 +672,23 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), last.SlowProbe()); // There is no time for another search: the answer may still come.
     }
 
+    // Guards against a second attempt at the target that the first one is at: the answers of both would be confused.
+    void AProbeDoesNotSendTwiceToATarget()
+    {
+        Situation s(2);
+        s.SentTo = {"t1"};
+        s.Pool.Shared = true;
+        s.Request.Retryable = true;
+        s.Start();
+        CPPUNIT_ASSERT_EQUAL(std::string("wait 20"), s.SlowProbe());
+        PoolReport(&s.Target(0), Idle, s.Now);
+        CPPUNIT_ASSERT_EQUAL(std::string("send t0"), s.SlotFree(0));
+        s.SentTo = {"t1", "t0"};
+        s.Request.Sent = true;
+        s.Start(Choosing_Hedge);
+        CPPUNIT_ASSERT_EQUAL(std::string::npos, s.Answer(0, Idle).find("send t0"));
+    }
+
     void CrossesAfterProbesAtHome()
     {
         Situation s(4, 1);
--- a/winchlink_choose.cpp
+++ b/winchlink_choose.cpp
@@ -478,7 +478,8 @@
     }
     PoolTarget* found = PoolFind(view.Pool, target);
     const bool has_report = found != nullptr && answered && found->ReportUs > 0;
-    if (has_report && IsGood(&step, *found))
+    const bool sent_there = Contains(*view.Request.SentTo, target); // A slot came free there while the probe was under way.
+    if (has_report && !sent_there && IsGood(&step, *found))
     {
         Send(&step, found);
         return step.Actions;
