--- a/tests/share_test.cpp
+++ b/tests/share_test.cpp
@@ -63,7 +63,7 @@
     {
         return static_cast<int>(dice->OneIn(8) ? dice->Between(INT32_MIN, INT32_MAX) : dice->Between(-1, 6));
     };
-    return {figure(), figure(), figure(), 100 * figure()};
+    return {figure(), figure(), figure(), static_cast<int>(100U * static_cast<unsigned>(figure()))}; // May wrap around.
 }
 
 // Targets in all the states in which they may not be used.
