Retries are kept for callers that can't come back; late probes are awaited

Cause 1: for seconds, targets turn away 55 of 100 requests though they have room. The retry budget of a window was used up by first tries, whose callers come back for nothing; those who came back found none left and were refused for good. Refused callers waited 50 ms though there was nothing to wait for: two returns took 120 ms of an objective of 400 ms. Among equally urgent requests that wait for a slot, one that came back goes first. A part of the budget is at least one retry, as instances with few requests had none.

The same happens without load wherever answers take longer than the last of the first probes waits: HandoffTest::ARequestWhoseProbesAreAllLateIsServedHere, 70 ms, fails without the change. Now late probes count towards handing on only when there is no time left to wait; a late answer with a free slot serves a waiting request.

--- a/requests/attempt.cpp
+++ b/requests/attempt.cpp
@@ -198,6 +198,26 @@
     return taken;
 }
 
+// A target that refuses a request although it reports free slots is unhealthy, not busy.
+static bool RefusedWithCapacity(const Call& call, const ClientAnswer& answer)
+{
+    const std::optional<LoadReport> load = ReadLoad(*call.Owner, answer.Headers);
+    return load && load->Running + load->Waiting < load->Slots;
+}
+
+// The part of the retry budget that a retry after this answer may use.
+static double RetryPart(const Call& call, const ClientAnswer& answer)
+{
+    const ForwardConfig& config = call.Owner->Config;
+    RefusedTry refused;
+    refused.First = call.SinceFirstTryUs == 0 && !call.TakenFrom;
+    refused.ReturnUs = config.UnhealthyRetryUs;
+    refused.LeftUs = call.Inbound->ArrivedUs + call.MatchedRoute->LatencyObjectiveUs - NowUs();
+    refused.WorkUs = call.Work->MeanUs;
+    const bool returns = call.MayHaveRun == 0 && RefusedWithCapacity(call, answer) && CallerReturnsInTime(refused);
+    return returns ? config.FirstTryShare : 1.0;
+}
+
 // Whether the request may be sent to another target. Takes a retry from the budget, unless the request was never sent.
 static bool CanRetry(const CallPtr& call, const ClientAnswer& answer)
 {
@@ -212,14 +232,7 @@
         return call->SentTo.size() < max_targets;
     }
     const bool allowed = call->Retryable || call->MayHaveRun == 0;
-    return allowed && call->Attempts < call->AttemptsMax && TakeRetry(call, 1.0);
-}
-
-// A target that refuses a request although it reports free slots is unhealthy, not busy.
-static bool RefusedWithCapacity(const Call& call, const ClientAnswer& answer)
-{
-    const std::optional<LoadReport> load = ReadLoad(*call.Owner, answer.Headers);
-    return load && load->Running + load->Waiting < load->Slots;
+    return allowed && call->Attempts < call->AttemptsMax && TakeRetry(call, RetryPart(*call, answer));
 }
 
 static void EndUnanswered(const CallPtr& call, const ClientAnswer& answer)
--- a/requests/call.h
+++ b/requests/call.h
@@ -66,6 +66,7 @@
     TimeUs QuotaTakenUs = 0;               // Time at which it was counted against its customer's quota; 0 if it was not.
     TimeUs CallerDeadlineUs = 0;           // Deadline named by the caller; retry advice stays within it.
     TimeUs DeadlineUs = 0;                 // Deadline of this call: the earlier of the caller's deadline and the route's timeout.
+    TimeUs SinceFirstTryUs = 0;            // Time since the caller's first try; 0 if this is the first one.
     bool Retryable = false;                // The request may be run more than once.
     bool AdmissionDue = true;              // It is not counted here yet, see AdmitHere().
     bool Ended = false;                    // The caller was answered, or has gone.
--- a/requests/choose.cpp
+++ b/requests/choose.cpp
@@ -30,6 +30,7 @@
     request.WorkUs = call.Work->MeanUs;
     request.AnswerBytes = call.Work->AnswerBytes;
     request.Priority = PriorityOf(call);
+    request.CameBack = call.SinceFirstTryUs > 0;
     request.Retryable = call.Retryable;
     request.Sent = call.MayHaveRun > 0 || !call.Active.empty();
     request.TakenFromPeer = call.TakenFrom.has_value();
@@ -212,6 +213,10 @@
         call->Contacts[ContactEnd_Late]--;
         call->Contacts[end]++;
     }
+    if (answer.End == ClientEnd_Answered)
+    {
+        ServeWaiting(service, probe.Target);
+    }
 }
 
 static void OnProbeAnswer(Forwarder* forwarder, ServiceState* service, const ProbeCall& probe, const ClientAnswer& answer)
--- a/requests/forward.cpp
+++ b/requests/forward.cpp
@@ -381,6 +381,10 @@
     {
         call->AttemptsMax = std::min(call->AttemptsMax, call->TakenFrom->AttemptsMax);
     }
+    else
+    {
+        call->SinceFirstTryUs = CallerTimeoutsNote(&call->Work->Timeouts, *timeout);
+    }
     SetDeadline(call, *timeout);
     if (call->Spec == nullptr)
     {
--- a/scripts/ablation.sh
+++ b/scripts/ablation.sh
@@ -32,7 +32,7 @@
     "requests side by side~gateway/listener.h~s/size_t OverlapMax = 8;/size_t OverlapMax = 1;/"
     "return schedule~winchlink.h~s/TimeUs MaxUs = 5 \* UsPerSecond;/TimeUs MaxUs = 300 * UsPerMs;/"
     "quick return from ill targets~requests/attempt.cpp~s/return load \&\& load->Running/return false \&\& load \&\& load->Running/"
-    "priorities~winchlink_choose.cpp~s/waiting\[n\].Priority < waiting\[\*first\].Priority/false/"
+    "priorities~winchlink_choose.cpp~s/return a.Priority != b.Priority ? a.Priority < b.Priority : /return /"
     "new targets first~winchlink_pool.cpp~s/known != nullptr ? known->New : pool->InUse/false/"
     "one new target only~winchlink_pick.cpp~s/const bool had_new = /const bool had_new = false \&\& /"
     "reading through few~winchlink_follow.cpp~s/follow->Reads = self != sorted.end() || sorted.empty();/follow->Reads = true;/"
--- a/tests/choose_test.cpp
+++ b/tests/choose_test.cpp
@@ -147,10 +147,10 @@
     }
 
     // The probe of a target gets no answer.
-    std::string Silence(size_t target)
+    std::string Silence(size_t target, ContactEnd_ end = ContactEnd_Silent)
     {
         PoolFailed(Pool.Config, &Target(target), Now);
-        Request.Contacts[ContactEnd_Silent]++;
+        Request.Contacts[end]++;
         return Text(ChooserProbed(&Round, View(), fmt::format("t{}", target), false, Now));
     }
 
@@ -249,6 +249,7 @@
     CPPUNIT_TEST(RefusesWhenAllTargetsAreLimited);
     CPPUNIT_TEST(RefusesWhenAllTargetsAreInBackoff);
     CPPUNIT_TEST(HandsOnWhatReachesNoTarget);
+    CPPUNIT_TEST(LateProbesAreAwaitedWhileThereIsTime);
     CPPUNIT_TEST(AdmitsBeforeTheFirstProbe);
     CPPUNIT_TEST(HandsOnWithoutAPath);
     CPPUNIT_TEST(RefusesWithoutAPath);
@@ -426,6 +427,10 @@
         waiting[1].SentTo = &sent; // It was sent there before.
         CPPUNIT_ASSERT_EQUAL(size_t{3}, *ChooserMostUrgent(waiting, "t0"));
         CPPUNIT_ASSERT_EQUAL(size_t{1}, *ChooserMostUrgent(waiting, "t1"));
+        waiting[3].CameBack = true; // Its caller may have no try left.
+        CPPUNIT_ASSERT_EQUAL(size_t{3}, *ChooserMostUrgent(waiting, "t1"));
+        waiting[2].CameBack = true; // Less urgent.
+        CPPUNIT_ASSERT_EQUAL(size_t{3}, *ChooserMostUrgent(waiting, "t1"));
     }
 
     void AHedgeDoesNotWait()
@@ -530,6 +535,22 @@
         CPPUNIT_ASSERT_EQUAL(Choosing_None, other.Round.Kind);
     }
 
+    // Guards against requests that are handed on while their probes may still be answered.
+    void LateProbesAreAwaitedWhileThereIsTime()
+    {
+        Situation s(2);
+        s.Peer = "10.0.0.9:80";
+        s.Start();
+        s.Silence(0, ContactEnd_Late);
+        CPPUNIT_ASSERT_EQUAL(std::string("wait 20"), s.Silence(1, ContactEnd_Late));
+        Situation ends(2);
+        ends.Peer = "10.0.0.9:80";
+        ends.Start();
+        ends.Silence(0, ContactEnd_Late);
+        ends.Now += 3 * ends.Config.ProbeRetryUs; // No time to wait.
+        CPPUNIT_ASSERT_EQUAL(std::string("hand to 10.0.0.9:80"), ends.Silence(1, ContactEnd_Late));
+    }
+
     void AdmitsBeforeTheFirstProbe()
     {
         Situation s(1);
--- a/tests/handoff_test.cpp
+++ b/tests/handoff_test.cpp
@@ -86,6 +86,7 @@
     CPPUNIT_TEST(CallersCanNotPassRequestsOffAsHandedOn);
     CPPUNIT_TEST(ACutIsNoCrash);
     CPPUNIT_TEST(TargetsThatAreSlowAreNoLoss);
+    CPPUNIT_TEST(ARequestWhoseProbesAreAllLateIsServedHere);
     CPPUNIT_TEST(TargetsAreUsedAgainOnceThePathIsBack);
     CPPUNIT_TEST(EarlierVersionsAreNotAskedAndReadTheAnswers);
     CPPUNIT_TEST(TheStatusPageShowsThePath);
@@ -537,6 +538,23 @@
         CPPUNIT_ASSERT_EQUAL(uint64_t{0}, fleet.Parts.Instances[0]->Requests.TakenCount);
     }
 
+    // Guards against a request that is handed on before the answers to its first probes can have come, because all of them are late.
+    void ARequestWhoseProbesAreAllLateIsServedHere()
+    {
+        PathFleet fleet(2);
+        for (const auto& link : fleet.Links)
+        {
+            link->DelayUs = 35 * UsPerMs; // Twice: later than the last of the first probes times out.
+        }
+        fleet.Cut(1, ProxyMode_Delay);
+        Forwarder& requests = fleet.Parts.Instances[1]->Requests;
+        requests.Services.at("svc").ProbeTimeout.ListenUs = 500 * UsPerMs; // The load of the machine must not decide.
+        const RigAnswer answer = RigSendAndWait(&fleet.Parts, *fleet.Parts.Instances[1], RigCall());
+        CPPUNIT_ASSERT_EQUAL(200, answer.Answer.Status);
+        CPPUNIT_ASSERT_EQUAL(uint64_t{0}, requests.Services.at("svc").Path.Losses);
+        CPPUNIT_ASSERT_EQUAL(uint64_t{0}, fleet.Parts.Instances[0]->Requests.TakenCount);
+    }
+
     void TargetsAreUsedAgainOnceThePathIsBack()
     {
         HandoffFleet fleet;
--- a/winchlink.h
+++ b/winchlink.h
@@ -1223,6 +1223,32 @@
 // Gives back an unused retry that was taken at `taken`. It is deducted from the step in which it was counted, if that is still kept.
 void RetryBudgetRefund(RetryBudget* budget, TimeUs taken);
 
+// Timeouts that callers of a route name, to tell first tries from later ones: a caller that comes back within its deadline names what is
+// left of it. Where callers of one route name different timeouts, those with shorter ones are taken for callers that came back.
+struct CallerTimeouts
+{
+    static constexpr TimeUs ReturnMinUs = 5 * UsPerMs; // A caller that comes back has lost more than this; less is jitter.
+    static constexpr double Decay = 1.0 / 64;          // Part of the way that LongestUs goes towards each shorter timeout.
+
+    TimeUs LongestUs = 0; // Longest timeout named lately.
+};
+
+// Notes the timeout that a caller has named. Returns the time since its first try of the request; 0 if this is the first one.
+TimeUs CallerTimeoutsNote(CallerTimeouts* timeouts, TimeUs timeout);
+
+// A caller's try that a target with room has refused.
+struct RefusedTry
+{
+    bool First = false;  // The caller has not tried the request before.
+    TimeUs ReturnUs = 0; // Retry-After if the caller is refused.
+    TimeUs LeftUs = 0;   // Until the end of the latency objective.
+    double WorkUs = 0;   // Usual duration of the request at a target; 0 if unknown.
+};
+
+// Whether the caller, if refused, can come back and be answered in time. A return takes nothing from the budget, so retries are kept for
+// callers that can't: those that came back before may have no try left.
+bool CallerReturnsInTime(const RefusedTry& refused);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Quarantine (requests that crash the targets that run them)
 //-----------------------------------------------------------------------------
@@ -1673,6 +1699,7 @@
     int Priority = 0;                                 // 0 is the most urgent.
     bool Retryable = false;                           // It may be run more than once.
     bool Sent = false;                                // An attempt is in flight, or a target may have run it.
+    bool CameBack = false;                            // Its caller was refused before.
     bool TakenFromPeer = false;                       // Another instance has handed it on.
     bool MayProbe = true;                             // Targets of its service have a health path.
     int ConnectionsMax = 0;                           // Maximum connections to one target; 0: no limit.
@@ -1746,7 +1773,8 @@
 void ChooserStop(Chooser* chooser);
 
 // Index of the waiting request that a free slot of the target goes to; none if it was sent there already. `waiting` is in the order in
-// which the requests began to wait. The most urgent gets the slot; among equals, the one that has waited longest.
+// which the requests began to wait. The most urgent gets the slot; among equals, one whose caller was refused before, as it may have no try
+// left; then the one that has waited longest.
 std::optional<size_t> ChooserMostUrgent(const std::vector<ChooserRequest>& waiting, const std::string& target);
 
 // Whether most contacts of a request with targets failed: it was not served for lack of a path, not of free slots.
--- a/winchlink_choose.cpp
+++ b/winchlink_choose.cpp
@@ -215,6 +215,14 @@
     return step.Now + step.View.Config->ProbeRetryUs < step.Round->DeadlineUs;
 }
 
+// Whether the request is not served for lack of a path. While it can wait, a probe that is late says nothing: its answer may still come.
+static bool IsUnreached(const Step& step, bool may_wait)
+{
+    ContactCounts contacts = step.View.Request.Contacts;
+    contacts[ContactEnd_Late] = may_wait ? 0 : contacts[ContactEnd_Late];
+    return ChooserUnreached(*step.View.Path, contacts, step.Now);
+}
+
 // No more targets may be probed and none is good: takes the best acceptable one, waits and probes again, or gives up.
 static void Decide(Step* step)
 {
@@ -226,7 +234,7 @@
     const bool acceptable = affordable || (in_time && PoolIsAcceptable(*view.Pool, *best, step->Now));
     const bool limited = AllLimited(*step);
     const bool may_wait = !view.Pool->Targets.empty() && !limited && round.Kind == Choosing_First && HasTimeToWait(*step);
-    const bool unreached = !limited && ChooserUnreached(*view.Path, view.Request.Contacts, step->Now);
+    const bool unreached = !limited && IsUnreached(*step, may_wait);
     if (!acceptable && unreached && HandOff(step))
     {
         return;
@@ -573,13 +581,18 @@
 // [SECTION] Waiting requests
 //-----------------------------------------------------------------------------
 
+static bool IsMoreUrgent(const ChooserRequest& a, const ChooserRequest& b)
+{
+    return a.Priority != b.Priority ? a.Priority < b.Priority : a.CameBack && !b.CameBack;
+}
+
 std::optional<size_t> ChooserMostUrgent(const std::vector<ChooserRequest>& waiting, const std::string& target)
 {
     std::optional<size_t> first;
     for (size_t n = 0; n < waiting.size(); n++)
     {
         const bool already_tried = Contains(*waiting[n].SentTo, target);
-        if (!already_tried && (!first || waiting[n].Priority < waiting[*first].Priority))
+        if (!already_tried && (!first || IsMoreUrgent(waiting[n], waiting[*first])))
         {
             first = n;
         }
--- a/winchlink_retry_budget.cpp
+++ b/winchlink_retry_budget.cpp
@@ -1,10 +1,20 @@
-// winchlink_retry_budget.cpp: the retry budget.
+// winchlink_retry_budget.cpp: the retry budget, and which requests are a caller's later tries.
+//
+// Index of this file:
+// [SECTION] Budget
+// [SECTION] Callers that come back
 
 #include "winchlink.h"
 
+#include <algorithm>
+
 namespace Winchlink
 {
 
+//-----------------------------------------------------------------------------
+// [SECTION] Budget
+//-----------------------------------------------------------------------------
+
 static int64_t StepNumber(const RetryBudget& budget, TimeUs at)
 {
     return at / (budget.WindowUs / static_cast<TimeUs>(RetryBudget::Steps));
@@ -54,7 +64,9 @@
         requests += step.Number >= 0 && age < steps ? step.Requests : 0;
         retries += step.Number >= 0 && age <= steps ? step.Retries : 0;
     }
-    if (retries + 1 > part * (budget->Share * requests + budget->Extra))
+    const double allowed = budget->Share * requests + budget->Extra;
+    const double least = std::min(allowed, 1.0); // Where requests are few, a part of the budget may be less than one retry.
+    if (retries + 1 > std::max(part * allowed, least))
     {
         return false;
     }
@@ -70,4 +82,25 @@
     step->Retries -= still_counted ? 1 : 0;
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Callers that come back
+//-----------------------------------------------------------------------------
+
+TimeUs CallerTimeoutsNote(CallerTimeouts* timeouts, TimeUs timeout)
+{
+    if (timeout >= timeouts->LongestUs)
+    {
+        timeouts->LongestUs = timeout;
+        return 0;
+    }
+    const TimeUs missing = timeouts->LongestUs - timeout;
+    timeouts->LongestUs -= static_cast<TimeUs>(CallerTimeouts::Decay * static_cast<double>(missing));
+    return missing > CallerTimeouts::ReturnMinUs ? missing : 0;
+}
+
+bool CallerReturnsInTime(const RefusedTry& refused)
+{
+    return refused.First && static_cast<double>(refused.ReturnUs) + refused.WorkUs < static_cast<double>(refused.LeftUs);
+}
+
 } // namespace Winchlink
