Choosing: large answers take a slower target at home only in a shortage

A request for a large answer with time to spare took a slower near target at any time while division was on. It now does so only while the own data centre is short of room (Division::Active), which is when it would else take room from requests that must cross. Bound to news of room elsewhere (DivisionMayCross) it would fall back to fast targets whenever such news are late, at the moment of the greatest shortage: ruled out.

The new test failed before.

--- a/tests/choose_test.cpp
+++ b/tests/choose_test.cpp
@@ -262,6 +262,7 @@
     CPPUNIT_TEST(AProbeDoesNotSendTwiceToATarget);
     CPPUNIT_TEST(CrossesAfterProbesAtHome);
     CPPUNIT_TEST(LargeAnswersWithTimeToSpareStayAtHome);
+    CPPUNIT_TEST(LargeAnswersTakeSlowTargetsOnlyInAShortage);
     CPPUNIT_TEST(WithoutDivisionNothingCrossesBeforeHome);
     CPPUNIT_TEST_SUITE_END();
 
@@ -712,6 +713,19 @@
         CPPUNIT_ASSERT_EQUAL(uint64_t{0}, s.Divided.Crossed);
     }
 
+    // Guards against slower answers while there is room.
+    void LargeAnswersTakeSlowTargetsOnlyInAShortage()
+    {
+        Situation s(4, 1);
+        s.Divides = true;
+        s.Request.AnswerBytes = 90 * KiB;
+        s.Request.LatencyObjectiveUs = UsPerSecond;
+        s.Start();
+        constexpr LoadReport slow = {0, 0, 2, 300};
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t1 slow after 5"), s.Answer(0, slow));
+        CPPUNIT_ASSERT_EQUAL(std::string("send t1"), s.Answer(1, Idle));
+    }
+
     void WithoutDivisionNothingCrossesBeforeHome()
     {
         Situation s(4, 1);
--- a/winchlink_choose.cpp
+++ b/winchlink_choose.cpp
@@ -144,11 +144,11 @@
     return {request.WorkUs, request.AnswerBytes, request.ArrivedUs + request.LatencyObjectiveUs - step.Now};
 }
 
-// Whether the request rather waits at home than crosses to another data centre, see DivisionHasSlack().
+// Whether the own data centre is short of room and the request rather waits there than crosses to another one, see DivisionHasSlack().
 static bool StaysAtHome(const Step& step)
 {
     const ChooserView& view = step.View;
-    return view.Divided != nullptr && DivisionHasSlack(view.Divided->Config, DivisionRequestOf(step));
+    return view.Divided != nullptr && view.Divided->Active && DivisionHasSlack(view.Divided->Config, DivisionRequestOf(step));
 }
 
 // The cost up to which a target is taken without probing others.
