Pool: PoolNextNear() is removed, nothing called it but tests

The chooser takes far targets out of PoolNext()'s order itself, so the function served only the model of division_load_test and a line of division_test. The model now skips far targets by itself; division_test asks PoolNextIn() for the own data centre and checks the same.

--- a/tests/division_model.cpp
+++ b/tests/division_model.cpp
@@ -328,7 +328,7 @@
         const bool home_only = Plan.Divide && LoadRoom(*pool, Now).Targets > 0;
         for (;;)
         {
-            PoolTarget* next = home_only ? PoolNextNear(pool, request->Passed, false, Now) : PoolNext(pool, request->Passed, false, Now);
+            PoolTarget* next = home_only ? NextNear(pool, request->Passed) : PoolNext(pool, request->Passed, false, Now);
             next = Plan.Divide && !home_only ? NextByDivision(request, next) : next;
             const bool known = next != nullptr && next->ReportUs > 0 && Now < next->ReportUs + ReuseUs;
             if (next == nullptr || (!known && request->Probes >= HomeProbesMax(*request)))
@@ -351,6 +351,17 @@
         }
     }
 
+    PoolTarget* NextNear(TargetPool* pool, std::vector<std::string> passed) const
+    {
+        PoolTarget* next = PoolNext(pool, passed, false, Now);
+        while (next != nullptr && !next->Near)
+        {
+            passed.push_back(next->Id);
+            next = PoolNext(pool, passed, false, Now);
+        }
+        return next;
+    }
+
     // A request that doesn't cross goes on at home.
     size_t HomeProbesMax(const ModelRequest& request) const
     {
--- a/tests/division_test.cpp
+++ b/tests/division_test.cpp
@@ -314,9 +314,9 @@
         CPPUNIT_ASSERT(cold != nullptr);
         PoolSetCold(pool.Config, cold, later + UsPerSecond);
         CPPUNIT_ASSERT(PoolNextIn(&pool, other, {second_id}, false, later) == nullptr);
-        const PoolTarget* near = PoolNextNear(&pool, {}, false, later);
+        const PoolTarget* near = PoolNextIn(&pool, PeerDataCentre("home"), {}, false, later);
         CPPUNIT_ASSERT(near != nullptr && near->Near);
-        CPPUNIT_ASSERT(PoolNextNear(&pool, {"t0"}, false, later) == nullptr);
+        CPPUNIT_ASSERT(PoolNextIn(&pool, PeerDataCentre("home"), {"t0"}, false, later) == nullptr);
     }
 };
 
--- a/winchlink.h
+++ b/winchlink.h
@@ -636,9 +636,6 @@
 // can't be retried, so targets that failed recently rank lower.
 PoolTarget* PoolNext(TargetPool* pool, const std::vector<std::string>& passed, bool unsafe, TimeUs now);
 
-// The same among the targets of the own data centre, for requests that cross only as DivisionPick() says.
-PoolTarget* PoolNextNear(TargetPool* pool, const std::vector<std::string>& passed, bool unsafe, TimeUs now);
-
 // The same where targets are not probed: chooses among equals at random. Without probes, instances that prefer the same targets would not
 // notice it.
 PoolTarget* PoolNextUnprobed(TargetPool* pool, const std::vector<std::string>& passed, bool unsafe, TimeUs now, Random* random);
