Choosing: no crash when division ends in a search; old reports send nothing

- A search that had picked a data centre dereferenced a null Division when a new plan switched division off before its next probe.
The test crashed before.
- A probe that was answered without a report (an error status, another target's answer, a target that left) counted as answered, and a report of any age decided that the target has a free slot: the request went to a target whose probe had just failed.
The shell now says whether the pool holds a new report, and the chooser asks for a fresh one, also when a slot is said to be free after an attempt.
The test failed before.

--- a/requests/choose.cpp
+++ b/requests/choose.cpp
@@ -126,14 +126,14 @@
 };
 
 // Updates the pool from a probe's answer. `generation` is that of the target's pool entry when it was probed; the answer
-// of a target that has left the pool or restarted since is ignored.
-static void LearnFromProbe(Forwarder* forwarder, ServiceState* service, const std::string& id, uint64_t generation,
+// of a target that has left the pool or restarted since is ignored. Returns true if the pool holds a new report.
+static bool LearnFromProbe(Forwarder* forwarder, ServiceState* service, const std::string& id, uint64_t generation,
                            const ClientAnswer& answer)
 {
     PoolTarget* target = PoolFindEntry(&service->Pool, id, generation);
     if (target == nullptr)
     {
-        return;
+        return false;
     }
     const WireNames& names = forwarder->Names;
     const std::string* answering_id = FindHeader(answer.Headers, names.TargetId);
@@ -142,12 +142,12 @@
         Log(LogLevel_Info, Code_None, "target replaced", {{"target", id}, {"address", target->Address}, {"now", *answering_id}});
         DirectoryMarkReplaced(&forwarder->Directory, id);
         ForwarderFollow(forwarder);
-        return;
+        return false;
     }
     if (answer.End != ClientEnd_Answered || answer.Status != 200 || (answering_id == nullptr && !names.TargetId.empty()))
     {
         PoolFailed(service->Pool.Config, target, NowUs());
-        return;
+        return false;
     }
     const std::optional<LoadReport> report = ReadLoad(*forwarder, answer.Headers);
     service->Pool.ReportsLoad = report.has_value();
@@ -162,6 +162,7 @@
         }
         PoolUpdateShare(&service->Pool, *report, service->InProgress);
     }
+    return report.has_value();
 }
 
 // The requests that await the probe; they no longer do.
@@ -172,7 +173,7 @@
     return waiters;
 }
 
-// Lets the requests that awaited the probe go on. `answered`: with a whole answer.
+// Lets the requests that awaited the probe go on. `answered`: with a report.
 static void ContinueProbed(const std::vector<CallPtr>& calls, const std::string& target, ContactEnd_ end, bool answered)
 {
     for (const CallPtr& call : calls)
@@ -227,9 +228,9 @@
     {
         ProbeTimeoutAnswered(&service->ProbeTimeout);
     }
-    LearnFromProbe(forwarder, service, probe.Target, probe.Generation, answer);
+    const bool has_report = LearnFromProbe(forwarder, service, probe.Target, probe.Generation, answer);
     NoteContact(forwarder, service, probe.Target, end);
-    ContinueProbed(waiters, probe.Target, end, answer.End == ClientEnd_Answered);
+    ContinueProbed(waiters, probe.Target, end, has_report);
 }
 
 static void SendProbe(const Call& call, const PoolTarget& target)
--- a/tests/choose_test.cpp
+++ b/tests/choose_test.cpp
@@ -264,6 +264,8 @@
     CPPUNIT_TEST(LargeAnswersWithTimeToSpareStayAtHome);
     CPPUNIT_TEST(LargeAnswersTakeSlowTargetsOnlyInAShortage);
     CPPUNIT_TEST(WithoutDivisionNothingCrossesBeforeHome);
+    CPPUNIT_TEST(DivisionMayEndDuringASearch);
+    CPPUNIT_TEST(AnOldReportSaysNothing);
     CPPUNIT_TEST_SUITE_END();
 
     void SendsToTheFirstGoodTarget()
--- a/winchlink.h
+++ b/winchlink.h
@@ -1721,7 +1721,7 @@
 // Begins a round.
 ChooseActions ChooserStart(Chooser* chooser, Choosing_ kind, const ChooserView& view, TimeUs now);
 
-// A probe of this request has ended; its report is in the pool. To be called for each probe, also after the round.
+// A probe of this request has ended. `answered`: its report is in the pool. To be called for each probe, also after the round.
 ChooseActions ChooserProbed(Chooser* chooser, const ChooserView& view, const std::string& target, bool answered, TimeUs now);
 
 // The last probe is slow.
--- a/winchlink_choose.cpp
+++ b/winchlink_choose.cpp
@@ -130,6 +130,12 @@
     return false;
 }
 
+// Whether what the target itself has last told this instance still counts.
+static bool HasFreshReport(const Step& step, const PoolTarget& target)
+{
+    return target.ReportUs > 0 && step.Now < target.ReportUs + step.View.Pool->Config.ReportMaxAgeUs;
+}
+
 static bool HasCapacity(Step* step, const PoolTarget& target)
 {
     const TargetPool& pool = *step->View.Pool;
@@ -191,8 +197,7 @@
     for (const std::string& id : step->Round->Probed)
     {
         PoolTarget* target = PoolFind(pool, id);
-        const bool has_report = target != nullptr && target->ReportUs > 0 && step->Now < target->ReportUs + pool->Config.ReportMaxAgeUs;
-        const bool usable = has_report && HasCapacity(step, *target);
+        const bool usable = target != nullptr && HasFreshReport(*step, *target) && HasCapacity(step, *target);
         if (usable && (best == nullptr || PoolCost(*pool, *target, step->Now) < PoolCost(*pool, *best, step->Now)))
         {
             best = target;
@@ -382,7 +387,7 @@
     const Chooser& round = *step.Round;
     const ChooserConfig& config = *step.View.Config;
     const bool told = step.View.Pool->Shared && IsKnownFree(step, target);
-    const bool crosses = round.CrossTo && target.DataCentre == *round.CrossTo;
+    const bool crosses = step.View.Divided != nullptr && round.CrossTo && target.DataCentre == *round.CrossTo;
     const int extra = crosses ? static_cast<int>(step.View.Divided->Config.AwayProbes) : told ? config.MaxToldProbes : 0;
     return round.ProbesInFlight < round.MaxConcurrentProbes && round.ProbeCount - round.ProbeCountBefore < config.MaxProbes + extra;
 }
@@ -477,7 +482,7 @@
         return {};
     }
     PoolTarget* found = PoolFind(view.Pool, target);
-    const bool has_report = found != nullptr && answered && found->ReportUs > 0;
+    const bool has_report = found != nullptr && answered && HasFreshReport(step, *found);
     const bool sent_there = Contains(*view.Request.SentTo, target); // A slot came free there while the probe was under way.
     if (has_report && !sent_there && IsGood(&step, *found))
     {
@@ -522,7 +527,7 @@
         chooser->Probed.clear();
         chooser->OverLimit.clear();
         chooser->Divided = false;
-        chooser->CrossTo.reset();
+            chooser->CrossTo.reset();
     }
     Step step = {chooser, view, now, {}};
     Continue(&step);
@@ -533,7 +538,7 @@
 {
     Step step = {chooser, view, now, {}};
     PoolTarget* found = PoolFind(view.Pool, target);
-    if (chooser->Waiting && found != nullptr && found->ReportUs > 0 && IsGood(&step, *found))
+    if (chooser->Waiting && found != nullptr && HasFreshReport(step, *found) && IsGood(&step, *found))
     {
         Send(&step, found);
     }
