Choosing: nothing crosses unasked while others tell their room; large answers before a refusal

While division has recent news, far targets came also from the order of the pool, once all near ones were known to be full: at 3 instances thousands crossed for nothing, in all directions. Now they come from DivisionPick() alone, as its design says; without news the order is that of the pool as before. What would be refused otherwise crosses although its answer is large: DivisionPick() is asked once more, with LeftUs = 0.

Both new tests failed before.

--- a/bench/baselines.cpp
+++ b/bench/baselines.cpp
@@ -89,6 +89,11 @@
 }
 
 // These policies know no data centres, so nothing is divided between them.
+PoolTarget* PoolNextNear(TargetPool*, const std::vector<std::string>&, bool, TimeUs)
+{
+    return nullptr;
+}
+
 PoolTarget* PoolNextIn(TargetPool*, uint16_t, const std::vector<std::string>&, bool, TimeUs)
 {
     return nullptr;
--- a/tests/choose_test.cpp
+++ b/tests/choose_test.cpp
@@ -263,6 +263,8 @@
     CPPUNIT_TEST(CrossesAfterProbesAtHome);
     CPPUNIT_TEST(LargeAnswersWithTimeToSpareStayAtHome);
     CPPUNIT_TEST(LargeAnswersTakeSlowTargetsOnlyInAShortage);
+    CPPUNIT_TEST(LargeAnswersCrossRatherThanBeRefused);
+    CPPUNIT_TEST(NothingCrossesUnasked);
     CPPUNIT_TEST(WithoutDivisionNothingCrossesBeforeHome);
     CPPUNIT_TEST(DivisionMayEndDuringASearch);
     CPPUNIT_TEST(AnOldReportSaysNothing);
@@ -728,6 +730,64 @@
         CPPUNIT_ASSERT_EQUAL(std::string("send t1"), s.Answer(1, Idle));
     }
 
+    // Guards against a refusal while another data centre has room.
+    void LargeAnswersCrossRatherThanBeRefused()
+    {
+        Situation s(12, 4);
+        s.FarHasRoom();
+        s.Request.AnswerBytes = 90 * KiB;
+        s.Request.LatencyObjectiveUs = UsPerSecond;
+        s.Start();
+        std::string last;
+        for (size_t n = 0; n < 8; n++)
+        {
+            s.Now = n < 7 ? s.Now : s.Round.DeadlineUs - UsPerMs;
+            DivisionHeard(&s.Divided, PeerDataCentre("far"), PeerDataCentre("dc"), {20, 20, 20}, s.Now);
+            DivisionProbed(&s.Divided, false, s.Now);
+            last = s.Answer(n, Full);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t8 slow after 5"), last);
+        CPPUNIT_ASSERT_EQUAL(std::string("send t8"), s.Answer(8, Idle));
+    }
+
+    // Guards against requests that cross for nothing where few targets are left at home: others are known to have no room.
+    void NothingCrossesUnasked()
+    {
+        Situation s(4, 3);
+        s.FarHasRoom();
+        DivisionHeard(&s.Divided, PeerDataCentre("far"), PeerDataCentre("dc"), {20, 20, 0}, s.Now);
+        s.Start();
+        CPPUNIT_ASSERT_EQUAL(std::string("wait 20"), s.Answer(0, Full));
+        Situation unknown(4, 3); // Without news the order is that of the pool.
+        unknown.Divides = true;
+        unknown.Start();
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t1 slow after 5"), unknown.Answer(0, Full));
+    }
+
+    void DivisionMayEndDuringASearch()
+    {
+        Situation s(3, 2);
+        s.FarHasRoom();
+        s.Start();
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t1 slow after 5"), s.Answer(0, Full));
+        s.Divides = false; // By a new plan.
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t2 slow after 5"), s.Answer(1, Full));
+    }
+
+    // Guards against sending to a target that fails its probes and had a free slot once.
+    void AnOldReportSaysNothing()
+    {
+        Situation s(2);
+        PoolReport(&s.Target(0), Idle, s.Now);
+        s.Now += UsPerSecond;
+        s.Request.ArrivedUs = s.Now;
+        s.Start();
+        PoolFailed(s.Pool.Config, &s.Target(0), s.Now);
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t1 slow after 5"), Situation::Text(ChooserProbed(&s.Round, s.View(), "t0", true, s.Now)));
+        s.Answer(1, Full);
+        CPPUNIT_ASSERT_EQUAL(std::string(), s.SlotFree(0));
+    }
+
     void WithoutDivisionNothingCrossesBeforeHome()
     {
         Situation s(4, 1);
--- a/winchlink.h
+++ b/winchlink.h
@@ -636,6 +636,9 @@
 // can't be retried, so targets that failed recently rank lower.
 PoolTarget* PoolNext(TargetPool* pool, const std::vector<std::string>& passed, bool unsafe, TimeUs now);
 
+// The same among the targets of the own data centre, for requests that cross only as DivisionPick() says.
+PoolTarget* PoolNextNear(TargetPool* pool, const std::vector<std::string>& passed, bool unsafe, TimeUs now);
+
 // The same where targets are not probed: chooses among equals at random. Without probes, instances that prefer the same targets would not
 // notice it.
 PoolTarget* PoolNextUnprobed(TargetPool* pool, const std::vector<std::string>& passed, bool unsafe, TimeUs now, Random* random);
@@ -1655,7 +1658,8 @@
     int ProbeCount = 0;                 // Probes in all rounds.
     int ProbeCountBefore = 0;           // Value of ProbeCount when this round began.
     int MaxConcurrentProbes = 1;        // Grows by one for each slow probe.
-    bool Divided = false;               // DivisionPick() was asked in this search.
+    bool Divided = false;               // DivisionPick() was asked in this search,
+    bool DividedLast = false;           // and again before the request would have been refused.
     std::optional<uint16_t> CrossTo;    // The data centre that it named.
 };
 
--- a/winchlink_choose.cpp
+++ b/winchlink_choose.cpp
@@ -343,8 +343,16 @@
     return passed;
 }
 
-// A target in the data centre that is to serve the request, if that is another one. Decided once in a search, when enough targets at home
-// were probed in vain or there are none. Null if there is none.
+// Whether the request will be refused unless it crosses: it has no more probes at home and no time to wait.
+static bool IsLastChance(const Step& step)
+{
+    const Chooser& round = *step.Round;
+    return round.ProbeCount - round.ProbeCountBefore >= step.View.Config->MaxProbes && !HasTimeToWait(step);
+}
+
+// A target in the data centre that is to serve the request, if that is another one. Decided when enough targets at home were probed in vain
+// or there are none, once in a search and once more before a refusal: then also what would rather wait at home crosses. Null if there is
+// none.
 static PoolTarget* CrossCandidate(Step* step, const std::vector<std::string>& passed)
 {
     const ChooserView& view = step->View;
@@ -359,14 +367,30 @@
     {
         return nullptr;
     }
-    if (!round->Divided)
+    const bool is_last = !round->CrossTo && !round->DividedLast && IsLastChance(*step);
+    if (!round->Divided || is_last)
     {
+        DivisionRequest request = DivisionRequestOf(*step);
+        request.LeftUs = is_last ? 0 : request.LeftUs;
         round->Divided = true;
-        round->CrossTo = DivisionPick(view.Divided, own, DivisionRequestOf(*step), step->Now, view.Rng);
+        round->DividedLast = is_last;
+        round->CrossTo = DivisionPick(view.Divided, own, request, step->Now, view.Rng);
     }
     return round->CrossTo ? PoolNextIn(view.Pool, *round->CrossTo, passed, !view.Request.Retryable, step->Now) : nullptr;
 }
 
+// Whether other data centres have told of their room lately: then a request crosses only where DivisionPick() has named one.
+static bool KnowsOtherRooms(const Step& step)
+{
+    const Division* divided = step.View.Divided;
+    const auto is_recent = [&](const auto& entry)
+    {
+        return entry.second.HeardUs > 0 && step.Now < entry.second.HeardUs + divided->Config.RoomMaxAgeUs;
+    };
+    return divided != nullptr && std::any_of(divided->Rooms.begin(), divided->Rooms.end(), is_recent) &&
+           LoadRoom(*step.View.Pool, step.Now).Targets > 0;
+}
+
 // The next target to consider: neither considered in this search nor sent the request already. Null if none is left.
 static PoolTarget* NextCandidate(Step* step)
 {
@@ -377,7 +401,12 @@
         return next;
     }
     PoolTarget* crossing = CrossCandidate(step, passed);
-    return crossing != nullptr ? crossing : next;
+    if (crossing != nullptr)
+    {
+        return crossing;
+    }
+    const bool strays = next != nullptr && !next->Near && KnowsOtherRooms(*step);
+    return strays ? PoolNextNear(step->View.Pool, passed, !step->View.Request.Retryable, step->Now) : next;
 }
 
 // Whether the target may be probed now. Those that others have told to be free, and those of the data centre that the request crosses to,
@@ -466,6 +495,7 @@
     chooser->ProbeCountBefore = chooser->ProbeCount;
     chooser->MaxConcurrentProbes = 1;
     chooser->Divided = false;
+    chooser->DividedLast = false;
     chooser->CrossTo.reset();
     chooser->DeadlineUs = now + static_cast<TimeUs>(share * static_cast<double>(view.Request.LatencyObjectiveUs));
     Step step = {chooser, view, now, {}};
@@ -527,7 +557,8 @@
         chooser->Probed.clear();
         chooser->OverLimit.clear();
         chooser->Divided = false;
-            chooser->CrossTo.reset();
+        chooser->DividedLast = false;
+        chooser->CrossTo.reset();
     }
     Step step = {chooser, view, now, {}};
     Continue(&step);
--- a/winchlink_pick.cpp
+++ b/winchlink_pick.cpp
@@ -73,7 +73,7 @@
     return found != group.end() ? found->second : nullptr;
 }
 
-PoolTarget* PoolNext(TargetPool* pool, const std::vector<std::string>& passed, bool unsafe, TimeUs now)
+static PoolTarget* Next(TargetPool* pool, const std::vector<std::string>& passed, bool unsafe, bool near_only, TimeUs now)
 {
     DropMarks(pool, now);
     const bool had_new = PassedNew(*pool, passed);
@@ -81,7 +81,7 @@
     PoolRank best_rank;
     const auto consider = [&](PoolTarget* target)
     {
-        if (!PoolMayUse(*target, now))
+        if (!PoolMayUse(*target, now) || (near_only && !target->Near))
         {
             return;
         }
@@ -107,6 +107,16 @@
     return best != nullptr ? PoolFind(pool, best->Id) : nullptr; // Marks the target, as the caller may change it.
 }
 
+PoolTarget* PoolNext(TargetPool* pool, const std::vector<std::string>& passed, bool unsafe, TimeUs now)
+{
+    return Next(pool, passed, unsafe, false, now);
+}
+
+PoolTarget* PoolNextNear(TargetPool* pool, const std::vector<std::string>& passed, bool unsafe, TimeUs now)
+{
+    return Next(pool, passed, unsafe, true, now);
+}
+
 // Whether a request may go to the target, and nothing is known that shows it to be full or slow.
 static bool MayHaveRoom(const TargetPool& pool, const PoolTarget& target, TimeUs now)
 {
