--- a/winchlink.h
+++ b/winchlink.h
@@ -1684,7 +1684,8 @@
     int ProbeCount = 0;                 // Probes in all rounds.
     int ProbeCountBefore = 0;           // Value of ProbeCount when this round began.
     int MaxConcurrentProbes = 1;        // Grows by one for each slow probe.
-    bool Divided = false;               // DivisionPick() was asked in this search.
+    bool Divided = false;               // DivisionPick() was asked in this search,
+    bool DividedLast = false;           // and again before the request would have been refused.
     std::optional<uint16_t> CrossTo;    // The data centre that it named.
 };
 
@@ -1751,7 +1752,7 @@
 // Begins a round.
 ChooseActions ChooserStart(Chooser* chooser, Choosing_ kind, const ChooserView& view, TimeUs now);
 
-// A probe of this request has ended; its report is in the pool. To be called for each probe, also after the round.
+// A probe of this request has ended. `answered`: its report is in the pool. To be called for each probe, also after the round.
 ChooseActions ChooserProbed(Chooser* chooser, const ChooserView& view, const std::string& target, bool answered, TimeUs now);
 
 // The last probe is slow.
--- a/winchlink_choose.cpp
+++ b/winchlink_choose.cpp
@@ -130,6 +130,12 @@
     return false;
 }
 
+// Whether what the target itself has last told this instance still counts.
+static bool HasFreshReport(const Step& step, const PoolTarget& target)
+{
+    return target.ReportUs > 0 && step.Now < target.ReportUs + step.View.Pool->Config.ReportMaxAgeUs;
+}
+
 static bool HasCapacity(Step* step, const PoolTarget& target)
 {
     const TargetPool& pool = *step->View.Pool;
@@ -144,11 +150,11 @@
     return {request.WorkUs, request.AnswerBytes, request.ArrivedUs + request.LatencyObjectiveUs - step.Now};
 }
 
-// Whether the request rather waits at home than crosses to another data centre, see DivisionHasSlack().
+// Whether the own data centre is short of room and the request rather waits there than crosses to another one, see DivisionHasSlack().
 static bool StaysAtHome(const Step& step)
 {
     const ChooserView& view = step.View;
-    return view.Divided != nullptr && DivisionHasSlack(view.Divided->Config, DivisionRequestOf(step));
+    return view.Divided != nullptr && view.Divided->Active && DivisionHasSlack(view.Divided->Config, DivisionRequestOf(step));
 }
 
 // The cost up to which a target is taken without probing others.
@@ -191,8 +197,7 @@
     for (const std::string& id : step->Round->Probed)
     {
         PoolTarget* target = PoolFind(pool, id);
-        const bool has_report = target != nullptr && target->ReportUs > 0 && step->Now < target->ReportUs + pool->Config.ReportMaxAgeUs;
-        const bool usable = has_report && HasCapacity(step, *target);
+        const bool usable = target != nullptr && HasFreshReport(*step, *target) && HasCapacity(step, *target);
         if (usable && (best == nullptr || PoolCost(*pool, *target, step->Now) < PoolCost(*pool, *best, step->Now)))
         {
             best = target;
@@ -346,8 +351,16 @@
     return passed;
 }
 
-// A target in the data centre that is to serve the request, if that is another one. Decided once in a search, when enough targets at home
-// were probed in vain or there are none. Null if there is none.
+// Whether the request will be refused unless it crosses: it has no more probes at home and no time to wait.
+static bool IsLastChance(const Step& step)
+{
+    const Chooser& round = *step.Round;
+    return round.ProbeCount - round.ProbeCountBefore >= step.View.Config->MaxProbes && !HasTimeToWait(step);
+}
+
+// A target in the data centre that is to serve the request, if that is another one. Decided when enough targets at home were probed in vain
+// or there are none, once in a search and once more before a refusal: then also what would rather wait at home crosses. Null if there is
+// none.
 static PoolTarget* CrossCandidate(Step* step, const std::vector<std::string>& passed)
 {
     const ChooserView& view = step->View;
@@ -362,14 +375,30 @@
     {
         return nullptr;
     }
-    if (!round->Divided)
+    const bool is_last = !round->CrossTo && !round->DividedLast && IsLastChance(*step);
+    if (!round->Divided || is_last)
     {
+        DivisionRequest request = DivisionRequestOf(*step);
+        request.LeftUs = is_last ? 0 : request.LeftUs;
         round->Divided = true;
-        round->CrossTo = DivisionPick(view.Divided, own, DivisionRequestOf(*step), step->Now, view.Rng);
+        round->DividedLast = is_last;
+        round->CrossTo = DivisionPick(view.Divided, own, request, step->Now, view.Rng);
     }
     return round->CrossTo ? PoolNextIn(view.Pool, *round->CrossTo, passed, !view.Request.Retryable, step->Now) : nullptr;
 }
 
+// Whether other data centres have told of their room lately: then a request crosses only where DivisionPick() has named one.
+static bool KnowsOtherRooms(const Step& step)
+{
+    const Division* divided = step.View.Divided;
+    const auto is_recent = [&](const auto& entry)
+    {
+        return entry.second.HeardUs > 0 && step.Now < entry.second.HeardUs + divided->Config.RoomMaxAgeUs;
+    };
+    return divided != nullptr && std::any_of(divided->Rooms.begin(), divided->Rooms.end(), is_recent) &&
+           LoadRoom(*step.View.Pool, step.Now).Targets > 0;
+}
+
 // The next target to consider: neither considered in this search nor sent the request already. Null if none is left.
 static PoolTarget* NextCandidate(Step* step)
 {
@@ -380,7 +409,12 @@
         return next;
     }
     PoolTarget* crossing = CrossCandidate(step, passed);
-    return crossing != nullptr ? crossing : next;
+    if (crossing != nullptr)
+    {
+        return crossing;
+    }
+    const bool strays = next != nullptr && !next->Near && KnowsOtherRooms(*step);
+    return strays ? PoolNextNear(step->View.Pool, passed, !step->View.Request.Retryable, step->Now) : next;
 }
 
 // Whether the target may be probed now. Those that others have told to be free, and those of the data centre that the request crosses to,
@@ -390,7 +424,7 @@
     const Chooser& round = *step.Round;
     const ChooserConfig& config = *step.View.Config;
     const bool told = step.View.Pool->Shared && IsKnownFree(step, target);
-    const bool crosses = round.CrossTo && target.DataCentre == *round.CrossTo;
+    const bool crosses = step.View.Divided != nullptr && round.CrossTo && target.DataCentre == *round.CrossTo;
     const int extra = crosses ? static_cast<int>(step.View.Divided->Config.AwayProbes) : told ? config.MaxToldProbes : 0;
     return round.ProbesInFlight < round.MaxConcurrentProbes && round.ProbeCount - round.ProbeCountBefore < config.MaxProbes + extra;
 }
@@ -469,6 +503,7 @@
     chooser->ProbeCountBefore = chooser->ProbeCount;
     chooser->MaxConcurrentProbes = 1;
     chooser->Divided = false;
+    chooser->DividedLast = false;
     chooser->CrossTo.reset();
     chooser->DeadlineUs = now + static_cast<TimeUs>(share * static_cast<double>(view.Request.LatencyObjectiveUs));
     Step step = {chooser, view, now, {}};
@@ -485,7 +520,7 @@
         return {};
     }
     PoolTarget* found = PoolFind(view.Pool, target);
-    const bool has_report = found != nullptr && answered && found->ReportUs > 0;
+    const bool has_report = found != nullptr && answered && HasFreshReport(step, *found);
     const bool sent_there = Contains(*view.Request.SentTo, target); // A slot came free there while the probe was under way.
     if (has_report && !sent_there && IsGood(&step, *found))
     {
@@ -530,6 +565,7 @@
         chooser->Probed.clear();
         chooser->OverLimit.clear();
         chooser->Divided = false;
+        chooser->DividedLast = false;
         chooser->CrossTo.reset();
     }
     Step step = {chooser, view, now, {}};
@@ -541,7 +577,7 @@
 {
     Step step = {chooser, view, now, {}};
     PoolTarget* found = PoolFind(view.Pool, target);
-    if (chooser->Waiting && found != nullptr && found->ReportUs > 0 && IsGood(&step, *found))
+    if (chooser->Waiting && found != nullptr && HasFreshReport(step, *found) && IsGood(&step, *found))
     {
         Send(&step, found);
     }
