Soak: shared load and division act, and neighbours lie, stutter and are cut off

The soak knew nothing of what instances tell each other: callers and targets were spread evenly, so that few requests searched, and each service had its targets in one data centre. Now dc-0 has 65 % of the callers and one of four targets of each service; replacements stay in the data centre of what they replace.

What instances count of asks, offers, reports and crossings is read from their metrics and printed; a run of three and more instances in which nothing was told or nothing crossed is broken, as it tests neither. All checks of the audit are as they were.

--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -79,7 +79,6 @@
 
 static void MakeInstances(Soak* soak)
 {
-    soak->DatagramPort = ParseEndpoint(PeerAddressOf(0)).value().Port;
     for (int n = 0; n < soak->Plan.Instances; n++)
     {
         soak->Instances.push_back(std::make_unique<SoakInstance>());
@@ -89,6 +88,8 @@
         mkdir(instance.Folder.c_str(), 0755);
         instance.CallerAddress = FreeLoopback();
         instance.PeerAddress = PeerAddressOf(n);
+        instance.MetricsAddress = FreeLoopback();
+        instance.DatagramPort = soak->DatagramPort;
         ProxyStart(&instance.ToStore, &soak->Loop, FreeLoopback(), soak->Store.Address);
     }
 }
@@ -96,20 +97,25 @@
 static bool StartAll(Soak* soak)
 {
     constexpr int targets = 8;
-    constexpr double retry_share = 0.2;
     if (soak->Folder.empty() || !UsersStoreStart(&soak->Store, &soak->Loop, FreeLoopback()))
     {
         return false;
     }
+    soak->DatagramPort = ParseEndpoint(PeerAddressOf(0)).value().Port;
+    soak->Liar.Own = PeerAddressOf(soak->Plan.Instances);
+    if (!StartLoadParts(soak))
+    {
+        return false;
+    }
     MakeInstances(soak);
     for (int n = 0; n < targets; n++)
     {
-        AddTarget(soak, n % 2 == 0 ? "svc" : "other");
+        AddTarget(soak, n % 2 == 0 ? "svc" : "other", n < 2 ? "dc-0" : "dc-1"); // One of four of each service in dc-0.
     }
     Configure(soak);
     for (const auto& instance : soak->Instances)
     {
-        WriteSettings(*soak, *instance, retry_share);
+        WriteSettings(*soak, *instance, SoakRetryShare);
         StartInstance(soak, instance.get());
     }
     return true;
@@ -156,6 +162,7 @@
     InjectCrashes(soak);
     InjectSignals(soak);
     InjectCuts(soak);
+    InjectLoadFaults(soak);
     RunFor(soak, soak->Plan.Seconds * UsPerSecond);
     soak->Striking = false;
     MeasureRecovery(soak);
@@ -172,7 +179,9 @@
     soak.Plan = plan;
     soak.Folder = MakeFolder("winchlink-soak");
     soak.Log.Instances = plan.Instances;
+    soak.LoadRng.seed(static_cast<uint64_t>(plan.Seed) * 104729 + 3);
     ClientStart(&soak.Callers, &soak.Loop);
+    ClientStart(&soak.Counters, &soak.Loop);
     if (!StartAll(&soak))
     {
         return std::nullopt;
@@ -186,7 +195,7 @@
         }
     }
     SetArrivalsRun(&soak);
-    return SoakResult{std::move(soak.Log), soak.Folder, soak.Drawn};
+    return SoakResult{std::move(soak.Log), soak.Folder, soak.Drawn, soak.Load};
 }
 
 //-----------------------------------------------------------------------------
@@ -210,7 +219,10 @@
     {
         text += fmt::format(" {}:{}", entry.first, entry.second);
     }
+    const SoakLoadCounts& load = result.Load;
     fmt::print("{}\n", text);
+    fmt::print("seed {}: asks {}, offers and answers told {}, reports taken {}, crossings {}; lies {}, offers stolen {}\n", seed, load.Asks,
+               load.Told, load.Taken, load.Crossed, load.Lies, load.Stolen);
     fflush(stdout);
 }
 
@@ -224,7 +236,12 @@
         return true;
     }
     Report(*result, plan.Seed);
-    const std::vector<std::string> broken = AuditSoak(result->Log, SoakBounds());
+    std::vector<std::string> broken = AuditSoak(result->Log, SoakBounds());
+    const bool may_share = plan.Instances > 2; // Two in a data centre.
+    if (may_share && (result->Load.Told == 0 || result->Load.Crossed == 0))
+    {
+        broken.push_back("load was never shared, or demand never divided: the run is no test of them");
+    }
     for (const std::string& line : broken)
     {
         fmt::print("BROKEN seed {}: {}; logs in {}\n", plan.Seed, line, result->Folder);
--- a/bench/soak.h
+++ b/bench/soak.h
@@ -8,7 +8,12 @@
 // - the store refuses calls, leaves them unanswered and drops its history;
 // - targets send wrong answers or none, drain, lose their entries, turn cold, limit or refuse requests, and restart under the same id;
 // - requests crash the targets that run them;
-// - target entries are overwritten with invalid ones, data centres are evacuated, configurations change singly and in bursts.
+// - target entries are overwritten with invalid ones, data centres are evacuated, configurations change singly and in bursts;
+// - a neighbour tells instances of free slots that don't exist, and takes offers that it never uses;
+// - instances are paused many times for moments, so that what they tell is old, and cut off from the datagrams of the others;
+// - demand moves from one data centre to the other, while instances there are killed.
+//
+// One data centre has most of the callers and a quarter of the targets, so that instances share load and divide demand.
 //
 // soak_audit.h declares the checks. Only processes that the soak started are killed.
 //
@@ -19,6 +24,7 @@
 
 #pragma once
 
+#include "datagram_link.h"
 #include "process.h"
 #include "proxy.h"
 #include "soak_audit.h"
@@ -52,11 +58,23 @@
     int BatchCallers = 3; // Callers that pipeline requests, in addition to Callers.
 };
 
+// What instances counted while they shared load and divided demand; up to CountLoadUs before the end of a process is missing.
+struct SoakLoadCounts
+{
+    uint64_t Asks = 0;
+    uint64_t Told = 0;    // Offers and answers sent.
+    uint64_t Taken = 0;   // Reports taken, lies included.
+    uint64_t Crossed = 0; // Requests for which another data centre was picked.
+    uint64_t Lies = 0;    // Datagrams of the lying neighbour,
+    uint64_t Stolen = 0;  // and the offers and answers that it got.
+};
+
 struct SoakResult
 {
     SoakLog Log;
     std::string Folder;               // Settings and logs of the instances.
     std::map<std::string, int> Drawn; // Number of faults, by name.
+    SoakLoadCounts Load;
 };
 
 // Runs one seed. No result if the folder can't be created or the store can't listen.
@@ -67,6 +85,9 @@
 //-----------------------------------------------------------------------------
 
 inline constexpr TimeUs SoakGraceUs = 4 * UsPerSecond;     // Grace time of stopped instances.
+inline constexpr TimeUs CountLoadUs = 250 * UsPerMs;       // Time between two readings of the counters.
+inline constexpr double SoakRetryShare = 0.2;              // Of the settings at the start.
+inline constexpr int64_t SoakDemandPercent = 65;           // Share of the callers in dc-0, while it is not moved.
 inline constexpr const char* SoakCrashPrefix = "/a/ends-"; // Prefix of the paths whose requests crash the target that runs them.
 
 struct SoakInstance
@@ -75,13 +96,17 @@
     std::string Folder; // Holds its settings and log.
     std::string CallerAddress;
     std::string PeerAddress;
+    std::string MetricsAddress;
+    int DatagramPort = 0; // Another one than that of the soak: cut off from the datagrams of the others.
+    bool Deaf = false;    // Is to be cut off from them at its next start.
     Proxy ToStore;
-    pid_t Pid = -1;                        // -1: not running.
-    bool Ending = false;                   // The soak has killed or stopped it.
-    bool Leaving = false;                  // Gets no new requests from callers.
-    size_t Trouble = 0;                    // Index in Log.Disruptions of its open disruption plus one; 0: none.
-    ProxyMode_ ToTargets = ProxyMode_Good; // State of its links to all targets.
-    Timer Next;                            // Pending restart, resume, reconnection, or kill after the grace time.
+    pid_t Pid = -1;                         // -1: not running.
+    bool Ending = false;                    // The soak has killed or stopped it.
+    bool Leaving = false;                   // Gets no new requests from callers.
+    size_t Trouble = 0;                     // Index in Log.Disruptions of its open disruption plus one; 0: none.
+    ProxyMode_ ToTargets = ProxyMode_Good;  // State of its links to all targets.
+    Timer Next;                             // Pending restart, resume, reconnection, or kill after the grace time.
+    std::map<std::string, uint64_t> Counts; // Last values of its counters.
 };
 
 struct SoakTarget
@@ -90,6 +115,7 @@
     Proxy Before;
     std::string Service;
     std::string Zone;
+    uint64_t Born = 0;  // See UsersStoreTarget().
     bool Listed = true; // Its entry belongs in the store, even while a fault removes it for a time.
     bool Down = false;  // Stopped or crashed; restarts under the same id.
     Timer Next;
@@ -103,10 +129,16 @@
     Random SignalsRng; // For soak_spared.cpp, so that its draws don't shift those of Rng.
     Random CutsRng;    // For soak_cuts.cpp, so that its draws don't shift those of Rng.
     Random CrashesRng; // For soak_ends.cpp, so that its draws don't shift those of Rng.
+    Random LoadRng;    // For soak_load.cpp, so that its draws don't shift those of Rng.
     UsersStore Store;
     std::vector<std::unique_ptr<SoakInstance>> Instances;
     std::vector<std::unique_ptr<SoakTarget>> Targets; // Never shrinks: the audit needs the requests of stopped targets too.
     Client Callers;
+    Client Counters; // Reads the counters of instances.
+    DatagramLink Liar;
+    bool Lying = false;
+    int64_t DemandPercent = SoakDemandPercent; // Share of the callers in dc-0.
+    SoakLoadCounts Load;
     SoakLog Log;
     SoakPlan Plan;
     std::string Folder;   // Holds the instances' folders.
@@ -133,9 +165,10 @@
 size_t BeginDisruption(Soak* soak, int instance, bool planned);
 void EndDisruption(Soak* soak, size_t* index);
 
+std::string DataCentreOf(const SoakInstance& instance);
 void WriteSettings(const Soak& soak, const SoakInstance& instance, double retry_share);
 void StartInstance(Soak* soak, SoakInstance* instance);
-SoakTarget* AddTarget(Soak* soak, const std::string& service);
+SoakTarget* AddTarget(Soak* soak, const std::string& service, const std::string& data_centre);
 
 // Starts a new process of the target under the same id at another address; `born`: see UsersStoreTarget().
 SoakTarget* StartAgain(Soak* soak, const SoakTarget& former, uint64_t born);
@@ -143,7 +176,7 @@
 // Publishes the next configuration.
 void Configure(Soak* soak);
 
-// A random running instance that takes new callers; null if there is none.
+// A random running instance that takes new callers, of a data centre drawn by DemandPercent if it has one; null if there is none.
 SoakInstance* PickInstance(Soak* soak);
 
 // A request of random kind to the instance, with the current time; not logged yet.
@@ -171,12 +204,24 @@
 // Cuts instances off from all targets, while Striking is set.
 void InjectCuts(Soak* soak);
 
+// Starts the lying neighbour and reads the counters of instances; false if the neighbour can't bind its address.
+bool StartLoadParts(Soak* soak);
+
+// Injects lies, brief pauses, cuts from datagrams and moves of the demand, while Striking is set.
+void InjectLoadFaults(Soak* soak);
+
 // Applies the cuts that are in force to a new target.
 void ApplyCuts(Soak* soak, SoakTarget* target);
 
 // IP from which the instance connects to targets, in host byte order.
 uint32_t SourceIpOf(const SoakInstance& instance);
 
+// Kills an instance; it restarts.
+void KillInstance(Soak* soak, SoakInstance* instance);
+
+// Stops an instance as a planned stop does; it restarts.
+void StopInstance(Soak* soak, SoakInstance* instance);
+
 // Polls for instances that have exited, logs unexpected exits, and restarts all of them after a delay.
 void Reap(Soak* soak);
 
--- a/bench/soak_faults.cpp
+++ b/bench/soak_faults.cpp
@@ -26,7 +26,7 @@
     instance->Next = TimerStart(&soak->Loop, delay, [soak, instance]() { StartInstance(soak, instance); });
 }
 
-static void KillInstance(Soak* soak, SoakInstance* instance)
+void KillInstance(Soak* soak, SoakInstance* instance)
 {
     EndDisruption(soak, &instance->Trouble);
     instance->Trouble = BeginDisruption(soak, instance->Index, false);
@@ -47,7 +47,7 @@
                                 });
 }
 
-static void StopInstance(Soak* soak, SoakInstance* instance)
+void StopInstance(Soak* soak, SoakInstance* instance)
 {
     instance->Trouble = BeginDisruption(soak, instance->Index, true);
     instance->Ending = true;
@@ -149,7 +149,7 @@
 static void Drain(Soak* soak, SoakTarget* target)
 {
     const std::string id = target->Part.Id;
-    AddTarget(soak, target->Service);
+    AddTarget(soak, target->Service, target->Zone);
     UsersStoreTarget(&soak->Store, id, target->Service, target->Before.Address, target->Zone, true);
     soak->Log.Drains.push_back({id, NowUs()});
     target->Listed = false;
@@ -175,8 +175,8 @@
     const std::string before = target->Before.Address;
     UsersTargetStop(&target->Part);
     UnlistTarget(soak, target);
-    SoakTarget* next = AddTarget(soak, target->Service == "svc" ? "other" : "svc");
-    AddTarget(soak, target->Service);
+    SoakTarget* next = AddTarget(soak, target->Service == "svc" ? "other" : "svc", target->Zone);
+    AddTarget(soak, target->Service, target->Zone);
     target->Before.Server = next->Part.Address; // The old address now leads to the new target.
 }
 
--- a/bench/soak_parts.cpp
+++ b/bench/soak_parts.cpp
@@ -56,16 +56,22 @@
     return instance.Folder + "/settings.json";
 }
 
+std::string DataCentreOf(const SoakInstance& instance)
+{
+    return fmt::format("dc-{}", instance.Index % 2);
+}
+
 void WriteSettings(const Soak& soak, const SoakInstance& instance, double retry_share)
 {
     Settings settings;
     settings.Instance = fmt::format("i{}", instance.Index);
-    settings.DataCentre = fmt::format("dc-{}", instance.Index % 2);
+    settings.DataCentre = DataCentreOf(instance);
     settings.CallerAddress = instance.CallerAddress;
     settings.ReadyAddress = FreeLoopback();
     settings.PeerAddress = instance.PeerAddress;
     settings.SourceIp = instance.PeerAddress.substr(0, instance.PeerAddress.rfind(':'));
-    settings.DatagramPort = soak.DatagramPort;
+    settings.DatagramPort = instance.DatagramPort;
+    settings.MetricsAddress = instance.MetricsAddress;
     settings.StoreAddress = instance.ToStore.Address;
     settings.GraceUs = SoakGraceUs;
     settings.RetryShare = retry_share;
@@ -78,6 +84,12 @@
 
 void StartInstance(Soak* soak, SoakInstance* instance)
 {
+    const bool deaf = instance->DatagramPort != soak->DatagramPort;
+    if (deaf != instance->Deaf)
+    {
+        instance->DatagramPort = instance->Deaf ? ParseEndpoint(FreeLoopback()).value().Port : soak->DatagramPort;
+        WriteSettings(*soak, *instance, SoakRetryShare);
+    }
     instance->Pid = StartProcess({soak->Plan.Program, "gateway", "--settings", SettingsFile(*instance)}, instance->Folder + "/log", {});
     instance->Ending = false;
     instance->Leaving = false;
@@ -90,6 +102,7 @@
     SoakTarget* target = soak->Targets.back().get();
     target->Service = service;
     target->Zone = zone;
+    target->Born = born;
     target->Part.WorkUs = 15 * UsPerMs;
     target->Part.CrashPrefix = SoakCrashPrefix;
     UsersTargetStart(&target->Part, &soak->Loop, id, FreeLoopback());
@@ -99,10 +112,10 @@
     return target;
 }
 
-SoakTarget* AddTarget(Soak* soak, const std::string& service)
+SoakTarget* AddTarget(Soak* soak, const std::string& service, const std::string& data_centre)
 {
     const int number = ++soak->LastTarget;
-    SoakTarget* target = StartTarget(soak, fmt::format("t{}", number), service, fmt::format("dc-{}", number % 2), 0);
+    SoakTarget* target = StartTarget(soak, fmt::format("t{}", number), service, data_centre, 0);
     target->Part.ResetsWhenFull = number % 3 == 0;
     return target;
 }
@@ -142,16 +155,27 @@
 // [SECTION] Callers
 //-----------------------------------------------------------------------------
 
-SoakInstance* PickInstance(Soak* soak)
+static std::vector<SoakInstance*> OpenInstances(const Soak& soak, const std::string& data_centre)
 {
     std::vector<SoakInstance*> open;
-    for (const auto& instance : soak->Instances)
+    for (const auto& instance : soak.Instances)
     {
-        if (instance->Pid > 0 && !instance->Leaving)
+        if (instance->Pid > 0 && !instance->Leaving && DataCentreOf(*instance) == data_centre)
         {
             open.push_back(instance.get());
         }
     }
+    return open;
+}
+
+SoakInstance* PickInstance(Soak* soak)
+{
+    const std::string drawn = Between(soak, 1, 100) <= soak->DemandPercent ? "dc-0" : "dc-1";
+    std::vector<SoakInstance*> open = OpenInstances(*soak, drawn);
+    if (open.empty())
+    {
+        open = OpenInstances(*soak, drawn == "dc-0" ? "dc-1" : "dc-0");
+    }
     return open.empty() ? nullptr : open[static_cast<size_t>(Between(soak, 0, static_cast<int64_t>(open.size()) - 1))];
 }
 
--- a/bench/soak_spared.cpp
+++ b/bench/soak_spared.cpp
@@ -73,7 +73,7 @@
 // The target announces its drain only in its answers, as if it could not write to the store, and is removed later.
 static void AnnounceDrain(Soak* soak, SoakTarget* target)
 {
-    AddTarget(soak, target->Service);
+    AddTarget(soak, target->Service, target->Zone);
     target->Part.Says = {{"Server-Leaving", "1"}};
     soak->Log.AnnouncedDrains.push_back({target->Part.Id, NowUs()});
     Later(soak, DrawTimeWithSignalsRng(soak, 3000, 6000),
