An unknown route is not final while the store is away: 503 (code 2020) in place of 404

A route may be newer than the plan of an instance that has lost the store; 404 told the caller never to come back. As with keys (KeyNotLearnt), such a path now gets 503 with Retry-After, so that the caller tries again, perhaps through an instance that knows it. A peer that answers so to a request handed on counts as one that couldn't take it, as with NoRoute.

Price: while the store is away, paths that never existed get 503 too.

Test first: GatewayFaultsTest::AnUnknownRouteIsNotFinalWhileTheStoreIsAway failed with 404, passes now; removed and never known paths are 404 in it while the store is reachable.

--- a/requests/forward.cpp
+++ b/requests/forward.cpp
@@ -422,13 +422,25 @@
     }
 }
 
+static void RefuseWithoutRoute(const CallPtr& call)
+{
+    const Forwarder* forwarder = call->Owner;
+    if (forwarder->Directory.StoreUnavailable)
+    {
+        // The route may be newer than this instance's plan. The caller should retry, as another instance may know it.
+        EndCallWith(call, Code_RouteNotLearnt, call->Inbound->Target, forwarder->Config.EmptyRetryUs);
+        return;
+    }
+    EndCallWith(call, Code_NoRoute, call->Inbound->Target);
+}
+
 static void MatchRoute(const CallPtr& call)
 {
     NoteData(call.get());
     call->MatchedRoute = FindRoute(*call->Plan, HeaderOr(*call->Inbound, "Host", ""), call->Inbound->Target);
     if (call->MatchedRoute == nullptr)
     {
-        EndCallWith(call, Code_NoRoute, call->Inbound->Target);
+        RefuseWithoutRoute(call);
         return;
     }
     call->Retryable = MayRetry(*call->MatchedRoute, call->Inbound->Method);
--- a/requests/handoff.cpp
+++ b/requests/handoff.cpp
@@ -222,6 +222,7 @@
     {
     case Code_NoTable:
     case Code_NoRoute:
+    case Code_RouteNotLearnt:
     case Code_RowLimit:
     case Code_KeyNotLearnt:
     case Code_KeyUnknown:
--- a/tests/gateway_faults_test.cpp
+++ b/tests/gateway_faults_test.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(UsesMissingTargetsLastUntilTheyExpire);
     CPPUNIT_TEST(RemovesMissingTargetsWhenTheyExpire);
     CPPUNIT_TEST(AFullReadKeepsTargetsDraining);
+    CPPUNIT_TEST(AnUnknownRouteIsNotFinalWhileTheStoreIsAway);
     CPPUNIT_TEST(TargetsWithLapsedEntriesRecover);
     CPPUNIT_TEST(DetectsASilentStore);
     CPPUNIT_TEST(DetectsRemovalsThatThePollMissed);
@@ -460,6 +461,44 @@
         CPPUNIT_ASSERT_EQUAL(int(Presence_Draining), int(known.at("t1").Presence));
     }
 
+    // 404 is final to callers, though the route may be newer than the plan of an instance that has lost the store.
+    void AnUnknownRouteIsNotFinalWhileTheStoreIsAway()
+    {
+        Rig rig;
+        RigTarget(&rig, "t1");
+        UsersRoute former;
+        former.Name = "former";
+        former.Prefix = "/former/";
+        RigConfigure(&rig, {UsersRoute(), former});
+        const Gateway& instance = RigInstance(&rig, 1);
+        RigConfigure(&rig, {UsersRoute()});
+        CPPUNIT_ASSERT(RigRunUntil(&rig, [&]() { return instance.Requests.Plan->Version == 2; }));
+        const auto ask = [&](const std::string& path)
+        {
+            RigCall call;
+            call.Target = path;
+            return RigSendAndWait(&rig, instance, call).Answer;
+        };
+        CPPUNIT_ASSERT_EQUAL(404, ask("/former/1").Status);
+        CPPUNIT_ASSERT_EQUAL(404, ask("/never/1").Status);
+        UsersStoreSetMode(&rig.Store, StoreMode_Refusing);
+        CPPUNIT_ASSERT(RigRunUntil(&rig, [&]() { return instance.Requests.Directory.StoreUnavailable; }));
+        UsersRoute added;
+        added.Name = "added";
+        added.Prefix = "/added/";
+        RigConfigure(&rig, {UsersRoute(), added});
+        const ClientAnswer unknown = ask("/added/1");
+        CPPUNIT_ASSERT_EQUAL(503, unknown.Status);
+        CPPUNIT_ASSERT_EQUAL(std::to_string(Code_RouteNotLearnt), *FindHeader(unknown.Headers, HeaderCode));
+        CPPUNIT_ASSERT(FindHeader(unknown.Headers, "Retry-After") != nullptr);
+        CPPUNIT_ASSERT_EQUAL(200, ask("/a/1").Status);
+        UsersStoreSetMode(&rig.Store, StoreMode_Good);
+        CPPUNIT_ASSERT(RigRunUntil(&rig, [&]() { return instance.Requests.Plan->Version == 3; }));
+        CPPUNIT_ASSERT_EQUAL(200, ask("/added/1").Status);
+        CPPUNIT_ASSERT_EQUAL(404, ask("/former/1").Status);
+        CPPUNIT_ASSERT_EQUAL(404, ask("/never/1").Status);
+    }
+
     void TargetsWithLapsedEntriesRecover()
     {
         Rig rig;
--- a/winchlink.h
+++ b/winchlink.h
@@ -105,6 +105,7 @@
     Code_TargetsLimited = 2017,
     Code_TargetsUnreachable = 2018,
     Code_HandoffRefused = 2019,
+    Code_RouteNotLearnt = 2020,
 
     Code_OutcomeUnknown = 2101,
     Code_DeadlinePassed = 2102,
