Soak: dates of arrivals and of repaired entries are the true ones

The logs: i0 was refused at 56:03.1192 with 1 s of rest and asked the target again at 56:04.1192 or later, where it was refused at 56:04.1302: the end of its own backoff. The soak dated an arrival by its next look at the target, every 10 ms and later when it is busy; an arrival that was dated late and three that were dated at once seem nearer to each other than they were. Now each arrival has the time at which the target read it.

No check or bound changes; times are nearer to the truth.

--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -34,7 +34,7 @@
     return -1;
 }
 
-// Copies new requests of the targets to the log every 10 ms, with the current time as time of arrival.
+// Copies new requests of the targets to the log every 10 ms.
 static void CollectArrivals(Soak* soak)
 {
     for (const auto& target : soak->Targets)
@@ -43,8 +43,8 @@
         for (; target->Counted < saw.size(); target->Counted++)
         {
             const ReceivedRequest& one = saw[target->Counted];
-            soak->Log.Arrivals.push_back(
-                {one.Id, target->Part.Id, target->Service, InstanceAt(*soak, one.From), NowUs(), false, target->Zone});
+            soak->Log.Arrivals.push_back({one.Id, target->Part.Id, target->Service, InstanceAt(*soak, one.From),
+                                          target->Part.Arrivals[target->Counted], false, target->Zone});
         }
     }
     Later(soak, 10 * UsPerMs, [soak]() { CollectArrivals(soak); });
--- a/bench/soak_ends.cpp
+++ b/bench/soak_ends.cpp
@@ -164,7 +164,8 @@
             ++spoilt;
             continue;
         }
-        soak->Log.Drains[spoilt->second].UntilUs = NowUs();
+        // Dated by the store: instances may know it before this look.
+        soak->Log.Drains[spoilt->second].UntilUs = item != soak->Store.Items.end() ? item->second.AtUs : NowUs();
         spoilt = soak->Spoilt.erase(spoilt);
     }
 }
--- a/bench/users_store.cpp
+++ b/bench/users_store.cpp
@@ -8,6 +8,7 @@
 
 #include "users_store.h"
 
+#include "clock.h"
 #include "winchlink_internal.h"
 
 #include <fmt/format.h>
@@ -282,6 +283,7 @@
 static void PutItem(UsersStore* store, UsersItem item)
 {
     item.Revision = ++store->Revision;
+    item.AtUs = NowUs();
     store->Items[item.Key] = item;
     store->History.push_back({item, false});
     WakeWaits(store);
@@ -289,12 +291,12 @@
 
 void UsersStorePut(UsersStore* store, const std::string& key, const std::string& value)
 {
-    PutItem(store, {key, value, "", 0});
+    PutItem(store, {key, value, "", 0, 0});
 }
 
 void UsersStorePutForeign(UsersStore* store, const std::string& key, const std::string& json)
 {
-    PutItem(store, {key, "", json, 0});
+    PutItem(store, {key, "", json, 0, 0});
 }
 
 void UsersStorePutRow(UsersStore* store, const ServiceRow& row)
@@ -305,7 +307,7 @@
 void UsersStoreRemove(UsersStore* store, const std::string& key)
 {
     store->Items.erase(key);
-    store->History.push_back({{key, "", "", ++store->Revision}, true});
+    store->History.push_back({{key, "", "", ++store->Revision, 0}, true});
     WakeWaits(store);
 }
 
--- a/bench/users_store.h
+++ b/bench/users_store.h
@@ -37,6 +37,7 @@
     std::string Value;
     std::string Foreign; // If not empty: JSON that is sent in place of the formatted item.
     uint64_t Revision = 0;
+    TimeUs AtUs = 0; // Time at which it was stored.
 };
 
 // An entry of the history: a change or, if Gone, a deletion.
--- a/bench/users_target.cpp
+++ b/bench/users_target.cpp
@@ -388,6 +388,7 @@
     {
         target->Script.pop_front();
         target->Saw.push_back(request);
+        target->Arrivals.push_back(NowUs());
         read.erase(0, end + 4);
         connection->SkipBytes = length;
         Write(*connection, CompleteAnswer(AnswerHead(*target, 400, request.Id, SignatureLine(*target, request)), "too long"));
