--- a/gateway/client.cpp
+++ b/gateway/client.cpp
@@ -58,6 +58,10 @@
 static int OnBeforeSend(void* user, char*, char*, int, int)
 {
     auto* call = static_cast<ClientCall*>(user);
+    if (call->Answer.NewConnection && call->Request.OnAccepted)
+    {
+        call->Request.OnAccepted();
+    }
     if (call->Sent)
     {
         call->ClosedUnanswered = true;
--- a/gateway/client.h
+++ b/gateway/client.h
@@ -38,6 +38,9 @@
 
     // Called if there is no complete answer after TimeoutUs and ListenUs is set. May be empty.
     std::function<void()> OnLate;
+
+    // Called once the server has accepted a new connection for the request. It must not send or cancel requests. May be empty.
+    std::function<void()> OnAccepted;
 };
 
 enum ClientEnd_ : int
--- a/winchlink_path.cpp
+++ b/winchlink_path.cpp
@@ -70,11 +70,18 @@
     ChangeState(path, TargetPathState_Lost, now);
 }
 
+// Time at which the path was last seen: contacts begun before say nothing of it.
+static TimeUs ShownUs(const TargetPath& path)
+{
+    return std::max(path.AnsweredUs, path.AcceptedUs);
+}
+
 static bool OnAnswer(TargetPath* path, TimeUs now)
 {
     path->Counts = {};
     path->Failed.clear();
     path->AnsweredUs = now;
+    path->AcceptedFirstUs = 0;
     if (path->State != TargetPathState_Lost)
     {
         return false;
@@ -119,9 +126,44 @@
     return end == ContactEnd_Answered ? OnAnswer(path, now) : OnFailure(path, target, end, targets, now);
 }
 
+void TargetPathAccepted(TargetPath* path, TimeUs now)
+{
+    path->AcceptedFirstUs = path->AcceptedFirstUs > 0 ? path->AcceptedFirstUs : now;
+    const bool refused = path->Counts[ContactEnd_Refused] + path->Counts[ContactEnd_Reset] > 0;
+    if (path->State == TargetPathState_Lost || refused || now >= path->AcceptedFirstUs + path->Config.AcceptedUs)
+    {
+        return;
+    }
+    path->Counts = {};
+    path->Failed.clear();
+    path->AcceptedUs = now;
+}
+
+int TargetPathLateChecks(TargetPath* path, TimeUs now)
+{
+    const int unanswered = path->Counts[ContactEnd_Late] + path->Counts[ContactEnd_Silent];
+    const bool again = path->LateCheckedUs == 0 || now >= path->LateCheckedUs + path->Config.LateCheckUs;
+    if (path->State == TargetPathState_Lost || unanswered < path->Config.LateMin || !again)
+    {
+        return 0;
+    }
+    path->LateCheckedUs = now;
+    return path->Config.LateChecks;
+}
+
+bool TargetPathLateChecked(TargetPath* path, const std::string& target, ContactEnd_ end, TimeUs begun, size_t targets, TimeUs now)
+{
+    if (end != ContactEnd_Answered && begun < ShownUs(*path))
+    {
+        path->Contacts[end]++;
+        return false;
+    }
+    return TargetPathContact(path, target, end, targets, now);
+}
+
 bool TargetPathLate(TargetPath* path, const std::string& target, TimeUs begun, size_t targets, TimeUs now)
 {
-    if (begun < path->AnsweredUs)
+    if (begun < ShownUs(*path))
     {
         path->Contacts[ContactEnd_Late]++;
         return false;
@@ -131,7 +173,7 @@
 
 bool TargetPathLateEnded(TargetPath* path, const std::string& target, ContactEnd_ end, TimeUs begun, size_t targets, TimeUs now)
 {
-    const bool counted = begun >= path->AnsweredUs;
+    const bool counted = begun >= ShownUs(*path);
     if (!counted && end != ContactEnd_Answered)
     {
         path->Contacts[end]++;
@@ -145,7 +187,7 @@
         return true;
     }
     int* late = &path->Counts[ContactEnd_Late];
-    *late = std::max(*late - 1, 0); // TargetPathNewTarget() may have cleared it.
+    *late = std::max(*late - 1, 0); // Counts may have been cleared since.
     return TargetPathContact(path, target, end, targets, now);
 }
 
