--- a/gateway/client.cpp
+++ b/gateway/client.cpp
@@ -58,10 +58,6 @@
 static int OnBeforeSend(void* user, char*, char*, int, int)
 {
     auto* call = static_cast<ClientCall*>(user);
-    if (call->Answer.NewConnection && call->Request.OnAccepted)
-    {
-        call->Request.OnAccepted();
-    }
     if (call->Sent)
     {
         call->ClosedUnanswered = true;
@@ -128,6 +124,10 @@
 {
     auto* call = static_cast<ClientCall*>(user);
     const size_t length = size * count;
+    if (call->Owner->Link != nullptr)
+    {
+        OwnLinkReceived(call->Owner->Link, length, NowUs());
+    }
     call->TooLarge = call->Answer.Body.size() + length > call->Request.MaxAnswerBytes;
     if (call->TooLarge)
     {
--- a/gateway/client.h
+++ b/gateway/client.h
@@ -38,9 +38,6 @@
 
     // Called if there is no complete answer after TimeoutUs and ListenUs is set. May be empty.
     std::function<void()> OnLate;
-
-    // Called once the server has accepted a new connection for the request. It must not send or cancel requests. May be empty.
-    std::function<void()> OnAccepted;
 };
 
 enum ClientEnd_ : int
@@ -76,6 +73,7 @@
     EventLoop* Loop = nullptr;
     CURLM* Multi = nullptr;
     Timer Timeout;                                         // Next timeout requested by libcurl.
+    OwnLink* Link = nullptr;                               // Told of the bytes of answers; may be null.
     std::string SourceIp;                                  // IP from which connections are opened; empty: chosen by the system.
     std::map<curl_socket_t, Watch> Sockets;                // Sockets watched for libcurl.
     std::map<uint64_t, std::unique_ptr<ClientCall>> Calls; // In flight, by id.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -32,6 +32,7 @@
 static constexpr TimeUs KeepAcceptingUs = 3 * UsPerSecond; // After the stop signal; covers two failed readiness checks of 1 s.
 static constexpr TimeUs PendingConnectUs = 200 * UsPerMs;  // Time for handshakes in progress once new connections are ignored.
 static constexpr TimeUs StopMarginUs = 300 * UsPerMs;      // The instance exits this long before the end of the grace time.
+static constexpr double BytesPerSOfMbps = 1e6 / 8;
 
 //-----------------------------------------------------------------------------
 // [SECTION] Following the store
@@ -539,6 +540,7 @@
     gateway->Requests.Quotas.Config.WindowUs = settings.QuotaWindowUs;
     gateway->Requests.Quotas.Config.Overage = settings.QuotaOverage;
     gateway->Requests.Quotas.Config.Slack = settings.QuotaSlack;
+    gateway->Requests.Link.BytesPerS = settings.LinkMbps * BytesPerSOfMbps;
     UpdateQuotaRole(gateway);
     gateway->Requests.DataCentre = settings.DataCentre;
     gateway->Config.ShareLoad = settings.ShareLoad;
@@ -626,6 +628,11 @@
     requests.Loop = gateway->Loop;
     requests.StartedUs = gateway->StartedUs;
     requests.Targets = &gateway->Targets;
+    gateway->Targets.Link = &requests.Link;
+    gateway->Control.Link = &requests.Link;
+    gateway->PeerCalls.Link = &requests.Link;
+    gateway->Callers.Link = &requests.Link;
+    gateway->Peers.Server.Link = &requests.Link;
     requests.Rng = &gateway->Rng;
     ApplySettings(gateway, settings);
     ListenerConfig callers;
--- a/gateway/listener.h
+++ b/gateway/listener.h
@@ -85,6 +85,7 @@
     ListenerConfig Config;
     EventLoop* Loop = nullptr;
     ExchangeHandler Handler;
+    OwnLink* Link = nullptr; // Told of the bytes of answers; may be null.
     int Socket = -1;
     Watch AcceptWatch;                                                    // Watches Socket for connections to accept.
     Timer AcceptPause;                                                    // Set while accepting is paused after an error.
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -31,6 +31,7 @@
     TimeUs QuotaWindowUs = 5 * UsPerSecond;  // Window in which customers' requests are counted.
     double QuotaOverage = 0.25;              // Share of its quota by which a customer may exceed it in a window.
     double QuotaSlack = 20;                  // Requests by which a customer may exceed its quota in a window, in addition.
+    double LinkMbps = 0;                     // Bandwidth of the machine's link; 0: unknown.
     bool ShareLoad = true;                   // Instances share load reports, if there are a datagram port and a peer address.
     bool DivideLoad = true;                  // Requests go to other data centres that have more room; needs ShareLoad.
     LogLevel_ Level = LogLevel_Info;         // Minimum level of log lines.
--- a/requests/attempt.cpp
+++ b/requests/attempt.cpp
@@ -410,10 +410,6 @@
         const bool usable = found != nullptr && PoolMayUse(*found, NowUs());
         return !call->Ended && LeftUs(*call, NowUs()) > 0 && usable && !IsQuarantined(call.get()) && IsKeyValid(*call);
     };
-    request.OnAccepted = [call]()
-    {
-        NoteAccepted(call->Service);
-    };
     request.AcceptsHeaders = [call](const std::vector<Header>& headers)
     {
         const std::string* id = FindHeader(headers, call->Owner->Names.RequestId);
--- a/requests/call.h
+++ b/requests/call.h
@@ -209,9 +209,6 @@
 void NoteLate(Forwarder* forwarder, ServiceState* service, const std::string& target, TimeUs begun);
 void NoteLateEnded(Forwarder* forwarder, ServiceState* service, const std::string& target, ContactEnd_ end, TimeUs begun);
 
-// Records that a target of the service has accepted a new connection.
-void NoteAccepted(ServiceState* service);
-
 // Records an attempt that was not answered in time, for the path and for the request.
 void NoteUnanswered(Call* call, const Attempt& attempt);
 
--- a/requests/caller_connection.cpp
+++ b/requests/caller_connection.cpp
@@ -292,7 +292,7 @@
 }
 
 // Sends as much of the output as the socket takes. False if the caller has disconnected.
-static bool Write(CallerConnection* connection)
+static bool Write(const Listener& listener, CallerConnection* connection)
 {
     while (connection->Written < connection->Output.size())
     {
@@ -304,6 +304,10 @@
         }
         connection->Written += static_cast<size_t>(sent);
         connection->ActiveUs = NowUs();
+        if (listener.Link != nullptr)
+        {
+            OwnLinkSent(listener.Link, static_cast<size_t>(sent), connection->ActiveUs);
+        }
     }
     connection->Output = std::string(); // Frees the memory of large answers; clear() would keep it.
     connection->Written = 0;
@@ -337,7 +341,7 @@
     {
         WriteAnswers(connection);
     } while (StartLatest(listener, connection) || ReadNext(listener, connection));
-    if (!Write(connection))
+    if (!Write(*listener, connection))
     {
         ConnectionClose(listener, id);
         return;
--- a/requests/choose.cpp
+++ b/requests/choose.cpp
@@ -251,10 +251,6 @@
     {
         OnProbeLate(forwarder, service, probe.get());
     };
-    request.OnAccepted = [service]()
-    {
-        NoteAccepted(service);
-    };
     const std::string id_header = forwarder->Names.TargetId;
     // The late answer to a cancelled request may arrive on this connection instead; it lacks this header.
     request.AcceptsHeaders = [id_header](const std::vector<Header>& headers)
--- a/requests/forward.h
+++ b/requests/forward.h
@@ -93,6 +93,7 @@
     std::string DataCentre; // Data centre of this instance.
     EventLoop* Loop = nullptr;
     Client* Targets = nullptr;
+    OwnLink Link; // What the link of this instance's machine carries.
     Random* Rng = nullptr;
     RoutePlanPtr Plan;                            // Null until the first plan.
     TimeUs StartedUs = 0;                         // Time at which this instance began to accept requests.
--- a/requests/target_path.cpp
+++ b/requests/target_path.cpp
@@ -59,14 +59,13 @@
     return drawn.empty() ? nullptr : drawn[std::uniform_int_distribution<size_t>(0, drawn.size() - 1)(*random)];
 }
 
-// Contacts a random target on a new connection. Returns its id; empty if there is none.
-static std::string SendContact(Forwarder* forwarder, ServiceState* service, const std::vector<std::string>& except, OnContacted ended)
+bool ContactAnyTarget(Forwarder* forwarder, ServiceState* service, const std::vector<std::string>& except, OnContacted done)
 {
     const PoolTarget* target = DrawTarget(service->Pool, except, forwarder->Rng);
     const ServiceInfo* spec = forwarder->Plan ? FindService(*forwarder->Plan, service->Name) : nullptr;
     if (target == nullptr || spec == nullptr)
     {
-        return "";
+        return false;
     }
     ClientRequest request;
     request.Address = target->Address;
@@ -77,26 +76,14 @@
     {
         return probed;
     };
-    request.OnAccepted = [service]()
-    {
-        NoteAccepted(service);
-    };
-    const auto done = [id = target->Id, ended = std::move(ended)](const ClientAnswer& answer)
-    {
-        ended(id, answer.End == ClientEnd_Withheld ? ContactEnd_Answered : ContactEndOf(answer));
-    };
-    ClientSend(forwarder->Targets, std::move(request), done);
-    return target->Id;
-}
-
-bool ContactAnyTarget(Forwarder* forwarder, ServiceState* service, const std::vector<std::string>& except, OnContacted done)
-{
-    const auto ended = [forwarder, service, done = std::move(done)](const std::string& target, ContactEnd_ end)
+    const auto contacted = [forwarder, service, id = target->Id, done = std::move(done)](const ClientAnswer& answer)
     {
-        NoteContact(forwarder, service, target, end);
-        done(target, end);
+        const ContactEnd_ end = answer.End == ClientEnd_Withheld ? ContactEnd_Answered : ContactEndOf(answer);
+        NoteContact(forwarder, service, id, end);
+        done(id, end);
     };
-    return !SendContact(forwarder, service, except, ended).empty();
+    ClientSend(forwarder->Targets, std::move(request), contacted);
+    return true;
 }
 
 //-----------------------------------------------------------------------------
@@ -170,6 +157,7 @@
     const TimeUs now = NowUs();
     const ContactCounts failed = service->Path.Counts;
     const TimeUs before = service->Path.ChangedUs;
+    service->Path.LinkFullUntilUs = forwarder->Link.FullUntilUs;
     if (!record(&service->Path, now))
     {
         return;
@@ -188,27 +176,10 @@
                   [&](TargetPath* path, TimeUs now) { return TargetPathContact(path, target, end, service->Pool.Targets.size(), now); });
 }
 
-// Contacts other targets if so many contacts are late that a loss might follow.
-static void CheckLate(Forwarder* forwarder, ServiceState* service)
-{
-    std::vector<std::string> checked;
-    for (int left = TargetPathLateChecks(&service->Path, NowUs()); left > 0; left--)
-    {
-        const auto ended = [forwarder, service, begun = NowUs()](const std::string& target, ContactEnd_ end)
-        {
-            RecordContact(forwarder, service,
-                          [&](TargetPath* path, TimeUs now)
-                          { return TargetPathLateChecked(path, target, end, begun, service->Pool.Targets.size(), now); });
-        };
-        checked.push_back(SendContact(forwarder, service, checked, ended));
-    }
-}
-
 void NoteLate(Forwarder* forwarder, ServiceState* service, const std::string& target, TimeUs begun)
 {
     RecordContact(forwarder, service,
                   [&](TargetPath* path, TimeUs now) { return TargetPathLate(path, target, begun, service->Pool.Targets.size(), now); });
-    CheckLate(forwarder, service);
 }
 
 void NoteLateEnded(Forwarder* forwarder, ServiceState* service, const std::string& target, ContactEnd_ end, TimeUs begun)
@@ -218,11 +189,6 @@
                   { return TargetPathLateEnded(path, target, end, begun, service->Pool.Targets.size(), now); });
 }
 
-void NoteAccepted(ServiceState* service)
-{
-    TargetPathAccepted(&service->Path, NowUs());
-}
-
 void NoteUnanswered(Call* call, const Attempt& attempt)
 {
     const bool probed = call->Service->Pool.ReportsLoad && !call->Spec->HealthPath.empty();
--- a/winchlink.h
+++ b/winchlink.h
@@ -724,18 +724,15 @@
 // unhealthy. Contacts that failed at several different targets, with no answer from any target of the service between them, show that there
 // is none, or that all these targets are dead: only instances with a path can tell which. Targets that are full may reset connections, so
 // resets count only once no target has answered for a while. Several targets may be slow at once, so late answers are no loss until some
-// have not come at all.
-//
-// A target that accepts a new connection shows the path too: contacts begun before are late for another reason. As proxies accept without
-// reaching the target, this holds for a short time only. Once several contacts are late, some other targets are contacted on new
-// connections, so that slow targets are told from a cut before the loss would count.
+// have not come at all. While large answers fill this instance's own link, whatever it sends or is sent waits behind them: contacts that
+// are late then are no loss either, but only for a while, as a link that stays full must not hide a cut.
 //
 // The path is per service: a partition may cover the targets of one service only. A path that is back is not used for a trial period,
 // which doubles when the path is lost again soon, so that one that comes and goes does not cost a request each time.
 //
 // How to use it: TargetPathContact() for the outcome of each contact, TargetPathNow() before one is needed. While the path is not open,
-// check it by contacts every TargetPathCheckDelay(). TargetPathAccepted() for each new connection; after each late contact make those that
-// TargetPathLateChecks() asks for.
+// check it by contacts every TargetPathCheckDelay(). OwnLinkSent() and OwnLinkReceived() for the bytes of answers; copy
+// OwnLink::FullUntilUs to TargetPath::LinkFullUntilUs before a contact is recorded.
 
 // Outcome of a contact with a target.
 enum ContactEnd_ : int
@@ -767,16 +764,29 @@
 
 const char* TargetPathStateName(TargetPathState_ state);
 
+// What the link of this instance's machine carries.
+struct OwnLink
+{
+    double BytesPerS = 0;            // Bandwidth in each direction; 0: unknown, and the link never counts as full.
+    TimeUs BacklogUs = 15 * UsPerMs; // The link is full while it takes at least this long to send what is to be sent.
+    TimeUs ReceiveUs = 60 * UsPerMs; // Received bytes are averaged over this time.
+    double ReceiveShare = 0.5;       // It is full too when this share of the bandwidth is received.
+    TimeUs SentUntilUs = 0;          // When the last byte will have been sent.
+    double ReceivedBytes = 0;        // Average over ReceiveUs, at ReceivedUs.
+    TimeUs ReceivedUs = 0;           // Time when bytes were last received.
+    TimeUs FullUntilUs = 0;          // It is or was full until then; 0: never.
+};
+
+void OwnLinkSent(OwnLink* link, size_t bytes, TimeUs now);
+void OwnLinkReceived(OwnLink* link, size_t bytes, TimeUs now);
+
 struct TargetPathConfig
 {
     int CertainMin = 8;                  // Failed contacts in a row from which requests are refused without another try.
     int FailedMin = 4;                   // Failed contacts in a row, at as many different targets if the service has them, for a loss.
     int SilentMin = 2;                   // Of these, contacts that must have got no answer at all if others are late.
-    int LateMin = 2;                     // Late contacts in a row from which the path is checked on new connections.
-    int LateChecks = 2;                  // Targets that are contacted for this.
-    TimeUs LateCheckUs = 20 * UsPerMs;   // Time between two such checks.
-    TimeUs AcceptedUs = 150 * UsPerMs;   // Without an answer, accepted connections show a path for this long after the first of them.
     TimeUs ResetUs = 300 * UsPerMs;      // Resets count as failures once no target has answered for this long.
+    TimeUs LinkFullUs = 500 * UsPerMs;   // Without an answer a full link excuses late contacts for this long.
     TimeUs CheckUs = 100 * UsPerMs;      // Time between two checks while the path is not open.
     TimeUs CheckIdleUs = UsPerSecond;    // The same while no request needs the path.
     TimeUs TrialUs = 200 * UsPerMs;      // Trial period of a path that is back.
@@ -792,9 +802,8 @@
     ContactCounts Counts = {};                            // Failed contacts since the last answer, by kind.
     std::set<std::string> Failed;                         // Targets of these contacts; at most Config.FailedMin.
     TimeUs AnsweredUs = 0;                                // Time of the last answer; 0: never.
-    TimeUs AcceptedFirstUs = 0;                           // Time of the first connection accepted since then; 0: none.
-    TimeUs AcceptedUs = 0;                                // Time of the last accepted connection that has shown the path; 0: never.
-    TimeUs LateCheckedUs = 0;                             // Time of the last check because of late contacts; 0: never.
+    TimeUs LinkFullUntilUs = 0;                           // From OwnLink::FullUntilUs.
+    TimeUs ExcusedUs = 0;                                 // Time of the first excused contact since the last answer; 0: none.
     TimeUs ChangedUs = 0;                                 // Time of the last change of State; 0: never.
     TimeUs LostUs = 0;                                    // Time of the last loss; 0: never.
     TimeUs TrialUs = 0;                                   // Length of the last trial period.
@@ -806,22 +815,13 @@
 // Records the outcome of a contact with a target. `targets`: number of targets of the service. Returns true if State has changed.
 bool TargetPathContact(TargetPath* path, const std::string& target, ContactEnd_ end, size_t targets, TimeUs now);
 
-// Records that a target has accepted a new connection.
-void TargetPathAccepted(TargetPath* path, TimeUs now);
-
-// How many targets are to be contacted on new connections now, because contacts are late; at most once in Config.LateCheckUs.
-int TargetPathLateChecks(TargetPath* path, TimeUs now);
-
-// Records that a contact begun at `begun` has got no answer in time, but may still get one. Ignored if the path has been shown since then.
-// Returns true if State has changed.
+// Records that a contact begun at `begun` has got no answer in time, but may still get one. Ignored if a target has answered since then,
+// and excused if the own link was full. Returns true if State has changed.
 bool TargetPathLate(TargetPath* path, const std::string& target, TimeUs begun, size_t targets, TimeUs now);
 
 // Records the outcome of such a contact: ContactEnd_Silent if no answer has come at all. Returns true if State has changed.
 bool TargetPathLateEnded(TargetPath* path, const std::string& target, ContactEnd_ end, TimeUs begun, size_t targets, TimeUs now);
 
-// Records the outcome of a contact that TargetPathLateChecks() has asked for. Returns true if State has changed.
-bool TargetPathLateChecked(TargetPath* path, const std::string& target, ContactEnd_ end, TimeUs begun, size_t targets, TimeUs now);
-
 // Whether resets count as failures now.
 bool TargetPathResetsCount(const TargetPath& path, TimeUs now);
 
--- a/winchlink_path.cpp
+++ b/winchlink_path.cpp
@@ -2,12 +2,14 @@
 //
 // Index of this file:
 // [SECTION] Names
+// [SECTION] Own link
 // [SECTION] State
 
 #include "winchlink.h"
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace Winchlink
 {
@@ -30,6 +32,40 @@
     return names[state];
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Own link
+//-----------------------------------------------------------------------------
+
+void OwnLinkSent(OwnLink* link, size_t bytes, TimeUs now)
+{
+    if (link->BytesPerS <= 0)
+    {
+        return;
+    }
+    const double takes = static_cast<double>(bytes) / link->BytesPerS * UsPerSecond;
+    link->SentUntilUs = std::max(link->SentUntilUs, now) + static_cast<TimeUs>(takes);
+    if (link->SentUntilUs >= now + link->BacklogUs)
+    {
+        link->FullUntilUs = std::max(link->FullUntilUs, link->SentUntilUs);
+    }
+}
+
+void OwnLinkReceived(OwnLink* link, size_t bytes, TimeUs now)
+{
+    if (link->BytesPerS <= 0)
+    {
+        return;
+    }
+    const auto window = static_cast<double>(link->ReceiveUs);
+    link->ReceivedBytes *= std::exp(-static_cast<double>(now - link->ReceivedUs) / window);
+    link->ReceivedBytes += static_cast<double>(bytes);
+    link->ReceivedUs = now;
+    if (link->ReceivedBytes >= link->ReceiveShare * link->BytesPerS * window / UsPerSecond)
+    {
+        link->FullUntilUs = std::max(link->FullUntilUs, now);
+    }
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] State
 //-----------------------------------------------------------------------------
@@ -70,18 +106,12 @@
     ChangeState(path, TargetPathState_Lost, now);
 }
 
-// Time at which the path was last seen: contacts begun before say nothing of it.
-static TimeUs ShownUs(const TargetPath& path)
-{
-    return std::max(path.AnsweredUs, path.AcceptedUs);
-}
-
 static bool OnAnswer(TargetPath* path, TimeUs now)
 {
     path->Counts = {};
     path->Failed.clear();
     path->AnsweredUs = now;
-    path->AcceptedFirstUs = 0;
+    path->ExcusedUs = 0;
     if (path->State != TargetPathState_Lost)
     {
         return false;
@@ -126,44 +156,21 @@
     return end == ContactEnd_Answered ? OnAnswer(path, now) : OnFailure(path, target, end, targets, now);
 }
 
-void TargetPathAccepted(TargetPath* path, TimeUs now)
-{
-    path->AcceptedFirstUs = path->AcceptedFirstUs > 0 ? path->AcceptedFirstUs : now;
-    const bool refused = path->Counts[ContactEnd_Refused] + path->Counts[ContactEnd_Reset] > 0;
-    if (path->State == TargetPathState_Lost || refused || now >= path->AcceptedFirstUs + path->Config.AcceptedUs)
-    {
-        return;
-    }
-    path->Counts = {};
-    path->Failed.clear();
-    path->AcceptedUs = now;
-}
-
-int TargetPathLateChecks(TargetPath* path, TimeUs now)
+// Whether a late contact begun at `begun` says something of the path.
+static bool LateCounts(const TargetPath& path, TimeUs begun, TimeUs now)
 {
-    const int unanswered = path->Counts[ContactEnd_Late] + path->Counts[ContactEnd_Silent];
-    const bool again = path->LateCheckedUs == 0 || now >= path->LateCheckedUs + path->Config.LateCheckUs;
-    if (path->State == TargetPathState_Lost || unanswered < path->Config.LateMin || !again)
-    {
-        return 0;
-    }
-    path->LateCheckedUs = now;
-    return path->Config.LateChecks;
+    const bool excused = begun < path.LinkFullUntilUs && (path.ExcusedUs == 0 || now < path.ExcusedUs + path.Config.LinkFullUs);
+    return begun >= path.AnsweredUs && !excused;
 }
 
-bool TargetPathLateChecked(TargetPath* path, const std::string& target, ContactEnd_ end, TimeUs begun, size_t targets, TimeUs now)
+bool TargetPathLate(TargetPath* path, const std::string& target, TimeUs begun, size_t targets, TimeUs now)
 {
-    if (end != ContactEnd_Answered && begun < ShownUs(*path))
+    const bool counts = LateCounts(*path, begun, now);
+    if (!counts && begun >= path->AnsweredUs && path->ExcusedUs == 0)
     {
-        path->Contacts[end]++;
-        return false;
+        path->ExcusedUs = now;
     }
-    return TargetPathContact(path, target, end, targets, now);
-}
-
-bool TargetPathLate(TargetPath* path, const std::string& target, TimeUs begun, size_t targets, TimeUs now)
-{
-    if (begun < ShownUs(*path))
+    if (!counts)
     {
         path->Contacts[ContactEnd_Late]++;
         return false;
@@ -173,7 +180,7 @@
 
 bool TargetPathLateEnded(TargetPath* path, const std::string& target, ContactEnd_ end, TimeUs begun, size_t targets, TimeUs now)
 {
-    const bool counted = begun >= ShownUs(*path);
+    const bool counted = LateCounts(*path, begun, now);
     if (!counted && end != ContactEnd_Answered)
     {
         path->Contacts[end]++;
@@ -183,11 +190,12 @@
     {
         path->Contacts[end]++;
         path->AnsweredUs = now;
+        path->ExcusedUs = 0;
         TargetPathForget(path, now); // The path was there all the time: no trial.
         return true;
     }
     int* late = &path->Counts[ContactEnd_Late];
-    *late = std::max(*late - 1, 0); // Counts may have been cleared since.
+    *late = std::max(*late - 1, 0); // It may have been excused, or cleared by TargetPathNewTarget().
     return TargetPathContact(path, target, end, targets, now);
 }
 
