--- a/tests/handoff_test.cpp
+++ b/tests/handoff_test.cpp
@@ -86,6 +86,8 @@
     CPPUNIT_TEST(CallersCanNotPassRequestsOffAsHandedOn);
     CPPUNIT_TEST(ACutIsNoCrash);
     CPPUNIT_TEST(TargetsThatAreSlowAreNoLoss);
+    CPPUNIT_TEST(AFullLinkIsNoLoss);
+    CPPUNIT_TEST(AnswersAreCountedOnTheOwnLink);
     CPPUNIT_TEST(TargetsAreUsedAgainOnceThePathIsBack);
     CPPUNIT_TEST(EarlierVersionsAreNotAskedAndReadTheAnswers);
     CPPUNIT_TEST(TheStatusPageShowsThePath);
@@ -537,6 +539,38 @@
         CPPUNIT_ASSERT_EQUAL(uint64_t{0}, fleet.Parts.Instances[0]->Requests.TakenCount);
     }
 
+    // Guards against requests that are handed on because probes wait behind large answers on the own link.
+    void AFullLinkIsNoLoss()
+    {
+        PathFleet fleet(2);
+        for (const auto& link : fleet.Links)
+        {
+            link->DelayUs = 60 * UsPerMs; // Twice: beyond the time for which late answers are awaited.
+        }
+        fleet.Cut(1, ProxyMode_Delay);
+        Forwarder& requests = fleet.Parts.Instances[1]->Requests;
+        requests.Link.FullUntilUs = NowUs() + 60 * UsPerSecond;
+        const auto contacts = [&]()
+        {
+            return requests.Services.at("svc").Path.Contacts[ContactEnd_Silent];
+        };
+        const uint64_t before = contacts();
+        RigSend(&fleet.Parts, *fleet.Parts.Instances[1], RigCall());
+        CPPUNIT_ASSERT(RigRunUntil(&fleet.Parts, [&]() { return contacts() >= before + 4; }));
+        CPPUNIT_ASSERT_EQUAL(uint64_t{0}, requests.Services.at("svc").Path.Losses);
+    }
+
+    void AnswersAreCountedOnTheOwnLink()
+    {
+        PathFleet fleet(1);
+        OwnLink& link = fleet.Parts.Instances[0]->Requests.Link;
+        link = OwnLink();
+        link.BytesPerS = 1e6;
+        CPPUNIT_ASSERT_EQUAL(200, RigSendAndWait(&fleet.Parts, *fleet.Parts.Instances[0], RigCall()).Answer.Status);
+        CPPUNIT_ASSERT(link.SentUntilUs > 0);
+        CPPUNIT_ASSERT(link.ReceivedBytes > 0);
+    }
+
     void TargetsAreUsedAgainOnceThePathIsBack()
     {
         HandoffFleet fleet;
--- a/winchlink.h
+++ b/winchlink.h
@@ -786,7 +786,7 @@
     int FailedMin = 4;                   // Failed contacts in a row, at as many different targets if the service has them, for a loss.
     int SilentMin = 2;                   // Of these, contacts that must have got no answer at all if others are late.
     TimeUs ResetUs = 300 * UsPerMs;      // Resets count as failures once no target has answered for this long.
-    TimeUs LinkFullUs = 500 * UsPerMs;   // Without an answer a full link excuses late contacts for this long.
+    TimeUs LinkFullUs = UsPerSecond;     // Without an answer a full link excuses late contacts for this long.
     TimeUs CheckUs = 100 * UsPerMs;      // Time between two checks while the path is not open.
     TimeUs CheckIdleUs = UsPerSecond;    // The same while no request needs the path.
     TimeUs TrialUs = 200 * UsPerMs;      // Trial period of a path that is back.
--- a/winchlink_path.cpp
+++ b/winchlink_path.cpp
@@ -190,7 +190,6 @@
     {
         path->Contacts[end]++;
         path->AnsweredUs = now;
-        path->ExcusedUs = 0;
         TargetPathForget(path, now); // The path was there all the time: no trial.
         return true;
     }
@@ -217,6 +216,7 @@
 void TargetPathForget(TargetPath* path, TimeUs now)
 {
     TargetPathNewTarget(path);
+    path->ExcusedUs = 0;
     ChangeState(path, TargetPathState_Open, now);
 }
 
