--- a/tests/handoff_test.cpp
+++ b/tests/handoff_test.cpp
@@ -87,6 +87,8 @@
     CPPUNIT_TEST(ACutIsNoCrash);
     CPPUNIT_TEST(TargetsThatAreSlowAreNoLoss);
     CPPUNIT_TEST(ARequestWhoseProbesAreAllLateIsServedHere);
+    CPPUNIT_TEST(AnOccupiedLinkIsNoLoss);
+    CPPUNIT_TEST(AnswersAreCountedOnTheOwnLink);
     CPPUNIT_TEST(TargetsAreUsedAgainOnceThePathIsBack);
     CPPUNIT_TEST(EarlierVersionsAreNotAskedAndReadTheAnswers);
     CPPUNIT_TEST(TheStatusPageShowsThePath);
@@ -555,6 +557,40 @@
         CPPUNIT_ASSERT_EQUAL(uint64_t{0}, fleet.Parts.Instances[0]->Requests.TakenCount);
     }
 
+    // Guards against requests that are handed on because probes wait behind large answers on the own link.
+    void AnOccupiedLinkIsNoLoss()
+    {
+        PathFleet fleet(2);
+        for (const auto& link : fleet.Links)
+        {
+            link->DelayUs = 60 * UsPerMs; // Twice: beyond the time for which late answers are awaited otherwise.
+        }
+        fleet.Cut(1, ProxyMode_Delay);
+        Forwarder& requests = fleet.Parts.Instances[1]->Requests;
+        requests.Link.BytesPerS = 1e6;
+        OwnLinkSent(&requests.Link, 10 * MiB, NowUs());
+        const uint64_t before = requests.Services.at("svc").Path.Contacts[ContactEnd_Answered];
+        RigSend(&fleet.Parts, *fleet.Parts.Instances[1], RigCall());
+        const auto answered = [&]()
+        {
+            return requests.Services.at("svc").Path.Contacts[ContactEnd_Answered] > before;
+        };
+        CPPUNIT_ASSERT(RigRunUntil(&fleet.Parts, answered));
+        CPPUNIT_ASSERT_EQUAL(uint64_t{0}, requests.Services.at("svc").Path.Losses);
+        CPPUNIT_ASSERT_EQUAL(uint64_t{0}, requests.Services.at("svc").Path.Contacts[ContactEnd_Silent]);
+    }
+
+    void AnswersAreCountedOnTheOwnLink()
+    {
+        PathFleet fleet(1);
+        OwnLink& link = fleet.Parts.Instances[0]->Requests.Link;
+        link = OwnLink();
+        link.BytesPerS = 1e3;
+        CPPUNIT_ASSERT_EQUAL(200, RigSendAndWait(&fleet.Parts, *fleet.Parts.Instances[0], RigCall()).Answer.Status);
+        CPPUNIT_ASSERT(link.SentUs > 0);
+        CPPUNIT_ASSERT(link.ReceivedUs > 0);
+    }
+
     void TargetsAreUsedAgainOnceThePathIsBack()
     {
         HandoffFleet fleet;
--- a/tests/target_path_test.cpp
+++ b/tests/target_path_test.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST(APathThatIsBackIsOnTrial);
     CPPUNIT_TEST(LateContactsAreALossOnceSomeAreSilent);
     CPPUNIT_TEST(ALateAnswerFromBeforeALossEndsItWithoutATrial);
+    CPPUNIT_TEST(LargeAnswersOccupyTheLink);
+    CPPUNIT_TEST(AnOccupiedLinkIsNoExcuseForLong);
     CPPUNIT_TEST(TrialsGrowWhileLossesRepeat);
     CPPUNIT_TEST(NothingIsKnownWithoutTargets);
     CPPUNIT_TEST(TheStateFollowsTheContacts);
@@ -136,6 +138,34 @@
         CPPUNIT_ASSERT_EQUAL(TargetPathState_Trial, path.State);
     }
 
+    void LargeAnswersOccupyTheLink()
+    {
+        constexpr TimeUs now = 5 * UsPerSecond;
+        OwnLink unknown;
+        OwnLinkSent(&unknown, MiB, now);
+        OwnLinkReceived(&unknown, MiB);
+        CPPUNIT_ASSERT_EQUAL(TimeUs{0}, OwnLinkExtraUs(unknown, 0, now + UsPerSecond));
+        OwnLink link;
+        link.BytesPerS = 1e6;
+        OwnLinkSent(&link, 50000, now);
+        OwnLinkSent(&link, 50000, now); // Waits behind the first.
+        CPPUNIT_ASSERT_EQUAL(TimeUs{0}, OwnLinkExtraUs(link, 0, now));
+        CPPUNIT_ASSERT_EQUAL(30 * UsPerMs, OwnLinkExtraUs(link, 0, now + 30 * UsPerMs));
+        const TimeUs occupied = OwnLinkOccupiedUs(link, now + 90 * UsPerMs);
+        CPPUNIT_ASSERT_EQUAL(10 * UsPerMs, OwnLinkExtraUs(link, occupied, now + 200 * UsPerMs));
+        OwnLinkReceived(&link, 20000);
+        CPPUNIT_ASSERT_EQUAL(30 * UsPerMs, OwnLinkExtraUs(link, occupied, now + 200 * UsPerMs));
+    }
+
+    // Guards against a cut that is not seen while other answers keep the link occupied.
+    void AnOccupiedLinkIsNoExcuseForLong()
+    {
+        OwnLink link;
+        link.BytesPerS = 1e6;
+        OwnLinkSent(&link, 100 * MiB, 0);
+        CPPUNIT_ASSERT_EQUAL(link.ExtraMaxUs, OwnLinkExtraUs(link, 0, 60 * UsPerSecond));
+    }
+
     void TrialsGrowWhileLossesRepeat()
     {
         TargetPath path;
--- a/winchlink.h
+++ b/winchlink.h
@@ -725,13 +725,15 @@
 // unhealthy. Contacts that failed at several different targets, with no answer from any target of the service between them, show that there
 // is none, or that all these targets are dead: only instances with a path can tell which. Targets that are full may reset connections, so
 // resets count only once no target has answered for a while. Several targets may be slow at once, so late answers are no loss until some
-// have not come at all.
+// have not come at all. While large answers occupy this instance's own link, whatever it sends or is sent waits behind them: late contacts
+// are then awaited for as much longer.
 //
 // The path is per service: a partition may cover the targets of one service only. A path that is back is not used for a trial period,
 // which doubles when the path is lost again soon, so that one that comes and goes does not cost a request each time.
 //
 // How to use it: TargetPathContact() for the outcome of each contact, TargetPathNow() before one is needed. While the path is not open,
-// check it by contacts every TargetPathCheckDelay().
+// check it by contacts every TargetPathCheckDelay(). OwnLinkSent() and OwnLinkReceived() for the bytes of answers; await a late contact for
+// OwnLinkExtraUs() longer.
 
 // Outcome of a contact with a target.
 enum ContactEnd_ : int
@@ -763,6 +765,25 @@
 
 const char* TargetPathStateName(TargetPathState_ state);
 
+// What the link of this instance's machine carries, each direction by itself.
+struct OwnLink
+{
+    double BytesPerS = 0;            // Bandwidth in each direction; 0: unknown, and the link never counts as occupied.
+    TimeUs ExtraMaxUs = UsPerSecond; // Bound on OwnLinkExtraUs(): a link that stays occupied must not hide a cut.
+    TimeUs SentUntilUs = 0;          // Until then it is occupied by what was sent.
+    TimeUs SentUs = 0;               // Counter: time for which it was or will be.
+    TimeUs ReceivedUs = 0;           // Counter: time for which it was occupied by what was received.
+};
+
+void OwnLinkSent(OwnLink* link, size_t bytes, TimeUs now);
+void OwnLinkReceived(OwnLink* link, size_t bytes);
+
+// Counter: time for which the link was occupied until now, in either direction.
+TimeUs OwnLinkOccupiedUs(const OwnLink& link, TimeUs now);
+
+// How much longer the answer of a contact may take. `occupied`: OwnLinkOccupiedUs() when it was begun.
+TimeUs OwnLinkExtraUs(const OwnLink& link, TimeUs occupied, TimeUs now);
+
 struct TargetPathConfig
 {
     int CertainMin = 8;                  // Failed contacts in a row from which requests are refused without another try.
--- a/winchlink_path.cpp
+++ b/winchlink_path.cpp
@@ -2,6 +2,7 @@
 //
 // Index of this file:
 // [SECTION] Names
+// [SECTION] Own link
 // [SECTION] State
 
 #include "winchlink.h"
@@ -30,6 +31,37 @@
     return names[state];
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Own link
+//-----------------------------------------------------------------------------
+
+static TimeUs TakesUs(const OwnLink& link, size_t bytes)
+{
+    return link.BytesPerS > 0 ? static_cast<TimeUs>(static_cast<double>(bytes) / link.BytesPerS * UsPerSecond) : 0;
+}
+
+void OwnLinkSent(OwnLink* link, size_t bytes, TimeUs now)
+{
+    const TimeUs takes = TakesUs(*link, bytes);
+    link->SentUntilUs = std::max(link->SentUntilUs, now) + takes;
+    link->SentUs += takes;
+}
+
+void OwnLinkReceived(OwnLink* link, size_t bytes)
+{
+    link->ReceivedUs += TakesUs(*link, bytes);
+}
+
+TimeUs OwnLinkOccupiedUs(const OwnLink& link, TimeUs now)
+{
+    return link.SentUs - std::max<TimeUs>(link.SentUntilUs - now, 0) + link.ReceivedUs;
+}
+
+TimeUs OwnLinkExtraUs(const OwnLink& link, TimeUs occupied, TimeUs now)
+{
+    return std::min(OwnLinkOccupiedUs(link, now) - occupied, link.ExtraMaxUs);
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] State
 //-----------------------------------------------------------------------------
