Mends after the review of retries, own link and crossing

A reader who wrote none of these parts found, by small programs and added test cases: - On a link that carries small answers in every millisecond a silent contact was awaited without end (14 s at 5,000 answers/s of 500 bytes): less than 1 ms is not granted now (OwnLinkMoreUs()); the load test uses the same function. A backlog is bounded to 1 s, so that a bandwidth that is told too low leaves none; linkMbps below 0.001 is refused. - Requests were refused beside a data centre that told free targets where few targets are left at home, or all of them have young reports: what counts is whether any target is left to probe at home; before a refusal a request crosses to where free targets are told. - The least of one retry also held for hedges, which could exceed what a fleet of few requests may retry: now only retries have it. - Callers that name no deadline lost three quarters of their retries: they may use the whole budget again. Several timeouts on one route: the longest of the last one to two windows of 30 s, in place of a decay by request. A caller that is back before the least Retry-After gains nothing. - A return takes as long again as the search took; only status 503 counts as turned away. - A late report older than reports are used otherwise is not learnt, and serves no waiting request.

Open: a probe begins beside a late one of the same target (sockets on an occupied link).

--- a/gateway/client.cpp
+++ b/gateway/client.cpp
@@ -295,14 +295,13 @@
     const auto give_up = [call]()
     {
         Client* client = call->Owner;
-        const TimeUs extra = client->Link != nullptr ? OwnLinkExtraUs(*client->Link, call->LinkOccupiedUs, NowUs()) : 0;
-        if (extra <= call->ExtraUs)
+        const TimeUs more = client->Link != nullptr ? OwnLinkMoreUs(*client->Link, call->LinkOccupiedUs, call->ExtraUs, NowUs()) : 0;
+        if (more == 0)
         {
             Finish(client, call->Easy, CURLE_OPERATION_TIMEDOUT);
             return;
         }
-        const TimeUs more = extra - call->ExtraUs;
-        call->ExtraUs = extra;
+        call->ExtraUs += more;
         ListenFor(call, more);
     };
     call->ListenTimer = TimerStart(call->Owner->Loop, time, give_up);
--- a/gateway/settings.cpp
+++ b/gateway/settings.cpp
@@ -20,6 +20,7 @@
 static constexpr int PortMax = 65535;
 static constexpr TimeUs QuotaWindowMinUs = UsPerSecond; // Instances need time to exchange their counts.
 static constexpr double QuotaSlackMax = 1e6;
+static constexpr double LinkMbpsMin = 0.001;
 static constexpr double LinkMbpsMax = 1e6;
 
 static void ReadSeconds(ObjectReader* r, const char* key, TimeUs* out)
@@ -102,6 +103,10 @@
     ReadRealBetween(r, "quotaOverage", false, 0, 1, &out->QuotaOverage);
     ReadRealBetween(r, "quotaSlack", false, 0, QuotaSlackMax, &out->QuotaSlack);
     ReadRealBetween(r, "linkMbps", false, 0, LinkMbpsMax, &out->LinkMbps);
+    if (out->LinkMbps > 0 && out->LinkMbps < LinkMbpsMin)
+    {
+        AddFault(*r, r->Codes.OutOfRange, "linkMbps", "expected 0 (unknown) or at least 0.001");
+    }
     ReadBool(r, "shareLoad", false, &out->ShareLoad);
     out->DivideLoad = out->ShareLoad;
     ReadBool(r, "divideLoad", false, &out->DivideLoad);
--- a/requests/attempt.cpp
+++ b/requests/attempt.cpp
@@ -178,10 +178,10 @@
 }
 
 // Takes one retry from the given share of the budget. A refusal is logged, as it explains a later failure.
-static bool TakeRetry(const CallPtr& call, double part)
+static bool TakeRetry(const CallPtr& call, double part, int least)
 {
     const TimeUs now = NowUs();
-    const bool taken = RetryBudgetTake(&call->Service->Retries, part, now);
+    const bool taken = RetryBudgetTake(&call->Service->Retries, part, now, least);
     if (taken)
     {
         call->RetryTakenUs = now;
@@ -210,11 +210,13 @@
 {
     const ForwardConfig& config = call.Owner->Config;
     RefusedTry refused;
-    refused.First = call.SinceFirstTryUs == 0 && !call.TakenFrom;
-    refused.ReturnUs = config.UnhealthyRetryUs;
-    refused.LeftUs = call.Inbound->ArrivedUs + call.MatchedRoute->LatencyObjectiveUs - NowUs();
+    const TimeUs now = NowUs();
+    refused.First = call.NamesTimeout && call.SinceFirstTryUs == 0;             // Else nothing tells first tries from later ones.
+    refused.ReturnUs = config.UnhealthyRetryUs + now - call.Inbound->ArrivedUs; // The search begins anew.
+    refused.LeftUs = call.Inbound->ArrivedUs + call.MatchedRoute->LatencyObjectiveUs - now;
     refused.WorkUs = call.Work->MeanUs;
-    const bool returns = call.MayHaveRun == 0 && RefusedWithCapacity(call, answer) && CallerReturnsInTime(refused);
+    const bool turned_away = call.MayHaveRun == 0 && answer.Status == 503 && RefusedWithCapacity(call, answer);
+    const bool returns = turned_away && CallerReturnsInTime(refused);
     return returns ? config.FirstTryShare : 1.0;
 }
 
@@ -232,7 +234,7 @@
         return call->SentTo.size() < max_targets;
     }
     const bool allowed = call->Retryable || call->MayHaveRun == 0;
-    return allowed && call->Attempts < call->AttemptsMax && TakeRetry(call, RetryPart(*call, answer));
+    return allowed && call->Attempts < call->AttemptsMax && TakeRetry(call, RetryPart(*call, answer), 1);
 }
 
 static void EndUnanswered(const CallPtr& call, const ClientAnswer& answer)
@@ -451,7 +453,7 @@
     {
         return;
     }
-    if (TakeRetry(call, call->Owner->Config.HedgeShare))
+    if (TakeRetry(call, call->Owner->Config.HedgeShare, 0))
     {
         ChooseTarget(call, Choosing_Hedge);
     }
--- a/requests/call.h
+++ b/requests/call.h
@@ -66,7 +66,8 @@
     TimeUs QuotaTakenUs = 0;               // Time at which it was counted against its customer's quota; 0 if it was not.
     TimeUs CallerDeadlineUs = 0;           // Deadline named by the caller; retry advice stays within it.
     TimeUs DeadlineUs = 0;                 // Deadline of this call: the earlier of the caller's deadline and the route's timeout.
-    TimeUs SinceFirstTryUs = 0;            // Time since the caller's first try; 0 if this is the first one.
+    bool NamesTimeout = false;             // An own caller has named its deadline.
+    TimeUs SinceFirstTryUs = 0;            // Time since the caller's first try; 0 if this is the first one, or nothing tells.
     bool Retryable = false;                // The request may be run more than once.
     bool AdmissionDue = true;              // It is not counted here yet, see AdmitHere().
     bool Ended = false;                    // The caller was answered, or has gone.
@@ -137,7 +138,7 @@
 // Lets the requests that are choosing a target of the service go on at once, as the state of the path has changed.
 void ContinueChoosing(ServiceState* service);
 
-// Call when a slot of the target has come free. The most urgent waiting request gets it; among equals, the one that has waited longest.
+// Call when a slot of the target has come free. It goes to the request that ChooserMostUrgent() names.
 void ServeWaiting(ServiceState* service, const std::string& target_id);
 
 //-----------------------------------------------------------------------------
--- a/requests/choose.cpp
+++ b/requests/choose.cpp
@@ -204,17 +204,16 @@
 static void OnLateProbeEnded(Forwarder* forwarder, ServiceState* service, const ProbeCall& probe, const ClientAnswer& answer)
 {
     const ContactEnd_ end = ContactEndOf(answer);
-    if (answer.End == ClientEnd_Answered)
-    {
-        LearnFromProbe(forwarder, service, probe.Target, probe.Generation, answer);
-    }
+    const bool fresh = NowUs() < probe.SentUs + service->Pool.Config.ReportMaxAgeUs;
+    const bool has_report =
+        answer.End == ClientEnd_Answered && fresh && LearnFromProbe(forwarder, service, probe.Target, probe.Generation, answer);
     NoteLateEnded(forwarder, service, probe.Target, end, probe.SentUs);
     for (const CallPtr& call : probe.Calls)
     {
         call->Contacts[ContactEnd_Late]--;
         call->Contacts[end]++;
     }
-    if (answer.End == ClientEnd_Answered)
+    if (has_report)
     {
         ServeWaiting(service, probe.Target);
     }
--- a/requests/forward.cpp
+++ b/requests/forward.cpp
@@ -361,6 +361,17 @@
     return current && !forwarder.Draining && PeersMayTake(forwarder.Others, others, forwarder.InProgress - forwarder.Taken);
 }
 
+// Tells a caller's first try from a later one, if the caller has named a deadline.
+static void NoteCallerTimeout(Call* call, TimeUs timeout)
+{
+    const std::string* header = FindHeader(call->Inbound->Headers, call->Owner->Names.Deadline);
+    call->NamesTimeout = header != nullptr && std::strtod(header->c_str(), nullptr) > 0;
+    if (call->NamesTimeout)
+    {
+        call->SinceFirstTryUs = CallerTimeoutsNote(&call->Work->Timeouts, timeout, NowUs());
+    }
+}
+
 static void AdmitCall(const CallPtr& call)
 {
     Forwarder* forwarder = call->Owner;
@@ -383,7 +394,7 @@
     }
     else
     {
-        call->SinceFirstTryUs = CallerTimeoutsNote(&call->Work->Timeouts, *timeout);
+        NoteCallerTimeout(call.get(), *timeout);
     }
     SetDeadline(call, *timeout);
     if (call->Spec == nullptr)
--- a/requests/forward.h
+++ b/requests/forward.h
@@ -23,14 +23,15 @@
     ChooserConfig Choosing;                 // See Chooser.
     TimeUs ConnectUs = 250 * UsPerMs;       // Timeout for connecting to a target.
     double MaxRetryAfterShare = 0.5;        // Upper bound of Retry-After, as a part of the caller's remaining time.
-    TimeUs UnhealthyRetryUs = 10 * UsPerMs; // Retry-After where a target refused although it had free slots: there is nothing to wait for.
+    TimeUs UnhealthyRetryUs = 10 * UsPerMs; // Retry-After where a target refused although it had free slots: none has to come free.
     TimeUs FirstPlanUs =
         600 * UsPerMs; // After a start: longest time that requests wait for the first plan. Covers a seed that starts 0.3 s later.
-    size_t PlanWaitersPerStoreCall = 6;      // Requests waiting for the first plan per call of OnPlanNeeded.
-    TimeUs EmptyRetryUs = 500 * UsPerMs;     // Retry-After where there is no target or no plan yet.
-    double SlowFactor = 1.7;                 // An attempt is slow after this multiple of its expected duration.
-    double HedgeShare = 0.4;                 // Part of the retry budget that hedged requests may use.
-    double FirstTryShare = 0.25;             // Part of it for requests whose callers can come back in time: a return costs no retry.
+    size_t PlanWaitersPerStoreCall = 6;  // Requests waiting for the first plan per call of OnPlanNeeded.
+    TimeUs EmptyRetryUs = 500 * UsPerMs; // Retry-After where there is no target or no plan yet.
+    double SlowFactor = 1.7;             // An attempt is slow after this multiple of its expected duration.
+    double HedgeShare = 0.4;             // Part of the retry budget that hedged requests may use.
+    double FirstTryShare =
+        0.25; // Part of it, used by anybody, up to which first tries are retried whose callers can come back in time: a return costs none.
     TimeUs HedgeRetryUs = 50 * UsPerMs;      // No target found for a hedge: delay before trying again. Slots come free within this time.
     TimeUs TakenAgeUs = 1500 * UsPerMs;      // A request is not taken from an instance whose data is more current by this.
     double RetryShare = 0.2;                 // See RetryBudget.
@@ -80,7 +81,7 @@
     Division Divided;    // Requests that other data centres serve.
 };
 
-// Estimated work of a route's requests.
+// What is learnt of a route's requests.
 struct RouteWork
 {
     double MeanUs = 0;       // Mean duration at a target of cost 1; 0 before the first answer.
--- a/tests/choose_test.cpp
+++ b/tests/choose_test.cpp
@@ -267,6 +267,8 @@
     CPPUNIT_TEST(LargeAnswersCrossRatherThanBeRefused);
     CPPUNIT_TEST(NothingCrossesUnasked);
     CPPUNIT_TEST(WithoutDivisionNothingCrossesBeforeHome);
+    CPPUNIT_TEST(CrossesWhenNothingIsLeftAtHome);
+    CPPUNIT_TEST(CrossesUnaskedRatherThanBeRefused);
     CPPUNIT_TEST(DivisionMayEndDuringASearch);
     CPPUNIT_TEST(AnOldReportSaysNothing);
     CPPUNIT_TEST_SUITE_END();
@@ -785,6 +787,46 @@
         CPPUNIT_ASSERT_EQUAL(std::string("probe t1 slow after 5"), unknown.Answer(0, Full));
     }
 
+    // Guards against requests that are refused beside another data centre with room, where there are few targets at home.
+    void CrossesWhenNothingIsLeftAtHome()
+    {
+        Situation s(3, 2);
+        s.FarHasRoom();
+        s.Start();
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t1 slow after 5"), s.Answer(0, Full)); // One probe at home, not HomeProbes.
+        Situation known(4, 1);
+        known.FarHasRoom();
+        known.Divided.Config.HomeProbes = 4;
+        for (size_t n = 0; n < 3; n++)
+        {
+            PoolReport(&known.Target(n), Full, known.Now); // By other requests: none needs a probe.
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t3 slow after 5"), known.Start());
+        Situation slack(3, 1);
+        slack.FarHasRoom();
+        slack.Request.AnswerBytes = 90 * KiB;
+        slack.Request.LatencyObjectiveUs = UsPerSecond;
+        slack.Start();
+        slack.Answer(0, Full);
+        slack.Now = slack.Round.DeadlineUs - UsPerMs;
+        DivisionHeard(&slack.Divided, PeerDataCentre("far"), PeerDataCentre("dc"), {20, 20, 20}, slack.Now);
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t2 slow after 5"), slack.Answer(1, Full));
+    }
+
+    // The data centre has room on average, but not among the targets that this request has found.
+    void CrossesUnaskedRatherThanBeRefused()
+    {
+        Situation s(3, 1);
+        s.FarHasRoom();
+        s.Divided.Active = false;
+        s.Divided.Home = {};
+        s.Start();
+        s.Answer(0, Full);
+        s.Now = s.Round.DeadlineUs - UsPerMs;
+        DivisionHeard(&s.Divided, PeerDataCentre("far"), PeerDataCentre("dc"), {20, 20, 20}, s.Now);
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t2 slow after 5"), s.Answer(1, Full));
+    }
+
     void DivisionMayEndDuringASearch()
     {
         Situation s(3, 2);
--- a/tests/target_path_test.cpp
+++ b/tests/target_path_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(TrialsGrowWhileLossesRepeat);
     CPPUNIT_TEST(NothingIsKnownWithoutTargets);
     CPPUNIT_TEST(TheStateFollowsTheContacts);
+    CPPUNIT_TEST(SmallAnswersDoNotExtendTheWaiting);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr size_t Targets = 10;
@@ -164,6 +165,36 @@
         link.BytesPerS = 1e6;
         OwnLinkSent(&link, 100 * MiB, 0);
         CPPUNIT_ASSERT_EQUAL(link.ExtraMaxUs, OwnLinkExtraUs(link, 0, 60 * UsPerSecond));
+        const TimeUs later = 60 * UsPerSecond; // No backlog is left of what can't have been on the link.
+        CPPUNIT_ASSERT_EQUAL(TimeUs{0}, OwnLinkExtraUs(link, OwnLinkOccupiedUs(link, later), later + UsPerSecond));
+    }
+
+    // Guards against cuts that stay hidden while other services are busy.
+    void SmallAnswersDoNotExtendTheWaiting()
+    {
+        OwnLink link;
+        link.BytesPerS = 1.25e8;
+        constexpr size_t answer = 500;
+        constexpr TimeUs gap = 200;
+        const TimeUs occupied = OwnLinkOccupiedUs(link, 0);
+        TimeUs granted = 0;
+        TimeUs now = 0;
+        TimeUs until = 55 * UsPerMs;
+        for (;;)
+        {
+            for (; now < until; now += gap)
+            {
+                OwnLinkSent(&link, answer, now);
+            }
+            const TimeUs more = OwnLinkMoreUs(link, occupied, granted, now);
+            if (more == 0)
+            {
+                break;
+            }
+            granted += more;
+            until += more;
+        }
+        CPPUNIT_ASSERT(now < 60 * UsPerMs);
     }
 
     void TrialsGrowWhileLossesRepeat()
--- a/winchlink.h
+++ b/winchlink.h
@@ -770,6 +770,7 @@
 {
     double BytesPerS = 0;            // Bandwidth in each direction; 0: unknown, and the link never counts as occupied.
     TimeUs ExtraMaxUs = UsPerSecond; // Bound on OwnLinkExtraUs(): a link that stays occupied must not hide a cut.
+    TimeUs StepMinUs = UsPerMs;      // See OwnLinkMoreUs().
     TimeUs SentUntilUs = 0;          // Until then it is occupied by what was sent.
     TimeUs SentUs = 0;               // Counter: time for which it was or will be.
     TimeUs ReceivedUs = 0;           // Counter: time for which it was occupied by what was received.
@@ -784,6 +785,10 @@
 // How much longer the answer of a contact may take. `occupied`: OwnLinkOccupiedUs() when it was begun.
 TimeUs OwnLinkExtraUs(const OwnLink& link, TimeUs occupied, TimeUs now);
 
+// How much longer it is still to be awaited, after `granted` of OwnLinkExtraUs(); 0: no longer. Less than StepMinUs is not granted, so that
+// a link with many small answers, which is never free for long, doesn't extend the time without end.
+TimeUs OwnLinkMoreUs(const OwnLink& link, TimeUs occupied, TimeUs granted, TimeUs now);
+
 struct TargetPathConfig
 {
     int CertainMin = 8;                  // Failed contacts in a row from which requests are refused without another try.
@@ -1239,8 +1244,9 @@
 // Takes back a request that was counted at `counted` and that another instance counts.
 void RetryBudgetUncount(RetryBudget* budget, TimeUs counted);
 
-// Takes one retry if the budget allows it. `part`: part of the budget that may be used, 0 to 1.
-bool RetryBudgetTake(RetryBudget* budget, double part, TimeUs now);
+// Takes one retry if no more than the part of the budget, 0 to 1, is used then. `least`: retries in a window that are allowed whatever the
+// part, within the whole budget: where requests are few, a part is less than one retry.
+bool RetryBudgetTake(RetryBudget* budget, double part, TimeUs now, int least = 0);
 
 // Gives back an unused retry that was taken at `taken`. It is deducted from the step in which it was counted, if that is still kept.
 void RetryBudgetRefund(RetryBudget* budget, TimeUs taken);
@@ -1249,14 +1255,17 @@
 // left of it. Where callers of one route name different timeouts, those with shorter ones are taken for callers that came back.
 struct CallerTimeouts
 {
-    static constexpr TimeUs ReturnMinUs = 5 * UsPerMs; // A caller that comes back has lost more than this; less is jitter.
-    static constexpr double Decay = 1.0 / 64;          // Part of the way that LongestUs goes towards each shorter timeout.
+    static constexpr TimeUs ReturnMinUs = 10 * UsPerMs; // The least Retry-After: a caller that is back sooner has not heeded it.
+    static constexpr TimeUs WindowUs =
+        30 * UsPerSecond; // A longer timeout that nobody names any more is forgotten after one or two windows.
 
-    TimeUs LongestUs = 0; // Longest timeout named lately.
+    TimeUs LongestUs = 0;   // Longest timeout named in this window,
+    TimeUs FormerUs = 0;    // and in the one before.
+    TimeUs WindowEndUs = 0; // End of this window; 0: none has begun.
 };
 
 // Notes the timeout that a caller has named. Returns the time since its first try of the request; 0 if this is the first one.
-TimeUs CallerTimeoutsNote(CallerTimeouts* timeouts, TimeUs timeout);
+TimeUs CallerTimeoutsNote(CallerTimeouts* timeouts, TimeUs timeout, TimeUs now);
 
 // A caller's try that a target with room has refused.
 struct RefusedTry
--- a/winchlink_choose.cpp
+++ b/winchlink_choose.cpp
@@ -351,15 +351,16 @@
     return passed;
 }
 
-// Whether the request will be refused unless it crosses: it has no more probes at home and no time to wait.
-static bool IsLastChance(const Step& step)
+// Whether the request will be refused unless it crosses: there is nothing left to probe at home, and no time to wait.
+static bool IsRefusedAtHome(const Step& step, bool home_left)
 {
     const Chooser& round = *step.Round;
-    return round.ProbeCount - round.ProbeCountBefore >= step.View.Config->MaxProbes && !HasTimeToWait(step);
+    const bool probed = !home_left || round.ProbeCount - round.ProbeCountBefore >= step.View.Config->MaxProbes;
+    return probed && !HasTimeToWait(step);
 }
 
 // A target in the data centre that is to serve the request, if that is another one. Decided when enough targets at home were probed in vain
-// or there are none, once in a search and once more before a refusal: then also what would rather wait at home crosses. Null if there is
+// or there are none, once in a search and once more before a refusal, the second time also for requests with slack. Null if there is
 // none.
 static PoolTarget* CrossCandidate(Step* step, const std::vector<std::string>& passed)
 {
@@ -371,11 +372,12 @@
     }
     const SharedRoom own = LoadRoom(*view.Pool, step->Now);
     const auto probes = static_cast<size_t>(round->ProbeCount - round->ProbeCountBefore);
-    if (own.Targets > 0 && probes < view.Divided->Config.HomeProbes)
+    const bool home_left = PoolNextNear(view.Pool, passed, !view.Request.Retryable, step->Now) != nullptr;
+    if (home_left && probes < view.Divided->Config.HomeProbes)
     {
         return nullptr;
     }
-    const bool is_last = !round->CrossTo && !round->DividedLast && IsLastChance(*step);
+    const bool is_last = !round->CrossTo && !round->DividedLast && IsRefusedAtHome(*step, home_left);
     if (!round->Divided || is_last)
     {
         DivisionRequest request = DivisionRequestOf(*step);
@@ -387,16 +389,25 @@
     return round->CrossTo ? PoolNextIn(view.Pool, *round->CrossTo, passed, !view.Request.Retryable, step->Now) : nullptr;
 }
 
-// Whether other data centres have told of their room lately: then a request crosses only where DivisionPick() has named one.
-static bool KnowsOtherRooms(const Step& step)
+// Whether a request may cross although DivisionPick() has named no data centre: while none has told of its room lately or there are no
+// targets at home, and where it would be refused otherwise although one has told of free targets.
+static bool MayCrossUnasked(const Step& step)
 {
     const Division* divided = step.View.Divided;
-    const auto is_recent = [&](const auto& entry)
+    if (divided == nullptr || LoadRoom(*step.View.Pool, step.Now).Targets == 0)
     {
-        return entry.second.HeardUs > 0 && step.Now < entry.second.HeardUs + divided->Config.RoomMaxAgeUs;
-    };
-    return divided != nullptr && std::any_of(divided->Rooms.begin(), divided->Rooms.end(), is_recent) &&
-           LoadRoom(*step.View.Pool, step.Now).Targets > 0;
+        return true;
+    }
+    bool told = false;
+    bool free = false;
+    for (const auto& entry : divided->Rooms)
+    {
+        const DataCentreRoom& other = entry.second;
+        const bool recent = other.HeardUs > 0 && step.Now < other.HeardUs + divided->Config.RoomMaxAgeUs;
+        told = told || recent;
+        free = free || (recent && other.Room.Free > 0);
+    }
+    return !told || (free && !HasTimeToWait(step));
 }
 
 // The next target to consider: neither considered in this search nor sent the request already. Null if none is left.
@@ -413,8 +424,8 @@
     {
         return crossing;
     }
-    const bool strays = next != nullptr && !next->Near && KnowsOtherRooms(*step);
-    return strays ? PoolNextNear(step->View.Pool, passed, !step->View.Request.Retryable, step->Now) : next;
+    const bool near_only = next != nullptr && !next->Near && !MayCrossUnasked(*step);
+    return near_only ? PoolNextNear(step->View.Pool, passed, !step->View.Request.Retryable, step->Now) : next;
 }
 
 // Whether the target may be probed now. Those that others have told to be free, and those of the data centre that the request crosses to,
--- a/winchlink_path.cpp
+++ b/winchlink_path.cpp
@@ -42,9 +42,10 @@
 
 void OwnLinkSent(OwnLink* link, size_t bytes, TimeUs now)
 {
-    const TimeUs takes = TakesUs(*link, bytes);
-    link->SentUntilUs = std::max(link->SentUntilUs, now) + takes;
-    link->SentUs += takes;
+    // A bandwidth that is told too low must not leave a backlog that outlasts the traffic.
+    const TimeUs from = std::max(link->SentUntilUs, now);
+    link->SentUntilUs = std::max(from, std::min(from + TakesUs(*link, bytes), now + link->ExtraMaxUs));
+    link->SentUs += link->SentUntilUs - from;
 }
 
 void OwnLinkReceived(OwnLink* link, size_t bytes)
@@ -62,6 +63,12 @@
     return std::min(OwnLinkOccupiedUs(link, now) - occupied, link.ExtraMaxUs);
 }
 
+TimeUs OwnLinkMoreUs(const OwnLink& link, TimeUs occupied, TimeUs granted, TimeUs now)
+{
+    const TimeUs more = OwnLinkExtraUs(link, occupied, now) - granted;
+    return more >= link.StepMinUs ? more : 0;
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] State
 //-----------------------------------------------------------------------------
--- a/winchlink_retry_budget.cpp
+++ b/winchlink_retry_budget.cpp
@@ -50,7 +50,7 @@
     step->Requests -= still_counted ? 1 : 0;
 }
 
-bool RetryBudgetTake(RetryBudget* budget, double part, TimeUs now)
+bool RetryBudgetTake(RetryBudget* budget, double part, TimeUs now, int least)
 {
     RetryBudget::Step* current = StepAt(budget, now);
     const auto steps = static_cast<int64_t>(RetryBudget::Steps);
@@ -65,8 +65,7 @@
         retries += step.Number >= 0 && age <= steps ? step.Retries : 0;
     }
     const double allowed = budget->Share * requests + budget->Extra;
-    const double least = std::min(allowed, 1.0); // Where requests are few, a part of the budget may be less than one retry.
-    if (retries + 1 > std::max(part * allowed, least))
+    if (retries + 1 > std::max(part * allowed, std::min(allowed, static_cast<double>(least))))
     {
         return false;
     }
@@ -86,16 +85,18 @@
 // [SECTION] Callers that come back
 //-----------------------------------------------------------------------------
 
-TimeUs CallerTimeoutsNote(CallerTimeouts* timeouts, TimeUs timeout)
+TimeUs CallerTimeoutsNote(CallerTimeouts* timeouts, TimeUs timeout, TimeUs now)
 {
-    if (timeout >= timeouts->LongestUs)
+    if (now >= timeouts->WindowEndUs)
     {
-        timeouts->LongestUs = timeout;
-        return 0;
+        const bool next = now < timeouts->WindowEndUs + CallerTimeouts::WindowUs;
+        timeouts->FormerUs = next ? timeouts->LongestUs : 0;
+        timeouts->LongestUs = 0;
+        timeouts->WindowEndUs = now + CallerTimeouts::WindowUs;
     }
-    const TimeUs missing = timeouts->LongestUs - timeout;
-    timeouts->LongestUs -= static_cast<TimeUs>(CallerTimeouts::Decay * static_cast<double>(missing));
-    return missing > CallerTimeouts::ReturnMinUs ? missing : 0;
+    timeouts->LongestUs = std::max(timeouts->LongestUs, timeout);
+    const TimeUs missing = std::max(timeouts->LongestUs, timeouts->FormerUs) - timeout;
+    return missing >= CallerTimeouts::ReturnMinUs ? missing : 0;
 }
 
 bool CallerReturnsInTime(const RefusedTry& refused)
