Choosing: large answers don't cross before a refusal, taken back

It crossed 9 of 728 large answers beside small ones, where the load test of division allows 1 in 100, and with LeftUs = 0 also requests that would be late at 50 ms one way.

Run on this code: ChooseTest 38 passed, ChooseLoad 6, DivisionTest 14, PoolLoad 1.

--- a/winchlink.h
+++ b/winchlink.h
@@ -1658,8 +1658,7 @@
     int ProbeCount = 0;                 // Probes in all rounds.
     int ProbeCountBefore = 0;           // Value of ProbeCount when this round began.
     int MaxConcurrentProbes = 1;        // Grows by one for each slow probe.
-    bool Divided = false;               // DivisionPick() was asked in this search,
-    bool DividedLast = false;           // and again before the request would have been refused.
+    bool Divided = false;               // DivisionPick() was asked in this search.
     std::optional<uint16_t> CrossTo;    // The data centre that it named.
 };
 
--- a/winchlink_choose.cpp
+++ b/winchlink_choose.cpp
@@ -343,16 +343,8 @@
     return passed;
 }
 
-// Whether the request will be refused unless it crosses: it has no more probes at home and no time to wait.
-static bool IsLastChance(const Step& step)
-{
-    const Chooser& round = *step.Round;
-    return round.ProbeCount - round.ProbeCountBefore >= step.View.Config->MaxProbes && !HasTimeToWait(step);
-}
-
-// A target in the data centre that is to serve the request, if that is another one. Decided when enough targets at home were probed in vain
-// or there are none, once in a search and once more before a refusal: then also what would rather wait at home crosses. Null if there is
-// none.
+// A target in the data centre that is to serve the request, if that is another one. Decided once in a search, when enough targets at home
+// were probed in vain or there are none. Null if there is none.
 static PoolTarget* CrossCandidate(Step* step, const std::vector<std::string>& passed)
 {
     const ChooserView& view = step->View;
@@ -367,14 +359,10 @@
     {
         return nullptr;
     }
-    const bool is_last = !round->CrossTo && !round->DividedLast && IsLastChance(*step);
-    if (!round->Divided || is_last)
+    if (!round->Divided)
     {
-        DivisionRequest request = DivisionRequestOf(*step);
-        request.LeftUs = is_last ? 0 : request.LeftUs;
         round->Divided = true;
-        round->DividedLast = is_last;
-        round->CrossTo = DivisionPick(view.Divided, own, request, step->Now, view.Rng);
+        round->CrossTo = DivisionPick(view.Divided, own, DivisionRequestOf(*step), step->Now, view.Rng);
     }
     return round->CrossTo ? PoolNextIn(view.Pool, *round->CrossTo, passed, !view.Request.Retryable, step->Now) : nullptr;
 }
@@ -495,7 +483,6 @@
     chooser->ProbeCountBefore = chooser->ProbeCount;
     chooser->MaxConcurrentProbes = 1;
     chooser->Divided = false;
-    chooser->DividedLast = false;
     chooser->CrossTo.reset();
     chooser->DeadlineUs = now + static_cast<TimeUs>(share * static_cast<double>(view.Request.LatencyObjectiveUs));
     Step step = {chooser, view, now, {}};
@@ -557,7 +544,6 @@
         chooser->Probed.clear();
         chooser->OverLimit.clear();
         chooser->Divided = false;
-        chooser->DividedLast = false;
         chooser->CrossTo.reset();
     }
     Step step = {chooser, view, now, {}};
