Load test of division: plays the chooser itself, in the fleet of choose_load_test

New: crests while messages are lost, a neighbour lies, one comes back with old reports, neighbours are silent. The step at three instances is a test of its own. DataCentresCutFromEachOtherAgreeAgain compares the sums of three seeds: in an overload one seed differs by 0.02 from the next; the bound stays.

--- a/tests/division_load_test.cpp
+++ b/tests/division_load_test.cpp
@@ -51,6 +51,21 @@
     return results[0].Crossed + results[1].Crossed + results[2].Crossed;
 }
 
+// Adds the small requests of another run, and what is counted for all of them.
+void Add(DivisionResult* result, const DivisionResult& other)
+{
+    for (size_t centre = 0; centre < CentreCount; centre++)
+    {
+        result->Small[centre].Requests += other.Small[centre].Requests;
+        result->Small[centre].InTime += other.Small[centre].InTime;
+        result->Small[centre].Refused += other.Small[centre].Refused;
+        result->Small[centre].Crossed += other.Small[centre].Crossed;
+    }
+    result->Requests += other.Requests;
+    result->Probes += other.Probes;
+    result->Unusable += other.Unusable;
+}
+
 // The small requests of the half seconds from `from` to `end`.
 DivisionResult Between(const DivisionResult& result, TimeUs from, TimeUs end)
 {
@@ -77,11 +92,17 @@
     CPPUNIT_TEST(ADataCentreWithAQuarterOfTheTargetsAndTwoFifthsOfTheCallers);
     CPPUNIT_TEST(AThirdOfTheCallersMoveToAnotherDataCentreWithinASecond);
     CPPUNIT_TEST(AStepIsAnsweredWithoutASwingAtAnySize);
+    CPPUNIT_TEST(AStepIsAnsweredWithoutASwingAtThreeInstances);
     CPPUNIT_TEST(ADataCentreIsEvacuatedAndComesBackCold);
     CPPUNIT_TEST(HalfOfTheInstancesDieInACrest);
     CPPUNIT_TEST(DataCentresCutFromEachOtherAgreeAgain);
     CPPUNIT_TEST(ALargeAnswerBurstBesideSmallOnes);
     CPPUNIT_TEST(EquallyFullDataCentresExchangeLittle);
+    CPPUNIT_TEST(NoDataCentreRefusesWhileAnotherHasRoom);
+    CPPUNIT_TEST(ACrestWhileMessagesAreLost);
+    CPPUNIT_TEST(ACrestWhileANeighbourLies);
+    CPPUNIT_TEST(ACrestWhileANeighbourComesBackWithOldReports);
+    CPPUNIT_TEST(ACrestWhileNeighboursAreSilent);
     CPPUNIT_TEST_SUITE_END();
 
     // Pattern: a data centre with a quarter of the targets and two fifths of the callers, in a crest.
@@ -132,19 +153,32 @@
 
     // The crossing flow neither swings to and fro between data centres nor overshoots: after the step it stays near its mean, at 3 to 587
     // instances, with slow and lost messages.
+    struct Step
+    {
+        std::array<size_t, CentreCount> Instances;
+        TimeUs OneWayUs;
+        double LostShare;
+    };
+
     void AStepIsAnsweredWithoutASwingAtAnySize()
+    {
+        const std::vector<Step> cases = {{{6, 6, 6}, 3 * UsPerMs, 0.2},
+                                         {{65, 66, 66}, 3 * UsPerMs, 0.2},
+                                         {{65, 66, 66}, 20 * UsPerMs, 0.2},
+                                         {{65, 66, 66}, 50 * UsPerMs, 0.2},
+                                         {{195, 196, 196}, 3 * UsPerMs, 0.2}};
+        CheckSteps(cases);
+    }
+
+    void AStepIsAnsweredWithoutASwingAtThreeInstances()
+    {
+        CheckSteps({{{1, 1, 1}, 3 * UsPerMs, 0}});
+    }
+
+    static void CheckSteps(const std::vector<Step>& cases)
     {
         constexpr TimeUs followed = 7 * UsPerSecond;
-        struct Case
-        {
-            std::array<size_t, CentreCount> Instances;
-            TimeUs OneWayUs;
-            double LostShare;
-        };
-        const std::vector<Case> cases = {{{1, 1, 1}, 3 * UsPerMs, 0},       {{6, 6, 6}, 3 * UsPerMs, 0.2},
-                                         {{65, 66, 66}, 3 * UsPerMs, 0.2},  {{65, 66, 66}, 20 * UsPerMs, 0.2},
-                                         {{65, 66, 66}, 50 * UsPerMs, 0.2}, {{195, 196, 196}, 3 * UsPerMs, 0.2}};
-        for (const Case& played : cases)
+        for (const Step& played : cases)
         {
             DivisionPlan plan = ShiftPlan();
             plan.Instances = played.Instances;
@@ -227,8 +261,16 @@
         };
         const DivisionResult all = SimulateDivision(plan);
         const DivisionResult without = WithoutDivision(plan);
-        const DivisionResult apart = Between(all, cut + UsPerSecond, back - UsPerSecond);
-        const DivisionResult apart_without = Between(without, cut + UsPerSecond, back - UsPerSecond);
+        DivisionResult apart = Between(all, cut + UsPerSecond, back - UsPerSecond);
+        DivisionResult apart_without = Between(without, cut + UsPerSecond, back - UsPerSecond);
+        for (const uint64_t seed : {2, 3}) // In an overload the shares differ by 0.02 from seed to seed.
+        {
+            DivisionPlan again = plan;
+            again.Seed = seed;
+            again.LengthUs = back;
+            Add(&apart, Between(SimulateDivision(again), cut + UsPerSecond, back - UsPerSecond));
+            Add(&apart_without, Between(WithoutDivision(again), cut + UsPerSecond, back - UsPerSecond));
+        }
         const DivisionResult after = Between(all, back + UsPerSecond, plan.LengthUs);
         const std::string text =
             fmt::format("apart {}; without: {}; after {}", DivisionText(apart), DivisionText(apart_without), DivisionText(after));
@@ -276,6 +318,81 @@
         const int requests = result.Small[0].Requests + result.Small[1].Requests + result.Small[2].Requests;
         CPPUNIT_ASSERT_MESSAGE(text, CrossedOf(result.Small) <= 0.03 * requests);
     }
+
+    static double RefusedShare(const CentreResult& result)
+    {
+        return static_cast<double>(result.Refused) / std::max(result.Requests, 1);
+    }
+
+    // The crest of a data centre with a quarter of the targets and two fifths of the callers, twice.
+    static DivisionResult PlayCrest(DivisionPlan plan)
+    {
+        plan.PerS = Waves(Uneven, CrestPerS);
+        DivisionResult both = SimulateDivision(plan);
+        plan.Seed++;
+        Add(&both, SimulateDivision(plan));
+        return both;
+    }
+
+    // Nothing that is told overrides what a target's own answer, its evacuation or its back-off says, and a request needs no more probes.
+    static void CheckKnown(const DivisionResult& result)
+    {
+        constexpr int probes_max = 5;
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(DivisionText(result), 0, result.Unusable);
+        CPPUNIT_ASSERT_MESSAGE(DivisionText(result), result.Probes <= probes_max * result.Requests);
+    }
+
+    static void CheckCrest(const DivisionPlan& plan)
+    {
+        const DivisionResult result = PlayCrest(plan);
+        CheckKnown(result);
+        CPPUNIT_ASSERT_MESSAGE(DivisionText(result), InTimeSpread(result) <= SpreadMax);
+        const double least = std::min(RefusedShare(result.Small[0]), RefusedShare(result.Small[1]));
+        CPPUNIT_ASSERT_MESSAGE(DivisionText(result), RefusedShare(result.Small[2]) - least <= SpreadMax);
+    }
+
+    void NoDataCentreRefusesWhileAnotherHasRoom()
+    {
+        CheckCrest({});
+    }
+
+    void ACrestWhileMessagesAreLost()
+    {
+        DivisionPlan plan;
+        plan.LostShare = 0.3;
+        CheckCrest(plan);
+    }
+
+    void ACrestWhileANeighbourLies()
+    {
+        DivisionPlan plan;
+        plan.LastIs = ChooseFleetNeighbour_Lies;
+        CheckCrest(plan);
+    }
+
+    // Pattern: an instance was paused and comes back with old reports.
+    void ACrestWhileANeighbourComesBackWithOldReports()
+    {
+        DivisionPlan plan;
+        plan.LastIs = ChooseFleetNeighbour_Late;
+        CheckCrest(plan);
+    }
+
+    // Those that hear nothing choose near first, so the callers of the small data centre can't fare as well, but better than without.
+    void ACrestWhileNeighboursAreSilent()
+    {
+        DivisionPlan plan;
+        plan.Odd = ChooseFleetNeighbour_Silent;
+        plan.OddShare = 0.3;
+        const DivisionResult result = PlayCrest(plan);
+        plan.Divide = false;
+        const DivisionResult without = PlayCrest(plan);
+        const std::string text = DivisionText(result) + "; without: " + DivisionText(without);
+        CheckKnown(result);
+        CPPUNIT_ASSERT_MESSAGE(text, 2 * InTimeSpread(result) <= InTimeSpread(without));
+        CPPUNIT_ASSERT_MESSAGE(text, 2 * RefusedShare(result.Small[2]) <= RefusedShare(without.Small[2]));
+        CPPUNIT_ASSERT_MESSAGE(text, InTimeShareOfAll(result) > InTimeShareOfAll(without));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DivisionLoadTest);
--- a/tests/division_model.h
+++ b/tests/division_model.h
@@ -1,17 +1,15 @@
 // division_model.h: a fleet of instances in three data centres that look for targets, in virtual time, for load tests of the division of
 // requests between data centres.
 //
-// The library decides (TargetPool, Division). The model adds what instances of a data centre learn from each other, messages that take time
-// or get lost, and targets with slots: three in a hundred requests take seven times as long, three tenths of the targets are slow for a
-// moment, and a target whose slots are all in use takes 1.4 times as long.
+// Played by choose_fleet.h, so with the library's Chooser, LoadSharing and Division as they work together: three in a hundred requests take
+// seven times as long, three tenths of the targets are slow for a moment, and a target whose slots are all in use takes 1.4 times as long.
 
 #pragma once
 
-#include "pool_model.h"
+#include "choose_fleet.h"
 
 #include <array>
 #include <functional>
-#include <queue>
 
 namespace Winchlink
 {
@@ -34,9 +32,12 @@
     std::function<bool(TimeUs)> Cut;                   // Nothing passes between data centres.
     std::function<bool(TimeUs, size_t instance)> Dead; // The instances with this number are not running.
     size_t EvacuatedCentre = 0;
-    TimeUs EvacuatedUs = 0; // From here on its targets get no requests; 0: never,
-    TimeUs BackUs = 0;      // until here.
-    TimeUs ColdUs = 0;      // Length of their warm-up after it.
+    TimeUs EvacuatedUs = 0;                                     // From here on its targets get no requests; 0: never,
+    TimeUs BackUs = 0;                                          // until here.
+    TimeUs ColdUs = 0;                                          // Length of their warm-up after it.
+    ChooseFleetNeighbour_ Odd = ChooseFleetNeighbour_Normal;    // What some instances do with messages,
+    double OddShare = 0;                                        // and how many of them.
+    ChooseFleetNeighbour_ LastIs = ChooseFleetNeighbour_Normal; // What the last instance of the last data centre does.
     DivisionConfig Config;
     uint64_t Seed = 1;
 };
@@ -53,10 +54,12 @@
 {
     std::array<CentreResult, CentreCount> Small;
     std::array<CentreResult, CentreCount> Large;
-    int CrossingTries = 0;                                    // Targets of other data centres that were probed because the part said so.
-    int CrossingMet = 0;                                      // Of these, the ones that had a free slot.
-    double Bytes = 0;                                         // Of answers between data centres.
-    int Messages = 0;                                         // Asks of other data centres.
+    int CrossingTries = 0; // Targets of other data centres that were probed because the part said so.
+    int CrossingMet = 0;   // Of these, the ones that had a free slot.
+    int Requests = 0;      // Of both kinds, also those that don't count above,
+    int Probes = 0;        // their probes,
+    int Unusable = 0;      // and those sent where the target's own answer showed no room, or none may go.
+    double Bytes = 0;      // Of answers between data centres.
     std::vector<std::array<CentreResult, CentreCount>> Steps; // Small requests, by half second.
 };
 
