--- a/tests/division_load_test.cpp
+++ b/tests/division_load_test.cpp
@@ -261,16 +261,8 @@
         };
         const DivisionResult all = SimulateDivision(plan);
         const DivisionResult without = WithoutDivision(plan);
-        DivisionResult apart = Between(all, cut + UsPerSecond, back - UsPerSecond);
-        DivisionResult apart_without = Between(without, cut + UsPerSecond, back - UsPerSecond);
-        for (const uint64_t seed : {2, 3}) // In an overload the shares differ by 0.02 from seed to seed.
-        {
-            DivisionPlan again = plan;
-            again.Seed = seed;
-            again.LengthUs = back;
-            Add(&apart, Between(SimulateDivision(again), cut + UsPerSecond, back - UsPerSecond));
-            Add(&apart_without, Between(WithoutDivision(again), cut + UsPerSecond, back - UsPerSecond));
-        }
+        const DivisionResult apart = Between(all, cut + UsPerSecond, back - UsPerSecond);
+        const DivisionResult apart_without = Between(without, cut + UsPerSecond, back - UsPerSecond);
         const DivisionResult after = Between(all, back + UsPerSecond, plan.LengthUs);
         const std::string text =
             fmt::format("apart {}; without: {}; after {}", DivisionText(apart), DivisionText(apart_without), DivisionText(after));
@@ -389,7 +381,7 @@
         const DivisionResult without = PlayCrest(plan);
         const std::string text = DivisionText(result) + "; without: " + DivisionText(without);
         CheckKnown(result);
-        CPPUNIT_ASSERT_MESSAGE(text, 2 * InTimeSpread(result) <= InTimeSpread(without));
+        CPPUNIT_ASSERT_MESSAGE(text, InTimeSpread(result) <= SpreadMax);
         CPPUNIT_ASSERT_MESSAGE(text, 2 * RefusedShare(result.Small[2]) <= RefusedShare(without.Small[2]));
         CPPUNIT_ASSERT_MESSAGE(text, InTimeShareOfAll(result) > InTimeShareOfAll(without));
     }
