--- a/gateway/client.h
+++ b/gateway/client.h
@@ -16,15 +16,15 @@
 
 struct ClientRequest
 {
-    std::string Address;            // IP:port.
-    std::string Method = "GET";     // HTTP method, sent as it is.
-    std::string Target;             // Path and query, sent as they are.
-    std::vector<Header> Headers;    // Sent as they are.
-    std::string Body;               // Sent with Content-Length.
-    bool HasBody = false;           // Send Body even if it is empty.
-    TimeUs TimeoutUs = UsPerSecond; // From ClientSend() to the last byte of the answer.
-    TimeUs ConnectUs = 0;           // For the connection to be established; 0: TimeoutUs applies.
-    TimeUs ListenUs = 0; // After TimeoutUs, which is then reported by OnLate, an answer is awaited for this long, see also Client::Link.
+    std::string Address;              // IP:port.
+    std::string Method = "GET";       // HTTP method, sent as it is.
+    std::string Target;               // Path and query, sent as they are.
+    std::vector<Header> Headers;      // Sent as they are.
+    std::string Body;                 // Sent with Content-Length.
+    bool HasBody = false;             // Send Body even if it is empty.
+    TimeUs TimeoutUs = UsPerSecond;   // From ClientSend() to the last byte of the answer.
+    TimeUs ConnectUs = 0;             // For the connection to be established; 0: TimeoutUs applies.
+    TimeUs ListenUs = 0;              // After TimeoutUs, reported by OnLate, an answer is awaited for this long, see also Client::Link.
     size_t MaxAnswerBytes = 16 * MiB; // Largest answer body in bytes.
     bool NewConnection = false;       // Don't reuse a connection.
     std::function<bool()> MaySend;    // Called right before the request is sent; false withholds it. May be empty.
--- a/requests/forward.h
+++ b/requests/forward.h
@@ -26,12 +26,11 @@
     TimeUs UnhealthyRetryUs = 10 * UsPerMs; // Retry-After where a target refused although it had free slots: none has to come free.
     TimeUs FirstPlanUs =
         600 * UsPerMs; // After a start: longest time that requests wait for the first plan. Covers a seed that starts 0.3 s later.
-    size_t PlanWaitersPerStoreCall = 6;  // Requests waiting for the first plan per call of OnPlanNeeded.
-    TimeUs EmptyRetryUs = 500 * UsPerMs; // Retry-After where there is no target or no plan yet.
-    double SlowFactor = 1.7;             // An attempt is slow after this multiple of its expected duration.
-    double HedgeShare = 0.4;             // Part of the retry budget that hedged requests may use.
-    double FirstTryShare =
-        0.25; // Part of it, used by anybody, up to which first tries are retried whose callers can come back in time: a return costs none.
+    size_t PlanWaitersPerStoreCall = 6;      // Requests waiting for the first plan per call of OnPlanNeeded.
+    TimeUs EmptyRetryUs = 500 * UsPerMs;     // Retry-After where there is no target or no plan yet.
+    double SlowFactor = 1.7;                 // An attempt is slow after this multiple of its expected duration.
+    double HedgeShare = 0.4;                 // Part of the retry budget that hedged requests may use.
+    double FirstTryShare = 0.25;             // Once this part is used, first tries whose callers can come back in time are not retried.
     TimeUs HedgeRetryUs = 50 * UsPerMs;      // No target found for a hedge: delay before trying again. Slots come free within this time.
     TimeUs TakenAgeUs = 1500 * UsPerMs;      // A request is not taken from an instance whose data is more current by this.
     double RetryShare = 0.2;                 // See RetryBudget.
--- a/tests/gateway_faults_test.cpp
+++ b/tests/gateway_faults_test.cpp
@@ -230,7 +230,7 @@
         }
         const RigAnswer shed = RigSendAndWait(&rig, instance, Write());
         CPPUNIT_ASSERT_EQUAL(503, shed.Answer.Status);
-        CPPUNIT_ASSERT_EQUAL(std::string("0.050"),
+        CPPUNIT_ASSERT_EQUAL(std::string("0.010"),
                              *FindHeader(shed.Answer.Headers, "Retry-After")); // Short, as the targets have free slots.
         CPPUNIT_ASSERT_EQUAL(0, RigRunCount(rig, shed.Id));
         for (const auto& target : rig.Targets)
--- a/winchlink.h
+++ b/winchlink.h
@@ -1255,9 +1255,8 @@
 // left of it. Where callers of one route name different timeouts, those with shorter ones are taken for callers that came back.
 struct CallerTimeouts
 {
-    static constexpr TimeUs ReturnMinUs = 10 * UsPerMs; // The least Retry-After: a caller that is back sooner has not heeded it.
-    static constexpr TimeUs WindowUs =
-        30 * UsPerSecond; // A longer timeout that nobody names any more is forgotten after one or two windows.
+    static constexpr TimeUs ReturnMinUs = 10 * UsPerMs;  // The least Retry-After: a caller that is back sooner has not heeded it.
+    static constexpr TimeUs WindowUs = 30 * UsPerSecond; // A timeout that nobody names any more is forgotten after one or two windows.
 
     TimeUs LongestUs = 0;   // Longest timeout named in this window,
     TimeUs FormerUs = 0;    // and in the one before.
