--- a/tests/late_probe_load_test.cpp
+++ b/tests/late_probe_load_test.cpp
@@ -220,7 +220,8 @@
 
     void ReceiveLarge(size_t n, double bytes)
     {
-        for (double left = bytes; left > 0; left -= PartBytes)
+        double left = bytes;
+        while (left > 0)
         {
             const double part = std::min(left, PartBytes);
             const TimeUs delay = Occupy(&Fleet[n].InUntilUs, part);
@@ -234,6 +235,7 @@
                 }
             };
             AtInstance(n, delay, false, arrived);
+            left -= PartBytes;
         }
     }
 
