A round awaits only its own probes

The count of probes in flight spanned rounds: after a retry or a hedge had begun a new round, a probe of the former one that hung took the only place or kept the round from deciding, and its answer took one off the new round's count.

A round keeps the targets whose probes it awaits, and beside them those that are still being probed from earlier rounds. Such an answer still teaches the pool and is taken if it is good, also while the request waits, but changes no count. No target is probed twice at once: neither in a search that is repeated after a wait while probes of the one before it are under way, nor in a later round, nor when another instance offers its slot. A repeated search that can only await slow probes waits again, as a slow probe alone lets it do.

--- a/winchlink.h
+++ b/winchlink.h
@@ -1701,7 +1701,8 @@
     TimeUs TakenUs = 0;         // Time at which it was counted.
 };
 
-// State of choosing for one request. Probes may outlast the round that sent them; their answers then count in the next one.
+// State of choosing for one request. Probes may outlast the round that sent them; a later round may use their answers, but doesn't await
+// them.
 struct Chooser
 {
     Choosing_ Kind = Choosing_None;
@@ -1710,7 +1711,8 @@
     std::vector<std::string> Probed;    // Targets considered since the round began or probed again.
     std::vector<std::string> OverLimit; // Of these, targets skipped because they are at their rate limits.
     std::vector<LimitGrant> Grants;     // Taken for candidate targets; the caller returns those not used.
-    int ProbesInFlight = 0;             // Probes that await an answer.
+    std::vector<std::string> Awaited;   // Targets whose probes this round awaits.
+    std::vector<std::string> Unawaited; // Targets whose probes are still under way from earlier rounds.
     int ProbeCount = 0;                 // Probes in all rounds.
     int ProbeCountBefore = 0;           // Value of ProbeCount when this round began.
     int MaxConcurrentProbes = 1;        // Grows by one for each slow probe.
--- a/winchlink_choose.cpp
+++ b/winchlink_choose.cpp
@@ -46,7 +46,7 @@
 
 static void Probe(Step* step, PoolTarget* target)
 {
-    step->Round->ProbesInFlight++;
+    step->Round->Awaited.push_back(target->Id);
     step->Round->ProbeCount++;
     ChooseAction* action = AddAction(step, ChooseAction_Probe);
     action->Target = target;
@@ -95,6 +95,18 @@
     return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
+// Returns false if the id is not among them.
+static bool Remove(std::vector<std::string>* ids, const std::string& id)
+{
+    const auto found = std::find(ids->begin(), ids->end(), id);
+    if (found == ids->end())
+    {
+        return false;
+    }
+    ids->erase(found);
+    return true;
+}
+
 // Whether this instance may open one more connection to the target.
 static bool MayConnect(const Step& step, const PoolTarget& target)
 {
@@ -332,22 +344,26 @@
            PoolRankCost(pool, target, step.Now) <= PoolGoodCost(pool);
 }
 
-// Whether another instance has offered a free slot of a target that was considered before. It is then considered once more.
+// Whether another instance has offered a free slot of a target that was considered before. It is then considered once more, unless it is
+// still being probed.
 static bool IsOfferedAgain(const Step& step, const std::string& id)
 {
     const Chooser& round = *step.Round;
     const PoolTarget* target = PoolFind(step.View.Pool, id);
     const bool first = std::count(round.Probed.begin(), round.Probed.end(), id) == 1 && !Contains(round.OverLimit, id);
-    return first && target != nullptr && target->ToldUs > target->ReportUs && IsKnownFree(step, *target);
+    const bool ended = !Contains(round.Awaited, id);
+    return first && ended && target != nullptr && target->ToldUs > target->ReportUs && IsKnownFree(step, *target);
 }
 
-// Targets that are not considered again in this search: those considered before, and those that were sent the request.
+// Targets that are not considered in this search: those considered before, those that were sent the request, and those that are still being
+// probed from earlier rounds.
 static std::vector<std::string> PassedTargets(const Step& step)
 {
     std::vector<std::string> passed;
     std::copy_if(step.Round->Probed.begin(), step.Round->Probed.end(), std::back_inserter(passed),
                  [&](const std::string& id) { return !IsOfferedAgain(step, id); });
     passed.insert(passed.end(), step.View.Request.SentTo->begin(), step.View.Request.SentTo->end());
+    passed.insert(passed.end(), step.Round->Unawaited.begin(), step.Round->Unawaited.end());
     return passed;
 }
 
@@ -424,7 +440,8 @@
     const bool told = step.View.Pool->Shared && IsKnownFree(step, target);
     const bool crosses = step.View.Divided != nullptr && round.CrossTo && target.DataCentre == *round.CrossTo;
     const int extra = crosses ? static_cast<int>(step.View.Divided->Config.AwayProbes) : told ? config.MaxToldProbes : 0;
-    return round.ProbesInFlight < round.MaxConcurrentProbes && round.ProbeCount - round.ProbeCountBefore < config.MaxProbes + extra;
+    const bool has_place = static_cast<int>(round.Awaited.size()) < round.MaxConcurrentProbes;
+    return has_place && round.ProbeCount - round.ProbeCountBefore < config.MaxProbes + extra;
 }
 
 // Whether the target needs no probe: its own report is young, and no other instance has told of it since.
@@ -462,7 +479,7 @@
             return;
         }
     }
-    if (round->ProbesInFlight == 0)
+    if (round->Awaited.empty())
     {
         Decide(step);
     }
@@ -488,6 +505,18 @@
     ProbeMore(step);
 }
 
+// Where load is shared, slow probes are not awaited while there is time to search again: slots that are free now won't be once a slow
+// target has answered. To be called when all probes under way are slow.
+static void DecideIfSlow(Step* step)
+{
+    const Chooser& round = *step->Round;
+    const bool only_awaits = round.Kind != Choosing_None && !round.Waiting && step->Actions.empty();
+    if (only_awaits && step->View.Pool->Shared && HasTimeToWait(*step))
+    {
+        Decide(step);
+    }
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Events
 //-----------------------------------------------------------------------------
@@ -498,6 +527,8 @@
     chooser->Kind = kind;
     chooser->Probed.clear();
     chooser->OverLimit.clear();
+    chooser->Unawaited.insert(chooser->Unawaited.end(), chooser->Awaited.begin(), chooser->Awaited.end());
+    chooser->Awaited.clear();
     chooser->ProbeCountBefore = chooser->ProbeCount;
     chooser->MaxConcurrentProbes = 1;
     chooser->Divided = false;
@@ -511,8 +542,11 @@
 ChooseActions ChooserProbed(Chooser* chooser, const ChooserView& view, const std::string& target, bool answered, TimeUs now)
 {
     Step step = {chooser, view, now, {}};
-    chooser->ProbesInFlight--;
-    if (chooser->Kind == Choosing_None || (chooser->Waiting && !view.Pool->Shared))
+    if (!Remove(&chooser->Awaited, target))
+    {
+        Remove(&chooser->Unawaited, target);
+    }
+    if (chooser->Kind == Choosing_None)
     {
         return {};
     }
@@ -546,11 +580,7 @@
     chooser->MaxConcurrentProbes++; // The probed target may hang.
     Step step = {chooser, view, now, {}};
     Continue(&step);
-    const bool searches = chooser->Kind != Choosing_None && !chooser->Waiting && step.Actions.empty();
-    if (searches && view.Pool->Shared && HasTimeToWait(step)) // Slots that are free now won't be once a slow target has answered.
-    {
-        Decide(&step);
-    }
+    DecideIfSlow(&step);
     return step.Actions;
 }
 
@@ -559,13 +589,14 @@
     chooser->Waiting = false;
     if (now < chooser->DeadlineUs)
     {
-        chooser->Probed.clear();
+        chooser->Probed = chooser->Awaited; // Those that are still being probed are not probed twice at once.
         chooser->OverLimit.clear();
         chooser->Divided = false;
         chooser->CrossTo.reset();
     }
     Step step = {chooser, view, now, {}};
     Continue(&step);
+    DecideIfSlow(&step);
     return step.Actions;
 }
 
