A hedge awaits its slow probe, also where load is shared

With load shared, a slow probe let a round decide early, also that of a hedge, which can't wait: it was given up while its probe was under way. A round decides early only if its request can wait and search again.

WhereLoadIsSharedAHedgeAwaitsASlowProbe failed before ("refuse 2012").

--- a/tests/choose_test.cpp
+++ b/tests/choose_test.cpp
@@ -261,6 +261,7 @@
     CPPUNIT_TEST(AnOfferedTargetIsProbedOnceMore);
     CPPUNIT_TEST(AnOfferedTargetAtItsConnectionLimitEndsTheSearch);
     CPPUNIT_TEST(WhereLoadIsSharedSlowProbesAreNotAwaited);
+    CPPUNIT_TEST(WhereLoadIsSharedAHedgeAwaitsASlowProbe);
     CPPUNIT_TEST(AProbeDoesNotSendTwiceToATarget);
     CPPUNIT_TEST(CrossesAfterProbesAtHome);
     CPPUNIT_TEST(LargeAnswersWithTimeToSpareStayAtHome);
@@ -726,6 +727,18 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), last.SlowProbe()); // There is no time for another search: the answer may still come.
     }
 
+    // Guards against a hedge that is given up while its probe is under way.
+    void WhereLoadIsSharedAHedgeAwaitsASlowProbe()
+    {
+        Situation s(2);
+        s.Pool.Shared = true;
+        s.Request.Sent = true;
+        s.SentTo = {"t0"};
+        s.Start(Choosing_Hedge);
+        CPPUNIT_ASSERT_EQUAL(std::string(), s.SlowProbe());
+        CPPUNIT_ASSERT_EQUAL(std::string("send t1"), s.Answer(1, Idle));
+    }
+
     // Guards against a second attempt at the target that the first one is at: the answers of both would be confused.
     void AProbeDoesNotSendTwiceToATarget()
     {
--- a/winchlink_choose.cpp
+++ b/winchlink_choose.cpp
@@ -226,12 +226,17 @@
     return all_over_limit || (round.Probed.empty() && PoolBackoffEnds(*step.View.Pool, step.Now));
 }
 
-// Whether the request can wait and probe again.
 static bool HasTimeToWait(const Step& step)
 {
     return step.Now + step.View.Config->ProbeRetryUs < step.Round->DeadlineUs;
 }
 
+// Whether the request can wait and search again.
+static bool CanWait(const Step& step)
+{
+    return step.Round->Kind == Choosing_First && HasTimeToWait(step);
+}
+
 // Whether the request is not served for lack of a path. While it can wait, a probe that is late says nothing: its answer may still come.
 static bool IsUnreached(const Step& step, bool may_wait)
 {
@@ -250,7 +255,7 @@
     const bool affordable = in_time && PoolCost(*view.Pool, *best, step->Now) <= GoodCostOf(*step, *best);
     const bool acceptable = affordable || (in_time && PoolIsAcceptable(*view.Pool, *best, step->Now));
     const bool limited = AllLimited(*step);
-    const bool may_wait = !view.Pool->Targets.empty() && !limited && round.Kind == Choosing_First && HasTimeToWait(*step);
+    const bool may_wait = !view.Pool->Targets.empty() && !limited && CanWait(*step);
     const bool unreached = !limited && IsUnreached(*step, may_wait);
     if (!acceptable && unreached && HandOff(step))
     {
@@ -505,13 +510,13 @@
     ProbeMore(step);
 }
 
-// Where load is shared, slow probes are not awaited while there is time to search again: slots that are free now won't be once a slow
+// Where load is shared, slow probes are not awaited while the request can search again: slots that are free now won't be once a slow
 // target has answered. To be called when all probes under way are slow.
 static void DecideIfSlow(Step* step)
 {
     const Chooser& round = *step->Round;
     const bool only_awaits = round.Kind != Choosing_None && !round.Waiting && step->Actions.empty();
-    if (only_awaits && step->View.Pool->Shared && HasTimeToWait(*step))
+    if (only_awaits && step->View.Pool->Shared && CanWait(*step))
     {
         Decide(step);
     }
