A waiting request goes on waiting while the path is open

A change of the path let a waiting request search at once while it still counted as waiting: it probed while it stood in the list of those that wait for a slot, and its timer ran beside. Now it goes on waiting, unless the path is lost or on trial.

AnOpenPathLeavesARequestWaiting failed before ("wait 20" a second time).

--- a/tests/choose_test.cpp
+++ b/tests/choose_test.cpp
@@ -255,6 +255,7 @@
     CPPUNIT_TEST(HandsOnWithoutAPath);
     CPPUNIT_TEST(RefusesWithoutAPath);
     CPPUNIT_TEST(ALostPathEndsTheWaiting);
+    CPPUNIT_TEST(AnOpenPathLeavesARequestWaiting);
     CPPUNIT_TEST(SendsUnprobedWhereLoadIsNotReported);
     CPPUNIT_TEST(RefusesUnprobed);
     CPPUNIT_TEST(AsksOthersWhenTargetsAreBusy);
@@ -633,6 +634,20 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), s.PathChanged());
     }
 
+    // Guards against requests that probe and wait at once.
+    void AnOpenPathLeavesARequestWaiting()
+    {
+        Situation s(1);
+        s.Start();
+        s.Answer(0, Full);
+        s.Now += s.Config.ReportReuseUs;
+        CPPUNIT_ASSERT_EQUAL(std::string(), s.PathChanged());
+        CPPUNIT_ASSERT(s.Round.Waiting);
+        CPPUNIT_ASSERT_EQUAL(std::string("probe t0 slow after 5"), s.Retry());
+        CPPUNIT_ASSERT_EQUAL(std::string(), s.PathChanged()); // It searches, and goes on.
+        CPPUNIT_ASSERT(!s.Round.Waiting);
+    }
+
     void SendsUnprobedWhereLoadIsNotReported()
     {
         Situation s(1);
--- a/winchlink_choose.cpp
+++ b/winchlink_choose.cpp
@@ -634,6 +634,10 @@
 
 ChooseActions ChooserPathChanged(Chooser* chooser, const ChooserView& view, TimeUs now)
 {
+    if (chooser->Waiting && TargetPathNow(view.Path, now) == TargetPathState_Open)
+    {
+        return {};
+    }
     Step step = {chooser, view, now, {}};
     Continue(&step);
     return step.Actions;
