ChooseTest: offers without end are probed a few times

A neighbour offers free slots that aren't there, one each millisecond, through a whole round with its repeated searches: the round makes its eight probes and MaxToldProbes, four, beyond them. No code changed: the bound held.

--- a/tests/choose_test.cpp
+++ b/tests/choose_test.cpp
@@ -260,6 +260,7 @@
     CPPUNIT_TEST(RefusesUnprobed);
     CPPUNIT_TEST(AsksOthersWhenTargetsAreBusy);
     CPPUNIT_TEST(AnOfferedTargetIsProbedOnceMore);
+    CPPUNIT_TEST(OffersWithoutEndAreProbedAFewTimes);
     CPPUNIT_TEST(AnOfferedTargetAtItsConnectionLimitEndsTheSearch);
     CPPUNIT_TEST(WhereLoadIsSharedSlowProbesAreNotAwaited);
     CPPUNIT_TEST(WhereLoadIsSharedAHedgeAwaitsASlowProbe);
@@ -714,6 +715,32 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), s.Offer(0)); // Twice in a search is enough.
     }
 
+    // Guards against requests that neighbours keep probing with offers of slots that aren't free.
+    void OffersWithoutEndAreProbedAFewTimes()
+    {
+        Situation s(20);
+        s.Pool.Shared = true;
+        const auto answer_all = [&s](std::string action)
+        {
+            while (action.find("probe") == 0)
+            {
+                action = s.Answer(std::stoul(action.substr(7)), Full);
+            }
+        };
+        answer_all(s.Start());
+        CPPUNIT_ASSERT_EQUAL(s.Config.MaxProbes, s.Round.ProbeCount);
+        const TimeUs began = s.Now;
+        for (size_t n = 0; s.Now < s.Round.DeadlineUs; n++)
+        {
+            answer_all(s.Offer(n % s.Listed.size()));
+            if (s.Round.Waiting && (s.Now - began) % s.Config.ProbeRetryUs == 0)
+            {
+                answer_all(s.Retry());
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(s.Config.MaxProbes + s.Config.MaxToldProbes, s.Round.ProbeCount);
+    }
+
     void AnOfferedTargetAtItsConnectionLimitEndsTheSearch()
     {
         Situation s(1);
