Choosing: chooser, round and search each name one thing

[SECTION] Choosing says what a search is; comments that said "round" or "probed again" of a search say search. In winchlink_choose.cpp the state of a request was called round, also where the field is that of a search or of all rounds: it is the chooser.

No behaviour changed.

--- a/winchlink.h
+++ b/winchlink.h
@@ -1667,7 +1667,8 @@
 // is left to probe, the best acceptable one is taken. Otherwise the request waits for a slot of an own request to come free and probes
 // again, until the time for choosing is over; then it is refused. Without a path to the targets it is handed to another instance.
 //
-// A round chooses a target for one attempt: the first one, a retry or a hedge. It ends when the request is sent, handed on or refused.
+// A round chooses a target for one attempt: the first one, a retry or a hedge. It ends when the request is sent, handed on or refused. It
+// consists of a search, or of several with waits between them; each search considers the targets afresh.
 //
 // How to use it: ChooserStart() begins a round; each later event of the request is passed to one of the functions below. Carry out the
 // actions that they return, in that order, before the next event. Call ChooserStop() when the request ends otherwise.
@@ -1677,9 +1678,9 @@
     TimeUs SlowProbeUs = 5 * UsPerMs;   // A probe that takes longer is slow: another target is probed as well.
     int MaxProbes = 8;                  // Probes in one round.
     int MaxToldProbes = 4;              // Beyond these: probes of targets that other instances have told to be free.
-    size_t MaxOverLimit = 64;           // Targets at their rate limits that are skipped in one round: bounds the time spent on them.
+    size_t MaxOverLimit = 64;           // Targets at their rate limits that are skipped in one search: bounds the time spent on them.
     TimeUs ReportReuseUs = 8 * UsPerMs; // A target with a younger report is not probed again.
-    TimeUs ProbeRetryUs = 20 * UsPerMs; // All targets busy: delay before probing again.
+    TimeUs ProbeRetryUs = 20 * UsPerMs; // All targets busy: delay before the next search.
     double MaxChooseShare = 0.2;        // Part of a route's latency objective that a round may take.
     double SlackCostShare = 0.25;       // A large answer with time to spare waits for a target at home that takes this part of that time,
     double SlackCostMax = 4;            // but no more than this multiple of the usual time, so that it doesn't hold slow targets for long.
@@ -1706,9 +1707,9 @@
 struct Chooser
 {
     Choosing_ Kind = Choosing_None;
-    bool Waiting = false;               // All targets were busy; it probes again after ChooserConfig::ProbeRetryUs.
+    bool Waiting = false;               // All targets were busy; the next search begins after ChooserConfig::ProbeRetryUs.
     TimeUs DeadlineUs = 0;              // End of the time for choosing.
-    std::vector<std::string> Probed;    // Targets considered since the round began or probed again.
+    std::vector<std::string> Probed;    // Targets considered in this search.
     std::vector<std::string> OverLimit; // Of these, targets skipped because they are at their rate limits.
     std::vector<LimitGrant> Grants;     // Taken for candidate targets; the caller returns those not used.
     std::vector<std::string> Awaited;   // Targets whose probes this round awaits.
@@ -1761,7 +1762,7 @@
     ChooseAction_Ask,     // Ask other instances what they know of the service's targets; the round goes on meanwhile.
     ChooseAction_Probe,   // Probe Target, and call ChooserSlowProbe() after DelayUs in place of any earlier such call.
     ChooseAction_Send,    // Send the request to Target.
-    ChooseAction_Wait,    // Call ChooserRetry() after DelayUs, unless the round stops waiting before.
+    ChooseAction_Wait,    // Call ChooserRetry() after DelayUs, unless the request stops waiting before.
     ChooseAction_HandOff, // Hand the request to the instance Peer.
     ChooseAction_Refuse,  // No target was found. The request is refused with Code, unless there is an attempt or its answer to wait for.
     ChooseAction_COUNT,
--- a/winchlink_choose.cpp
+++ b/winchlink_choose.cpp
@@ -23,7 +23,7 @@
 // One event: its time, and the actions that result from it.
 struct Step
 {
-    Chooser* Round;
+    Chooser* State;
     const ChooserView& View;
     TimeUs Now;
     ChooseActions Actions;
@@ -46,8 +46,8 @@
 
 static void Probe(Step* step, PoolTarget* target)
 {
-    step->Round->Awaited.push_back(target->Id);
-    step->Round->ProbeCount++;
+    step->State->Awaited.push_back(target->Id);
+    step->State->ProbeCount++;
     ChooseAction* action = AddAction(step, ChooseAction_Probe);
     action->Target = target;
     action->DelayUs = step->View.Config->SlowProbeUs;
@@ -55,13 +55,13 @@
 
 static void Send(Step* step, PoolTarget* target)
 {
-    ChooserStop(step->Round);
+    ChooserStop(step->State);
     AddAction(step, ChooseAction_Send)->Target = target;
 }
 
 static void Wait(Step* step)
 {
-    step->Round->Waiting = true;
+    step->State->Waiting = true;
     AddAction(step, ChooseAction_Wait)->DelayUs = step->View.Config->ProbeRetryUs;
 }
 
@@ -73,14 +73,14 @@
     {
         return false;
     }
-    ChooserStop(step->Round);
+    ChooserStop(step->State);
     AddAction(step, ChooseAction_HandOff)->Peer = std::move(peer);
     return true;
 }
 
 static void Refuse(Step* step, Code_ code, const char* detail)
 {
-    ChooserStop(step->Round);
+    ChooserStop(step->State);
     ChooseAction* action = AddAction(step, ChooseAction_Refuse);
     action->Code = code;
     action->Detail = detail;
@@ -117,28 +117,28 @@
 // Counts the request against the target's rate limit, if it has set one; once in a round. Returns false if the limit is reached.
 static bool TakeLimit(Step* step, const PoolTarget& target)
 {
-    Chooser* round = step->Round;
+    Chooser* chooser = step->State;
     const ChooserView& view = step->View;
     const auto holds = [&target](const LimitGrant& grant)
     {
         return grant.IncarnationId == target.IncarnationId;
     };
     if (QuotaTargetLimit(*view.TargetLimits, target.IncarnationId) == nullptr ||
-        std::any_of(round->Grants.begin(), round->Grants.end(), holds))
+        std::any_of(chooser->Grants.begin(), chooser->Grants.end(), holds))
     {
         return true;
     }
-    if (Contains(round->OverLimit, target.Id))
+    if (Contains(chooser->OverLimit, target.Id))
     {
         return false;
     }
     if (QuotaTakeTarget(view.TargetLimits, target.IncarnationId, step->Now, view.Rng))
     {
-        round->Grants.push_back({target.IncarnationId, step->Now});
+        chooser->Grants.push_back({target.IncarnationId, step->Now});
         return true;
     }
     (*view.OverLimitCount)++;
-    round->OverLimit.push_back(target.Id);
+    chooser->OverLimit.push_back(target.Id);
     return false;
 }
 
@@ -201,12 +201,12 @@
 // [SECTION] End of the search
 //-----------------------------------------------------------------------------
 
-// The target of lowest cost among those considered in this round that have capacity and a recent report; null if there is none.
+// The target of lowest cost among those considered in this search that have capacity and a recent report; null if there is none.
 static PoolTarget* BestProbed(Step* step)
 {
     TargetPool* pool = step->View.Pool;
     PoolTarget* best = nullptr;
-    for (const std::string& id : step->Round->Probed)
+    for (const std::string& id : step->State->Probed)
     {
         PoolTarget* target = PoolFind(pool, id);
         const bool usable = target != nullptr && HasFreshReport(*step, *target) && HasCapacity(step, *target);
@@ -221,20 +221,20 @@
 // Whether all candidates are at their rate limits, or all targets have asked for backoff: waiting for a free slot would be useless.
 static bool AllLimited(const Step& step)
 {
-    const Chooser& round = *step.Round;
-    const bool all_over_limit = !round.OverLimit.empty() && round.OverLimit.size() == round.Probed.size();
-    return all_over_limit || (round.Probed.empty() && PoolBackoffEnds(*step.View.Pool, step.Now));
+    const Chooser& chooser = *step.State;
+    const bool all_over_limit = !chooser.OverLimit.empty() && chooser.OverLimit.size() == chooser.Probed.size();
+    return all_over_limit || (chooser.Probed.empty() && PoolBackoffEnds(*step.View.Pool, step.Now));
 }
 
 static bool HasTimeToWait(const Step& step)
 {
-    return step.Now + step.View.Config->ProbeRetryUs < step.Round->DeadlineUs;
+    return step.Now + step.View.Config->ProbeRetryUs < step.State->DeadlineUs;
 }
 
 // Whether the request can wait and search again.
 static bool CanWait(const Step& step)
 {
-    return step.Round->Kind == Choosing_First && HasTimeToWait(step);
+    return step.State->Kind == Choosing_First && HasTimeToWait(step);
 }
 
 // Whether the request is not served for lack of a path. While it can wait, a probe that is late says nothing: its answer may still come.
@@ -249,7 +249,7 @@
 static void Decide(Step* step)
 {
     const ChooserView& view = step->View;
-    const Chooser& round = *step->Round;
+    const Chooser& chooser = *step->State;
     PoolTarget* best = BestProbed(step);
     const bool in_time = best != nullptr && MeetsDeadline(*step, PoolCost(*view.Pool, *best, step->Now));
     const bool affordable = in_time && PoolCost(*view.Pool, *best, step->Now) <= GoodCostOf(*step, *best);
@@ -271,10 +271,10 @@
         Wait(step);
         return;
     }
-    const Code_ code = limited                 ? Code_TargetsLimited
-                       : unreached             ? Code_TargetsUnreachable
-                       : round.ProbeCount == 0 ? Code_NoTargetLeft
-                                               : Code_TargetsBusy;
+    const Code_ code = limited                   ? Code_TargetsLimited
+                       : unreached               ? Code_TargetsUnreachable
+                       : chooser.ProbeCount == 0 ? Code_NoTargetLeft
+                                                 : Code_TargetsBusy;
     Refuse(step, code, best != nullptr ? "too slow" : "");
 }
 
@@ -289,7 +289,7 @@
     for (;;)
     {
         std::vector<std::string> passed = *view.Request.SentTo;
-        passed.insert(passed.end(), step->Round->OverLimit.begin(), step->Round->OverLimit.end());
+        passed.insert(passed.end(), step->State->OverLimit.begin(), step->State->OverLimit.end());
         PoolTarget* target = PoolNextUnprobed(view.Pool, passed, !view.Request.Retryable, step->Now, view.Rng);
         if (target == nullptr || TakeLimit(step, *target))
         {
@@ -308,7 +308,7 @@
     const bool cold = target != nullptr && !PoolMaySendCold(*view.Pool, *target, step->Now);
     if (target == nullptr || full || cold || !MayConnect(*step, *target))
     {
-        const bool limited = !step->Round->OverLimit.empty() || PoolBackoffEnds(*view.Pool, step->Now);
+        const bool limited = !step->State->OverLimit.empty() || PoolBackoffEnds(*view.Pool, step->Now);
         const Code_ none = limited ? Code_TargetsLimited : Code_NoTargetLeft;
         Refuse(step, target == nullptr ? none : Code_TargetsBusy, "targets report no load");
         return;
@@ -326,7 +326,7 @@
     {
         return false;
     }
-    step->Round->Waiting = false;
+    step->State->Waiting = false;
     if (HandOff(step))
     {
         return true;
@@ -353,10 +353,10 @@
 // still being probed.
 static bool IsOfferedAgain(const Step& step, const std::string& id)
 {
-    const Chooser& round = *step.Round;
+    const Chooser& chooser = *step.State;
     const PoolTarget* target = PoolFind(step.View.Pool, id);
-    const bool first = std::count(round.Probed.begin(), round.Probed.end(), id) == 1 && !Contains(round.OverLimit, id);
-    const bool ended = !Contains(round.Awaited, id);
+    const bool first = std::count(chooser.Probed.begin(), chooser.Probed.end(), id) == 1 && !Contains(chooser.OverLimit, id);
+    const bool ended = !Contains(chooser.Awaited, id);
     return first && ended && target != nullptr && target->ToldUs > target->ReportUs && IsKnownFree(step, *target);
 }
 
@@ -365,10 +365,10 @@
 static std::vector<std::string> PassedTargets(const Step& step)
 {
     std::vector<std::string> passed;
-    std::copy_if(step.Round->Probed.begin(), step.Round->Probed.end(), std::back_inserter(passed),
+    std::copy_if(step.State->Probed.begin(), step.State->Probed.end(), std::back_inserter(passed),
                  [&](const std::string& id) { return !IsOfferedAgain(step, id); });
     passed.insert(passed.end(), step.View.Request.SentTo->begin(), step.View.Request.SentTo->end());
-    passed.insert(passed.end(), step.Round->Unawaited.begin(), step.Round->Unawaited.end());
+    passed.insert(passed.end(), step.State->Unawaited.begin(), step.State->Unawaited.end());
     return passed;
 }
 
@@ -377,24 +377,24 @@
 static PoolTarget* CrossCandidate(Step* step, const std::vector<std::string>& passed)
 {
     const ChooserView& view = step->View;
-    Chooser* round = step->Round;
+    Chooser* chooser = step->State;
     if (view.Divided == nullptr)
     {
         return nullptr;
     }
     const SharedRoom own = LoadRoom(*view.Pool, step->Now);
-    const auto probes = static_cast<size_t>(round->ProbeCount - round->ProbeCountBefore);
+    const auto probes = static_cast<size_t>(chooser->ProbeCount - chooser->ProbeCountBefore);
     const bool home_left = PoolNextNear(view.Pool, passed, !view.Request.Retryable, step->Now) != nullptr;
     if (home_left && probes < view.Divided->Config.HomeProbes)
     {
         return nullptr;
     }
-    if (!round->Divided)
+    if (!chooser->Divided)
     {
-        round->Divided = true;
-        round->CrossTo = DivisionPick(view.Divided, own, DivisionRequestOf(*step), step->Now, view.Rng);
+        chooser->Divided = true;
+        chooser->CrossTo = DivisionPick(view.Divided, own, DivisionRequestOf(*step), step->Now, view.Rng);
     }
-    return round->CrossTo ? PoolNextIn(view.Pool, *round->CrossTo, passed, !view.Request.Retryable, step->Now) : nullptr;
+    return chooser->CrossTo ? PoolNextIn(view.Pool, *chooser->CrossTo, passed, !view.Request.Retryable, step->Now) : nullptr;
 }
 
 // Whether a request may cross although DivisionPick() has named no data centre: while none has told of its room lately or there are no
@@ -440,13 +440,13 @@
 // may be when all else was in vain.
 static bool MayProbe(const Step& step, const PoolTarget& target)
 {
-    const Chooser& round = *step.Round;
+    const Chooser& chooser = *step.State;
     const ChooserConfig& config = *step.View.Config;
     const bool told = step.View.Pool->Shared && IsKnownFree(step, target);
-    const bool crosses = step.View.Divided != nullptr && round.CrossTo && target.DataCentre == *round.CrossTo;
+    const bool crosses = step.View.Divided != nullptr && chooser.CrossTo && target.DataCentre == *chooser.CrossTo;
     const int extra = crosses ? static_cast<int>(step.View.Divided->Config.AwayProbes) : told ? config.MaxToldProbes : 0;
-    const bool has_place = static_cast<int>(round.Awaited.size()) < round.MaxConcurrentProbes;
-    return has_place && round.ProbeCount - round.ProbeCountBefore < config.MaxProbes + extra;
+    const bool has_place = static_cast<int>(chooser.Awaited.size()) < chooser.MaxConcurrentProbes;
+    return has_place && chooser.ProbeCount - chooser.ProbeCountBefore < config.MaxProbes + extra;
 }
 
 // Whether the target needs no probe: its own report is young, and no other instance has told of it since.
@@ -459,9 +459,9 @@
 // Considers candidates until one is good or no more may be probed now.
 static void ProbeMore(Step* step)
 {
-    Chooser* round = step->Round;
+    Chooser* chooser = step->State;
     const ChooserConfig& config = *step->View.Config;
-    while (step->Now < round->DeadlineUs && round->OverLimit.size() < config.MaxOverLimit)
+    while (step->Now < chooser->DeadlineUs && chooser->OverLimit.size() < config.MaxOverLimit)
     {
         PoolTarget* next = NextCandidate(step);
         const bool known = next != nullptr && IsReportYoung(*step, *next);
@@ -469,7 +469,7 @@
         {
             break;
         }
-        round->Probed.push_back(next->Id);
+        chooser->Probed.push_back(next->Id);
         if (!TakeLimit(step, *next))
         {
             continue; // A target at its rate limit is not probed either.
@@ -484,7 +484,7 @@
             return;
         }
     }
-    if (round->Awaited.empty())
+    if (chooser->Awaited.empty())
     {
         Decide(step);
     }
@@ -493,13 +493,13 @@
 // Goes on with the round, if there is one.
 static void Continue(Step* step)
 {
-    if (step->Round->Kind == Choosing_None || HandleWithoutPath(step))
+    if (step->State->Kind == Choosing_None || HandleWithoutPath(step))
     {
         return;
     }
     if (!step->View.Admit())
     {
-        ChooserStop(step->Round);
+        ChooserStop(step->State);
         return;
     }
     if (!step->View.Pool->ReportsLoad || !step->View.Request.MayProbe)
@@ -514,8 +514,8 @@
 // target has answered. To be called when all probes under way are slow.
 static void DecideIfSlow(Step* step)
 {
-    const Chooser& round = *step->Round;
-    const bool only_awaits = round.Kind != Choosing_None && !round.Waiting && step->Actions.empty();
+    const Chooser& chooser = *step->State;
+    const bool only_awaits = chooser.Kind != Choosing_None && !chooser.Waiting && step->Actions.empty();
     if (only_awaits && step->View.Pool->Shared && CanWait(*step))
     {
         Decide(step);
