Shared load: bounded work and slots for a message, off stays off, wrong senders

Cause: a message visited all marked targets, up to three times. A neighbour that asked all the time, or in whose name somebody did, took all free slots and all offers. After LoadLinkSet(off) the check of Watched set Pool.Shared again; an instance alone that considered other data centres in vain was marked Shared by the same check. Messages in the own name, or from a data centre where their sender is known not to run, were used. Switching was logged only at the start, and only off.

Change: a message visits 256 marked targets at most (LoadVisitsMax), of more another part each time, and the room that answers and offers tell is counted once in 10 ms; LoadRoom() estimates where more targets are marked. An ask that follows within 8 ms of the last one of its sender is ignored, as are those beyond 16 of any in that time: instances ask every 10 ms. Off ends and forgets all that was remembered of others. Messages of wrong senders are dropped and counted (winchlink_load_wrong_senders). "shared load on", "shared load off", "division on", "division off" are logged on a change. The rule for later versions (another kind of datagram) is said and tested.

The eleven new tests but TheRoomOfManyTargetsIsEstimated and MessagesOfLaterVersionsAreDroppedWhole (guards) failed before.

AnAskIsAnsweredByOneFreeSlot and AFreedSlotIsOfferedToTheLatestThatAsked asked in one name several times within 2 ms, which no instance does and which is now ignored: the first asks in different names, the second at the time between asks. What they check is the same.

ShareTest 22, LoadLinkTest 25, ShareLoadTest 7, ChooseLoadTest 6, ChooseTest, PoolTest and DocsTest 61 passed.

--- a/exchange/datagram_link.h
+++ b/exchange/datagram_link.h
@@ -85,8 +85,8 @@
     bool Stamped = false;
     size_t BytesMax = 0;                                // Bytes of a datagram.
     TimeUs DelayMaxUs = 0;                              // Stamped datagrams that took longer are late.
-    DatagramRate SendRate;                              // Bounds what is sent, and what is read.
-    DatagramRate ReceiveRate;                           //
+    DatagramRate SendRate;                              // Of datagrams to all instances together.
+    DatagramRate ReceiveRate;                           // Of those from all; what exceeds it is dropped before its checksum is computed.
     std::function<bool(const Datagram&)> OnReceived;    // Returns false if the body is malformed. Empty: the channel is off.
     uint64_t Sent = 0;                                  // Counters: datagrams and bytes that were sent.
     uint64_t SentBytes = 0;                             //
--- a/exchange/load_link.cpp
+++ b/exchange/load_link.cpp
@@ -143,7 +143,7 @@
 static void WatchSharing(const LoadLink& link, const ServiceState& service, LoadWatch* watch, TimeUs now)
 {
     const LoadSharing& sharing = service.Sharing;
-    const bool active = watch->AskedUs > 0 && now < watch->AskedUs + link.Config.CalmUs;
+    const bool active = link.Shares && watch->AskedUs > 0 && now < watch->AskedUs + link.Config.CalmUs;
     if (active == (watch->SharingUs > 0))
     {
         return;
@@ -180,7 +180,7 @@
 static void WatchDivision(const LoadLink& link, const ServiceState& service, LoadWatch* watch, TimeUs now)
 {
     const Division& divided = service.Divided;
-    const bool active = divided.Active && now < watch->DivisionCheckedUs + link.Config.CalmUs;
+    const bool active = link.Divides && divided.Active && now < watch->DivisionCheckedUs + link.Config.CalmUs;
     if (active == (watch->DividingUs > 0))
     {
         return;
@@ -224,13 +224,33 @@
     {
         LoadWatch& watch = entry->second;
         WatchService(*link, *entry->first, &watch, now);
-        const bool recent = now < std::max({watch.AskedUs, watch.HeardUs, watch.DivisionCheckedUs}) + link->Config.CalmUs;
-        entry->first->Pool.Shared = recent;
+        const TimeUs calm = now - link->Config.CalmUs;
+        const bool shared = std::max(watch.AskedUs, watch.HeardUs) > calm; // An instance that is alone considers others in vain.
+        const bool recent = shared || watch.DivisionCheckedUs > calm;
+        entry->first->Pool.Shared = shared;
         entry = recent ? std::next(entry) : link->Watched.erase(entry);
     }
     link->WatchTimer = link->Watched.empty() ? nullptr : TimerStart(link->Loop, link->Config.WatchUs, [link]() { WatchAll(link); });
 }
 
+// Forgets what was remembered of other instances.
+static void EndAll(LoadLink* link)
+{
+    const TimeUs now = NowUs();
+    for (auto& [service, watch] : link->Watched)
+    {
+        WatchService(*link, *service, &watch, now);
+    }
+    link->Watched.clear();
+    link->WatchTimer = nullptr;
+    for (auto& [name, service] : link->Requests->Services)
+    {
+        service.Pool.Shared = false;
+        service.Sharing.Askers.clear();
+        service.Sharing.Heard.clear();
+    }
+}
+
 static LoadWatch* WatchOf(LoadLink* link, ServiceState* service)
 {
     if (!link->WatchTimer)
@@ -346,6 +366,26 @@
     return found != link->Services.end() ? found->second : nullptr;
 }
 
+// The instance at an IP address that was heard last, or null. `ip`: with the colon before the port, as the ports of an instance for
+// datagrams and for others differ.
+static const Peer* LatestAt(const Peers& peers, const std::string& ip)
+{
+    const Peer* latest = nullptr;
+    for (auto peer = peers.Known.lower_bound(ip); peer != peers.Known.end() && peer->first.compare(0, ip.size(), ip) == 0; ++peer)
+    {
+        latest = latest == nullptr || peer->second.HeardUs > latest->HeardUs ? &peer->second : latest;
+    }
+    return latest;
+}
+
+// Whether the sender may be what its message says: not this instance, and in that data centre, if it is known where it runs.
+static bool MayBeFrom(const Peers& peers, const std::string& from, uint16_t data_centre)
+{
+    const std::string ip = from.substr(0, from.rfind(':') + 1);
+    const Peer* known = LatestAt(peers, ip);
+    return peers.Own.compare(0, ip.size(), ip) != 0 && (known == nullptr || known->DataCentre == data_centre);
+}
+
 // The target of a free slot that was told to this instance, if the message holds one. `taken`: reports of it were taken.
 static PoolTarget* OfferedBy(const ServiceState& service, const LoadMessage& message, uint16_t own, bool taken)
 {
@@ -357,6 +397,15 @@
 {
     const Forwarder& requests = *link->Requests;
     const bool asks = message.Kind == LoadMessage_Ask;
+    if (!link->Shares)
+    {
+        return;
+    }
+    if (!MayBeFrom(requests.Others, from, message.DataCentre))
+    {
+        link->WrongSenders++;
+        return;
+    }
     if (!requests.Plan || (requests.Draining && asks))
     {
         link->NotAnswered++;
@@ -414,11 +463,22 @@
 // [SECTION] Settings
 //-----------------------------------------------------------------------------
 
+static void LogSwitch(bool before, bool after, const char* on, const char* off)
+{
+    if (before != after)
+    {
+        Log(LogLevel_Info, Code_None, after ? on : off, {});
+    }
+}
+
 void LoadLinkSet(LoadLink* link, bool shares, bool divides)
 {
     Forwarder* requests = link->Requests;
+    divides = shares && divides;
+    LogSwitch(link->Shares, shares, "shared load on", "shared load off");
+    LogSwitch(link->Divides, divides, "division on", "division off");
     link->Shares = shares;
-    link->Divides = shares && divides;
+    link->Divides = divides;
     DatagramChannel& channel = link->Datagrams->Channels[DatagramChannel_Load];
     channel.OnReceived = nullptr;
     requests->OnTargetBusy = nullptr;
@@ -426,7 +486,6 @@
     requests->Divides = link->Divides;
     for (auto& [name, service] : requests->Services)
     {
-        service.Pool.Shared = service.Pool.Shared && shares;
         if (!link->Divides)
         {
             service.Divided.Rooms.clear();
@@ -435,6 +494,7 @@
     }
     if (!shares)
     {
+        EndAll(link);
         return;
     }
     channel.OnReceived = [link](const Datagram& datagram)
--- a/exchange/load_link.h
+++ b/exchange/load_link.h
@@ -4,7 +4,7 @@
 // An instance asks when its requests find targets busy, answers while it has a plan and doesn't drain, and offers slots that its answers
 // show to be free. An ask that was on the way for longer than an asker is remembered comes too late: its request has ended its search. A
 // message of another instance is used only for a service that this one knows; its reports count as older by the time that it was on the
-// way.
+// way. One in the name of this instance, or from another data centre than its sender is known to run in (Peers), is not used.
 //
 // How to use it: fill the struct and call LoadLinkSet(). While sharing is on, Forwarder::OnTargetBusy and OnSlotFree call LoadLinkAsk() and
 // LoadLinkFreed().
@@ -63,6 +63,7 @@
     std::map<ServiceState*, LoadWatch> Watched;           // Services for which instances have asked lately.
     Timer WatchTimer;                                     // Next check of Watched.
     uint64_t UnknownServices = 0;                         // Counter: messages of services that are not known here.
+    uint64_t WrongSenders = 0; // Counter: messages in the name of this instance, or from a data centre where their sender doesn't run.
     uint64_t NotAnswered = 0;  // Counter: asks that came too late, or while this instance drained or had no plan.
     uint64_t DivisionAsks = 0; // Counter: asks that were sent to other data centres.
 
@@ -71,7 +72,8 @@
     LoadLink& operator=(const LoadLink&) = delete;
 };
 
-// Switches sharing and division on or off. Division needs sharing.
+// Switches sharing and division on or off, and logs what changes. Division needs sharing. Once off, nothing is sent or used, and what was
+// remembered of others is forgotten.
 void LoadLinkSet(LoadLink* link, bool shares, bool divides);
 
 // A request found a target of the service busy, or none in the own data centre: asks other instances, if it is time to.
@@ -92,7 +94,8 @@
 inline constexpr size_t LoadReportsMax = 128;
 std::string EncodeLoad(const LoadMessage& message);
 
-// Code_MessageMalformed if the bytes are not exactly one message with plausible values.
+// Code_MessageMalformed if the bytes are not exactly one message with plausible values. So a message has these fields in all versions: a
+// version that tells more does so in a datagram of another kind (DatagramKind_Load is this one's), which older ones drop.
 Result<LoadMessage> DecodeLoad(const std::string& bytes);
 
 } // namespace Winchlink
--- a/gateway/pages.cpp
+++ b/gateway/pages.cpp
@@ -172,6 +172,7 @@
     text += fmt::format("winchlink_datagrams_unknown {}\n", gateway.Datagrams.Unknown);
     text += fmt::format("winchlink_load_unknown_services {}\n", gateway.Load.UnknownServices);
     text += fmt::format("winchlink_load_not_answered {}\n", gateway.Load.NotAnswered);
+    text += fmt::format("winchlink_load_wrong_senders {}\n", gateway.Load.WrongSenders);
     return text + fmt::format("winchlink_division_asks {}\n", gateway.Load.DivisionAsks);
 }
 
--- a/winchlink.h
+++ b/winchlink.h
@@ -1058,22 +1058,32 @@
 uint32_t SharedTargetId(uint64_t incarnation_id);
 uint32_t SharedServiceId(const std::string& service);
 
+// Marked targets that a message visits. So it takes a few microseconds of the requests' processor however large the service is; of a
+// larger one each message visits another part.
+inline constexpr size_t LoadVisitsMax = 256;
+
 struct LoadSharingConfig
 {
     size_t AskedPeers = 16;               // Instances of the own data centre that are asked at once.
     TimeUs AskIntervalUs = 10 * UsPerMs;  // Time between two asks for a service: two probes.
-    size_t ReportsMax = 8;                // Reports in one message.
-    TimeUs ReportMaxAgeUs = 40 * UsPerMs; // Older reports are neither sent nor taken: the slots are probably in use.
-    TimeUs OfferMaxAgeUs = 10 * UsPerMs;  // The same for a slot that is offered to one instance.
+    size_t ReportsMax = 8;                // Reports in one message: as many targets as a request probes.
+    TimeUs ReportMaxAgeUs = 40 * UsPerMs; // Older reports are neither sent nor taken: a request that goes by them finds a slot no
+                                          // sooner than by probes of its own.
+    TimeUs OfferMaxAgeUs = 10 * UsPerMs;  // The same for a slot that is told to one instance: its request probes that target before all
+                                          // others, and so is to find the slot still free.
     TimeUs AskerKeptUs = 20 * UsPerMs;    // An instance that asked is offered slots for this long: most searches have ended by then.
     size_t AskersMax = 16;                // Instances that asked and are remembered; the oldest are removed first.
+    TimeUs AskIgnoredUs = 8 * UsPerMs; // Asks of an instance that follow within this time are ignored, and those of any beyond AskersMax:
+                                       // none needs to ask so often, and requests of all instances need slots.
+    TimeUs RoomKeptUs = 10 * UsPerMs;  // The room that is told is counted again after this: a request makes use of it no sooner than
+                                       // with its next probe.
 };
 
-// An instance that has asked and may be offered a slot.
+// An instance that has asked.
 struct LoadAsker
 {
     std::string Address; // For datagrams.
-    TimeUs AskedUs = 0;
+    TimeUs AtUs = 0;
 };
 
 // State of the exchange for one service.
@@ -1081,7 +1091,10 @@
 {
     LoadSharingConfig Config;
     TimeUs AskedUs = 0;           // Time of the last ask; 0: never.
-    std::deque<LoadAsker> Askers; // In the order of asking.
+    std::deque<LoadAsker> Askers; // Those that asked and may be offered a slot, in the order of asking.
+    std::deque<LoadAsker> Heard;  // Asks of the last AskIgnoredUs that were not ignored, in that order.
+    SharedRoom Room;              // As last told.
+    TimeUs RoomUs = 0;            // When it was counted; 0: never.
     uint64_t Asks = 0;            // Counters: messages sent, by kind.
     uint64_t Answers = 0;
     uint64_t Offers = 0;
@@ -1110,7 +1123,7 @@
 std::optional<LoadOfferTo> LoadOffer(LoadSharing* sharing, const TargetPool& pool, PoolTarget* target, const std::string& service,
                                      uint16_t data_centre, TimeUs now);
 
-// The room that this instance sees in its own data centre.
+// The room that this instance sees in its own data centre; estimated where more than LoadVisitsMax targets are marked.
 SharedRoom LoadRoom(const TargetPool& pool, TimeUs now);
 
 //-----------------------------------------------------------------------------
--- a/winchlink_share.cpp
+++ b/winchlink_share.cpp
@@ -1,6 +1,7 @@
 // winchlink_share.cpp: load reports that instances exchange: whom to ask, what to tell, and who is offered a slot that comes free.
 //
-// Only marked targets are visited, see PoolIndex: those with a recent report or requests of this instance, and not the whole service.
+// Only marked targets are visited, see PoolIndex: those with a recent report or requests of this instance, and not the whole service. Of
+// many, a message visits LoadVisitsMax.
 //
 // Index of this file:
 // [SECTION] What is told
@@ -28,6 +29,27 @@
     return static_cast<uint32_t>(HashId("winchlink shared load", service));
 }
 
+// The marked target from which a message visits them: of many, another one each time, so that none is left out for long.
+static size_t DrawFirst(const TargetPool& pool, Random* random)
+{
+    const size_t count = pool.Index.Marked.size();
+    return count > LoadVisitsMax ? (*random)() % count : 0;
+}
+
+// Calls `visit` for marked targets, from that one on, until it returns true; for LoadVisitsMax at most.
+template <class Visit> static void VisitMarked(const TargetPool& pool, size_t first, Visit visit)
+{
+    const std::vector<PoolTarget*>& marked = pool.Index.Marked;
+    const size_t count = std::min(marked.size(), LoadVisitsMax);
+    for (size_t n = 0; n < count; n++)
+    {
+        if (visit(marked[(first + n) % marked.size()]))
+        {
+            return;
+        }
+    }
+}
+
 // Whether requests of this instance may go to the target now, as far as their number is not limited.
 static bool IsUsable(const TargetPool& pool, const PoolTarget& target, TimeUs now)
 {
@@ -57,45 +79,79 @@
 static std::vector<SharedReport> ReportsOfRoom(const LoadSharing& sharing, const TargetPool& pool, TimeUs now, Random* random)
 {
     std::vector<SharedReport> reports;
-    for (const PoolTarget* target : pool.Index.Marked)
+    const auto collect = [&](const PoolTarget* target)
     {
         const std::optional<SharedReport> report = ReportOfRoom(pool, *target, sharing.Config.ReportMaxAgeUs, now);
         if (report)
         {
             reports.push_back(*report);
         }
-    }
+        return false;
+    };
+    VisitMarked(pool, DrawFirst(pool, random), collect);
     std::shuffle(reports.begin(), reports.end(), *random);
     reports.resize(std::min(reports.size(), sharing.Config.ReportsMax));
     return reports;
 }
 
+// Targets of the own data centre that were visited.
+struct VisitedRoom
+{
+    int Unusable = 0;
+    int Known = 0; // Of those that may be used.
+    int Free = 0;
+};
+
+static VisitedRoom VisitRoom(const TargetPool& pool, TimeUs now)
+{
+    VisitedRoom seen;
+    const auto count = [&](const PoolTarget* target)
+    {
+        const bool usable = target->Near && IsUsable(pool, *target, now);
+        const std::optional<KnownLoad> known = usable ? PoolKnownLoad(pool, *target, now) : std::nullopt;
+        seen.Unusable += target->Near && !usable ? 1 : 0;
+        seen.Known += known ? 1 : 0;
+        seen.Free += known && HasRoom(pool, *target, *known, now) ? 1 : 0;
+        return false;
+    };
+    const size_t marked = pool.Index.Marked.size();
+    VisitMarked(pool, marked > 0 ? static_cast<uint64_t>(now) % marked : 0, count); // Messages come at random times.
+    return seen;
+}
+
 SharedRoom LoadRoom(const TargetPool& pool, TimeUs now)
 {
     constexpr size_t near_groups = 2; // Every second group, see PoolGroupCount.
-    SharedRoom room;
+    int near = 0;
     for (size_t group = 0; group < PoolGroupCount; group += near_groups)
     {
-        room.Targets += static_cast<int>(pool.Index.Groups[group].size());
+        near += static_cast<int>(pool.Index.Groups[group].size());
     }
-    for (const PoolTarget* target : pool.Index.Marked)
+    const VisitedRoom seen = VisitRoom(pool, now);
+    const size_t marked = pool.Index.Marked.size();
+    const double scale = marked > LoadVisitsMax ? static_cast<double>(marked) / LoadVisitsMax : 1;
+    const auto scaled = [scale](int count)
     {
-        if (!target->Near)
-        {
-            continue;
-        }
-        if (!IsUsable(pool, *target, now))
-        {
-            room.Targets--;
-            continue;
-        }
-        const std::optional<KnownLoad> known = PoolKnownLoad(pool, *target, now);
-        room.Known += known ? 1 : 0;
-        room.Free += known && HasRoom(pool, *target, *known, now) ? 1 : 0;
-    }
+        return static_cast<int>(count * scale);
+    };
+    SharedRoom room;
+    room.Targets = std::max(near - scaled(seen.Unusable), 0);
+    room.Known = std::min(scaled(seen.Known), room.Targets);
+    room.Free = std::min(scaled(seen.Free), room.Known);
     return room;
 }
 
+// The room to tell in messages.
+static SharedRoom RecentRoom(LoadSharing* sharing, const TargetPool& pool, TimeUs now)
+{
+    if (sharing->RoomUs == 0 || now >= sharing->RoomUs + sharing->Config.RoomKeptUs)
+    {
+        sharing->Room = LoadRoom(pool, now);
+        sharing->RoomUs = now;
+    }
+    return sharing->Room;
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Asking
 //-----------------------------------------------------------------------------
@@ -115,19 +171,19 @@
     return asked;
 }
 
-static LoadMessage MakeMessage(LoadMessage_ kind, const TargetPool& pool, uint32_t service, uint16_t data_centre, TimeUs now)
+static LoadMessage MakeMessage(LoadMessage_ kind, const SharedRoom& room, uint32_t service, uint16_t data_centre)
 {
     LoadMessage message;
     message.Kind = kind;
     message.Service = service;
     message.DataCentre = data_centre;
-    message.Room = LoadRoom(pool, now);
+    message.Room = room;
     return message;
 }
 
 LoadMessage LoadAsk(const TargetPool& pool, const std::string& service, uint16_t data_centre, TimeUs now)
 {
-    return MakeMessage(LoadMessage_Ask, pool, SharedServiceId(service), data_centre, now);
+    return MakeMessage(LoadMessage_Ask, LoadRoom(pool, now), SharedServiceId(service), data_centre);
 }
 
 static void TakeReports(LoadSharing* sharing, TargetPool* pool, const std::vector<SharedReport>& reports, TimeUs now)
@@ -144,6 +200,26 @@
     sharing->ReportsIgnored += reports.size() - count;
 }
 
+// Whether an ask is not to be ignored.
+static bool TakeAsk(LoadSharing* sharing, const std::string& from, TimeUs now)
+{
+    std::deque<LoadAsker>& heard = sharing->Heard;
+    while (!heard.empty() && now >= heard.front().AtUs + sharing->Config.AskIgnoredUs)
+    {
+        heard.pop_front();
+    }
+    const auto is_it = [&](const LoadAsker& other)
+    {
+        return other.Address == from;
+    };
+    if (heard.size() >= sharing->Config.AskersMax || std::any_of(heard.begin(), heard.end(), is_it))
+    {
+        return false;
+    }
+    heard.push_back({from, now});
+    return true;
+}
+
 static void Remember(LoadSharing* sharing, const std::string& address, TimeUs now)
 {
     std::deque<LoadAsker>& askers = sharing->Askers;
@@ -167,19 +243,22 @@
     return own ? ReportOfRoom(pool, target, sharing.Config.OfferMaxAgeUs, now) : std::nullopt;
 }
 
-// The first free slot that may be offered; counts as taken.
-static std::vector<SharedReport> TakeSlot(const LoadSharing& sharing, const TargetPool& pool, TimeUs now)
+// A free slot that may be offered, if there is one; counts as taken.
+static std::vector<SharedReport> TakeSlot(const LoadSharing& sharing, const TargetPool& pool, TimeUs now, Random* random)
 {
-    for (PoolTarget* target : pool.Index.Marked)
+    std::vector<SharedReport> taken;
+    const auto take = [&](PoolTarget* target)
     {
         const std::optional<SharedReport> report = Offerable(sharing, pool, *target, now);
         if (report)
         {
+            taken.push_back(*report);
             target->SentSinceReport++;
-            return {*report};
         }
-    }
-    return {};
+        return report.has_value();
+    };
+    VisitMarked(pool, DrawFirst(pool, random), take);
+    return taken;
 }
 
 std::optional<LoadMessage> LoadHeard(LoadSharing* sharing, TargetPool* pool, const LoadMessage& message, const std::string& from,
@@ -190,14 +269,19 @@
     {
         return std::nullopt;
     }
-    LoadMessage answer = MakeMessage(LoadMessage_Answer, *pool, message.Service, data_centre, now);
     const bool near = message.DataCentre == data_centre;
-    answer.Reports = near ? TakeSlot(*sharing, *pool, now) : ReportsOfRoom(*sharing, *pool, now, random);
-    if (near && answer.Reports.empty())
+    if (near && !TakeAsk(sharing, from, now))
+    {
+        return std::nullopt;
+    }
+    std::vector<SharedReport> reports = near ? TakeSlot(*sharing, *pool, now, random) : ReportsOfRoom(*sharing, *pool, now, random);
+    if (near && reports.empty())
     {
         Remember(sharing, from, now);
         return std::nullopt;
     }
+    LoadMessage answer = MakeMessage(LoadMessage_Answer, RecentRoom(sharing, *pool, now), message.Service, data_centre);
+    answer.Reports = std::move(reports);
     sharing->Answers++;
     return answer;
 }
@@ -206,7 +290,7 @@
                                      uint16_t data_centre, TimeUs now)
 {
     std::deque<LoadAsker>& askers = sharing->Askers;
-    while (!askers.empty() && now >= askers.front().AskedUs + sharing->Config.AskerKeptUs)
+    while (!askers.empty() && now >= askers.front().AtUs + sharing->Config.AskerKeptUs)
     {
         askers.pop_front();
     }
@@ -217,7 +301,7 @@
     }
     LoadOfferTo offer;
     offer.Address = askers.back().Address; // The requests of those that asked long ago have probably found a target.
-    offer.Message = MakeMessage(LoadMessage_Offer, pool, SharedServiceId(service), data_centre, now);
+    offer.Message = MakeMessage(LoadMessage_Offer, RecentRoom(sharing, pool, now), SharedServiceId(service), data_centre);
     offer.Message.Reports.push_back(*report);
     askers.pop_back();
     target->SentSinceReport++;
