Retries for later tries: a setting, metrics, and timeouts of an hour

Cause: which requests get retries couldn't be set or seen by an operator. One caller that names an hour as its deadline made all others of its route look as if they came back, for 30 to 60 s. The log didn't say which requests division had sent elsewhere, and nothing showed division's view of home or the time for which the own link was occupied.

Change: setting firstTryShare (0 to 1, 0.25 as before; 1 switches the part off). Metrics winchlink_repeats_kept, winchlink_division_home_share and _probes, winchlink_link_occupied_us and winchlink_link_awaited_us; fields `kept` in "repeat refused by the budget" and `crossed` in the lines of requests. CallerTimeouts keeps the longest timeout of each octave, and only one of at most four times a caller's own counts for it.

RetriesGoToThoseWhoCannotReturn took its bound from the value that it checks, so a larger default would have moved the bound as well: it is a quarter of the gain now, the same at the present default.

Tests: ATimeoutOfAnHourHidesNoReturns failed before (3,595 s instead of 0); RetryBudgetLoadTest, DocsTest, GatewayTest, ChooseTest, PoolTest, TargetPathTest, LoadLinkTest: 134 passed, 0 failed. GatewayFaultsTest, TableAdapterTest, HandoffTest on the same program: 72 passed, 0 failed.

--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -46,6 +46,7 @@
     std::vector<CodeCount> Ended; // By result code.
     uint64_t Retries = 0;         // Attempts after the first of a request.
     uint64_t RetriesRefused = 0;  // Retries that the budget did not allow.
+    uint64_t RetriesKept = 0;     // Of these, the ones kept for callers that can't come back in time, see ForwardConfig::FirstTryShare.
 };
 
 void CountEnded(RowMetrics* metrics, Code_ code);
--- a/gateway/client.cpp
+++ b/gateway/client.cpp
@@ -44,7 +44,8 @@
     Timer ListenTimer;             // End of TimeoutUs, then of ListenUs, if the latter is set.
     TimeUs SilentSinceUs = 0;      // Time of the mark in Client::DeadSince that this call has set; 0: none.
     TimeUs LinkOccupiedUs = 0;     // OwnLinkOccupiedUs() at StartedUs.
-    TimeUs ExtraUs = 0;            // Time for which the call was listened to beyond ListenUs.
+    TimeUs ExtraUs = 0;            // Time granted beyond ListenUs, as the link was occupied,
+    TimeUs ExtendedAtUs = 0;       // and when the first of it was granted; 0: none was.
     bool Sent = false;             // The pre-request callback has let the request be sent.
     bool ClosedUnanswered = false; // The connection was closed without an answer, and libcurl's resend was prevented.
     bool Withheld = false;         // MaySend returned false.
@@ -266,6 +267,7 @@
     }
     std::unique_ptr<ClientCall> call = std::move(found->second);
     client->Calls.erase(found);
+    client->ExtendedUs += call->ExtendedAtUs > 0 ? NowUs() - call->ExtendedAtUs : 0;
     curl_multi_remove_handle(client->Multi, call->Easy);
     return call;
 }
@@ -302,6 +304,7 @@
             return;
         }
         call->ExtraUs += more;
+        call->ExtendedAtUs = call->ExtendedAtUs > 0 ? call->ExtendedAtUs : NowUs();
         ListenFor(call, more);
     };
     call->ListenTimer = TimerStart(call->Owner->Loop, time, give_up);
--- a/gateway/client.h
+++ b/gateway/client.h
@@ -83,6 +83,7 @@
     uint64_t ConnectionsOpened = 0;                        // Counter.
     uint64_t ResendsPrevented = 0;                         // Counter: resends by libcurl that were prevented.
     uint64_t DeadConnectionsSeen = 0;                      // Counter: requests that timed out on a reused connection.
+    TimeUs ExtendedUs = 0;                                 // Counter: time for which requests were listened to beyond ListenUs.
 
     Client();
     ~Client();
--- a/gateway/command_status.cpp
+++ b/gateway/command_status.cpp
@@ -136,9 +136,10 @@
 
 static void PrintService(json_t* service)
 {
-    fmt::print("service    {}: {} in progress, p50 {:.2f} ms, p99 {:.2f} ms, {} repeats\n", Text(service, "name"),
-               Number(service, "inProgress"), json_real_value(json_object_get(service, "p50Ms")),
-               json_real_value(json_object_get(service, "p99Ms")), Number(service, "repeats"));
+    fmt::print("service    {}: {} in progress, p50 {:.2f} ms, p99 {:.2f} ms, {} repeats, {} refused ({} kept for callers that come back)\n",
+               Text(service, "name"), Number(service, "inProgress"), json_real_value(json_object_get(service, "p50Ms")),
+               json_real_value(json_object_get(service, "p99Ms")), Number(service, "repeats"), Number(service, "repeatsRefused"),
+               Number(service, "repeatsKept"));
     const char* code = nullptr;
     json_t* count = nullptr;
     json_object_foreach(json_object_get(service, "ended"), code, count)
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -534,6 +534,7 @@
     gateway->Config.StoreAddress = settings.StoreAddress;
     SetSources(gateway);
     gateway->Requests.Config.RetryShare = settings.RetryShare;
+    gateway->Requests.Config.FirstTryShare = settings.FirstTryShare;
     gateway->Requests.Config.RetryWindowUs = settings.RetryWindowUs;
     gateway->Requests.Quarantined.Config.CrashThreshold = settings.CrashesMax;
     gateway->Requests.Quarantined.Config.QuarantineUs = settings.QuarantineUs;
--- a/gateway/pages.cpp
+++ b/gateway/pages.cpp
@@ -38,6 +38,7 @@
     text += EndedText(name, service.Metrics);
     text += fmt::format("winchlink_repeats{{service=\"{}\"}} {}\n", name, service.Metrics.Retries);
     text += fmt::format("winchlink_repeats_refused{{service=\"{}\"}} {}\n", name, service.Metrics.RetriesRefused);
+    text += fmt::format("winchlink_repeats_kept{{service=\"{}\"}} {}\n", name, service.Metrics.RetriesKept);
     const SignalCounters& signals = service.Signals;
     text += fmt::format("winchlink_target_signals{{service=\"{}\",signal=\"limit\"}} {}\n", name, signals.Limits);
     text += fmt::format("winchlink_target_signals{{service=\"{}\",signal=\"backoff\"}} {}\n", name, signals.Backoffs);
@@ -127,6 +128,16 @@
     return text + FormatLatency("winchlink_handoff_seconds", "end=\"answered\"", requests.HandoffLatency);
 }
 
+// Division's view of the own data centre.
+static std::string HomeText(const std::string& name, const Division& divided, TimeUs now)
+{
+    const SharedRoom probed = DivisionTell(divided, {}, false, now);
+    const double share = divided.Home.Known > 0 ? divided.Home.Free / divided.Home.Known : 1;
+    std::string text = fmt::format("winchlink_division_home_probes{{service=\"{}\"}} {}\n", name, probed.Known);
+    text += fmt::format("winchlink_division_home_share{{service=\"{}\"}} {:.3f}\n", name, share);
+    return text;
+}
+
 // What instances tell each other of a service's load.
 static std::string LoadText(const std::string& name, const ServiceState& service, TimeUs now)
 {
@@ -141,6 +152,7 @@
     text += fmt::format("winchlink_load_room{{service=\"{}\",of=\"targets\"}} {}\n", name, room.Targets);
     text += fmt::format("winchlink_load_room{{service=\"{}\",of=\"known\"}} {}\n", name, room.Known);
     text += fmt::format("winchlink_load_room{{service=\"{}\",of=\"free\"}} {}\n", name, room.Free);
+    text += HomeText(name, divided, now);
     text += fmt::format("winchlink_division_active{{service=\"{}\"}} {}\n", name, divided.Active ? 1 : 0);
     text += fmt::format("winchlink_division_requests{{service=\"{}\",end=\"crossed\"}} {}\n", name, divided.Crossed);
     text += fmt::format("winchlink_division_requests{{service=\"{}\",end=\"kept_for_slack\"}} {}\n", name, divided.KeptForSlack);
@@ -191,6 +203,9 @@
         text += FormatLatency("winchlink_priority_seconds", fmt::format("priority=\"{}\"", entry.first), entry.second);
     }
     text += fmt::format("winchlink_in_progress {}\n", requests.InProgress);
+    text += fmt::format("winchlink_link_occupied_us {}\n", OwnLinkOccupiedUs(requests.Link, now));
+    text += fmt::format("winchlink_link_awaited_us {}\n",
+                        gateway.Targets.ExtendedUs + gateway.Control.ExtendedUs + gateway.PeerCalls.ExtendedUs);
     text += fmt::format("winchlink_longest_step_us {}\n", gateway.Loop->LongestStepUs);
     text += fmt::format("winchlink_suspended_us {}\n", gateway.SuspendedUs);
     text += fmt::format("winchlink_load_questions {}\n", requests.ProbesSent);
@@ -305,6 +320,8 @@
     json_object_set_new(object, "p50Ms", json_real(LatencyQuantile(service.Metrics.Latency.Histogram, 0.5) * 1000));
     json_object_set_new(object, "p99Ms", json_real(LatencyQuantile(service.Metrics.Latency.Histogram, 0.99) * 1000));
     json_object_set_new(object, "repeats", JsonNumber(service.Metrics.Retries));
+    json_object_set_new(object, "repeatsRefused", JsonNumber(service.Metrics.RetriesRefused));
+    json_object_set_new(object, "repeatsKept", JsonNumber(service.Metrics.RetriesKept));
     json_object_set_new(object, "ended", ended);
     json_object_set_new(object, "path", json_string(TargetPathStateName(service.Path.State)));
     json_object_set_new(object, "pathForMs", service.Path.ChangedUs > 0 ? JsonMs(now - service.Path.ChangedUs) : json_null());
--- a/gateway/settings.cpp
+++ b/gateway/settings.cpp
@@ -92,6 +92,7 @@
     ReadSeconds(r, "graceS", &out->GraceUs);
     ReadSeconds(r, "repeatWindowS", &out->RetryWindowUs);
     ReadRealBetween(r, "repeatShare", false, 0, 1, &out->RetryShare);
+    ReadRealBetween(r, "firstTryShare", false, 0, 1, &out->FirstTryShare);
     ReadIntBetween(r, "endsMost", false, 1, CrashesMaxLimit, &out->CrashesMax);
     ReadSeconds(r, "holdS", &out->QuarantineUs);
     ReadIntBetween(r, "datagramPort", false, 0, PortMax, &out->DatagramPort);
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -25,6 +25,7 @@
     TimeUs GraceUs = 6 * UsPerSecond;        // Time from the stop signal until the process is killed.
     TimeUs RetryWindowUs = 10 * UsPerSecond; // Window of the retry budget.
     double RetryShare = 0.2;                 // Retries as a share of a service's requests in a window.
+    double FirstTryShare = 0.25;             // Part of them for first tries whose callers can come back; 1: as much as all others.
     int CrashesMax = 3;                      // A request is quarantined once it has crashed this many targets.
     TimeUs QuarantineUs = 600 * UsPerSecond; // Duration of a request's first quarantine.
     int DatagramPort = 0;                    // Port for datagrams between instances, on the IP of PeerAddress; the same for all; 0: none.
--- a/requests/attempt.cpp
+++ b/requests/attempt.cpp
@@ -178,9 +178,10 @@
 }
 
 // Takes one retry from the given share of the budget. A refusal is logged, as it explains a later failure.
-static bool TakeRetry(const CallPtr& call, double part, int least)
+static bool TakeRetry(const CallPtr& call, double part, Choosing_ kind)
 {
     const TimeUs now = NowUs();
+    const int least = kind == Choosing_Hedge ? 0 : 1; // A hedge must not take the only retry of a quiet window.
     const bool taken = RetryBudgetTake(&call->Service->Retries, part, now, least);
     if (taken)
     {
@@ -188,12 +189,15 @@
     }
     else
     {
+        const bool kept = kind != Choosing_Hedge && RetryBudgetAllows(call->Service->Retries, 1, now, least);
         call->Service->Metrics.RetriesRefused++;
+        call->Service->Metrics.RetriesKept += kept ? 1 : 0;
         Log(LogLevel_Info, Code_None, "repeat refused by the budget",
             {{"requestId", call->Id},
              {"service", call->ServiceName},
              {"attempts", call->Attempts},
-             {"partPercent", std::lround(part * 100)}});
+             {"partPercent", std::lround(part * 100)},
+             {"kept", kept ? 1 : 0}});
     }
     return taken;
 }
@@ -234,7 +238,7 @@
         return call->SentTo.size() < max_targets;
     }
     const bool allowed = call->Retryable || call->MayHaveRun == 0;
-    return allowed && call->Attempts < call->AttemptsMax && TakeRetry(call, RetryPart(*call, answer), 1);
+    return allowed && call->Attempts < call->AttemptsMax && TakeRetry(call, RetryPart(*call, answer), Choosing_First);
 }
 
 static void EndUnanswered(const CallPtr& call, const ClientAnswer& answer)
@@ -453,7 +457,7 @@
     {
         return;
     }
-    if (TakeRetry(call, call->Owner->Config.HedgeShare, 0))
+    if (TakeRetry(call, call->Owner->Config.HedgeShare, Choosing_Hedge))
     {
         ChooseTarget(call, Choosing_Hedge);
     }
@@ -545,6 +549,7 @@
            "a request that must not run twice may have been run already");
     const TimeUs now = NowUs();
     Attempt attempt = MakeAttempt(*call, *target, now);
+    attempt.Crossed = call->Round.CrossTo == target->DataCentre;
     call->SentTo.push_back(target->Id);
     call->Attempts++;
     call->RetryTakenUs = 0;
--- a/requests/call.h
+++ b/requests/call.h
@@ -41,6 +41,7 @@
     LimitGrant Grant;         // Its share of the target's rate limit.
     TimeUs RetryTakenUs = 0;  // If handed to another instance: see Call::RetryTakenUs.
     int Granted = 0;          // If handed to another instance: targets that it may send the request to.
+    bool Crossed = false;     // Division has sent it to another data centre.
 };
 
 struct Call
@@ -66,7 +67,7 @@
     TimeUs QuotaTakenUs = 0;               // Time at which it was counted against its customer's quota; 0 if it was not.
     TimeUs CallerDeadlineUs = 0;           // Deadline named by the caller; retry advice stays within it.
     TimeUs DeadlineUs = 0;                 // Deadline of this call: the earlier of the caller's deadline and the route's timeout.
-    bool NamesTimeout = false;             // An own caller has named its deadline.
+    bool NamesTimeout = false;             // An own caller has named its deadline, and first tries are told from later ones.
     TimeUs SinceFirstTryUs = 0;            // Time since the caller's first try; 0 if this is the first one, or nothing tells.
     bool Retryable = false;                // The request may be run more than once.
     bool AdmissionDue = true;              // It is not counted here yet, see AdmitHere().
--- a/requests/forward.cpp
+++ b/requests/forward.cpp
@@ -59,6 +59,7 @@
            {"takenFrom", call.TakenFrom ? call.TakenFrom->From : ""},
            {"status", status},
            {"attempts", call.Attempts},
+           {"crossed", last.Crossed ? 1 : 0},
            {"asked", call.Round.ProbeCount},
            {"refused", call.Contacts[ContactEnd_Refused]},
            {"reset", call.Contacts[ContactEnd_Reset]},
@@ -361,11 +362,12 @@
     return current && !forwarder.Draining && PeersMayTake(forwarder.Others, others, forwarder.InProgress - forwarder.Taken);
 }
 
-// Tells a caller's first try from a later one, if the caller has named a deadline.
+// Tells a caller's first try from a later one, if the caller has named a deadline and ForwardConfig::FirstTryShare needs it.
 static void NoteCallerTimeout(Call* call, TimeUs timeout)
 {
     const std::string* header = FindHeader(call->Inbound->Headers, call->Owner->Names.Deadline);
-    call->NamesTimeout = header != nullptr && std::strtod(header->c_str(), nullptr) > 0;
+    const bool told_apart = call->Owner->Config.FirstTryShare < 1;
+    call->NamesTimeout = told_apart && header != nullptr && std::strtod(header->c_str(), nullptr) > 0;
     if (call->NamesTimeout)
     {
         call->SinceFirstTryUs = CallerTimeoutsNote(&call->Work->Timeouts, timeout, NowUs());
--- a/requests/forward.h
+++ b/requests/forward.h
@@ -30,7 +30,8 @@
     TimeUs EmptyRetryUs = 500 * UsPerMs;     // Retry-After where there is no target or no plan yet.
     double SlowFactor = 1.7;                 // An attempt is slow after this multiple of its expected duration.
     double HedgeShare = 0.4;                 // Part of the retry budget that hedged requests may use.
-    double FirstTryShare = 0.25;             // Once this part is used, first tries whose callers can come back in time are not retried.
+    double FirstTryShare = 0.25;             // Once this part is used, first tries whose callers can come back in time are not retried; 1:
+                                             // first tries aren't told from later ones, here nor in the order in which requests wait.
     TimeUs HedgeRetryUs = 50 * UsPerMs;      // No target found for a hedge: delay before trying again. Slots come free within this time.
     TimeUs TakenAgeUs = 1500 * UsPerMs;      // A request is not taken from an instance whose data is more current by this.
     double RetryShare = 0.2;                 // See RetryBudget.
--- a/scripts/ablation.sh
+++ b/scripts/ablation.sh
@@ -38,7 +38,7 @@
     "reading through few~winchlink_follow.cpp~s/follow->Reads = names.empty()/follow->Reads = true || names.empty()/"
     "first callers worth a call~requests/forward.h~s/size_t PlanWaitersPerStoreCall = 6;/size_t PlanWaitersPerStoreCall = 1000000;/"
     "waiting for the first plan~requests/forward.h~s/600 \* UsPerMs; \/\/ After a start/0; \/\/ After a start/"
-    "retries for later tries~requests/forward.h~s/double FirstTryShare = 0.25;/double FirstTryShare = 1;/"
+    "retries for later tries~gateway/settings.h~s/double FirstTryShare = 0.25;/double FirstTryShare = 1;/"
     "sharing load~gateway/settings.h~s/bool ShareLoad = true;/bool ShareLoad = false;/"
     "dividing load~gateway/settings.cpp~s/out->DivideLoad = out->ShareLoad;/out->DivideLoad = false;/"
 )
--- a/tests/docs_test.cpp
+++ b/tests/docs_test.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(EverySettingIsDocumented);
     CPPUNIT_TEST(EveryKeyOfTheTableIsDocumented);
     CPPUNIT_TEST(InvalidSettingsAreRejected);
+    CPPUNIT_TEST(AShareOfRetriesIsBetweenNoneAndAll);
     CPPUNIT_TEST(DayFilesAreValid);
     CPPUNIT_TEST_SUITE_END();
 
@@ -101,19 +102,37 @@
         CPPUNIT_ASSERT(ParseSettings(std::string(GoodSettings) + "}").Faults.empty());
         const CheckedSettings bad =
             ParseSettings(std::string(GoodSettings) + R"(, "descriptorsMost": "many", "colour": 1, "graceS": -1, "peers": ["x"],
-            "logLevel": "loud", "repeatShare": 2, "metricsAddress": "here"})");
+            "logLevel": "loud", "repeatShare": 2, "firstTryShare": 1.1, "metricsAddress": "here"})");
         CPPUNIT_ASSERT(HasFault(bad.Faults, Code_SettingsWrongType, "descriptorsMost"));
         CPPUNIT_ASSERT(HasFault(bad.Faults, Code_SettingsUnknownKey, "colour"));
         CPPUNIT_ASSERT(HasFault(bad.Faults, Code_SettingsOutOfRange, "graceS"));
         CPPUNIT_ASSERT(HasFault(bad.Faults, Code_SettingsOutOfRange, "peers[0]"));
         CPPUNIT_ASSERT(HasFault(bad.Faults, Code_SettingsOutOfRange, "logLevel"));
         CPPUNIT_ASSERT(HasFault(bad.Faults, Code_SettingsOutOfRange, "repeatShare"));
+        CPPUNIT_ASSERT(HasFault(bad.Faults, Code_SettingsOutOfRange, "firstTryShare"));
         CPPUNIT_ASSERT(HasFault(bad.Faults, Code_SettingsOutOfRange, "metricsAddress"));
         CPPUNIT_ASSERT(HasFault(ParseSettings("{}").Faults, Code_SettingsMissingKey, "callerAddress"));
         CPPUNIT_ASSERT_EQUAL(int(Code_SettingsNotJson), int(ParseSettings("{").Faults.at(0).Code));
         CPPUNIT_ASSERT_EQUAL(int(Code_SettingsUnreadable), int(ReadFile("/does/not/exist").error().Code));
     }
 
+    static CheckedSettings WithFirstTryShare(const std::string& value)
+    {
+        return ParseSettings(std::string(GoodSettings) + R"(, "firstTryShare": )" + value + "}");
+    }
+
+    void AShareOfRetriesIsBetweenNoneAndAll()
+    {
+        CPPUNIT_ASSERT_EQUAL(0.25, ParseSettings(std::string(GoodSettings) + "}").Value.FirstTryShare);
+        CPPUNIT_ASSERT_EQUAL(0.0, WithFirstTryShare("0").Value.FirstTryShare);
+        CPPUNIT_ASSERT_EQUAL(1.0, WithFirstTryShare("1").Value.FirstTryShare);
+        CPPUNIT_ASSERT(WithFirstTryShare("0").Faults.empty());
+        CPPUNIT_ASSERT(WithFirstTryShare("1").Faults.empty());
+        CPPUNIT_ASSERT(HasFault(WithFirstTryShare("-0.01").Faults, Code_SettingsOutOfRange, "firstTryShare"));
+        CPPUNIT_ASSERT(HasFault(WithFirstTryShare("1.01").Faults, Code_SettingsOutOfRange, "firstTryShare"));
+        CPPUNIT_ASSERT(HasFault(WithFirstTryShare("\"all\"").Faults, Code_SettingsWrongType, "firstTryShare"));
+    }
+
     static void CheckDisruption(const std::string& file, const toml::node& node)
     {
         static const std::set<std::string> numbers = {"at", "for_s", "share", "count", "x", "gap_s"};
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "gateway_rig.h"
+#include "pages.h"
 
 #include <cmath>
 #include <fmt/format.h>
@@ -16,6 +17,40 @@
     return FindHeader(target.Saw.back().Headers, name);
 }
 
+// Standard output goes to a file while this exists.
+struct CapturedOutput
+{
+    FILE* File = std::tmpfile();
+    int Former = dup(STDOUT_FILENO);
+
+    CapturedOutput()
+    {
+        (void)std::fflush(stdout);
+        dup2(fileno(File), STDOUT_FILENO);
+    }
+
+    ~CapturedOutput()
+    {
+        dup2(Former, STDOUT_FILENO);
+        close(Former);
+        (void)std::fclose(File);
+    }
+
+    CapturedOutput(const CapturedOutput&) = delete;
+    CapturedOutput& operator=(const CapturedOutput&) = delete;
+
+    std::string Read() const
+    {
+        std::string text;
+        std::rewind(File);
+        for (int next = std::fgetc(File); next != EOF; next = std::fgetc(File))
+        {
+            text += static_cast<char>(next);
+        }
+        return text;
+    }
+};
+
 class GatewayTest : public CPPUNIT_NS::TestFixture
 {
     CPPUNIT_TEST_SUITE(GatewayTest);
@@ -44,6 +79,9 @@
     CPPUNIT_TEST(StopsWithoutCuttingRequests);
     CPPUNIT_TEST(ReloadsSettings);
     CPPUNIT_TEST(KeepsSettingsThatCantBeReplaced);
+    CPPUNIT_TEST(CountsRetriesThatAreKeptForCallersThatCameBack);
+    CPPUNIT_TEST(WithoutAShareForFirstTriesAllTriesAreAlike);
+    CPPUNIT_TEST(TheLogTellsWhichRequestsDivisionSentElsewhere);
     CPPUNIT_TEST(ShowsMetrics);
     CPPUNIT_TEST_SUITE_END();
 
@@ -536,14 +574,98 @@
         RigConfigure(&rig, {UsersRoute()});
         Gateway& instance = RigInstance(&rig, 0);
         instance.SettingsFile = fmt::format("/tmp/winchlink-settings-{}.json", getpid());
-        WriteSettings(instance.SettingsFile, instance.Config, R"(,"graceS":2.5,"repeatShare":0.05)");
+        WriteSettings(instance.SettingsFile, instance.Config, R"(,"graceS":2.5,"repeatShare":0.05,"firstTryShare":0.5)");
         CPPUNIT_ASSERT(
             RigRunUntil(&rig, [&]() { return instance.Requests.DataCentre == "dc-b"; })); // The file is reloaded without a signal.
         CPPUNIT_ASSERT_EQUAL(TimeUs{2500000}, instance.Config.GraceUs);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0.05, instance.Requests.Config.RetryShare, 1e-9);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, instance.Requests.Config.FirstTryShare, 1e-9);
         unlink(instance.SettingsFile.c_str());
     }
 
+    // Both targets refuse all requests of callers that can come back, though they have room.
+    static void RefuseAll(Rig* rig, const Gateway& instance)
+    {
+        constexpr int requests = 50;
+        for (int n = 0; n < requests; n++)
+        {
+            for (const auto& target : rig->Targets)
+            {
+                target->Script = {TargetAct_Refuse};
+            }
+            CPPUNIT_ASSERT_EQUAL(503, RigSendAndWait(rig, instance, RigCall()).Answer.Status);
+        }
+    }
+
+    static Gateway& InstanceWithTwoTargets(Rig* rig)
+    {
+        RigTarget(rig, "t1");
+        RigTarget(rig, "t2");
+        UsersRoute route;
+        route.AimS = 1; // Leaves time for a return on a busy machine.
+        RigConfigure(rig, {route});
+        return RigInstance(rig, 2);
+    }
+
+    void CountsRetriesThatAreKeptForCallersThatCameBack()
+    {
+        Rig rig;
+        const Gateway& instance = InstanceWithTwoTargets(&rig);
+        RefuseAll(&rig, instance);
+        const RowMetrics& metrics = instance.Requests.Services.at("svc").Metrics;
+        CPPUNIT_ASSERT(metrics.RetriesKept > 0);
+        CPPUNIT_ASSERT(metrics.RetriesKept <= metrics.RetriesRefused);
+        const std::string line = fmt::format("winchlink_repeats_kept{{service=\"svc\"}} {}\n", metrics.RetriesKept);
+        CPPUNIT_ASSERT(MetricsText(instance).find(line) != std::string::npos);
+    }
+
+    void WithoutAShareForFirstTriesAllTriesAreAlike()
+    {
+        Rig rig;
+        Gateway& instance = InstanceWithTwoTargets(&rig);
+        instance.Requests.Config.FirstTryShare = 1;
+        RefuseAll(&rig, instance);
+        const RowMetrics& metrics = instance.Requests.Services.at("svc").Metrics;
+        CPPUNIT_ASSERT(metrics.RetriesRefused > 0);
+        CPPUNIT_ASSERT_EQUAL(uint64_t{0}, metrics.RetriesKept);
+        CPPUNIT_ASSERT_EQUAL(TimeUs{0}, instance.Requests.Work.begin()->second.Timeouts.WindowEndUs); // No try is told from another.
+    }
+
+    // The last log line of a request that the target answers with an error; such lines are always written.
+    static std::string LastLineOfAFailure(Rig* rig, const Gateway& instance)
+    {
+        rig->Targets[0]->Script = {TargetAct_Failed};
+        RigCall call;
+        call.Method = "POST";
+        SetLogLevel(LogLevel_Info);
+        const CapturedOutput output;
+        const RigAnswer answer = RigSendAndWait(rig, instance, call);
+        SetLogLevel(LogLevel_Error);
+        CPPUNIT_ASSERT_EQUAL(500, answer.Answer.Status);
+        const std::string text = output.Read();
+        const size_t at = text.find("\"requestId\":\"" + answer.Id + "\"");
+        CPPUNIT_ASSERT(at != std::string::npos);
+        return text.substr(at, text.find('\n', at) - at);
+    }
+
+    void TheLogTellsWhichRequestsDivisionSentElsewhere()
+    {
+        Rig rig;
+        RigTarget(&rig, "t1", "svc", "dc-b");
+        RigConfigure(&rig, {UsersRoute()});
+        Gateway& instance = RigInstance(&rig, 1);
+        instance.Requests.Divides = true;
+        Division& divided = instance.Requests.Services.at("svc").Divided;
+        divided.Config.RoomMaxAgeUs = RigTimeoutUs; // The load of the machine must not decide.
+        DivisionHeard(&divided, PeerDataCentre("dc-b"), PeerDataCentre("dc-a"), {10, 10, 10}, NowUs());
+        CPPUNIT_ASSERT(LastLineOfAFailure(&rig, instance).find("\"crossed\":1") != std::string::npos);
+        CPPUNIT_ASSERT(divided.Crossed > 0);
+        instance.Requests.Divides = false;
+        CPPUNIT_ASSERT(LastLineOfAFailure(&rig, instance).find("\"crossed\":0") != std::string::npos);
+        divided.Home = {4, 1, NowUs()};
+        CPPUNIT_ASSERT(MetricsText(instance).find("winchlink_division_home_share{service=\"svc\"} 0.250\n") != std::string::npos);
+    }
+
     void KeepsSettingsThatCantBeReplaced()
     {
         Rig rig;
--- a/tests/handoff_test.cpp
+++ b/tests/handoff_test.cpp
@@ -580,6 +580,7 @@
             return requests.Services.at("svc").Path.Contacts[ContactEnd_Answered] > before;
         };
         CPPUNIT_ASSERT(RigRunUntil(&fleet.Parts, answered));
+        CPPUNIT_ASSERT(fleet.Parts.Instances[1]->Targets.ExtendedUs > 0);
         CPPUNIT_ASSERT_EQUAL(uint64_t{0}, requests.Services.at("svc").Path.Losses);
         CPPUNIT_ASSERT_EQUAL(uint64_t{0}, requests.Services.at("svc").Path.Contacts[ContactEnd_Silent]);
     }
--- a/tests/retry_budget_load_test.cpp
+++ b/tests/retry_budget_load_test.cpp
@@ -5,6 +5,7 @@
 #include "check.h"
 #include "forward.h"
 
+#include <limits>
 #include <queue>
 
 namespace Winchlink
@@ -21,6 +22,7 @@
 constexpr TimeUs ObjectiveUs = 400 * UsPerMs;
 constexpr double WorkUs = 160 * UsPerMs;
 constexpr int AttemptsMax = 3;
+constexpr double LostGainMax = 0.25; // Part of what callers that need retries gain that first tries may cost them.
 
 // One try of a caller.
 struct Try
@@ -121,6 +123,8 @@
     CPPUNIT_TEST(FirstTriesAreRetriedWhileFewAreRefused);
     CPPUNIT_TEST(ACallerThatComesBackNamesAShorterTimeout);
     CPPUNIT_TEST(CallersWithSeveralTimeouts);
+    CPPUNIT_TEST(ATimeoutOfAnHourHidesNoReturns);
+    CPPUNIT_TEST(AnyTimeoutIsNoted);
     CPPUNIT_TEST(AShorterTimeoutOfAllCallersIsLearnt);
     CPPUNIT_TEST(AnInstanceWithFewRequestsMayRetryOnce);
     CPPUNIT_TEST(ACallerReturnsInTimeOnlyOnce);
@@ -133,10 +137,8 @@
             const double none_for_first = RefusedPart(0, returns);
             const double all_alike = RefusedPart(1, returns);
             const double refused = RefusedPart(ForwardConfig().FirstTryShare, returns);
-            // What first tries may use of the budget is at most what is lost of the gain.
-            const double lost = ForwardConfig().FirstTryShare * (all_alike - none_for_first);
             CPPUNIT_ASSERT(all_alike - none_for_first > 0.03);
-            CPPUNIT_ASSERT(refused <= none_for_first + lost);
+            CPPUNIT_ASSERT(refused <= none_for_first + LostGainMax * (all_alike - none_for_first));
         }
     }
 
@@ -178,6 +180,28 @@
         }
     }
 
+    // One caller names an hour: the first tries of all others still count as such, and their returns as returns.
+    void ATimeoutOfAnHourHidesNoReturns()
+    {
+        CallerTimeouts timeouts;
+        for (TimeUs now = UsPerSecond; now < 4 * CallerTimeouts::WindowUs; now += UsPerSecond)
+        {
+            CPPUNIT_ASSERT_EQUAL(TimeUs{0}, CallerTimeoutsNote(&timeouts, 3600 * UsPerSecond, now));
+            CPPUNIT_ASSERT_EQUAL(TimeUs{0}, CallerTimeoutsNote(&timeouts, TimeoutUs, now));
+            CPPUNIT_ASSERT_EQUAL(70 * UsPerMs, CallerTimeoutsNote(&timeouts, TimeoutUs - 70 * UsPerMs, now));
+            CPPUNIT_ASSERT_EQUAL(3 * UsPerSecond, CallerTimeoutsNote(&timeouts, TimeoutUs - 3 * UsPerSecond, now));
+        }
+    }
+
+    void AnyTimeoutIsNoted()
+    {
+        CallerTimeouts timeouts;
+        for (const TimeUs timeout : {TimeUs{0}, TimeUs{1}, 3600 * UsPerSecond, std::numeric_limits<TimeUs>::max()})
+        {
+            CPPUNIT_ASSERT_EQUAL(TimeUs{0}, CallerTimeoutsNote(&timeouts, timeout, UsPerSecond));
+        }
+    }
+
     void AShorterTimeoutOfAllCallersIsLearnt()
     {
         CallerTimeouts timeouts;
--- a/winchlink.h
+++ b/winchlink.h
@@ -1244,23 +1244,30 @@
 // Takes back a request that was counted at `counted` and that another instance counts.
 void RetryBudgetUncount(RetryBudget* budget, TimeUs counted);
 
-// Takes one retry if no more than the part of the budget, 0 to 1, is used then. `least`: retries in a window that are allowed whatever the
-// part, within the whole budget: where requests are few, a part is less than one retry.
+// Whether no more than the part of the budget, 0 to 1, is used with one more retry. `least`: retries in a window that are allowed whatever
+// the part, within the whole budget: where requests are few, a part is less than one retry.
+bool RetryBudgetAllows(const RetryBudget& budget, double part, TimeUs now, int least = 0);
+
+// Takes one retry if RetryBudgetAllows() it.
 bool RetryBudgetTake(RetryBudget* budget, double part, TimeUs now, int least = 0);
 
 // Gives back an unused retry that was taken at `taken`. It is deducted from the step in which it was counted, if that is still kept.
 void RetryBudgetRefund(RetryBudget* budget, TimeUs taken);
 
 // Timeouts that callers of a route name, to tell first tries from later ones: a caller that comes back within its deadline names what is
-// left of it. Where callers of one route name different timeouts, those with shorter ones are taken for callers that came back.
+// left of it. Where callers of one route name different timeouts, those with shorter ones are taken for callers that came back, unless
+// theirs are shorter by so much that no return explains it.
 struct CallerTimeouts
 {
+    static constexpr size_t Octaves = 32;                // Powers of two, in microseconds, up to beyond an hour.
+    static constexpr int ReturnPart = 4;                 // Where targets refuse, a caller is told to wait for half of what it has left at
+                                                         // most. So one that has come back names more than a quarter of its first timeout.
     static constexpr TimeUs ReturnMinUs = 10 * UsPerMs;  // The least Retry-After: a caller that is back sooner has not heeded it.
     static constexpr TimeUs WindowUs = 30 * UsPerSecond; // A timeout that nobody names any more is forgotten after one or two windows.
 
-    TimeUs LongestUs = 0;   // Longest timeout named in this window,
-    TimeUs FormerUs = 0;    // and in the one before.
-    TimeUs WindowEndUs = 0; // End of this window; 0: none has begun.
+    std::array<TimeUs, Octaves> LongestUs{}; // Longest timeout of each octave named in this window,
+    std::array<TimeUs, Octaves> FormerUs{};  // and in the one before; 0: none.
+    TimeUs WindowEndUs = 0;                  // End of this window; 0: none has begun.
 };
 
 // Notes the timeout that a caller has named. Returns the time since its first try of the request; 0 if this is the first one.
--- a/winchlink_retry_budget.cpp
+++ b/winchlink_retry_budget.cpp
@@ -50,26 +50,31 @@
     step->Requests -= still_counted ? 1 : 0;
 }
 
-bool RetryBudgetTake(RetryBudget* budget, double part, TimeUs now, int least)
+bool RetryBudgetAllows(const RetryBudget& budget, double part, TimeUs now, int least)
 {
-    RetryBudget::Step* current = StepAt(budget, now);
+    const int64_t current = StepNumber(budget, now);
     const auto steps = static_cast<int64_t>(RetryBudget::Steps);
     int requests = 0;
     int retries = 0;
-    for (const RetryBudget::Step& step : budget->Counts)
+    for (const RetryBudget::Step& step : budget.Counts)
     {
-        const int64_t age = current->Number - step.Number;
+        const int64_t age = current - step.Number;
         // The oldest step lies only partly in the window. It counts for the retries but not for the requests, so that the share is never
         // exceeded.
         requests += step.Number >= 0 && age < steps ? step.Requests : 0;
         retries += step.Number >= 0 && age <= steps ? step.Retries : 0;
     }
-    const double allowed = budget->Share * requests + budget->Extra;
-    if (retries + 1 > std::max(part * allowed, std::min(allowed, static_cast<double>(least))))
+    const double allowed = budget.Share * requests + budget.Extra;
+    return retries + 1 <= std::max(part * allowed, std::min(allowed, static_cast<double>(least)));
+}
+
+bool RetryBudgetTake(RetryBudget* budget, double part, TimeUs now, int least)
+{
+    if (!RetryBudgetAllows(*budget, part, now, least))
     {
         return false;
     }
-    current->Retries++;
+    StepAt(budget, now)->Retries++;
     return true;
 }
 
@@ -85,17 +90,47 @@
 // [SECTION] Callers that come back
 //-----------------------------------------------------------------------------
 
+static void BeginWindow(CallerTimeouts* timeouts, TimeUs now)
+{
+    const bool next = now < timeouts->WindowEndUs + CallerTimeouts::WindowUs;
+    timeouts->FormerUs = next ? timeouts->LongestUs : decltype(timeouts->FormerUs)();
+    timeouts->LongestUs = {};
+    timeouts->WindowEndUs = now + CallerTimeouts::WindowUs;
+}
+
+static size_t OctaveOf(TimeUs timeout)
+{
+    size_t octave = 0;
+    for (; timeout > 1 && octave + 1 < CallerTimeouts::Octaves; timeout /= 2)
+    {
+        octave++;
+    }
+    return octave;
+}
+
+// The longest timeout of which this one may be what is left.
+static TimeUs FirstTimeout(const CallerTimeouts& timeouts, TimeUs timeout)
+{
+    TimeUs first = timeout;
+    for (size_t octave = OctaveOf(timeout); octave < CallerTimeouts::Octaves; octave++)
+    {
+        for (const TimeUs named : {timeouts.LongestUs[octave], timeouts.FormerUs[octave]})
+        {
+            first = named / CallerTimeouts::ReturnPart <= timeout ? std::max(first, named) : first;
+        }
+    }
+    return first;
+}
+
 TimeUs CallerTimeoutsNote(CallerTimeouts* timeouts, TimeUs timeout, TimeUs now)
 {
     if (now >= timeouts->WindowEndUs)
     {
-        const bool next = now < timeouts->WindowEndUs + CallerTimeouts::WindowUs;
-        timeouts->FormerUs = next ? timeouts->LongestUs : 0;
-        timeouts->LongestUs = 0;
-        timeouts->WindowEndUs = now + CallerTimeouts::WindowUs;
+        BeginWindow(timeouts, now);
     }
-    timeouts->LongestUs = std::max(timeouts->LongestUs, timeout);
-    const TimeUs missing = std::max(timeouts->LongestUs, timeouts->FormerUs) - timeout;
+    TimeUs* longest = &timeouts->LongestUs[OctaveOf(timeout)];
+    *longest = std::max(*longest, timeout);
+    const TimeUs missing = FirstTimeout(*timeouts, timeout) - timeout;
     return missing >= CallerTimeouts::ReturnMinUs ? missing : 0;
 }
 
