Soak: lies are believed, and the checks of sharing, division and lies can fail

After the callers have stopped, the soak lies to every instance and logs whether it took reports, divided and stopped dividing: "lies are not believed". - "Load was never shared" counted what the liar asked for and told. The audit judges it now, by asks, offers and answers, and reports taken between readings that no lie influences (none within 5 s before: 8 averages), crossings apart. - Lies are told to all instances or to one half of those of each data centre. Callers of those are served like those of the others of the data centre: 95 %, as after faults, less 10 requests. As the drawn lies often leave nobody to compare (other faults), 3 s of lies follow the faults in each run; a run without any request to compare is a breach. - Promises to stopping, leaving, limited, refusing, cold and evacuated targets were never excused by lies; SoakAuditTest plants each of them beside lies too. - Data centres of callers and lies are drawn from DemandRng and LiesRng, and the restarts after kills of soak_load.cpp from LoadRng, no longer from Rng. What still shifts: an instance that has one of the new faults is passed over by the former ones, and callers draw from Rng in real time, as before. - Counters start at 0 with a process, instead of by value < last. One reading of an instance at a time.

--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -90,6 +90,7 @@
         instance.PeerAddress = PeerAddressOf(n);
         instance.MetricsAddress = FreeLoopback();
         instance.DatagramPort = soak->DatagramPort;
+        soak->Log.DataCentres.push_back(DataCentreOf(instance));
         ProxyStart(&instance.ToStore, &soak->Loop, FreeLoopback(), soak->Store.Address);
     }
 }
@@ -121,12 +122,12 @@
     return true;
 }
 
-static void RunFor(Soak* soak, TimeUs time)
+void RunFor(Soak* soak, TimeUs time)
 {
     LoopRunUntil(&soak->Loop, time, []() { return false; });
 }
 
-// After all faults: counts the requests and successes of a measuring period.
+// After all faults: counts the requests and successes of a measuring period, before further lies.
 static void MeasureRecovery(Soak* soak)
 {
     constexpr TimeUs calm = 12 * UsPerSecond; // Time for open faults to end and instances to restart.
@@ -136,6 +137,7 @@
     const size_t first = soak->Log.Requests.size();
     RunFor(soak, measured);
     const size_t end = soak->Log.Requests.size();
+    LieWithoutOtherFaults(soak);
     soak->Calling = false;
     RunFor(soak, last_answers);
     for (size_t n = first; n < end; n++)
@@ -166,6 +168,7 @@
     RunFor(soak, soak->Plan.Seconds * UsPerSecond);
     soak->Striking = false;
     MeasureRecovery(soak);
+    LogBeliefs(soak);
 }
 
 std::optional<SoakResult> PlaySoak(const SoakPlan& plan)
@@ -179,7 +182,10 @@
     soak.Plan = plan;
     soak.Folder = MakeFolder("winchlink-soak");
     soak.Log.Instances = plan.Instances;
+    soak.Log.SharesLoad = plan.Faults == SoakFaults_All && plan.Instances > 2; // Two in a data centre.
     soak.LoadRng.seed(static_cast<uint64_t>(plan.Seed) * 104729 + 3);
+    soak.DemandRng.seed(static_cast<uint64_t>(plan.Seed) * 15485863 + 5);
+    soak.LiesRng.seed(static_cast<uint64_t>(plan.Seed) * 32452843 + 7);
     ClientStart(&soak.Callers, &soak.Loop);
     ClientStart(&soak.Counters, &soak.Loop);
     if (!StartAll(&soak))
@@ -195,7 +201,7 @@
         }
     }
     SetArrivalsRun(&soak);
-    return SoakResult{std::move(soak.Log), soak.Folder, soak.Drawn, soak.Load};
+    return SoakResult{std::move(soak.Log), soak.Folder, soak.Drawn, soak.Lies, soak.Stolen};
 }
 
 //-----------------------------------------------------------------------------
@@ -219,10 +225,10 @@
     {
         text += fmt::format(" {}:{}", entry.first, entry.second);
     }
-    const SoakLoadCounts& load = result.Load;
     fmt::print("{}\n", text);
-    fmt::print("seed {}: asks {}, offers and answers told {}, reports taken {}, crossings {}; lies {}, offers stolen {}\n", seed, load.Asks,
-               load.Told, load.Taken, load.Crossed, load.Lies, load.Stolen);
+    const SoakLoadCounts load = SoakCountsWithoutLies(result.Log, SoakBounds());
+    fmt::print("seed {}: without lies: asks {}, offers and answers told {}, reports taken {}, crossings {}; lies {}, offers stolen {}\n",
+               seed, load.Asks, load.Told, load.Taken, load.Crossed, result.Lies, result.Stolen);
     fflush(stdout);
 }
 
@@ -236,12 +242,7 @@
         return true;
     }
     Report(*result, plan.Seed);
-    std::vector<std::string> broken = AuditSoak(result->Log, SoakBounds());
-    const bool may_share = plan.Instances > 2; // Two in a data centre.
-    if (may_share && (result->Load.Told == 0 || result->Load.Crossed == 0))
-    {
-        broken.push_back("load was never shared, or demand never divided: the run is no test of them");
-    }
+    const std::vector<std::string> broken = AuditSoak(result->Log, SoakBounds());
     for (const std::string& line : broken)
     {
         fmt::print("BROKEN seed {}: {}; logs in {}\n", plan.Seed, line, result->Folder);
--- a/bench/soak.h
+++ b/bench/soak.h
@@ -58,23 +58,13 @@
     int BatchCallers = 3; // Callers that pipeline requests, in addition to Callers.
 };
 
-// What instances counted while they shared load and divided demand; up to CountLoadUs before the end of a process is missing.
-struct SoakLoadCounts
-{
-    uint64_t Asks = 0;
-    uint64_t Told = 0;    // Offers and answers sent.
-    uint64_t Taken = 0;   // Reports taken, lies included.
-    uint64_t Crossed = 0; // Requests for which another data centre was picked.
-    uint64_t Lies = 0;    // Datagrams of the lying neighbour,
-    uint64_t Stolen = 0;  // and the offers and answers that it got.
-};
-
 struct SoakResult
 {
     SoakLog Log;
     std::string Folder;               // Settings and logs of the instances.
     std::map<std::string, int> Drawn; // Number of faults, by name.
-    SoakLoadCounts Load;
+    uint64_t Lies = 0;                // Datagrams of the lying neighbour,
+    uint64_t Stolen = 0;              // and the offers and answers that it got.
 };
 
 // Runs one seed. No result if the folder can't be created or the store can't listen.
@@ -106,7 +96,11 @@
     size_t Trouble = 0;                     // Index in Log.Disruptions of its open disruption plus one; 0: none.
     ProxyMode_ ToTargets = ProxyMode_Good;  // State of its links to all targets.
     Timer Next;                             // Pending restart, resume, reconnection, or kill after the grace time.
-    std::map<std::string, uint64_t> Counts; // Last values of its counters.
+    TimeUs RestartUs = -1;                  // Time from its exit to its next start; negative: drawn from Rng.
+    TimeUs CountedUs = 0;                   // Time of its start, or of the last reading of its counters.
+    bool Counting = false;                  // Its counters are being read.
+    bool DivisionActive = false;            // It divides the demand of svc, by the last reading.
+    std::map<std::string, uint64_t> Counts; // Last values of its counters; none since its start.
 };
 
 struct SoakTarget
@@ -129,16 +123,18 @@
     Random SignalsRng; // For soak_spared.cpp, so that its draws don't shift those of Rng.
     Random CutsRng;    // For soak_cuts.cpp, so that its draws don't shift those of Rng.
     Random CrashesRng; // For soak_ends.cpp, so that its draws don't shift those of Rng.
-    Random LoadRng;    // For soak_load.cpp, so that its draws don't shift those of Rng.
+    Random LoadRng;    // For soak_load.cpp, so that its draws don't shift those of Rng,
+    Random DemandRng;  // for the data centres of callers,
+    Random LiesRng;    // and for lies.
     UsersStore Store;
     std::vector<std::unique_ptr<SoakInstance>> Instances;
     std::vector<std::unique_ptr<SoakTarget>> Targets; // Never shrinks: the audit needs the requests of stopped targets too.
     Client Callers;
     Client Counters; // Reads the counters of instances.
     DatagramLink Liar;
-    bool Lying = false;
     int64_t DemandPercent = SoakDemandPercent; // Share of the callers in dc-0.
-    SoakLoadCounts Load;
+    uint64_t Lies = 0;                         // See SoakResult.
+    uint64_t Stolen = 0;
     SoakLog Log;
     SoakPlan Plan;
     std::string Folder;   // Holds the instances' folders.
@@ -161,6 +157,9 @@
 // Runs a function after a delay.
 void Later(Soak* soak, TimeUs delay, std::function<void()> run);
 
+// Runs the event loop for a time.
+void RunFor(Soak* soak, TimeUs time);
+
 // Logs the start of a disruption and returns its index plus one; instance -1 is the store.
 size_t BeginDisruption(Soak* soak, int instance, bool planned);
 void EndDisruption(Soak* soak, size_t* index);
@@ -207,6 +206,12 @@
 // Starts the lying neighbour and reads the counters of instances; false if the neighbour can't bind its address.
 bool StartLoadParts(Soak* soak);
 
+// After all faults, while callers send requests: lies to half of the instances.
+void LieWithoutOtherFaults(Soak* soak);
+
+// After all callers have stopped: lies to all instances and logs whether they believe it.
+void LogBeliefs(Soak* soak);
+
 // Injects lies, brief pauses, cuts from datagrams and moves of the demand, while Striking is set.
 void InjectLoadFaults(Soak* soak);
 
--- a/bench/soak_audit.cpp
+++ b/bench/soak_audit.cpp
@@ -339,23 +339,23 @@
     }
 }
 
-struct CutTally
+struct ServedTally
 {
     int Sent = 0;
     int Served = 0;
 };
 
 // Requests sent to undisrupted instances while a cut was in force for UndisruptedUs: at those that are cut off, and at the others.
-static std::pair<CutTally, CutTally> CountDuringCut(const SoakLog& log, const SoakBounds& bounds, const SoakCut& cut)
+static std::pair<ServedTally, ServedTally> CountDuringCut(const SoakLog& log, const SoakBounds& bounds, const SoakCut& cut)
 {
-    CutTally there;
-    CutTally elsewhere;
+    ServedTally there;
+    ServedTally elsewhere;
     for (const SoakRequest& request : log.Requests)
     {
         const bool during = request.SentUs >= cut.FromUs + bounds.UndisruptedUs && request.EndedUs > 0 && request.EndedUs < cut.UntilUs;
         if (during && !request.NotRead && IsUndisrupted(log, bounds, request.Instance, request.SentUs, request.EndedUs, true))
         {
-            CutTally& tally = cut.Instances.count(request.Instance) > 0 ? there : elsewhere;
+            ServedTally& tally = cut.Instances.count(request.Instance) > 0 ? there : elsewhere;
             tally.Sent++;
             tally.Served += request.Status == 200 ? 1 : 0;
         }
@@ -383,6 +383,114 @@
     }
 }
 
+SoakLoadCounts SoakCountsWithoutLies(const SoakLog& log, const SoakBounds& bounds)
+{
+    SoakLoadCounts sum;
+    for (const SoakReading& reading : log.Readings)
+    {
+        const auto influences = [&](const SoakLies& lies)
+        {
+            return lies.FromUs < reading.UntilUs && lies.UntilUs + bounds.LiesUs > reading.FromUs;
+        };
+        if (std::none_of(log.Lies.begin(), log.Lies.end(), influences))
+        {
+            sum.Asks += reading.Counts.Asks;
+            sum.Told += reading.Counts.Told;
+            sum.Taken += reading.Counts.Taken;
+            sum.Crossed += reading.Counts.Crossed;
+        }
+    }
+    return sum;
+}
+
+// Whether instances have shared load and divided demand by themselves: a run in which they have not is no test of them.
+static void CheckSharing(const SoakLog& log, const SoakBounds& bounds, Findings* found)
+{
+    const SoakLoadCounts counts = SoakCountsWithoutLies(log, bounds);
+    if (log.SharesLoad && (counts.Asks == 0 || counts.Told == 0 || counts.Taken == 0))
+    {
+        (*found)["load was never shared"].push_back(
+            fmt::format("asks {}, offers and answers {}, reports taken {}", counts.Asks, counts.Told, counts.Taken));
+    }
+    if (log.SharesLoad && counts.Crossed == 0)
+    {
+        (*found)["demand was never divided"].push_back("no crossings");
+    }
+}
+
+// Whether lies are such that instances believe them: others are no fault.
+static void CheckBeliefs(const SoakLog& log, Findings* found)
+{
+    const SoakBeliefs& beliefs = log.Beliefs;
+    if (log.SharesLoad && (beliefs.Instances == 0 || std::min({beliefs.Reports, beliefs.NoRoom, beliefs.Room}) < beliefs.Instances))
+    {
+        (*found)["lies are not believed"].push_back(fmt::format("reports at {} of {} instances, no room at {}, room at {}", beliefs.Reports,
+                                                                beliefs.Instances, beliefs.NoRoom, beliefs.Room));
+    }
+}
+
+static bool IsCut(const SoakLog& log, const SoakRequest& request)
+{
+    const auto cuts = [&](const SoakCut& cut)
+    {
+        return cut.Instances.count(request.Instance) > 0 && cut.FromUs < request.EndedUs && cut.UntilUs > request.SentUs;
+    };
+    return std::any_of(log.Cuts.begin(), log.Cuts.end(), cuts);
+}
+
+// Requests sent during lies to undisrupted instances of a data centre, later than UndisruptedUs after the first request of all: to those
+// that were lied to, and to the others. Lies that all of them are told don't count.
+static std::pair<ServedTally, ServedTally> CountDuringLies(const SoakLog& log, const SoakBounds& bounds, const std::string& data_centre)
+{
+    ServedTally there;
+    ServedTally elsewhere;
+    const TimeUs first_us = log.Requests.empty() ? 0 : log.Requests.front().SentUs;
+    for (const SoakRequest& request : log.Requests)
+    {
+        const auto during = [&](const SoakLies& lies)
+        {
+            return static_cast<int>(lies.Instances.size()) < log.Instances && request.SentUs >= lies.FromUs &&
+                   request.SentUs < lies.UntilUs;
+        };
+        const auto lies = std::find_if(log.Lies.begin(), log.Lies.end(), during);
+        const bool counts = lies != log.Lies.end() && request.EndedUs > 0 && !request.NotRead &&
+                            request.SentUs >= first_us + bounds.UndisruptedUs &&
+                            log.DataCentres[static_cast<size_t>(request.Instance)] == data_centre;
+        if (counts && !IsCut(log, request) && IsUndisrupted(log, bounds, request.Instance, request.SentUs, request.EndedUs, true))
+        {
+            ServedTally& tally = lies->Instances.count(request.Instance) > 0 ? there : elsewhere;
+            tally.Sent++;
+            tally.Served += request.Status == 200 ? 1 : 0;
+        }
+    }
+    return {there, elsewhere};
+}
+
+// A lie costs a probe: callers of instances that are lied to are served like those of the others.
+static void CheckLies(const SoakLog& log, const SoakBounds& bounds, Findings* found)
+{
+    bool compared = false;
+    for (const std::string& data_centre : std::set<std::string>(log.DataCentres.begin(), log.DataCentres.end()))
+    {
+        const auto [there, elsewhere] = CountDuringLies(log, bounds, data_centre);
+        if (there.Sent == 0 || elsewhere.Sent == 0)
+        {
+            continue;
+        }
+        compared = true;
+        const double share_elsewhere = static_cast<double>(elsewhere.Served) / elsewhere.Sent;
+        if (there.Served + bounds.LiesFailedMax < bounds.LiesServedShare * share_elsewhere * there.Sent)
+        {
+            (*found)["not served where a neighbour lies"].push_back(
+                fmt::format("{} of {}, elsewhere {} of {}", there.Served, there.Sent, elsewhere.Served, elsewhere.Sent));
+        }
+    }
+    if (log.SharesLoad && !compared)
+    {
+        (*found)["no requests where a neighbour lies"].push_back("none to compare");
+    }
+}
+
 std::vector<std::string> AuditSoak(const SoakLog& log, const SoakBounds& bounds)
 {
     Findings found;
@@ -404,6 +512,9 @@
     CheckBudget(log, bounds, &found);
     CheckQuarantines(log, bounds, arrivals, &found);
     CheckCuts(log, bounds, &found);
+    CheckSharing(log, bounds, &found);
+    CheckBeliefs(log, &found);
+    CheckLies(log, bounds, &found);
     if (log.RecoveryGood < bounds.RecoveryShare * log.RecoverySent)
     {
         found["not recovered"].push_back(fmt::format("{} of {}", log.RecoveryGood, log.RecoverySent));
--- a/bench/soak_audit.h
+++ b/bench/soak_audit.h
@@ -110,6 +110,41 @@
     TimeUs NextStartUs = std::numeric_limits<TimeUs>::max(); // Its next restart, which ends the pauses.
 };
 
+// What an instance counts while it shares load and divides demand.
+struct SoakLoadCounts
+{
+    uint64_t Asks = 0;    // Of its own data centre.
+    uint64_t Told = 0;    // Offers and answers sent.
+    uint64_t Taken = 0;   // Reports taken.
+    uint64_t Crossed = 0; // Requests for which another data centre was picked.
+};
+
+// What an instance has counted between two readings of its counters.
+struct SoakReading
+{
+    int Instance = -1;
+    TimeUs FromUs = 0;
+    TimeUs UntilUs = 0;
+    SoakLoadCounts Counts;
+};
+
+// A time span in which a neighbour tells instances of load and room that don't exist.
+struct SoakLies
+{
+    std::set<int> Instances;
+    TimeUs FromUs = 0;
+    TimeUs UntilUs = 0;
+};
+
+// Lies told to instances while no caller sends requests, so that nobody else tells anything.
+struct SoakBeliefs
+{
+    int Instances = 0; // Instances that were lied to.
+    int Reports = 0;   // Of these, the ones that took reports,
+    int NoRoom = 0;    // believed that their data centre is short of room,
+    int Room = 0;      // and believed afterwards that it has enough.
+};
+
 struct SoakLog
 {
     std::vector<SoakRequest> Requests;
@@ -124,11 +159,16 @@
     std::vector<SoakLimitSpan> Limits;
     std::vector<SoakRefusalSpan> Rests;
     std::vector<SoakDrain> AnnouncedDrains; // Announced only in the targets' answers.
+    std::vector<SoakReading> Readings;
+    std::vector<SoakLies> Lies;
+    SoakBeliefs Beliefs;
     int Instances = 0;
-    int UnexpectedExits = 0;  // Instances that exited unexpectedly.
-    int ForeignBytes = 0;     // Connections on which bytes beyond the expected answers arrived.
-    int KilledAfterGrace = 0; // Instances that had to be killed after their grace time.
-    int RecoverySent = 0;     // Requests sent after all faults have ended.
+    std::vector<std::string> DataCentres; // By index of the instance.
+    bool SharesLoad = false;              // Faults of shared load and division were injected: they must have been at work.
+    int UnexpectedExits = 0;              // Instances that exited unexpectedly.
+    int ForeignBytes = 0;                 // Connections on which bytes beyond the expected answers arrived.
+    int KilledAfterGrace = 0;             // Instances that had to be killed after their grace time.
+    int RecoverySent = 0;                 // Requests sent after all faults have ended.
     int RecoveryGood = 0;
 };
 
@@ -154,9 +194,15 @@
     double CutServedShare = 2.0 / 3;        // During a cut: minimum share of served requests where it is, in that at the other instances;
     int CutFailedMax = 10;                  // or maximum of requests that fail where it is,
     double CutFailedShare = 0.02;           // plus this share of all.
+    TimeUs LiesUs = 5 * UsPerSecond;        // Time after lies in which they still influence counters: 8 averages of DivisionConfig.
+    double LiesServedShare = 0.95;          // During lies: minimum share of served requests where they are told, in that at the others of
+    int LiesFailedMax = 10;                 // the data centre, or maximum of requests that fail beyond that.
     double RecoveryShare = 0.95;            // Minimum share of successes among the requests sent after all faults.
 };
 
+// What all instances have counted together, without readings during lies and LiesUs after them: what they tell each other.
+SoakLoadCounts SoakCountsWithoutLies(const SoakLog& log, const SoakBounds& bounds);
+
 // One line for each kind of breach, with the number of breaches and the first request or target.
 std::vector<std::string> AuditSoak(const SoakLog& log, const SoakBounds& bounds);
 
--- a/bench/soak_faults.cpp
+++ b/bench/soak_faults.cpp
@@ -99,7 +99,8 @@
         }
         instance->Pid = -1;
         ProxySetMode(&instance->ToStore, ProxyMode_Good);
-        RestartLater(soak, instance.get(), MsBetween(soak, 0, 1500));
+        RestartLater(soak, instance.get(), instance->RestartUs >= 0 ? instance->RestartUs : MsBetween(soak, 0, 1500));
+        instance->RestartUs = -1;
     }
     Later(soak, 20 * UsPerMs, [soak]() { Reap(soak); });
 }
--- a/bench/soak_parts.cpp
+++ b/bench/soak_parts.cpp
@@ -93,6 +93,8 @@
     instance->Pid = StartProcess({soak->Plan.Program, "gateway", "--settings", SettingsFile(*instance)}, instance->Folder + "/log", {});
     instance->Ending = false;
     instance->Leaving = false;
+    instance->Counts.clear();
+    instance->CountedUs = NowUs();
     EndDisruption(soak, &instance->Trouble);
 }
 
@@ -170,7 +172,7 @@
 
 SoakInstance* PickInstance(Soak* soak)
 {
-    const std::string drawn = Between(soak, 1, 100) <= soak->DemandPercent ? "dc-0" : "dc-1";
+    const std::string drawn = std::uniform_int_distribution<int64_t>(1, 100)(soak->DemandRng) <= soak->DemandPercent ? "dc-0" : "dc-1";
     std::vector<SoakInstance*> open = OpenInstances(*soak, drawn);
     if (open.empty())
     {
--- a/tests/soak_audit_test.cpp
+++ b/tests/soak_audit_test.cpp
@@ -39,13 +39,51 @@
     return log;
 }
 
-static void CheckFinds(const SoakLog& log, const std::string& kind)
+// Adds requests to the instance, of which the first ones are served.
+static void AddServed(SoakLog* log, int instance, int sent, int served)
+{
+    for (int n = 0; n < sent; n++)
+    {
+        const std::string id = "i" + std::to_string(instance) + "-" + std::to_string(n);
+        log->Requests.push_back(MakeRequest(id, n < served ? 200 : 503, true));
+        log->Requests.back().Instance = instance;
+        log->Requests.back().SentUs = Start + 4 * UsPerSecond;
+        log->Requests.back().EndedUs = Start + 5 * UsPerSecond;
+        log->Arrivals.push_back(MakeArrival(id, Start + 4 * UsPerSecond, n < served));
+    }
+}
+
+// A log in which the instances of one data centre share load, divide demand and believe lies. A neighbour lies to the first one.
+static SoakLog SharingLog(int served)
+{
+    SoakLog log = CleanLog();
+    log.SharesLoad = true;
+    log.DataCentres = {"dc", "dc"};
+    log.Readings = {{0, Start - UsPerSecond, Start, {1, 1, 1, 1}}};
+    log.Lies = {{{0}, Start + 3 * UsPerSecond, Start + 6 * UsPerSecond}};
+    log.Beliefs = {2, 2, 2, 2};
+    AddServed(&log, 0, 200, served);
+    AddServed(&log, 1, 100, 90);
+    return log;
+}
+
+static void CheckFindsOne(const SoakLog& log, const std::string& kind)
 {
     const std::vector<std::string> found = AuditSoak(log, SoakBounds());
     CPPUNIT_ASSERT_EQUAL_MESSAGE(kind, size_t{1}, found.size());
     CPPUNIT_ASSERT_MESSAGE(found[0], found[0].rfind(kind, 0) == 0);
 }
 
+// Lies that a neighbour tells to all instances all the time excuse nothing.
+static void CheckFinds(const SoakLog& log, const std::string& kind)
+{
+    CheckFindsOne(log, kind);
+    SoakLog lied = log;
+    lied.DataCentres = {"dc", "dc"};
+    lied.Lies = {{{0, 1}, 0, 2 * Start}};
+    CheckFindsOne(lied, kind);
+}
+
 class SoakAuditTest : public CPPUNIT_NS::TestFixture
 {
     CPPUNIT_TEST_SUITE(SoakAuditTest);
@@ -65,6 +103,11 @@
     CPPUNIT_TEST(OlderVersions);
     CPPUNIT_TEST(TooManyRetries);
     CPPUNIT_TEST(EndsAndRecovery);
+    CPPUNIT_TEST(LoadThatIsNeverShared);
+    CPPUNIT_TEST(CountsThatLiesInfluence);
+    CPPUNIT_TEST(LiesThatNobodyBelieves);
+    CPPUNIT_TEST(WorseServiceWhereANeighbourLies);
+    CPPUNIT_TEST(NobodyToCompareWith);
     CPPUNIT_TEST_SUITE_END();
 
     void FindsNothingInACleanLog()
@@ -278,6 +321,81 @@
         log.RecoveryGood = 90;
         CheckFinds(log, "not recovered");
     }
+
+    void LoadThatIsNeverShared()
+    {
+        CPPUNIT_ASSERT(AuditSoak(SharingLog(200), SoakBounds()).empty());
+        for (uint64_t SoakLoadCounts::*count : {&SoakLoadCounts::Asks, &SoakLoadCounts::Told, &SoakLoadCounts::Taken})
+        {
+            SoakLog log = SharingLog(200);
+            log.Readings[0].Counts.*count = 0;
+            CheckFindsOne(log, "load was never shared");
+            log.SharesLoad = false; // A run with other faults, or with one instance in each data centre.
+            CPPUNIT_ASSERT(AuditSoak(log, SoakBounds()).empty());
+        }
+        SoakLog log = SharingLog(200);
+        log.Readings[0].Counts.Crossed = 0;
+        CheckFindsOne(log, "demand was never divided");
+    }
+
+    // What instances count during lies, or while they still average what they were told, is not their own doing.
+    void CountsThatLiesInfluence()
+    {
+        SoakLog log = SharingLog(200);
+        log.Lies.push_back({{1}, Start - 9 * UsPerSecond, Start - 6 * UsPerSecond});
+        CPPUNIT_ASSERT(AuditSoak(log, SoakBounds()).empty());
+        log.Lies[1].UntilUs += UsPerMs;
+        CPPUNIT_ASSERT_EQUAL(size_t{2}, AuditSoak(log, SoakBounds()).size());
+        log.Readings.push_back({0, Start, Start + UsPerSecond, {1, 1, 1, 1}});
+        CPPUNIT_ASSERT(AuditSoak(log, SoakBounds()).empty());
+        log.Lies[1] = {{1}, Start + 500 * UsPerMs, Start + 2 * UsPerSecond};
+        log.Readings[0].Counts = {};
+        CPPUNIT_ASSERT_EQUAL(size_t{2}, AuditSoak(log, SoakBounds()).size());
+    }
+
+    void LiesThatNobodyBelieves()
+    {
+        for (int SoakBeliefs::*believed : {&SoakBeliefs::Reports, &SoakBeliefs::NoRoom, &SoakBeliefs::Room})
+        {
+            SoakLog log = SharingLog(200);
+            log.Beliefs.*believed = 1; // One of two instances.
+            CheckFindsOne(log, "lies are not believed");
+        }
+        SoakLog log = SharingLog(200);
+        log.Beliefs = {}; // Nobody was lied to.
+        CheckFindsOne(log, "lies are not believed");
+    }
+
+    void WorseServiceWhereANeighbourLies()
+    {
+        CPPUNIT_ASSERT(AuditSoak(SharingLog(161), SoakBounds()).empty()); // The bound.
+        CheckFindsOne(SharingLog(160), "not served where a neighbour lies");
+        SoakLog log = SharingLog(160);
+        log.Cuts = {{{1}, Start + 4 * UsPerSecond, Start + 5 * UsPerSecond}}; // The other one reaches no target.
+        CheckFindsOne(log, "no requests where a neighbour lies");
+    }
+
+    // Requests that can't be compared: of instances that all are lied to, in other data centres, cut off, disrupted, or just started.
+    void NobodyToCompareWith()
+    {
+        const SoakLog clean = SharingLog(160);
+        SoakLog log = clean;
+        log.Lies[0].Instances = {0, 1};
+        CheckFindsOne(log, "no requests where a neighbour lies");
+        log = clean;
+        log.DataCentres = {"dc", "other"};
+        CheckFindsOne(log, "no requests where a neighbour lies");
+        log = clean;
+        log.Cuts = {{{0}, Start + 4 * UsPerSecond, Start + 5 * UsPerSecond}};
+        CheckFindsOne(log, "no requests where a neighbour lies");
+        log = clean;
+        log.Disruptions = {{0, Start + 2 * UsPerSecond, Start + 3 * UsPerSecond, true}};
+        CheckFindsOne(log, "no requests where a neighbour lies");
+        log = clean;
+        log.Requests[0].SentUs = Start + 2 * UsPerSecond;
+        log.Requests[0].EndedUs = Start + 3 * UsPerSecond;
+        CheckFindsOne(log, "no requests where a neighbour lies");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SoakAuditTest);
