Division: a request that would be late by the probe elsewhere stays at home

Cause: RemoveTooFar() counted the ways of the probe and of the request, but not the target's own part of the probe: at 50 ms one way a request that had probed nothing at home itself was taken to be answered after 294 of its 300 ms, and was late.

Change: a tenth of the usual work is added.

--- a/winchlink_division.cpp
+++ b/winchlink_division.cpp
@@ -338,13 +338,15 @@
     return candidates[std::discrete_distribution<size_t>(weights.begin(), weights.end())(*random)].DataCentre;
 }
 
-// Removes the candidates from which the answer would come too late, with one probe before it.
+// Removes the candidates from which the answer would come too late, with one probe before it. The margin is for the target's own part of
+// that probe, which no message measures.
 static void RemoveTooFar(const Division& division, const DivisionRequest& request, std::vector<Candidate>* candidates)
 {
+    constexpr double margin = 0.1; // Of the work.
     const auto too_far = [&](const Candidate& candidate)
     {
         const auto round_trip = static_cast<double>(division.Rooms.at(candidate.DataCentre).RoundTripUs);
-        return request.LeftUs > 0 && request.WorkUs + 2 * round_trip > static_cast<double>(request.LeftUs);
+        return request.LeftUs > 0 && request.WorkUs * (1 + margin) + 2 * round_trip > static_cast<double>(request.LeftUs);
     };
     candidates->erase(std::remove_if(candidates->begin(), candidates->end(), too_far), candidates->end());
 }
