--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -658,7 +658,11 @@
         instance.Requests.Divides = true;
         Division& divided = instance.Requests.Services.at("svc").Divided;
         divided.Config.RoomMaxAgeUs = RigTimeoutUs; // The load of the machine must not decide.
-        DivisionHeard(&divided, PeerDataCentre("dc-b"), PeerDataCentre("dc-a"), {10, 10, 10}, NowUs());
+        const uint16_t other = PeerDataCentre("dc-b");
+        const std::string asked = "127.0.0.2:1"; // An instance in the other data centre.
+        DivisionAsked(&divided, other, asked, NowUs());
+        const LoadMessage answer = {LoadMessage_Answer, 0, other, {10, 10, 10}, {}};
+        DivisionHeard(&divided, instance.Requests.Services.at("svc").Pool, asked, answer, PeerDataCentre("dc-a"), NowUs());
         CPPUNIT_ASSERT(LastLineOfAFailure(&rig, instance).find("\"crossed\":1") != std::string::npos);
         CPPUNIT_ASSERT(divided.Crossed > 0);
         instance.Requests.Divides = false;
