--- a/winchlink.h
+++ b/winchlink.h
@@ -1220,9 +1220,9 @@
     std::map<uint16_t, DataCentreRoom> Rooms;   // Other data centres, by PeerDataCentre().
     bool Active = false;                        // The own data centre is short of room.
     TimeUs ChangedUs = 0;                       // Time of the last change of Active; 0: never.
-    uint64_t Crossed = 0;                       // Counter: requests for which DivisionPick() has named a data centre.
-    uint64_t KeptForSlack = 0;                  // Counter: requests that stayed at home although another data centre had room.
-    uint64_t KeptForRoom = 0;                   // Counter: requests that stayed because none was known to have more room.
+    uint64_t Crossed = 0;                       // Counter: searches that crossed; a request that waits searches again.
+    uint64_t KeptForSlack = 0;                  // Counter: searches that stayed at home although another data centre had room.
+    uint64_t KeptForRoom = 0;                   // Counter: searches that stayed because none was known to have more room.
 };
 
 // A target of the own data centre was probed; `room`: it had a free slot at an acceptable cost.
