--- a/tests/division_test.cpp
+++ b/tests/division_test.cpp
@@ -341,7 +341,7 @@
         const TimeUs round_trip = 100 * UsPerMs;
         for (int n = 0; n < 30; n++)
         {
-            const TimeUs at = Start + n * 10 * UsPerMs;
+            const TimeUs at = Start + 10 * UsPerMs * n;
             DivisionAsked(&division, Other, "10.0.0." + std::to_string(n) + ":80", at);
             if (n >= 10)
             {
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -638,8 +638,10 @@
         rig->Targets[0]->Script = {TargetAct_Failed};
         RigCall call;
         call.Method = "POST";
+        SetLogLevel(LogLevel_Info);
         const CapturedOutput output;
         const RigAnswer answer = RigSendAndWait(rig, instance, call);
+        SetLogLevel(LogLevel_Error);
         CPPUNIT_ASSERT_EQUAL(500, answer.Answer.Status);
         const std::string text = output.Read();
         const size_t at = text.find("\"requestId\":\"" + answer.Id + "\"");
--- a/tests/load_link_test.cpp
+++ b/tests/load_link_test.cpp
@@ -6,6 +6,7 @@
 #include "clock.h"
 #include "gateway_rig.h"
 #include "load_link.h"
+#include "log.h"
 #include "pages.h"
 #include "process.h"
 
@@ -206,6 +207,7 @@
 // What `act` logs.
 static std::string LogsOf(const std::function<void()>& act)
 {
+    SetLogLevel(LogLevel_Info); // Instances that earlier tests started may have set another one.
     std::array<int, 2> ends{};
     CPPUNIT_ASSERT_EQUAL(0, pipe(ends.data()));
     const int output = dup(STDOUT_FILENO);
