--- a/tests/share_test.cpp
+++ b/tests/share_test.cpp
@@ -541,7 +541,7 @@
         std::map<std::string, int> found;
         for (int n = 0; n < asks; n++)
         {
-            const TimeUs now = Start + n * 10 * UsPerMs;
+            const TimeUs now = Start + 10 * UsPerMs * n;
             for (const char* data_centre : {"near", "far"})
             {
                 Report("t3300", {0, 0, 3, 100}, now);
@@ -567,7 +567,7 @@
         }
         for (int n = 0; n < 20; n++)
         {
-            const SharedRoom room = LoadRoom(Pool, Start + n * 997);
+            const SharedRoom room = LoadRoom(Pool, Start + TimeUs{n} * 997);
             CPPUNIT_ASSERT(room.Targets > near * 8 / 10 && room.Targets <= near);
             CPPUNIT_ASSERT(room.Known > 0 && room.Known <= room.Targets);
             CPPUNIT_ASSERT(room.Free > room.Known * 4 / 10 && room.Free < room.Known * 7 / 10);
@@ -598,7 +598,7 @@
         int taken = 0;
         for (int n = 0; n < 50; n++)
         {
-            taken += Ask("near", "10.0.0.2:7000", Start + n * 100) ? 1 : 0;
+            taken += Ask("near", "10.0.0.2:7000", Start + TimeUs{n} * 100) ? 1 : 0;
         }
         CPPUNIT_ASSERT_EQUAL(1, taken);
         const TimeUs now = Start + 5 * UsPerMs;
@@ -635,7 +635,7 @@
         size_t taken = 0;
         for (int n = 0; n < 100; n++)
         {
-            taken += Ask("near", "10.0.1." + std::to_string(n) + ":7000", Start + n * 50) ? 1 : 0;
+            taken += Ask("near", "10.0.1." + std::to_string(n) + ":7000", Start + TimeUs{n} * 50) ? 1 : 0;
         }
         CPPUNIT_ASSERT_EQUAL(Sharing.Config.AskersMax, taken);
     }
