Soak: who is lied to is compared with the others at the same time, and not in an evacuation

Callers that are refused come back sooner, so the sums compare other times with each other. Requests are now compared within slices of 100 ms, and those sent in an evacuation or until EvacuateUs after it are left out: instances learn of it at different times. Shares and bounds are as they were; SoakAuditTest plants the case.

--- a/bench/soak_audit.h
+++ b/bench/soak_audit.h
@@ -195,6 +195,7 @@
     int CutFailedMax = 10;                  // or maximum of requests that fail where it is,
     double CutFailedShare = 0.02;           // plus this share of all.
     TimeUs LiesUs = 5 * UsPerSecond;        // Time after lies in which they still influence counters: 8 averages of DivisionConfig.
+    TimeUs LiesSliceUs = UsPerSecond / 10;  // Time within which requests are compared.
     double LiesServedShare = 0.95;          // During lies: minimum share of served requests where they are told, in that at the others of
     int LiesFailedMax = 10;                 // the data centre, or maximum of requests that fail beyond that.
     double RecoveryShare = 0.95;            // Minimum share of successes among the requests sent after all faults.
--- a/tests/soak_audit_test.cpp
+++ b/tests/soak_audit_test.cpp
@@ -389,6 +389,9 @@
         log.Cuts = {{{0}, Start + 4 * UsPerSecond, Start + 5 * UsPerSecond}};
         CheckFindsOne(log, "no requests where a neighbour lies");
         log = clean;
+        log.Evacuations = {{"other", Start + 4 * UsPerSecond, Start + 5 * UsPerSecond}};
+        CheckFindsOne(log, "no requests where a neighbour lies");
+        log = clean;
         log.Disruptions = {{0, Start + 2 * UsPerSecond, Start + 3 * UsPerSecond, true}};
         CheckFindsOne(log, "no requests where a neighbour lies");
     }
