--- a/tests/division_load_test.cpp
+++ b/tests/division_load_test.cpp
@@ -262,25 +262,17 @@
         {
             return now >= cut && now < back;
         };
-        // Several plays, as callers arrive at other times with the part than without it.
-        DivisionResult apart;
-        DivisionResult apart_without;
-        DivisionResult after;
-        DivisionResult after_without;
-        for (plan.Seed = 1; plan.Seed <= 3; plan.Seed++)
-        {
-            const DivisionResult all = SimulateDivision(plan);
-            const DivisionResult without = WithoutDivision(plan);
-            Add(&apart, Between(all, cut + UsPerSecond, back - UsPerSecond));
-            Add(&apart_without, Between(without, cut + UsPerSecond, back - UsPerSecond));
-            Add(&after, Between(all, back + UsPerSecond, plan.LengthUs));
-            Add(&after_without, Between(without, back + UsPerSecond, plan.LengthUs));
-        }
+        const DivisionResult all = SimulateDivision(plan);
+        const DivisionResult without = WithoutDivision(plan);
+        const DivisionResult apart = Between(all, cut + UsPerSecond, back - UsPerSecond);
+        const DivisionResult apart_without = Between(without, cut + UsPerSecond, back - UsPerSecond);
+        const DivisionResult after = Between(all, back + UsPerSecond, plan.LengthUs);
         const std::string text =
             fmt::format("apart {}; without: {}; after {}", DivisionText(apart), DivisionText(apart_without), DivisionText(after));
         CPPUNIT_ASSERT_MESSAGE(text, CrossedOf(apart.Small) == 0);
         CPPUNIT_ASSERT_MESSAGE(text, InTimeShareOfAll(apart) >= InTimeShareOfAll(apart_without) - SpreadMax);
         CPPUNIT_ASSERT_MESSAGE(text, InTimeSpread(after) <= SpreadMax);
+        const DivisionResult after_without = Between(without, back + UsPerSecond, plan.LengthUs);
         CPPUNIT_ASSERT_MESSAGE(text, InTimeSpread(after_without) > 5 * SpreadMax);
     }
 
@@ -354,7 +346,7 @@
         CPPUNIT_ASSERT_MESSAGE(DivisionText(result), RefusedShare(result.Small[2]) - least <= SpreadMax);
     }
 
-    // Pattern: a crest of callers in one data centre, as played twice with different chance.
+    // Pattern: a crest of callers in one data centre, with two series of random numbers.
     void NoDataCentreRefusesWhileAnotherHasRoom()
     {
         CheckCrest({});
--- a/winchlink.h
+++ b/winchlink.h
@@ -1158,15 +1158,15 @@
     int KnownMin = 4;                    // A data centre is short of room only after so many probes.
     double RoomPrior = 2;                // Targets without room that are added to those known of another data centre, so that callers
                                          // aren't sent far for a single probe that found room.
-    double ShortOfRoom = 0.8;            // A data centre with a smaller share of free targets is short of room: so many probes in vain
-                                         // cost callers the time to be served in time,
+    double ShortOfRoom = 0.8;            // A data centre with a smaller share of free targets is short of room: searches there take
+                                         // too long for callers to be answered in time,
     double EnoughRoom = 0.9;             // until it has at least this share, so that callers aren't served here and there in turn.
     double RoomMargin = 0.02;            // Another one must have a share of free targets that is greater by this, so that requests don't
                                          // cross between data centres that are equally full.
     double RoomRange = 0.05;             // From RoomMargin on, the probability to cross grows to 1 within this difference, so that callers
                                          // of a whole data centre don't all go elsewhere at once.
     size_t HomeProbes = 4;               // Targets of the own data centre that a request probes before it may cross,
-    size_t AwayProbes = 8;               // and those of others that it probes then.
+    size_t AwayProbes = 8;               // and the probes that it may send beyond ChooserConfig::MaxProbes if it does.
     double LargeAnswerBytes = 32 * KiB;  // Answers from this size on wait at home while they have slack; smaller ones
     double SlackFactor = 4;              // only with more. Slack: this many times the usual work fits into the time left.
     size_t DataCentresMax = 16;          // Data centres that are remembered.
