Review: the first case counts only what can't have come over the machine that stood still

Cause: one of some 60 late requests seen came 4.96 s after the leaving, by way of a machine that had just begun to run again.

--- a/review/1/driver.cc
+++ b/review/1/driver.cc
@@ -10,6 +10,7 @@
 static constexpr int Cycles = 8;
 static constexpr double DrainS = 2;            // Bound of the site.
 static constexpr double FreezeS = 3.5;         // One machine of 13 stands still for this long.
+static constexpr double LeaveDelayS = 0.02;    // From the freeze to the leaving.
 static constexpr double ServesOnShortS = 2.12; // A leaver serves on for drainS and a little longer,
 static constexpr double ServesOnLongS = 8;     // or for some seconds longer.
 static constexpr double CycleS = 11;
@@ -161,7 +162,7 @@
             kill(rig.Machines[reader].Pid, SIGSTOP);
             Note(&rig, "SIGSTOP {}, which reads the store", rig.Machines[reader].Name);
         }
-        Run(&rig, 0.02);
+        Run(&rig, LeaveDelayS);
         UsersStoreRemove(&rig.Store, "servers/" + target->Id);
         leave.AckedUs = NowUs();
         Note(&rig, "the entry of {} goes; the store has acknowledged it", target->Id);
@@ -171,7 +172,7 @@
             Note(&rig, "upstream {} ends", target->Id);
         };
         ends.push_back(TimerStart(&rig.Loop, static_cast<TimeUs>(serves_on * 1e6), end));
-        Run(&rig, FreezeS - 0.02);
+        Run(&rig, FreezeS - LeaveDelayS);
         if (Trouble())
         {
             kill(rig.Machines[reader].Pid, SIGCONT);
@@ -200,8 +201,10 @@
             {
                 continue;
             }
-            latest = std::max(latest, after);
-            if (after > DrainS)
+            // Later ones may have come over the machine that stood still, which is out of touch for some seconds more.
+            const bool sent_in_touch = leave.Frozen == MachinesCount || after < FreezeS - LeaveDelayS;
+            latest = sent_in_touch ? std::max(latest, after) : latest;
+            if (after > DrainS && sent_in_touch)
             {
                 const int status = load.StatusOf[request.Id];
                 late_here++;
