The time for which a missing entry is kept begins when it was last known to be in the store

What callers saw: while the instance that reads the store is stopped, others send requests to a target whose entry has gone until 2.05 to 2.37 s after its removal. Cause: the time of 1.3 s began when the instance learnt of the removal. Followers leave a source that does not respond after 1.2 s, so they learn of it 0.8 to 1.2 s late, and the constant allowed for 0.4 s. Evidence: `targets changed` with `gone` comes 0.8 to 1.2 s after the removal at all followers, behind `source failed`, and the last request 1.3 s after that line. Ruled out: requests that are sent after the entry was dropped, as ClientRequest::MaySend checks it right before. Change: DirectoryRemove() gets the time as of which the data before the change was current (Follow::FreshUs, StoreBatch::AfterUs); the target is dropped 1.8 s after that. A removal can't have come earlier, so no delay of a source, nor the sum of several, prolongs it. Entries that a failing store has lost are kept as before. The same cause elsewhere: an instance that was stopped took an answer that had waited in its socket for current, and told its followers so. LoopReadySinceUs() says since when it may have been ready. `targets changed` has changedWithinUs, the age of the data before. Tests, failed before: with ExpiryTime() and the age of answers as they were, 12 of 17 of FollowBoundTest (targets kept for 2,014 to 9,307 ms after the removal, 2,000 allowed), DirectoryTest::ARemovalLearntLateShortensTheDelay, StoreReaderTest::DataThatWasReadLateIsNotCurrent. MissingEntriesAreRemovedAfterADelay and UsesMissingTargetsLastUntilTheyExpire used a setting that is gone; they check the same with the new one.

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -105,9 +105,9 @@
     follower->Reader.FromInstance = {RelayDialect({}), timeout, timeout, 0, timeout, timeout};
     follower->Reader.FromStore = follower->Reader.FromInstance; // Not used: the instance is always reachable.
     FollowSetSources(&follower->Reader.Following, "", address, {address}, random);
-    follower->Reader.OnAll = [](const StorePage&, uint64_t) {
+    follower->Reader.OnAll = [](const StorePage&, uint64_t, TimeUs) {
     };
-    follower->Reader.OnChanges = [follower](const std::vector<StoreItem>&, uint64_t)
+    follower->Reader.OnChanges = [follower](const std::vector<StoreItem>&, uint64_t, TimeUs)
     {
         follower->LastChangeUs = NowUs();
     };
--- a/exchange/store_reader.cpp
+++ b/exchange/store_reader.cpp
@@ -90,6 +90,7 @@
     request.TimeoutUs = timeout;
     request.ConnectUs = source.ConnectUs;
     CountStoreCall(reader);
+    reader->CalledUs = NowUs();
     const auto answered = [reader, done, step](const ClientAnswer& answer)
     {
         reader->Current = 0;
@@ -269,9 +270,15 @@
     return address == reader->RouteFrom ? reader->LastRoute : DataRoute();
 }
 
+// The earliest time at which the answer that is being handled may have been made: now, unless this process was held up.
+static TimeUs AnsweredSinceUs(const StoreReader& reader)
+{
+    return std::max(reader.CalledUs, LoopReadySinceUs(*reader.Loop));
+}
+
 // Applies the answer of a source and selects the next one. The data is applied unless it is behind the known revision, even when it is
-// stale and the source is left.
-static void ApplyAnswer(StoreReader* reader, const StorePage& page, bool everything)
+// stale and the source is left. `since`: when the answer was made, at the earliest.
+static void ApplyAnswer(StoreReader* reader, const StorePage& page, bool everything, TimeUs since)
 {
     const FollowStep step = reader->Following.Next;
     const uint64_t before = reader->Following.Revision;
@@ -286,19 +293,21 @@
     }
     const bool no_path_before = reader->Following.NoPath;
     const TimeUs age_before = StoreDataAgeUs(*reader);
+    const TimeUs fresh_before = reader->Following.FreshUs;
     const DataRoute route = RouteOf(reader, step.Address, page);
-    const SourceStatus status = {page.Revision, page.AgeUs,   page.StoreLost, page.TriedUs,
-                                 page.Origin,   route.NoPath, route.Path,     route.Readers};
-    const FollowResult_ result = FollowAnswered(&reader->Following, status, NowUs(), reader->Rng);
+    const TimeUs now = NowUs();
+    const SourceStatus status = {
+        page.Revision, page.AgeUs + now - since, page.StoreLost, page.TriedUs, page.Origin, route.NoPath, route.Path, route.Readers};
+    const FollowResult_ result = FollowAnswered(&reader->Following, status, now, reader->Rng);
     const bool changed = !everything && page.Revision > before && !page.Items.empty();
     if (everything && page.Revision >= before)
     {
         reader->HistoryGone = false;
-        reader->OnAll(page, page.Revision);
+        reader->OnAll(page, page.Revision, fresh_before);
     }
     if (changed)
     {
-        reader->OnChanges(page.Items, page.Revision);
+        reader->OnChanges(page.Items, page.Revision, fresh_before);
     }
     if (result == FollowResult_Good)
     {
@@ -363,7 +372,11 @@
         return;
     }
     // Pages are not a snapshot: changes are read from the revision of the first page.
-    reader->PagesAt = reader->PagesAt == 0 ? page.Revision : reader->PagesAt;
+    if (reader->PagesAt == 0)
+    {
+        reader->PagesAt = page.Revision;
+        reader->PagesSinceUs = AnsweredSinceUs(*reader);
+    }
     const bool single = reader->Pages.empty() && !page.More;
     std::move(page.Items.begin(), page.Items.end(), std::back_inserter(reader->Pages));
     if (page.More && !page.Items.empty())
@@ -375,7 +388,7 @@
     page.Packed = single ? page.Packed : "";
     page.Revision = reader->PagesAt;
     reader->Pages.clear();
-    ApplyAnswer(reader, page, true);
+    ApplyAnswer(reader, page, true, reader->PagesSinceUs);
 }
 
 static void ReadPage(StoreReader* reader)
@@ -421,7 +434,7 @@
     {
         return;
     }
-    ApplyAnswer(reader, page, false);
+    ApplyAnswer(reader, page, false, AnsweredSinceUs(*reader));
 }
 
 static void PollChanges(StoreReader* reader)
--- a/exchange/store_reader.h
+++ b/exchange/store_reader.h
@@ -102,21 +102,24 @@
     StoreSource FromInstance;
     TimeUs UnfollowedWaitUs = 0; // Long poll at the store while no other instance is known; 0: as usual.
     Follow Following;
-    std::function<void(const StorePage& all, uint64_t at)> OnAll;              // A full read, at a revision.
-    std::function<void(const std::vector<StoreItem>&, uint64_t at)> OnChanges; // Changes up to a revision.
-    std::function<void(const std::string& why, TimeUs tried)> OnStoreFailed;   // The store failed, `tried` microseconds ago.
-    std::function<void()> OnNoPath;                                            // Followers are to learn that there is no path to the store.
-    std::function<void(bool changed)> OnAnswered;                              // A source answered with current data.
-    std::function<void(const std::vector<PeerUpdate>&)> OnPeers;               // An instance answered, see StorePage. May be empty.
-    std::function<void(uint64_t digest)> OnQuarantineDigest;                   // An instance answered, see StorePage. May be empty.
+    // A full read, or changes up to a revision. What has changed since the data before has changed after the time `after`; 0: no data.
+    std::function<void(const StorePage& all, uint64_t at, TimeUs after)> OnAll;
+    std::function<void(const std::vector<StoreItem>&, uint64_t at, TimeUs after)> OnChanges;
+    std::function<void(const std::string& why, TimeUs tried)> OnStoreFailed; // The store failed, `tried` microseconds ago.
+    std::function<void()> OnNoPath;                                          // Followers are to learn that there is no path to the store.
+    std::function<void(bool changed)> OnAnswered;                            // A source answered with current data.
+    std::function<void(const std::vector<PeerUpdate>&)> OnPeers;             // An instance answered, see StorePage. May be empty.
+    std::function<void(uint64_t digest)> OnQuarantineDigest;                 // An instance answered, see StorePage. May be empty.
 
     EventLoop* Loop = nullptr;
     Client* Calls = nullptr;
     Random* Rng = nullptr;
     std::vector<StoreItem> Pages;                               // Items of the pages read so far.
-    uint64_t PagesAt = 0;                                       // Revision of the first page.
+    uint64_t PagesAt = 0;                                       // Revision of the first page,
+    TimeUs PagesSinceUs = 0;                                    // and when it was current.
     bool HistoryGone = false;                                   // A full read is needed.
     uint64_t Current = 0;                                       // Id of the call in progress; 0 if none.
+    TimeUs CalledUs = 0;                                        // When it was sent.
     Timer Next;                                                 // Starts the next call.
     PathCheck StorePath;                                        // Checks whether there is a path to the store.
     Timer PathDelay;                                            // Starts the check.
--- a/exchange/store_updates.cpp
+++ b/exchange/store_updates.cpp
@@ -74,8 +74,9 @@
 }
 
 // Writes one line per service rather than per entry, to limit the size of the log.
-static void LogChanges(const std::map<std::string, TargetChanges>& changes, uint64_t at)
+static void LogChanges(const std::map<std::string, TargetChanges>& changes, const StoreBatch& batch)
 {
+    const TimeUs after = batch.AfterUs > 0 ? NowUs() - batch.AfterUs : -1;
     for (const auto& [service, of_service] : changes)
     {
         Log(LogLevel_Info, Code_None, "targets changed",
@@ -84,7 +85,8 @@
              {"leaving", of_service.Draining},
              {"gone", of_service.Gone},
              {"targets", of_service.Ids},
-             {"revision", at}});
+             {"revision", batch.Revision},
+             {"changedWithinUs", after}});
     }
 }
 
@@ -103,7 +105,8 @@
     }
 }
 
-static void ApplyTarget(Gateway* gateway, const TargetUpdate& update, std::map<std::string, TargetChanges>* changes)
+// `after`: see StoreBatch.
+static void ApplyTarget(Gateway* gateway, const TargetUpdate& update, TimeUs after, std::map<std::string, TargetChanges>* changes)
 {
     const DirectoryTarget& target = update.Target;
     TargetDirectory& directory = gateway->Requests.Directory;
@@ -120,21 +123,21 @@
     }
     if (update.Gone)
     {
-        DirectoryRemove(&directory, target.Id, target.Revision, NowUs());
+        DirectoryRemove(&directory, target.Id, target.Revision, after, NowUs());
         return;
     }
     DirectoryPut(&directory, target, NowUs());
 }
 
 // Removes the targets that `updates`, a full read, does not contain.
-static void RemoveUnlistedTargets(Gateway* gateway, const StoreUpdates& updates, uint64_t at)
+static void RemoveUnlistedTargets(Gateway* gateway, const StoreUpdates& updates, const StoreBatch& batch)
 {
     std::set<std::string> named;
     for (const TargetUpdate& target : updates.Targets)
     {
         named.insert(target.Target.Id);
     }
-    DirectoryKeepOnly(&gateway->Requests.Directory, named, at, NowUs());
+    DirectoryKeepOnly(&gateway->Requests.Directory, named, batch.Revision, batch.AfterUs, NowUs());
 }
 
 // Schedules the removal of missing targets. It must be on time: later requests may reach a target that has stopped.
@@ -223,10 +226,12 @@
 // [SECTION] Batches
 //-----------------------------------------------------------------------------
 
-static void ApplyItems(Gateway* gateway, const std::vector<StoreItem>& list, uint64_t at, bool everything)
+static void ApplyBatch(Gateway* gateway, const StoreBatch& batch)
 {
-    const StoreUpdates updates = gateway->Platform.Read({list, at, everything, NowUs()});
-    UpdateInvalid(gateway, updates, list, at, everything);
+    const uint64_t at = batch.Revision;
+    const bool everything = batch.IsSnapshot;
+    const StoreUpdates updates = gateway->Platform.Read({batch.Items, at, everything, NowUs()});
+    UpdateInvalid(gateway, updates, batch.Items, at, everything);
     if (updates.Plan)
     {
         ApplyPlan(gateway, *updates.Plan);
@@ -234,16 +239,16 @@
     std::map<std::string, TargetChanges> changes;
     for (const TargetUpdate& target : updates.Targets)
     {
-        ApplyTarget(gateway, target, &changes);
+        ApplyTarget(gateway, target, batch.AfterUs, &changes);
     }
     if (!everything)
     {
-        LogChanges(changes, at);
+        LogChanges(changes, batch);
     }
     ApplyEvacuations(gateway, updates, at, everything);
     if (everything)
     {
-        RemoveUnlistedTargets(gateway, updates, at);
+        RemoveUnlistedTargets(gateway, updates, batch);
         LogAllTargets(*gateway, at);
     }
     ForwarderFollow(&gateway->Requests);
@@ -258,7 +263,7 @@
     gateway->PendingBatches.clear();
     for (const StoreBatch& batch : batches)
     {
-        ApplyItems(gateway, batch.Items, batch.Revision, batch.IsSnapshot);
+        ApplyBatch(gateway, batch);
         gateway->AppliedRevision = batch.Revision;
     }
 }
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -99,16 +99,16 @@
     }
 }
 
-static void OnStoreAll(Gateway* gateway, const StorePage& all, uint64_t at)
+static void OnStoreAll(Gateway* gateway, const StorePage& all, uint64_t at, TimeUs after)
 {
     RelaySetAll(&gateway->Peers, all, at);
-    ApplySoon(gateway, {all.Items, at, true});
+    ApplySoon(gateway, {all.Items, at, true, after});
 }
 
-static void OnStoreChanges(Gateway* gateway, const std::vector<StoreItem>& items, uint64_t at)
+static void OnStoreChanges(Gateway* gateway, const std::vector<StoreItem>& items, uint64_t at, TimeUs after)
 {
     RelayAddChanges(&gateway->Peers, items, at);
-    ApplySoon(gateway, {items, at, false});
+    ApplySoon(gateway, {items, at, false, after});
 }
 
 static DataState CurrentData(const Gateway& gateway)
@@ -125,13 +125,13 @@
 static void StartStore(Gateway* gateway)
 {
     StoreReader& store = gateway->Store;
-    store.OnAll = [gateway](const StorePage& all, uint64_t at)
+    store.OnAll = [gateway](const StorePage& all, uint64_t at, TimeUs after)
     {
-        OnStoreAll(gateway, all, at);
+        OnStoreAll(gateway, all, at, after);
     };
-    store.OnChanges = [gateway](const std::vector<StoreItem>& items, uint64_t at)
+    store.OnChanges = [gateway](const std::vector<StoreItem>& items, uint64_t at, TimeUs after)
     {
-        OnStoreChanges(gateway, items, at);
+        OnStoreChanges(gateway, items, at, after);
     };
     store.OnStoreFailed = [gateway](const std::string& why, TimeUs tried)
     {
--- a/gateway/loop.cpp
+++ b/gateway/loop.cpp
@@ -29,8 +29,10 @@
     std::function<void()> Run;
 };
 
-// Updates LongestStepUs: the time since the last wait started, minus the time waited.
-static void MeasureStep(EventLoop* loop)
+static constexpr TimeUs HeldUpMinUs = 20 * UsPerMs; // Callbacks seldom take as long, and timers are seldom as late.
+
+// Updates LongestStepUs: the time since the last wait started, minus the time waited. Returns the latter.
+static TimeUs MeasureStep(EventLoop* loop)
 {
     constexpr uint64_t ns_per_us = 1000;
     const uint64_t now = uv_hrtime();
@@ -41,6 +43,18 @@
     loop->LongestStepUs = std::max(loop->LongestStepUs, loop->StepStartNs > 0 ? worked : 0);
     loop->StepStartNs = now;
     loop->IdleNs = idle;
+    return static_cast<TimeUs>(waited / ns_per_us);
+}
+
+// Records when the wait that follows begins and ends at the latest, and whether the process was held up before it.
+static void NoteWait(EventLoop* loop, TimeUs waited)
+{
+    const TimeUs now = NowUs();
+    const TimeUs worked = now - loop->WaitBeganUs - waited;
+    const int timeout_ms = uv_backend_timeout(&loop->Uv);
+    loop->HeldUpSinceUs = loop->WaitBeganUs > 0 && worked >= HeldUpMinUs ? now - worked : 0;
+    loop->WaitBeganUs = now;
+    loop->WaitDueUs = timeout_ms >= 0 ? now + timeout_ms * UsPerMs : 0;
 }
 
 static TimeUs TotalSuspendedUs()
@@ -82,7 +96,7 @@
     {
         entry.second();
     }
-    MeasureStep(loop);
+    NoteWait(loop, MeasureStep(loop));
 }
 
 EventLoop::EventLoop() : SuspendedTotalUs(TotalSuspendedUs), LastSuspendedTotalUs(TotalSuspendedUs())
@@ -113,6 +127,17 @@
     uv_stop(&loop->Uv);
 }
 
+TimeUs LoopReadySinceUs(const EventLoop& loop)
+{
+    const TimeUs now = NowUs();
+    if (loop.HeldUpSinceUs > 0)
+    {
+        return loop.HeldUpSinceUs;
+    }
+    const bool overslept = loop.WaitDueUs > 0 && now >= loop.WaitDueUs + HeldUpMinUs;
+    return overslept ? loop.WaitBeganUs : now;
+}
+
 bool LoopRunUntil(EventLoop* loop, TimeUs limit, const std::function<bool()>& done)
 {
     bool over = false;
--- a/gateway/loop.h
+++ b/gateway/loop.h
@@ -33,6 +33,9 @@
     uint64_t StepStartNs = 0;                        // Time when the loop last started to wait, by libuv's clock.
     uint64_t IdleNs = 0;                             // Total time the loop had waited by then.
     TimeUs LongestStepUs = 0;                        // Longest time spent on callbacks between two waits.
+    TimeUs WaitBeganUs = 0;                          // Time when the loop last started to wait, by NowUs(); 0: not yet.
+    TimeUs WaitDueUs = 0;                            // When that wait ends at the latest; 0: when a socket is ready.
+    TimeUs HeldUpSinceUs = 0;                        // If the callbacks before it took long: when they began. Otherwise 0.
     std::set<struct TimerHandle*> Timers;            // Timers that have not fired.
     std::function<TimeUs()> SuspendedTotalUs;        // Total time for which the machine was suspended; tests replace it.
     std::function<void(TimeUs)> OnSuspended;         // Called after a suspension, with its length, before timers run. May be empty.
@@ -51,6 +54,10 @@
 // Runs until `done` returns true or the time limit is over. Returns the last result of `done`.
 bool LoopRunUntil(EventLoop* loop, TimeUs limit, const std::function<bool()>& done);
 
+// Since when the events that are being handled may have been ready: now, or earlier if the process was held up meanwhile, for example by
+// SIGSTOP. What a message says of the present then holds for that earlier time only.
+TimeUs LoopReadySinceUs(const EventLoop& loop);
+
 // Calls `hook` each time before the loop waits, after all ready events have been handled. Returns an id for LoopRemoveHook().
 uint64_t LoopAddHook(EventLoop* loop, std::function<void()> hook);
 void LoopRemoveHook(EventLoop* loop, uint64_t number);
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -31,6 +31,8 @@
     CPPUNIT_TEST(MatchesTheStoreWhateverTheOrderOfUpdates);
     CPPUNIT_TEST(DrainingTargetsStayDraining);
     CPPUNIT_TEST(MissingEntriesAreRemovedAfterADelay);
+    CPPUNIT_TEST(ARemovalLearntLateShortensTheDelay);
+    CPPUNIT_TEST(LostEntriesAreKeptHoweverLateThatIsLearnt);
     CPPUNIT_TEST(MissingEntriesAreKeptAfterTheStoreRecovers);
     CPPUNIT_TEST(EvacuationsMatchTheStoreWhateverTheOrderOfUpdates);
     CPPUNIT_TEST(OlderRevisionsDoNotChangeAnEvacuation);
@@ -66,7 +68,7 @@
                                const auto& received = changes[static_cast<size_t>(dice.Between(0, static_cast<int64_t>(changes.size())))];
                                if (received.second)
                                {
-                                   DirectoryRemove(&directory, received.first.Id, received.first.Revision, now);
+                                   DirectoryRemove(&directory, received.first.Id, received.first.Revision, now, now);
                                }
                                else
                                {
@@ -80,7 +82,7 @@
                                DirectoryPut(&directory, entry.second, now);
                                ids.insert(entry.first);
                            }
-                           DirectoryKeepOnly(&directory, ids, revision, now);
+                           DirectoryKeepOnly(&directory, ids, revision, now, now);
                            DirectoryRemoveExpired(&directory, now + 10 * UsPerSecond);
                            RC_ASSERT(directory.Targets.size() == store.size());
                            for (const auto& entry : store)
@@ -97,7 +99,7 @@
         DirectoryMarkReplaced(&directory, "t"); // Announced by the target itself, before its entry in the store changes.
         DirectoryPut(&directory, Entry("t", 6), 0);
         CPPUNIT_ASSERT_EQUAL(Presence_Draining, PresenceOf(directory, "t"));
-        DirectoryRemove(&directory, "t", 7, 0);
+        DirectoryRemove(&directory, "t", 7, 0, 0);
         CPPUNIT_ASSERT_EQUAL(Presence_COUNT, PresenceOf(directory, "t"));
     }
 
@@ -106,17 +108,33 @@
         TargetDirectory directory;
         DirectoryPut(&directory, Entry("t", 5), 0);
         const TimeUs went = 10 * UsPerSecond;
-        DirectoryRemove(&directory, "t", 4, went); // Older than the entry.
+        DirectoryRemove(&directory, "t", 4, went, went); // Older than the entry.
         CPPUNIT_ASSERT_EQUAL(Presence_Ready, PresenceOf(directory, "t"));
-        DirectoryRemove(&directory, "t", 6, went);
+        DirectoryRemove(&directory, "t", 6, went, went);
         CPPUNIT_ASSERT_EQUAL(Presence_Missing, PresenceOf(directory, "t"));
         DirectoryPut(&directory, Entry("t", 5), went); // Arrives late: the entry was removed since.
         CPPUNIT_ASSERT_EQUAL(Presence_Missing, PresenceOf(directory, "t"));
-        CPPUNIT_ASSERT(!DirectoryRemoveExpired(&directory, went + directory.Config.MissingKeptUs - 1));
-        CPPUNIT_ASSERT(DirectoryRemoveExpired(&directory, went + directory.Config.MissingKeptUs));
+        const TimeUs kept = directory.Config.ServesRemovedUs - directory.Config.SendMarginUs;
+        CPPUNIT_ASSERT(!DirectoryRemoveExpired(&directory, went + kept - 1));
+        CPPUNIT_ASSERT(DirectoryRemoveExpired(&directory, went + kept));
         CPPUNIT_ASSERT(directory.Targets.empty());
         // A target keeps serving for two seconds after its entry was removed; it must get no request after that.
-        CPPUNIT_ASSERT(directory.Config.MissingKeptUs < 2 * UsPerSecond);
+        CPPUNIT_ASSERT(kept < 2 * UsPerSecond);
+    }
+
+    // Guards against requests to a target that has left, as the time for which it is kept begins when its removal is learnt.
+    void ARemovalLearntLateShortensTheDelay()
+    {
+        TargetDirectory directory;
+        const TimeUs kept = directory.Config.ServesRemovedUs - directory.Config.SendMarginUs;
+        DirectoryPut(&directory, Entry("t", 5), 0);
+        const TimeUs present = 10 * UsPerSecond;
+        DirectoryRemove(&directory, "t", 6, present, present + UsPerSecond);
+        CPPUNIT_ASSERT(!DirectoryRemoveExpired(&directory, present + kept - 1));
+        CPPUNIT_ASSERT(DirectoryRemoveExpired(&directory, present + kept));
+        DirectoryPut(&directory, Entry("u", 7), present);
+        DirectoryKeepOnly(&directory, {}, 8, present, present + 5 * UsPerSecond); // Learnt after the target may have stopped.
+        CPPUNIT_ASSERT(DirectoryRemoveExpired(&directory, present + 5 * UsPerSecond));
     }
 
     // Evacuations and target entries may arrive late, repeatedly and in any order; the highest revision decides.
@@ -178,6 +196,20 @@
         CPPUNIT_ASSERT(!directory.Targets.at("t").Evacuated);
     }
 
+    // Guards against targets that are no longer used though a failing store has lost their entries: its data is old when it has recovered.
+    void LostEntriesAreKeptHoweverLateThatIsLearnt()
+    {
+        TargetDirectory directory;
+        DirectoryPut(&directory, Entry("t", 5), 0);
+        const TimeUs present = 10 * UsPerSecond;
+        DirectoryStoreFailed(&directory, present + UsPerSecond);
+        const TimeUs returned = present + 20 * UsPerSecond;
+        DirectoryStoreAnswered(&directory, returned);
+        DirectoryRemove(&directory, "t", 9, present, returned + UsPerMs);
+        CPPUNIT_ASSERT(!DirectoryRemoveExpired(&directory, returned + 2 * UsPerSecond)); // Targets write their entries again by then.
+        CPPUNIT_ASSERT(DirectoryRemoveExpired(&directory, returned + directory.Config.RecoveryUs));
+    }
+
     void MissingEntriesAreKeptAfterTheStoreRecovers()
     {
         TargetDirectory directory;
@@ -185,7 +217,7 @@
         DirectoryStoreFailed(&directory, 20 * UsPerSecond);
         const TimeUs returned = 24 * UsPerSecond;
         DirectoryStoreAnswered(&directory, returned);
-        DirectoryKeepOnly(&directory, {}, 9, returned);
+        DirectoryKeepOnly(&directory, {}, 9, returned, returned);
         CPPUNIT_ASSERT_EQUAL(Presence_Missing, PresenceOf(directory, "t"));
         DirectoryRemoveExpired(&directory, returned + 2 * UsPerSecond); // Targets write their entries again within two seconds.
         CPPUNIT_ASSERT_EQUAL(Presence_Missing, PresenceOf(directory, "t"));
--- a/tests/follow_bound_test.cpp
+++ b/tests/follow_bound_test.cpp
@@ -1,5 +1,6 @@
 // follow_bound_test.cpp: how old the data may get at an instance in touch, whatever is lost, in virtual time. Guards against edits that are
-// in force too late: the bound is the users' time for an edit at fleets of that size.
+// in force too late: the bound is the users' time for an edit at fleets of that size. Guards also against targets that are kept for longer
+// after the removal of their entries than they serve, as the removal is learnt late.
 
 #include "follow_model.h"
 
@@ -11,6 +12,7 @@
 
 static constexpr TimeUs InTouchUs = 3 * UsPerSecond; // An instance counts again this long after its start or the end of a freeze.
 static constexpr int RunsEach = 4;                   // Seeds of each case.
+static constexpr TimeUs ServesUs = 2 * UsPerSecond;  // A target that leaves serves for this long after its entry has gone.
 
 struct BoundCase
 {
@@ -25,6 +27,7 @@
 {
     TimeUs OldestUs = 0; // Largest age of data; the time since its start for an instance that has none.
     size_t LateMax = 0;  // Most instances beyond the bound at one time.
+    TimeUs KeptUs = 0;   // Longest time for which an instance keeps a target after the removal of its entry.
 };
 
 static std::vector<std::string> RandomSeeds(size_t instance, size_t size, size_t count, Random* random)
@@ -86,9 +89,26 @@
     return settled && !(model.OutOfTouch && model.OutOfTouch(n));
 }
 
+// Time after the removal of a target's entry until which an instance keeps the target. `known`, `after`: see Model::OnChanged; the entry
+// was removed by the first change that the instance did not know.
+static TimeUs KeptAfterRemoval(const Model& model, uint64_t known, TimeUs after)
+{
+    TargetDirectory directory;
+    DirectoryTarget target;
+    target.Id = "t";
+    target.Revision = known;
+    DirectoryPut(&directory, target, after);
+    DirectoryRemove(&directory, target.Id, known + 1, after, model.Now);
+    return directory.Targets.at(target.Id).ExpiryUs - ChangeTime(model, known + 1);
+}
+
 static BoundSeen Watch(Model* model, TimeUs end, TimeUs bound)
 {
     BoundSeen seen;
+    model->OnChanged = [&](size_t, uint64_t known, TimeUs after)
+    {
+        seen.KeptUs = std::max(seen.KeptUs, KeptAfterRemoval(*model, known, after));
+    };
     while (model->Now < end)
     {
         RunUntil(model, std::min(end, model->Now + 50 * UsPerMs));
@@ -103,6 +123,7 @@
         }
         seen.LateMax = std::max(seen.LateMax, late);
     }
+    model->OnChanged = nullptr;
     return seen;
 }
 
@@ -348,6 +369,7 @@
     CPPUNIT_TEST(DataIsFreshWhileMostAreCutOffAndFrozenInTurn);
     CPPUNIT_TEST(DataIsFreshAfterTheStoreRefusedAllNamed);
     CPPUNIT_TEST(DataIsFreshWhenMostFallSilentAfterTheStoreRefusedAllNamed);
+    CPPUNIT_TEST(RemovedTargetsAreDroppedInTimeThoughSourcesFallSilent);
     CPPUNIT_TEST_SUITE_END();
 
     static void CheckBound(const BoundCase& fleet, const FaultPlan& faults, const std::function<ModelSeeds(size_t)>& lists,
@@ -360,9 +382,11 @@
             RunUntil(&model, 6 * UsPerSecond);
             faults(&model, 10 * UsPerSecond);
             const BoundSeen seen = Watch(&model, end, fleet.BoundUs);
-            const std::string text = fmt::format("{} instances, seed {}: {} ms old, {} late at once; {}", fleet.Size, seed,
-                                                 seen.OldestUs / UsPerMs, seen.LateMax, DescribeCalls(model));
+            const std::string text =
+                fmt::format("{} instances, seed {}: {} ms old, {} late at once, removed targets kept for {} ms; {}", fleet.Size, seed,
+                            seen.OldestUs / UsPerMs, seen.LateMax, seen.KeptUs / UsPerMs, DescribeCalls(model));
             CPPUNIT_ASSERT_MESSAGE(text, seen.OldestUs <= fleet.BoundUs);
+            CPPUNIT_ASSERT_MESSAGE(text, seen.KeptUs <= ServesUs);
         }
     }
 
@@ -495,6 +519,26 @@
     {
         CheckFleetsBeyondThree(MostFallSilentAfterTheStoreRefusedThree, nullptr);
     }
+
+    // Guards against requests to a target that has left: its entry goes while the source of updates does not respond, and the time for
+    // which it is kept begins only when that is learnt. Changes are so rare that the data is as old as it gets when the entry goes.
+    void RemovedTargetsAreDroppedInTimeThoughSourcesFallSilent()
+    {
+        for (const FaultPlan& faults : {FaultPlan(TheReaderFallsSilent), FaultPlan(ThreeFallSilentInTurn), FaultPlan(MostFallSilent)})
+        {
+            for (uint64_t seed = 1; seed <= 2 * RunsEach; seed++)
+            {
+                Model model(FleetSize, seed);
+                model.EditUs = 1700 * UsPerMs;
+                StartAll(&model, 0, 0);
+                RunUntil(&model, 6 * UsPerSecond);
+                faults(&model, 10 * UsPerSecond + static_cast<TimeUs>(seed) * 100 * UsPerMs);
+                const BoundSeen seen = Watch(&model, 24 * UsPerSecond, ServesUs);
+                const std::string text = fmt::format("seed {}: removed targets kept for {} ms", seed, seen.KeptUs / UsPerMs);
+                CPPUNIT_ASSERT_MESSAGE(text, seen.KeptUs <= ServesUs);
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FollowBoundTest);
--- a/tests/follow_model.cpp
+++ b/tests/follow_model.cpp
@@ -46,6 +46,11 @@
     return 1000 + static_cast<uint64_t>(now / model.EditUs);
 }
 
+TimeUs ChangeTime(const Model& model, uint64_t revision)
+{
+    return static_cast<TimeUs>(revision - 1000) * model.EditUs;
+}
+
 static void OnStoreLost(Model* model, size_t instance, TimeUs tried);
 static void AnswerFollowers(Model* model, size_t server);
 
@@ -239,6 +244,7 @@
     }
     self.Call = 0;
     const uint64_t before = self.Following.Revision;
+    const TimeUs fresh_before = self.Following.FreshUs;
     const bool no_path_before = self.Following.NoPath;
     const bool from_store = self.Following.Next.Kind == SourceKind_Store;
     const FollowResult_ result = FollowAnswered(&self.Following, status, model->Now, &model->Rng);
@@ -248,6 +254,10 @@
     {
         AnswerFollowers(model, instance);
     }
+    if (changed && before != 0 && model->OnChanged)
+    {
+        model->OnChanged(instance, before, fresh_before);
+    }
     if (result == FollowResult_StoreLost)
     {
         OnStoreLost(model, instance, model->Now - status.TriedUs);
@@ -318,7 +328,7 @@
         ScheduleAt(model, model->Now + StoreUs, [=]() { CallFailed(model, instance, call, false); });
         return;
     }
-    const TimeUs change = (static_cast<TimeUs>(after) - 1000 + 1) * model->EditUs;
+    const TimeUs change = ChangeTime(*model, after + 1);
     const TimeUs answer = everything ? model->Now : std::max(model->Now, std::min(model->Now + wait, change));
     const auto answered = [=, begun = model->Now]()
     {
--- a/tests/follow_model.h
+++ b/tests/follow_model.h
@@ -88,6 +88,8 @@
     std::function<bool(size_t instance)> CutOff;     // Whether the instance has no path to the store; may be empty.
     std::function<bool(size_t instance)> OutOfTouch; // Whether it has none, or had none a while ago; may be empty.
     bool Silent = false;                             // The store answers no call.
+    // Called when the instance has learnt of changes beyond the revision `known`. `after`: as for StoreReader::OnChanges. May be empty.
+    std::function<void(size_t instance, uint64_t known, TimeUs after)> OnChanged;
     uint64_t StoreCalls = 0;
     uint64_t InstanceCalls = 0; // Calls between instances.
     std::array<uint64_t, StoreReason_COUNT> CallsFor = {};
@@ -104,6 +106,9 @@
 
 std::string AddressOf(size_t instance);
 
+// Time of the change with which the store gets this revision.
+TimeUs ChangeTime(const Model& model, uint64_t revision);
+
 void ScheduleAt(Model* model, TimeUs when, const std::function<void()>& what);
 
 // Starts the next call of an instance, after its pause or the given one, whichever is longer.
--- a/tests/gateway_faults_test.cpp
+++ b/tests/gateway_faults_test.cpp
@@ -1,5 +1,6 @@
 // gateway_faults_test.cpp: one instance with targets and a store that fail in various ways.
 
+#include "clock.h"
 #include "gateway_rig.h"
 
 #include <chrono>
@@ -410,7 +411,8 @@
         const UsersTarget& other = RigTarget(&rig, "t2", "svc", "dc-b");
         RigConfigure(&rig, {UsersRoute()});
         Gateway& instance = RigInstance(&rig, 2);
-        instance.Requests.Directory.Config.MissingKeptUs = 300 * UsPerMs;
+        // The instance polls for two seconds, so the entry may have been known to be present that long ago.
+        instance.Requests.Directory.Config.ServesRemovedUs = 2500 * UsPerMs;
         UsersStoreRemove(&rig.Store, "servers/t1");
         const auto gone = [&]()
         {
@@ -431,7 +433,7 @@
         RigConfigure(&rig, {UsersRoute()});
         Gateway& instance = RigInstance(&rig, 0);
         const TargetDirectory& directory = instance.Requests.Directory;
-        instance.Requests.Directory.Config.MissingKeptUs = 20 * UsPerMs;
+        instance.Requests.Directory.Config.ServesRemovedUs = UsPerSecond;
         for (int round = 0; round < 5; round++)
         {
             const std::string id = fmt::format("t{}", round);
@@ -439,7 +441,7 @@
             CPPUNIT_ASSERT(RigRunUntil(&rig, [&]() { return directory.Targets.count(id) == 1; }));
             UsersStoreRemove(&rig.Store, "servers/" + id);
             CPPUNIT_ASSERT(RigRunUntil(&rig, [&]() { return directory.Targets.at(id).Presence == Presence_Missing; }));
-            RigRunFor(&rig, 60 * UsPerMs);
+            RigRunFor(&rig, directory.Targets.at(id).ExpiryUs + 40 * UsPerMs - NowUs());
             CPPUNIT_ASSERT(directory.Targets.empty());
             CPPUNIT_ASSERT(instance.Requests.Services["svc"].Pool.Targets.empty());
         }
--- a/tests/loop_test.cpp
+++ b/tests/loop_test.cpp
@@ -5,6 +5,11 @@
 #include "clock.h"
 #include "loop.h"
 
+#include <array>
+#include <chrono>
+#include <thread>
+#include <unistd.h>
+
 namespace Winchlink
 {
 
@@ -14,6 +19,7 @@
     CPPUNIT_TEST(SuspendedTimeCounts);
     CPPUNIT_TEST(PeriodicTimersRunOnceAfterASuspension);
     CPPUNIT_TEST(StoppedTimersDoNotRun);
+    CPPUNIT_TEST(EventsOfAHeldUpProcessMayBeOld);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr TimeUs Hour = 3600 * UsPerSecond; // Longer than any test runs: such a timer only fires because of a suspension.
@@ -96,6 +102,44 @@
         CPPUNIT_ASSERT(!ran);
         CPPUNIT_ASSERT(machine.Loop.Timers.empty());
     }
+
+    // Guards against data that counts as current when it is read, although it has waited in a socket while the process was stopped.
+    void EventsOfAHeldUpProcessMayBeOld()
+    {
+        constexpr TimeUs stop = 60 * UsPerMs;
+        EventLoop loop;
+        std::array<int, 2> ends{};
+        CPPUNIT_ASSERT_EQUAL(0, pipe(ends.data()));
+        TimeUs since = 0;
+        TimeUs read = 0;
+        const Watch watch = WatchStart(&loop, ends[0], UV_READABLE,
+                                       [&](int)
+                                       {
+                                           char byte = 0;
+                                           CPPUNIT_ASSERT_EQUAL(ssize_t{1}, ::read(ends[0], &byte, 1));
+                                           since = LoopReadySinceUs(loop);
+                                           read = NowUs();
+                                       });
+        TimeUs written = 0;
+        const auto stopped = [&]()
+        {
+            written = NowUs();
+            CPPUNIT_ASSERT_EQUAL(ssize_t{1}, write(ends[1], "x", 1));
+            std::this_thread::sleep_for(std::chrono::microseconds(stop));
+        };
+        const Timer timer = TimerStart(&loop, UsPerMs, stopped);
+        CPPUNIT_ASSERT(LoopRunUntil(&loop, Hour, [&]() { return read > 0; }));
+        CPPUNIT_ASSERT(since <= written);
+        CPPUNIT_ASSERT(read >= written + stop);
+        loop.HeldUpSinceUs = 0; // Stopped while it waits: the wait is longer than its timeout.
+        loop.WaitBeganUs = 1;
+        loop.WaitDueUs = 2;
+        CPPUNIT_ASSERT_EQUAL(TimeUs{1}, LoopReadySinceUs(loop));
+        loop.WaitDueUs = NowUs() + Hour;
+        CPPUNIT_ASSERT(LoopReadySinceUs(loop) >= read);
+        close(ends[0]);
+        close(ends[1]);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LoopTest);
--- a/tests/silent_crashes_test.cpp
+++ b/tests/silent_crashes_test.cpp
@@ -184,16 +184,16 @@
         DirectoryPut(&directory, target, 0);
         DirectoryStoreFailed(&directory, UsPerSecond);
         DirectoryStoreAnswered(&directory, 2 * UsPerSecond);
-        DirectoryRemove(&directory, "t", 2, 2 * UsPerSecond);
+        DirectoryRemove(&directory, "t", 2, 2 * UsPerSecond, 2 * UsPerSecond);
         CPPUNIT_ASSERT(DirectoryTakeCrashed(&directory).empty());
         target.Revision = 3; // The entry is back. It counts when removed without trouble, but not if the target was draining.
         DirectoryPut(&directory, target, 3 * UsPerSecond);
-        DirectoryRemove(&directory, "t", 4, 60 * UsPerSecond);
+        DirectoryRemove(&directory, "t", 4, 60 * UsPerSecond, 60 * UsPerSecond);
         CPPUNIT_ASSERT_EQUAL(size_t{1}, DirectoryTakeCrashed(&directory).size());
         target.Revision = 5;
         target.Presence = Presence_Draining;
         DirectoryPut(&directory, target, 61 * UsPerSecond);
-        DirectoryRemove(&directory, "t", 6, 62 * UsPerSecond);
+        DirectoryRemove(&directory, "t", 6, 62 * UsPerSecond, 62 * UsPerSecond);
         CPPUNIT_ASSERT(DirectoryTakeCrashed(&directory).empty());
     }
 
--- a/tests/store_reader_test.cpp
+++ b/tests/store_reader_test.cpp
@@ -1,10 +1,13 @@
 // store_reader_test.cpp: decoding of the platform's store format, and reading the store. Guards against invalid data that is accepted or
 // that hides valid data, and against missed pages.
 
+#include "clock.h"
 #include "gateway_rig.h"
 #include "wire.h"
 
+#include <chrono>
 #include <fmt/format.h>
+#include <thread>
 
 namespace Winchlink
 {
@@ -27,6 +30,7 @@
     CPPUNIT_TEST(ReadsPagesAndChanges);
     CPPUNIT_TEST(ReadsAllPages);
     CPPUNIT_TEST(BatchesChanges);
+    CPPUNIT_TEST(DataThatWasReadLateIsNotCurrent);
     CPPUNIT_TEST_SUITE_END();
 
     void ReadsPlans()
@@ -180,6 +184,21 @@
         CPPUNIT_ASSERT(RigRunUntil(&rig, [&]() { return instance.Requests.Directory.Targets.size() == 20; }));
         CPPUNIT_ASSERT(rig.Store.Calls - calls <= 4); // For 20 changes, as they are batched.
     }
+
+    // Guards against an instance that was stopped, reads an old answer of the store, and tells its followers that its data is current: they
+    // then keep removed targets for too long.
+    void DataThatWasReadLateIsNotCurrent()
+    {
+        Rig rig;
+        RigConfigure(&rig, {UsersRoute()});
+        const Gateway& instance = RigInstance(&rig, 0);
+        CPPUNIT_ASSERT(RigRunUntil(&rig, [&]() { return !rig.Store.Waits.empty(); }));
+        const TimeUs answered = NowUs();
+        RigTarget(&rig, "t1"); // The store answers the long poll.
+        std::this_thread::sleep_for(std::chrono::milliseconds(60));
+        CPPUNIT_ASSERT(RigRunUntil(&rig, [&]() { return instance.Store.Following.Revision == rig.Store.Revision; }));
+        CPPUNIT_ASSERT(instance.Store.Following.FreshUs <= answered);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreReaderTest);
--- a/tests/target_incarnation_test.cpp
+++ b/tests/target_incarnation_test.cpp
@@ -174,7 +174,7 @@
         DirectoryPut(&directory, restarted, 0);
         previous.Revision = 7;
         DirectoryPut(&directory, previous, 0);
-        DirectoryRemove(&directory, "t1", 7, 0);
+        DirectoryRemove(&directory, "t1", 7, 0, 0);
         CPPUNIT_ASSERT_EQUAL(uint64_t{2000}, directory.Targets.at("t1").Incarnation);
         CPPUNIT_ASSERT_EQUAL(Presence_Ready, directory.Targets.at("t1").Presence);
     }
--- a/tests/target_signals_test.cpp
+++ b/tests/target_signals_test.cpp
@@ -218,7 +218,7 @@
         CPPUNIT_ASSERT(!DirectoryMarkDraining(&directory, "t", 7));
         CPPUNIT_ASSERT(DirectoryMarkDraining(&directory, "t", 0));
         CPPUNIT_ASSERT(!DirectoryMarkDraining(&directory, "t", 0));
-        DirectoryRemove(&directory, "t", 6, 2 * UsPerSecond);
+        DirectoryRemove(&directory, "t", 6, 2 * UsPerSecond, 2 * UsPerSecond);
         CPPUNIT_ASSERT(DirectoryTakeCrashed(&directory).empty());
         CPPUNIT_ASSERT(directory.Targets.empty());
     }
--- a/winchlink.h
+++ b/winchlink.h
@@ -402,10 +402,10 @@
 
 struct DirectoryConfig
 {
-    // How long a missing entry is kept. Targets serve for 2 s after its removal, and instances learn of that up to 0.4 s late.
-    TimeUs MissingKeptUs = 1300 * UsPerMs;
-    TimeUs RecoveryUs = 2200 * UsPerMs;   // Time that targets need to restore lost entries once the store has recovered.
-    TimeUs RecoveryGraceUs = UsPerSecond; // Added to RecoveryUs: entries missing until then may have been lost by the store.
+    TimeUs ServesRemovedUs = 2 * UsPerSecond; // A target that stops serves for this long after the removal of its entry.
+    TimeUs SendMarginUs = 200 * UsPerMs;      // The last request is sent this long before that, so that it arrives in time.
+    TimeUs RecoveryUs = 2200 * UsPerMs;       // Time that targets need to restore lost entries once the store has recovered.
+    TimeUs RecoveryGraceUs = UsPerSecond;     // Added to RecoveryUs: entries missing until then may have been lost by the store.
 };
 
 // Latest evacuation state of one data centre, as set by the operators.
@@ -450,11 +450,13 @@
 // Adds or updates an entry. Ignored if its revision is older than that of the known entry.
 void DirectoryPut(TargetDirectory* directory, const DirectoryTarget& target, TimeUs now);
 
-// The entry was removed from the store at that revision.
-void DirectoryRemove(TargetDirectory* directory, const std::string& id, uint64_t revision, TimeUs now);
+// The entry was removed from the store at that revision. `present`: when the store is known to have held it last. The removal may be learnt
+// long after it, but not have come before.
+void DirectoryRemove(TargetDirectory* directory, const std::string& id, uint64_t revision, TimeUs present, TimeUs now);
 
-// Removes all entries that are not in `ids`, unless they are newer than `revision`. `ids` is the complete list at that revision.
-void DirectoryKeepOnly(TargetDirectory* directory, const std::set<std::string>& ids, uint64_t revision, TimeUs now);
+// Removes all entries that are not in `ids`, unless they are newer than `revision`. `ids` is the complete list at that revision. `present`:
+// see DirectoryRemove().
+void DirectoryKeepOnly(TargetDirectory* directory, const std::set<std::string>& ids, uint64_t revision, TimeUs present, TimeUs now);
 
 // Sets the evacuation state of a data centre. It also applies to targets that are added later. Ignored if older than the known state.
 // Returns true if the state changed.
--- a/winchlink_directory.cpp
+++ b/winchlink_directory.cpp
@@ -1,8 +1,9 @@
 // winchlink_directory.cpp: the target directory: target entries as read from the store.
 //
 // Entries follow the store with one exception: an entry that disappears without having been marked as draining may have been lost by a
-// failing store while its target keeps serving. Such an entry is kept for a short time and used as a last resort. That time is shorter than
-// a stopping target keeps serving, and is extended only after a known failure of the store.
+// failing store while its target keeps serving. Such an entry is kept for a short time and used as a last resort. That time ends before a
+// stopping target does, and is extended only after a known failure of the store. It begins when the entry was last known to be in the
+// store: an instance whose source does not respond learns of a removal late.
 //
 // Evacuations are stored by data centre; each target has a copy of its data centre's state.
 //
@@ -129,19 +130,19 @@
     return directory.StoreRecoveredUs > 0 && now < directory.StoreRecoveredUs + config.RecoveryUs + config.RecoveryGraceUs;
 }
 
-static TimeUs ExpiryTime(const TargetDirectory& directory, TimeUs now)
+static TimeUs ExpiryTime(const TargetDirectory& directory, TimeUs present, TimeUs now)
 {
     const DirectoryConfig& config = directory.Config;
-    const TimeUs earliest = now + config.MissingKeptUs;
+    const TimeUs earliest = present + config.ServesRemovedUs - config.SendMarginUs;
     return MayHaveLostEntries(directory, now) ? std::max(earliest, directory.StoreRecoveredUs + config.RecoveryUs) : earliest;
 }
 
-static void MarkMissing(TargetDirectory* directory, DirectoryTarget* target, TimeUs now)
+static void MarkMissing(TargetDirectory* directory, DirectoryTarget* target, TimeUs present, TimeUs now)
 {
     if (target->Presence == Presence_Ready)
     {
         target->Presence = Presence_Missing;
-        target->ExpiryUs = ExpiryTime(*directory, now);
+        target->ExpiryUs = ExpiryTime(*directory, present, now);
         NoteChange(directory, *target);
         if (!directory->StoreUnavailable && !MayHaveLostEntries(*directory, now))
         {
@@ -150,7 +151,7 @@
     }
 }
 
-void DirectoryRemove(TargetDirectory* directory, const std::string& id, uint64_t revision, TimeUs now)
+void DirectoryRemove(TargetDirectory* directory, const std::string& id, uint64_t revision, TimeUs present, TimeUs now)
 {
     const auto found = directory->Targets.find(id);
     if (found == directory->Targets.end() || revision < found->second.Revision)
@@ -164,10 +165,10 @@
         return;
     }
     found->second.Revision = revision;
-    MarkMissing(directory, &found->second, now);
+    MarkMissing(directory, &found->second, present, now);
 }
 
-void DirectoryKeepOnly(TargetDirectory* directory, const std::set<std::string>& ids, uint64_t revision, TimeUs now)
+void DirectoryKeepOnly(TargetDirectory* directory, const std::set<std::string>& ids, uint64_t revision, TimeUs present, TimeUs now)
 {
     std::vector<std::string> missing; // Collected first: DirectoryRemove() changes the map.
     for (const auto& entry : directory->Targets)
@@ -179,7 +180,7 @@
     }
     for (const std::string& id : missing)
     {
-        DirectoryRemove(directory, id, revision, now);
+        DirectoryRemove(directory, id, revision, present, now);
     }
 }
 
