Cold targets: what a request adds to their limit follows from the rate of all instances' requests, not from an instance's share

Cause: an instance's share of a cold target's rate was its requests in progress, those that wait inside it included, divided by the running and waiting requests that targets report. While targets are cold nearly all requests wait, so the shares of the fleet add up to far more than one. ColdLoadTest missed it: the caller chose what to count, and the model counted something else than the program. Evidence: the model, with requests that wait: sums of shares of 8 at 17 instances and 32 at 587; 34 and 57 requests in a second at one target. Ruled out: a share that is used all at once (the 16 are spread over the second, one to four of each instance). Change: the rate of all instances' requests follows from the reports of warm targets and the time of a request there; each arriving request adds ColdPerS divided by that rate, and less while more requests than usual arrive. PoolUpdateShare() is gone. Weighed, by the model: own requests at targets against reported ones (safe, but 0.11 of what they bear at 587 instances, and nothing where few requests come); an equal part for each instance (needs the size of the fleet). Tests, new: RequestsThatWaitDoNotRaiseTheLimit, ARiseWhileTargetsAreColdStaysWithinTheLimit, ColdTargetsAreUsedWhileRequestsWait, FewRequestsAreServedByColdTargets, TargetsThatReturnOneByOneDoNotRaiseTheLimit. The same model on the code before, with what the program passed to PoolUpdateShare(): 34 in a second at 17 instances, 42 at 95, 57 at 587. Cost: where few requests come and all targets are cold, 0.11 to 0.28 of them are served by these, by the model; it was 0.52.

--- a/gateway/pages.cpp
+++ b/gateway/pages.cpp
@@ -327,6 +327,7 @@
     json_object_set_new(object, "path", json_string(TargetPathStateName(service.Path.State)));
     json_object_set_new(object, "pathForMs", service.Path.ChangedUs > 0 ? JsonMs(now - service.Path.ChangedUs) : json_null());
     json_object_set_new(object, "pathFailures", json_integer(FailedContacts(service.Path.Counts)));
+    json_object_set_new(object, "demandPerS", json_real(service.Pool.Demand.PerS));
     json_object_set_new(object, "evacuatedTargets", json_integer(service.Pool.Evacuated));
     json_object_set_new(object, "load", JsonOfLoad(service, now));
     json_object_set_new(object, "targets", targets);
--- a/requests/attempt.cpp
+++ b/requests/attempt.cpp
@@ -142,6 +142,7 @@
     if (verdict == Verdict_Relay && answer.Status < 500)
     {
         LearnWorkTime(call.get(), attempt, answer.TookUs);
+        PoolDemandServed(&call->Service->Pool, *target, answer.TookUs, NowUs());
         LearnAnswerSize(call->Work, answer.Body.size());
         PoolSucceeded(target);
     }
--- a/requests/choose.cpp
+++ b/requests/choose.cpp
@@ -161,7 +161,7 @@
             DivisionProbed(&service->Divided, PoolHasFreeSlot(service->Pool, *target) && PoolIsAcceptable(service->Pool, *target, now),
                            now);
         }
-        PoolUpdateShare(&service->Pool, *report, service->InProgress);
+        PoolDemandReported(&service->Pool, *target, *report, now);
     }
     return report.has_value();
 }
--- a/requests/forward.cpp
+++ b/requests/forward.cpp
@@ -388,6 +388,7 @@
     call->Service = &forwarder->Services[call->ServiceName];
     call->Service->InProgress++;
     call->Service->Path.NeededUs = NowUs();
+    PoolDemandArrived(&call->Service->Pool, NowUs());
     call->Work = &forwarder->Work[call->MatchedRoute->Name];
     call->AttemptsMax = call->MatchedRoute->AttemptsMax;
     if (call->TakenFrom)
--- a/requests/target_signals.cpp
+++ b/requests/target_signals.cpp
@@ -194,7 +194,7 @@
     PoolTarget* target = signals.ColdUs ? PoolFind(&service->Pool, source.Target) : nullptr;
     if (target != nullptr && target->Incarnation == source.Incarnation)
     {
-        PoolSetCold(service->Pool.Config, target, NowUs() + *signals.ColdUs);
+        PoolSetCold(service->Pool, target, NowUs() + *signals.ColdUs);
     }
 }
 
--- a/tests/choose_test.cpp
+++ b/tests/choose_test.cpp
@@ -690,7 +690,7 @@
         cold.Request.MayProbe = false;
         cold.Pool.Config.ColdPerS = 0.001;
         cold.Pool.Config.ColdUs = 2 * UsPerSecond;
-        PoolSetCold(cold.Pool.Config, &cold.Target(0), cold.Now + UsPerSecond);
+        PoolSetCold(cold.Pool, &cold.Target(0), cold.Now + UsPerSecond);
         CPPUNIT_ASSERT_EQUAL(Refusal(Code_TargetsBusy, detail), cold.Start());
     }
 
--- a/tests/cold_load_test.cpp
+++ b/tests/cold_load_test.cpp
@@ -1,7 +1,8 @@
 // cold_load_test.cpp: a large fleet of instances and cold targets, simulated in virtual time without a network.
 //
 // Guards against overloading targets during warm-up: all instances together must keep within the rate limit of each cold target, also when
-// a whole service starts cold under full load, when cold targets fail at once (and so look idle) and when callers cancel their requests.
+// a whole service starts cold under full load, when cold targets fail at once (and so look idle), when callers cancel their requests and
+// when most requests wait in the instances. Guards also against cold targets that are left idle meanwhile.
 //
 // The targets are chosen by TargetPool. A cold target takes 2.5 requests a second, and at most 1.5 times that number plus 8 in any second.
 // It is cold for 3 s and takes twice as long meanwhile. A request arrives 1 to 5 ms after its target was chosen.
@@ -25,10 +26,14 @@
 {
     size_t Instances = 95;
     int Targets = 37;
-    double RequestsPerSecond = 125; // Of the whole fleet; three times as many while targets are cold.
+    double RequestsPerSecond = 125; // Of the whole fleet;
+    double CrestFactor = 3;         // this many times as many while targets are cold.
     double WorkSeconds = 0.12;      // At a warm target.
     double Failing = 0;             // Share of the targets that fail every request at once while cold.
     double Cancelled = 0;           // Share of the requests that are cancelled after 20 ms.
+    double WarmSeconds = 5;         // Time before, with all targets warm.
+    double WaitSeconds = 0;         // A request waits for this long in its instance for a target; it searches again every 20 ms.
+    bool Down = false;              // The targets are down for 4.5 s before they return, as new ones.
     bool AllCold = true;            // False: only the first quarter of the targets.
     bool Limited = true;            // False: instances don't know the limit of cold targets (injected fault).
 };
@@ -41,14 +46,22 @@
     bool Fails = false;
 };
 
-// The arrival of a request at its target, or its end.
+enum ColdEvent_ : int
+{
+    ColdEvent_Search, // The request, which waits in its instance, looks for a target again.
+    ColdEvent_Arrive, // It arrives at its target.
+    ColdEvent_End,
+};
+
 struct ColdEvent
 {
     TimeUs At = 0;
     size_t Instance = 0;
     std::string Target;
     uint64_t Entry = 0;
-    bool IsEnd = false; // True: the request ends; false: it arrives.
+    ColdEvent_ Kind = ColdEvent_Search;
+    TimeUs Until = 0; // End of the request's waiting.
+    TimeUs SentUs = 0;
 };
 
 bool operator<(const ColdEvent& a, const ColdEvent& b)
@@ -65,6 +78,8 @@
     std::map<std::string, ColdTarget> Targets;
     std::vector<TargetPool> Pools;
     std::priority_queue<ColdEvent> Events;
+    bool Down = false; // No target answers.
+    int Requests = 0;  // All counters are of the time in which targets are cold.
     int Sent = 0;
     int SentCold = 0;
 };
@@ -100,41 +115,42 @@
 }
 
 // Returns the cheapest probed target with a free slot, or null if there is none.
-PoolTarget* Choose(ColdModel* model, TargetPool* pool, int own)
+PoolTarget* Choose(ColdModel* model, TargetPool* pool)
 {
     PoolProbes probes;
     probes.Now = &model->Now;
     probes.LoadOf = [=](const std::string& id)
     {
         const LoadReport report = LoadOf(model, id);
-        PoolUpdateShare(pool, report, own);
+        PoolDemandReported(pool, *PoolFind(pool, id), report, model->Now);
         return report;
     };
     return ProbeInTurn(pool, &probes);
 }
 
-int InFlightOfPool(const TargetPool& pool)
+void Search(ColdModel* model, size_t instance, TimeUs until)
 {
-    int own = 0;
-    for (const PoolTarget& target : pool.Targets)
+    constexpr TimeUs again = 20 * UsPerMs; // As ChooserConfig::ProbeRetryUs.
+    TargetPool* pool = &model->Pools[instance];
+    PoolTarget* target = model->Down ? nullptr : Choose(model, pool);
+    if (target != nullptr)
     {
-        own += target.InFlight;
+        PoolSent(pool, target);
+        const TimeUs way = std::uniform_int_distribution<TimeUs>(1, 5)(model->Rng) * UsPerMs;
+        model->Events.push({model->Now + way, instance, target->Id, target->Generation, ColdEvent_Arrive, 0, model->Now});
+    }
+    else if (model->Now + again <= until)
+    {
+        model->Events.push({model->Now + again, instance, "", 0, ColdEvent_Search, until, 0});
     }
-    return own;
 }
 
 void OneRequest(ColdModel* model)
 {
     const auto instance = std::uniform_int_distribution<size_t>(0, model->Plan.Instances - 1)(model->Rng);
-    TargetPool* pool = &model->Pools[instance];
-    PoolTarget* target = Choose(model, pool, InFlightOfPool(*pool));
-    if (target == nullptr)
-    {
-        return;
-    }
-    PoolSent(pool, target);
-    const TimeUs way = std::uniform_int_distribution<TimeUs>(1, 5)(model->Rng) * UsPerMs;
-    model->Events.push({model->Now + way, instance, target->Id, target->Generation, false});
+    model->Requests++;
+    PoolDemandArrived(&model->Pools[instance], model->Now);
+    Search(model, instance, model->Now + static_cast<TimeUs>(model->Plan.WaitSeconds * UsPerSecond));
 }
 
 void Arrive(ColdModel* model, const ColdEvent& arrival)
@@ -152,15 +168,33 @@
     work = cold && target.Fails ? 0.001 : work;
     const TimeUs end = model->Now + static_cast<TimeUs>(work * UsPerSecond);
     target.Ending.insert(end);
-    model->Events.push({end, arrival.Instance, arrival.Target, arrival.Entry, true});
+    model->Events.push({end, arrival.Instance, arrival.Target, arrival.Entry, ColdEvent_End, 0, arrival.SentUs});
 }
 
 void End(ColdModel* model, const ColdEvent& arrival)
 {
-    PoolTarget* target = PoolFind(&model->Pools[arrival.Instance], arrival.Target);
+    TargetPool* pool = &model->Pools[arrival.Instance];
+    PoolTarget* target = PoolFind(pool, arrival.Target);
     if (target != nullptr && target->Generation == arrival.Entry)
     {
         target->InFlight--;
+        PoolDemandServed(pool, *target, model->Now - arrival.SentUs, model->Now);
+    }
+}
+
+void Handle(ColdModel* model, const ColdEvent& event)
+{
+    switch (event.Kind)
+    {
+    case ColdEvent_Search:
+        Search(model, event.Instance, event.Until);
+        break;
+    case ColdEvent_Arrive:
+        Arrive(model, event);
+        break;
+    case ColdEvent_End:
+        End(model, event);
+        break;
     }
 }
 
@@ -174,10 +208,10 @@
         next = next <= model->Now ? model->Now + 1 + static_cast<TimeUs>(pause(model->Rng) * UsPerSecond) : next;
         if (!model->Events.empty() && model->Events.top().At <= next)
         {
-            const ColdEvent arrival = model->Events.top();
+            const ColdEvent event = model->Events.top();
             model->Events.pop();
-            model->Now = std::max(model->Now, arrival.At);
-            arrival.IsEnd ? End(model, arrival) : Arrive(model, arrival);
+            model->Now = std::max(model->Now, event.At);
+            Handle(model, event);
             continue;
         }
         model->Now = next;
@@ -185,23 +219,40 @@
     }
 }
 
-// Simulates 5 s of normal load, then makes targets cold at once and simulates 3 s of three times that load.
+// Adds targets; `prefix`: of their ids.
+void AddTargets(ColdModel* model, const char* prefix)
+{
+    for (int n = 0; n < model->Plan.Targets; n++)
+    {
+        const std::string id = fmt::format("{}{:03}", prefix, n);
+        ColdTarget& target = model->Targets[id];
+        target.Listed.Id = id;
+        target.Listed.DataCentre = "dc";
+        target.Listed.Slots = 2;
+    }
+    FollowListed(model);
+}
+
+// Simulates normal load, then makes targets cold at once and simulates 3 s of CrestFactor times that load.
 ColdModel SimulateCold(const ColdPlan& plan, uint64_t seed)
 {
     ColdModel model;
     model.Plan = plan;
     model.Rng.seed(seed);
     model.Pools.resize(plan.Instances);
-    for (int n = 0; n < plan.Targets; n++)
+    AddTargets(&model, "t");
+    RunLoad(&model, plan.WarmSeconds, plan.RequestsPerSecond);
+    if (plan.Down)
     {
-        const std::string id = fmt::format("t{:03}", n);
-        ColdTarget& target = model.Targets[id];
-        target.Listed.Id = id;
-        target.Listed.DataCentre = "dc";
-        target.Listed.Slots = 2;
+        model.Targets.clear();
+        model.Down = true;
+        FollowListed(&model);
+        RunLoad(&model, 4.5, plan.RequestsPerSecond);
+        model.Down = false;
+        AddTargets(&model, "u");
     }
-    FollowListed(&model);
-    RunLoad(&model, 5, plan.RequestsPerSecond);
+    model.Requests = 0;
+    model.Sent = 0;
     int n = 0;
     for (auto& entry : model.Targets)
     {
@@ -210,7 +261,7 @@
         entry.second.Fails = Chance(&model, plan.Failing);
     }
     FollowListed(&model);
-    RunLoad(&model, 3, 3 * plan.RequestsPerSecond);
+    RunLoad(&model, 3, plan.CrestFactor * plan.RequestsPerSecond);
     return model;
 }
 
@@ -234,18 +285,18 @@
     return max;
 }
 
-int MaxOverSeeds(const ColdPlan& plan, int seeds)
+int MaxOverSeeds(const ColdPlan& plan, uint64_t seeds)
 {
     int max = 0;
-    for (int seed = 1; seed <= seeds; seed++)
+    for (uint64_t seed = 1; seed <= seeds; seed++)
     {
-        const ColdModel model = SimulateCold(plan, static_cast<uint64_t>(seed));
+        const ColdModel model = SimulateCold(plan, seed);
         max = std::max(max, MaxInASecond(model));
     }
     return max;
 }
 
-constexpr int Seeds = 8;
+constexpr uint64_t Seeds = 8;
 
 } // namespace
 
@@ -259,6 +310,11 @@
     CPPUNIT_TEST(ColdTargetsGetSomeRequests);
     CPPUNIT_TEST(WithoutTheLimitColdTargetsAreOverloaded);
     CPPUNIT_TEST(ANewInstanceSkipsColdTargets);
+    CPPUNIT_TEST(RequestsThatWaitDoNotRaiseTheLimit);
+    CPPUNIT_TEST(ARiseWhileTargetsAreColdStaysWithinTheLimit);
+    CPPUNIT_TEST(ColdTargetsAreUsedWhileRequestsWait);
+    CPPUNIT_TEST(FewRequestsAreServedByColdTargets);
+    CPPUNIT_TEST(TargetsThatReturnOneByOneDoNotRaiseTheLimit);
     CPPUNIT_TEST_SUITE_END();
 
     static void CheckBound(const ColdPlan& plan)
@@ -334,11 +390,109 @@
         pool.Config.ColdUs = ColdUs;
         PoolTarget target;
         target.Order = 0;
-        PoolSetCold(pool.Config, &target, 13 * UsPerSecond);
+        PoolSetCold(pool, &target, 13 * UsPerSecond);
         PoolReport(&target, LoadReport(), 12 * UsPerSecond);
         CPPUNIT_ASSERT(!PoolMaySendCold(pool, target, 12 * UsPerSecond));
         CPPUNIT_ASSERT(PoolMaySendCold(pool, target, 13 * UsPerSecond)); // The warm-up is over.
     }
+
+    // The targets of a service were down and return cold, under many short requests that wait for a target.
+    static ColdPlan ReturnPlan(size_t instances)
+    {
+        ColdPlan plan;
+        plan.Instances = instances;
+        plan.Targets = 3;
+        plan.RequestsPerSecond = 300;
+        plan.CrestFactor = 1;
+        plan.WorkSeconds = 0.02;
+        plan.WaitSeconds = 0.4;
+        plan.Down = true;
+        return plan;
+    }
+
+    // Guards against instances that take requests waiting inside them for work at targets, so that cold targets get several times their
+    // limit.
+    void RequestsThatWaitDoNotRaiseTheLimit()
+    {
+        for (const size_t instances : {3, 17, 95, 587})
+        {
+            CheckBound(ReturnPlan(instances));
+        }
+        ColdPlan large = ReturnPlan(587);
+        large.Targets = 37;
+        large.RequestsPerSecond = 1000;
+        large.WorkSeconds = 0.05;
+        CheckBound(large);
+    }
+
+    // Guards against a limit that is computed for the requests before the targets went down, when three times as many arrive on their
+    // return.
+    void ARiseWhileTargetsAreColdStaysWithinTheLimit()
+    {
+        for (const size_t instances : {3, 17, 587})
+        {
+            ColdPlan plan = ReturnPlan(instances);
+            plan.CrestFactor = 3;
+            CheckBound(plan);
+        }
+    }
+
+    static double UsedShare(const ColdPlan& plan)
+    {
+        double sent = 0;
+        for (uint64_t seed = 1; seed <= Seeds; seed++)
+        {
+            sent += SimulateCold(plan, seed).SentCold;
+        }
+        return sent / (Seeds * ColdPerS * 3 * plan.Targets);
+    }
+
+    // Guards against cold targets that stay idle while requests wait: they get at least a third of what they bear.
+    void ColdTargetsAreUsedWhileRequestsWait()
+    {
+        for (const size_t instances : {3, 17, 95, 587})
+        {
+            const double used = UsedShare(ReturnPlan(instances));
+            CPPUNIT_ASSERT_MESSAGE(fmt::format("{} instances: {:.2f}", instances, used), used > 1.0 / 3);
+        }
+    }
+
+    // Guards against cold targets that refuse nearly all requests of a service which has fewer than they bear: at least a fifth is served.
+    void FewRequestsAreServedByColdTargets()
+    {
+        ColdPlan plan = ReturnPlan(17);
+        plan.RequestsPerSecond = 5;
+        plan.WarmSeconds = 300;
+        const ColdModel model = SimulateCold(plan, 1);
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("{} of {}", model.SentCold, model.Requests), 5 * model.SentCold > model.Requests);
+    }
+
+    // Guards against a limit that is computed from the few targets that have returned first.
+    void TargetsThatReturnOneByOneDoNotRaiseTheLimit()
+    {
+        TargetPool pool;
+        Random random;
+        std::vector<DirectoryTarget> listed(4);
+        for (size_t n = 0; n < listed.size(); n++)
+        {
+            listed[n].Id = fmt::format("t{}", n);
+        }
+        const TargetList all = {&listed[0], &listed[1], &listed[2]};
+        PoolSync(&pool, all, "", &random);
+        for (TimeUs now = UsPerSecond; now < 2 * UsPerSecond; now += 10 * UsPerMs)
+        {
+            PoolDemandArrived(&pool, now);
+            PoolDemandServed(&pool, *PoolFind(&pool, "t0"), 100 * UsPerMs, now);
+            PoolDemandReported(&pool, *PoolFind(&pool, "t0"), {1, 0, 3, 100}, now);
+        }
+        const double before = pool.Demand.PerS;
+        CPPUNIT_ASSERT(before > 25 && before < 31); // Three targets with a request of 100 ms each.
+        PoolSync(&pool, {}, "", &random);
+        listed[3].ColdUntilUs = 10 * UsPerSecond;
+        PoolSync(&pool, {&listed[3]}, "", &random);
+        PoolDemandReported(&pool, *PoolFind(&pool, "t3"), {0, 0, 3, 100}, 8 * UsPerSecond);
+        CPPUNIT_ASSERT_EQUAL(before, pool.Demand.PerS);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ColdLoadTest);
--- a/tests/division_test.cpp
+++ b/tests/division_test.cpp
@@ -512,7 +512,7 @@
         CPPUNIT_ASSERT(PoolNextIn(&pool, other, {}, false, later) != nullptr);
         PoolTarget* cold = PoolFind(&pool, first_id);
         CPPUNIT_ASSERT(cold != nullptr);
-        PoolSetCold(pool.Config, cold, later + UsPerSecond);
+        PoolSetCold(pool, cold, later + UsPerSecond);
         CPPUNIT_ASSERT(PoolNextIn(&pool, other, {second_id}, false, later) == nullptr);
         const PoolTarget* near = PoolNextNear(&pool, {}, false, later);
         CPPUNIT_ASSERT(near != nullptr && near->Near);
--- a/tests/target_incarnation_test.cpp
+++ b/tests/target_incarnation_test.cpp
@@ -70,7 +70,7 @@
         {
             PoolFailed(PoolConfig(), setting.Known(), NowUs());
         }
-        PoolSetCold(PoolConfig(), setting.Known(), NowUs() + 5 * UsPerSecond);
+        PoolSetCold(TargetPool(), setting.Known(), NowUs() + 5 * UsPerSecond);
         UsersTargetStop(&setting.Latest());
         setting.Start(2000);
         setting.Await(2000);
--- a/winchlink.h
+++ b/winchlink.h
@@ -530,6 +530,7 @@
     int Weight = 1;                // From the directory.
     TimeUs ColdUntilUs = 0;        // End of its warm-up, during which it is cold and slower; 0 if none.
     int ColdSent = 0;              // Requests that this instance sent to it since the start of the warm-up.
+    double ColdAllowedBefore = 0;  // ServiceDemand::ColdAllowed at that start.
     bool New = false;              // Added while the pool was in use, and this instance has not sent it a request yet.
     int64_t Order = 0;             // Among equals, the lowest is probed first, so that an instance reuses connections to the same targets.
     uint64_t Generation = 0;       // Differs after the target was removed and added again.
@@ -577,8 +578,10 @@
     double ColdFactor = 2.0;                // Cost factor of cold targets.
     double ColdPerS = 0;                    // See ServiceInfo.
     TimeUs ColdUs = 0;                      // See ServiceInfo.
-    double ShareGain = 0.02;                // Weight of a new report in the estimate of this instance's share of the work: some 50 reports.
-    double SharePrior = 10;                 // Requests added to the estimated total, so that the share is small while little is known.
+    double WorkGain = 0.02;                 // Minimum weight of a new sample in the averages of ServiceDemand.
+    int WorkPrior = 2;                      // Number of reports that the initial value of ServiceDemand::Work counts as.
+    TimeUs UsualUs = 20 * UsPerSecond;      // Requests of this instance are averaged over this time, as their usual rate,
+    TimeUs RecentUs = UsPerSecond;          // and over this, as their rate now.
     double GoodCost = 1.25;                 // A target with at most this cost is taken without further probes.
     double AcceptableCost = 2.0;            // Maximum cost of a target taken when no good one was found, see PoolIsAcceptable().
     TimeUs ReportMaxAgeUs = 150 * UsPerMs;  // Age at which a report is stale: load shifts within this time.
@@ -594,6 +597,28 @@
     TimeUs AvoidUnsafeUs = 3 * UsPerSecond; // Time after a failure in which requests that can't be retried prefer other targets.
 };
 
+// A moving average of events a second.
+struct EventRate
+{
+    double Sum = 0;     // Of the events, weighted by age.
+    TimeUs FirstUs = 0; // Time of the first event; 0: none yet.
+    TimeUs AtUs = 0;    // Time of the last one.
+};
+
+// How many requests all instances together send to a service, by what targets report: what each request adds to the number that cold
+// targets may get follows from it.
+struct ServiceDemand
+{
+    double Work = 0.5;      // Mean number of requests at a warm target, from load reports.
+    int Reports = 0;        // Samples in Work.
+    TimeUs ReportUs = 0;    // Time of the last one; 0: none.
+    double WorkUs = 0;      // Mean time that a request of this instance spends at a warm target; 0: unknown.
+    double PerS = 0;        // Requests a second of all instances, as of the last report; 0: unknown.
+    EventRate Usual;        // Requests that arrive at this instance, while warm targets report.
+    EventRate Recent;       // The same at all times.
+    double ColdAllowed = 0; // Requests that this instance may have sent to a target that was cold all the time.
+};
+
 struct TargetPool
 {
     PoolConfig Config;
@@ -604,8 +629,7 @@
     bool ReportsLoad = true;       // Targets of this service report their load; false once one has answered without a report.
     double NearlyFullFactor = 1.4; // Estimated slowdown of a nearly full target.
     int NearlyFullSamples = 0;     // Samples in NearlyFullFactor.
-    double ReportedWork = 0;       // Moving average of the requests at one target, from load reports.
-    double OwnWork = 0;            // Moving average of this instance's requests in progress, sampled at the same times.
+    ServiceDemand Demand;          // Kept while the service has no targets.
     bool Shared = false;           // Instances share load reports of this service: what others tell ranks targets.
     double UnknownCost = 1.0;      // Cost at which a known target is worth as much as one more probe, see PoolProbed().
     std::unordered_map<uint64_t, TimeUs> Backoffs; // End of the backoff by IncarnationId, also of targets that are not in the pool.
@@ -658,17 +682,25 @@
 
 // Whether the warm-up limit allows a request to the target now; true for warm targets, and where the service sets no limit.
 //
-// The limit ColdPerS applies to all instances together, but their number is unknown. Each instance therefore uses a share of the limit: its
-// own requests in progress divided by the total that targets report. The shares of all instances add up to about one. An instance spaces
-// its requests to a cold target evenly after a random phase, so that instances don't send at the same time. The target must also have
-// reported that it is idle.
+// The limit ColdPerS applies to all instances together, but their number is unknown. What is known is how many requests a second all of
+// them send: the requests that warm targets report, divided by the time that each takes. Every request that arrives at any instance
+// therefore adds the limit divided by that rate to what its instance may send to each cold target, and less if the instance gets more
+// requests than usual, as others then do too. So all instances together stay at the limit, however many they are, wherever requests wait,
+// and a service with few requests is not limited. An instance starts at a random phase, so that instances don't send at the same time. The
+// target must also have reported that it is idle.
 bool PoolMaySendCold(const TargetPool& pool, const PoolTarget& target, TimeUs now);
 
-// Updates the estimate of this instance's share of the service's work. `own`: requests of this instance in progress.
-void PoolUpdateShare(TargetPool* pool, const LoadReport& report, int own);
+// A request for the service has arrived at this instance.
+void PoolDemandArrived(TargetPool* pool, TimeUs now);
+
+// The target has answered a probe. Only warm targets tell of the demand: cold ones get what their limit allows.
+void PoolDemandReported(TargetPool* pool, const PoolTarget& target, const LoadReport& report, TimeUs now);
+
+// The target has served a request of this instance in `took`.
+void PoolDemandServed(TargetPool* pool, const PoolTarget& target, TimeUs took, TimeUs now);
 
 // Sets the end of the target's warm-up, as reported by the target or its directory entry. Never shortens it.
-void PoolSetCold(const PoolConfig& config, PoolTarget* target, TimeUs until);
+void PoolSetCold(const TargetPool& pool, PoolTarget* target, TimeUs until);
 
 // Adds a sample to NearlyFullFactor: a request at a nearly full target took `factor` times as long as the same work elsewhere.
 void PoolUpdateNearlyFull(TargetPool* pool, double factor);
--- a/winchlink_pool.cpp
+++ b/winchlink_pool.cpp
@@ -250,7 +250,7 @@
     {
         target->Order = PoolDrawOrder(*target, random);
     }
-    PoolSetCold(pool->Config, target, listed.ColdUntilUs);
+    PoolSetCold(*pool, target, listed.ColdUntilUs);
     if (!same_group)
     {
         AddToGroup(pool, target);
@@ -460,37 +460,97 @@
 // [SECTION] Cold targets
 //-----------------------------------------------------------------------------
 
-void PoolSetCold(const PoolConfig& config, PoolTarget* target, TimeUs until)
+void PoolSetCold(const TargetPool& pool, PoolTarget* target, TimeUs until)
 {
-    const bool again = until - config.ColdUs >= target->ColdUntilUs; // A new cold period, not the current one reported again.
-    target->ColdSent = again ? 0 : target->ColdSent;
+    const bool again = until - pool.Config.ColdUs >= target->ColdUntilUs; // A new cold period, not the current one reported again.
+    if (again)
+    {
+        target->ColdSent = 0;
+        target->ColdAllowedBefore = pool.Demand.ColdAllowed;
+    }
     target->ColdUntilUs = std::max(target->ColdUntilUs, until);
 }
 
-void PoolUpdateShare(TargetPool* pool, const LoadReport& report, int own)
+static double Decay(TimeUs time, TimeUs over)
 {
-    const double gain = pool->Config.ShareGain;
-    pool->ReportedWork += gain * (report.Running + report.Waiting - pool->ReportedWork);
-    pool->OwnWork += gain * (own - pool->OwnWork);
+    return std::exp(-static_cast<double>(time) / static_cast<double>(over));
 }
 
-static double ShareOfWork(const TargetPool& pool)
+static void AddEvent(EventRate* rate, TimeUs over, TimeUs now)
 {
-    const double all = pool.ReportedWork * static_cast<double>(pool.Targets.size()) + pool.Config.SharePrior;
-    return std::min(pool.OwnWork / all, 1.0);
+    rate->Sum = 1 + rate->Sum * Decay(now - rate->AtUs, over);
+    rate->FirstUs = rate->FirstUs > 0 ? rate->FirstUs : now;
+    rate->AtUs = now;
 }
 
-PoolCold_ PoolColdState(const TargetPool& pool, const PoolTarget& target, TimeUs now)
+// Events a second until the last one, averaged over the given time or the time since the first event, if that is less.
+static double MeanPerS(const EventRate& rate, TimeUs over)
 {
+    const double passed = 1 - Decay(rate.AtUs - rate.FirstUs, over);
+    const double seconds = static_cast<double>(over) / UsPerSecond * passed;
+    return seconds > 0 ? (rate.Sum - 1) / seconds : 0;
+}
+
+// Factor by which requests add less to ColdAllowed, as more of them than usual arrive.
+static double DemandRise(const TargetPool& pool)
+{
+    constexpr double prior = 0.5;    // Requests added on both sides: one more or less is no rise where few arrive.
+    constexpr double exponent = 1.5; // Above 1, as the average of recent requests follows a rise late.
     const PoolConfig& config = pool.Config;
-    if (config.ColdPerS <= 0 || now >= target.ColdUntilUs)
+    const double usual = MeanPerS(pool.Demand.Usual, config.UsualUs) * static_cast<double>(config.RecentUs) / UsPerSecond;
+    return std::pow(std::max((pool.Demand.Recent.Sum + prior) / (usual + prior), 1.0), exponent);
+}
+
+void PoolDemandArrived(TargetPool* pool, TimeUs now)
+{
+    const PoolConfig& config = pool->Config;
+    ServiceDemand& demand = pool->Demand;
+    AddEvent(&demand.Recent, config.RecentUs, now);
+    if (demand.ReportUs > 0 && now < demand.ReportUs + config.RecentUs)
+    {
+        AddEvent(&demand.Usual, config.UsualUs, now);
+    }
+    if (demand.PerS > 0)
+    {
+        demand.ColdAllowed += std::min(config.ColdPerS / (demand.PerS * DemandRise(*pool)), 1.0);
+    }
+}
+
+void PoolDemandReported(TargetPool* pool, const PoolTarget& target, const LoadReport& report, TimeUs now)
+{
+    if (now < target.ColdUntilUs)
+    {
+        return;
+    }
+    ServiceDemand& demand = pool->Demand;
+    demand.Reports++;
+    demand.ReportUs = now;
+    const double gain = std::max(pool->Config.WorkGain, 1.0 / (demand.Reports + pool->Config.WorkPrior));
+    demand.Work += gain * (report.Running + report.Waiting - demand.Work);
+    const double all = demand.Work * static_cast<double>(pool->Targets.size());
+    demand.PerS = demand.WorkUs > 0 ? all * UsPerSecond / demand.WorkUs : 0;
+}
+
+void PoolDemandServed(TargetPool* pool, const PoolTarget& target, TimeUs took, TimeUs now)
+{
+    if (now < target.ColdUntilUs)
+    {
+        return;
+    }
+    ServiceDemand& demand = pool->Demand;
+    const auto time = static_cast<double>(took);
+    demand.WorkUs = demand.WorkUs == 0 ? time : demand.WorkUs + pool->Config.WorkGain * (time - demand.WorkUs);
+}
+
+PoolCold_ PoolColdState(const TargetPool& pool, const PoolTarget& target, TimeUs now)
+{
+    if (pool.Config.ColdPerS <= 0 || now >= target.ColdUntilUs)
     {
         return PoolCold_None;
     }
     constexpr int64_t phases = 1000000;
     const double phase = static_cast<double>(target.Order % phases) / phases; // Random, see PoolDrawOrder().
-    const auto since = static_cast<double>(now - (target.ColdUntilUs - config.ColdUs)) / UsPerSecond;
-    const double allowed = phase + ShareOfWork(pool) * config.ColdPerS * std::max(since, 0.0);
+    const double allowed = phase + pool.Demand.ColdAllowed - target.ColdAllowedBefore;
     return target.ColdSent + 1 <= allowed ? PoolCold_MaySend : PoolCold_MustWait;
 }
 
