Every byte of an answer counts against a bound, in headers, trailers and framing too

Cause: only body bytes were counted. libcurl keeps every trailer line, and hands over neither chunk extensions nor a line before its end. Change: headers, interim answers and trailers are bounded by bytes and lines; bodies also by the sum of those in flight; framing by what the socket has delivered beyond these (TCP_INFO, at each fourth event of a socket). Such an answer is broken: connection closed, target failed but not crashed, another try where allowed, 502 else. Health checks have a small bound on their body. Log event `answer too large`, metric winchlink_answers_too_large. Weighed: libcurl's verbose mode (texts for each request); its transfer decoding off (the end of an answer is not found). Tests: EndlessAnswersTest, 11 kinds.

--- a/daemon/socket.h
+++ b/daemon/socket.h
@@ -18,4 +18,7 @@
 // answer; its retransmission is refused if the socket has been closed by then. False with errno set on failure.
 bool IgnoreNewConnections(int listening);
 
+// Bytes that were read from a connection since it was opened; none if the system doesn't tell.
+std::optional<int64_t> SocketBytesRead(int socket);
+
 } // namespace Winchlink
--- a/gateway/client.cpp
+++ b/gateway/client.cpp
@@ -4,11 +4,15 @@
 // pre-request callback aborts the second send. It takes a surplus answer on a reused connection for the answer to the next request:
 // ClientRequest::AcceptsHeaders() checks the headers first.
 //
+// libcurl hands over neither the framing of chunks, such as their extensions, nor a line before its end, however long these become. Their
+// bytes are the ones that the socket has delivered beyond those of headers and body.
+//
 // Index of this file:
 // [SECTION] Calls
 // [SECTION] libcurl's callbacks
 // [SECTION] Dead connections
 // [SECTION] Ending a call
+// [SECTION] Bytes that are neither headers nor body
 // [SECTION] The event loop
 // [SECTION] Sending
 
@@ -16,14 +20,21 @@
 
 #include "clock.h"
 #include "log.h"
+#include "socket.h"
 
 #include <cassert>
 
 namespace Winchlink
 {
 
-static constexpr long MaxIdleConnections = 256; // Over all addresses together.
-static constexpr long MaxIdleReuseSeconds = 8;  // Less than the idle timeout of targets, which close connections after 10 s or more.
+static constexpr long MaxIdleConnections = 256;      // Over all addresses together.
+static constexpr long MaxIdleReuseSeconds = 8;       // Less than the idle timeout of targets, which close connections after 10 s or more.
+static constexpr int MaxHeadLines = 1000;            // Lines of headers and trailers of an answer; libcurl keeps each, also if it is short.
+static constexpr size_t MaxBodyBytes = 32 * MiB;     // Bodies of all answers in flight, as instances have little memory. Beyond it,
+static constexpr size_t MaxBodyWhenFull = 4 * MiB;   // answers that are larger than this are given up.
+static constexpr int FramingCheckEvents = 4;         // Bytes of framing are counted at each so many events of the socket.
+static constexpr int64_t MaxFramingBytes = 64 * KiB; // Bytes of framing of an answer,
+static constexpr int64_t MaxFramingPerByte = 16;     // and for each byte of headers and body: chunks may be as small as one byte.
 
 //-----------------------------------------------------------------------------
 // [SECTION] Calls
@@ -41,17 +52,23 @@
     CURL* Easy = nullptr;
     HeaderList Headers{nullptr, curl_slist_free_all};
     TimeUs StartedUs = 0;
-    Timer ListenTimer;             // End of TimeoutUs, then of ListenUs, if the latter is set.
-    TimeUs SilentSinceUs = 0;      // Time of the mark in Client::DeadSince that this call has set; 0: none.
-    TimeUs LinkOccupiedUs = 0;     // OwnLinkOccupiedUs() at StartedUs.
-    TimeUs ExtraUs = 0;            // Time granted beyond ListenUs, as the link was occupied,
-    TimeUs ExtendedAtUs = 0;       // and when the first of it was granted; 0: none was.
-    bool Sent = false;             // The pre-request callback has let the request be sent.
-    bool ClosedUnanswered = false; // The connection was closed without an answer, and libcurl's resend was prevented.
-    bool Withheld = false;         // MaySend returned false.
-    bool Mismatched = false;       // The answer belongs to another request.
-    bool TooLarge = false;         // The body is larger than MaxAnswerBytes.
-    bool HeadRead = false;         // All headers of the final answer were received.
+    Timer ListenTimer;                     // End of TimeoutUs, then of ListenUs, if the latter is set.
+    TimeUs SilentSinceUs = 0;              // Time of the mark in Client::DeadSince that this call has set; 0: none.
+    TimeUs LinkOccupiedUs = 0;             // OwnLinkOccupiedUs() at StartedUs.
+    TimeUs ExtraUs = 0;                    // Time granted beyond ListenUs, as the link was occupied,
+    TimeUs ExtendedAtUs = 0;               // and when the first of it was granted; 0: none was.
+    bool Sent = false;                     // The pre-request callback has let the request be sent.
+    bool ClosedUnanswered = false;         // The connection was closed without an answer, and libcurl's resend was prevented.
+    bool Withheld = false;                 // MaySend returned false.
+    bool Mismatched = false;               // The answer belongs to another request.
+    const char* TooLarge = nullptr;        // The part of the answer that exceeds its bound; null if none.
+    bool HeadRead = false;                 // All headers of the final answer were received.
+    size_t HeadBytes = 0;                  // Bytes of headers and trailers so far, with those of interim answers,
+    int HeadLines = 0;                     // and their lines.
+    size_t BodyBytes = 0;                  // Body bytes so far.
+    int SocketEvents = 0;                  // Events of its socket so far.
+    std::optional<int64_t> UncountedBytes; // Bytes that the socket had delivered then, less those of headers and body, at the first count.
+    int64_t CountedBefore = 0;             // Bytes of headers and body at that time.
 };
 
 //-----------------------------------------------------------------------------
@@ -102,6 +119,13 @@
 {
     auto* call = static_cast<ClientCall*>(user);
     const std::string line(data, size * count);
+    call->HeadBytes += line.size();
+    call->HeadLines++;
+    if (call->HeadBytes > call->Request.MaxHeadBytes || call->HeadLines > MaxHeadLines)
+    {
+        call->TooLarge = "headers";
+        return 0;
+    }
     if (line.compare(0, 5, "HTTP/") == 0)
     {
         call->Answer.Headers.clear(); // Discards the headers of an interim response.
@@ -131,9 +155,12 @@
     {
         OwnLinkReceived(call->Owner->Link, length);
     }
-    call->TooLarge = call->Answer.Body.size() + length > call->Request.MaxAnswerBytes;
-    if (call->TooLarge)
+    call->BodyBytes += length;
+    call->Owner->BodyBytes += length;
+    const bool full = call->Owner->BodyBytes > MaxBodyBytes && call->BodyBytes > MaxBodyWhenFull;
+    if (full || call->BodyBytes > call->Request.MaxAnswerBytes)
     {
+        call->TooLarge = "body";
         return 0;
     }
     call->Answer.Body.append(data, length);
@@ -231,6 +258,10 @@
     {
         return ClientEnd_NotConnected;
     }
+    if (call.TooLarge != nullptr)
+    {
+        return ClientEnd_Broken;
+    }
     if (result == CURLE_OPERATION_TIMEDOUT)
     {
         return ClientEnd_TimedOut;
@@ -242,6 +273,7 @@
 {
     ClientAnswer& answer = call->Answer;
     answer.End = EndOf(*call, result);
+    answer.TooLarge = answer.End == ClientEnd_Broken && call->TooLarge != nullptr;
     answer.TimedOut = result == CURLE_OPERATION_TIMEDOUT;
     answer.TookUs = NowUs() - call->StartedUs;
     if (answer.End == ClientEnd_Answered)
@@ -251,7 +283,7 @@
     }
     answer.Detail = call->ClosedUnanswered ? "connection closed without an answer"
                     : call->Mismatched     ? "answer of another request"
-                    : call->TooLarge       ? "answer too large"
+                    : call->TooLarge       ? std::string("answer too large: ") + call->TooLarge
                                            : curl_easy_strerror(result);
     answer.Headers.clear();
     answer.Body.clear();
@@ -267,6 +299,7 @@
     }
     std::unique_ptr<ClientCall> call = std::move(found->second);
     client->Calls.erase(found);
+    client->BodyBytes -= call->BodyBytes;
     client->ExtendedUs += call->ExtendedAtUs > 0 ? NowUs() - call->ExtendedAtUs : 0;
     curl_multi_remove_handle(client->Multi, call->Easy);
     return call;
@@ -279,6 +312,20 @@
     call->Easy = nullptr;
 }
 
+static void NoteTooLarge(const ClientCall& call)
+{
+    if (call.TooLarge != nullptr)
+    {
+        call.Owner->AnswersTooLarge++;
+        Log(LogLevel_Warn, Code_None, "answer too large",
+            {{"address", call.Request.Address},
+             {"part", call.TooLarge},
+             {"headBytes", static_cast<uint64_t>(call.HeadBytes)},
+             {"bodyBytes", static_cast<uint64_t>(call.BodyBytes)},
+             {"tookUs", call.Answer.TookUs}});
+    }
+}
+
 static void Finish(Client* client, CURL* easy, CURLcode result)
 {
     void* user = nullptr;
@@ -286,6 +333,7 @@
     const uint64_t id = static_cast<ClientCall*>(user)->Id;
     FillAnswer(static_cast<ClientCall*>(user), result);
     NoteSilentConnection(static_cast<ClientCall*>(user));
+    NoteTooLarge(*static_cast<ClientCall*>(user));
     const std::unique_ptr<ClientCall> call = RemoveCall(client, id);
     RecycleHandle(client, call.get());
     call->Done(std::move(call->Answer));
@@ -335,6 +383,48 @@
     }
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Bytes that are neither headers nor body
+//-----------------------------------------------------------------------------
+
+// Whether the answer has too many bytes that are neither headers nor body. Few events are enough for most answers, so counting costs these
+// nothing; of a reused connection the bytes of earlier answers are left out by the first count.
+static bool HasTooMuchFraming(ClientCall* call, curl_socket_t socket)
+{
+    call->SocketEvents++;
+    if (call->SocketEvents % FramingCheckEvents != 0)
+    {
+        return false;
+    }
+    const std::optional<int64_t> read = SocketBytesRead(socket);
+    if (!read)
+    {
+        return false;
+    }
+    const auto counted = static_cast<int64_t>(call->HeadBytes + call->BodyBytes);
+    if (!call->UncountedBytes)
+    {
+        call->UncountedBytes = *read - counted;
+        call->CountedBefore = counted;
+        return false;
+    }
+    const int64_t framing = *read - counted - *call->UncountedBytes;
+    return framing > MaxFramingBytes + MaxFramingPerByte * (counted - call->CountedBefore);
+}
+
+// Ends the call that uses the socket if its answer consists of framing.
+static void CheckFraming(Client* client, curl_socket_t socket)
+{
+    const auto found = client->Sockets.find(socket);
+    const auto entry = found != client->Sockets.end() ? client->Calls.find(found->second.CallId) : client->Calls.end();
+    if (entry == client->Calls.end() || !HasTooMuchFraming(entry->second.get(), socket))
+    {
+        return;
+    }
+    entry->second->TooLarge = "framing";
+    Finish(client, entry->second->Easy, CURLE_WRITE_ERROR);
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] The event loop
 //-----------------------------------------------------------------------------
@@ -345,6 +435,7 @@
         ((events & (UV_READABLE | UV_DISCONNECT)) != 0 ? CURL_CSELECT_IN : 0) | ((events & UV_WRITABLE) != 0 ? CURL_CSELECT_OUT : 0);
     int running = 0;
     curl_multi_socket_action(client->Multi, socket, flags, &running);
+    CheckFraming(client, socket);
     FinishAll(client);
 }
 
@@ -353,7 +444,7 @@
     return ((what & CURL_POLL_IN) != 0 ? UV_READABLE : 0) | ((what & CURL_POLL_OUT) != 0 ? UV_WRITABLE : 0);
 }
 
-static int OnSocket(CURL*, curl_socket_t socket, int what, void* user, void*)
+static int OnSocket(CURL* easy, curl_socket_t socket, int what, void* user, void*)
 {
     auto* client = static_cast<Client*>(user);
     if (what == CURL_POLL_REMOVE)
@@ -361,14 +452,16 @@
         client->Sockets.erase(socket);
         return 0;
     }
-    const auto found = client->Sockets.find(socket);
-    if (found != client->Sockets.end())
+    void* call = nullptr;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &call); // Null for libcurl's own handle, which closes connections.
+    ClientSocket& watched = client->Sockets[socket];
+    watched.CallId = call != nullptr ? static_cast<ClientCall*>(call)->Id : 0;
+    if (watched.Ready)
     {
-        WatchChange(found->second.get(), EventsOf(what));
+        WatchChange(watched.Ready.get(), EventsOf(what));
         return 0;
     }
-    client->Sockets[socket] =
-        WatchStart(client->Loop, socket, EventsOf(what), [client, socket](int events) { OnReady(client, socket, events); });
+    watched.Ready = WatchStart(client->Loop, socket, EventsOf(what), [client, socket](int events) { OnReady(client, socket, events); });
     return 0;
 }
 
--- a/gateway/client.h
+++ b/gateway/client.h
@@ -1,8 +1,9 @@
 // client.h: HTTP client for targets, the store and other instances, on libcurl inside the event loop.
 //
 // How to use it: ClientStart() once, then ClientSend() for each request; its callback is called exactly once, unless ClientCancel() comes
-// first. A request is sent at most once: libcurl's automatic resend on a dead connection is prevented. A kept-alive connection can be dead
-// without having been reset; once a request has timed out on one, older connections to that address are not reused.
+// first. Every byte of an answer counts against a bound: of its body, of its headers and trailers, and of what is neither. A request is
+// sent at most once: libcurl's automatic resend on a dead connection is prevented. A kept-alive connection can be dead without having been
+// reset; once a request has timed out on one, older connections to that address are not reused.
 
 #pragma once
 
@@ -26,6 +27,7 @@
     TimeUs ConnectUs = 0;             // For the connection to be established; 0: TimeoutUs applies.
     TimeUs ListenUs = 0;              // After TimeoutUs, reported by OnLate, an answer is awaited for this long, see also Client::Link.
     size_t MaxAnswerBytes = 16 * MiB; // Largest answer body in bytes.
+    size_t MaxHeadBytes = 64 * KiB;   // Largest sum of its headers and trailers, and the headers of interim answers, in bytes.
     bool NewConnection = false;       // Don't reuse a connection.
     std::function<bool()> MaySend;    // Called right before the request is sent; false withholds it. May be empty.
 
@@ -47,7 +49,7 @@
     ClientEnd_NotConnected, // No connection could be established; nothing was sent.
     ClientEnd_Withheld,     // MaySend returned false; nothing was sent.
     ClientEnd_Lost,         // The request was sent, and the connection ended before the headers of an answer were complete.
-    ClientEnd_Broken,       // The answer is incomplete, invalid, or that of another request.
+    ClientEnd_Broken,       // The answer is incomplete, invalid, too large, or that of another request.
     ClientEnd_TimedOut,     // The request was sent, and no complete answer came in time.
     ClientEnd_COUNT,
 };
@@ -62,12 +64,20 @@
     TimeUs TookUs = 0;          // Time from ClientSend() to the end.
     bool NewConnection = false; // The request opened a new connection.
     bool TimedOut = false;      // The time-out of the request or of its connection passed.
+    bool TooLarge = false;      // The answer exceeded a bound; End is ClientEnd_Broken.
 };
 
 using ClientDone = std::function<void(ClientAnswer)>;
 
 struct ClientCall;
 
+// A socket that is watched for libcurl.
+struct ClientSocket
+{
+    Watch Ready;
+    uint64_t CallId = 0; // The call that uses it; 0 if none.
+};
+
 struct Client
 {
     EventLoop* Loop = nullptr;
@@ -75,7 +85,7 @@
     Timer Timeout;                                         // Next timeout requested by libcurl.
     OwnLink* Link = nullptr;                               // Told of answers' bytes, extends ListenUs; may be null.
     std::string SourceIp;                                  // IP from which connections are opened; empty: chosen by the system.
-    std::map<curl_socket_t, Watch> Sockets;                // Sockets watched for libcurl.
+    std::map<curl_socket_t, ClientSocket> Sockets;         // Sockets watched for libcurl.
     std::map<uint64_t, std::unique_ptr<ClientCall>> Calls; // In flight, by id.
     std::vector<CURL*> IdleHandles;                        // Easy handles for reuse.
     std::map<std::string, TimeUs> DeadSince;               // By address: when a request last timed out on a reused connection.
@@ -83,6 +93,8 @@
     uint64_t ConnectionsOpened = 0;                        // Counter.
     uint64_t ResendsPrevented = 0;                         // Counter: resends by libcurl that were prevented.
     uint64_t DeadConnectionsSeen = 0;                      // Counter: requests that timed out on a reused connection.
+    size_t BodyBytes = 0;                                  // Body bytes of the answers in flight.
+    uint64_t AnswersTooLarge = 0;                          // Counter: answers that exceeded a bound.
     TimeUs ExtendedUs = 0;                                 // Counter: time for which requests were listened to beyond ListenUs.
 
     Client();
--- a/requests/call.h
+++ b/requests/call.h
@@ -24,6 +24,8 @@
 // [SECTION] Call
 //-----------------------------------------------------------------------------
 
+inline constexpr size_t HealthAnswerBytesMax = 64 * KiB; // Body of the answer to a health check: a status and headers are all that counts.
+
 // One attempt: the request sent to one target, or handed to another instance.
 struct Attempt
 {
--- a/requests/choose.cpp
+++ b/requests/choose.cpp
@@ -245,6 +245,7 @@
     ClientRequest request;
     request.Address = target.Address;
     request.Target = call.Spec->HealthPath;
+    request.MaxAnswerBytes = HealthAnswerBytesMax;
     request.TimeoutUs = ProbeTimeoutNow(service->ProbeTimeout);
     request.ListenUs = service->ProbeTimeout.ListenUs;
     const auto probe = std::make_shared<ProbeCall>();
--- a/requests/quarantined_calls.cpp
+++ b/requests/quarantined_calls.cpp
@@ -76,8 +76,9 @@
     {
     case ClientEnd_NotConnected:
     case ClientEnd_Lost:
-    case ClientEnd_Broken:
         return true; // Nothing listens there, or a proxy in front of the target cannot reach it.
+    case ClientEnd_Broken:
+        return !answer.TooLarge; // A target that sends without end is alive.
     case ClientEnd_Answered:
     {
         const std::string* answering_id = FindHeader(answer.Headers, forwarder.Names.TargetId);
@@ -137,6 +138,7 @@
     ClientRequest request;
     request.Address = attempt.Address;
     request.Target = call->Spec->HealthPath;
+    request.MaxAnswerBytes = HealthAnswerBytesMax;
     request.NewConnection = true;
     request.TimeoutUs = forwarder->Config.ConnectUs;
     request.MaySend = [may_probe = !call->Spec->HealthPath.empty() && PoolMayUse(*target, NowUs())]()
--- a/requests/target_path.cpp
+++ b/requests/target_path.cpp
@@ -70,6 +70,7 @@
     ClientRequest request;
     request.Address = target->Address;
     request.Target = spec->HealthPath;
+    request.MaxAnswerBytes = HealthAnswerBytesMax;
     request.NewConnection = true;
     request.TimeoutUs = forwarder->Config.ConnectUs;
     request.MaySend = [probed = !spec->HealthPath.empty()]()
--- /dev/null
+++ b/tests/endless_answers_test.cpp
@@ -0,0 +1,384 @@
+// endless_answers_test.cpp: servers whose answers never end: in the head, in interim answers, in trailers, in chunk extensions, in the
+// body. Guards against an instance that reads on until its memory or its time is gone, and against requests for sound targets that are lost
+// meanwhile.
+
+#include "gateway_rig.h"
+#include "pages.h"
+#include "socket.h"
+
+#include <fmt/format.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace Winchlink
+{
+
+namespace
+{
+
+constexpr size_t ReadMax = 24 * MiB; // The largest body of 16 MiB, and what sockets hold.
+
+// An answer: a head and a beginning, then the same bytes for ever.
+struct EndlessAnswer
+{
+    const char* Name = "";
+    std::string Head;
+    std::string Repeated;
+};
+
+const std::string Chunked = "HTTP/1.1 200 OK\r\n{}Transfer-Encoding: chunked\r\n\r\n";
+
+// "{}" stands for the headers that make the answer a proper one.
+std::vector<EndlessAnswer> AllKinds()
+{
+    const std::string filler(1000, 'a');
+    return {
+        {"headers", "HTTP/1.1 200 OK\r\n{}", "X-Filler: " + filler + "\r\n"},
+        {"short headers", "HTTP/1.1 200 OK\r\n{}", "a:b\r\n"},
+        {"a header", "HTTP/1.1 200 OK\r\n{}X-Filler: ", filler},
+        {"interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+        {"trailers", Chunked + "5\r\nhello\r\n0\r\n", "a:b\r\n"},
+        {"a trailer", Chunked + "5\r\nhello\r\n0\r\nX-Filler: ", filler},
+        {"a chunk extension", Chunked + "5;x=", filler},
+        {"chunk extensions", Chunked, "1;" + filler + "\r\nb\r\n"},
+        {"chunks", Chunked, "3e8\r\n" + filler + "\r\n"},
+        {"a body without length", "HTTP/1.1 200 OK\r\n{}\r\n", filler},
+        {"no answer", "", filler},
+    };
+}
+
+struct EndlessConnection
+{
+    int Socket = -1;
+    Watch Ready;
+    std::string Received;
+    std::string Pending; // To be sent next.
+    const EndlessAnswer* Answer = nullptr;
+    size_t Sent = 0;
+    bool Closed = false; // By the other side.
+};
+
+// A target that answers either its requests or its health checks without end.
+struct EndlessServer
+{
+    EventLoop* Loop = nullptr;
+    std::string Address = FreeAddress();
+    EndlessAnswer Answer;
+    bool OnHealthChecks = false;
+    int Listening = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    Watch Accepting;
+    std::vector<std::unique_ptr<EndlessConnection>> Connections;
+
+    EndlessServer(EventLoop* loop, EndlessAnswer answer, bool on_health_checks);
+    ~EndlessServer();
+    EndlessServer(const EndlessServer&) = delete;
+    EndlessServer& operator=(const EndlessServer&) = delete;
+
+    size_t LargestAnswer() const;
+    bool AllClosed() const;
+};
+
+void Close(EndlessConnection* connection)
+{
+    connection->Ready = nullptr;
+    close(connection->Socket);
+    connection->Closed = true;
+}
+
+std::string HeaderIn(const std::string& request, const std::string& name)
+{
+    const size_t at = request.find(name + ": ");
+    const size_t from = at + name.size() + 2;
+    return at != std::string::npos ? request.substr(from, request.find("\r\n", from) - from) : "";
+}
+
+// Sends what is pending, and for an endless answer goes on with it.
+void SendOn(EndlessConnection* connection)
+{
+    constexpr size_t at_once = 256 * KiB;
+    while (connection->Answer != nullptr && connection->Pending.size() < at_once)
+    {
+        connection->Pending += connection->Answer->Repeated;
+    }
+    const ssize_t sent = send(connection->Socket, connection->Pending.data(), connection->Pending.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (sent < 0 && errno != EAGAIN)
+    {
+        Close(connection);
+        return;
+    }
+    connection->Sent += sent > 0 ? static_cast<size_t>(sent) : 0;
+    connection->Pending.erase(0, sent > 0 ? static_cast<size_t>(sent) : 0);
+    const bool more = connection->Answer != nullptr || !connection->Pending.empty();
+    WatchChange(connection->Ready.get(), more ? UV_READABLE | UV_WRITABLE : UV_READABLE);
+}
+
+void Begin(EndlessServer* server, EndlessConnection* connection)
+{
+    const std::string request = std::exchange(connection->Received, "");
+    const bool health = request.rfind("GET /health", 0) == 0;
+    const bool endless = health == server->OnHealthChecks;
+    const std::string id = HeaderIn(request, "Winchlink-Request-Id");
+    const std::string own = health ? "Winchlink-Instance-Id: t1\r\nWinchlink-Server-Load: 0,0,3,100\r\n"
+                                   : fmt::format("Winchlink-Request-Id: {}\r\nWinchlink-Response-Signature: s\r\n", id);
+    const std::string head = endless ? server->Answer.Head : "HTTP/1.1 200 OK\r\n{}Content-Length: 0\r\n\r\n";
+    const size_t at = head.find("{}");
+    connection->Pending += at != std::string::npos ? head.substr(0, at) + own + head.substr(at + 2) : head;
+    connection->Answer = endless ? &server->Answer : nullptr;
+    SendOn(connection);
+}
+
+void OnEvent(EndlessServer* server, EndlessConnection* connection, int events)
+{
+    if ((events & (UV_READABLE | UV_DISCONNECT)) != 0)
+    {
+        std::string buffer(64 * KiB, '\0');
+        const ssize_t got = recv(connection->Socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        if (got == 0 || (got < 0 && errno != EAGAIN))
+        {
+            Close(connection);
+            return;
+        }
+        connection->Received.append(buffer, 0, got > 0 ? static_cast<size_t>(got) : 0);
+        if (connection->Received.find("\r\n\r\n") != std::string::npos)
+        {
+            Begin(server, connection);
+            return;
+        }
+    }
+    if ((events & UV_WRITABLE) != 0)
+    {
+        SendOn(connection);
+    }
+}
+
+void Accept(EndlessServer* server)
+{
+    const int accepted = accept4(server->Listening, nullptr, nullptr, SOCK_NONBLOCK);
+    if (accepted < 0)
+    {
+        return;
+    }
+    server->Connections.push_back(std::make_unique<EndlessConnection>());
+    EndlessConnection* connection = server->Connections.back().get();
+    connection->Socket = accepted;
+    connection->Ready = WatchStart(server->Loop, accepted, UV_READABLE, [=](int events) { OnEvent(server, connection, events); });
+}
+
+EndlessServer::EndlessServer(EventLoop* loop, EndlessAnswer answer, bool on_health_checks)
+    : Loop(loop), Answer(std::move(answer)), OnHealthChecks(on_health_checks)
+{
+    const sockaddr_in at = ToSocketAddress(ParseEndpoint(Address).value());
+    CPPUNIT_ASSERT_EQUAL(0, bind(Listening, reinterpret_cast<const sockaddr*>(&at), sizeof at));
+    CPPUNIT_ASSERT_EQUAL(0, listen(Listening, 16));
+    Accepting = WatchStart(loop, Listening, UV_READABLE, [this](int) { Accept(this); });
+}
+
+EndlessServer::~EndlessServer()
+{
+    Accepting = nullptr;
+    close(Listening);
+    for (const auto& connection : Connections)
+    {
+        if (!connection->Closed)
+        {
+            Close(connection.get());
+        }
+    }
+}
+
+size_t EndlessServer::LargestAnswer() const
+{
+    size_t largest = 0;
+    for (const auto& connection : Connections)
+    {
+        largest = std::max(largest, connection->Sent);
+    }
+    return largest;
+}
+
+// Whether no endless answer goes on.
+bool EndlessServer::AllClosed() const
+{
+    return std::all_of(Connections.begin(), Connections.end(),
+                       [](const auto& connection) { return connection->Closed || connection->Answer == nullptr; });
+}
+
+} // namespace
+
+class EndlessAnswersTest : public CPPUNIT_NS::TestFixture
+{
+    CPPUNIT_TEST_SUITE(EndlessAnswersTest);
+    CPPUNIT_TEST(EachKindIsGivenUp);
+    CPPUNIT_TEST(AnEndlessAnswerOnAReusedConnectionIsGivenUp);
+    CPPUNIT_TEST(LargeAnswersInSmallChunksArePassedOn);
+    CPPUNIT_TEST(RequestsAreServedBesideEndlessAnswers);
+    CPPUNIT_TEST(RequestsAreServedBesideEndlessHealthChecks);
+    CPPUNIT_TEST(RequestsThatMayNotBeRepeatedFailOnce);
+    CPPUNIT_TEST(AStopIsObeyedBesideEndlessHealthChecks);
+    CPPUNIT_TEST(ManyEndlessBodiesStayWithinTheMemory);
+    CPPUNIT_TEST_SUITE_END();
+
+    static ClientRequest Call(const std::string& address)
+    {
+        ClientRequest request;
+        request.Address = address;
+        request.Target = "/x";
+        request.TimeoutUs = RigTimeoutUs;
+        return request;
+    }
+
+    // Guards against any use of the client, such as reading the store, that goes on with such an answer until its timeout.
+    void EachKindIsGivenUp()
+    {
+        for (const EndlessAnswer& kind : AllKinds())
+        {
+            EventLoop loop;
+            Client client;
+            ClientStart(&client, &loop);
+            const EndlessServer server(&loop, kind, false);
+            const ClientAnswer answer = ClientSendAndWait(&client, Call(server.Address));
+            const std::string text = fmt::format("{}: {}, {} bytes", kind.Name, answer.Detail, server.LargestAnswer());
+            CPPUNIT_ASSERT_MESSAGE(text, answer.End == ClientEnd_Broken || answer.End == ClientEnd_Lost);
+            CPPUNIT_ASSERT_MESSAGE(text, server.LargestAnswer() <= ReadMax);
+            CPPUNIT_ASSERT_MESSAGE(text, LoopRunUntil(&loop, RigTimeoutUs, [&]() { return server.AllClosed(); }));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(text, size_t{0}, client.BodyBytes);
+        }
+    }
+
+    // Guards against bytes of earlier answers that are taken for those of this one, or the other way round.
+    void AnEndlessAnswerOnAReusedConnectionIsGivenUp()
+    {
+        EventLoop loop;
+        Client client;
+        ClientStart(&client, &loop);
+        EndlessServer server(&loop, {"a chunk extension", Chunked + "5;x=", "a"}, true);
+        for (int n = 0; n < 20; n++)
+        {
+            CPPUNIT_ASSERT_EQUAL(200, ClientSendAndWait(&client, Call(server.Address)).Status);
+        }
+        CPPUNIT_ASSERT_EQUAL(size_t{1}, server.Connections.size());
+        server.OnHealthChecks = false;
+        const ClientAnswer answer = ClientSendAndWait(&client, Call(server.Address));
+        CPPUNIT_ASSERT_EQUAL(int(ClientEnd_Broken), int(answer.End));
+        CPPUNIT_ASSERT_EQUAL(uint64_t{1}, client.AnswersTooLarge);
+    }
+
+    // Guards against a bound on framing that large answers exceed which come in the smallest chunks.
+    void LargeAnswersInSmallChunksArePassedOn()
+    {
+        constexpr size_t length = 500000;
+        std::string body;
+        for (size_t n = 0; n < length; n++)
+        {
+            body += "1\r\nb\r\n";
+        }
+        EventLoop loop;
+        Client client;
+        ClientStart(&client, &loop);
+        EndlessServer server(&loop, {"small chunks", Chunked + body + "0\r\n\r\n", ""}, false);
+        server.Answer.Repeated = "HTTP/1.1 200 OK\r\n\r\n"; // Surplus, which belongs to no request.
+        const ClientAnswer answer = ClientSendAndWait(&client, Call(server.Address));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.Detail, 200, answer.Status);
+        CPPUNIT_ASSERT_EQUAL(length, answer.Body.size());
+    }
+
+    // An endless target beside a sound one, which is farther away: all requests are served by the latter.
+    static void CheckServed(const EndlessAnswer& kind, bool on_health_checks)
+    {
+        Rig rig;
+        const EndlessServer endless(&rig.Loop, kind, on_health_checks);
+        UsersStoreTarget(&rig.Store, "t1", "svc", endless.Address, "dc-a");
+        RigTarget(&rig, "t2", "svc", "dc-b");
+        RigConfigure(&rig, {UsersRoute()});
+        const Gateway& instance = RigInstance(&rig, 2);
+        for (int n = 0; n < 6; n++)
+        {
+            const RigAnswer answer = RigSendAndWait(&rig, instance, RigCall());
+            const std::string text = fmt::format("{}, request {}: {}", kind.Name, n, answer.Answer.Status);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(text, 200, answer.Answer.Status);
+        }
+        const bool given_up = instance.Targets.AnswersTooLarge > 0; // Otherwise the bytes are no answer, as of a crashed target.
+        CPPUNIT_ASSERT_MESSAGE(kind.Name, !given_up || instance.Requests.Quarantined.Requests.empty());
+        const std::string text = fmt::format("{}: {} bytes", kind.Name, endless.LargestAnswer());
+        CPPUNIT_ASSERT_MESSAGE(text, RigRunUntil(&rig, [&]() { return endless.AllClosed(); }));
+        CPPUNIT_ASSERT_MESSAGE(text, !endless.Connections.empty() && endless.LargestAnswer() <= ReadMax);
+    }
+
+    // Guards against requests that wait for the end of an endless answer instead of being sent to another target.
+    void RequestsAreServedBesideEndlessAnswers()
+    {
+        for (const EndlessAnswer& kind : AllKinds())
+        {
+            CheckServed(kind, false);
+        }
+    }
+
+    // Guards against an instance that is brought down by the answer to a health check.
+    void RequestsAreServedBesideEndlessHealthChecks()
+    {
+        for (const EndlessAnswer& kind : AllKinds())
+        {
+            CheckServed(kind, true);
+        }
+    }
+
+    // Guards against a request that runs twice, or is refused as not run, after an endless answer: the target has run it.
+    void RequestsThatMayNotBeRepeatedFailOnce()
+    {
+        Rig rig;
+        const EndlessServer endless(&rig.Loop, {"trailers", Chunked + "0\r\n", "a:b\r\n"}, false);
+        UsersStoreTarget(&rig.Store, "t1", "svc", endless.Address, "dc-a");
+        const UsersTarget& sound = RigTarget(&rig, "t2", "svc", "dc-b");
+        UsersRoute route;
+        route.Safe = false;
+        RigConfigure(&rig, {route});
+        const Gateway& instance = RigInstance(&rig, 2);
+        RigCall call;
+        call.Method = "POST";
+        CPPUNIT_ASSERT_EQUAL(502, RigSendAndWait(&rig, instance, call).Answer.Status);
+        CPPUNIT_ASSERT_EQUAL(size_t{0}, sound.Saw.size());
+        CPPUNIT_ASSERT(MetricsText(instance).find("winchlink_answers_too_large 1") != std::string::npos);
+    }
+
+    // Guards against an instance that reads an answer and does nothing else, not even stop.
+    void AStopIsObeyedBesideEndlessHealthChecks()
+    {
+        Rig rig;
+        const EndlessServer endless(&rig.Loop, {"trailers", Chunked + "0\r\n", "a:b\r\n"}, true);
+        UsersStoreTarget(&rig.Store, "t1", "svc", endless.Address, "dc-a");
+        RigConfigure(&rig, {UsersRoute()});
+        Gateway& instance = RigInstance(&rig, 1);
+        const RigAnswerPtr answer = RigSend(&rig, instance, RigCall());
+        CPPUNIT_ASSERT(RigRunUntil(&rig, [&]() { return endless.LargestAnswer() > 0; }));
+        GatewayStop(&instance);
+        CPPUNIT_ASSERT(RigRunUntil(&rig, [&]() { return instance.Stopped && answer->Done; }));
+        CPPUNIT_ASSERT_EQUAL(503, answer->Answer.Status);
+    }
+
+    // Guards against answers that are each within their bound and together exceed the memory of an instance.
+    void ManyEndlessBodiesStayWithinTheMemory()
+    {
+        constexpr size_t memory = 64 * MiB; // More than half of the smallest instance's.
+        EventLoop loop;
+        Client client;
+        ClientStart(&client, &loop);
+        const EndlessServer server(&loop, {"a body without length", "HTTP/1.1 200 OK\r\n\r\n", std::string(1000, 'a')}, false);
+        size_t ended = 0;
+        for (int n = 0; n < 16; n++)
+        {
+            ClientSend(&client, Call(server.Address), [&](const ClientAnswer&) { ended++; });
+        }
+        size_t largest = 0;
+        const auto all_ended = [&]()
+        {
+            largest = std::max(largest, client.BodyBytes);
+            return ended == 16;
+        };
+        CPPUNIT_ASSERT(LoopRunUntil(&loop, RigTimeoutUs, all_ended));
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("{} bytes", largest), largest <= memory);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EndlessAnswersTest);
+
+} // namespace Winchlink
