--- a/tests/loop_test.cpp
+++ b/tests/loop_test.cpp
@@ -108,9 +108,8 @@
     {
         constexpr TimeUs stop = 60 * UsPerMs;
         EventLoop loop;
-        const Timer first = TimerStart(&loop, 0, []() {});
-        CPPUNIT_ASSERT(
-            LoopRunUntil(&loop, Hour, [&]() { return loop.WaitBeganUs > 0; })); // What it reads before its first wait is not old.
+        uv_run(&loop.Uv, UV_RUN_NOWAIT); // What the loop reads before its first wait is not old.
+        CPPUNIT_ASSERT(loop.WaitBeganUs > 0);
         std::array<int, 2> ends{};
         CPPUNIT_ASSERT_EQUAL(0, pipe(ends.data()));
         TimeUs since = 0;
