HandoffTest: what the tests wait for no longer depends on the speed of the machine

Cause: the test took for granted that within one second the instances know each other, and that one request tries enough targets to find the path lost before its latency objective has passed.

Change: the fleet waits until each instance knows another one; AwaitLoss() repeats requests until the path is lost; the two tests that did without it call it; forged keys are tried when the store is heard; slow targets are asked until enough answers were late; the status page is compared with the counts after one further request; ACutIsNoCrash waits for any target. What is asserted stays.

--- a/tests/handoff_test.cpp
+++ b/tests/handoff_test.cpp
@@ -29,16 +29,21 @@
         return *Parts.Instances[1];
     }
 
-    // Sends requests to the second instance until it knows that it has no path.
-    void AwaitLoss()
+    // Sends requests to the second instance until it knows that it has no path. They may be refused: how many targets one is tried at
+    // before its latency objective has passed depends on the machine.
+    void AwaitLoss(const RigCall& call = RigCall())
     {
         const auto lost = [this]()
         {
             return Second().Requests.Services.at("svc").Path.State == TargetPathState_Lost;
         };
-        const RigAnswerPtr answer = RigSend(&Parts, Second(), RigCall());
-        CPPUNIT_ASSERT(RigRunUntil(&Parts, lost));
-        CPPUNIT_ASSERT(RigRunUntil(&Parts, [&]() { return answer->Done; }));
+        constexpr int requests_max = 20;
+        for (int n = 0; n < requests_max && !lost(); n++)
+        {
+            const RigAnswerPtr answer = RigSend(&Parts, Second(), call);
+            CPPUNIT_ASSERT(RigRunUntil(&Parts, [&]() { return answer->Done; }));
+        }
+        CPPUNIT_ASSERT(lost());
     }
 
     // The request as its target received it.
@@ -323,10 +328,11 @@
         HandoffFleet fleet(2, {{"anne", {AnnesKey}}});
         RigCall call;
         call.Headers = {{"Authorization", "Bearer " + AnnesKey}};
+        fleet.AwaitLoss(call);
         for (int n = 0; n < 3; n++)
         {
             const RigAnswer answer = RigSendAndWait(&fleet.Parts, fleet.Second(), call);
-            CPPUNIT_ASSERT_EQUAL(200, answer.Answer.Status);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.Answer.Body, 200, answer.Answer.Status);
             const std::vector<Header>& headers = fleet.Received(answer.Id).Headers;
             CPPUNIT_ASSERT_EQUAL(std::string("anne"), *FindHeader(headers, fleet.First().Requests.Names.Customer));
             CPPUNIT_ASSERT_EQUAL(0, TextsWith(headers, AnnesKey));
@@ -341,6 +347,8 @@
                                {"Authorization", "Bearer " + key},
                                {fleet.First().Requests.Names.Customer, "anne"},
                                {HeaderHandoff, "2 1 0 127.0.0.1:9 svc"}};
+            // Without recent data an instance can't tell that a key is unknown.
+            CPPUNIT_ASSERT(RigRunUntil(&fleet.Parts, [&]() { return !fleet.First().Requests.Directory.StoreUnavailable; }));
             CPPUNIT_ASSERT_EQUAL(401, ClientSendAndWait(&fleet.Parts.Callers, std::move(request)).Status);
         }
         CPPUNIT_ASSERT_EQUAL(0, RigRunCount(fleet.Parts, "forged"));
@@ -478,6 +486,7 @@
         CPPUNIT_ASSERT_EQUAL(200, direct.Answer.Status);
         CPPUNIT_ASSERT_EQUAL(uint64_t{0}, fleet.First().Requests.TakenCount);
         CPPUNIT_ASSERT_EQUAL(0, TextsWith(direct.Answer.Headers, "Handoff"));
+        fleet.AwaitLoss();
         const RigAnswer handed_on = RigSendAndWait(&fleet.Parts, fleet.Second(), call);
         CPPUNIT_ASSERT_EQUAL(200, handed_on.Answer.Status);
         CPPUNIT_ASSERT_EQUAL(0, TextsWith(fleet.Received(handed_on.Id).Headers, "Handoff"));
@@ -500,7 +509,9 @@
         }
         const auto running = [&]()
         {
-            return fleet.Parts.Instances[1]->Requests.Services.at("svc").Pool.InUse && fleet.Parts.Targets[0]->Running > 0;
+            const bool any = std::any_of(fleet.Parts.Targets.begin(), fleet.Parts.Targets.end(),
+                                         [](const std::unique_ptr<UsersTarget>& target) { return target->Running > 0; });
+            return fleet.Parts.Instances[1]->Requests.Services.at("svc").Pool.InUse && any;
         };
         CPPUNIT_ASSERT(RigRunUntil(&fleet.Parts, running));
         fleet.Cut(1, ProxyMode_Reset);
@@ -529,15 +540,20 @@
         requests.Services.at("svc").ProbeTimeout.ListenUs = 500 * UsPerMs; // The load of the machine must not decide,
         requests.Config.Choosing.MaxChooseShare = 1;                       // nor end the search.
         requests.Services.at("svc").Pool.Config.ReportMaxAgeUs = 500 * UsPerMs;
-        for (int n = 0; n < 5; n++)
+        const TargetPath& path = requests.Services.at("svc").Path;
+        const auto enough_late = [&path]()
+        {
+            return path.Contacts[ContactEnd_Late] >= 3;
+        };
+        constexpr int requests_max = 50;
+        for (int n = 0; n < 5 || (n < requests_max && !enough_late()); n++) // On a machine that is held up few answers are seen to be late.
         {
             const RigAnswer answer = RigSendAndWait(&fleet.Parts, *fleet.Parts.Instances[1], RigCall());
             CPPUNIT_ASSERT_EQUAL(200, answer.Answer.Status);
             RigRunFor(&fleet.Parts, 200 * UsPerMs);
         }
-        const TargetPath& path = requests.Services.at("svc").Path;
         CPPUNIT_ASSERT_EQUAL(uint64_t{0}, path.Losses);
-        CPPUNIT_ASSERT(path.Contacts[ContactEnd_Late] >= 3);
+        CPPUNIT_ASSERT(enough_late());
         CPPUNIT_ASSERT_EQUAL(uint64_t{0}, path.Contacts[ContactEnd_Silent]);
         CPPUNIT_ASSERT_EQUAL(uint64_t{0}, fleet.Parts.Instances[0]->Requests.TakenCount);
     }
@@ -645,12 +661,17 @@
     {
         HandoffFleet fleet;
         fleet.AwaitLoss();
+        const uint64_t answered = fleet.Second().Requests.Others.Ended[PeerEnd_Answered];
+        const uint64_t taken = fleet.First().Requests.TakenCount;
+        CPPUNIT_ASSERT_EQUAL(200, RigSendAndWait(&fleet.Parts, fleet.Second(), RigCall()).Answer.Status);
         const std::string status = StatusText(fleet.Second());
         CPPUNIT_ASSERT(status.find("\"path\": \"lost\"") != std::string::npos);
         CPPUNIT_ASSERT(status.find("\"handedOn\"") != std::string::npos);
         CPPUNIT_ASSERT(MetricsText(fleet.Second()).find("winchlink_target_path_open{service=\"svc\"} 0") != std::string::npos);
-        CPPUNIT_ASSERT(MetricsText(fleet.Second()).find("winchlink_handoffs{end=\"answered\"} 1\n") != std::string::npos);
-        CPPUNIT_ASSERT(MetricsText(fleet.First()).find("winchlink_handoffs_taken 1\n") != std::string::npos);
+        const std::string handed_on = fmt::format("winchlink_handoffs{{end=\"answered\"}} {}\n", answered + 1);
+        const std::string taken_on = fmt::format("winchlink_handoffs_taken {}\n", taken + 1);
+        CPPUNIT_ASSERT(MetricsText(fleet.Second()).find(handed_on) != std::string::npos);
+        CPPUNIT_ASSERT(MetricsText(fleet.First()).find(taken_on) != std::string::npos);
     }
 };
 
--- a/tests/path_fleet.h
+++ b/tests/path_fleet.h
@@ -93,6 +93,15 @@
             RigWaitForPlan(&Parts, *instance, Parts.Targets.size());
         }
         RigRunFor(&Parts, UsPerSecond); // Instances learn of each other.
+        const auto has_peers = [](const std::unique_ptr<Gateway>& instance)
+        {
+            return !instance->Requests.Others.Known.empty();
+        };
+        const auto all_have_peers = [&]()
+        {
+            return std::all_of(Parts.Instances.begin(), Parts.Instances.end(), has_peers);
+        };
+        CPPUNIT_ASSERT(instances == 1 || RigRunUntil(&Parts, all_have_peers)); // A machine that is held up takes longer.
     }
 
     // Sets the mode between an instance and the targets of a service; empty: of all services.
