A reader that has heard nobody since its start keeps to a small part of quotas and limits

Cause: each instance reads the store by itself while no first contact answers, and readers decide on quotas. A reader counts the instances that it has heard, which is itself alone, so it admits the whole quota, and after 1.5 s it keeps 1 as the size of the fleet. Instances that follow and have no decision assume 100.

Change: a reader whose settings name others and that has heard none of them since its start has no decision and keeps no size of the fleet, for a minute at the most; it assumes 600 instances. Targets' limits use the same code.

WithoutReportsQuotasAreExceeded injects the fault of instances that take themselves for the fleet; it now sets that in the new field too.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -63,12 +63,25 @@
     gateway->Requests.Others.DataCentre = PeerDataCentre(settings.DataCentre);
 }
 
+// Whether the settings name other instances that exchange datagrams with this one.
+static bool ExpectsOthers(const Settings& settings)
+{
+    const auto is_other = [&settings](const std::string& peer)
+    {
+        return peer != settings.PeerAddress;
+    };
+    return settings.DatagramPort != 0 && !settings.PeerAddress.empty() &&
+           std::any_of(settings.Peers.begin(), settings.Peers.end(), is_other);
+}
+
 // The active readers decide on quotas.
 static void UpdateQuotaRole(Gateway* gateway)
 {
-    const bool reads = gateway->Store.Following.Reads;
-    gateway->Requests.Quotas.IsSeed = reads;
-    gateway->Requests.TargetLimits.IsSeed = reads;
+    for (Quota* quota : {&gateway->Requests.Quotas, &gateway->Requests.TargetLimits})
+    {
+        quota->IsSeed = gateway->Store.Following.Reads;
+        quota->ExpectsOthers = ExpectsOthers(gateway->Config);
+    }
 }
 
 static void OnStoreTrouble(Gateway* gateway, const std::string& why, TimeUs tried)
--- a/tests/quota_fleet.cpp
+++ b/tests/quota_fleet.cpp
@@ -34,6 +34,7 @@
     one.Known = Quota();
     one.Known.Config = fleet->Config;
     one.Known.IsSeed = IsSeedInstance(instance) || fleet->Isolated;
+    one.Known.ExpectsOthers = fleet->Instances.size() > 1 && !fleet->Isolated;
     one.Known.StartedUs = fleet->Now;
     one.Parent = ParentOf(instance);
     one.NextUs = fleet->Now + std::uniform_int_distribution<TimeUs>(0, TickUs)(fleet->Rng);
--- a/tests/quota_link_test.cpp
+++ b/tests/quota_link_test.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(ACustomerAboveItsQuotaIsRefusedAtOnce);
     CPPUNIT_TEST(RequestsThatNoTargetRanDoNotCount);
     CPPUNIT_TEST(InstancesKeepAQuotaTogether);
+    CPPUNIT_TEST(ReadersThatHaveHeardNobodyAdmitLittle);
     CPPUNIT_TEST_SUITE_END();
 
     void MessagesSurviveEncoding()
@@ -186,6 +187,40 @@
         CPPUNIT_ASSERT_EQUAL(0.0, QuotaReports(quota, UsPerSecond)[0].Entries[0].Count.Admitted);
     }
 
+    // Guards against instances that each admit a customer's whole quota while none of those that their settings name is up.
+    void ReadersThatHaveHeardNobodyAdmitLittle()
+    {
+        Rig rig;
+        RigTarget(&rig, "t").WorkUs = UsPerMs;
+        RigConfigureWithCustomers(&rig, {UsersRoute()}, {{"anne", {"k"}, 20, 20}});
+        const int port = FreePort("127.0.0.10");
+        const std::string gone = FreeAddress();
+        constexpr int count = 10;
+        std::vector<Gateway*> instances;
+        instances.reserve(count);
+        for (int number = 0; number < count; number++)
+        {
+            instances.push_back(&RigStartWith(&rig, SettingsOf(rig, number, port, {gone})));
+        }
+        RigCall anne;
+        anne.Headers = {{"Authorization", "Bearer k"}};
+        int served = 0;
+        for (Gateway* instance : instances)
+        {
+            RigWaitForPlan(&rig, *instance, 1);
+            const Quota& quota = instance->Requests.Quotas;
+            CPPUNIT_ASSERT(
+                RigRunUntil(&rig, [&]() { return quota.Covered >= quota.Config.CoveredMin; })); // Up for that part of the window.
+            for (int n = 0; n < 30; n++)
+            {
+                served += RigSendAndWait(&rig, *instance, anne).Answer.Status == 200 ? 1 : 0;
+            }
+            CPPUNIT_ASSERT_EQUAL(0.0, quota.MembersMax);
+        }
+        const double bound = (20 * 5 + 20) * 1.25 + 20;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(served), served <= bound);
+    }
+
     // A seed and two followers learn the size of the fleet, and all of them limit a customer whose requests come to one of them.
     void InstancesKeepAQuotaTogether()
     {
--- a/tests/quota_load_test.cpp
+++ b/tests/quota_load_test.cpp
@@ -69,6 +69,8 @@
     CPPUNIT_TEST(ARestartOfAllInstancesKeepsQuotas);
     CPPUNIT_TEST(ABurstAfterARestartOfAllKeepsQuotas);
     CPPUNIT_TEST(ABurstAfterARestartOfALargeFleetKeepsQuotas);
+    CPPUNIT_TEST(ALossOfPowerThatTakesTheSeedsLongerKeepsQuotas);
+    CPPUNIT_TEST(AnInstanceThatStaysAloneServesTheQuota);
     CPPUNIT_TEST(ARestartServesCustomersBelowTheirQuota);
     CPPUNIT_TEST(ALostSeedChangesNothing);
     CPPUNIT_TEST(RestartsOfHalfTheFleetRefuseNobodyBelowItsQuota);
@@ -188,6 +190,48 @@
         CheckBurstAfterRestart(587);
     }
 
+    // Guards against instances that restart while no seed is up, read the store by themselves, and each take themselves for the whole
+    // fleet.
+    void ALossOfPowerThatTakesTheSeedsLongerKeepsQuotas()
+    {
+        for (const int instances : {13, 30, 117, 587})
+        {
+            QuotaFleet fleet = UsualFleet(instances, 13);
+            SetHot(&fleet, HotFactor);
+            QuotaFleetRun(&fleet, 500 * UsPerMs);
+            for (int n = 0; n < instances; n++)
+            {
+                const bool seed = n < SeedCountMax;
+                QuotaFleetRestart(&fleet, n, seed ? 3500 * UsPerMs : UsPerSecond);
+                fleet.Instances[static_cast<size_t>(n)].Known.IsSeed = true;
+                fleet.Instances[static_cast<size_t>(n)].PartitionId = seed ? 0 : n;
+            }
+            QuotaFleetRun(&fleet, 3500 * UsPerMs);
+            for (int n = SeedCountMax; n < instances; n++)
+            {
+                fleet.Instances[static_cast<size_t>(n)].Known.IsSeed = false; // It follows one of the seeds, which are back.
+                fleet.Instances[static_cast<size_t>(n)].PartitionId = 0;
+            }
+            QuotaFleetRun(&fleet, 8 * UsPerSecond);
+            CheckBounds(fleet, fmt::format("{} instances, seeds down for longer", instances));
+            QuotaFleetServed(fleet.Loads.data());
+            QuotaFleetRun(&fleet, 8 * UsPerSecond);
+            CPPUNIT_ASSERT(QuotaFleetServed(fleet.Loads.data()) >= 0.95 * QuotaShare / HotFactor);
+        }
+    }
+
+    // Guards against quotas that are withheld for good where the other instances of the settings no longer exist.
+    void AnInstanceThatStaysAloneServesTheQuota()
+    {
+        QuotaFleet fleet(1, 14);
+        fleet.Instances[0].Known.ExpectsOthers = true;
+        const size_t middle = QuotaFleetAdd(&fleet, MiddlePerS * QuotaShare, MiddlePerS);
+        QuotaFleetRun(&fleet, fleet.Config.MembersExpiryUs + 2 * fleet.Config.WindowUs);
+        QuotaFleetServed(&fleet.Loads[middle]);
+        QuotaFleetRun(&fleet, 8 * UsPerSecond);
+        CPPUNIT_ASSERT(QuotaFleetServed(&fleet.Loads[middle]) >= 0.99);
+    }
+
     // The counts of the window before the restart are lost: until a window has passed, each customer gets an even share of its quota.
     void ARestartServesCustomersBelowTheirQuota()
     {
@@ -286,6 +330,7 @@
         for (QuotaFleetInstance& instance : fleet.Instances)
         {
             instance.Known.IsSeed = true;
+            instance.Known.ExpectsOthers = false;
         }
         QuotaFleetRun(&fleet, 10 * UsPerSecond);
         const QuotaFleetCustomer& load = fleet.Loads[large];
--- a/winchlink.h
+++ b/winchlink.h
@@ -1557,6 +1557,7 @@
     double CoveredMin = 0.5;                   // Below this covered part of the window, the fleet counts as just started.
     double EvenPartsMax = 3;                   // Maximum of an instance after a start of the fleet, in multiples of its even part.
     double MembersDefault = 100;               // Assumed number of instances while none is known.
+    double MembersUnheard = 600;               // The same at a seed that has heard no other: the largest fleet, as all may be such seeds.
     double PartitionedShare = 0.25;            // Part of the fleet that may each admit one request without a decision within Slack.
     double BurstShare = 2; // From this share on, an instance admits at most EvenPartsMax times its even part; above 1: no such bound.
     double TargetPerSMin = 1.0 / 60;               // Minimum rate of a target with a limit, so that its answers can report a higher limit.
@@ -1675,6 +1676,7 @@
 {
     QuotaConfig Config;
     bool IsSeed = false;                                // This instance is a seed.
+    bool ExpectsOthers = false;                         // Its settings name other instances that exchange reports with it.
     TimeUs StartedUs = 0;                               // When this instance was started.
     std::unordered_map<uint64_t, TargetLimit> Limits;   // Limits of targets, by incarnation.
     std::unordered_map<uint64_t, QuotaUse> Own;         // Counts of this instance, by customer or target; idle entries are removed.
--- a/winchlink_quota.cpp
+++ b/winchlink_quota.cpp
@@ -258,16 +258,28 @@
                        (config.Overage * quota + std::min(config.Slack, quota)); // Slack is bounded by the quota, for small quotas.
 }
 
-static double MemberCount(const Quota& quota)
+// Whether this seed has heard none of the instances that it expects: it can't tell how many they are, and each of them may be a seed that
+// has heard nobody either. After MembersExpiryUs it counts as the whole fleet.
+static bool IsAloneSinceStart(const Quota& quota, TimeUs now)
 {
-    const double now = quota.IsSeed ? quota.Members : quota.Config.MembersDefault;
-    return quota.MembersMax > 0 ? quota.MembersMax : now;
+    const bool heard_none = quota.MembersMax == 0 && quota.Followers.empty() && quota.Seeds.empty();
+    return quota.IsSeed && quota.ExpectsOthers && heard_none && now - quota.StartedUs < quota.Config.MembersExpiryUs;
 }
 
-// True if no decision was received recently and this instance is not a seed.
+static double MemberCount(const Quota& quota, TimeUs now)
+{
+    if (quota.MembersMax > 0)
+    {
+        return quota.MembersMax;
+    }
+    return IsAloneSinceStart(quota, now) ? quota.Config.MembersUnheard : quota.IsSeed ? quota.Members : quota.Config.MembersDefault;
+}
+
+// Whether this instance neither has a recent decision nor can make one.
 static bool LacksDecision(const Quota& quota, TimeUs now)
 {
-    return !quota.IsSeed && (quota.DecisionUs == 0 || now - quota.DecisionUs > quota.Config.ReportExpiryUs);
+    const bool received = quota.DecisionUs > 0 && now - quota.DecisionUs <= quota.Config.ReportExpiryUs;
+    return quota.IsSeed ? IsAloneSinceStart(quota, now) : !received;
 }
 
 static double AdmittedSince(const QuotaUse& use, const QuotaConfig& config, TimeUs since)
@@ -302,7 +314,7 @@
     const QuotaConfig& config = quota.Config;
     if (use->AllowanceUs == 0)
     {
-        const double chance = std::min(1.0, config.Slack / (config.PartitionedShare * MemberCount(quota)));
+        const double chance = std::min(1.0, config.Slack / (config.PartitionedShare * MemberCount(quota, now)));
         use->Allowance = std::uniform_real_distribution<double>(0, 1)(*random) < chance ? 1 : 0;
         use->AllowanceUs = now;
     }
@@ -321,7 +333,7 @@
 
 static bool TakeWithoutDecision(Quota* quota, QuotaUse* use, const QuotaLimit& limit, TimeUs now, Random* random)
 {
-    RefillAllowance(*quota, use, AdmissionGoal(quota->Config, limit) / MemberCount(*quota), now, random);
+    RefillAllowance(*quota, use, AdmissionGoal(quota->Config, limit) / MemberCount(*quota, now), now, random);
     if (LacksDecision(*quota, now) && use->AllowanceChargedUs != quota->DecisionUs)
     {
         use->Allowance -= AdmittedSince(*use, quota->Config, quota->DecisionUs); // The rest of the fleet doesn't know of these.
@@ -334,7 +346,7 @@
 // even part.
 static bool TakeShareWithinAllowance(Quota* quota, QuotaUse* use, const QuotaLimit& limit, double share, TimeUs now, Random* random)
 {
-    const double part = quota->Config.EvenPartsMax * AdmissionGoal(quota->Config, limit) / MemberCount(*quota);
+    const double part = quota->Config.EvenPartsMax * AdmissionGoal(quota->Config, limit) / MemberCount(*quota, now);
     RefillAllowance(*quota, use, part, now, random);
     return use->Allowance >= 1 && TakeShare(use, share, random) && TakeFromAllowance(use);
 }
@@ -503,7 +515,7 @@
 {
     quota->MembersMin = quota->MembersMinUs > 0 ? std::min(quota->MembersMin, members) : members;
     quota->MembersMinUs = quota->MembersMinUs > 0 ? quota->MembersMinUs : now;
-    if (now - quota->MembersMinUs > 2 * quota->Config.ReportExpiryUs)
+    if (now - quota->MembersMinUs > 2 * quota->Config.ReportExpiryUs && !IsAloneSinceStart(*quota, now))
     {
         UpdateFleetSize(quota, {quota->MembersMin, 0}, now);
         quota->MembersMin = members;
