--- a/tests/cold_load_test.cpp
+++ b/tests/cold_load_test.cpp
@@ -312,6 +312,7 @@
     CPPUNIT_TEST(ANewInstanceSkipsColdTargets);
     CPPUNIT_TEST(RequestsThatWaitDoNotRaiseTheLimit);
     CPPUNIT_TEST(ARiseWhileTargetsAreColdStaysWithinTheLimit);
+    CPPUNIT_TEST(ALastingOverloadStaysWithinTheLimit);
     CPPUNIT_TEST(ColdTargetsAreUsedWhileRequestsWait);
     CPPUNIT_TEST(FewRequestsAreServedByColdTargets);
     CPPUNIT_TEST(TargetsThatReturnOneByOneDoNotRaiseTheLimit);
@@ -447,6 +448,16 @@
         return sent / (Seeds * ColdPerS * 3 * plan.Targets);
     }
 
+    // Guards against requests that are refused and still count as demand that targets serve: where many more arrive than targets bear, and
+    // have done so for a while, they add up to more than the limit.
+    void ALastingOverloadStaysWithinTheLimit()
+    {
+        ColdPlan plan = ReturnPlan(3);
+        plan.RequestsPerSecond = 3600; // Twelve times what the targets serve.
+        plan.WarmSeconds = 25;
+        CheckBound(plan);
+    }
+
     // Guards against cold targets that stay idle while requests wait: they get at least a third of what they bear.
     void ColdTargetsAreUsedWhileRequestsWait()
     {
