Cold targets: requests that targets do not serve add nothing to their limit

What callers saw: where full targets refuse and twelve times as many requests arrive as they serve, each target that comes back cold gets 44 requests in a second from 3 instances (model), 11.75 allowed: thirteen times what it bears in its warm-up, and it falls over.

Cause: each arriving request adds the limit divided by the rate of requests that targets report. Those that are refused are not in that rate, but each of them added. The correction for a rise of requests follows what usually arrives, so a lasting overload is none to it.

Change: a request adds only as much as the part of the instance's requests that warm targets have served, both averaged over UsualUs. Summed over the instances that is the limit: the parts add up to the reported rate.

Weighed: counting only served requests as what is usual, so that the correction for a rise covers both; its exponent of 1.5 would leave cold targets 0.29 of what they bear at twelve times the requests.

--- a/tests/cold_load_test.cpp
+++ b/tests/cold_load_test.cpp
@@ -324,6 +324,7 @@
     CPPUNIT_TEST(RequestsThatWaitDoNotRaiseTheLimit);
     CPPUNIT_TEST(ARiseWhileTargetsAreColdStaysWithinTheLimit);
     CPPUNIT_TEST(ALastingOverloadStaysWithinTheLimit);
+    CPPUNIT_TEST(RefusedRequestsDoNotRaiseTheLimit);
     CPPUNIT_TEST(ColdTargetsAreUsedWhileRequestsWait);
     CPPUNIT_TEST(FewRequestsAreServedByColdTargets);
     CPPUNIT_TEST(TargetsThatReturnOneByOneDoNotRaiseTheLimit);
@@ -499,6 +500,13 @@
         CheckOverload(OverloadPlan(17, false));
     }
 
+    // Guards against requests that are refused and still count as demand that targets serve.
+    void RefusedRequestsDoNotRaiseTheLimit()
+    {
+        CheckOverload(OverloadPlan(3, true));
+        CheckOverload(OverloadPlan(17, true));
+    }
+
     // Guards against cold targets that stay idle while requests wait: they get at least a third of what they bear.
     void ColdTargetsAreUsedWhileRequestsWait()
     {
--- a/winchlink.h
+++ b/winchlink.h
@@ -616,6 +616,7 @@
     double PerS = 0;        // Requests a second of all instances, as of the last report; 0: unknown.
     EventRate Usual;        // Requests that arrive at this instance, while warm targets report.
     EventRate Recent;       // The same at all times.
+    EventRate Served;       // Requests of this instance that warm targets have served.
     double ColdAllowed = 0; // Requests that this instance may have sent to a target that was cold all the time.
 };
 
@@ -684,10 +685,10 @@
 //
 // The limit ColdPerS applies to all instances together, but their number is unknown. What is known is how many requests a second all of
 // them send: the requests that warm targets report, divided by the time that each takes. Every request that arrives at any instance
-// therefore adds the limit divided by that rate to what its instance may send to each cold target, and less if the instance gets more
-// requests than usual, as others then do too. So all instances together stay at the limit, however many they are and wherever requests
-// wait. An instance starts at a random phase, so that instances don't send at the same time. The target must also have reported that it is
-// idle.
+// therefore adds the limit divided by that rate to what its instance may send to each cold target. It adds less if the instance gets more
+// requests than usual, as others then do too, and if targets serve only a part of its requests, as those that are refused are not in that
+// rate. So all instances together stay at the limit, however many they are and wherever requests wait. An instance starts at a random
+// phase, so that instances don't send at the same time. The target must also have reported that it is idle.
 bool PoolMaySendCold(const TargetPool& pool, const PoolTarget& target, TimeUs now);
 
 // A request for the service has arrived at this instance.
--- a/winchlink_pool.cpp
+++ b/winchlink_pool.cpp
@@ -501,6 +501,17 @@
     return std::pow(std::max((pool.Demand.Recent.Sum + prior) / (usual + prior), 1.0), exponent);
 }
 
+// Part of this instance's requests that targets serve, while they are warm: the others are not in ServiceDemand::PerS.
+static double ServedPart(const TargetPool& pool)
+{
+    constexpr double prior = 0.5; // Requests added on both sides: one that is still in progress is no sign of a refusal.
+    const ServiceDemand& demand = pool.Demand;
+    const TimeUs at = std::max(demand.Usual.AtUs, demand.Served.AtUs);
+    const double arrived = demand.Usual.Sum * Decay(at - demand.Usual.AtUs, pool.Config.UsualUs);
+    const double served = demand.Served.Sum * Decay(at - demand.Served.AtUs, pool.Config.UsualUs);
+    return std::min((served + prior) / (arrived + prior), 1.0);
+}
+
 void PoolDemandArrived(TargetPool* pool, TimeUs now)
 {
     const PoolConfig& config = pool->Config;
@@ -512,7 +523,7 @@
     }
     if (demand.PerS > 0)
     {
-        demand.ColdAllowed += std::min(config.ColdPerS / (demand.PerS * DemandRise(*pool)), 1.0);
+        demand.ColdAllowed += std::min(config.ColdPerS * ServedPart(*pool) / (demand.PerS * DemandRise(*pool)), 1.0);
     }
 }
 
@@ -540,6 +551,7 @@
         return;
     }
     ServiceDemand& demand = pool->Demand;
+    AddEvent(&demand.Served, pool->Config.UsualUs, now);
     const auto time = static_cast<double>(took);
     demand.WorkUs = demand.WorkUs == 0 ? time : demand.WorkUs + pool->Config.WorkGain * (time - demand.WorkUs);
 }
