Cold targets: rare requests are no rise

What callers saw (model): 17 instances with 10 requests a second between them; three targets come back cold, which bear 7.5. They get 0.32 of what they bear after 300 s of knowledge, though requests are refused meanwhile; at least a third is the aim.

Cause: a request counted as usual only if a warm target had reported within a second before it. An instance that gets one every two seconds probes as seldom, so hardly any counted, and each was taken for a rise, which adds less to the limit.

Change: a report since the request before also shows that warm targets are there.

--- a/tests/cold_load_test.cpp
+++ b/tests/cold_load_test.cpp
@@ -327,6 +327,7 @@
     CPPUNIT_TEST(RefusedRequestsDoNotRaiseTheLimit);
     CPPUNIT_TEST(ColdTargetsAreUsedWhileRequestsWait);
     CPPUNIT_TEST(FewRequestsAreServedByColdTargets);
+    CPPUNIT_TEST(RareRequestsAreNoRise);
     CPPUNIT_TEST(TargetsThatReturnOneByOneDoNotRaiseTheLimit);
     CPPUNIT_TEST_SUITE_END();
 
@@ -527,6 +528,17 @@
         CPPUNIT_ASSERT_MESSAGE(fmt::format("{} of {}", model.SentCold, model.Requests), 5 * model.SentCold > model.Requests);
     }
 
+    // Guards against instances that take each of their rare requests for a rise: cold targets get at least a third of what they bear.
+    void RareRequestsAreNoRise()
+    {
+        ColdPlan plan = ReturnPlan(17);
+        plan.RequestsPerSecond = 10; // More than the three targets bear.
+        plan.WarmSeconds = 300;
+        const double used = UsedShare(plan);
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("{:.2f}", used), used > 1.0 / 3);
+        CheckBound(plan);
+    }
+
     // Guards against a limit that is computed from the few targets that have returned first.
     void TargetsThatReturnOneByOneDoNotRaiseTheLimit()
     {
--- a/winchlink_pool.cpp
+++ b/winchlink_pool.cpp
@@ -516,8 +516,10 @@
 {
     const PoolConfig& config = pool->Config;
     ServiceDemand& demand = pool->Demand;
+    // Where requests are rare, and so are probes, a report since the request before shows that warm targets are there.
+    const bool reported = now < demand.ReportUs + config.RecentUs || demand.ReportUs >= demand.Recent.AtUs;
     AddEvent(&demand.Recent, config.RecentUs, now);
-    if (demand.ReportUs > 0 && now < demand.ReportUs + config.RecentUs)
+    if (demand.ReportUs > 0 && reported)
     {
         AddEvent(&demand.Usual, config.UsualUs, now);
     }
