test.sh: suites in virtual time run beside the others

They took most of the time of a run, and more with each model: under sanitizers ColdLoadTest 485 s, DivisionLoadTest 408 s, LateProbeLoadTest 367 s, FollowBoundTest 315 s (seven suites side by side). They hang on no clock, so up to half as many processes as processors now run at once; suites in real time stay one after the other in one process. What is run and counted is the same.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -6,6 +6,7 @@
 
 Passed=0
 Failed=0
+PartsAtOnce=$(($(nproc) / 2 > 1 ? $(nproc) / 2 : 2)) # Half of the processors, as tests in real time run beside the others.
 
 Build() # folder, sanitizers, build type
 {
@@ -13,30 +14,70 @@
     cmake --build "$1" -j"$(nproc)" >"$1/build.log" 2>&1 || { tail -50 "$1/build.log"; return 1; }
 }
 
-Run() # folder, arguments...
+# Suites in virtual time. The load of the machine does not change them, so they run beside each other and beside the others.
+VirtualSuites() # folder
 {
-    local Folder=$1
-    shift
-    "$Folder/winchtests" "$@" >"$Folder/tests.log" 2>"$Folder/tests.err"
-    local Code=$?
-    grep -E '^(FAIL|known red|  )' "$Folder/tests.log"
-    local Last
-    Last=$(tail -1 "$Folder/tests.log")
-    echo "$Folder: $Last"
-    local P F
-    P=$(echo "$Last" | sed -n 's/^\([0-9]*\) passed, \([0-9]*\) failed$/\1/p')
-    F=$(echo "$Last" | sed -n 's/^\([0-9]*\) passed, \([0-9]*\) failed$/\2/p')
+    "$1/winchtests" --list | sed -n 's/^test \(Winchlink::[A-Za-z]*LoadTest\)::.*/\1/p; s/^test \(Winchlink::FollowBoundTest\)::.*/\1/p' | sort -u
+}
+
+# Runs a part of the tests. Writes its output to the folder, and its exit code.
+RunPart() # folder, part, arguments...
+{
+    local Folder=$1 Part=$2
+    shift 2
+    "$Folder/winchtests" "$@" >"$Folder/$Part.log" 2>"$Folder/$Part.err"
+    echo $? >"$Folder/$Part.code"
+}
+
+# Adds the result of a part to the totals.
+CountPart() # folder, part
+{
+    local Folder=$1 Part=$2 Code P F
+    Code=$(cat "$Folder/$Part.code")
+    grep -E '^(FAIL|known red|  )' "$Folder/$Part.log"
+    P=$(sed -n '$s/^\([0-9]*\) passed, \([0-9]*\) failed$/\1/p' "$Folder/$Part.log")
+    F=$(sed -n '$s/^\([0-9]*\) passed, \([0-9]*\) failed$/\2/p' "$Folder/$Part.log")
     if [ "${P:-0}" -eq 0 ] || { [ "$Code" -ne 0 ] && [ "$F" -eq 0 ]; }
     then
         # It crashed, ran no test, or a sanitizer reported an error at exit.
-        echo "$Folder: exit code $Code"
-        tail -60 "$Folder/tests.err"
+        echo "$Folder: $Part: exit code $Code"
+        tail -60 "$Folder/$Part.err"
         Failed=$((Failed + 1))
     fi
     Passed=$((Passed + ${P:-0}))
     Failed=$((Failed + ${F:-0}))
 }
 
+Run() # folder, arguments...
+{
+    local Folder=$1
+    shift
+    local Suites Suite Skipped=()
+    mapfile -t Suites < <(VirtualSuites "$Folder")
+    rm -f "$Folder"/tests*.code
+    for Suite in "${Suites[@]}"
+    do
+        Skipped+=(--skip "$Suite")
+    done
+    RunPart "$Folder" tests "$@" "${Skipped[@]}" &
+    for Suite in "${Suites[@]}"
+    do
+        while [ "$(jobs -rp | wc -l)" -ge "$PartsAtOnce" ]
+        do
+            wait -n
+        done
+        RunPart "$Folder" "tests-${Suite#Winchlink::}" --only "$Suite" "$@" &
+    done
+    wait
+    local Before=$Passed FailedBefore=$Failed
+    CountPart "$Folder" tests
+    for Suite in "${Suites[@]}"
+    do
+        CountPart "$Folder" "tests-${Suite#Winchlink::}"
+    done
+    echo "$Folder: $((Passed - Before)) passed, $((Failed - FailedBefore)) failed"
+}
+
 Variant() # folder, sanitizers, build type, test arguments...
 {
     local Folder=$1 Sanitizers=$2 Type=$3
