--- a/tests/endless_answers_test.cpp
+++ b/tests/endless_answers_test.cpp
@@ -283,7 +283,7 @@
     }
 
     // Nothing ends the request before the answer has reached its bound, however slow the machine is.
-    static UsersRoute PatientRoute()
+    static UsersRoute RelaxedRoute()
     {
         UsersRoute route;
         route.TimeoutS = RelaxedAimS;
@@ -291,7 +291,7 @@
         return route;
     }
 
-    static RigCall PatientCall()
+    static RigCall RelaxedCall()
     {
         RigCall call;
         call.DeadlineMs = static_cast<int>(RelaxedAimS) * 1000;
@@ -305,11 +305,11 @@
         const EndlessServer endless(&rig.Loop, kind, on_health_checks);
         UsersStoreTarget(&rig.Store, "t1", "svc", endless.Address, "dc-a");
         RigTarget(&rig, "t2", "svc", "dc-b");
-        RigConfigure(&rig, {PatientRoute()});
+        RigConfigure(&rig, {RelaxedRoute()});
         const Gateway& instance = RigInstance(&rig, 2);
         for (int n = 0; n < 6; n++)
         {
-            const RigAnswer answer = RigSendAndWait(&rig, instance, PatientCall());
+            const RigAnswer answer = RigSendAndWait(&rig, instance, RelaxedCall());
             const std::string text = fmt::format("{}, request {}: {}", kind.Name, n, answer.Answer.Status);
             CPPUNIT_ASSERT_EQUAL_MESSAGE(text, 200, answer.Answer.Status);
         }
@@ -345,11 +345,11 @@
         const EndlessServer endless(&rig.Loop, {"trailers", Chunked + "0\r\n", "a:b\r\n"}, false);
         UsersStoreTarget(&rig.Store, "t1", "svc", endless.Address, "dc-a");
         const UsersTarget& sound = RigTarget(&rig, "t2", "svc", "dc-b");
-        UsersRoute route = PatientRoute();
+        UsersRoute route = RelaxedRoute();
         route.Safe = false;
         RigConfigure(&rig, {route});
         const Gateway& instance = RigInstance(&rig, 2);
-        RigCall call = PatientCall();
+        RigCall call = RelaxedCall();
         call.Method = "POST";
         CPPUNIT_ASSERT_EQUAL(502, RigSendAndWait(&rig, instance, call).Answer.Status);
         CPPUNIT_ASSERT_EQUAL(size_t{0}, sound.Saw.size());
