Framing without end is found while libcurl reads it, not only when its server pauses

Cause: bytes of framing were counted after each event of the socket. libcurl does not return from it while more bytes are ready, and it passes none of these bytes to a callback; so the count came only once the server paused. The tests' stand-in ran in the loop of the client, and so always paused.

Evidence: EndlessAnswersTest::EachKindIsGivenUpThoughBytesComeFast, whose server is a thread, failed with the client as it was: "a chunk extension after 0: answer too large: framing,  bytes", after 5.3 s.

Change: the progress callback counts, and ends the transfer. It needs the socket: libcurl tells that of a new connection, and the local address before each request, by which the client finds the socket of a reused one. Ruled out: CURLINFO_ACTIVESOCKET (-1 during a transfer).

--- a/gateway/client.cpp
+++ b/gateway/client.cpp
@@ -5,14 +5,15 @@
 // ClientRequest::AcceptsHeaders() checks the headers first.
 //
 // libcurl hands over neither the framing of chunks, such as their extensions, nor a line before its end, however long these become. Their
-// bytes are the ones that the socket has delivered beyond those of headers and body.
+// bytes are the ones that the socket has delivered beyond those of headers and body. They are counted in the progress callback: as long as
+// bytes arrive faster than libcurl reads them, it does not return to the event loop.
 //
 // Index of this file:
 // [SECTION] Calls
 // [SECTION] libcurl's callbacks
+// [SECTION] Bytes that are neither headers nor body
 // [SECTION] Dead connections
 // [SECTION] Ending a call
-// [SECTION] Bytes that are neither headers nor body
 // [SECTION] The event loop
 // [SECTION] Sending
 
@@ -23,6 +24,7 @@
 #include "socket.h"
 
 #include <cassert>
+#include <unistd.h>
 
 namespace Winchlink
 {
@@ -32,7 +34,7 @@
 static constexpr int MaxHeadLines = 1000;            // Lines of headers and trailers of an answer; libcurl keeps each, also if it is short.
 static constexpr size_t MaxBodyBytes = 32 * MiB;     // Bodies of all answers in flight, as instances have little memory. Beyond it,
 static constexpr size_t MaxBodyWhenFull = 4 * MiB;   // answers that are larger than this are given up.
-static constexpr int FramingCheckEvents = 4;         // Bytes of framing are counted at each so many events of the socket.
+static constexpr int FramingCheckSteps = 4;          // Bytes of framing are counted at each so many steps of libcurl, of 1.6 MB at most.
 static constexpr int64_t MaxFramingBytes = 64 * KiB; // Bytes of framing of an answer,
 static constexpr int64_t MaxFramingPerByte = 16;     // and for each byte of headers and body: chunks may be as small as one byte.
 
@@ -52,32 +54,49 @@
     CURL* Easy = nullptr;
     HeaderList Headers{nullptr, curl_slist_free_all};
     TimeUs StartedUs = 0;
-    Timer ListenTimer;                     // End of TimeoutUs, then of ListenUs, if the latter is set.
-    TimeUs SilentSinceUs = 0;              // Time of the mark in Client::DeadSince that this call has set; 0: none.
-    TimeUs LinkOccupiedUs = 0;             // OwnLinkOccupiedUs() at StartedUs.
-    TimeUs ExtraUs = 0;                    // Time granted beyond ListenUs, as the link was occupied,
-    TimeUs ExtendedAtUs = 0;               // and when the first of it was granted; 0: none was.
-    bool Sent = false;                     // The pre-request callback has let the request be sent.
-    bool ClosedUnanswered = false;         // The connection was closed without an answer, and libcurl's resend was prevented.
-    bool Withheld = false;                 // MaySend returned false.
-    bool Mismatched = false;               // The answer belongs to another request.
-    const char* TooLarge = nullptr;        // The part of the answer that exceeds its bound; null if none.
-    bool HeadRead = false;                 // All headers of the final answer were received.
-    size_t HeadBytes = 0;                  // Bytes of headers and trailers so far, with those of interim answers,
-    int HeadLines = 0;                     // and their lines.
-    size_t BodyBytes = 0;                  // Body bytes so far.
-    int SocketEvents = 0;                  // Events of its socket so far.
-    std::optional<int64_t> UncountedBytes; // Bytes that the socket had delivered then, less those of headers and body, at the first count.
-    int64_t CountedBefore = 0;             // Bytes of headers and body at that time.
+    Timer ListenTimer;                      // End of TimeoutUs, then of ListenUs, if the latter is set.
+    TimeUs SilentSinceUs = 0;               // Time of the mark in Client::DeadSince that this call has set; 0: none.
+    TimeUs LinkOccupiedUs = 0;              // OwnLinkOccupiedUs() at StartedUs.
+    TimeUs ExtraUs = 0;                     // Time granted beyond ListenUs, as the link was occupied,
+    TimeUs ExtendedAtUs = 0;                // and when the first of it was granted; 0: none was.
+    bool Sent = false;                      // The pre-request callback has let the request be sent.
+    bool ClosedUnanswered = false;          // The connection was closed without an answer, and libcurl's resend was prevented.
+    bool Withheld = false;                  // MaySend returned false.
+    bool Mismatched = false;                // The answer belongs to another request.
+    const char* TooLarge = nullptr;         // The part of the answer that exceeds its bound; null if none.
+    bool HeadRead = false;                  // All headers of the final answer were received.
+    size_t HeadBytes = 0;                   // Bytes of headers and trailers so far, with those of interim answers,
+    int HeadLines = 0;                      // and their lines.
+    size_t BodyBytes = 0;                   // Body bytes so far.
+    curl_socket_t Socket = CURL_SOCKET_BAD; // Of its connection.
+    int Steps = 0;                          // Calls of the progress callback since it was sent.
+    std::optional<int64_t> UncountedBytes;  // Bytes that the socket had delivered then, less those of headers and body, at the first count.
+    int64_t CountedBefore = 0;              // Bytes of headers and body at that time.
 };
 
 //-----------------------------------------------------------------------------
 // [SECTION] libcurl's callbacks
 //-----------------------------------------------------------------------------
 
-static int OnBeforeSend(void* user, char*, char*, int, int)
+// libcurl tells the socket of a connection only when it opens it, and the local address before each request: the latter leads from a reused
+// connection to its socket.
+static void FindSocket(ClientCall* call, const char* local_ip, int local_port)
+{
+    const std::string address = std::string(local_ip) + ":" + std::to_string(local_port);
+    std::map<std::string, curl_socket_t>& connections = call->Owner->Connections;
+    if (call->Socket != CURL_SOCKET_BAD)
+    {
+        connections[address] = call->Socket;
+        return;
+    }
+    const auto found = connections.find(address);
+    call->Socket = found != connections.end() ? found->second : CURL_SOCKET_BAD;
+}
+
+static int OnBeforeSend(void* user, char*, char* local_ip, int, int local_port)
 {
     auto* call = static_cast<ClientCall*>(user);
+    FindSocket(call, local_ip, local_port);
     if (call->Sent)
     {
         call->ClosedUnanswered = true;
@@ -167,14 +186,66 @@
     return length;
 }
 
-static int OnConnectionOpened(void* user, curl_socket_t, curlsocktype)
+static int OnConnectionOpened(void* user, curl_socket_t socket, curlsocktype)
 {
     auto* call = static_cast<ClientCall*>(user);
+    call->Socket = socket;
     call->Owner->ConnectionsOpened++;
     call->Answer.NewConnection = true;
     return CURL_SOCKOPT_OK;
 }
 
+static int OnConnectionClosed(void* user, curl_socket_t socket)
+{
+    std::map<std::string, curl_socket_t>& connections = static_cast<Client*>(user)->Connections;
+    for (auto entry = connections.begin(); entry != connections.end();)
+    {
+        entry = entry->second == socket ? connections.erase(entry) : std::next(entry);
+    }
+    return close(socket);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Bytes that are neither headers nor body
+//-----------------------------------------------------------------------------
+
+// Whether the answer has too many bytes that are neither headers nor body. Few steps are enough for most answers, so counting costs these
+// nothing; of a reused connection the bytes of earlier answers are left out by the first count.
+static bool HasTooMuchFraming(ClientCall* call)
+{
+    call->Steps++;
+    if (call->Steps % FramingCheckSteps != 0)
+    {
+        return false;
+    }
+    const std::optional<int64_t> read = SocketBytesRead(call->Socket);
+    if (!read)
+    {
+        return false;
+    }
+    const auto counted = static_cast<int64_t>(call->HeadBytes + call->BodyBytes);
+    if (!call->UncountedBytes)
+    {
+        call->UncountedBytes = *read - counted;
+        call->CountedBefore = counted;
+        return false;
+    }
+    const int64_t framing = *read - counted - *call->UncountedBytes;
+    return framing > MaxFramingBytes + MaxFramingPerByte * (counted - call->CountedBefore);
+}
+
+// libcurl's progress callback. Ends the call if its answer consists of framing.
+static int OnStep(void* user, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
+{
+    auto* call = static_cast<ClientCall*>(user);
+    if (!call->Sent || !HasTooMuchFraming(call))
+    {
+        return 0;
+    }
+    call->TooLarge = "framing";
+    return 1;
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Dead connections
 //-----------------------------------------------------------------------------
@@ -383,48 +454,6 @@
     }
 }
 
-//-----------------------------------------------------------------------------
-// [SECTION] Bytes that are neither headers nor body
-//-----------------------------------------------------------------------------
-
-// Whether the answer has too many bytes that are neither headers nor body. Few events are enough for most answers, so counting costs these
-// nothing; of a reused connection the bytes of earlier answers are left out by the first count.
-static bool HasTooMuchFraming(ClientCall* call, curl_socket_t socket)
-{
-    call->SocketEvents++;
-    if (call->SocketEvents % FramingCheckEvents != 0)
-    {
-        return false;
-    }
-    const std::optional<int64_t> read = SocketBytesRead(socket);
-    if (!read)
-    {
-        return false;
-    }
-    const auto counted = static_cast<int64_t>(call->HeadBytes + call->BodyBytes);
-    if (!call->UncountedBytes)
-    {
-        call->UncountedBytes = *read - counted;
-        call->CountedBefore = counted;
-        return false;
-    }
-    const int64_t framing = *read - counted - *call->UncountedBytes;
-    return framing > MaxFramingBytes + MaxFramingPerByte * (counted - call->CountedBefore);
-}
-
-// Ends the call that uses the socket if its answer consists of framing.
-static void CheckFraming(Client* client, curl_socket_t socket)
-{
-    const auto found = client->Sockets.find(socket);
-    const auto entry = found != client->Sockets.end() ? client->Calls.find(found->second.CallId) : client->Calls.end();
-    if (entry == client->Calls.end() || !HasTooMuchFraming(entry->second.get(), socket))
-    {
-        return;
-    }
-    entry->second->TooLarge = "framing";
-    Finish(client, entry->second->Easy, CURLE_WRITE_ERROR);
-}
-
 //-----------------------------------------------------------------------------
 // [SECTION] The event loop
 //-----------------------------------------------------------------------------
@@ -435,7 +464,6 @@
         ((events & (UV_READABLE | UV_DISCONNECT)) != 0 ? CURL_CSELECT_IN : 0) | ((events & UV_WRITABLE) != 0 ? CURL_CSELECT_OUT : 0);
     int running = 0;
     curl_multi_socket_action(client->Multi, socket, flags, &running);
-    CheckFraming(client, socket);
     FinishAll(client);
 }
 
@@ -444,7 +472,7 @@
     return ((what & CURL_POLL_IN) != 0 ? UV_READABLE : 0) | ((what & CURL_POLL_OUT) != 0 ? UV_WRITABLE : 0);
 }
 
-static int OnSocket(CURL* easy, curl_socket_t socket, int what, void* user, void*)
+static int OnSocket(CURL*, curl_socket_t socket, int what, void* user, void*)
 {
     auto* client = static_cast<Client*>(user);
     if (what == CURL_POLL_REMOVE)
@@ -452,16 +480,13 @@
         client->Sockets.erase(socket);
         return 0;
     }
-    void* call = nullptr;
-    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &call); // Null for libcurl's own handle, which closes connections.
-    ClientSocket& watched = client->Sockets[socket];
-    watched.CallId = call != nullptr ? static_cast<ClientCall*>(call)->Id : 0;
-    if (watched.Ready)
+    Watch& watched = client->Sockets[socket];
+    if (watched)
     {
-        WatchChange(watched.Ready.get(), EventsOf(what));
+        WatchChange(watched.get(), EventsOf(what));
         return 0;
     }
-    watched.Ready = WatchStart(client->Loop, socket, EventsOf(what), [client, socket](int events) { OnReady(client, socket, events); });
+    watched = WatchStart(client->Loop, socket, EventsOf(what), [client, socket](int events) { OnReady(client, socket, events); });
     return 0;
 }
 
@@ -585,6 +610,11 @@
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, OnConnectionOpened);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, call);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, OnConnectionClosed);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, call->Owner);
+    curl_easy_setopt(easy, CURLOPT_XFERINFOFUNCTION, OnStep);
+    curl_easy_setopt(easy, CURLOPT_XFERINFODATA, call);
+    curl_easy_setopt(easy, CURLOPT_NOPROGRESS, 0L); // Enables OnStep().
     curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
     if (!call->Owner->SourceIp.empty())
     {
--- a/gateway/client.h
+++ b/gateway/client.h
@@ -71,13 +71,6 @@
 
 struct ClientCall;
 
-// A socket that is watched for libcurl.
-struct ClientSocket
-{
-    Watch Ready;
-    uint64_t CallId = 0; // The call that uses it; 0 if none.
-};
-
 struct Client
 {
     EventLoop* Loop = nullptr;
@@ -85,7 +78,8 @@
     Timer Timeout;                                         // Next timeout requested by libcurl.
     OwnLink* Link = nullptr;                               // Told of answers' bytes, extends ListenUs; may be null.
     std::string SourceIp;                                  // IP from which connections are opened; empty: chosen by the system.
-    std::map<curl_socket_t, ClientSocket> Sockets;         // Sockets watched for libcurl.
+    std::map<curl_socket_t, Watch> Sockets;                // Sockets watched for libcurl.
+    std::map<std::string, curl_socket_t> Connections;      // Open connections by their local address.
     std::map<uint64_t, std::unique_ptr<ClientCall>> Calls; // In flight, by id.
     std::vector<CURL*> IdleHandles;                        // Easy handles for reuse.
     std::map<std::string, TimeUs> DeadSince;               // By address: when a request last timed out on a reused connection.
--- a/tests/endless_answers_test.cpp
+++ b/tests/endless_answers_test.cpp
@@ -6,8 +6,10 @@
 #include "pages.h"
 #include "socket.h"
 
+#include <atomic>
 #include <fmt/format.h>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 namespace Winchlink
@@ -203,12 +205,75 @@
                        [](const auto& connection) { return connection->Closed || connection->Answer == nullptr; });
 }
 
+// The same as EndlessServer, one connection, in a thread of its own: bytes come also while the client is reading.
+struct FastServer
+{
+    std::string Address = FreeAddress();
+    EndlessAnswer Answer;
+    int ProperAnswers = 0; // So many requests get a proper answer first.
+    int Listening = socket(AF_INET, SOCK_STREAM, 0);
+    std::atomic<size_t> Sent = 0;
+    std::thread Sender;
+
+    FastServer(EndlessAnswer answer, int proper_answers);
+    ~FastServer();
+    FastServer(const FastServer&) = delete;
+    FastServer& operator=(const FastServer&) = delete;
+};
+
+bool SendAll(int connection, const std::string& bytes)
+{
+    return send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size());
+}
+
+void SendWithoutEnd(FastServer* server)
+{
+    const int connection = accept(server->Listening, nullptr, nullptr);
+    std::string buffer(64 * KiB, '\0');
+    bool open = true;
+    for (int n = 0; n < server->ProperAnswers && open; n++)
+    {
+        open = recv(connection, buffer.data(), buffer.size(), 0) > 0 && SendAll(connection, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    }
+    open = open && recv(connection, buffer.data(), buffer.size(), 0) > 0;
+    const std::string& head = server->Answer.Head;
+    const size_t own_headers = head.find("{}");
+    open = open && SendAll(connection, own_headers != std::string::npos ? std::string(head).erase(own_headers, 2) : head);
+    std::string repeated;
+    while (repeated.size() < buffer.size())
+    {
+        repeated += server->Answer.Repeated;
+    }
+    while (open)
+    {
+        open = SendAll(connection, repeated);
+        server->Sent += repeated.size();
+    }
+    close(connection);
+}
+
+FastServer::FastServer(EndlessAnswer answer, int proper_answers) : Answer(std::move(answer)), ProperAnswers(proper_answers)
+{
+    const sockaddr_in at = ToSocketAddress(ParseEndpoint(Address).value());
+    CPPUNIT_ASSERT_EQUAL(0, bind(Listening, reinterpret_cast<const sockaddr*>(&at), sizeof at));
+    CPPUNIT_ASSERT_EQUAL(0, listen(Listening, 16));
+    Sender = std::thread([this]() { SendWithoutEnd(this); });
+}
+
+FastServer::~FastServer()
+{
+    shutdown(Listening, SHUT_RDWR); // Ends accept(); a connection has ended with its client.
+    Sender.join();
+    close(Listening);
+}
+
 } // namespace
 
 class EndlessAnswersTest : public CPPUNIT_NS::TestFixture
 {
     CPPUNIT_TEST_SUITE(EndlessAnswersTest);
     CPPUNIT_TEST(EachKindIsGivenUp);
+    CPPUNIT_TEST(EachKindIsGivenUpThoughBytesComeFast);
     CPPUNIT_TEST(AnEndlessAnswerOnAReusedConnectionIsGivenUp);
     CPPUNIT_TEST(LargeAnswersInSmallChunksArePassedOn);
     CPPUNIT_TEST(RequestsAreServedBesideEndlessAnswers);
@@ -245,6 +310,31 @@
         }
     }
 
+    // Guards against a client that reads such an answer, and does nothing else, as long as the server sends faster than it reads. With some
+    // proper answers before, the connection is a reused one.
+    void EachKindIsGivenUpThoughBytesComeFast()
+    {
+        for (const EndlessAnswer& kind : AllKinds())
+        {
+            for (const int proper_answers : {0, 3})
+            {
+                FastServer server(kind, proper_answers);
+                EventLoop loop;
+                Client client;
+                ClientStart(&client, &loop);
+                for (int n = 0; n < proper_answers; n++)
+                {
+                    CPPUNIT_ASSERT_EQUAL(200, ClientSendAndWait(&client, Call(server.Address)).Status);
+                }
+                const ClientAnswer answer = ClientSendAndWait(&client, Call(server.Address));
+                const std::string text =
+                    fmt::format("{} after {}: {}, {} bytes", kind.Name, proper_answers, answer.Detail, server.Sent.load());
+                CPPUNIT_ASSERT_MESSAGE(text, answer.End == ClientEnd_Broken || answer.End == ClientEnd_Lost);
+                CPPUNIT_ASSERT_MESSAGE(text, server.Sent.load() <= ReadMax);
+            }
+        }
+    }
+
     // Guards against bytes of earlier answers that are taken for those of this one, or the other way round.
     void AnEndlessAnswerOnAReusedConnectionIsGivenUp()
     {
