EndlessAnswersTest: the fast server sends the rest after a part

A process that is stopped while it sends sends a part. The server took that for the end and closed, which ends a body without length properly.

--- a/tests/endless_answers_test.cpp
+++ b/tests/endless_answers_test.cpp
@@ -223,7 +223,14 @@
 
 bool SendAll(int connection, const std::string& bytes)
 {
-    return send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size());
+    size_t sent = 0;
+    ssize_t last = 1;
+    while (sent < bytes.size() && last > 0) // A process that was stopped sends a part only.
+    {
+        last = send(connection, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+        sent += last > 0 ? static_cast<size_t>(last) : 0;
+    }
+    return sent == bytes.size();
 }
 
 void SendWithoutEnd(FastServer* server)
