Tests: each draw is a statement of its own, so that a seed gives the same case everywhere

What was seen: on a machine with ARM processors two entries of KNOWN-RED.txt passed, QuotaLoadTest::ASmallCustomerWhileMostAreIsolated and TargetLimitLoadTest::ALoadJumpDuringRestarts.

Cause: five calls drew two random numbers in their arguments, whose order of evaluation C++ leaves open. g++ evaluates them from the right on x86-64 and from the left on ARM, clang from the left everywhere, so a seed gave another series of faults there.

Evidence: with the draws in the order of x86-64 both fail on ARM as listed, 60 of 56 and 37 of 29 requests in a window. Ruled out: fused multiplication and addition on ARM; with -ffp-contract=off both passed still. All other statements with several draws were looked at: lists in braces, conditions and assignments have a fixed order.

The seeds keep the cases that they stand for.

--- a/tests/quarantine_test.cpp
+++ b/tests/quarantine_test.cpp
@@ -262,7 +262,8 @@
                            for (int64_t n = dice.Between(1, 30); n > 0; n--)
                            {
                                const std::string request = fmt::format("r{}", dice.Between(0, 4));
-                               QuarantineAddCrash(&source, request, fmt::format("t{}", dice.Between(0, 8)), dice.Between(0, now));
+                               const TimeUs at = dice.Between(0, now);
+                               QuarantineAddCrash(&source, request, fmt::format("t{}", dice.Between(0, 8)), at);
                                if (dice.OneIn(8))
                                {
                                    QuarantineClear(&source, request);
--- a/tests/quota_load_test.cpp
+++ b/tests/quota_load_test.cpp
@@ -361,7 +361,8 @@
         case 2: // Restarts some instances.
             for (int64_t n = dice->Between(1, count / 2); n > 0; n--)
             {
-                QuotaFleetRestart(fleet, static_cast<int>(dice->Between(0, count)), dice->Between(0, 3) * UsPerSecond);
+                const TimeUs down = dice->Between(0, 3) * UsPerSecond;
+                QuotaFleetRestart(fleet, static_cast<int>(dice->Between(0, count)), down);
             }
             break;
         default:
@@ -373,7 +374,8 @@
     // A fleet after a random series of faults.
     static QuotaFleet FleetAfterFaults(TestRandom* dice)
     {
-        QuotaFleet fleet = UsualFleet(static_cast<int>(dice->Between(12, 130)), dice->Rng());
+        const uint64_t seed = dice->Rng();
+        QuotaFleet fleet = UsualFleet(static_cast<int>(dice->Between(12, 130)), seed);
         for (int64_t n = dice->Between(2, 8); n > 0; n--)
         {
             InjectFault(&fleet, dice);
--- a/tests/share_test.cpp
+++ b/tests/share_test.cpp
@@ -81,7 +81,8 @@
         }
         if (dice->OneIn(2))
         {
-            PoolReport(target, {static_cast<int>(dice->Between(0, 4)), 0, 3, 100}, Start - dice->Between(0, 100 * UsPerMs));
+            const TimeUs age = dice->Between(0, 100 * UsPerMs);
+            PoolReport(target, {static_cast<int>(dice->Between(0, 4)), 0, 3, 100}, Start - age);
         }
     }
 }
--- a/tests/target_limit_load_test.cpp
+++ b/tests/target_limit_load_test.cpp
@@ -257,8 +257,11 @@
         switch (dice->Between(0, 4))
         {
         case 0:
-            SetPartitions(fleet, static_cast<size_t>(dice->Between(3, 9)), dice->OneIn(2));
+        {
+            const bool together = dice->OneIn(2);
+            SetPartitions(fleet, static_cast<size_t>(dice->Between(3, 9)), together);
             break;
+        }
         case 1:
             for (QuotaFleetInstance& instance : fleet->Instances)
             {
@@ -268,7 +271,8 @@
         case 2:
             for (int64_t n = dice->Between(1, count / 4); n > 0; n--)
             {
-                QuotaFleetRestart(fleet, static_cast<int>(dice->Between(0, count)), dice->Between(0, 3) * UsPerSecond);
+                const TimeUs down = dice->Between(0, 3) * UsPerSecond;
+                QuotaFleetRestart(fleet, static_cast<int>(dice->Between(0, count)), down);
             }
             break;
         default:
