Soak: a fault publishes a target's entry again as the same process

Cause: in the soak. A target that starts again has its start time in its entry, which tells its process from the one before. Four faults published the entry again without it: entries that lapse, invalid ones that are repaired, cold ones, drains. An instance then has to take the target for another process, which has asked for nothing. A lapsed entry was also published again when the target had been replaced or removed meanwhile.

SoakAuditTest::EntriesArePublishedAgainAsTheyWere guards against it; there was no function to test before, so it has not been seen to fail.

The check of refusals stays as it is.

--- a/bench/soak.h
+++ b/bench/soak.h
@@ -172,6 +172,9 @@
 // Starts a new process of the target under the same id at another address; `born`: see UsersStoreTarget().
 SoakTarget* StartAgain(Soak* soak, const SoakTarget& former, uint64_t born);
 
+// Publishes the entry of the target's process, unless it belongs to another process or to none by now; `cold_s`: see UsersStoreTarget().
+void PublishEntry(Soak* soak, const SoakTarget& target, bool draining = false, double cold_s = 0);
+
 // Publishes the next configuration.
 void Configure(Soak* soak);
 
--- a/bench/soak_ends.cpp
+++ b/bench/soak_ends.cpp
@@ -188,14 +188,7 @@
     }
     soak->Log.Drains.push_back({id, NowUs()});
     soak->Spoilt[id] = soak->Log.Drains.size() - 1;
-    Later(soak, DrawWithCrashesRng(soak, 200, 4000) * UsPerMs,
-          [soak, target]()
-          {
-              if (target->Listed)
-              {
-                  UsersStoreTarget(&soak->Store, target->Part.Id, target->Service, target->Before.Address, target->Zone);
-              }
-          });
+    Later(soak, DrawWithCrashesRng(soak, 200, 4000) * UsPerMs, [soak, target]() { PublishEntry(soak, *target); });
 }
 
 //-----------------------------------------------------------------------------
--- a/bench/soak_faults.cpp
+++ b/bench/soak_faults.cpp
@@ -151,7 +151,7 @@
 {
     const std::string id = target->Part.Id;
     AddTarget(soak, target->Service, target->Zone);
-    UsersStoreTarget(&soak->Store, id, target->Service, target->Before.Address, target->Zone, true);
+    PublishEntry(soak, *target, true);
     soak->Log.Drains.push_back({id, NowUs()});
     target->Listed = false;
     target->Next = TimerStart(&soak->Loop, MsBetween(soak, 2500, 5000),
@@ -165,9 +165,7 @@
 static void RemoveEntryBriefly(Soak* soak, SoakTarget* target)
 {
     UsersStoreRemove(&soak->Store, "servers/" + target->Part.Id);
-    target->Next = TimerStart(&soak->Loop, MsBetween(soak, 100, 1500),
-                              [soak, target]()
-                              { UsersStoreTarget(&soak->Store, target->Part.Id, target->Service, target->Before.Address, target->Zone); });
+    target->Next = TimerStart(&soak->Loop, MsBetween(soak, 100, 1500), [soak, target]() { PublishEntry(soak, *target); });
 }
 
 // The target crashes, and a target of the other service gets its address before the store holds the change.
@@ -194,11 +192,7 @@
     soak->Log.Colds.push_back({target->Part.Id, NowUs(), until});
     const auto publish_cold = [soak, target, until]()
     {
-        if (target->Listed)
-        {
-            const double left = static_cast<double>(until - NowUs()) / UsPerSecond;
-            UsersStoreTarget(&soak->Store, target->Part.Id, target->Service, target->Before.Address, target->Zone, false, left);
-        }
+        PublishEntry(soak, *target, false, static_cast<double>(until - NowUs()) / UsPerSecond);
     };
     Later(soak, MsBetween(soak, 50, 1500), publish_cold);
     Later(soak, cold_ms * UsPerMs, [target]() { target->Part.ColdMs = 0; });
--- a/bench/soak_parts.cpp
+++ b/bench/soak_parts.cpp
@@ -98,6 +98,14 @@
     EndDisruption(soak, &instance->Trouble);
 }
 
+void PublishEntry(Soak* soak, const SoakTarget& target, bool draining, double cold_s)
+{
+    if (target.Listed)
+    {
+        UsersStoreTarget(&soak->Store, target.Part.Id, target.Service, target.Before.Address, target.Zone, draining, cold_s, target.Born);
+    }
+}
+
 static SoakTarget* StartTarget(Soak* soak, const std::string& id, const std::string& service, const std::string& zone, uint64_t born)
 {
     soak->Targets.push_back(std::make_unique<SoakTarget>());
@@ -110,7 +118,7 @@
     UsersTargetStart(&target->Part, &soak->Loop, id, FreeLoopback());
     ProxyStart(&target->Before, &soak->Loop, FreeLoopback(), target->Part.Address);
     ApplyCuts(soak, target);
-    UsersStoreTarget(&soak->Store, id, service, target->Before.Address, target->Zone, false, 0, born);
+    PublishEntry(soak, *target);
     return target;
 }
 
--- a/tests/soak_audit_test.cpp
+++ b/tests/soak_audit_test.cpp
@@ -1,6 +1,7 @@
 // soak_audit_test.cpp: each check of the gateway soak must find the violation that a log contains, and nothing in a clean log.
 
 #include "check.h"
+#include "soak.h"
 #include "soak_audit.h"
 
 namespace Winchlink
@@ -108,6 +109,7 @@
     CPPUNIT_TEST(LiesThatNobodyBelieves);
     CPPUNIT_TEST(WorseServiceWhereANeighbourLies);
     CPPUNIT_TEST(NobodyToCompareWith);
+    CPPUNIT_TEST(EntriesArePublishedAgainAsTheyWere);
     CPPUNIT_TEST_SUITE_END();
 
     void FindsNothingInACleanLog()
@@ -395,6 +397,25 @@
         log.Disruptions = {{0, Start + 2 * UsPerSecond, Start + 3 * UsPerSecond, true}};
         CheckFindsOne(log, "no requests where a neighbour lies");
     }
+
+    // Guards against faults that publish an entry of another process: what a target has asked for holds for its own process only.
+    void EntriesArePublishedAgainAsTheyWere()
+    {
+        Soak soak;
+        SoakTarget target;
+        target.Part.Id = "t1";
+        target.Born = 1700000000000;
+        PublishEntry(&soak, target);
+        const std::string before = soak.Store.Items.at("servers/t1").Value;
+        CPPUNIT_ASSERT(before.find("\"born\":1700000000000") != std::string::npos);
+        UsersStoreRemove(&soak.Store, "servers/t1");
+        PublishEntry(&soak, target);
+        CPPUNIT_ASSERT_EQUAL(before, soak.Store.Items.at("servers/t1").Value);
+        UsersStoreRemove(&soak.Store, "servers/t1");
+        target.Listed = false; // It was removed or replaced meanwhile.
+        PublishEntry(&soak, target);
+        CPPUNIT_ASSERT(soak.Store.Items.empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SoakAuditTest);
