--- a/exchange/store_reader.h
+++ b/exchange/store_reader.h
@@ -102,7 +102,8 @@
     StoreSource FromInstance;
     TimeUs UnfollowedWaitUs = 0; // Long poll at the store while no other instance is known; 0: as usual.
     Follow Following;
-    // A full read, or changes up to a revision. What has changed since the data before has changed after the time `after`; 0: no data.
+    // A full read, or changes up to a revision. `after`: time at which the previous data was current, so that all changes are more recent;
+    // 0: there was no data.
     std::function<void(const StorePage& all, uint64_t at, TimeUs after)> OnAll;
     std::function<void(const std::vector<StoreItem>&, uint64_t at, TimeUs after)> OnChanges;
     std::function<void(const std::string& why, TimeUs tried)> OnStoreFailed; // The store failed, `tried` microseconds ago.
@@ -115,8 +116,8 @@
     Client* Calls = nullptr;
     Random* Rng = nullptr;
     std::vector<StoreItem> Pages;                               // Items of the pages read so far.
-    uint64_t PagesAt = 0;                                       // Revision of the first page,
-    TimeUs PagesSinceUs = 0;                                    // and when it was current.
+    uint64_t PagesAt = 0;                                       // Revision of the first page.
+    TimeUs PagesSinceUs = 0;                                    // Time at which the first page was current.
     bool HistoryGone = false;                                   // A full read is needed.
     uint64_t Current = 0;                                       // Id of the call in progress; 0 if none.
     TimeUs CalledUs = 0;                                        // When it was sent.
--- a/gateway/client.cpp
+++ b/gateway/client.cpp
@@ -31,12 +31,12 @@
 
 static constexpr long MaxIdleConnections = 256;      // Over all addresses together.
 static constexpr long MaxIdleReuseSeconds = 8;       // Less than the idle timeout of targets, which close connections after 10 s or more.
-static constexpr int MaxHeadLines = 1000;            // Lines of headers and trailers of an answer; libcurl keeps each, also if it is short.
-static constexpr size_t MaxBodyBytes = 32 * MiB;     // Bodies of all answers in flight, as instances have little memory. Beyond it,
-static constexpr size_t MaxBodyWhenFull = 4 * MiB;   // answers that are larger than this are given up.
-static constexpr int FramingCheckSteps = 4;          // Bytes of framing are counted at each so many steps of libcurl, of 1.6 MB at most.
-static constexpr int64_t MaxFramingBytes = 64 * KiB; // Bytes of framing of an answer,
-static constexpr int64_t MaxFramingPerByte = 16;     // and for each byte of headers and body: chunks may be as small as one byte.
+static constexpr int MaxHeadLines = 1000;            // Header and trailer lines of an answer; libcurl keeps each of them in memory.
+static constexpr size_t MaxBodyBytes = 32 * MiB;     // Body bytes of all answers in flight: small instances have little memory.
+static constexpr size_t MaxBodyWhenFull = 4 * MiB;   // Largest body of an answer while MaxBodyBytes is exceeded.
+static constexpr int FramingCheckSteps = 4;          // Progress callbacks between two counts of the framing, of 1.6 MB at most.
+static constexpr int64_t MaxFramingBytes = 64 * KiB; // Framing of an answer, in bytes,
+static constexpr int64_t MaxFramingPerByte = 16;     // plus so many for each byte of headers and body: a chunk may hold a single byte.
 
 //-----------------------------------------------------------------------------
 // [SECTION] Calls
@@ -65,21 +65,21 @@
     bool Mismatched = false;                // The answer belongs to another request.
     const char* TooLarge = nullptr;         // The part of the answer that exceeds its bound; null if none.
     bool HeadRead = false;                  // All headers of the final answer were received.
-    size_t HeadBytes = 0;                   // Bytes of headers and trailers so far, with those of interim answers,
-    int HeadLines = 0;                      // and their lines.
+    size_t HeadBytes = 0;                   // Bytes of headers and trailers so far, including those of interim answers.
+    int HeadLines = 0;                      // Lines of HeadBytes.
     size_t BodyBytes = 0;                   // Body bytes so far.
     curl_socket_t Socket = CURL_SOCKET_BAD; // Of its connection.
     int Steps = 0;                          // Calls of the progress callback since it was sent.
-    std::optional<int64_t> UncountedBytes;  // Bytes that the socket had delivered then, less those of headers and body, at the first count.
-    int64_t CountedBefore = 0;              // Bytes of headers and body at that time.
+    std::optional<int64_t> UncountedBytes;  // Bytes read from the socket before the first count, less CountedBefore; none before it.
+    int64_t CountedBefore = 0;              // Bytes of headers and body at the first count.
 };
 
 //-----------------------------------------------------------------------------
 // [SECTION] libcurl's callbacks
 //-----------------------------------------------------------------------------
 
-// libcurl tells the socket of a connection only when it opens it, and the local address before each request: the latter leads from a reused
-// connection to its socket.
+// libcurl passes the socket of a connection only when it opens it, but the local address before each request. The local address therefore
+// identifies the socket of a reused connection.
 static void FindSocket(ClientCall* call, const char* local_ip, int local_port)
 {
     const std::string address = std::string(local_ip) + ":" + std::to_string(local_port);
@@ -209,8 +209,8 @@
 // [SECTION] Bytes that are neither headers nor body
 //-----------------------------------------------------------------------------
 
-// Whether the answer has too many bytes that are neither headers nor body. Few steps are enough for most answers, so counting costs these
-// nothing; of a reused connection the bytes of earlier answers are left out by the first count.
+// Whether the answer has too many bytes that are neither headers nor body. Most answers end before the first count, so it costs them
+// nothing. The first count excludes the bytes of earlier answers on a reused connection.
 static bool HasTooMuchFraming(ClientCall* call)
 {
     call->Steps++;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -39,7 +39,7 @@
     std::vector<StoreItem> Items;
     uint64_t Revision = 0;   // Store revision of Items.
     bool IsSnapshot = false; // Items is a full snapshot; otherwise it holds the changes.
-    TimeUs AfterUs = 0;      // The changes since the data before came after this time; 0: there was no data.
+    TimeUs AfterUs = 0;      // Time at which the previous data was current, so that all changes are more recent; 0: there was none.
 };
 
 struct Gateway
--- a/gateway/loop.cpp
+++ b/gateway/loop.cpp
@@ -29,7 +29,7 @@
     std::function<void()> Run;
 };
 
-static constexpr TimeUs HeldUpMinUs = 20 * UsPerMs; // Callbacks seldom take as long, and timers are seldom as late.
+static constexpr TimeUs HeldUpMinUs = 20 * UsPerMs; // Longer than callbacks usually take, and than timers are usually late.
 
 // Updates LongestStepUs: the time since the last wait started, minus the time waited. Returns the latter.
 static TimeUs MeasureStep(EventLoop* loop)
--- a/requests/call.h
+++ b/requests/call.h
@@ -24,7 +24,7 @@
 // [SECTION] Call
 //-----------------------------------------------------------------------------
 
-inline constexpr size_t HealthAnswerBytesMax = 64 * KiB; // Body of the answer to a health check: a status and headers are all that counts.
+inline constexpr size_t HealthAnswerBytesMax = 64 * KiB; // Largest body of an answer to a health check; only status and headers are used.
 
 // One attempt: the request sent to one target, or handed to another instance.
 struct Attempt
--- a/winchlink.h
+++ b/winchlink.h
@@ -530,7 +530,7 @@
     int Weight = 1;                // From the directory.
     TimeUs ColdUntilUs = 0;        // End of its warm-up, during which it is cold and slower; 0 if none.
     int ColdSent = 0;              // Requests that this instance sent to it since the start of the warm-up.
-    double ColdAllowedBefore = 0;  // ServiceDemand::ColdAllowed at that start.
+    double ColdAllowedBefore = 0;  // ServiceDemand::ColdAllowed at the start of the warm-up.
     bool New = false;              // Added while the pool was in use, and this instance has not sent it a request yet.
     int64_t Order = 0;             // Among equals, the lowest is probed first, so that an instance reuses connections to the same targets.
     uint64_t Generation = 0;       // Differs after the target was removed and added again.
@@ -578,10 +578,10 @@
     double ColdFactor = 2.0;                // Cost factor of cold targets.
     double ColdPerS = 0;                    // See ServiceInfo.
     TimeUs ColdUs = 0;                      // See ServiceInfo.
-    double WorkGain = 0.02;                 // Weight of a new sample in the averages of ServiceDemand: some 50 samples count.
+    double WorkGain = 0.02;                 // Largest weight of a new sample in the averages of ServiceDemand.
     int WorkPrior = 2;                      // Number of reports that the initial value of ServiceDemand::Work counts as.
-    TimeUs UsualUs = 20 * UsPerSecond;      // Reports and requests of this instance are averaged over this time, as what is usual,
-    TimeUs RecentUs = UsPerSecond;          // and over this, as their rate now.
+    TimeUs UsualUs = 20 * UsPerSecond;      // Averaging time of the usual demand.
+    TimeUs RecentUs = UsPerSecond;          // Averaging time of the present demand.
     double GoodCost = 1.25;                 // A target with at most this cost is taken without further probes.
     double AcceptableCost = 2.0;            // Maximum cost of a target taken when no good one was found, see PoolIsAcceptable().
     TimeUs ReportMaxAgeUs = 150 * UsPerMs;  // Age at which a report is stale: load shifts within this time.
@@ -605,19 +605,19 @@
     TimeUs AtUs = 0;    // Time of the last one.
 };
 
-// How many requests all instances together send to a service, by what targets report: what each request adds to the number that cold
-// targets may get follows from it.
+// Estimate of the requests that all instances together send to a service, from load reports. It determines how many of them cold targets
+// get.
 struct ServiceDemand
 {
-    double Work = 0.5;      // Mean number of requests at a warm target, from load reports: of UsualUs, and of 50 reports at least.
+    double Work = 0.5;      // Mean number of requests at a warm target, from load reports, over UsualUs.
     int Reports = 0;        // Samples in Work.
     TimeUs ReportUs = 0;    // Time of the last one; 0: none.
     double WorkUs = 0;      // Mean time that a request of this instance spends at a warm target; 0: unknown.
-    double PerS = 0;        // Requests a second of all instances, as of the last report; 0: unknown.
-    EventRate Usual;        // Requests that arrive at this instance, while warm targets report.
-    EventRate Recent;       // The same at all times.
+    double PerS = 0;        // Requests a second of all instances, at the time of the last report; 0: unknown.
+    EventRate Usual;        // Requests that arrive at this instance while warm targets report.
+    EventRate Recent;       // Requests that arrive at this instance.
     EventRate Served;       // Requests of this instance that warm targets have served.
-    double ColdAllowed = 0; // Requests that this instance may have sent to a target that was cold all the time.
+    double ColdAllowed = 0; // Requests that this instance might have sent by now to a target that has always been cold.
 };
 
 struct TargetPool
@@ -1558,7 +1558,7 @@
     double CoveredMin = 0.5;                   // Below this covered part of the window, the fleet counts as just started.
     double EvenPartsMax = 3;                   // Maximum of an instance after a start of the fleet, in multiples of its even part.
     double MembersDefault = 100;               // Assumed number of instances while none is known.
-    double MembersUnheard = 600;               // The same at a seed that has heard no other: the largest fleet, as all may be such seeds.
+    double MembersUnheard = 600;               // The same at a seed that has heard no other: all of a large fleet may be such seeds.
     double PartitionedShare = 0.25;            // Part of the fleet that may each admit one request without a decision within Slack.
     double BurstShare = 2; // From this share on, an instance admits at most EvenPartsMax times its even part; above 1: no such bound.
     double TargetPerSMin = 1.0 / 60;               // Minimum rate of a target with a limit, so that its answers can report a higher limit.
--- a/winchlink_pool.cpp
+++ b/winchlink_pool.cpp
@@ -483,7 +483,7 @@
     rate->AtUs = now;
 }
 
-// Events a second until the last one, averaged over the given time or the time since the first event, if that is less.
+// Mean events a second up to the last one, over the given time or the time since the first event, whichever is shorter.
 static double MeanPerS(const EventRate& rate, TimeUs over)
 {
     const double passed = 1 - Decay(rate.AtUs - rate.FirstUs, over);
@@ -491,10 +491,10 @@
     return seconds > 0 ? (rate.Sum - 1) / seconds : 0;
 }
 
-// Factor by which requests add less to ColdAllowed, as more of them than usual arrive.
+// Factor by which a request adds less to ColdAllowed while more requests than usual arrive.
 static double DemandRise(const TargetPool& pool)
 {
-    constexpr double prior = 0.5;    // Requests added on both sides: one more or less is no rise where few arrive.
+    constexpr double prior = 0.5;    // Requests added to both rates, so that a single request is no rise where few arrive.
     constexpr double exponent = 1.5; // Above 1, as the average of recent requests follows a rise late.
     const PoolConfig& config = pool.Config;
     const double usual = MeanPerS(pool.Demand.Usual, config.UsualUs) * static_cast<double>(config.RecentUs) / UsPerSecond;
@@ -504,7 +504,7 @@
 // Part of this instance's requests that targets serve, while they are warm: the others are not in ServiceDemand::PerS.
 static double ServedPart(const TargetPool& pool)
 {
-    constexpr double prior = 0.5; // Requests added on both sides: one that is still in progress is no sign of a refusal.
+    constexpr double prior = 0.5; // Requests added to both counts: one that is still in progress has not been refused.
     const ServiceDemand& demand = pool.Demand;
     const TimeUs at = std::max(demand.Usual.AtUs, demand.Served.AtUs);
     const double arrived = demand.Usual.Sum * Decay(at - demand.Usual.AtUs, pool.Config.UsualUs);
@@ -516,7 +516,7 @@
 {
     const PoolConfig& config = pool->Config;
     ServiceDemand& demand = pool->Demand;
-    // Where requests are rare, and so are probes, a report since the request before shows that warm targets are there.
+    // Rare requests mean rare probes: a report since the previous request also shows that there are warm targets.
     const bool reported = now < demand.ReportUs + config.RecentUs || demand.ReportUs >= demand.Recent.AtUs;
     AddEvent(&demand.Recent, config.RecentUs, now);
     if (demand.ReportUs > 0 && reported)
