EndlessAnswersTest: bytes without end after a whole answer

An answer with a length may be followed by bytes that never end. The client stops reading at its end and closes such a connection before it would be used again.

--- a/tests/endless_answers_test.cpp
+++ b/tests/endless_answers_test.cpp
@@ -285,6 +285,7 @@
     CPPUNIT_TEST(EachKindIsGivenUpThoughBytesComeFast);
     CPPUNIT_TEST(AnEndlessAnswerOnAReusedConnectionIsGivenUp);
     CPPUNIT_TEST(LargeAnswersInSmallChunksArePassedOn);
+    CPPUNIT_TEST(BytesAfterAWholeAnswerAreNotRead);
     CPPUNIT_TEST(RequestsAreServedBesideEndlessAnswers);
     CPPUNIT_TEST(RequestsAreServedBesideEndlessHealthChecks);
     CPPUNIT_TEST(RequestsThatMayNotBeRepeatedFailOnce);
@@ -381,6 +382,26 @@
         CPPUNIT_ASSERT_EQUAL(length, answer.Body.size());
     }
 
+    // Guards against a client that reads on after the end of an answer, or keeps connections open on which bytes come without end.
+    void BytesAfterAWholeAnswerAreNotRead()
+    {
+        EventLoop loop;
+        Client client;
+        ClientStart(&client, &loop);
+        const std::string filler(1000, 'a');
+        const EndlessServer server(&loop, {"a body with a length", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", filler}, false);
+        for (int n = 0; n < 10; n++)
+        {
+            const ClientAnswer answer = ClientSendAndWait(&client, Call(server.Address));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.Detail, 200, answer.Status);
+            CPPUNIT_ASSERT_EQUAL(std::string("hello"), answer.Body);
+        }
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("{} bytes", server.LargestAnswer()), server.LargestAnswer() <= ReadMax);
+        const auto open =
+            std::count_if(server.Connections.begin(), server.Connections.end(), [](const auto& connection) { return !connection->Closed; });
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("{} connections", open), open <= 1);
+    }
+
     // Nothing ends the request before the answer has reached its bound, however slow the machine is.
     static UsersRoute RelaxedRoute()
     {
