Soak: requests that nobody may serve are no service that is worse during a cut

Cause: in the check. It compares instances that reach no target with the others. Refused callers come back sooner, so such requests outnumber those of the rest of the cut on both sides, and shares of nearly nothing are compared.

Change: requests that were sent while all data centres were evacuated, or up to 2 s after it, as in the check of lies, don't count. While one data centre is evacuated they do: instances without a path hand them to others.

SoakAuditTest::RequestsThatNobodyMayServe failed before. The check itself had no test; WorseServiceWhereTargetsAreNotReached shows that it can fail, at its bound.

--- a/bench/soak_audit.cpp
+++ b/bench/soak_audit.cpp
@@ -339,13 +339,39 @@
     }
 }
 
+// Whether the data centre was evacuated when the request was sent, or lately: instances learn of it at different times.
+static bool IsEvacuated(const SoakLog& log, const SoakBounds& bounds, const SoakRequest& request, const std::string& data_centre)
+{
+    const auto evacuates = [&](const SoakEvacuation& evacuation)
+    {
+        return evacuation.DataCentre == data_centre && request.EndedUs > evacuation.FromUs &&
+               request.SentUs < evacuation.UntilUs + bounds.EvacuateUs;
+    };
+    return std::any_of(log.Evacuations.begin(), log.Evacuations.end(), evacuates);
+}
+
+static bool IsAnyEvacuated(const SoakLog& log, const SoakBounds& bounds, const SoakRequest& request)
+{
+    return std::any_of(log.Evacuations.begin(), log.Evacuations.end(),
+                       [&](const SoakEvacuation& evacuation) { return IsEvacuated(log, bounds, request, evacuation.DataCentre); });
+}
+
+// Whether all data centres were evacuated, so that every instance has to refuse the request.
+static bool AreAllEvacuated(const SoakLog& log, const SoakBounds& bounds, const SoakRequest& request)
+{
+    return !log.DataCentres.empty() &&
+           std::all_of(log.DataCentres.begin(), log.DataCentres.end(),
+                       [&](const std::string& data_centre) { return IsEvacuated(log, bounds, request, data_centre); });
+}
+
 struct ServedTally
 {
     int Sent = 0;
     int Served = 0;
 };
 
-// Requests sent to undisrupted instances while a cut was in force for UndisruptedUs: at those that are cut off, and at the others.
+// Requests sent to undisrupted instances while a cut was in force for UndisruptedUs: at those that are cut off, and at the others. Requests
+// that nobody may serve don't count: refused callers come back sooner, so they may outnumber the others.
 static std::pair<ServedTally, ServedTally> CountDuringCut(const SoakLog& log, const SoakBounds& bounds, const SoakCut& cut)
 {
     ServedTally there;
@@ -353,7 +379,8 @@
     for (const SoakRequest& request : log.Requests)
     {
         const bool during = request.SentUs >= cut.FromUs + bounds.UndisruptedUs && request.EndedUs > 0 && request.EndedUs < cut.UntilUs;
-        if (during && !request.NotRead && IsUndisrupted(log, bounds, request.Instance, request.SentUs, request.EndedUs, true))
+        const bool counts = during && !request.NotRead && !AreAllEvacuated(log, bounds, request);
+        if (counts && IsUndisrupted(log, bounds, request.Instance, request.SentUs, request.EndedUs, true))
         {
             ServedTally& tally = cut.Instances.count(request.Instance) > 0 ? there : elsewhere;
             tally.Sent++;
@@ -438,16 +465,6 @@
     return std::any_of(log.Cuts.begin(), log.Cuts.end(), cuts);
 }
 
-// Whether operators had evacuated a data centre when the request was sent, or lately: instances learn of it at different times.
-static bool IsEvacuated(const SoakLog& log, const SoakBounds& bounds, const SoakRequest& request)
-{
-    const auto evacuates = [&](const SoakEvacuation& evacuation)
-    {
-        return request.EndedUs > evacuation.FromUs && request.SentUs < evacuation.UntilUs + bounds.EvacuateUs;
-    };
-    return std::any_of(log.Evacuations.begin(), log.Evacuations.end(), evacuates);
-}
-
 // Requests of one data centre in one span of time: to instances that were lied to, and to the others.
 struct LiesTally
 {
@@ -470,7 +487,7 @@
         const auto lies = std::find_if(log.Lies.begin(), log.Lies.end(), during);
         const bool counts = lies != log.Lies.end() && request.EndedUs > 0 && !request.NotRead &&
                             log.DataCentres[static_cast<size_t>(request.Instance)] == data_centre;
-        const bool excused = counts && (IsCut(log, request) || IsEvacuated(log, bounds, request));
+        const bool excused = counts && (IsCut(log, request) || IsAnyEvacuated(log, bounds, request));
         if (counts && !excused && IsUndisrupted(log, bounds, request.Instance, request.SentUs, request.EndedUs, true))
         {
             LiesTally& both = tallies[request.SentUs / bounds.LiesSliceUs];
--- a/tests/soak_audit_test.cpp
+++ b/tests/soak_audit_test.cpp
@@ -109,6 +109,8 @@
     CPPUNIT_TEST(LiesThatNobodyBelieves);
     CPPUNIT_TEST(WorseServiceWhereANeighbourLies);
     CPPUNIT_TEST(NobodyToCompareWith);
+    CPPUNIT_TEST(WorseServiceWhereTargetsAreNotReached);
+    CPPUNIT_TEST(RequestsThatNobodyMayServe);
     CPPUNIT_TEST(EntriesArePublishedAgainAsTheyWere);
     CPPUNIT_TEST_SUITE_END();
 
@@ -398,6 +400,41 @@
         CheckFindsOne(log, "no requests where a neighbour lies");
     }
 
+    // A log in which the first of two instances reaches no target for some seconds.
+    static SoakLog CutLog(int served)
+    {
+        SoakLog log = CleanLog();
+        log.DataCentres = {"dc-0", "dc-1"};
+        log.Cuts = {{{0}, Start, Start + 6 * UsPerSecond}};
+        AddServed(&log, 0, 100, served);
+        AddServed(&log, 1, 100, 90);
+        return log;
+    }
+
+    void WorseServiceWhereTargetsAreNotReached()
+    {
+        CPPUNIT_ASSERT(AuditSoak(CutLog(60), SoakBounds()).empty()); // The bound.
+        CheckFindsOne(CutLog(59), "not served where targets are not reached");
+        SoakLog log = CutLog(59);
+        log.Disruptions = {{0, Start + 2 * UsPerSecond, Start + 3 * UsPerSecond, false}};
+        CPPUNIT_ASSERT(AuditSoak(log, SoakBounds()).empty());
+        log = CutLog(59);
+        log.Cuts[0].FromUs = Start + 2 * UsPerSecond; // Not in force for long enough.
+        CPPUNIT_ASSERT(AuditSoak(log, SoakBounds()).empty());
+    }
+
+    // While all data centres are evacuated, a refusal is no fault. While one is, the others serve its requests.
+    void RequestsThatNobodyMayServe()
+    {
+        SoakLog log = CutLog(0);
+        log.Evacuations = {{"dc-0", Start + 3 * UsPerSecond, Start + 5 * UsPerSecond}};
+        CheckFindsOne(log, "not served where targets are not reached");
+        log.Evacuations.push_back({"dc-1", Start + 4 * UsPerSecond, Start + 6 * UsPerSecond});
+        CPPUNIT_ASSERT(AuditSoak(log, SoakBounds()).empty());
+        log.Evacuations[1].FromUs = Start + 5 * UsPerSecond; // After these requests.
+        CheckFindsOne(log, "not served where targets are not reached");
+    }
+
     // Guards against faults that publish an entry of another process: what a target has asked for holds for its own process only.
     void EntriesArePublishedAgainAsTheyWere()
     {
