--- a/tests/check.h
+++ b/tests/check.h
@@ -38,6 +38,8 @@
 
 // Random numbers of one generated case. rapidcheck generates only the seed: generating and shrinking each value would be too slow for cases
 // with thousands of steps.
+// A function's arguments may contain one draw at most: C++ doesn't define the order in which they are evaluated, so a seed would give
+// different cases on different processors.
 struct TestRandom
 {
     Random Rng;
