PathLossLoadTest: instances that restart during a cut don't find the others; known red

Cause: a follower tells its source of itself and of others when it begins to follow it, then ever less often, up to 30 s apart (PeersNewsDue()). Changes of its path are told at once, and lengthen that too. A source that restarts keeps its address, so its followers go on as before, and it knows none of them.

--- a/tests/path_loss_load_test.cpp
+++ b/tests/path_loss_load_test.cpp
@@ -31,6 +31,7 @@
     bool Refused = false;                       // Connections are refused at once; otherwise they hang.
     std::function<bool(size_t instance)> IsCut; // From CutUs to BackUs.
     TimeUs OnUs = 0;                            // From CutUs on the others have a path for this part of each second only; 0: all the time.
+    TimeUs RestartUs = 0;                       // The instances that are cut restart at this time; 0: they don't.
 };
 
 struct CutInstance
@@ -44,7 +45,7 @@
 
 struct CutResult
 {
-    int Sent = 0;            // At instances that were cut, from InTouchUs after the begin on.
+    int Sent = 0;            // At instances that were cut, from InTouchUs after the begin or their restart on.
     int Served = 0;          // Of these.
     int Offers = 0;          // Of these, to other instances.
     int SentElsewhere = 0;   // In the same time, at the other instances.
@@ -83,9 +84,23 @@
             Fleet[n].Others.DataCentre = static_cast<uint16_t>(n % 4);
             At(Draw(TellUs), [this, n]() { Tell(n); });
             At(Draw(UsPerSecond), [this, n]() { Ask(n); });
+            if (plan.RestartUs > 0 && plan.IsCut(n))
+            {
+                At(plan.RestartUs, [this, n]() { Restart(n); });
+            }
         }
     }
 
+    // The instance has forgotten whom it knew, and its followers have lost their connections to it.
+    void Restart(size_t n)
+    {
+        Peers fresh;
+        fresh.Own = Fleet[n].Others.Own;
+        fresh.DataCentre = Fleet[n].Others.DataCentre;
+        Fleet[n].Others = fresh;
+        Fleet[n].Path = TargetPath();
+    }
+
     static std::string AddressOf(size_t n)
     {
         return fmt::format("10.1.{}.{}:9", n / 250, n % 250);
@@ -235,7 +250,7 @@
         At(static_cast<TimeUs>(std::exponential_distribution<double>(Plan.PerS)(Rng) * UsPerSecond), [this, n]() { Ask(n); });
         CutInstance& instance = Fleet[n];
         instance.Path.NeededUs = Now;
-        const bool during = Now >= CutUs + InTouchUs && Now < BackUs;
+        const bool during = Now >= std::max(CutUs, Plan.RestartUs) + InTouchUs && Now < BackUs;
         const bool counts = during && Plan.IsCut(n);
         TimeUs took = 0;
         bool served = TargetPathNow(&instance.Path, Now) == TargetPathState_Open && Search(n, &took).has_value();
@@ -276,6 +291,7 @@
     CPPUNIT_TEST(NineTenthsOfTheFleetAreCutOff);
     CPPUNIT_TEST(AllAreCutOff);
     CPPUNIT_TEST(TheOthersLoseAndRegainTheirPaths);
+    CPPUNIT_TEST(InstancesThatRestartFindTheOthers);
     CPPUNIT_TEST_SUITE_END();
 
     static std::string Text(const CutPlan& plan, const CutResult& result)
@@ -387,6 +403,22 @@
             }
         }
     }
+
+    // Guards against callers that are refused because a source that restarts is not told of its followers, which alone reach targets.
+    void InstancesThatRestartFindTheOthers()
+    {
+        for (const size_t size : {size_t{3}, size_t{18}, size_t{99}, size_t{587}})
+        {
+            CutPlan plan = {size, 2, false,
+                            [](size_t n)
+                            {
+                                return n % 3 != 2;
+                            }};
+            plan.RestartUs = CutUs + 3 * UsPerSecond;
+            const CutResult result = Play(plan);
+            CPPUNIT_ASSERT_MESSAGE(Text(plan, result), (result.Sent - result.Served) * 50 <= result.Sent);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PathLossLoadTest);
