EndlessAnswersTest: more endless bodies at once than a small instance holds; known red

Found in a reading of the change: beyond 32 MiB of all answers in flight, each may still grow to 4 MiB (MaxBodyWhenFull), so what they need together rises with their number. The test of 16 of them has a bound of just 16 times 4 MiB and could not see it.

--- a/tests/endless_answers_test.cpp
+++ b/tests/endless_answers_test.cpp
@@ -291,6 +291,7 @@
     CPPUNIT_TEST(RequestsThatMayNotBeRepeatedFailOnce);
     CPPUNIT_TEST(AStopIsObeyedBesideEndlessHealthChecks);
     CPPUNIT_TEST(ManyEndlessBodiesStayWithinTheMemory);
+    CPPUNIT_TEST(MoreEndlessBodiesStayWithinTheMemory);
     CPPUNIT_TEST_SUITE_END();
 
     static ClientRequest Call(const std::string& address)
@@ -497,16 +498,18 @@
         CPPUNIT_ASSERT_EQUAL(503, answer->Answer.Status);
     }
 
-    // Guards against answers that are each within their bound and together exceed the memory of an instance.
-    void ManyEndlessBodiesStayWithinTheMemory()
+    // `pace_bytes`: size of the server's send buffers, so that the answers grow alike, as over slow links; 0: as usual.
+    static void CheckMemory(size_t answers, int pace_bytes)
     {
         constexpr size_t memory = 64 * MiB; // More than half of the smallest instance's.
         EventLoop loop;
         Client client;
         ClientStart(&client, &loop);
         const EndlessServer server(&loop, {"a body without length", "HTTP/1.1 200 OK\r\n\r\n", std::string(1000, 'a')}, false);
+        const auto size = static_cast<socklen_t>(sizeof pace_bytes);
+        CPPUNIT_ASSERT(pace_bytes == 0 || setsockopt(server.Listening, SOL_SOCKET, SO_SNDBUF, &pace_bytes, size) == 0);
         size_t ended = 0;
-        for (int n = 0; n < 16; n++)
+        for (size_t n = 0; n < answers; n++)
         {
             ClientSend(&client, Call(server.Address), [&](const ClientAnswer&) { ended++; });
         }
@@ -514,11 +517,23 @@
         const auto all_ended = [&]()
         {
             largest = std::max(largest, client.BodyBytes);
-            return ended == 16;
+            return ended == answers;
         };
         CPPUNIT_ASSERT(LoopRunUntil(&loop, RigTimeoutUs, all_ended));
         CPPUNIT_ASSERT_MESSAGE(fmt::format("{} bytes", largest), largest <= memory);
     }
+
+    // Guards against answers that are each within their bound and together exceed the memory of an instance.
+    void ManyEndlessBodiesStayWithinTheMemory()
+    {
+        CheckMemory(16, 0);
+    }
+
+    // Guards against a bound on all answers together that rises with their number.
+    void MoreEndlessBodiesStayWithinTheMemory()
+    {
+        CheckMemory(150, 16 * KiB);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EndlessAnswersTest);
