--- a/tests/cut_answers_test.cpp
+++ b/tests/cut_answers_test.cpp
@@ -3,19 +3,17 @@
 //
 // Index of this file:
 // [SECTION] Answers
-// [SECTION] Scripted server
-// [SECTION] Client
+// [SECTION] Cuts
 // [SECTION] Framing
 // [SECTION] Instance
 // [SECTION] Tests
 
 #include "clock.h"
-#include "gateway_rig.h"
 #include "handoff.h"
-#include "log.h"
 #include "page_client.h"
 #include "pages.h"
 #include "path_fleet.h"
+#include "scripted_server.h"
 #include "socket.h"
 
 #include <fmt/format.h>
@@ -33,30 +31,6 @@
 // [SECTION] Answers
 //-----------------------------------------------------------------------------
 
-const std::string OwnBody = "the whole body: by length";
-const std::string StatusLine = "HTTP/1.1 200 OK\r\n";
-const std::string Interim = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n";
-
-std::string SignedLines(const std::string& id)
-{
-    return fmt::format("Winchlink-Request-Id: {}\r\nWinchlink-Response-Signature: s\r\n", id);
-}
-
-std::string LengthLine(size_t length = OwnBody.size())
-{
-    return fmt::format("Content-Length: {}\r\n", length);
-}
-
-std::string Chunk(const std::string& bytes)
-{
-    return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
-}
-
-std::string InChunks(const std::string& body)
-{
-    return Chunk(body.substr(0, 10)) + Chunk(body.substr(10)) + "0\r\n";
-}
-
 // A proper answer.
 struct SoundAnswer
 {
@@ -91,238 +65,9 @@
 }
 
 //-----------------------------------------------------------------------------
-// [SECTION] Scripted server
-//-----------------------------------------------------------------------------
-
-// What a server does after the bytes of an answer.
-enum ScriptEnd_ : int
-{
-    ScriptEnd_Open,  // Keeps the connection open.
-    ScriptEnd_Close, // Closes it in order (FIN).
-    ScriptEnd_Reset, // Resets it.
-    ScriptEnd_COUNT,
-};
-
-struct ScriptedAnswer
-{
-    std::string Bytes;
-    ScriptEnd_ End = ScriptEnd_Open;
-};
-
-struct ScriptedConnection
-{
-    int Socket = -1;
-    Watch Ready;
-    std::string Received;
-    int Requests = 0;    // Received on it.
-    bool Ended = false;  // No answer follows; what is received is discarded.
-    bool Closed = false; // By both sides, or reset.
-};
-
-struct ScriptedServer
-{
-    EventLoop* Loop = nullptr;
-    std::string Address = FreeAddress();
-    std::function<ScriptedAnswer(const ReceivedRequest&)> Answer;
-    bool ReadsBodies = true; // Else an answer is sent after the head of a request, and nothing follows it.
-    int Listening = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-    Watch Accepting;
-    std::vector<std::unique_ptr<ScriptedConnection>> Connections;
-    std::map<std::string, int> Saw;           // Number of requests by path.
-    const ScriptedConnection* Last = nullptr; // Connection of the latest request.
-
-    ScriptedServer(EventLoop* loop, std::function<ScriptedAnswer(const ReceivedRequest&)> answer);
-    ~ScriptedServer();
-    ScriptedServer(const ScriptedServer&) = delete;
-    ScriptedServer& operator=(const ScriptedServer&) = delete;
-};
-
-void Close(ScriptedConnection* connection)
-{
-    connection->Ready = nullptr;
-    close(connection->Socket);
-    connection->Closed = true;
-}
-
-void Reset(ScriptedConnection* connection)
-{
-    const linger at_once = {1, 0};
-    setsockopt(connection->Socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
-    Close(connection);
-}
-
-ReceivedRequest ParseRequest(const std::string& head)
-{
-    ReceivedRequest request;
-    request.Method = head.substr(0, head.find(' '));
-    const size_t path = request.Method.size() + 1;
-    request.Path = head.substr(path, head.find(' ', path) - path);
-    for (size_t at = head.find("\r\n"); at != std::string::npos && at + 2 < head.size(); at = head.find("\r\n", at + 2))
-    {
-        const size_t colon = head.find(": ", at);
-        const size_t end = head.find("\r\n", at + 2);
-        if (colon < end)
-        {
-            request.Headers.push_back({head.substr(at + 2, colon - at - 2), head.substr(colon + 2, end - colon - 2)});
-        }
-    }
-    const std::string* id = FindHeader(request.Headers, "Winchlink-Request-Id");
-    request.Id = id != nullptr ? *id : "";
-    return request;
-}
-
-void SendAnswer(ScriptedConnection* connection, const ScriptedAnswer& answer)
-{
-    const auto size = static_cast<ssize_t>(answer.Bytes.size());
-    CPPUNIT_ASSERT_EQUAL(size, send(connection->Socket, answer.Bytes.data(), answer.Bytes.size(), MSG_NOSIGNAL));
-    if (answer.End == ScriptEnd_Reset)
-    {
-        Reset(connection);
-    }
-    else if (answer.End == ScriptEnd_Close)
-    {
-        shutdown(connection->Socket, SHUT_WR);
-        connection->Ended = true;
-    }
-}
-
-// Takes the request that has been read from `received`; false if it is not complete.
-bool TakeRequest(const ScriptedServer& server, std::string* received, ReceivedRequest* out)
-{
-    const size_t end = received->find("\r\n\r\n");
-    if (end == std::string::npos)
-    {
-        return false;
-    }
-    *out = ParseRequest(received->substr(0, end + 2));
-    const std::string* length = FindHeader(out->Headers, "Content-Length");
-    const size_t body = length != nullptr && server.ReadsBodies ? std::strtoull(length->c_str(), nullptr, 10) : 0;
-    if (received->size() < end + 4 + body)
-    {
-        return false;
-    }
-    out->Body = received->substr(end + 4, body);
-    received->erase(0, end + 4 + body);
-    return true;
-}
-
-void OnReadable(ScriptedServer* server, ScriptedConnection* connection)
-{
-    std::string buffer(64 * KiB, '\0');
-    const ssize_t got = recv(connection->Socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
-    if (got == 0 || (got < 0 && errno != EAGAIN))
-    {
-        Close(connection);
-        return;
-    }
-    connection->Received.append(buffer, 0, got > 0 ? static_cast<size_t>(got) : 0);
-    ReceivedRequest request;
-    if (connection->Ended || !TakeRequest(*server, &connection->Received, &request))
-    {
-        return;
-    }
-    server->Saw[request.Path]++;
-    connection->Requests++;
-    server->Last = connection;
-    connection->Ended = !server->ReadsBodies && FindHeader(request.Headers, "Content-Length") != nullptr;
-    SendAnswer(connection, server->Answer(request));
-}
-
-void Accept(ScriptedServer* server)
-{
-    const int accepted = accept4(server->Listening, nullptr, nullptr, SOCK_NONBLOCK);
-    if (accepted < 0)
-    {
-        return;
-    }
-    server->Connections.push_back(std::make_unique<ScriptedConnection>());
-    ScriptedConnection* connection = server->Connections.back().get();
-    connection->Socket = accepted;
-    connection->Ready = WatchStart(server->Loop, accepted, UV_READABLE, [=](int) { OnReadable(server, connection); });
-}
-
-ScriptedServer::ScriptedServer(EventLoop* loop, std::function<ScriptedAnswer(const ReceivedRequest&)> answer)
-    : Loop(loop), Answer(std::move(answer))
-{
-    const sockaddr_in at = ToSocketAddress(ParseEndpoint(Address).value());
-    CPPUNIT_ASSERT_EQUAL(0, bind(Listening, reinterpret_cast<const sockaddr*>(&at), sizeof at));
-    CPPUNIT_ASSERT_EQUAL(0, listen(Listening, 16));
-    Accepting = WatchStart(loop, Listening, UV_READABLE, [this](int) { Accept(this); });
-}
-
-ScriptedServer::~ScriptedServer()
-{
-    Accepting = nullptr;
-    close(Listening);
-    for (const auto& connection : Connections)
-    {
-        if (!connection->Closed)
-        {
-            Close(connection.get());
-        }
-    }
-}
-
-//-----------------------------------------------------------------------------
-// [SECTION] Client
+// [SECTION] Cuts
 //-----------------------------------------------------------------------------
 
-// A client and a server that gives a proper answer to "/sound" and the one under test to all other requests.
-struct ClientRig
-{
-    EventLoop Loop;
-    Client Calls;
-    ScriptedAnswer Next;
-    ScriptedServer Server;
-    int HeadsSeen = 0; // Calls of OnHeaders for the latest request.
-
-    ClientRig()
-        : Server(&Loop,
-                 [this](const ReceivedRequest& request) {
-                     return request.Path == "/sound" ? ScriptedAnswer{StatusLine + LengthLine(0) + "\r\n", ScriptEnd_Open} : Next;
-                 })
-    {
-        SetLogLevel(LogLevel_Error); // Thousands of defective answers are logged otherwise.
-        ClientStart(&Calls, &Loop);
-    }
-
-    ClientRequest Request(const std::string& method, const std::string& path) const
-    {
-        ClientRequest request;
-        request.Address = Server.Address;
-        request.Method = method;
-        request.Target = path;
-        request.HasBody = method == "POST";
-        request.TimeoutUs = RigTimeoutUs;
-        return request;
-    }
-
-    ClientAnswer Ask(ClientRequest request, const ScriptedAnswer& script)
-    {
-        Next = script;
-        HeadsSeen = 0;
-        request.OnHeaders = [this](int, const std::vector<Header>&)
-        {
-            HeadsSeen++;
-        };
-        return ClientSendAndWait(&Calls, std::move(request));
-    }
-
-    // Asks on a new connection, or on one that has had a proper answer.
-    ClientAnswer Ask(ClientRequest request, const ScriptedAnswer& script, bool kept)
-    {
-        request.NewConnection = !kept;
-        if (kept)
-        {
-            CPPUNIT_ASSERT_EQUAL(200, ClientSendAndWait(&Calls, Request("GET", "/sound")).Status);
-        }
-        const ScriptedConnection* before = Server.Last;
-        ClientAnswer answer = Ask(std::move(request), script);
-        CPPUNIT_ASSERT(kept ? Server.Last == before : Server.Last->Requests == 1);
-        return answer;
-    }
-};
-
 // Whether the client may say this of the first `sent` bytes of the answer.
 bool IsAllowed(const SoundAnswer& sound, size_t sent, ScriptEnd_ end, const ClientAnswer& answer)
 {
@@ -336,42 +81,6 @@
     return head && whole && answer.Status == sound.Status;
 }
 
-struct CutCheck
-{
-    int Cuts = 0;
-    int Wrong = 0;
-    std::string FirstWrong;
-
-    void Add(bool right, const std::string& text)
-    {
-        Cuts++;
-        Wrong += right ? 0 : 1;
-        FirstWrong += right || Wrong > 3 ? "" : "\n" + text;
-    }
-
-    void Conclude() const
-    {
-        CPPUNIT_ASSERT(Cuts > 0);
-        CPPUNIT_ASSERT_MESSAGE(fmt::format("{} of {} wrong:{}", Wrong, Cuts, FirstWrong), Wrong == 0);
-    }
-};
-
-std::string Escaped(const std::string& bytes)
-{
-    std::string out;
-    for (const char c : bytes)
-    {
-        out += c == '\r' ? "\\r" : c == '\n' ? "\\n" : std::string(1, c);
-    }
-    return out;
-}
-
-std::string TextOf(const std::string& what, const std::string& bytes, const ClientAnswer& answer)
-{
-    return fmt::format("{}: \"{}\" -> end {}, status {}, {} bytes, {}", what, Escaped(bytes), static_cast<int>(answer.End), answer.Status,
-                       answer.Body.size(), answer.Detail);
-}
-
 // A part of an answer.
 enum CutIn_ : int
 {
@@ -578,13 +287,6 @@
 // [SECTION] Instance
 //-----------------------------------------------------------------------------
 
-const std::string SoundHealth = StatusLine + "Winchlink-Instance-Id: t1\r\nWinchlink-Server-Load: 0,0,3,100\r\n" + LengthLine(0) + "\r\n";
-
-std::string WholeAnswer(const std::string& id)
-{
-    return StatusLine + SignedLines(id) + LengthLine() + "\r\n" + OwnBody;
-}
-
 // Answers that end early, or whose framing contradicts itself. "{}" stands for the signed lines.
 std::vector<std::string> CutAnswers()
 {
@@ -610,90 +312,6 @@
     };
 }
 
-std::string FillIn(const std::string& text, const std::string& lines)
-{
-    const size_t at = text.find("{}");
-    return at == std::string::npos ? text : text.substr(0, at) + lines + text.substr(at + 2);
-}
-
-bool PromisesNotRun(int status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
-// Whether a caller may get this: the whole body, or a failure that says nothing about the request and isn't signed.
-bool IsWholeOrFailed(const ClientAnswer& answer)
-{
-    const bool whole = answer.Status == 200 && answer.Body == OwnBody;
-    const bool is_signed = FindHeader(answer.Headers, "Winchlink-Response-Signature") != nullptr;
-    return whole || (answer.Status >= 500 && !PromisesNotRun(answer.Status) && !is_signed);
-}
-
-// An instance with one target, or with a sound one besides, which is farther away.
-struct InstanceRig
-{
-    Rig Parts;
-    std::string Cut;                  // The target's answers, see CutAnswers(); empty: whole ones.
-    std::string Health = SoundHealth; // To its health checks.
-    ScriptEnd_ End = ScriptEnd_Close; // After an answer.
-    ScriptEnd_ HealthEnd = ScriptEnd_Open;
-    ScriptedServer Target;
-    std::unique_ptr<ScriptedServer> Sound;
-    Gateway* Instance = nullptr;
-
-    explicit InstanceRig(bool safe, bool with_sound)
-        : Target(&Parts.Loop, [this](const ReceivedRequest& request) { return Answer(request); })
-    {
-        UsersStoreTarget(&Parts.Store, "t1", "svc", Target.Address, "dc-a");
-        if (with_sound)
-        {
-            Sound = std::make_unique<ScriptedServer>(&Parts.Loop, [](const ReceivedRequest& request) { return SoundAnswerTo(request); });
-            UsersStoreTarget(&Parts.Store, "t2", "svc", Sound->Address, "dc-b");
-        }
-        UsersRoute route;
-        route.Safe = safe;
-        route.TimeoutS = RelaxedAimS;
-        route.AimS = RelaxedAimS;
-        RigConfigure(&Parts, {route});
-        Instance = &RigInstance(&Parts, with_sound ? 2 : 1);
-    }
-
-    static ScriptedAnswer SoundAnswerTo(const ReceivedRequest& request)
-    {
-        std::string health = SoundHealth;
-        health.replace(health.find("t1"), 2, "t2");
-        return {request.Path == "/health" ? health : WholeAnswer(request.Id), ScriptEnd_Open};
-    }
-
-    ScriptedAnswer Answer(const ReceivedRequest& request) const
-    {
-        if (request.Path == "/health")
-        {
-            return {Health, HealthEnd};
-        }
-        return Cut.empty() ? ScriptedAnswer{WholeAnswer(request.Id), ScriptEnd_Open}
-                           : ScriptedAnswer{FillIn(Cut, SignedLines(request.Id)), End};
-    }
-
-    RigAnswer Ask(const std::string& path, const std::string& body = "")
-    {
-        RigCall call;
-        call.Method = body.empty() ? "GET" : "POST";
-        call.Target = path;
-        call.Body = body;
-        call.DeadlineMs = static_cast<int>(RelaxedAimS) * 1000;
-        return RigSendAndWait(&Parts, *Instance, call);
-    }
-
-    const PoolTarget& Pooled(const std::string& id) const
-    {
-        const auto& targets = Instance->Requests.Services.at("svc").Pool.Targets;
-        const auto found = std::find_if(targets.begin(), targets.end(), [&](const PoolTarget& target) { return target.Id == id; });
-        CPPUNIT_ASSERT(found != targets.end());
-        return *found;
-    }
-};
-
 // A request that must not run twice, sent to a target that cuts its answers: fails, and runs once.
 void CheckUnsafe(ScriptEnd_ end, bool kept, const std::string& body)
 {
