A call to a server has a libcurl handle of its own

The client reused its handles, so a header line that begins with a blank, right behind a status line, was appended to freed memory. One byte of an answer is enough, at each use of the client.

Change: no handle outlives its call, so no answer is read with what an earlier one has left behind.

--- a/gateway/client.cpp
+++ b/gateway/client.cpp
@@ -12,6 +12,9 @@
 // bytes are the ones that the socket has delivered beyond those of headers and body. They are counted in the progress callback: as long as
 // bytes arrive faster than libcurl reads them, it does not return to the event loop.
 //
+// A reused easy handle keeps a reference to the last header of its previous answer, whose memory has been freed, and appends a header line
+// that continues none to it. Each call therefore has a handle of its own.
+//
 // Index of this file:
 // [SECTION] Calls
 // [SECTION] libcurl's callbacks
@@ -49,6 +52,7 @@
 //-----------------------------------------------------------------------------
 
 using HeaderList = std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
+using EasyHandle = std::unique_ptr<CURL, decltype(&curl_easy_cleanup)>;
 
 struct ClientCall
 {
@@ -57,8 +61,8 @@
     ClientRequest Request;
     ClientDone Done;
     ClientAnswer Answer;
-    CURL* Easy = nullptr;
     HeaderList Headers{nullptr, curl_slist_free_all};
+    EasyHandle Easy{nullptr, curl_easy_cleanup};
     TimeUs StartedUs = 0;
     Timer ListenTimer;                      // End of TimeoutUs, then of ListenUs, if the latter is set.
     TimeUs SilentSinceUs = 0;               // Time of the mark in Client::DeadSince that this call has set; 0: none.
@@ -133,7 +137,7 @@
 static int StatusOf(const ClientCall& call)
 {
     long status = 0;
-    curl_easy_getinfo(call.Easy, CURLINFO_RESPONSE_CODE, &status);
+    curl_easy_getinfo(call.Easy.get(), CURLINFO_RESPONSE_CODE, &status);
     return static_cast<int>(status);
 }
 
@@ -144,7 +148,7 @@
         return {Framing_Invalid, 0};
     }
     long version = 0;
-    curl_easy_getinfo(call.Easy, CURLINFO_HTTP_VERSION, &version);
+    curl_easy_getinfo(call.Easy.get(), CURLINFO_HTTP_VERSION, &version);
     return FramingOf(call.Request.Method, status, version == CURL_HTTP_VERSION_1_0, call.Answer.Headers);
 }
 
@@ -400,9 +404,9 @@
 {
     call->Spoilt = false;
     call->Socket = CURL_SOCKET_BAD;
-    curl_multi_remove_handle(call->Owner->Multi, call->Easy);
+    curl_multi_remove_handle(call->Owner->Multi, call->Easy.get());
     ConfigureHandle(call);
-    curl_multi_add_handle(call->Owner->Multi, call->Easy);
+    curl_multi_add_handle(call->Owner->Multi, call->Easy.get());
 }
 
 //-----------------------------------------------------------------------------
@@ -495,17 +499,10 @@
     client->Calls.erase(found);
     client->BodyBytes -= call->BodyBytes;
     client->ExtendedUs += call->ExtendedAtUs > 0 ? NowUs() - call->ExtendedAtUs : 0;
-    curl_multi_remove_handle(client->Multi, call->Easy);
+    curl_multi_remove_handle(client->Multi, call->Easy.get());
     return call;
 }
 
-static void RecycleHandle(Client* client, ClientCall* call)
-{
-    curl_easy_reset(call->Easy);
-    client->IdleHandles.push_back(call->Easy);
-    call->Easy = nullptr;
-}
-
 static void NoteTooLarge(const ClientCall& call)
 {
     if (call.TooLarge != nullptr)
@@ -556,7 +553,6 @@
     NoteTooLarge(*static_cast<ClientCall*>(user));
     NoteDefect(*static_cast<ClientCall*>(user), result);
     const std::unique_ptr<ClientCall> call = RemoveCall(client, id);
-    RecycleHandle(client, call.get());
     call->Done(std::move(call->Answer));
 }
 
@@ -569,7 +565,7 @@
         const TimeUs more = client->Link != nullptr ? OwnLinkMoreUs(*client->Link, call->LinkOccupiedUs, call->ExtraUs, NowUs()) : 0;
         if (more == 0)
         {
-            Finish(client, call->Easy, CURLE_OPERATION_TIMEDOUT);
+            Finish(client, call->Easy.get(), CURLE_OPERATION_TIMEDOUT);
             return;
         }
         call->ExtraUs += more;
@@ -668,13 +664,9 @@
     }
     for (const auto& entry : Calls)
     {
-        curl_multi_remove_handle(Multi, entry.second->Easy);
-        curl_easy_cleanup(entry.second->Easy);
-    }
-    for (CURL* easy : IdleHandles)
-    {
-        curl_easy_cleanup(easy);
+        curl_multi_remove_handle(Multi, entry.second->Easy.get());
     }
+    Calls.clear();             // Frees their handles.
     curl_multi_cleanup(Multi); // Calls OnSocket(), which ends the watches.
 }
 
@@ -735,7 +727,7 @@
 
 static void ConfigureHandle(ClientCall* call)
 {
-    CURL* easy = call->Easy;
+    CURL* easy = call->Easy.get();
     const ClientRequest& request = call->Request;
     const std::string url = "http://" + request.Address + "/";
     curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
@@ -776,17 +768,6 @@
     AvoidSilent(call->Owner, request, easy);
 }
 
-static CURL* TakeHandle(Client* client)
-{
-    if (client->IdleHandles.empty())
-    {
-        return curl_easy_init();
-    }
-    CURL* easy = client->IdleHandles.back();
-    client->IdleHandles.pop_back();
-    return easy;
-}
-
 uint64_t ClientSend(Client* client, ClientRequest request, ClientDone done)
 {
     auto call = std::make_unique<ClientCall>();
@@ -797,10 +778,10 @@
     call->Done = std::move(done);
     call->StartedUs = NowUs();
     call->LinkOccupiedUs = client->Link != nullptr ? OwnLinkOccupiedUs(*client->Link, call->StartedUs) : 0;
-    call->Easy = TakeHandle(client);
+    call->Easy.reset(curl_easy_init());
     call->Headers = MakeHeaders(call->Request.Headers);
     ConfigureHandle(call.get());
-    CURL* easy = call->Easy;
+    CURL* easy = call->Easy.get();
     if (call->Request.ListenUs > 0)
     {
         call->ListenTimer = TimerStart(client->Loop, call->Request.TimeoutUs, [late = call.get()]() { ListenOn(late); });
@@ -827,11 +808,7 @@
 
 void ClientCancel(Client* client, uint64_t id)
 {
-    const std::unique_ptr<ClientCall> call = RemoveCall(client, id);
-    if (call)
-    {
-        RecycleHandle(client, call.get());
-    }
+    RemoveCall(client, id);
 }
 
 } // namespace Winchlink
--- a/gateway/client.h
+++ b/gateway/client.h
@@ -88,7 +88,6 @@
     std::map<curl_socket_t, Watch> Sockets;                  // Sockets watched for libcurl.
     std::map<std::string, curl_socket_t> Connections;        // Open connections by their local and remote address.
     std::map<uint64_t, std::unique_ptr<ClientCall>> Calls;   // In flight, by id.
-    std::vector<CURL*> IdleHandles;                          // Easy handles for reuse.
     std::map<std::string, TimeUs> DeadSince;                 // By address: when a request last timed out on a reused connection.
     uint64_t LastId = 0;                                     // Id of the latest call.
     uint64_t ConnectionsOpened = 0;                          // Counter.
