An answer has a status that HTTP knows

Callers of requests that may not be repeated got 600 and 999 as they came; 000 to 099 and malformed statuses reached nobody, but only since libcurl reads some of them as 0 and refuses others.

Cause: the status was what libcurl reads with scanf (signs, leading blanks, one to three digits), and nothing looked at its range.

Change: the status line is read here, before anything of the answer is used: the version is HTTP/1.0 or 1.1, the status three digits from 100 to 599. Else the call ends as broken with the defect 'status', which log and metric name; a line of the head or trailers that libcurl refuses by itself is named alike. This holds at each use of the client.

--- a/gateway/answer_framing.cpp
+++ b/gateway/answer_framing.cpp
@@ -30,8 +30,8 @@
 
 const char* AnswerDefectName(AnswerDefect_ defect)
 {
-    static constexpr std::array<const char*, AnswerDefect_COUNT> names = {"none",          "head cut",  "body cut", "framing",
-                                                                          "other request", "too large", "not HTTP"};
+    static constexpr std::array<const char*, AnswerDefect_COUNT> names = {"none",      "head cut", "body cut", "framing", "other request",
+                                                                          "too large", "not HTTP", "status",   "header",  "trailer"};
     return names.at(defect);
 }
 
--- a/gateway/answer_framing.h
+++ b/gateway/answer_framing.h
@@ -48,6 +48,9 @@
     AnswerDefect_OtherRequest, // It names another request.
     AnswerDefect_TooLarge,     // It exceeded a bound of ClientRequest.
     AnswerDefect_NotHttp,      // Its bytes are no HTTP.
+    AnswerDefect_Status,       // Its status line is malformed, or its status is not one of 100 to 599.
+    AnswerDefect_Header,       // A line of its head is no header, or malformed.
+    AnswerDefect_Trailer,      // The same of its trailers.
     AnswerDefect_COUNT,
 };
 
--- a/gateway/client.cpp
+++ b/gateway/client.cpp
@@ -27,6 +27,7 @@
 
 #include "client.h"
 
+#include "answer_lines.h"
 #include "clock.h"
 #include "log.h"
 #include "socket.h"
@@ -64,30 +65,32 @@
     HeaderList Headers{nullptr, curl_slist_free_all};
     EasyHandle Easy{nullptr, curl_easy_cleanup};
     TimeUs StartedUs = 0;
-    Timer ListenTimer;                      // End of TimeoutUs, then of ListenUs, if the latter is set.
-    TimeUs SilentSinceUs = 0;               // Time of the mark in Client::DeadSince that this call has set; 0: none.
-    TimeUs LinkOccupiedUs = 0;              // OwnLinkOccupiedUs() at StartedUs.
-    TimeUs ExtraUs = 0;                     // Time granted beyond ListenUs, as the link was occupied,
-    TimeUs ExtendedAtUs = 0;                // and when the first of it was granted; 0: none was.
-    bool Sent = false;                      // The pre-request callback has let the request be sent.
-    bool ClosedUnanswered = false;          // The connection was closed without an answer, and libcurl's resend was prevented.
-    bool Withheld = false;                  // MaySend returned false.
-    bool Spoilt = false;                    // Its kept connection was spoilt, so the request was not sent on it.
-    int SpoiltConnections = 0;              // How often this happened.
-    bool Mismatched = false;                // The answer belongs to another request.
-    bool Unusable = false;                  // Mismatched, or its framing is invalid: the connection is closed.
-    const char* TooLarge = nullptr;         // The part of the answer that exceeds its bound; null if none.
-    bool HeadOpen = false;                  // The status line of a response was received, and its headers are not complete.
-    bool HeadInvalid = false;               // It has a line that is no header, or that libcurl reads in another way.
-    bool HeadRead = false;                  // All headers of the final answer were received.
-    size_t HeadBytes = 0;                   // Bytes of headers and trailers so far, including those of interim answers.
-    int HeadLines = 0;                      // Lines of HeadBytes.
-    AnswerFraming Framing;                  // Set with HeadRead.
-    size_t BodyBytes = 0;                   // Body bytes so far.
-    curl_socket_t Socket = CURL_SOCKET_BAD; // Of its connection.
-    int Steps = 0;                          // Calls of the progress callback since it was sent.
-    std::optional<int64_t> UncountedBytes;  // Bytes read from the socket before the first count, less CountedBefore; none before it.
-    int64_t CountedBefore = 0;              // Bytes of headers and body at the first count.
+    Timer ListenTimer;                            // End of TimeoutUs, then of ListenUs, if the latter is set.
+    TimeUs SilentSinceUs = 0;                     // Time of the mark in Client::DeadSince that this call has set; 0: none.
+    TimeUs LinkOccupiedUs = 0;                    // OwnLinkOccupiedUs() at StartedUs.
+    TimeUs ExtraUs = 0;                           // Time granted beyond ListenUs, as the link was occupied,
+    TimeUs ExtendedAtUs = 0;                      // and when the first of it was granted; 0: none was.
+    bool Sent = false;                            // The pre-request callback has let the request be sent.
+    bool ClosedUnanswered = false;                // The connection was closed without an answer, and libcurl's resend was prevented.
+    bool Withheld = false;                        // MaySend returned false.
+    bool Spoilt = false;                          // Its kept connection was spoilt, so the request was not sent on it.
+    int SpoiltConnections = 0;                    // How often this happened.
+    bool Mismatched = false;                      // The answer belongs to another request.
+    bool Unusable = false;                        // Mismatched, or its framing is invalid: the connection is closed.
+    const char* TooLarge = nullptr;               // The part of the answer that exceeds its bound; null if none.
+    StatusLine Start;                             // Of the latest response, interim or final.
+    AnswerDefect_ LineDefect = AnswerDefect_None; // Of the line that ended the call.
+    bool HeadOpen = false;                        // The status line of a response was received, and its headers are not complete.
+    bool HeadInvalid = false;                     // It has a line that is no header, or that libcurl reads in another way.
+    bool HeadRead = false;                        // All headers of the final answer were received.
+    size_t HeadBytes = 0;                         // Bytes of headers and trailers so far, including those of interim answers.
+    int HeadLines = 0;                            // Lines of HeadBytes.
+    AnswerFraming Framing;                        // Set with HeadRead.
+    size_t BodyBytes = 0;                         // Body bytes so far.
+    curl_socket_t Socket = CURL_SOCKET_BAD;       // Of its connection.
+    int Steps = 0;                                // Calls of the progress callback since it was sent.
+    std::optional<int64_t> UncountedBytes;        // Bytes read from the socket before the first count, less CountedBefore; none before it.
+    int64_t CountedBefore = 0;                    // Bytes of headers and body at the first count.
 };
 
 //-----------------------------------------------------------------------------
@@ -134,22 +137,13 @@
     return CURL_PREREQFUNC_OK;
 }
 
-static int StatusOf(const ClientCall& call)
-{
-    long status = 0;
-    curl_easy_getinfo(call.Easy.get(), CURLINFO_RESPONSE_CODE, &status);
-    return static_cast<int>(status);
-}
-
 static AnswerFraming FramingOfCall(const ClientCall& call, int status)
 {
     if (call.HeadInvalid)
     {
         return {Framing_Invalid, 0};
     }
-    long version = 0;
-    curl_easy_getinfo(call.Easy.get(), CURLINFO_HTTP_VERSION, &version);
-    return FramingOf(call.Request.Method, status, version == CURL_HTTP_VERSION_1_0, call.Answer.Headers);
+    return FramingOf(call.Request.Method, status, call.Start.Http_1_0, call.Answer.Headers);
 }
 
 // Called when all headers of a response have been received. Interim (1xx) responses are ignored.
@@ -158,7 +152,7 @@
     constexpr int first_final = 200;
     const ClientRequest& request = call->Request;
     const std::vector<Header>& headers = call->Answer.Headers;
-    const int status = StatusOf(*call);
+    const int status = call->Start.Status;
     call->HeadRead = status >= first_final;
     call->Framing = call->HeadRead ? FramingOfCall(*call, status) : AnswerFraming();
     call->Mismatched = call->HeadRead && request.AcceptsHeaders && !request.AcceptsHeaders(headers);
@@ -169,6 +163,27 @@
     }
 }
 
+// Ends the call for a malformed line. Returns what tells libcurl to close the connection.
+static size_t RefuseLine(ClientCall* call, AnswerDefect_ defect)
+{
+    call->LineDefect = defect;
+    call->Unusable = true;
+    return 0;
+}
+
+static size_t BeginHead(ClientCall* call, const std::string& line)
+{
+    const std::optional<StatusLine> start = ParseStatusLine(line);
+    if (!start)
+    {
+        return RefuseLine(call, AnswerDefect_Status);
+    }
+    call->Start = *start;
+    call->HeadOpen = true;
+    call->Answer.Headers.clear(); // Discards the headers of an interim response.
+    return line.size();
+}
+
 // Adds a line of the headers. One that begins with a blank continues the line before it (RFC 9112, 5.2), but not for libcurl.
 static void AddHeaderLine(ClientCall* call, const std::string& line)
 {
@@ -201,11 +216,9 @@
         call->TooLarge = "headers";
         return 0;
     }
-    if (line.compare(0, 5, "HTTP/") == 0 && !call->HeadOpen && !call->HeadRead)
+    if (!call->HeadOpen && !call->HeadRead)
     {
-        call->HeadOpen = true;
-        call->Answer.Headers.clear(); // Discards the headers of an interim response.
-        return line.size();
+        return BeginHead(call, line);
     }
     if (line == "\r\n" || line == "\n")
     {
@@ -419,6 +432,12 @@
     return result == CURLE_WEIRD_SERVER_REPLY || result == CURLE_UNSUPPORTED_PROTOCOL;
 }
 
+// libcurl itself has refused a line of the head or of the trailers.
+static bool IsLineRefused(CURLcode result)
+{
+    return IsForeign(result) || result == CURLE_BAD_FUNCTION_ARGUMENT;
+}
+
 // What is wrong with the bytes of the answer; AnswerDefect_None also if none have come.
 static AnswerDefect_ DefectOf(const ClientCall& call, CURLcode result)
 {
@@ -430,10 +449,18 @@
     {
         return AnswerDefect_OtherRequest;
     }
+    if (call.LineDefect != AnswerDefect_None)
+    {
+        return call.LineDefect;
+    }
     if (call.HeadBytes == 0)
     {
         return IsForeign(result) ? AnswerDefect_NotHttp : AnswerDefect_None;
     }
+    if (IsLineRefused(result))
+    {
+        return call.HeadRead ? AnswerDefect_Trailer : call.HeadOpen ? AnswerDefect_Header : AnswerDefect_Status;
+    }
     return FramingDefect(call.Framing, call.BodyBytes, result == CURLE_OK);
 }
 
@@ -475,7 +502,7 @@
     answer.TookUs = NowUs() - call->StartedUs;
     if (answer.End == ClientEnd_Answered)
     {
-        answer.Status = StatusOf(*call);
+        answer.Status = call->Start.Status;
         return;
     }
     answer.Detail = call->ClosedUnanswered                 ? "connection closed without an answer"
--- a/tests/malformed_answers_test.cpp
+++ b/tests/malformed_answers_test.cpp
@@ -50,6 +50,56 @@
     return answers;
 }
 
+// Status lines with a status that HTTP does not know, or in another form than its own.
+std::vector<std::string> MalformedStatusLines()
+{
+    std::vector<std::string> answers;
+    for (const char* line :
+         {"HTTP/1.1 000 OK",  "HTTP/1.1 001 OK",  "HTTP/1.1 099 OK",   "HTTP/1.1 600 OK",   "HTTP/1.1 999 OK", "HTTP/1.0 000 OK",
+          "HTTP/1.1 20 OK",   "HTTP/1.1 2000 OK", "HTTP/1.1 -20 OK",   "HTTP/1.1 +20 OK",   "HTTP/1.1 2x0 OK", "HTTP/1.1  200 OK",
+          "HTTP/1.1 200OK",   "HTTP/1.1 OK",      "HTTP/1.1 ",         "HTTP/1.1",          "HTTP/1.2 200 OK", "HTTP/2 200 OK",
+          "HTTP/1.1\t200 OK", "HTTP/1.1 200\tOK", "HTTP/1.1 200 \x01", "HTTP/1.1 200 O\rK", "http/1.1 200 OK", "HTTP/1.01 200 OK"})
+    {
+        for (const std::string& before : {std::string(), Interim})
+        {
+            answers.push_back(before + line + "\r\n" + OwnHeaders + OwnBody);
+        }
+    }
+    return answers;
+}
+
+// Header lines with bytes that their name or their value must not have.
+std::vector<std::string> MalformedHeaderLines()
+{
+    std::vector<std::string> answers;
+    for (const std::string& line :
+         {std::string("X A: a"), std::string("X\x01: a"), std::string("X\x7f: a"), std::string("X\rY: a"), std::string("X\xc3\xa9: a"),
+          std::string("(X): a"), std::string("X/Y: a"), std::string("{\"x\": a"), std::string(": a"), std::string("X"),
+          std::string("X\0: a", 5), std::string("X: a\rb"), std::string("X: a\r"), std::string("X: \x01"), std::string("X: a\x7f"),
+          std::string("X: a\0b", 6), std::string("X: y\r\n a\rb"), std::string("X: y\r\n \x01")})
+    {
+        answers.push_back(StatusLine + line + "\r\n" + OwnHeaders + OwnBody);
+        answers.push_back(StatusLine + "A: b\r\n" + line + "\r\n" + OwnHeaders + OwnBody);
+        answers.push_back("HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + StatusLine + OwnHeaders + OwnBody);
+    }
+    return answers;
+}
+
+// Chunked answers whose last chunk is followed by lines that are no trailers, such as the rest of a body whose chunk has a spoilt size.
+std::vector<std::string> MalformedTrailers()
+{
+    const std::string head = StatusLine + "{}Transfer-Encoding: chunked\r\n\r\n";
+    std::vector<std::string> answers;
+    for (const char* lines : {"{\"page\":216}", "{\"page\":216}\r\n0", "X A: y", " X: y", "\tX: y", "X: y\r\n Z: z", ": y", "X\x01: y",
+                              "X: \x01", "X", "HTTP/x: y", "HTTP/1.1 200 OK", "<a href=\"x:y\">"})
+    {
+        answers.push_back(head + InChunks(OwnBody) + lines + "\r\n\r\n");
+        answers.push_back(head + InChunks(OwnBody) + lines + "\n\r\n");
+    }
+    answers.push_back(head + Chunk("{\"page\":215}\n") + "0\r\n{\"page\":216}\n\r\n" + Chunk("{\"page\":217}\n") + "0\r\n\r\n");
+    return answers;
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Uses of the client
 //-----------------------------------------------------------------------------
@@ -289,8 +339,9 @@
     CheckCommands(answers);
 }
 
-// The client must fail each of them after any number of sound answers, close the connection, and stay usable.
-void CheckClient(const std::vector<std::string>& answers)
+// The client must fail each of them after any number of sound answers, close the connection, and stay usable. `heads`: how often a head
+// counts as received.
+void CheckClient(const std::vector<std::string>& answers, AnswerDefect_ defect, int heads = 0)
 {
     ClientRig rig;
     CutCheck check;
@@ -304,8 +355,11 @@
                 CPPUNIT_ASSERT_EQUAL(200, ClientSendAndWait(&rig.Calls, rig.Request("GET", "/sound")).Status);
             }
             const ClientAnswer answer = rig.Ask(rig.Request("GET", "/x"), {bytes, ScriptEnd_Open});
-            const bool failed = answer.End == ClientEnd_Broken && answer.Status == 0 && answer.Headers.empty();
-            check.Add(failed && rig.HeadsSeen == 0, TextOf(fmt::format("after {} sound answers", sound), bytes, answer));
+            const bool failed = answer.End == ClientEnd_Broken && answer.Status == 0 && answer.Headers.empty() && answer.Body.empty();
+            const bool named = answer.Defect == defect || answer.Defect == AnswerDefect_NotHttp;
+            const std::string text =
+                fmt::format("after {} sound answers, {} heads, {}", sound, rig.HeadsSeen, AnswerDefectName(answer.Defect));
+            check.Add(failed && named && rig.HeadsSeen == heads, TextOf(text, bytes, answer));
             CPPUNIT_ASSERT(LoopRunUntil(&rig.Loop, RigTimeoutUs, [&rig]() { return rig.Server.Last->Closed; }));
         }
     }
@@ -323,12 +377,15 @@
     CPPUNIT_TEST_SUITE(MalformedAnswersTest);
     CPPUNIT_TEST(AFoldedFirstLineEndsNoProcess);
     CPPUNIT_TEST(AFoldedFirstLineEndsNoInstance);
+    CPPUNIT_TEST(UnknownStatusesAreNoAnswers);
+    CPPUNIT_TEST(UnknownStatusesReachNoCaller);
+    CPPUNIT_TEST(KnownStatusesAreDelivered);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against a process that ends as libcurl appends the line to a header of an earlier answer, which has been freed.
     void AFoldedFirstLineEndsNoProcess()
     {
-        CheckClient(FoldedFirstLines());
+        CheckClient(FoldedFirstLines(), AnswerDefect_Header);
     }
 
     // Guards against the same at each use of the client.
@@ -337,6 +394,99 @@
         const std::vector<std::string> all = FoldedFirstLines();
         CheckEachUse({all.begin(), all.begin() + 2});
     }
+
+    // Guards against an answer with a status outside 100 to 599, such as 000, or one that is read as a status and is none.
+    void UnknownStatusesAreNoAnswers()
+    {
+        CheckClient(MalformedStatusLines(), AnswerDefect_Status);
+    }
+
+    // Guards against callers that get such a status, and against targets, a store or other instances that count as sound with it.
+    void UnknownStatusesReachNoCaller()
+    {
+        CheckEachUse(MalformedStatusLines());
+    }
+
+    // Guards against a check of statuses that refuses valid ones.
+    void KnownStatusesAreDelivered()
+    {
+        ClientRig rig;
+        for (const auto& [line, status] : {std::pair("200", 200), std::pair("200 ", 200), std::pair("299 Odd", 299),
+                                           std::pair("404 Not Found", 404), std::pair("599 \xc3\xa9", 599)})
+        {
+            for (const char* version : {"HTTP/1.1 ", "HTTP/1.0 "})
+            {
+                const std::string bytes = version + std::string(line) + "\r\n" + LengthLine() + "\r\n" + OwnBody;
+                const ClientAnswer answer = rig.Ask(rig.Request("GET", "/x"), {bytes, ScriptEnd_Open});
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(TextOf("", bytes, answer), status, answer.Status);
+                CPPUNIT_ASSERT_EQUAL(OwnBody, answer.Body);
+            }
+        }
+    }
+
+    // Guards against callers whose library stops reading at a line that is no header, and against headers that are read in two ways.
+    void MalformedHeaderLinesAreNoAnswers()
+    {
+        CheckClient(MalformedHeaderLines(), AnswerDefect_Header);
+    }
+
+    // Guards against the same at each use of the client.
+    void MalformedHeaderLinesReachNoCaller()
+    {
+        CheckEachUse(MalformedHeaderLines());
+    }
+
+    // Guards against a check of header lines that refuses valid ones, or loses a part of them.
+    void UnusualHeaderLinesAreDelivered()
+    {
+        struct Line
+        {
+            const char* Sent;
+            const char* Name;
+            const char* Value;
+        };
+        ClientRig rig;
+        for (const Line& line :
+             {Line{"X: a", "X", "a"}, Line{"X:a", "X", "a"}, Line{"X:", "X", ""}, Line{"X: \t", "X", ""}, Line{"X:\ta\tb ", "X", "a\tb"},
+              Line{"X : a", "X", "a"}, Line{"X: a: b", "X", "a: b"}, Line{"X: \xc3\xa9", "X", "\xc3\xa9"}, Line{"X: a\r\n b", "X", "a b"},
+              Line{"X: HTTP/1.1 200", "X", "HTTP/1.1 200"}, Line{"!#$%&'*+-.^_`|~09aZ: v", "!#$%&'*+-.^_`|~09aZ", "v"}})
+        {
+            for (const char* end : {"\r\n", "\n"})
+            {
+                const std::string bytes = StatusLine + line.Sent + end + LengthLine() + end + OwnBody;
+                const ClientAnswer answer = rig.Ask(rig.Request("GET", "/x"), {bytes, ScriptEnd_Open});
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(TextOf("", bytes, answer), OwnBody, answer.Body);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(Escaped(bytes), std::string(line.Name), answer.Headers.front().Name);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(Escaped(bytes), std::string(line.Value), answer.Headers.front().Value);
+            }
+        }
+    }
+
+    // Guards against a part of a body that is delivered as the whole, as the rest of it is read as trailers.
+    void BodiesThatPassForTrailersAreNotWhole()
+    {
+        CheckClient(MalformedTrailers(), AnswerDefect_Trailer, 1);
+    }
+
+    // Guards against callers that get such a part.
+    void BodiesThatPassForTrailersReachNoCaller()
+    {
+        CheckRequests(MalformedTrailers());
+        CheckUnsafeRequests(MalformedTrailers());
+    }
+
+    // Guards against a check of trailers that refuses valid ones.
+    void UnusualTrailersAreDelivered()
+    {
+        ClientRig rig;
+        const std::string start = StatusLine + "Transfer-Encoding: chunked\r\n\r\n" + InChunks(OwnBody);
+        for (const char* lines : {"", "X: y\r\n", "X:\r\nZ: \xc3\xa9\r\n", "Content-Length: 5\r\n"})
+        {
+            const ClientAnswer answer = rig.Ask(rig.Request("GET", "/x"), {start + std::string(lines) + "\r\n", ScriptEnd_Open});
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(TextOf("", lines, answer), OwnBody, answer.Body);
+            CPPUNIT_ASSERT_EQUAL(size_t{1}, answer.Headers.size());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MalformedAnswersTest);
