Header lines of answers have names and values that HTTP allows

Cause: any line with a colon counted as a header, as libcurl checks neither names nor lone carriage returns.

Change: a name is a token, a value has no control characters but tabs; a line that continues another is checked alike, and one that continues none is refused. A blank between name and colon is dropped, as RFC 9112, 5.1 demands of proxies, but for the headers that frame the body. A malformed line ends the call at once, with the defect 'header', at each use of the client.

--- a/gateway/answer_framing.cpp
+++ b/gateway/answer_framing.cpp
@@ -71,14 +71,6 @@
     return number && length <= length_max ? std::optional<uint64_t>(length) : std::nullopt;
 }
 
-// Whether a name is followed by blanks, as in "Content-Length : 5": readers differ in whether that is the header.
-static bool HasBlankBeforeColon(const std::vector<Header>& headers)
-{
-    return std::any_of(headers.begin(), headers.end(),
-                       [](const Header& header)
-                       { return TrimBlanks(header.Name).size() != header.Name.size() && IsFramingHeader(header.Name); });
-}
-
 //-----------------------------------------------------------------------------
 // [SECTION] Framing
 //-----------------------------------------------------------------------------
@@ -92,18 +84,13 @@
 
 bool IsFramingHeader(const std::string& name)
 {
-    const std::string trimmed = TrimBlanks(name);
-    return SameHeader(trimmed, "Content-Length") || SameHeader(trimmed, "Transfer-Encoding");
+    return SameHeader(name, "Content-Length") || SameHeader(name, "Transfer-Encoding");
 }
 
 AnswerFraming FramingOf(const std::string& method, int status, bool http_1_0, const std::vector<Header>& headers)
 {
     constexpr int no_content = 204;
     constexpr int not_modified = 304;
-    if (HasBlankBeforeColon(headers))
-    {
-        return {Framing_Invalid, 0};
-    }
     const std::vector<std::string> lengths = ElementsOf(headers, "Content-Length");
     const std::vector<std::string> codings = ElementsOf(headers, "Transfer-Encoding");
     const AnswerFraming by_length = lengths.empty() ? AnswerFraming{Framing_Close, 0} : ByLength(lengths);
--- a/gateway/client.cpp
+++ b/gateway/client.cpp
@@ -81,7 +81,6 @@
     StatusLine Start;                             // Of the latest response, interim or final.
     AnswerDefect_ LineDefect = AnswerDefect_None; // Of the line that ended the call.
     bool HeadOpen = false;                        // The status line of a response was received, and its headers are not complete.
-    bool HeadInvalid = false;                     // It has a line that is no header, or that libcurl reads in another way.
     bool HeadRead = false;                        // All headers of the final answer were received.
     size_t HeadBytes = 0;                         // Bytes of headers and trailers so far, including those of interim answers.
     int HeadLines = 0;                            // Lines of HeadBytes.
@@ -137,15 +136,6 @@
     return CURL_PREREQFUNC_OK;
 }
 
-static AnswerFraming FramingOfCall(const ClientCall& call, int status)
-{
-    if (call.HeadInvalid)
-    {
-        return {Framing_Invalid, 0};
-    }
-    return FramingOf(call.Request.Method, status, call.Start.Http_1_0, call.Answer.Headers);
-}
-
 // Called when all headers of a response have been received. Interim (1xx) responses are ignored.
 static void OnHeadersComplete(ClientCall* call)
 {
@@ -154,7 +144,7 @@
     const std::vector<Header>& headers = call->Answer.Headers;
     const int status = call->Start.Status;
     call->HeadRead = status >= first_final;
-    call->Framing = call->HeadRead ? FramingOfCall(*call, status) : AnswerFraming();
+    call->Framing = call->HeadRead ? FramingOf(request.Method, status, call->Start.Http_1_0, headers) : AnswerFraming();
     call->Mismatched = call->HeadRead && request.AcceptsHeaders && !request.AcceptsHeaders(headers);
     call->Unusable = call->Mismatched || call->Framing.Ends == Framing_Invalid;
     if (call->HeadRead && !call->Unusable && request.OnHeaders)
@@ -184,25 +174,37 @@
     return line.size();
 }
 
-// Adds a line of the headers. One that begins with a blank continues the line before it (RFC 9112, 5.2), but not for libcurl.
-static void AddHeaderLine(ClientCall* call, const std::string& line)
+// Appends a line that continues the header before it (RFC 9112, 5.2). libcurl reads such a header without its continuation.
+static size_t ContinueHeader(ClientCall* call, const std::string& line)
 {
     std::vector<Header>& headers = call->Answer.Headers;
-    const size_t colon = line.find(':');
-    const bool continues = line.front() == ' ' || line.front() == '\t';
-    if (continues && !headers.empty())
+    const std::optional<std::string> text = ParseContinuation(line);
+    if (headers.empty() || !text)
+    {
+        return RefuseLine(call, AnswerDefect_Header);
+    }
+    if (IsFramingHeader(headers.back().Name))
     {
-        headers.back().Value += " " + TrimBlanks(line);
-        call->HeadInvalid = call->HeadInvalid || IsFramingHeader(headers.back().Name);
+        return RefuseLine(call, AnswerDefect_Framing);
     }
-    else if (colon != std::string::npos && line.find("HTTP/") > colon)
+    headers.back().Value += " " + *text;
+    return line.size();
+}
+
+static size_t AddHeader(ClientCall* call, const std::string& line)
+{
+    std::optional<Header> header = ParseFieldLine(line);
+    if (!header)
     {
-        headers.push_back({line.substr(0, colon), TrimBlanks(line.substr(colon + 1))});
+        return RefuseLine(call, AnswerDefect_Header);
     }
-    else
+    const bool blank_before_colon = line.compare(header->Name.size(), 1, ":") != 0;
+    if (blank_before_colon && IsFramingHeader(header->Name))
     {
-        call->HeadInvalid = true; // Another answer may begin in it.
+        return RefuseLine(call, AnswerDefect_Framing); // Readers differ in whether this is the header.
     }
+    call->Answer.Headers.push_back(std::move(*header));
+    return line.size();
 }
 
 static size_t OnHeader(char* data, size_t size, size_t count, void* user)
@@ -229,11 +231,11 @@
         }
         return call->Unusable ? 0 : line.size();
     }
-    if (!call->HeadRead)
+    if (call->HeadRead)
     {
-        AddHeaderLine(call, line);
+        return line.size();
     }
-    return line.size();
+    return IsContinuation(line) ? ContinueHeader(call, line) : AddHeader(call, line);
 }
 
 static size_t OnBody(char* data, size_t size, size_t count, void* user)
--- a/tests/malformed_answers_test.cpp
+++ b/tests/malformed_answers_test.cpp
@@ -380,6 +380,9 @@
     CPPUNIT_TEST(UnknownStatusesAreNoAnswers);
     CPPUNIT_TEST(UnknownStatusesReachNoCaller);
     CPPUNIT_TEST(KnownStatusesAreDelivered);
+    CPPUNIT_TEST(MalformedHeaderLinesAreNoAnswers);
+    CPPUNIT_TEST(MalformedHeaderLinesReachNoCaller);
+    CPPUNIT_TEST(UnusualHeaderLinesAreDelivered);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against a process that ends as libcurl appends the line to a header of an earlier answer, which has been freed.
