A body that passes for trailers does not make an answer whole

Cause: libcurl takes what follows a chunk of size 0 for trailers as long as each line has a colon, as lines of JSON have, and nothing looked at trailers.

Change: a trailer is a header line, with a token for its name, and continues no other. Else the call ends as broken with the defect 'trailer'. Trailers are dropped as before. What can't be told: data whose lines look like headers.

Tests: MalformedAnswersTest, BodiesThatPassForTrailersAreNotWhole and BodiesThatPassForTrailersReachNoCaller failed before (the latter: both requests got 13 bytes) and pass now; UnusualTrailersAreDelivered passed before, too.

--- a/gateway/client.cpp
+++ b/gateway/client.cpp
@@ -233,7 +233,7 @@
     }
     if (call->HeadRead)
     {
-        return line.size();
+        return ParseFieldLine(line) ? line.size() : RefuseLine(call, AnswerDefect_Trailer); // Trailers are dropped.
     }
     return IsContinuation(line) ? ContinueHeader(call, line) : AddHeader(call, line);
 }
--- a/tests/malformed_answers_test.cpp
+++ b/tests/malformed_answers_test.cpp
@@ -383,6 +383,9 @@
     CPPUNIT_TEST(MalformedHeaderLinesAreNoAnswers);
     CPPUNIT_TEST(MalformedHeaderLinesReachNoCaller);
     CPPUNIT_TEST(UnusualHeaderLinesAreDelivered);
+    CPPUNIT_TEST(BodiesThatPassForTrailersAreNotWhole);
+    CPPUNIT_TEST(BodiesThatPassForTrailersReachNoCaller);
+    CPPUNIT_TEST(UnusualTrailersAreDelivered);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against a process that ends as libcurl appends the line to a header of an earlier answer, which has been freed.
