Tests: answers with changed bytes, read by the client and by a strict reader

An instance reads each answer with two readers, its own and libcurl's. What they read in different ways must be refused.

GeneratedAnswersTest changes, drops and repeats each byte of six sound answers (heads, folded lines, interim answers, chunk sizes, trailers), on new and kept connections, makes several changes at random (rapidcheck), and sends answers in two parts cut at each byte. fuzz_answer does the same without an aim, under AddressSanitizer and with libcurl as it is installed; its seeds have a folded first line.

--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -7,7 +7,7 @@
 cd "$(dirname "$0")/.."
 
 Limit="-max_total_time=${1:-60}"
-Targets=(fuzz_datagrams fuzz_documents fuzz_page fuzz_platform fuzz_request fuzz_signals)
+Targets=(fuzz_answer fuzz_datagrams fuzz_documents fuzz_page fuzz_platform fuzz_request fuzz_signals)
 if [ "${1:-}" = "--runs" ]
 then
     Limit="-runs=$2"
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -105,7 +105,7 @@
 Variant build-asan "address,undefined" RelWithDebInfo --skip Winchlink::Process "${KnownRed[@]}"
 
 # Fuzz targets, with a fixed seed and number of inputs.
-for Target in fuzz_datagrams fuzz_documents fuzz_page fuzz_platform fuzz_request fuzz_signals
+for Target in fuzz_answer fuzz_datagrams fuzz_documents fuzz_page fuzz_platform fuzz_request fuzz_signals
 do
     if scripts/fuzz.sh --runs 20000 "$Target"
     then
--- a/tests/scripted_server.cpp
+++ b/tests/scripted_server.cpp
@@ -101,21 +101,46 @@
     return request;
 }
 
-static void SendAnswer(ScriptedConnection* connection, const ScriptedAnswer& answer)
+static void SendBytes(const ScriptedConnection& connection, const std::string& bytes)
 {
-    const auto size = static_cast<ssize_t>(answer.Bytes.size());
-    CPPUNIT_ASSERT_EQUAL(size, send(connection->Socket, answer.Bytes.data(), answer.Bytes.size(), MSG_NOSIGNAL));
-    if (answer.End == ScriptEnd_Reset)
+    const auto size = static_cast<ssize_t>(bytes.size());
+    CPPUNIT_ASSERT_EQUAL(size, send(connection.Socket, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+}
+
+static void EndAnswer(ScriptedConnection* connection, ScriptEnd_ end)
+{
+    if (end == ScriptEnd_Reset)
     {
         Reset(connection);
     }
-    else if (answer.End == ScriptEnd_Close)
+    else if (end == ScriptEnd_Close)
     {
         shutdown(connection->Socket, SHUT_WR);
         connection->Ended = true;
     }
 }
 
+static void SendAnswer(EventLoop* loop, ScriptedConnection* connection, const ScriptedAnswer& answer)
+{
+    if (answer.FirstPart == 0)
+    {
+        SendBytes(*connection, answer.Bytes);
+        EndAnswer(connection, answer.End);
+        return;
+    }
+    SendBytes(*connection, answer.Bytes.substr(0, answer.FirstPart));
+    const auto send_rest = [connection, answer]()
+    {
+        if (!connection->Closed)
+        {
+            const std::string rest = answer.Bytes.substr(answer.FirstPart);
+            send(connection->Socket, rest.data(), rest.size(), MSG_NOSIGNAL); // The client may have closed the connection meanwhile.
+            EndAnswer(connection, answer.End);
+        }
+    };
+    connection->Later = TimerStart(loop, UsPerMs, send_rest);
+}
+
 // Takes the request that has been read from `received`; false if it is not complete.
 static bool TakeRequest(const ScriptedServer& server, std::string* received, ReceivedRequest* out)
 {
@@ -155,7 +180,7 @@
     connection->Requests++;
     server->Last = connection;
     connection->Ended = !server->ReadsBodies && FindHeader(request.Headers, "Content-Length") != nullptr;
-    SendAnswer(connection, server->Answer(request));
+    SendAnswer(server->Loop, connection, server->Answer(request));
 }
 
 static void Accept(ScriptedServer* server)
--- a/tests/scripted_server.h
+++ b/tests/scripted_server.h
@@ -53,6 +53,7 @@
 {
     std::string Bytes;
     ScriptEnd_ End = ScriptEnd_Open;
+    size_t FirstPart = 0; // Bytes that are sent at once, the others a moment later; 0: all.
 };
 
 struct ScriptedConnection
@@ -61,6 +62,7 @@
     Watch Ready;
     std::string Received;
     int Requests = 0;    // Received on it.
+    Timer Later;         // Sends the rest of an answer.
     bool Ended = false;  // No answer follows; what is received is discarded.
     bool Closed = false; // By both sides, or reset.
 };
