A stopping instance answers every request before it ends

Callers whose requests came late in the grace time of a planned stop, as their bodies were complete only then, had their connections cut while a target was at work, also on requests that may not be repeated; whole requests behind another one were closed without an answer (a report of operators of another system, shown here by tests).

Cause: nothing compared a request's deadline, or what its target needs, with the end of the grace time, and the next answer of a stopping instance closed the connection whatever had arrived behind it.

Change: all requests have a deadline before the end, and then an answer. One whose own deadline is later is only sent while three times its row's mean duration fits; else it is refused as not run (503, code 2021), at once or when it has waited for a slot until then. Every whole request that has arrived is answered before its connection is closed. Requests that were handed on are treated alike.

PipelineTest:: AStopAnswersAllRequestsInFlight demanded that a request behind the last answer is closed unanswered, which is the fault; it demands an answer now, and is as strict on the order, on the only 'Connection: close' and on what has run. PipelineTest, ListenerTest, ProcessTest, GatewayTest, HandoffTest, DocsTest pass.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -32,6 +32,7 @@
 static constexpr TimeUs KeepAcceptingUs = 3 * UsPerSecond; // After the stop signal; covers two failed readiness checks of 1 s.
 static constexpr TimeUs PendingConnectUs = 200 * UsPerMs;  // Time for handshakes in progress once new connections are ignored.
 static constexpr TimeUs StopMarginUs = 300 * UsPerMs;      // The instance exits this long before the end of the grace time.
+static constexpr TimeUs LastAnswersUs = 100 * UsPerMs;     // Before that: time in which the last answers are sent to callers.
 static constexpr double BytesPerSOfMbps = 1e6 / 8;
 
 //-----------------------------------------------------------------------------
@@ -530,8 +531,10 @@
         return;
     }
     gateway->StopUs = NowUs();
-    gateway->Requests.Draining = true;
+    const TimeUs answer_by = std::max(gateway->StopUs, gateway->StopUs + gateway->Config.GraceUs - StopMarginUs - LastAnswersUs);
     Log(LogLevel_Info, Code_None, "stopping", {{"inProgress", gateway->Requests.InProgress}});
+    ListenerDrain(&gateway->Callers);
+    ForwarderDrain(&gateway->Requests, answer_by);
     const TimeUs serve_on = std::min(KeepAcceptingUs, gateway->Config.GraceUs - StopMarginUs);
     gateway->StopTimer = TimerStart(gateway->Loop, serve_on, [gateway]() { StopAccepting(gateway); });
 }
--- a/gateway/listener.cpp
+++ b/gateway/listener.cpp
@@ -127,6 +127,11 @@
     listener->IdleCheck = TimerStart(listener->Loop, IdleCheckUs, [listener]() { CheckIdle(listener); });
 }
 
+void ListenerDrain(Listener* listener)
+{
+    listener->Draining = true;
+}
+
 void ListenerCloseIdle(Listener* listener)
 {
     for (const uint64_t id : OpenIds(*listener))
--- a/gateway/listener.h
+++ b/gateway/listener.h
@@ -94,6 +94,7 @@
     std::vector<uint64_t> ServeQueue;                                     // Ids of connections to serve before the loop waits.
     std::unordered_map<uint64_t, std::unique_ptr<CallerConnection>> Open; // Open connections by id.
     uint64_t LastId = 0;                                                  // Id of the newest connection.
+    bool Draining = false;                                                // See ListenerDrain().
     uint64_t Overlapped = 0;                                              // Counter: requests started while others of their connection ran.
 
     Listener() = default;
@@ -119,6 +120,10 @@
 // progress are complete: that call has no effect on some networks, and new connections could then delay the stop until it times out.
 void ListenerCloseSocket(Listener* listener);
 
+// Closes each connection from now on once all requests that have arrived on it whole are answered; the last answer says so. Used for a
+// planned stop.
+void ListenerDrain(Listener* listener);
+
 // Answers a request. Call it exactly once for each exchange.
 void Reply(const ExchangePtr& exchange, CallerReply reply);
 
--- a/requests/call.h
+++ b/requests/call.h
@@ -1,5 +1,5 @@
 // call.h: state of one caller's request, shared by the parts of the forwarder (forward.cpp, choose.cpp, attempt.cpp, handoff.cpp,
-// target_path.cpp, quarantined_calls.cpp).
+// target_path.cpp, quarantined_calls.cpp, planned_stop.cpp).
 //
 // A Call is kept alive by the callbacks that refer to it. It ends exactly once, in EndCall(); events that arrive afterwards only update
 // statistics and the state of targets.
@@ -12,6 +12,7 @@
 // [SECTION] Handing on to other instances (handoff.cpp)
 // [SECTION] Path to the targets (target_path.cpp)
 // [SECTION] Requests that crash targets (quarantined_calls.cpp)
+// [SECTION] Planned stop (planned_stop.cpp)
 
 #pragma once
 
@@ -88,6 +89,8 @@
     std::optional<ClientAnswer> FailedAnswer; // Error response of a target; relayed if no other attempt succeeds.
     TimeUs RetryAfterUs = 0;                  // Retry-After sent with a refusal; for the log.
     Timer DeadlineTimer;                      // Fires at DeadlineUs; before there is a plan, when FirstPlanUs ends.
+    bool EndsEarly = false;                   // The instance stops before the deadline that the request would have had.
+    Timer SendByTimer;                        // While EndsEarly: fires when it is too late to send the request to a target.
     Timer SlowProbeTimer;                     // Fires when a probe is slow.
     Timer ProbeRetryTimer;                    // Probes again after all targets were busy.
     Timer HedgeTimer;                         // Fires when the first attempt is slow, or when a hedge is to be tried again.
@@ -117,6 +120,9 @@
 // Answers with the HTTP status of the code. Asserts that no target may have run the request where that status implies "not run".
 void EndCallWith(const CallPtr& call, Code_ code, const std::string& detail, TimeUs retry_after = 0);
 
+// The deadline has passed: gives the final answer.
+void EndCallAtDeadline(const CallPtr& call);
+
 // Refuses a request that has not run because targets are busy; Retry-After says when there may be capacity.
 void EndCallBusy(const CallPtr& call, Code_ code, const std::string& detail);
 
@@ -253,4 +259,14 @@
 // The request was answered: clears crashes recorded against it.
 void NoteAnswered(Call* call);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Planned stop (planned_stop.cpp)
+//-----------------------------------------------------------------------------
+
+// While the instance drains: moves the request's deadline before the stop, and refuses it when it is too late to send it.
+void LimitToStop(const CallPtr& call);
+
+// Whether a target that is expected to take that long answers before the instance stops. 0: nothing is known of the target.
+bool AnswersBeforeStop(const Call& call, double expected_us);
+
 } // namespace Winchlink
--- a/requests/caller_connection.cpp
+++ b/requests/caller_connection.cpp
@@ -129,13 +129,14 @@
 }
 
 // Moves the answers that are next in order to the output.
-static void WriteAnswers(CallerConnection* connection)
+static void WriteAnswers(const Listener& listener, CallerConnection* connection)
 {
     std::deque<ExchangePtr>& requests = connection->Requests;
     while (!requests.empty() && requests.front()->Answer)
     {
         const ExchangePtr exchange = requests.front();
         requests.pop_front();
+        connection->Closing = connection->Closing || (listener.Draining && requests.empty());
         const bool last_started = requests.empty() || !requests.front()->Started;
         const bool closes = connection->Closing && last_started;
         WriteAnswer(connection, *exchange, closes);
@@ -150,6 +151,12 @@
 // [SECTION] Starting requests
 //-----------------------------------------------------------------------------
 
+// Whether the next request may be read while this one is the latest.
+static bool MayReadBehind(const Exchange& latest)
+{
+    return latest.Started && (latest.CanOverlap || latest.Answer);
+}
+
 // Whether a further request may be read: all in progress have been started and may overlap, and the limits permit one more.
 static bool MayRead(const Listener& listener, const CallerConnection& connection)
 {
@@ -158,7 +165,7 @@
     {
         return false;
     }
-    return requests.empty() || (requests.back()->Started && requests.back()->CanOverlap && requests.size() < listener.Config.OverlapMax);
+    return requests.empty() || (MayReadBehind(*requests.back()) && requests.size() < listener.Config.OverlapMax);
 }
 
 static void AddRequest(Listener* listener, CallerConnection* connection)
@@ -334,12 +341,30 @@
     }
 }
 
+// Reads a request that has arrived behind the last answer, so that this answer does not close the connection.
+static void ReadBehindLast(Listener* listener, CallerConnection* connection)
+{
+    if (connection->Requests.empty() || !connection->Requests.back()->Answer || connection->Closing)
+    {
+        return;
+    }
+    if (connection->Input.empty())
+    {
+        Read(connection, false); // If the caller has disconnected, the next event tells.
+    }
+    ReadNext(listener, connection);
+}
+
 void ConnectionServe(Listener* listener, uint64_t id)
 {
     CallerConnection* connection = Find(listener, id);
     do
     {
-        WriteAnswers(connection);
+        if (listener->Draining)
+        {
+            ReadBehindLast(listener, connection);
+        }
+        WriteAnswers(*listener, connection);
     } while (StartLatest(listener, connection) || ReadNext(listener, connection));
     if (!Write(*listener, connection))
     {
--- a/requests/choose.cpp
+++ b/requests/choose.cpp
@@ -64,6 +64,17 @@
     return view;
 }
 
+// Sends the request to the target, unless the instance stops before the target is expected to answer.
+static void SendOrRefuse(const CallPtr& call, PoolTarget* target)
+{
+    if (AnswersBeforeStop(*call, PoolCost(call->Service->Pool, *target, NowUs()) * call->Work->MeanUs))
+    {
+        SendTo(call, target);
+        return;
+    }
+    RejectOrFallBack(call, Code_InstanceStopping, "the target may answer too late");
+}
+
 static void CarryOut(const CallPtr& call, const ChooseActions& actions);
 
 static void StartWaiting(const CallPtr& call, TimeUs delay)
@@ -94,7 +105,7 @@
             Probe(call, *action.Target, action.DelayUs);
             break;
         case ChooseAction_Send:
-            SendTo(call, action.Target);
+            SendOrRefuse(call, action.Target);
             break;
         case ChooseAction_Wait:
             StartWaiting(call, action.DelayUs);
--- a/requests/forward.cpp
+++ b/requests/forward.cpp
@@ -21,6 +21,8 @@
 namespace Winchlink
 {
 
+static constexpr TimeUs OtherInstanceUs = 50 * UsPerMs; // Retry-After where another instance can serve the request at once.
+
 //-----------------------------------------------------------------------------
 // [SECTION] Ending a call
 //-----------------------------------------------------------------------------
@@ -87,6 +89,7 @@
     call->Ended = true;
     ChooserStop(&call->Round);
     call->DeadlineTimer = nullptr;
+    call->SendByTimer = nullptr;
     call->ProbeRetryTimer = nullptr;
     call->SlowProbeTimer = nullptr;
     call->HedgeTimer = nullptr;
@@ -114,8 +117,9 @@
         }
         reply.Headers.push_back({HeaderHandoff, FormatHandoffResult(result)});
     }
-    reply.CloseConnection = reply.CloseConnection || call->Owner->Draining;
+    reply.CloseConnection = reply.CloseConnection || (call->TakenFrom && call->Owner->Draining);
     Reply(call->Inbound, std::move(reply));
+    call->Owner->Calls.erase(call);
 }
 
 void EndCallWith(const CallPtr& call, Code_ code, const std::string& detail, TimeUs retry_after)
@@ -173,6 +177,10 @@
     {
         return call->PeerRetryUs;
     }
+    if (code == Code_InstanceStopping)
+    {
+        return OtherInstanceUs;
+    }
     if (code == Code_TargetsUnreachable || code == Code_HandoffRefused)
     {
         const TimeUs least = call->Owner->Config.EmptyRetryUs;
@@ -199,7 +207,7 @@
     CancelAttempts(call);
 }
 
-static void OnDeadline(const CallPtr& call)
+void EndCallAtDeadline(const CallPtr& call)
 {
     const bool sent = call->MayHaveRun > 0 || !call->Active.empty();
     PenalizeTargets(*call);
@@ -323,7 +331,7 @@
 {
     call->CallerDeadlineUs = call->Inbound->ArrivedUs + timeout;
     call->DeadlineUs = call->Inbound->ArrivedUs + std::min(timeout, call->MatchedRoute->TimeoutUs);
-    call->DeadlineTimer = TimerStart(call->Owner->Loop, LeftUs(*call, NowUs()), [call]() { OnDeadline(call); });
+    call->DeadlineTimer = TimerStart(call->Owner->Loop, LeftUs(*call, NowUs()), [call]() { EndCallAtDeadline(call); });
 }
 
 bool AdmitHere(const CallPtr& call)
@@ -422,7 +430,11 @@
         EndCallBusy(call, Code_HandoffRefused, "");
         return;
     }
-    ChooseTarget(call, Choosing_First);
+    LimitToStop(call);
+    if (!call->Ended)
+    {
+        ChooseTarget(call, Choosing_First);
+    }
 }
 
 bool ForwardMayOverlap(const Forwarder& forwarder, const Exchange& exchange)
@@ -523,6 +535,7 @@
         call->Id = fmt::format("{}-{}", forwarder->IdPrefix, ++forwarder->LastId);
     }
     forwarder->InProgress++;
+    forwarder->Calls.insert(call);
     exchange->OnGone = [call]()
     {
         OnCallerGone(call);
--- a/requests/forward.h
+++ b/requests/forward.h
@@ -123,8 +123,10 @@
     int Taken = 0;                                // Requests of other instances in progress; counted in InProgress too.
     uint64_t TakenCount = 0;                      // Counter: requests of other instances that were taken.
     LatencyStats HandoffLatency;                  // From the offer of a request to its answer.
-    bool Draining = false;                        // This instance is draining: callers' connections are closed after the answer.
-    int InProgress = 0;                           // Requests not answered yet.
+    bool Draining = false;                        // See ForwarderDrain().
+    TimeUs AnswerByUs = 0;                        // While draining: the time by which all requests must have been answered.
+    std::set<std::shared_ptr<Call>> Calls;        // Requests not answered yet.
+    int InProgress = 0;                           // Number of Calls.
     std::string IdPrefix;                         // Prefix of ids for requests that come without one.
     uint64_t LastId = 0;                          // Number of the last generated id.
     uint64_t ProbesSent = 0;                      // Counter: probes sent.
@@ -141,6 +143,10 @@
 
 void ForwardRequest(Forwarder* forwarder, const ExchangePtr& exchange);
 
+// The instance will stop: all requests are answered by this time. What a target is not expected to answer by then is not sent to one any
+// more, but refused, and no request of another instance is taken.
+void ForwarderDrain(Forwarder* forwarder, TimeUs answer_by);
+
 // Another instance has offered a free slot of the target: lets the most urgent request that waits for one go on. Does nothing if `offered`
 // is null.
 void TakeOffer(ServiceState* service, PoolTarget* offered);
--- a/requests/handoff.cpp
+++ b/requests/handoff.cpp
@@ -182,7 +182,7 @@
     Forwarder* forwarder = call->Owner;
     const TimeUs now = NowUs();
     const bool allowed = !call->TakenFrom && call->PeersTried.size() < forwarder->Others.Config.TriesMax &&
-                         call->Attempts < call->AttemptsMax && LeftUs(*call, now) > 0;
+                         call->Attempts < call->AttemptsMax && LeftUs(*call, now) > 0 && AnswersBeforeStop(*call, 0);
     if (!allowed || forwarder->PeerCalls == nullptr || IsQuarantined(call.get()) || !IsKeyValid(*call))
     {
         return "";
@@ -228,6 +228,7 @@
     case Code_KeyUnknown:
     case Code_TargetsUnreachable:
     case Code_HandoffRefused:
+    case Code_InstanceStopping:
         return true;
     default:
         return false;
--- a/winchlink.h
+++ b/winchlink.h
@@ -106,6 +106,7 @@
     Code_TargetsUnreachable = 2018,
     Code_HandoffRefused = 2019,
     Code_RouteNotLearnt = 2020,
+    Code_InstanceStopping = 2021,
 
     Code_OutcomeUnknown = 2101,
     Code_DeadlinePassed = 2102,
--- a/winchlink_codes.cpp
+++ b/winchlink_codes.cpp
@@ -57,6 +57,8 @@
         {Code_HandoffRefused, "HandoffRefused", 503, "Not run: this instance takes no more requests of other instances."},
         {Code_RouteNotLearnt, "RouteNotLearnt", 503,
          "Not run: no route known here serves this host and path, and there may be one: the store can't be asked, or rows are left out."},
+        {Code_InstanceStopping, "InstanceStopping", 503,
+         "Not run: this instance stops, perhaps before a target could answer; another one may serve it."},
         {Code_OutcomeUnknown, "OutcomeUnknown", 502, "Outcome unknown: the request was sent and no complete answer came."},
         {Code_DeadlinePassed, "DeadlinePassed", 504, "Outcome unknown: the deadline passed after the request was sent."},
         {Code_CallerGone, "CallerGone", 499, "The caller hung up; the target's work was cancelled."},
