All answers in flight share one bound on memory

Cause: the bound of 32 MiB on all bodies did not hold, as each might still grow to 4 MiB beyond it, and an instance's three clients counted by themselves. Only the answer that happened to be read could be ended.

Change: the three clients share an account of what answers hold, headers included. Beyond 32 MiB the largest answer is given up at once, wherever it is, first those without a stated length; its memory is freed before its transfer is ended. A stated length beyond the bound of one answer ends it at its head.

New: ASoundAnswerIsServedBesideManyEndlessBodies, ALengthBeyondTheBoundIsRefusedUnread, TheClientsOfAnInstanceShareTheirMemory. The account is checked in place of Client::BodyBytes, which is gone; it counts capacities and headers, so that it is the stricter figure.

--- a/gateway/client.cpp
+++ b/gateway/client.cpp
@@ -17,6 +17,7 @@
 //
 // Index of this file:
 // [SECTION] Calls
+// [SECTION] Memory
 // [SECTION] libcurl's callbacks
 // [SECTION] Bytes that are neither headers nor body
 // [SECTION] Dead connections
@@ -32,6 +33,7 @@
 #include "log.h"
 #include "socket.h"
 
+#include <algorithm>
 #include <cassert>
 #include <unistd.h>
 
@@ -42,8 +44,8 @@
 static constexpr long MaxIdleReuseSeconds = 8;       // Less than the idle timeout of targets, which close connections after 10 s or more.
 static constexpr int MaxSpoiltConnections = 3;       // Kept connections that a request may find spoilt before it gets a new one.
 static constexpr int MaxHeadLines = 1000;            // Header and trailer lines of an answer; libcurl keeps each of them in memory.
-static constexpr size_t MaxBodyBytes = 32 * MiB;     // Body bytes of all answers in flight: small instances have little memory.
-static constexpr size_t MaxBodyWhenFull = 4 * MiB;   // Largest body of an answer while MaxBodyBytes is exceeded.
+static constexpr size_t LargeAnswerBytes = 16 * KiB; // Answers that hold more may be given up for lack of memory.
+static constexpr size_t HeadCopies = 3;              // Of a head in memory: libcurl keeps two, one with its lines and one parsed.
 static constexpr int FramingCheckSteps = 4;          // Progress callbacks between two counts of the framing, of 1.6 MB at most.
 static constexpr int64_t MaxFramingBytes = 64 * KiB; // Framing of an answer, in bytes,
 static constexpr int64_t MaxFramingPerByte = 16;     // plus so many for each byte of headers and body: a chunk may hold a single byte.
@@ -86,12 +88,77 @@
     int HeadLines = 0;                            // Lines of HeadBytes.
     AnswerFraming Framing;                        // Set with HeadRead.
     size_t BodyBytes = 0;                         // Body bytes so far.
+    size_t HeldBytes = 0;                         // Part of AnswerMemory::Bytes.
     curl_socket_t Socket = CURL_SOCKET_BAD;       // Of its connection.
     int Steps = 0;                                // Calls of the progress callback since it was sent.
     std::optional<int64_t> UncountedBytes;        // Bytes read from the socket before the first count, less CountedBefore; none before it.
     int64_t CountedBefore = 0;                    // Bytes of headers and body at the first count.
 };
 
+//-----------------------------------------------------------------------------
+// [SECTION] Memory
+//-----------------------------------------------------------------------------
+
+static void Finish(Client* client, CURL* easy, CURLcode result);
+
+static void ReleaseMemory(ClientCall* call)
+{
+    AnswerMemory* memory = call->Owner->Memory;
+    memory->Bytes -= call->HeldBytes;
+    call->HeldBytes = 0;
+    memory->LargeCalls.erase(call);
+}
+
+// Whether the first call is to be given up before the second.
+static bool GivesWayBefore(const ClientCall* a, const ClientCall* b)
+{
+    const bool a_ends = a->Framing.Ends == Framing_Length;
+    const bool b_ends = b->Framing.Ends == Framing_Length;
+    return a_ends != b_ends ? b_ends : a->HeldBytes > b->HeldBytes;
+}
+
+static void EndGivenUp(Client* client)
+{
+    client->GiveUp = nullptr;
+    for (const uint64_t id : std::exchange(client->GivenUp, {}))
+    {
+        const auto found = client->Calls.find(id);
+        if (found != client->Calls.end()) // Otherwise it has ended meanwhile.
+        {
+            Finish(client, found->second->Easy.get(), CURLE_WRITE_ERROR);
+        }
+    }
+}
+
+// Frees what the call holds and ends it soon: libcurl may be calling, which can't end another transfer then.
+static void GiveUpForMemory(ClientCall* call)
+{
+    Client* client = call->Owner;
+    call->TooLarge = "memory";
+    std::string().swap(call->Answer.Body); // An assignment would keep its memory.
+    ReleaseMemory(call);
+    client->GivenUp.push_back(call->Id);
+    client->GiveUp = TimerStart(client->Loop, 0, [client]() { EndGivenUp(client); });
+}
+
+// Counts what the call holds now. Beyond the bound on all answers, gives up others or the call itself: false in the latter case.
+static bool UpdateMemory(ClientCall* call)
+{
+    AnswerMemory* memory = call->Owner->Memory;
+    const size_t held = call->Answer.Body.capacity() + HeadCopies * call->HeadBytes;
+    memory->Bytes += held - call->HeldBytes;
+    call->HeldBytes = held;
+    if (held > LargeAnswerBytes)
+    {
+        memory->LargeCalls.insert(call);
+    }
+    while (memory->Bytes > memory->MaxBytes && !memory->LargeCalls.empty())
+    {
+        GiveUpForMemory(*std::min_element(memory->LargeCalls.begin(), memory->LargeCalls.end(), GivesWayBefore));
+    }
+    return call->TooLarge == nullptr;
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] libcurl's callbacks
 //-----------------------------------------------------------------------------
@@ -147,6 +214,11 @@
     call->Framing = call->HeadRead ? FramingOf(request.Method, status, call->Start.Http_1_0, headers) : AnswerFraming();
     call->Mismatched = call->HeadRead && request.AcceptsHeaders && !request.AcceptsHeaders(headers);
     call->Unusable = call->Mismatched || call->Framing.Ends == Framing_Invalid;
+    if (call->Framing.Ends == Framing_Length && call->Framing.Length > request.MaxAnswerBytes)
+    {
+        call->TooLarge = "body";
+        call->Unusable = true;
+    }
     if (call->HeadRead && !call->Unusable && request.OnHeaders)
     {
         request.OnHeaders(status, headers);
@@ -213,6 +285,10 @@
     const std::string line(data, size * count);
     call->HeadBytes += line.size();
     call->HeadLines++;
+    if (call->TooLarge != nullptr || !UpdateMemory(call))
+    {
+        return 0;
+    }
     if (call->HeadBytes > call->Request.MaxHeadBytes || call->HeadLines > MaxHeadLines)
     {
         call->TooLarge = "headers";
@@ -247,15 +323,16 @@
         OwnLinkReceived(call->Owner->Link, length);
     }
     call->BodyBytes += length;
-    call->Owner->BodyBytes += length;
-    const bool full = call->Owner->BodyBytes > MaxBodyBytes && call->BodyBytes > MaxBodyWhenFull;
-    if (full || call->BodyBytes > call->Request.MaxAnswerBytes)
+    if (call->BodyBytes > call->Request.MaxAnswerBytes)
     {
         call->TooLarge = "body";
+    }
+    if (call->TooLarge != nullptr)
+    {
         return 0;
     }
     call->Answer.Body.append(data, length);
-    return length;
+    return UpdateMemory(call) ? length : 0;
 }
 
 static int OnConnectionOpened(void* user, curl_socket_t socket, curlsocktype)
@@ -306,16 +383,15 @@
     return framing > MaxFramingBytes + MaxFramingPerByte * (counted - call->CountedBefore);
 }
 
-// libcurl's progress callback. Ends the call if its answer consists of framing.
+// libcurl's progress callback. Ends the call if it was given up, or if its answer consists of framing.
 static int OnStep(void* user, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
 {
     auto* call = static_cast<ClientCall*>(user);
-    if (!call->Sent || !HasTooMuchFraming(call))
+    if (call->TooLarge == nullptr && call->Sent && HasTooMuchFraming(call))
     {
-        return 0;
+        call->TooLarge = "framing";
     }
-    call->TooLarge = "framing";
-    return 1;
+    return call->TooLarge != nullptr ? 1 : 0;
 }
 
 //-----------------------------------------------------------------------------
@@ -526,7 +602,7 @@
     }
     std::unique_ptr<ClientCall> call = std::move(found->second);
     client->Calls.erase(found);
-    client->BodyBytes -= call->BodyBytes;
+    ReleaseMemory(call.get());
     client->ExtendedUs += call->ExtendedAtUs > 0 ? NowUs() - call->ExtendedAtUs : 0;
     curl_multi_remove_handle(client->Multi, call->Easy.get());
     return call;
@@ -693,6 +769,7 @@
     }
     for (const auto& entry : Calls)
     {
+        ReleaseMemory(entry.second.get());
         curl_multi_remove_handle(Multi, entry.second->Easy.get());
     }
     Calls.clear();             // Frees their handles.
@@ -703,6 +780,7 @@
 {
     assert(client->Multi == nullptr && "the client was started already");
     client->Loop = loop;
+    client->Memory = client->Memory != nullptr ? client->Memory : &client->OwnMemory;
     client->Multi = curl_multi_init();
     curl_multi_setopt(client->Multi, CURLMOPT_SOCKETFUNCTION, OnSocket);
     curl_multi_setopt(client->Multi, CURLMOPT_SOCKETDATA, client);
--- a/gateway/client.h
+++ b/gateway/client.h
@@ -14,6 +14,7 @@
 
 #include <array>
 #include <curl/curl.h>
+#include <set>
 
 namespace Winchlink
 {
@@ -78,6 +79,15 @@
 
 struct ClientCall;
 
+// Memory of the answers in flight. Beyond the bound the largest answer is given up, and first those whose headers don't tell their length:
+// an instance is not brought down by servers whose answers don't end, and other answers go on. Clients may share one.
+struct AnswerMemory
+{
+    size_t MaxBytes = 32 * MiB;       // Less than a third of what a small instance has.
+    size_t Bytes = 0;                 // Held now.
+    std::set<ClientCall*> LargeCalls; // Those that may be given up.
+};
+
 struct Client
 {
     EventLoop* Loop = nullptr;
@@ -94,7 +104,10 @@
     uint64_t ResendsPrevented = 0;                           // Counter: resends by libcurl that were prevented.
     uint64_t DeadConnectionsSeen = 0;                        // Counter: requests that timed out on a reused connection.
     uint64_t SpoiltConnections = 0;                          // Counter: kept connections that were closed instead of reused.
-    size_t BodyBytes = 0;                                    // Body bytes of the answers in flight.
+    AnswerMemory* Memory = nullptr;                          // Set it before ClientStart() to share it; otherwise OwnMemory.
+    AnswerMemory OwnMemory;                                  // Of this client's answers only.
+    std::vector<uint64_t> GivenUp;                           // Calls to end for lack of memory; their bodies are freed already.
+    Timer GiveUp;                                            // Ends them.
     uint64_t AnswersTooLarge = 0;                            // Counter: answers that exceeded a bound.
     std::array<uint64_t, AnswerDefect_COUNT> Defective = {}; // Counters: answers with each defect.
     TimeUs ExtendedUs = 0;                                   // Counter: time for which requests were listened to beyond ListenUs.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -636,6 +636,8 @@
     gateway->StartedUs = NowUs();
     gateway->Rng.seed(std::random_device()());
     gateway->SettingsTime = ChangeTime(gateway->SettingsFile);
+    gateway->Control.Memory = &gateway->Targets.OwnMemory;
+    gateway->PeerCalls.Memory = &gateway->Targets.OwnMemory;
     ClientStart(&gateway->Targets, gateway->Loop);
     gateway->Targets.SourceIp = settings.SourceIp;
     ClientStart(&gateway->Control, gateway->Loop);
--- a/tests/endless_answers_test.cpp
+++ b/tests/endless_answers_test.cpp
@@ -2,12 +2,13 @@
 // body. Guards against an instance that reads on until its memory or its time is gone, and against requests for sound targets that are lost
 // meanwhile.
 
-#include "gateway_rig.h"
 #include "pages.h"
+#include "scripted_server.h"
 #include "socket.h"
 
 #include <atomic>
 #include <fmt/format.h>
+#include <malloc.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -292,6 +293,9 @@
     CPPUNIT_TEST(AStopIsObeyedBesideEndlessHealthChecks);
     CPPUNIT_TEST(ManyEndlessBodiesStayWithinTheMemory);
     CPPUNIT_TEST(MoreEndlessBodiesStayWithinTheMemory);
+    CPPUNIT_TEST(ASoundAnswerIsServedBesideManyEndlessBodies);
+    CPPUNIT_TEST(ALengthBeyondTheBoundIsRefusedUnread);
+    CPPUNIT_TEST(TheClientsOfAnInstanceShareTheirMemory);
     CPPUNIT_TEST_SUITE_END();
 
     static ClientRequest Call(const std::string& address)
@@ -317,7 +321,7 @@
             CPPUNIT_ASSERT_MESSAGE(text, answer.End == ClientEnd_Broken || answer.End == ClientEnd_Lost);
             CPPUNIT_ASSERT_MESSAGE(text, server.LargestAnswer() <= ReadMax);
             CPPUNIT_ASSERT_MESSAGE(text, LoopRunUntil(&loop, RigTimeoutUs, [&]() { return server.AllClosed(); }));
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(text, size_t{0}, client.BodyBytes);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(text, size_t{0}, client.Memory->Bytes);
         }
     }
 
@@ -498,6 +502,23 @@
         CPPUNIT_ASSERT_EQUAL(503, answer->Answer.Status);
     }
 
+    // Bytes that the program has allocated; 0 where the allocator doesn't tell, as under AddressSanitizer.
+    static size_t Allocated()
+    {
+        const struct mallinfo2 info = mallinfo2();
+        return info.uordblks + info.hblkhd;
+    }
+
+    static size_t PendingBytes(const EndlessServer& server)
+    {
+        size_t bytes = 0;
+        for (const auto& connection : server.Connections)
+        {
+            bytes += connection->Pending.capacity();
+        }
+        return bytes;
+    }
+
     // `pace_bytes`: size of the server's send buffers, so that the answers grow alike, as over slow links; 0: as usual.
     static void CheckMemory(size_t answers, int pace_bytes)
     {
@@ -513,10 +534,12 @@
         {
             ClientSend(&client, Call(server.Address), [&](const ClientAnswer&) { ended++; });
         }
+        const size_t before = Allocated();
         size_t largest = 0;
         const auto all_ended = [&]()
         {
-            largest = std::max(largest, client.BodyBytes);
+            const size_t added = Allocated() - before;
+            largest = std::max({largest, client.Memory->Bytes, added - std::min(added, PendingBytes(server))});
             return ended == answers;
         };
         CPPUNIT_ASSERT(LoopRunUntil(&loop, RigTimeoutUs, all_ended));
@@ -534,6 +557,49 @@
     {
         CheckMemory(150, 16 * KiB);
     }
+
+    // Guards against a sound answer that is given up for lack of memory while answers without end hold most of it.
+    void ASoundAnswerIsServedBesideManyEndlessBodies()
+    {
+        constexpr size_t endless_answers = 150;
+        constexpr size_t first_part = 100 * KiB;
+        ClientRig rig;
+        const EndlessServer endless(&rig.Loop, {"a body without length", "HTTP/1.1 200 OK\r\n\r\n", std::string(1000, 'a')}, false);
+        const std::string body(MiB, 'b');
+        rig.Next = {StatusLine + LengthLine(body.size()) + "\r\n" + body, ScriptEnd_Open, first_part, 200 * UsPerMs};
+        std::optional<ClientAnswer> sound;
+        ClientSend(&rig.Calls, rig.Request("GET", "/x"), [&](ClientAnswer answer) { sound = std::move(answer); });
+        CPPUNIT_ASSERT(LoopRunUntil(&rig.Loop, RigTimeoutUs, [&]() { return rig.Calls.Memory->Bytes >= first_part; }));
+        size_t ended = 0;
+        for (size_t n = 0; n < endless_answers; n++)
+        {
+            ClientSend(&rig.Calls, Call(endless.Address), [&](const ClientAnswer&) { ended++; });
+        }
+        CPPUNIT_ASSERT(LoopRunUntil(&rig.Loop, RigTimeoutUs, [&]() { return sound && ended == endless_answers; }));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(sound->Detail, int(ClientEnd_Answered), int(sound->End));
+        CPPUNIT_ASSERT(sound->Body == body);
+        CPPUNIT_ASSERT_EQUAL(size_t{0}, rig.Calls.Memory->Bytes);
+    }
+
+    // Guards against a body that is read although its head says that it exceeds the bound.
+    void ALengthBeyondTheBoundIsRefusedUnread()
+    {
+        ClientRig rig;
+        ClientRequest request = rig.Request("GET", "/x");
+        const ClientAnswer answer = rig.Ask(request, {StatusLine + LengthLine(request.MaxAnswerBytes + 1) + "\r\n" + "b", ScriptEnd_Open});
+        CPPUNIT_ASSERT_EQUAL(int(ClientEnd_Broken), int(answer.End));
+        CPPUNIT_ASSERT(answer.TooLarge);
+        CPPUNIT_ASSERT_EQUAL(0, rig.HeadsSeen);
+    }
+
+    // Guards against a bound that holds for requests, for the store and for requests that are handed on separately.
+    void TheClientsOfAnInstanceShareTheirMemory()
+    {
+        Rig rig;
+        RigConfigure(&rig, {UsersRoute()});
+        const Gateway& instance = RigInstance(&rig, 0);
+        CPPUNIT_ASSERT(instance.Targets.Memory == instance.Control.Memory && instance.Targets.Memory == instance.PeerCalls.Memory);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EndlessAnswersTest);
--- a/tests/scripted_server.cpp
+++ b/tests/scripted_server.cpp
@@ -138,7 +138,7 @@
             EndAnswer(connection, answer.End);
         }
     };
-    connection->Later = TimerStart(loop, UsPerMs, send_rest);
+    connection->Later = TimerStart(loop, answer.RestUs, send_rest);
 }
 
 // Takes the request that has been read from `received`; false if it is not complete.
--- a/tests/scripted_server.h
+++ b/tests/scripted_server.h
@@ -53,7 +53,8 @@
 {
     std::string Bytes;
     ScriptEnd_ End = ScriptEnd_Open;
-    size_t FirstPart = 0; // Bytes that are sent at once, the others a moment later; 0: all.
+    size_t FirstPart = 0;    // Bytes that are sent at once; 0: all.
+    TimeUs RestUs = UsPerMs; // Time until the others are sent.
 };
 
 struct ScriptedConnection
