Memory of large answers returns to the system

An instance kept more memory than its answers in flight need: each kept connection of a caller held the buffer of the largest answer that it had carried, as an assignment of an empty string keeps the memory, and the allocator keeps freed blocks of up to the largest size that it has seen.

The buffer is swapped with an empty string; blocks of 256 KiB and more get pages of their own, which return to the system when they are freed.

Test: ListenerTest::AnIdleConnectionHoldsNoAnswer, failed before.

--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -7,10 +7,13 @@
 #include <cstring>
 #include <curl/curl.h>
 #include <fmt/format.h>
+#include <malloc.h>
 
 namespace Winchlink
 {
 
+static constexpr int OwnPagesBytes = 256 * 1024; // Blocks of this size and more get pages of their own.
+
 struct Subcommand
 {
     const char* Name; // As typed.
@@ -38,8 +41,15 @@
     fmt::print("\nwinchlink COMMAND --help prints its options. winchlink --version prints the version.\n");
 }
 
+// Lets the memory of large bodies return to the system as soon as it is freed. By default the allocator keeps ever larger blocks.
+static void ReturnFreedMemory()
+{
+    mallopt(M_MMAP_THRESHOLD, OwnPagesBytes);
+}
+
 static int Main(int argc, const char** argv)
 {
+    ReturnFreedMemory();
     const char* name = argc > 1 ? argv[1] : "--help";
     if (std::strcmp(name, "--version") == 0)
     {
--- a/requests/caller_connection.cpp
+++ b/requests/caller_connection.cpp
@@ -316,7 +316,7 @@
             OwnLinkSent(listener.Link, static_cast<size_t>(sent), connection->ActiveUs);
         }
     }
-    connection->Output = std::string(); // Frees the memory of large answers; clear() would keep it.
+    std::string().swap(connection->Output); // Frees the memory of large answers; clear() and an assignment would keep it.
     connection->Written = 0;
     return true;
 }
--- a/tests/listener_test.cpp
+++ b/tests/listener_test.cpp
@@ -60,8 +60,27 @@
     CPPUNIT_TEST(HeadersBeyondTheLimitAreRefused);
     CPPUNIT_TEST(SlowHeadersEndTheConnection);
     CPPUNIT_TEST(SlowBodiesAreAccepted);
+    CPPUNIT_TEST(AnIdleConnectionHoldsNoAnswer);
     CPPUNIT_TEST_SUITE_END();
 
+    // Guards against kept connections that hold the memory of the largest answer they have carried.
+    void AnIdleConnectionHoldsNoAnswer()
+    {
+        Rig rig;
+        UsersTarget& target = RigTarget(&rig, "t1");
+        target.BodyLinesMax = 20000;
+        RigConfigure(&rig, {UsersRoute()});
+        const Gateway& instance = RigInstance(&rig, 1);
+        size_t largest = 0;
+        for (int n = 0; n < 5; n++)
+        {
+            largest = std::max(largest, RigSendAndWait(&rig, instance, RigCall()).Answer.Body.size());
+        }
+        CPPUNIT_ASSERT(largest > 64 * KiB);
+        CPPUNIT_ASSERT_EQUAL(size_t{1}, instance.Callers.Open.size());
+        CPPUNIT_ASSERT(instance.Callers.Open.begin()->second->Output.capacity() < KiB);
+    }
+
     static void StopUnderLoad(bool new_connections, uint64_t seed)
     {
         Rig rig;
