Requests behind large answers are started

Cause: no request is read while more than 256 KiB of answers are unsent. Answers that waited for a slow one exceed that together, and the socket may take all of them at once; the next requests were in the connection's own buffer, so that no event came for them.

Change: where writing has ended the limit, the connection goes on with what it has read. The other limits end with an answer, after which it is served anyway.

--- a/requests/caller_connection.cpp
+++ b/requests/caller_connection.cpp
@@ -151,6 +151,11 @@
 // [SECTION] Starting requests
 //-----------------------------------------------------------------------------
 
+static bool IsOutputFull(const CallerConnection& connection)
+{
+    return connection.Output.size() - connection.Written > OutputMax;
+}
+
 // Whether the next request may be read while this one is the latest.
 static bool MayReadBehind(const Exchange& latest)
 {
@@ -161,7 +166,7 @@
 static bool MayRead(const Listener& listener, const CallerConnection& connection)
 {
     const std::deque<ExchangePtr>& requests = connection.Requests;
-    if (connection.Closing || connection.Output.size() - connection.Written > OutputMax)
+    if (connection.Closing || IsOutputFull(connection))
     {
         return false;
     }
@@ -355,9 +360,9 @@
     ReadNext(listener, connection);
 }
 
-void ConnectionServe(Listener* listener, uint64_t id)
+// Reads and starts what has arrived, and moves answers to the output, as far as the limits permit.
+static void Advance(Listener* listener, CallerConnection* connection)
 {
-    CallerConnection* connection = Find(listener, id);
     do
     {
         if (listener->Draining)
@@ -366,11 +371,22 @@
         }
         WriteAnswers(*listener, connection);
     } while (StartLatest(listener, connection) || ReadNext(listener, connection));
-    if (!Write(*listener, connection))
+}
+
+void ConnectionServe(Listener* listener, uint64_t id)
+{
+    CallerConnection* connection = Find(listener, id);
+    bool was_full = false;
+    do
     {
-        ConnectionClose(listener, id);
-        return;
-    }
+        Advance(listener, connection);
+        was_full = IsOutputFull(*connection);
+        if (!Write(*listener, connection))
+        {
+            ConnectionClose(listener, id);
+            return;
+        }
+    } while (was_full && !IsOutputFull(*connection)); // No event tells of requests in Input that may be read now.
     const bool over = connection->Closing && connection->Output.empty() && connection->Requests.empty();
     if (over && !connection->Lingering)
     {
--- a/tests/pipeline_test.cpp
+++ b/tests/pipeline_test.cpp
@@ -68,8 +68,32 @@
     CPPUNIT_TEST(EndlessTrailersAreRefused);
     CPPUNIT_TEST(AMalformedRequestIsAnsweredInOrder);
     CPPUNIT_TEST(ExpectContinueIsAnswered);
+    CPPUNIT_TEST(RequestsBehindLargeAnswersAreAnswered);
     CPPUNIT_TEST_SUITE_END();
 
+    // Guards against requests that have been read and are never started, as the answers before them filled the output and the socket took
+    // these at once: neither the socket nor the output tells of anything then.
+    void RequestsBehindLargeAnswersAreAnswered()
+    {
+        constexpr size_t requests = 16;
+        Setup setup;
+        Prepare(&setup, 2, 5 * UsPerMs);
+        for (UsersTarget* target : setup.Targets)
+        {
+            target->BodyLinesMax = 20000;
+        }
+        setup.Targets[0]->WorkUs = LongWorkUs; // Holds up the answers behind its own, which are then written together.
+        const RawCaller caller(&setup.Fleet.Loop, setup.Instance->Config.CallerAddress);
+        std::string all;
+        for (size_t n = 0; n < requests; n++)
+        {
+            all += Get(fmt::format("n{}", n));
+        }
+        RawSend(caller, all);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(Answers(caller)), AwaitAnswers(&setup, caller, requests));
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(caller.Read.size()), caller.Read.size() > 2 * 256 * KiB);
+    }
+
     struct Setup
     {
         Rig Fleet;
