A source that fails is told anew of its followers

Change: a follower forgets what it has told a source that fails, and tells it with the next call.

Tests: PathLossLoadTest::InstancesThatRestartFindTheOthers failed before, passes at its four sizes; its model now tells followers of the loss of their source, as the product does. PathLossTest::ASourceThatFailsIsToldAgain guards that the product does so, and failed before. PathLossTest, PathLossLoadTest, PeersTest, HandoffTest, StoreReaderTest and RelayTest pass.

--- a/exchange/store_reader.cpp
+++ b/exchange/store_reader.cpp
@@ -227,7 +227,12 @@
     }
     else
     {
+        const std::string source = reader->Following.Next.Address;
         FollowFailed(&reader->Following, late, NowUs(), reader->Rng);
+        if (reader->OnSourceFailed)
+        {
+            reader->OnSourceFailed(source);
+        }
     }
     StartNextStep(reader);
 }
--- a/exchange/store_reader.h
+++ b/exchange/store_reader.h
@@ -107,6 +107,7 @@
     std::function<void(const StorePage& all, uint64_t at, TimeUs after)> OnAll;
     std::function<void(const std::vector<StoreItem>&, uint64_t at, TimeUs after)> OnChanges;
     std::function<void(const std::string& why, TimeUs tried)> OnStoreFailed; // The store failed, `tried` microseconds ago.
+    std::function<void(const std::string& source)> OnSourceFailed;           // An instance that was read from failed. May be empty.
     std::function<void()> OnNoPath;                                          // Followers are to learn that there is no path to the store.
     std::function<void(bool changed)> OnAnswered;                            // A source answered with current data.
     std::function<void(const std::vector<PeerUpdate>&)> OnPeers;             // An instance answered, see StorePage. May be empty.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -151,6 +151,10 @@
     {
         OnStoreTrouble(gateway, why, tried);
     };
+    store.OnSourceFailed = [gateway](const std::string& source)
+    {
+        PeersSourceFailed(&gateway->Requests.Others, source);
+    };
     store.OnNoPath = [gateway]()
     {
         RelayAnswerAll(&gateway->Peers);
--- a/tests/path_loss_load_test.cpp
+++ b/tests/path_loss_load_test.cpp
@@ -99,6 +99,10 @@
         fresh.DataCentre = Fleet[n].Others.DataCentre;
         Fleet[n].Others = fresh;
         Fleet[n].Path = TargetPath();
+        for (size_t follower = n * Fanout + 1; follower <= (n + 1) * Fanout && follower < Fleet.size(); follower++)
+        {
+            PeersSourceFailed(&Fleet[follower].Others, AddressOf(n));
+        }
     }
 
     static std::string AddressOf(size_t n)
--- a/tests/path_loss_test.cpp
+++ b/tests/path_loss_test.cpp
@@ -27,6 +27,7 @@
 class PathLossTest : public CPPUNIT_NS::TestFixture
 {
     CPPUNIT_TEST_SUITE(PathLossTest);
+    CPPUNIT_TEST(ASourceThatFailsIsToldAgain);
     CPPUNIT_TEST(CallersAreServedWhereTargetsAreSilent);
     CPPUNIT_TEST(CallersAreServedWhereConnectionsAreReset);
     CPPUNIT_TEST(CallersAreServedWhereOpenConnectionsEndOneByOne);
@@ -37,6 +38,39 @@
     CPPUNIT_TEST(CallersAreServedWhereMostInstancesAreCutOff);
     CPPUNIT_TEST_SUITE_END();
 
+    // Guards against a source that has restarted, and does not learn of its followers for as long as the one before was told ever less
+    // often.
+    void ASourceThatFailsIsToldAgain()
+    {
+        PathFleet fleet(2);
+        for (const auto& instance : fleet.Parts.Instances)
+        {
+            for (auto& [source, news] : instance->Requests.Others.News)
+            {
+                news.DueUs = NowUs() + news.DelayUs;
+                news.DelayUs = instance->Requests.Others.Config.NewsMaxUs;
+            }
+        }
+        const auto follower = std::find_if(fleet.Parts.Instances.begin(), fleet.Parts.Instances.end(),
+                                           [](const auto& instance) { return !instance->Requests.Others.News.empty(); });
+        CPPUNIT_ASSERT(follower != fleet.Parts.Instances.end());
+        const Peers& others = (*follower)->Requests.Others;
+        const std::string source = others.News.begin()->first;
+        for (const auto& instance : fleet.Parts.Instances)
+        {
+            if (instance->Config.PeerAddress == source)
+            {
+                ListenerStop(&instance->Peers.Server);
+            }
+        }
+        const auto forgotten = [&]()
+        {
+            const auto news = others.News.find(source);
+            return news == others.News.end() || news->second.DelayUs < others.Config.NewsMaxUs;
+        };
+        CPPUNIT_ASSERT(RigRunUntil(&fleet.Parts, forgotten));
+    }
+
     // Cuts off instances 1 to `cut` and checks the first tries from InTouchUs after that.
     static void CheckCut(size_t cut, ProxyMode_ mode, const std::string& service, const std::function<void(PathFleet*, int)>& between)
     {
--- a/winchlink.h
+++ b/winchlink.h
@@ -1000,6 +1000,9 @@
 // Whether the source is to be told now; counts as told. `has_path`: see PeerUpdate; a change is told at once.
 bool PeersNewsDue(Peers* peers, const std::string& source, bool has_path, TimeUs now);
 
+// The source has not answered. When it does it may be a new process, which knows nobody, so it is told at once.
+void PeersSourceFailed(Peers* peers, const std::string& source);
+
 // What to tell another instance: this one first, then a random sample of the others, without `except` and the own sources.
 std::vector<PeerUpdate> PeersNews(const Peers& peers, const std::string& except, bool has_path, TimeUs now, Random* random);
 
--- a/winchlink_peers.cpp
+++ b/winchlink_peers.cpp
@@ -105,6 +105,11 @@
     return true;
 }
 
+void PeersSourceFailed(Peers* peers, const std::string& source)
+{
+    peers->News.erase(source);
+}
+
 std::vector<PeerUpdate> PeersNews(const Peers& peers, const std::string& except, bool has_path, TimeUs now, Random* random)
 {
     std::vector<PeerUpdate> all;
