A socket in error is read to its end

Cause: libuv stops the watch of a socket when poll reports an error, and tells this once. Whoever then reads a part of what has arrived gets no event for the rest. An instance's watches are of the same code: a listening or a datagram socket would stay silent for good.

Change: such a watch is started again, with the events that its owner wants; an owner that pauses it in the callback gets no more.

Ruled out: answers of targets that end in a reset are read by libcurl until the socket is empty, so that 60 KiB arrived whole without this change, too.

Tests: LoopTest::AResetSocketIsReadToItsEnd read 1 of 3 bytes before; AWatchThatIsPausedInAnErrorStaysPaused guards against a loop that is kept busy.

--- a/gateway/loop.cpp
+++ b/gateway/loop.cpp
@@ -210,6 +210,7 @@
 {
     uv_poll_t Uv = {};
     std::function<void(int)> Run;
+    int Wanted = 0; // Events that are watched; 0: paused.
 };
 
 void WatchDeleter::operator()(WatchHandle* watch) const
@@ -220,7 +221,12 @@
 
 static void OnSocketReady(uv_poll_t* uv, int status, int events)
 {
-    const std::function<void(int)> run = static_cast<WatchHandle*>(uv->data)->Run; // Copied, as the call may destroy the watch.
+    auto* watch = static_cast<WatchHandle*>(uv->data);
+    const std::function<void(int)> run = watch->Run; // Copied, as the call may destroy the watch.
+    if (status < 0)
+    {
+        WatchChange(watch, watch->Wanted); // libuv has stopped it for the socket's error, but there may be more to read.
+    }
     run(status < 0 ? UV_READABLE | UV_WRITABLE | UV_DISCONNECT : events);
 }
 
@@ -236,6 +242,7 @@
 
 void WatchChange(WatchHandle* watch, int events)
 {
+    watch->Wanted = events;
     if (events == 0)
     {
         uv_poll_stop(&watch->Uv);
--- a/tests/loop_test.cpp
+++ b/tests/loop_test.cpp
@@ -1,12 +1,15 @@
-// loop_test.cpp: timers across a suspension of the machine, with a simulated clock. Guards against timers that ignore the suspended time or
-// run more than once after it.
+// loop_test.cpp: timers across a suspension of the machine, with a simulated clock, and sockets in error. Guards against timers that ignore
+// the suspended time or run more than once after it, and against data that is never read because its socket has an error.
 
 #include "check.h"
 #include "clock.h"
+#include "gateway_rig.h"
 #include "loop.h"
+#include "socket.h"
 
 #include <array>
 #include <chrono>
+#include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
 
@@ -20,6 +23,8 @@
     CPPUNIT_TEST(PeriodicTimersRunOnceAfterASuspension);
     CPPUNIT_TEST(StoppedTimersDoNotRun);
     CPPUNIT_TEST(EventsOfAHeldUpProcessMayBeOld);
+    CPPUNIT_TEST(AResetSocketIsReadToItsEnd);
+    CPPUNIT_TEST(AWatchThatIsPausedInAnErrorStaysPaused);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr TimeUs Hour = 3600 * UsPerSecond; // Longer than any test runs: such a timer only fires because of a suspension.
@@ -49,6 +54,35 @@
         }
     };
 
+    // Two ends of a TCP connection.
+    struct Connection
+    {
+        int Near = -1;
+        int Far = -1;
+
+        Connection()
+        {
+            const std::string address = FreeAddress();
+            const sockaddr_in to = ToSocketAddress(ParseEndpoint(address).value());
+            const int listening = socket(AF_INET, SOCK_STREAM, 0);
+            CPPUNIT_ASSERT_EQUAL(0, bind(listening, reinterpret_cast<const sockaddr*>(&to), sizeof to));
+            CPPUNIT_ASSERT_EQUAL(0, listen(listening, 1));
+            Near = socket(AF_INET, SOCK_STREAM, 0);
+            CPPUNIT_ASSERT_EQUAL(0, connect(Near, reinterpret_cast<const sockaddr*>(&to), sizeof to));
+            Far = accept(listening, nullptr, nullptr);
+            close(listening);
+        }
+
+        // The far end sends the bytes and resets the connection.
+        void SendAndReset(const std::string& bytes)
+        {
+            CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(bytes.size()), send(Far, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+            const linger at_once{1, 0};
+            setsockopt(Far, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+            close(Far);
+        }
+    };
+
     void SuspendedTimeCounts()
     {
         FakeSuspension machine;
@@ -142,6 +176,52 @@
         close(ends[0]);
         close(ends[1]);
     }
+
+    // Guards against data that stays in a socket because the watch ends with the event that tells of an error.
+    void AResetSocketIsReadToItsEnd()
+    {
+        EventLoop loop;
+        Connection connection;
+        connection.SendAndReset("abc");
+        std::string read;
+        bool ended = false;
+        Watch watch = WatchStart(&loop, connection.Near, UV_READABLE,
+                                 [&](int)
+                                 {
+                                     char byte = 0;
+                                     ended = recv(connection.Near, &byte, 1, MSG_DONTWAIT) <= 0;
+                                     read += ended ? "" : std::string(1, byte);
+                                 });
+        LoopRunUntil(&loop, RigTimeoutUs, [&]() { return ended; });
+        CPPUNIT_ASSERT_EQUAL(std::string("abc"), read);
+        CPPUNIT_ASSERT(ended);
+        watch = nullptr;
+        close(connection.Near);
+    }
+
+    // Guards against a loop that calls again and again for a socket in error whose events are not wanted.
+    void AWatchThatIsPausedInAnErrorStaysPaused()
+    {
+        EventLoop loop;
+        Connection connection;
+        connection.SendAndReset("abc");
+        int calls = 0;
+        Watch watch;
+        watch = WatchStart(&loop, connection.Near, UV_READABLE,
+                           [&](int)
+                           {
+                               calls++;
+                               WatchChange(watch.get(), 0);
+                           });
+        CPPUNIT_ASSERT(LoopRunUntil(&loop, RigTimeoutUs, [&]() { return calls > 0; }));
+        for (int i = 0; i < 3; i++)
+        {
+            uv_run(&loop.Uv, UV_RUN_NOWAIT);
+        }
+        CPPUNIT_ASSERT_EQUAL(1, calls);
+        watch = nullptr;
+        close(connection.Near);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LoopTest);
